--- /dev/null
+++ b/src/ledgeladder/coordination/claims.py
@@ -0,0 +1,245 @@
+"""Claims: the record that keeps a request that may run at most once from running twice.
+
+The key carries its own time (version 7 UUID, RFC 9562). A claim is forgotten only once its key is
+so old that the table refuses it by that time alone, so forgetting never lets a request run again,
+whatever the clocks of leaders do.
+"""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass, field
+from typing import Final
+
+from .commands import ClaimCommand, ClaimResult, ClaimVerdict, CompleteCommand, ReleaseCommand
+
+CLAIM_WINDOW_MS: Final = 3_600_000
+"""How long a key is remembered after the time that it carries."""
+
+CLOCK_SKEW_MS: Final = 60_000
+"""How far in the future a key may lie."""
+
+BUCKET_MS: Final = 60_000
+"""Claims are forgotten in steps of this length."""
+
+CLAIM_LIMIT: Final = 100_000
+"""Most claims held at a time."""
+
+ANSWER_LIMIT: Final = 16 * 1024
+"""Longest answer that is recorded, in bytes; of a longer one only the status is kept."""
+
+ANSWERS_TOTAL_LIMIT: Final = 32 * 1024 * 1024
+"""Bytes of recorded answers held at a time."""
+
+UUID_VERSION: Final = 7
+
+
+@dataclass(kw_only=True)
+class Claim:
+    """One claimed request."""
+
+    body_digest: bytes
+    """Digest of the request body."""
+
+    attempt: str
+    """The attempt that may dispatch."""
+
+    deadline_ms: int
+    """When the attempt will have ended for certain."""
+
+    ended: bool = False
+    """True once an outcome was recorded."""
+
+    status: int = 0
+    """HTTP status of the recorded answer; 0 if it is not known."""
+
+    content_type: str = ""
+    """Content type of the recorded answer."""
+
+    body: bytes = b""
+    """The recorded answer."""
+
+
+@dataclass(kw_only=True)
+class ClaimTable:
+    """All claims, by client account and key."""
+
+    claims: dict[str, dict[str, Claim]] = field(default_factory=dict)
+    """Claims by client account, then by key."""
+
+    buckets: dict[int, list[tuple[str, str]]] = field(default_factory=dict)
+    """Account and key of the claims, by the minute that the key carries."""
+
+    count: int = 0
+    """Number of claims."""
+
+    answer_bytes: int = 0
+    """Total length of the recorded answers."""
+
+    expired_before_ms: int = 0
+    """Keys that carry an earlier time are refused, and no claim is held for them."""
+
+
+def key_time_ms(key: str) -> int | None:
+    """Return the time that an idempotency key carries.
+
+    Args:
+        key: Text of a UUID.
+
+    Returns:
+        Milliseconds since 1970, or None if the key is not a version 7 UUID.
+
+    >>> key_time_ms("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
+    1645557742000
+    >>> key_time_ms("booking-17") is None
+    True
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_VERSION:
+        return None
+    return parsed.int >> 80
+
+
+def canonical_key(key: str) -> str:
+    """Return the one spelling under which a key is held."""
+    return str(uuid.UUID(key))
+
+
+def expire(table: ClaimTable, clock_ms: int) -> None:
+    """Forget the claims whose keys are refused by their time from now on.
+
+    Args:
+        table: The table.
+        clock_ms: The state machine's clock, which never goes back.
+    """
+    limit = (clock_ms - CLAIM_WINDOW_MS) // BUCKET_MS * BUCKET_MS
+    if limit <= table.expired_before_ms:
+        return
+    table.expired_before_ms = limit
+    for bucket in [bucket for bucket in table.buckets if bucket < limit]:
+        for account, key in table.buckets.pop(bucket):
+            _forget(table, account, key)
+
+
+def _forget(table: ClaimTable, account: str, key: str) -> None:
+    keys = table.claims.get(account, {})
+    claim = keys.pop(key, None)
+    if claim is None:
+        return
+    table.count -= 1
+    table.answer_bytes -= len(claim.body)
+    if not keys:
+        del table.claims[account]
+
+
+def claim(table: ClaimTable, command: ClaimCommand, clock_ms: int) -> ClaimResult:
+    """Grant a claim, or tell what became of the one that stands.
+
+    Args:
+        table: The table.
+        command: The claim.
+        clock_ms: The state machine's clock.
+
+    Returns:
+        The verdict; asking again with the same attempt gets the same grant.
+    """
+    key_time = key_time_ms(command.key)
+    if key_time is None or key_time > clock_ms + CLOCK_SKEW_MS:
+        return ClaimResult(verdict=ClaimVerdict.FUTURE)
+    if key_time < table.expired_before_ms:
+        return ClaimResult(verdict=ClaimVerdict.EXPIRED)
+    key = canonical_key(command.key)
+    standing = table.claims.get(command.account, {}).get(key)
+    if standing is not None:
+        return _judge_standing(standing, command, clock_ms)
+    if table.count >= CLAIM_LIMIT:
+        return ClaimResult(verdict=ClaimVerdict.FULL)
+    table.claims.setdefault(command.account, {})[key] = Claim(
+        body_digest=command.body_digest,
+        attempt=command.attempt,
+        deadline_ms=command.deadline_ms,
+    )
+    bucket = key_time // BUCKET_MS * BUCKET_MS
+    table.buckets.setdefault(bucket, []).append((command.account, key))
+    table.count += 1
+    return ClaimResult(verdict=ClaimVerdict.GRANTED)
+
+
+def _judge_standing(standing: Claim, command: ClaimCommand, clock_ms: int) -> ClaimResult:
+    if standing.body_digest != command.body_digest:
+        return ClaimResult(verdict=ClaimVerdict.MISMATCH)
+    if standing.ended and standing.status:
+        return ClaimResult(
+            verdict=ClaimVerdict.ANSWERED,
+            status=standing.status,
+            content_type=standing.content_type,
+            body=standing.body,
+        )
+    if standing.ended:
+        return ClaimResult(verdict=ClaimVerdict.UNKNOWN)
+    if standing.attempt == command.attempt:
+        return ClaimResult(verdict=ClaimVerdict.GRANTED)
+    if clock_ms <= standing.deadline_ms:
+        retry_ms = standing.deadline_ms - clock_ms
+        return ClaimResult(verdict=ClaimVerdict.RUNNING, retry_ms=retry_ms)
+    return ClaimResult(verdict=ClaimVerdict.UNKNOWN)
+
+
+def complete(table: ClaimTable, command: CompleteCommand) -> bool:
+    """Record the outcome of a claimed request.
+
+    Args:
+        table: The table.
+        command: The outcome.
+
+    Returns:
+        False if the attempt does not hold the claim.
+    """
+    standing = _held_by(table, command.account, command.key, command.attempt)
+    if standing is None or standing.ended:
+        return False
+    standing.ended = True
+    standing.status = command.status
+    standing.content_type = command.content_type
+    fits = len(command.body) <= ANSWER_LIMIT
+    if fits and table.answer_bytes + len(command.body) <= ANSWERS_TOTAL_LIMIT:
+        standing.body = command.body
+        table.answer_bytes += len(command.body)
+    elif command.body:
+        # The request ran, but its answer cannot be given again.
+        standing.status = 0
+    return True
+
+
+def release(table: ClaimTable, command: ReleaseCommand) -> bool:
+    """Give back a claim whose request was certainly not run.
+
+    Args:
+        table: The table.
+        command: Names the claim and the attempt that held it.
+
+    Returns:
+        False if the attempt does not hold the claim or its outcome is recorded.
+    """
+    standing = _held_by(table, command.account, command.key, command.attempt)
+    if standing is None or standing.ended:
+        return False
+    key = canonical_key(command.key)
+    _forget(table, command.account, key)
+    key_time = key_time_ms(key) or 0
+    bucket = table.buckets.get(key_time // BUCKET_MS * BUCKET_MS, [])
+    if (command.account, key) in bucket:
+        bucket.remove((command.account, key))
+    return True
+
+
+def _held_by(table: ClaimTable, account: str, key: str, attempt: str) -> Claim | None:
+    if key_time_ms(key) is None:
+        return None
+    standing = table.claims.get(account, {}).get(canonical_key(key))
+    if standing is None or standing.attempt != attempt:
+        return None
+    return standing
--- /dev/null
+++ b/src/ledgeladder/coordination/commands.py
@@ -0,0 +1,131 @@
+"""Commands of the replicated state machine and their results."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+from ..model import ChangeDocument, ResultCode
+
+
+class ChangeCommand(msgspec.Struct, frozen=True, kw_only=True, tag="change", array_like=True):
+    """Change the configuration if nobody else did first."""
+
+    change: ChangeDocument
+    operator: str
+    time_ms: int
+    """Wall clock of the leader that proposed it, in milliseconds since 1970."""
+
+
+class RefusalCommand(msgspec.Struct, frozen=True, kw_only=True, tag="refusal", array_like=True):
+    """Record in the audit trail that a change was refused before it reached the log."""
+
+    change_id: str
+    operator: str
+    code: ResultCode
+    detail: str
+    time_ms: int
+
+
+class ClaimCommand(msgspec.Struct, frozen=True, kw_only=True, tag="claim", array_like=True):
+    """Ask for the right to dispatch a request that may run at most once."""
+
+    account: str
+    key: str
+    """Idempotency key, a version 7 UUID."""
+
+    body_digest: bytes
+    attempt: str
+    """Random id of this attempt; only the attempt that is granted may dispatch."""
+
+    deadline_ms: int
+    """Wall-clock time after which the attempt will have ended for certain."""
+
+    time_ms: int
+
+
+class CompleteCommand(msgspec.Struct, frozen=True, kw_only=True, tag="complete", array_like=True):
+    """Record the answer of a claimed request."""
+
+    account: str
+    key: str
+    attempt: str
+    status: int
+    """HTTP status of the answer; 0 if the outcome is not known."""
+
+    content_type: str
+    body: bytes
+    time_ms: int
+
+
+class ReleaseCommand(msgspec.Struct, frozen=True, kw_only=True, tag="release", array_like=True):
+    """Give a claim back whose request was certainly not run."""
+
+    account: str
+    key: str
+    attempt: str
+    time_ms: int
+
+
+Command = ChangeCommand | RefusalCommand | ClaimCommand | CompleteCommand | ReleaseCommand
+
+
+class ChangeResult(msgspec.Struct, frozen=True, kw_only=True, tag="change", array_like=True):
+    """Outcome of a change."""
+
+    code: ResultCode
+    version: int
+    """Version that the change made, or the current version if it was refused."""
+
+    detail: str = ""
+    repeated: bool = False
+    """True if the change id had been decided before and this is the first answer again."""
+
+
+class ClaimVerdict(StrEnum):
+    """What a claim got."""
+
+    GRANTED = "granted"
+    """This attempt, and no other, may dispatch the request once."""
+
+    RUNNING = "running"
+    """Another attempt holds the claim and may still be at work."""
+
+    ANSWERED = "answered"
+    """The request was run; the recorded answer is attached."""
+
+    UNKNOWN = "unknown"
+    """Another attempt held the claim and its outcome is not known."""
+
+    MISMATCH = "mismatch"
+    """The key was used with another body."""
+
+    EXPIRED = "expired"
+    """The key is older than the window in which keys are remembered."""
+
+    FUTURE = "future"
+    """The time in the key lies in the future."""
+
+    FULL = "full"
+    """No more claims can be held."""
+
+
+class ClaimResult(msgspec.Struct, frozen=True, kw_only=True, tag="claim", array_like=True):
+    """Outcome of a claim."""
+
+    verdict: ClaimVerdict
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    retry_ms: int = 0
+    """After how many milliseconds the holder will have ended, if it is running."""
+
+
+class Noted(msgspec.Struct, frozen=True, kw_only=True, tag="noted", array_like=True):
+    """Outcome of a command that has none of its own."""
+
+    accepted: bool
+
+
+Result = ChangeResult | ClaimResult | Noted
--- /dev/null
+++ b/src/ledgeladder/coordination/raft/replica.py
@@ -0,0 +1,173 @@
+"""State of one member of the replicated log, and what it asks its driver to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from .log import RaftLog
+from .messages import Envelope, HardState, LogEntry, Snapshot
+
+
+class Role(StrEnum):
+    """What a member currently is."""
+
+    FOLLOWER = "follower"
+    TRIAL_CANDIDATE = "trial-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Timing:
+    """Intervals of the protocol, in seconds on the monotonic clock."""
+
+    heartbeat: float = 0.1
+    """Time between heartbeats of a leader."""
+
+    election: float = 0.5
+    """Least silence after which a follower stands for election; at most twice this."""
+
+    lease: float = 0.4
+    """How long a leader may act after a quorum answered; below `election` by the clock drift."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Progress:
+    """What a leader knows of one other member."""
+
+    next_index: int
+    """First entry to send next."""
+
+    match_index: int = 0
+    """Last entry known to be held and synced by the member."""
+
+    answered_round: int = 0
+    """Newest heartbeat round that the member answered."""
+
+    heard_at: float = 0.0
+    """When the member last answered."""
+
+    awaiting_snapshot: bool = False
+    """True while a snapshot is being fetched or is under way."""
+
+    snapshot_sent_at: float = 0.0
+    """When the snapshot was last asked for."""
+
+
+@dataclass(kw_only=True)
+class Replica:
+    """One member: its durable state, its volatile state, and its pending output."""
+
+    member_id: str
+    """Own member id; a box whose disk was lost returns under a new one."""
+
+    timing: Timing = field(default_factory=Timing)
+    """Intervals."""
+
+    hard_state: HardState = field(default_factory=HardState)
+    """Term and vote."""
+
+    log: RaftLog = field(default_factory=RaftLog)
+    """The log after the last snapshot."""
+
+    role: Role = Role.FOLLOWER
+    """Current role."""
+
+    leader_id: str = ""
+    """Leader of the current term, if known."""
+
+    commit_index: int = 0
+    """Last entry known to be committed."""
+
+    handed_over_index: int = 0
+    """Last committed entry that was given to the driver."""
+
+    synced_index: int = 0
+    """Last entry that the own disk holds for certain."""
+
+    votes: dict[str, bool] = field(default_factory=dict)
+    """Votes received in the current election."""
+
+    progress: dict[str, Progress] = field(default_factory=dict)
+    """Other members, while leading."""
+
+    election_due: float = 0.0
+    """When to stand for election unless a leader is heard."""
+
+    leader_heard_at: float = 0.0
+    """When a leader was last heard; starts at the process start, see `election`."""
+
+    heartbeat_due: float = 0.0
+    """When to send the next heartbeat."""
+
+    round: int = 0
+    """Newest heartbeat round."""
+
+    round_sent_at: dict[int, float] = field(default_factory=dict)
+    """When recent rounds were sent."""
+
+    handover_target: str = ""
+    """Member that the leadership is being handed to."""
+
+    handover_until: float = 0.0
+    """When an unfinished hand-over is given up."""
+
+    lease_forfeited: bool = False
+    """True once a hand-over was asked for in this term: no lease until the next term."""
+
+    outbox: list[Envelope] = field(default_factory=list)
+    """Messages to send once everything below is synced."""
+
+    unsynced_entries: list[LogEntry] = field(default_factory=list)
+    """Entries to write; one with an index already written replaces it and all after it."""
+
+    hard_state_dirty: bool = False
+    """True if `hard_state` must be written."""
+
+    incoming_snapshot: Snapshot | None = None
+    """Snapshot to write and to restore the state machine from."""
+
+    snapshots_wanted: list[str] = field(default_factory=list)
+    """Members that need the newest snapshot from this leader."""
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.hard_state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """True while this member believes that it leads."""
+        return self.role is Role.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """True if this member's vote counts by its own log."""
+        return self.member_id in self.log.members.voters
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ready:
+    """Work for the driver, to be done in the order of the fields.
+
+    Everything up to `entries` is written and synced before any of `messages` is sent.
+    """
+
+    hard_state: HardState | None
+    """Term and vote to write."""
+
+    snapshot: Snapshot | None
+    """Snapshot to write, replacing the journal, and to restore from."""
+
+    entries: tuple[LogEntry, ...]
+    """Entries to write."""
+
+    messages: tuple[Envelope, ...]
+    """Messages to send; losing one is harmless."""
+
+    committed: tuple[LogEntry, ...]
+    """Entries to apply to the state machine."""
+
+    snapshots_wanted: tuple[str, ...]
+    """Members to call `offer_snapshot` for."""
--- /dev/null
+++ b/src/ledgeladder/coordination/raft/replication.py
@@ -0,0 +1,202 @@
+"""Replication: appending, acknowledging, committing, and snapshots for members left behind."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from .election import (
+    accept_leader,
+    ask_target_to_stand,
+    become_follower,
+    note_round,
+    quorum,
+    send,
+)
+from .messages import AppendReply, AppendRequest, LogEntry, Snapshot, SnapshotRequest
+from .replica import Progress, Replica
+
+BATCH_LIMIT: Final = 512
+"""Most entries in one append request."""
+
+SNAPSHOT_RETRY_SECONDS: Final = 5.0
+"""How long to wait for the answer to a snapshot before sending it again."""
+
+
+def broadcast(replica: Replica, now: float) -> None:
+    """Send every member what it lacks, or a heartbeat."""
+    note_round(replica, now)
+    replica.heartbeat_due = now + replica.timing.heartbeat
+    for member, progress in replica.progress.items():
+        send_append(replica, member, progress, now)
+
+
+def send_append(replica: Replica, member: str, progress: Progress, now: float) -> None:
+    """Send one member the entries that it lacks.
+
+    Args:
+        replica: The leader.
+        member: The member to send to.
+        progress: What the leader knows of it.
+        now: Monotonic time in seconds.
+    """
+    previous_term = replica.log.term_at(progress.next_index - 1)
+    if previous_term is None:
+        _want_snapshot(replica, member, progress, now)
+        return
+    entries = replica.log.slice(progress.next_index, BATCH_LIMIT)
+    request = AppendRequest(
+        term=replica.term,
+        previous_index=progress.next_index - 1,
+        previous_term=previous_term,
+        entries=entries,
+        commit_index=replica.commit_index,
+        round=replica.round,
+    )
+    # The next entries are sent without waiting; a reply that rejects sets this back.
+    progress.next_index += len(entries)
+    send(replica, member, request)
+
+
+def _want_snapshot(replica: Replica, member: str, progress: Progress, now: float) -> None:
+    waited = now - progress.snapshot_sent_at
+    if progress.awaiting_snapshot and waited < SNAPSHOT_RETRY_SECONDS:
+        return
+    progress.awaiting_snapshot = True
+    progress.snapshot_sent_at = now
+    replica.snapshots_wanted.append(member)
+
+
+def offer_snapshot(replica: Replica, member: str, snapshot: Snapshot) -> None:
+    """Send a member the newest snapshot, which the driver has read.
+
+    Args:
+        replica: The leader.
+        member: The member that wants it.
+        snapshot: The newest snapshot on the leader's disk.
+    """
+    if replica.is_leader and member in replica.progress:
+        request = SnapshotRequest(term=replica.term, snapshot=snapshot, round=replica.round)
+        send(replica, member, request)
+
+
+def receive_append(
+    replica: Replica, sender: str, request: AppendRequest, now: float, rng: random.Random
+) -> None:
+    """Store the entries of the leader if they follow what is held."""
+    if not accept_leader(replica, sender, request.term, now, rng):
+        _reply(replica, sender, request.round, accepted=False, index=replica.log.last_index)
+        return
+    log = replica.log
+    if request.previous_index < log.base_index:
+        # Everything up to the snapshot is committed and matches by definition.
+        _reply(replica, sender, request.round, accepted=True, index=log.base_index)
+        return
+    if log.term_at(request.previous_index) != request.previous_term:
+        hint = _conflict_hint(replica, request.previous_index)
+        _reply(replica, sender, request.round, accepted=False, index=hint)
+        return
+    _store(replica, request.entries)
+    match_index = request.previous_index + len(request.entries)
+    replica.commit_index = max(replica.commit_index, min(request.commit_index, match_index))
+    _reply(replica, sender, request.round, accepted=True, index=match_index)
+
+
+def _conflict_hint(replica: Replica, index: int) -> int:
+    """Return the last index before the whole conflicting term."""
+    log = replica.log
+    if index > log.last_index:
+        return log.last_index
+    conflicting = log.term_at(index)
+    while index > log.base_index and log.term_at(index) == conflicting:
+        index -= 1
+    return max(index, replica.commit_index)
+
+
+def _store(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
+    log = replica.log
+    for position, entry in enumerate(entries):
+        held = log.term_at(entry.index)
+        if held == entry.term:
+            continue
+        if held is not None:
+            if entry.index <= replica.commit_index:
+                raise AssertionError(f"entry {entry.index} is committed and would be replaced")
+            log.truncate(entry.index)
+            replica.synced_index = min(replica.synced_index, entry.index - 1)
+            replica.unsynced_entries = [
+                waiting for waiting in replica.unsynced_entries if waiting.index < entry.index
+            ]
+        rest = entries[position:]
+        log.append(rest)
+        replica.unsynced_entries.extend(rest)
+        return
+
+
+def _reply(replica: Replica, target: str, round_number: int, *, accepted: bool, index: int) -> None:
+    reply = AppendReply(term=replica.term, accepted=accepted, index=index, round=round_number)
+    send(replica, target, reply)
+
+
+def receive_snapshot(
+    replica: Replica, sender: str, request: SnapshotRequest, now: float, rng: random.Random
+) -> None:
+    """Replace the own log by the leader's snapshot if it is ahead."""
+    if not accept_leader(replica, sender, request.term, now, rng):
+        _reply(replica, sender, request.round, accepted=False, index=replica.log.last_index)
+        return
+    snapshot = request.snapshot
+    if snapshot.index > replica.commit_index:
+        replica.log.reset(snapshot.index, snapshot.term, snapshot.members)
+        replica.unsynced_entries.clear()
+        replica.incoming_snapshot = snapshot
+        replica.commit_index = snapshot.index
+        replica.handed_over_index = snapshot.index
+        replica.synced_index = snapshot.index
+    _reply(replica, sender, request.round, accepted=True, index=replica.commit_index)
+
+
+def receive_append_reply(
+    replica: Replica, sender: str, reply: AppendReply, now: float, rng: random.Random
+) -> None:
+    """Note what a member holds and commit what a majority holds."""
+    if reply.term > replica.term:
+        become_follower(replica, reply.term, "", now, rng)
+        return
+    progress = replica.progress.get(sender)
+    if not replica.is_leader or reply.term != replica.term or progress is None:
+        return
+    progress.heard_at = now
+    progress.answered_round = max(progress.answered_round, reply.round)
+    if not reply.accepted:
+        progress.next_index = max(progress.match_index, reply.index) + 1
+        send_append(replica, sender, progress, now)
+        return
+    progress.awaiting_snapshot = False
+    if reply.index > progress.match_index:
+        progress.match_index = reply.index
+        advance_commit(replica)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    if progress.next_index <= replica.log.last_index:
+        send_append(replica, sender, progress, now)
+    if replica.handover_target == sender:
+        ask_target_to_stand(replica)
+
+
+def advance_commit(replica: Replica) -> None:
+    """Commit what a majority of voters has synced, if it reaches into the current term."""
+    if not replica.is_leader:
+        return
+    matched = []
+    for voter in replica.log.members.voters:
+        if voter == replica.member_id:
+            matched.append(replica.synced_index)
+            continue
+        progress = replica.progress.get(voter)
+        matched.append(progress.match_index if progress else 0)
+    if not matched:
+        return
+    matched.sort(reverse=True)
+    candidate = matched[quorum(len(matched)) - 1]
+    if candidate > replica.commit_index and replica.log.term_at(candidate) == replica.term:
+        replica.commit_index = candidate
--- /dev/null
+++ b/src/ledgeladder/coordination/state_machine.py
@@ -0,0 +1,291 @@
+"""The replicated state machine: configuration, change history, audit trail and claims.
+
+Applying a command is a pure function of state and command: no clock, no random numbers. Every
+member that applies the same log holds the same state.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from ..model import ChangeDocument, Configuration, ResultCode, apply_objects
+from .claims import ClaimTable, claim, complete, expire, release
+from .commands import (
+    ChangeCommand,
+    ChangeResult,
+    ClaimCommand,
+    Command,
+    CompleteCommand,
+    Noted,
+    RefusalCommand,
+    ReleaseCommand,
+    Result,
+)
+
+CHANGES_REMEMBERED: Final = 4096
+"""Decided change ids that are kept. A resend of an older one fails by its base version."""
+
+AUDIT_REMEMBERED: Final = 4096
+"""Audit entries that are kept in the state; the log file has them all."""
+
+DELTAS_REMEMBERED: Final = 256
+"""Accepted changes that are kept to send to boxes that lag by a few versions."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AuditEntry:
+    """One decided change, accepted or refused."""
+
+    time_ms: int
+    """When it was decided, in milliseconds since 1970."""
+
+    operator: str
+    """Who asked for it."""
+
+    change_id: str
+    """Id that the operator gave it."""
+
+    code: ResultCode
+    """Outcome."""
+
+    version: int
+    """Version that it made, or the version in force when it was refused."""
+
+    detail: str
+    """What was changed, or why it was refused."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DecidedChange:
+    """The first answer to a change id."""
+
+    content_digest: bytes
+    """Digest of the change, to tell a resend from a reuse of the id."""
+
+    result: ChangeResult
+    """The answer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Delta:
+    """An accepted change as it is sent to the boxes."""
+
+    version: int
+    """Version that it makes out of the one before."""
+
+    change: ChangeDocument
+    """The objects put and removed."""
+
+
+@dataclass(kw_only=True)
+class ClusterState:
+    """Everything that survives."""
+
+    configuration: Configuration = field(default_factory=Configuration)
+    """The newest accepted configuration."""
+
+    decided: dict[str, DecidedChange] = field(default_factory=dict)
+    """First answers by change id, oldest first."""
+
+    deltas: list[Delta] = field(default_factory=list)
+    """Recent accepted changes, oldest first."""
+
+    audit: list[AuditEntry] = field(default_factory=list)
+    """Recent audit entries, oldest first."""
+
+    claims: ClaimTable = field(default_factory=ClaimTable)
+    """Claims of requests that may run at most once."""
+
+    clock_ms: int = 0
+    """Highest wall-clock time of any command so far."""
+
+
+COMMAND_DECODER: Final = msgspec.msgpack.Decoder(Command)
+_STATE_DECODER: Final = msgspec.msgpack.Decoder(ClusterState)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the log."""
+    return msgspec.msgpack.encode(command)
+
+
+def encode_state(state: ClusterState) -> bytes:
+    """Encode a state for a snapshot."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode_state(data: bytes) -> ClusterState:
+    """Decode the state of a snapshot."""
+    return _STATE_DECODER.decode(data)
+
+
+def apply_command(state: ClusterState, command: Command) -> Result:
+    """Apply one committed command.
+
+    Args:
+        state: The state, which is changed.
+        command: The command.
+
+    Returns:
+        What whoever proposed the command is told.
+    """
+    state.clock_ms = max(state.clock_ms, command.time_ms)
+    expire(state.claims, state.clock_ms)
+    match command:
+        case ChangeCommand():
+            return _apply_change(state, command)
+        case RefusalCommand():
+            _record(state, command, command.code, state.configuration.version, command.detail)
+            return Noted(accepted=True)
+        case ClaimCommand():
+            return claim(state.claims, command, state.clock_ms)
+        case CompleteCommand():
+            return Noted(accepted=complete(state.claims, command))
+        case ReleaseCommand():
+            return Noted(accepted=release(state.claims, command))
+
+
+def change_digest(change: ChangeDocument) -> bytes:
+    """Hash the content of a change without its id."""
+    encoded = msgspec.msgpack.encode((change.base_version, change.put, change.remove))
+    return hashlib.blake2b(encoded, digest_size=16).digest()
+
+
+def decided_before(state: ClusterState, change: ChangeDocument) -> ChangeResult | None:
+    """Return the answer to a change id that has been decided, if it has.
+
+    Args:
+        state: The state.
+        change: The change, perhaps a resend.
+
+    Returns:
+        The first answer again, a refusal if the content differs, or None for a new id.
+    """
+    earlier = state.decided.get(change.change_id)
+    if earlier is None:
+        return None
+    if earlier.content_digest != change_digest(change):
+        return ChangeResult(
+            code=ResultCode.CHANGE_ID_REUSED,
+            version=state.configuration.version,
+            detail=f"change id {change.change_id} was used before with other content",
+        )
+    result = earlier.result
+    return msgspec.structs.replace(result, repeated=True)
+
+
+def judge_base(state: ClusterState, change: ChangeDocument) -> ChangeResult | None:
+    """Check the base version of a change.
+
+    Args:
+        state: The state.
+        change: The change.
+
+    Returns:
+        The refusal, or None if the change is based on the current version.
+    """
+    current = state.configuration.version
+    if change.base_version == current:
+        return None
+    if change.base_version > current:
+        code = ResultCode.VERSION_FUTURE
+        detail = f"base version {change.base_version} does not exist; current is {current}"
+    else:
+        code = ResultCode.VERSION_CONFLICT
+        detail = f"base version {change.base_version} was superseded; current is {current}"
+    return ChangeResult(code=code, version=current, detail=detail)
+
+
+def _apply_change(state: ClusterState, command: ChangeCommand) -> ChangeResult:
+    change = command.change
+    repeated = decided_before(state, change)
+    if repeated is not None:
+        if repeated.code is ResultCode.CHANGE_ID_REUSED:
+            _record(state, command, repeated.code, repeated.version, repeated.detail)
+        return repeated
+    result = judge_base(state, change)
+    if result is None:
+        state.configuration = apply_objects(state.configuration, change.put, change.remove)
+        version = state.configuration.version
+        state.deltas.append(Delta(version=version, change=change))
+        del state.deltas[:-DELTAS_REMEMBERED]
+        result = ChangeResult(code=ResultCode.OK, version=version, detail=_summary(change))
+    _record(state, command, result.code, result.version, result.detail)
+    state.decided[change.change_id] = DecidedChange(
+        content_digest=change_digest(change), result=result
+    )
+    while len(state.decided) > CHANGES_REMEMBERED:
+        del state.decided[next(iter(state.decided))]
+    return result
+
+
+def _summary(change: ChangeDocument) -> str:
+    put = change.put
+    groups = (put.upstreams, put.pipelines, put.priorities, put.accounts, put.policies)
+    names = [item.name for group in groups for item in group]
+    removed = [f"{reference.kind.value} {reference.name}" for reference in change.remove]
+    parts = []
+    if names:
+        parts.append("put " + ", ".join(names[:20]) + (" ..." if len(names) > 20 else ""))
+    if removed:
+        parts.append("removed " + ", ".join(removed[:20]))
+    return "; ".join(parts)
+
+
+def _record(
+    state: ClusterState,
+    command: ChangeCommand | RefusalCommand,
+    code: ResultCode,
+    version: int,
+    detail: str,
+) -> None:
+    change_id = command.change_id if isinstance(command, RefusalCommand) else ""
+    if isinstance(command, ChangeCommand):
+        change_id = command.change.change_id
+    entry = AuditEntry(
+        time_ms=command.time_ms,
+        operator=command.operator,
+        change_id=change_id,
+        code=code,
+        version=version,
+        detail=detail,
+    )
+    state.audit.append(entry)
+    del state.audit[:-AUDIT_REMEMBERED]
+
+
+def deltas_after(state: ClusterState, version: int) -> list[Delta] | None:
+    """Return the changes that bring a box from one version to the newest.
+
+    Args:
+        state: The state.
+        version: Version that the box has in force.
+
+    Returns:
+        The deltas in order, or None if they are no longer held.
+    """
+    current = state.configuration.version
+    if version > current or current - version > len(state.deltas):
+        return None
+    if version == current:
+        return []
+    return state.deltas[-(current - version) :]
+
+
+def advance(configuration: Configuration, delta: Delta) -> Configuration | None:
+    """Apply a delta to the configuration that a box has in force.
+
+    Args:
+        configuration: The configuration in force.
+        delta: The next change.
+
+    Returns:
+        The next configuration, or None if the delta does not follow the version in force.
+    """
+    if delta.version != configuration.version + 1:
+        return None
+    return apply_objects(configuration, delta.change.put, delta.change.remove)
--- /dev/null
+++ b/src/ledgeladder/links/endpoint.py
@@ -0,0 +1,138 @@
+"""Opening and accepting links: addresses, listening, reconnecting."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from ..model import ProblemError
+from .link import accept, greet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import SocketStream
+
+    from .link import Link, LinkIdentity
+
+    LinkHandler = Callable[[Link], Awaitable[None]]
+    """Serves one link until it returns or raises."""
+
+logger = logging.getLogger(__name__)
+
+CONNECT_SECONDS: Final = 2.0
+RECONNECT_SECONDS: Final = 0.2
+RECONNECT_LIMIT_SECONDS: Final = 2.0
+
+LINK_ENDED: Final = (
+    OSError,
+    TimeoutError,
+    ProblemError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+"""What may end a link without being a fault of this process."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `host:port`.
+
+    >>> split_address("127.0.0.1:7000")
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def serve_links(address: str, identity: LinkIdentity, handler: LinkHandler) -> None:
+    """Accept links until cancelled.
+
+    Args:
+        address: `host:port` to listen on.
+        identity: Who accepts.
+        handler: Serves each link.
+    """
+    host, port = split_address(address)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port, reuse_port=False)
+
+    async def serve_one(stream: SocketStream) -> None:
+        remote = stream.extra(SocketAttribute.remote_address, None)
+        try:
+            async with stream:
+                link = await accept(stream, identity)
+                await _run_link(link, handler)
+        except* LINK_ENDED as ended:
+            logger.info("link ended", extra={"remote": str(remote), "reason": reason(ended)})
+
+    async with listener:
+        await listener.serve(serve_one)
+
+
+async def keep_link(
+    address: str, identity: LinkIdentity, handler: LinkHandler, *, rng: random.Random
+) -> None:
+    """Keep one outgoing link up until cancelled.
+
+    Args:
+        address: `host:port` of the peer.
+        identity: Who connects.
+        handler: Serves the link each time it is up.
+        rng: Spreads reconnects, so that a restarted peer is not met by all at once.
+    """
+    wait = RECONNECT_SECONDS
+    while True:
+        try:
+            await open_link(address, identity, handler)
+            wait = RECONNECT_SECONDS
+        except* LINK_ENDED as ended:
+            logger.debug("link lost", extra={"remote": address, "reason": reason(ended)})
+        await anyio.sleep(wait * rng.uniform(0.5, 1.0))
+        wait = min(wait * 2, RECONNECT_LIMIT_SECONDS)
+
+
+async def open_link(address: str, identity: LinkIdentity, handler: LinkHandler) -> None:
+    """Connect once and serve the link until it ends.
+
+    Args:
+        address: `host:port` of the peer.
+        identity: Who connects.
+        handler: Serves the link.
+    """
+    host, port = split_address(address)
+    with anyio.fail_after(CONNECT_SECONDS):
+        stream = await anyio.connect_tcp(host, port)
+    async with stream:
+        link = await greet(stream, identity)
+        await _run_link(link, handler)
+
+
+async def _run_link(link: Link, handler: LinkHandler) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_write_and_close, link)
+        try:
+            await handler(link)
+        finally:
+            link.close()
+            tasks.cancel_scope.cancel()
+
+
+async def _write_and_close(link: Link) -> None:
+    try:
+        await link.run_writer()
+    finally:
+        link.closed = True
+    # The peer did not read; ending the stream wakes the handler.
+    await link.stream.aclose()
+
+
+def reason(group: BaseExceptionGroup[BaseException]) -> str:
+    """Describe in a few words why a link ended."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/src/ledgeladder/links/messages.py
@@ -0,0 +1,140 @@
+"""Messages between the processes of the system."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+from ..coordination.commands import Command, Result
+from ..coordination.raft import Envelope
+from ..coordination.state_machine import Delta
+from ..model import Configuration, ResultCode
+
+
+class PeerRole(StrEnum):
+    """What the process at the other end of a link is."""
+
+    CONTROL = "control"
+    ENTRY = "entry"
+    OPERATOR = "operator"
+
+
+class Challenge(msgspec.Struct, frozen=True, kw_only=True, tag="challenge", array_like=True):
+    """First frame of the accepting side."""
+
+    nonce: bytes
+
+
+class Hello(msgspec.Struct, frozen=True, kw_only=True, tag="hello", array_like=True):
+    """First frame of the connecting side."""
+
+    cluster: str
+    role: PeerRole
+    box: str
+    failure_domain: str
+    instance: str
+    """Random name of this run of the process."""
+
+    nonce: bytes
+    proof: bytes
+    """Proof that the sender holds the shared secret, over both nonces."""
+
+
+class Welcome(msgspec.Struct, frozen=True, kw_only=True, tag="welcome", array_like=True):
+    """Answer to a hello, with the accepting side's proof."""
+
+    box: str
+    proof: bytes
+
+
+class LogMessage(msgspec.Struct, frozen=True, kw_only=True, tag="log", array_like=True):
+    """A message of the replicated log."""
+
+    envelope: Envelope
+
+
+class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, tag="join", array_like=True):
+    """A control box that is no member asks to become a learner."""
+
+    member_id: str
+
+
+class VersionHead(msgspec.Struct, frozen=True, kw_only=True, tag="head", array_like=True):
+    """The sender's newest configuration, in short."""
+
+    version: int
+    digest: bytes
+
+
+class DeltaPush(msgspec.Struct, frozen=True, kw_only=True, tag="deltas", array_like=True):
+    """Changes that follow the receiver's version."""
+
+    deltas: tuple[Delta, ...]
+
+
+class FullPush(msgspec.Struct, frozen=True, kw_only=True, tag="full", array_like=True):
+    """A whole configuration."""
+
+    configuration: Configuration
+
+
+class Pull(msgspec.Struct, frozen=True, kw_only=True, tag="pull", array_like=True):
+    """Ask for everything after a version that the sender has in force."""
+
+    version: int
+    full: bool = False
+    """True if deltas will not do, as after a digest that does not match."""
+
+
+class InForce(msgspec.Struct, frozen=True, kw_only=True, tag="in-force", array_like=True):
+    """Tell which version a box has in force."""
+
+    box: str
+    failure_domain: str
+    instance: str
+    version: int
+
+
+class InForceReport(msgspec.Struct, frozen=True, kw_only=True, tag="report", array_like=True):
+    """Tell other control boxes which versions the boxes connected here have in force."""
+
+    boxes: tuple[InForce, ...]
+
+
+class CommandRequest(msgspec.Struct, frozen=True, kw_only=True, tag="command?", array_like=True):
+    """Ask the leader to commit a command."""
+
+    call: int
+    command: Command
+
+
+class CommandReply(msgspec.Struct, frozen=True, kw_only=True, tag="command", array_like=True):
+    """Outcome of a command."""
+
+    call: int
+    result: Result | None
+    """Result, or None if the command was not committed here."""
+
+    code: ResultCode = ResultCode.OK
+    """Why there is no result."""
+
+    leader: str = ""
+    """Box that leads, if known."""
+
+
+LinkMessage = (
+    Challenge
+    | Hello
+    | Welcome
+    | LogMessage
+    | JoinRequest
+    | VersionHead
+    | DeltaPush
+    | FullPush
+    | Pull
+    | InForce
+    | InForceReport
+    | CommandRequest
+    | CommandReply
+)
--- /dev/null
+++ b/src/ledgeladder/model/__init__.py
@@ -0,0 +1,47 @@
+"""Data classes for the objects, routes, failures and codes that every other part uses."""
+
+from __future__ import annotations
+
+from .codes import CODE_TABLE, CodeEntry, Execution, ResultCode
+from .configuration import Configuration, apply_objects, digest, find_problems
+from .documents import (
+    ChangeDocument,
+    ClientAccount,
+    Kind,
+    ObjectReference,
+    ObjectSet,
+    Pipeline,
+    Policy,
+    Priority,
+    Upstream,
+    UpstreamKind,
+)
+from .problem import Problem, ProblemError
+from .route import LayerSpan, Route, Stage, covers_once
+
+__all__ = [
+    "CODE_TABLE",
+    "ChangeDocument",
+    "ClientAccount",
+    "CodeEntry",
+    "Configuration",
+    "Execution",
+    "Problem",
+    "ProblemError",
+    "Kind",
+    "LayerSpan",
+    "ObjectReference",
+    "ObjectSet",
+    "Pipeline",
+    "Policy",
+    "Priority",
+    "ResultCode",
+    "Route",
+    "Stage",
+    "Upstream",
+    "UpstreamKind",
+    "apply_objects",
+    "covers_once",
+    "digest",
+    "find_problems",
+]
--- /dev/null
+++ b/src/ledgeladder/model/configuration.py
@@ -0,0 +1,151 @@
+"""The configuration in force: all objects under one ascending version."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from .documents import ClientAccount, Kind, Pipeline, Policy, Priority, Upstream, UpstreamKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from .documents import ObjectReference, ObjectSet
+
+
+@dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """An immutable set of objects with its version."""
+
+    version: int = 0
+    """Ascends by one with each accepted change."""
+
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    """Upstreams by name."""
+
+    pipelines: dict[str, Pipeline] = field(default_factory=dict)
+    """Pipelines by name."""
+
+    priorities: dict[str, Priority] = field(default_factory=dict)
+    """Priorities by name."""
+
+    accounts: dict[str, ClientAccount] = field(default_factory=dict)
+    """Client accounts by name."""
+
+    policies: dict[str, Policy] = field(default_factory=dict)
+    """Policies by name."""
+
+
+_Item = TypeVar("_Item", Upstream, Pipeline, Priority, ClientAccount, Policy)
+
+
+def _merged(
+    current: dict[str, _Item], put: Iterable[_Item], removed: set[str]
+) -> dict[str, _Item]:
+    merged = {name: item for name, item in current.items() if name not in removed}
+    merged.update({item.name: item for item in put})
+    return merged
+
+
+def apply_objects(
+    configuration: Configuration, put: ObjectSet, remove: Sequence[ObjectReference]
+) -> Configuration:
+    """Make the next version out of the current one.
+
+    Args:
+        configuration: The configuration to start from; it is left as it is.
+        put: Objects to create or replace.
+        remove: Objects to remove; one that is missing is passed over.
+
+    Returns:
+        The configuration with the next version number.
+    """
+    removed: dict[Kind, set[str]] = {kind: set() for kind in Kind}
+    for reference in remove:
+        removed[reference.kind].add(reference.name)
+    return replace(
+        configuration,
+        version=configuration.version + 1,
+        upstreams=_merged(configuration.upstreams, put.upstreams, removed[Kind.UPSTREAM]),
+        pipelines=_merged(configuration.pipelines, put.pipelines, removed[Kind.PIPELINE]),
+        priorities=_merged(configuration.priorities, put.priorities, removed[Kind.PRIORITY]),
+        accounts=_merged(configuration.accounts, put.accounts, removed[Kind.ACCOUNT]),
+        policies=_merged(configuration.policies, put.policies, removed[Kind.POLICY]),
+    )
+
+
+def digest(configuration: Configuration) -> bytes:
+    """Hash a configuration so that two boxes can tell whether they hold the same one.
+
+    Args:
+        configuration: The configuration to hash.
+
+    Returns:
+        16 bytes that are equal for equal configurations.
+    """
+    encoded = msgspec.msgpack.encode(configuration, order="sorted")
+    return hashlib.blake2b(encoded, digest_size=16).digest()
+
+
+def find_problems(configuration: Configuration) -> list[str]:
+    """List what is inconsistent between the objects of a configuration.
+
+    Args:
+        configuration: The configuration to check.
+
+    Returns:
+        One sentence a problem; empty if it is consistent.
+    """
+    problems: list[str] = []
+    for upstream in configuration.upstreams.values():
+        problems.extend(_upstream_problems(upstream))
+    for pipeline in configuration.pipelines.values():
+        problems.extend(_pipeline_problems(configuration, pipeline))
+    seen_keys: dict[str, str] = {}
+    for account in configuration.accounts.values():
+        problems.extend(_account_problems(configuration, account, seen_keys))
+    return problems
+
+
+def _upstream_problems(upstream: Upstream) -> list[str]:
+    if upstream.kind is UpstreamKind.SERVICE:
+        return []
+    problems = []
+    if not upstream.model:
+        problems.append(f"upstream {upstream.name}: an engine names the model that it holds")
+    if upstream.end_layer <= upstream.first_layer:
+        problems.append(f"upstream {upstream.name}: end_layer must exceed first_layer")
+    return problems
+
+
+def _pipeline_problems(configuration: Configuration, pipeline: Pipeline) -> list[str]:
+    problems = []
+    if bool(pipeline.model) == bool(pipeline.services):
+        problems.append(f"pipeline {pipeline.name}: set either model or services")
+    if pipeline.model and pipeline.layers == 0:
+        problems.append(f"pipeline {pipeline.name}: layers must be at least 1")
+    for service in pipeline.services:
+        upstream = configuration.upstreams.get(service)
+        if upstream is None or upstream.kind is not UpstreamKind.SERVICE:
+            problems.append(f"pipeline {pipeline.name}: {service} is not a service upstream")
+    if pipeline.policy is not None and pipeline.policy not in configuration.policies:
+        problems.append(f"pipeline {pipeline.name}: policy {pipeline.policy} does not exist")
+    return problems
+
+
+def _account_problems(
+    configuration: Configuration, account: ClientAccount, seen_keys: dict[str, str]
+) -> list[str]:
+    problems = []
+    for pipeline in account.pipelines:
+        if pipeline not in configuration.pipelines:
+            problems.append(f"account {account.name}: pipeline {pipeline} does not exist")
+    if account.priority is not None and account.priority not in configuration.priorities:
+        problems.append(f"account {account.name}: priority {account.priority} does not exist")
+    owner = seen_keys.setdefault(account.key_sha256, account.name)
+    if owner != account.name:
+        problems.append(f"account {account.name}: shares its key with account {owner}")
+    return problems
--- /dev/null
+++ b/src/ledgeladder/model/documents.py
@@ -0,0 +1,207 @@
+"""The objects that operators create: pipelines, upstreams, client accounts, priorities, policies.
+
+They are plain data classes. At the border they are checked with pydantic type adapters, inside they
+travel as they are, and the log and the links encode them with msgspec.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Annotated, ClassVar, Final
+
+from pydantic import ConfigDict, Field
+
+NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9_.-]{0,62}$"
+ADDRESS_PATTERN: Final = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
+POLICY_SOURCE_LIMIT: Final = 16 * 1024
+"""Longest policy program, in characters."""
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+
+_STRICT: Final = ConfigDict(extra="forbid")
+
+
+class Kind(StrEnum):
+    """The kinds of object in a configuration."""
+
+    PIPELINE = "pipeline"
+    UPSTREAM = "upstream"
+    ACCOUNT = "account"
+    PRIORITY = "priority"
+    POLICY = "policy"
+
+
+class UpstreamKind(StrEnum):
+    """What an upstream is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Upstream:
+    """A model engine that holds a range of layers, or a plain service."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    """Unique name."""
+
+    kind: UpstreamKind
+    """Engine or service."""
+
+    address: Address
+    """`host:port`, by IP number."""
+
+    failure_domain: Name
+    """Problem domain that the upstream stands in."""
+
+    model: str = ""
+    """Model whose layers an engine holds; empty for a service."""
+
+    first_layer: Annotated[int, Field(ge=0, le=10_000)] = 0
+    """First layer that an engine holds."""
+
+    end_layer: Annotated[int, Field(ge=0, le=10_000)] = 0
+    """One past the last layer that an engine holds."""
+
+    layers_per_second: Annotated[float, Field(gt=0, le=1e9)] = 1.0
+    """Declared speed in layer steps a second over all requests; measurements correct it."""
+
+    checks_fences: bool = True
+    """Whether the upstream refuses orders that carry an old fence."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Pipeline:
+    """What callers name in a request: a model over engines, or a set of plain services."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    """Unique name; callers use it as the model name."""
+
+    model: str = ""
+    """Model that the pipeline runs; empty if it leads to plain services."""
+
+    layers: Annotated[int, Field(ge=0, le=10_000)] = 0
+    """Number of layers of the model."""
+
+    services: tuple[Name, ...] = ()
+    """Upstreams of kind service that may answer, for a pipeline of services."""
+
+    policy: Name | None = None
+    """Policy that is asked about each request."""
+
+    deadline_seconds: Annotated[float, Field(gt=0, le=3600)] = 60.0
+    """Longest time from acceptance to the last byte of the answer."""
+
+    max_tokens: Annotated[int, Field(ge=1, le=100_000)] = 1024
+    """Most tokens that one request may ask for."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Priority:
+    """A class of requests; lower ranks go first."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    """Unique name."""
+
+    rank: Annotated[int, Field(ge=0, le=100)]
+    """Order among priorities, 0 first."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClientAccount:
+    """A caller's account with its key and limits."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    """Unique name."""
+
+    key_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    """SHA-256 of the bearer key, in hexadecimal; the key itself is never stored."""
+
+    pipelines: tuple[Name, ...] = ()
+    """Pipelines that the account may use; empty for all."""
+
+    priority: Name | None = None
+    """Priority of its requests unless a policy says otherwise."""
+
+    rate: Annotated[float, Field(gt=0, le=1e6)] = 1000.0
+    """Requests a second over all boxes."""
+
+    concurrency: Annotated[int, Field(ge=1, le=1_000_000)] = 1000
+    """Requests in progress over all boxes."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Policy:
+    """A short Starlark program that decides what may flow where."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    """Unique name."""
+
+    source: Annotated[str, Field(max_length=POLICY_SOURCE_LIMIT)]
+    """Program text; it defines `decide(request)`."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ObjectReference:
+    """Names one object of a configuration."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    kind: Kind
+    """Kind of the object."""
+
+    name: Name
+    """Name of the object."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ObjectSet:
+    """Objects of every kind, as a change file lists them."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    upstreams: tuple[Upstream, ...] = ()
+    """Upstreams to create or replace."""
+
+    pipelines: tuple[Pipeline, ...] = ()
+    """Pipelines to create or replace."""
+
+    priorities: tuple[Priority, ...] = ()
+    """Priorities to create or replace."""
+
+    accounts: tuple[ClientAccount, ...] = ()
+    """Client accounts to create or replace."""
+
+    policies: tuple[Policy, ...] = ()
+    """Policies to create or replace."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeDocument:
+    """A change as an operator submits it."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    change_id: Annotated[str, Field(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+    """Identifies the change; resending it under the same id is safe."""
+
+    base_version: Annotated[int, Field(ge=0)]
+    """Version that the change was made against."""
+
+    put: ObjectSet = field(default_factory=ObjectSet)
+    """Objects to create or replace."""
+
+    remove: tuple[ObjectReference, ...] = ()
+    """Objects to remove."""
--- /dev/null
+++ b/src/ledgeladder/model/route.py
@@ -0,0 +1,75 @@
+"""Routes: which upstream runs which layers, and the receipts that prove it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LayerSpan:
+    """A half-open range of layers, `first` included and `end` excluded."""
+
+    first: int
+    """Index of the first layer."""
+
+    end: int
+    """Index one past the last layer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stage:
+    """One upstream of a route and the layers it is to run."""
+
+    upstream: str
+    """Name of the upstream."""
+
+    address: str
+    """`host:port` of the upstream."""
+
+    span: LayerSpan
+    """The layers that this upstream runs, which may be fewer than it holds."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """A chain of stages that covers every layer of a model exactly once, in order."""
+
+    stages: tuple[Stage, ...]
+    """The stages in the order in which a token passes through them."""
+
+    @property
+    def head(self) -> Stage:
+        """The stage that the entry talks to."""
+        return self.stages[0]
+
+    @property
+    def upstreams(self) -> frozenset[str]:
+        """Names of all upstreams on the route."""
+        return frozenset(stage.upstream for stage in self.stages)
+
+
+def covers_once(spans: Sequence[LayerSpan], layers: int) -> bool:
+    """Tell whether spans run layers `0..layers-1` exactly once and in order.
+
+    Args:
+        spans: The spans in the order in which they were run.
+        layers: Number of layers of the model.
+
+    Returns:
+        True if nothing is skipped, doubled or swapped.
+
+    >>> covers_once([LayerSpan(first=0, end=4), LayerSpan(first=4, end=8)], 8)
+    True
+    >>> covers_once([LayerSpan(first=0, end=5), LayerSpan(first=4, end=8)], 8)
+    False
+    """
+    expected = 0
+    for span in spans:
+        if span.first != expected or span.end <= span.first:
+            return False
+        expected = span.end
+    return expected == layers
--- /dev/null
+++ b/src/ledgeladder/routing/policy.py
@@ -0,0 +1,213 @@
+"""Policies: short Starlark programs that decide what may flow where.
+
+A policy defines `decide(request)`. It gets a dict with the keys of `RequestFacts` and returns a dict
+with any of the keys of `Decision`. The language has no clock, no files and no random numbers, and
+its work is counted in interpreter steps, so every box reaches the same decision.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import asdict, dataclass
+from typing import Annotated, Any, ClassVar, Final
+
+import starlark
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from ..model import Configuration, Problem, ResultCode
+
+CHECK_LIMIT: Final = 100
+"""Times that the interpreter may ask whether to go on; it asks about every 1,000 steps."""
+
+CALL_DEPTH_LIMIT: Final = 50
+"""Deepest nesting of calls."""
+
+_POSITION: Final = re.compile(r":(\d+):(\d+)")
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestFacts:
+    """What a policy is told about a request."""
+
+    pipeline: str
+    """Pipeline that was named."""
+
+    account: str
+    """Client account that asks."""
+
+    priority: str
+    """Priority of the account, or empty."""
+
+    max_tokens: int
+    """Most tokens asked for; 0 for a plain service."""
+
+    failure_domain: str
+    """Failure domain of the entry box."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Decision:
+    """What a policy answers. Every field may be left out."""
+
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra="forbid")
+
+    allow: Annotated[bool, Field(strict=True)] = True
+    """False denies the request."""
+
+    reason: Annotated[str, Field(max_length=200)] = ""
+    """Told to the caller of a denied request."""
+
+    upstreams: Annotated[list[str], Field(max_length=1000)] | None = None
+    """Names of the upstreams that may be used; None for all."""
+
+    failure_domains: Annotated[list[str], Field(max_length=100)] | None = None
+    """Failure domains whose upstreams may be used; None for all."""
+
+    priority: str | None = None
+    """Priority to use in place of the account's."""
+
+    max_tokens: Annotated[int, Field(ge=1, strict=True)] | None = None
+    """Upper bound on tokens."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class CompiledPolicy:
+    """A policy that is ready to be asked."""
+
+    name: str
+    """Name of the policy."""
+
+    module: Any
+    """The frozen Starlark module."""
+
+
+_DECISION: Final = TypeAdapter(Decision)
+
+
+def _options() -> starlark.EvalOptions:
+    checks = 0
+
+    def over_budget() -> bool:
+        nonlocal checks
+        checks += 1
+        return checks > CHECK_LIMIT
+
+    return starlark.EvalOptions(check_cancelled=over_budget, max_callstack_size=CALL_DEPTH_LIMIT)
+
+
+def _problem(name: str, text: str) -> Problem:
+    position = _POSITION.search(text)
+    place = f" line {position[1]} column {position[2]}" if position else ""
+    lines = [line.strip() for line in text.splitlines() if line.strip()]
+    cause = next((line for line in lines if line.startswith("error:")), lines[0] if lines else "")
+    detail = f"policy {name}{place}: {cause}"
+    return Problem(code=ResultCode.POLICY_INVALID, detail=detail[:500])
+
+
+def compile_policy(name: str, source: str) -> Result[CompiledPolicy, Problem]:
+    """Parse, type-check and load a policy.
+
+    Args:
+        name: Name of the policy, for messages.
+        source: Program text.
+
+    Returns:
+        The compiled policy, or a problem with line and column where there is one.
+    """
+    dialect = starlark.Dialect.standard()
+    dialect.enable_types = starlark.DialectTypes.ENABLE
+    dialect.enable_f_strings = True
+    dialect.enable_load = False
+    globals_ = starlark.Globals.standard()
+    try:
+        tree = starlark.parse(name, source, dialect)
+        errors, _, _ = tree.typecheck(globals_, {})
+        if errors:
+            return Failure(_problem(name, str(errors[0])))
+        module = starlark.Module()
+        starlark.eval_with(_options(), module, tree, globals_)
+        frozen = module.freeze()
+    except starlark.StarlarkError as error:
+        return Failure(_problem(name, str(error)))
+    return Success(CompiledPolicy(name=name, module=frozen))
+
+
+def ask_policy(policy: CompiledPolicy, facts: RequestFacts) -> Result[Decision, Problem]:
+    """Ask a policy about one request.
+
+    Args:
+        policy: The policy.
+        facts: What it is told.
+
+    Returns:
+        Its decision, or a problem if it failed, ran too long or returned something else.
+    """
+    try:
+        answer = policy.module.call_with(_options(), "decide", asdict(facts)).value
+    except starlark.StarlarkError as error:
+        return Failure(_problem(policy.name, str(error)))
+    try:
+        return Success(_DECISION.validate_python(answer))
+    except ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "result"
+        return Failure(_problem(policy.name, f"decide returned {where}: {first['msg']}"))
+
+
+def try_policies(configuration: Configuration) -> list[Problem]:
+    """Compile every policy and try it on sample requests of the pipelines that use it.
+
+    Args:
+        configuration: The configuration that would come into force.
+
+    Returns:
+        One problem for each policy that is not fit for use.
+    """
+    problems: list[Problem] = []
+    for policy in configuration.policies.values():
+        compiled = compile_policy(policy.name, policy.source)
+        if isinstance(compiled, Failure):
+            problems.append(compiled.failure())
+            continue
+        problem = _first_failed_trial(configuration, compiled.unwrap())
+        if problem is not None:
+            problems.append(problem)
+    return problems
+
+
+def _first_failed_trial(configuration: Configuration, policy: CompiledPolicy) -> Problem | None:
+    for facts in _samples(configuration, policy.name):
+        outcome = ask_policy(policy, facts)
+        if isinstance(outcome, Failure):
+            return outcome.failure()
+        decision = outcome.unwrap()
+        for name in decision.upstreams or []:
+            if name not in configuration.upstreams:
+                return _problem(policy.name, f"decide returned unknown upstream {name}")
+        if decision.priority and decision.priority not in configuration.priorities:
+            return _problem(policy.name, f"decide returned unknown priority {decision.priority}")
+    return None
+
+
+def _samples(configuration: Configuration, policy_name: str) -> list[RequestFacts]:
+    pipelines = [
+        pipeline.name
+        for pipeline in configuration.pipelines.values()
+        if pipeline.policy == policy_name
+    ]
+    accounts = list(configuration.accounts.values())[:20]
+    domains = sorted({item.failure_domain for item in configuration.upstreams.values()})
+    return [
+        RequestFacts(
+            pipeline=pipeline,
+            account=account.name if account else "sample",
+            priority=(account.priority or "") if account else "",
+            max_tokens=tokens,
+            failure_domain=domain,
+        )
+        for pipeline in pipelines or ["sample"]
+        for account in accounts or [None]
+        for domain in domains or ["sample"]
+        for tokens in (0, 16, 4096)
+    ]
--- /dev/null
+++ b/src/ledgeladder/settings/models.py
@@ -0,0 +1,163 @@
+"""The settings that each process reads from its TOML file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..model.documents import ADDRESS_PATTERN, NAME_PATTERN
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class BoxSection(_Section):
+    """Where the process runs."""
+
+    name: Name
+    """Unique name of the process among all of its cluster."""
+
+    failure_domain: Name
+    """Failure domain of the box."""
+
+
+class ClusterSection(_Section):
+    """What all processes of the cluster share."""
+
+    name: Name
+    """Name of the cluster."""
+
+    secret: Annotated[str, Field(min_length=16, repr=False)]
+    """Secret by which the processes recognise each other."""
+
+
+class LogSection(_Section):
+    """Structured logging."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    """Least level that is written."""
+
+
+class ControlPeer(_Section):
+    """One control box of the cluster."""
+
+    name: Name
+    """Box name."""
+
+    failure_domain: Name
+    """Failure domain of the box."""
+
+    link_address: Address
+    """Where it accepts links."""
+
+    operator_address: Address
+    """Where it accepts operators."""
+
+
+class EntryPeer(_Section):
+    """Another entry box of the same failure domain."""
+
+    name: Name
+    """Box name."""
+
+    link_address: Address
+    """Where it accepts links."""
+
+
+class Operator(_Section):
+    """Somebody who may change the configuration."""
+
+    name: Name
+    """Name for the audit trail."""
+
+    token_sha256: Sha256
+    """SHA-256 of the operator's token, in hexadecimal."""
+
+
+class ControlSection(_Section):
+    """A control process."""
+
+    data_folder: Path
+    """Folder on the disk that lasts."""
+
+    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 1000
+    """Log entries after which a snapshot is taken."""
+
+    heartbeat_seconds: Annotated[float, Field(ge=0.01, le=5)] = 0.1
+    """Time between heartbeats of the leader."""
+
+    election_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.6
+    """Least silence after which another leader is elected."""
+
+
+class EntrySection(_Section):
+    """An entry process."""
+
+    caller_address: Address
+    """Where it accepts callers."""
+
+    link_address: Address
+    """Where it accepts links from entry boxes of its failure domain."""
+
+    body_limit_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
+    """Longest request body."""
+
+    queue_limit: Annotated[int, Field(ge=0, le=100_000)] = 256
+    """Most requests that wait for an upstream."""
+
+    in_flight_limit: Annotated[int, Field(ge=1, le=100_000)] = 400
+    """Most requests in progress."""
+
+    stop_notice_seconds: Annotated[float, Field(ge=0, le=600)] = 1.0
+    """How long a stopping process still serves what the balancer sends."""
+
+    stop_limit_seconds: Annotated[float, Field(ge=1, le=3600)] = 90.0
+    """How long a stopping process waits for requests in progress."""
+
+
+class PlatformSection(_Section):
+    """What the platform offers."""
+
+    box_list_url: Annotated[str, Field(pattern=r"^http://")] | None = None
+    """Page with the live and leaving upstreams, which lags."""
+
+    poll_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.5
+    """How often it is read."""
+
+
+class ControlSettings(_Section):
+    """Settings file of a control process."""
+
+    box: BoxSection
+    cluster: ClusterSection
+    control: ControlSection
+    controls: Annotated[tuple[ControlPeer, ...], Field(min_length=1, max_length=8)]
+    """All control boxes, this one included."""
+
+    operators: tuple[Operator, ...] = ()
+    """Who may change the configuration."""
+
+    log: LogSection = LogSection()
+
+
+class EntrySettings(_Section):
+    """Settings file of an entry process."""
+
+    box: BoxSection
+    cluster: ClusterSection
+    entry: EntrySection
+    controls: Annotated[tuple[ControlPeer, ...], Field(min_length=1, max_length=8)]
+    """All control boxes."""
+
+    entries: tuple[EntryPeer, ...] = ()
+    """The entry boxes of the same failure domain; this one may be listed."""
+
+    platform: PlatformSection = PlatformSection()
+    log: LogSection = LogSection()
--- /dev/null
+++ b/src/ledgeladder/storage/__init__.py
@@ -0,0 +1,28 @@
+"""Durable state of a box with a disk: identity, journal, snapshot."""
+
+from __future__ import annotations
+
+from .errors import StorageError
+from .identity import (
+    INITIAL_INCARNATION,
+    Identity,
+    box_of,
+    create_identity,
+    member_id,
+    read_identity,
+)
+from .journal import Journal, Recovered, load_snapshot, open_journal
+
+__all__ = [
+    "INITIAL_INCARNATION",
+    "Identity",
+    "Journal",
+    "Recovered",
+    "StorageError",
+    "box_of",
+    "create_identity",
+    "load_snapshot",
+    "member_id",
+    "open_journal",
+    "read_identity",
+]
--- /dev/null
+++ b/src/ledgeladder/storage/files.py
@@ -0,0 +1,71 @@
+"""Durable file operations: synced writes, atomic replacement, synced folders."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from ..model import ResultCode
+from .errors import storage_error
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Sync = Callable[[int], None]
+    """Makes the data of an open file last; raises `OSError` if it cannot."""
+
+
+@contextmanager
+def disk_faults_named(path: Path) -> Iterator[None]:
+    """Turn an `OSError` inside the block into a numbered `StorageError`.
+
+    A sync that failed is never tried again: the kernel may have dropped the dirty pages and would
+    report success the second time although the data is lost.
+
+    Args:
+        path: The file concerned, for the message.
+
+    Raises:
+        StorageError: With code DISK_FULL or SYNC_FAILED.
+    """
+    try:
+        yield
+    except OSError as error:
+        if error.errno in (errno.ENOSPC, errno.EDQUOT):
+            raise storage_error(ResultCode.DISK_FULL, f"{path}: {error.strerror}") from error
+        detail = f"{path}: {error.strerror}; restart the process to read the folder again"
+        raise storage_error(ResultCode.SYNC_FAILED, detail) from error
+
+
+def sync_folder(folder: Path) -> None:
+    """Make renames and new files in a folder last."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, content: bytes, *, sync: Sync = os.fsync) -> None:
+    """Replace a file so that after a crash either the old or the new content is there.
+
+    Args:
+        path: File to replace.
+        content: New content.
+        sync: Makes the data of an open file last.
+
+    Raises:
+        StorageError: If the disk is full or does not sync.
+    """
+    temporary = path.with_suffix(path.suffix + ".tmp")
+    with disk_faults_named(path):
+        with open(temporary, "wb") as file:
+            file.write(content)
+            file.flush()
+            sync(file.fileno())
+        os.replace(temporary, path)
+        sync_folder(path.parent)
--- /dev/null
+++ b/src/ledgeladder/storage/journal.py
@@ -0,0 +1,234 @@
+"""The journal and the snapshot of one member of the replicated log."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, BinaryIO, Final
+
+import msgspec
+
+from ..coordination.raft import HardState, LogEntry, Snapshot
+from ..model import ResultCode
+from .errors import storage_error
+from .files import disk_faults_named, replace_file
+from .identity import FORMAT_VERSION
+from .records import Tail, frame_record, scan_records
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .files import Sync
+
+JOURNAL_FILE: Final = "journal"
+SNAPSHOT_FILE: Final = "snapshot"
+MAGIC: Final = b"LLJ"
+PREFIX: Final = MAGIC + bytes([FORMAT_VERSION])
+"""First bytes of the journal and of the snapshot."""
+
+
+class StateRecord(msgspec.Struct, frozen=True, kw_only=True, tag="state", array_like=True):
+    """A journal record with a new term or vote."""
+
+    hard_state: HardState
+
+
+class EntryRecord(msgspec.Struct, frozen=True, kw_only=True, tag="entry", array_like=True):
+    """A journal record with a log entry; it replaces one of the same index and all after it."""
+
+    entry: LogEntry
+
+
+_RECORD_DECODER: Final = msgspec.msgpack.Decoder(StateRecord | EntryRecord)
+_SNAPSHOT_DECODER: Final = msgspec.msgpack.Decoder(Snapshot)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Recovered:
+    """What a data folder held when it was opened."""
+
+    hard_state: HardState
+    """Last term and vote."""
+
+    snapshot: Snapshot | None
+    """Newest snapshot."""
+
+    entries: list[LogEntry]
+    """Entries after the snapshot."""
+
+    cut_bytes: int
+    """Length of a torn tail that was removed."""
+
+
+@dataclass(kw_only=True)
+class Journal:
+    """An open journal; every write is synced before it returns."""
+
+    folder: Path
+    """Data folder."""
+
+    file: BinaryIO
+    """The journal, positioned at its end."""
+
+    size: int
+    """Length of the journal in bytes."""
+
+    sync: Sync
+    """Makes the data of an open file last."""
+
+    def write(self, hard_state: HardState | None, entries: Sequence[LogEntry]) -> None:
+        """Append records and sync once.
+
+        Args:
+            hard_state: New term and vote, if they changed.
+            entries: New entries.
+
+        Raises:
+            StorageError: If the disk is full or does not sync; the journal must not be used again.
+        """
+        records: list[StateRecord | EntryRecord] = []
+        if hard_state is not None:
+            records.append(StateRecord(hard_state=hard_state))
+        records.extend(EntryRecord(entry=entry) for entry in entries)
+        if not records:
+            return
+        content = b"".join(frame_record(msgspec.msgpack.encode(record)) for record in records)
+        with disk_faults_named(self.folder / JOURNAL_FILE):
+            self.file.write(content)
+            self.file.flush()
+            self.sync(self.file.fileno())
+        self.size += len(content)
+
+    def save_snapshot(
+        self, snapshot: Snapshot, hard_state: HardState, entries: Sequence[LogEntry]
+    ) -> None:
+        """Store a snapshot, then start a journal that holds only what follows it.
+
+        A crash between the two steps leaves old entries in the journal, which opening skips.
+
+        Args:
+            snapshot: The snapshot to keep.
+            hard_state: Current term and vote.
+            entries: Entries after the snapshot.
+
+        Raises:
+            StorageError: If the disk is full or does not sync.
+        """
+        framed = PREFIX + frame_record(msgspec.msgpack.encode(snapshot))
+        replace_file(self.folder / SNAPSHOT_FILE, framed, sync=self.sync)
+        records: list[StateRecord | EntryRecord] = [StateRecord(hard_state=hard_state)]
+        records.extend(EntryRecord(entry=entry) for entry in entries)
+        framed_records = (frame_record(msgspec.msgpack.encode(record)) for record in records)
+        content = PREFIX + b"".join(framed_records)
+        path = self.folder / JOURNAL_FILE
+        replace_file(path, content, sync=self.sync)
+        self.file.close()
+        self.file = open(path, "ab")  # noqa: SIM115
+        self.size = len(content)
+
+    def close(self) -> None:
+        """Close the journal."""
+        self.file.close()
+
+
+def load_snapshot(folder: Path) -> Snapshot | None:
+    """Read the newest snapshot.
+
+    Args:
+        folder: Data folder.
+
+    Returns:
+        The snapshot, or None if there is none.
+
+    Raises:
+        StorageError: If it is damaged or newer than this program.
+    """
+    path = folder / SNAPSHOT_FILE
+    if not path.exists():
+        return None
+    content = path.read_bytes()
+    _check_prefix(path, content)
+    scan = scan_records(content, len(PREFIX))
+    if scan.tail is not Tail.CLEAN or len(scan.payloads) != 1:
+        raise _corrupt(path, scan.good_length)
+    try:
+        return _SNAPSHOT_DECODER.decode(scan.payloads[0])
+    except msgspec.DecodeError as error:
+        raise _corrupt(path, len(PREFIX)) from error
+
+
+def open_journal(folder: Path, *, sync: Sync = os.fsync) -> tuple[Journal, Recovered]:
+    """Open a data folder and read what it holds.
+
+    Args:
+        folder: Data folder, which must exist.
+        sync: Makes the data of an open file last.
+
+    Returns:
+        The journal, ready for writing, and what was recovered.
+
+    Raises:
+        StorageError: If anything but a torn tail is wrong, or the disk fails.
+    """
+    snapshot = load_snapshot(folder)
+    path = folder / JOURNAL_FILE
+    if not path.exists():
+        replace_file(path, PREFIX, sync=sync)
+    content = path.read_bytes()
+    _check_prefix(path, content)
+    scan = scan_records(content, len(PREFIX))
+    if scan.tail is Tail.CORRUPT:
+        raise _corrupt(path, scan.good_length)
+    hard_state, entries = _replay(path, scan.payloads, snapshot.index if snapshot else 0)
+    file = open(path, "r+b")  # noqa: SIM115
+    with disk_faults_named(path):
+        file.truncate(scan.good_length)
+        file.seek(scan.good_length)
+        sync(file.fileno())
+    journal = Journal(folder=folder, file=file, size=scan.good_length, sync=sync)
+    cut = len(content) - scan.good_length
+    recovered = Recovered(
+        hard_state=hard_state, snapshot=snapshot, entries=entries, cut_bytes=cut
+    )
+    return journal, recovered
+
+
+def _replay(path: Path, payloads: list[bytes], base: int) -> tuple[HardState, list[LogEntry]]:
+    hard_state = HardState()
+    entries: list[LogEntry] = []
+    for payload in payloads:
+        try:
+            record = _RECORD_DECODER.decode(payload)
+        except msgspec.DecodeError as error:
+            raise _corrupt(path, 0) from error
+        if isinstance(record, StateRecord):
+            hard_state = record.hard_state
+            continue
+        entry = record.entry
+        if entry.index <= base:
+            continue
+        expected = base + len(entries) + 1
+        if entry.index > expected:
+            detail = f"{path}: entry {entry.index} follows entry {expected - 1}"
+            raise storage_error(ResultCode.JOURNAL_CORRUPT, detail)
+        del entries[entry.index - base - 1 :]
+        entries.append(entry)
+    return hard_state, entries
+
+
+def _check_prefix(path: Path, content: bytes) -> None:
+    if content.startswith(PREFIX):
+        return
+    if content.startswith(MAGIC) and len(content) >= len(PREFIX) and content[3] > FORMAT_VERSION:
+        detail = f"{path}: format {content[3]}, this program reads up to {FORMAT_VERSION}"
+        raise storage_error(ResultCode.JOURNAL_FORMAT, detail)
+    raise _corrupt(path, 0)
+
+
+def _corrupt(path: Path, offset: int) -> Exception:
+    detail = (
+        f"{path}: bad record at offset {offset}; keep the folder for inspection and start the box "
+        "with an empty one, so that it rejoins as a learner"
+    )
+    return storage_error(ResultCode.JOURNAL_CORRUPT, detail)
--- /dev/null
+++ b/src/ledgeladder/storage/records.py
@@ -0,0 +1,86 @@
+"""Checksummed records: the framing that the journal and the snapshot share."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+HEADER: Final = struct.Struct(">II")
+"""Length of the payload and its CRC-32."""
+
+RECORD_LIMIT: Final = 256 * 1024 * 1024
+"""Longest payload that is believed, in bytes."""
+
+
+class Tail(StrEnum):
+    """How a run of records ends."""
+
+    CLEAN = "clean"
+    """Right after a whole record."""
+
+    TORN = "torn"
+    """In the middle of a record, as after a crash during a write."""
+
+    CORRUPT = "corrupt"
+    """With a whole record whose checksum does not match, or with an absurd length."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordScan:
+    """What was found in a run of records."""
+
+    payloads: list[bytes]
+    """Payloads of the good records, in order."""
+
+    good_length: int
+    """Offset one past the last good record."""
+
+    tail: Tail
+    """What follows it."""
+
+
+def frame_record(payload: bytes) -> bytes:
+    """Put a length and a checksum before a payload."""
+    return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def scan_records(content: bytes, start: int) -> RecordScan:
+    """Read records up to the end or to the first bad one.
+
+    A crash can leave the last write short, or leave zeros where the file grew before its data was
+    written; both are torn. A record of full length with a wrong checksum is called corrupt even at
+    the end, since it may have been synced and promised to others. Taking a torn write for a corrupt
+    one costs a rejoin as a learner; the opposite would lose an accepted change.
+
+    Args:
+        content: The whole file.
+        start: Offset of the first record.
+
+    Returns:
+        The records and the state of the tail.
+
+    >>> scan_records(frame_record(b"abc") + b"\\x00", 0).tail.value
+    'torn'
+    """
+    payloads: list[bytes] = []
+    offset = start
+    while offset < len(content):
+        rest = len(content) - offset
+        if rest < HEADER.size or not any(content[offset : offset + HEADER.size]):
+            zeros = not any(content[offset:])
+            tail = Tail.TORN if rest < HEADER.size or zeros else Tail.CORRUPT
+            return RecordScan(payloads=payloads, good_length=offset, tail=tail)
+        length, checksum = HEADER.unpack_from(content, offset)
+        payload = content[offset + HEADER.size : offset + HEADER.size + length]
+        if length > RECORD_LIMIT:
+            return RecordScan(payloads=payloads, good_length=offset, tail=Tail.CORRUPT)
+        if len(payload) < length:
+            return RecordScan(payloads=payloads, good_length=offset, tail=Tail.TORN)
+        if zlib.crc32(payload) != checksum:
+            return RecordScan(payloads=payloads, good_length=offset, tail=Tail.CORRUPT)
+        payloads.append(payload)
+        offset += HEADER.size + length
+    return RecordScan(payloads=payloads, good_length=offset, tail=Tail.CLEAN)
--- /dev/null
+++ b/tests/coordination/raft/schedule.py
@@ -0,0 +1,328 @@
+"""Runs members of the replicated log under one seeded schedule and checks them after each step.
+
+The schedule loses, duplicates and reorders messages, crashes members with or without their last
+unsynced writes, freezes them, lets their clocks drift, and destroys disks.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ledgeladder.coordination import raft
+
+
+class InvariantError(AssertionError):
+    """Something that must always hold did not."""
+
+
+@dataclass(kw_only=True)
+class Disk:
+    """What a member has written; `unsynced` is lost in a crash."""
+
+    hard_state: raft.HardState = field(default_factory=raft.HardState)
+    snapshot: raft.Snapshot | None = None
+    entries: list[raft.LogEntry] = field(default_factory=list)
+    unsynced: list[raft.Ready] = field(default_factory=list)
+
+    def write(self, ready: raft.Ready) -> None:
+        self.unsynced.append(ready)
+
+    def sync(self) -> None:
+        for ready in self.unsynced:
+            self.store(ready)
+        self.unsynced.clear()
+
+    def store(self, ready: raft.Ready) -> None:
+        if ready.hard_state is not None:
+            self.hard_state = ready.hard_state
+        if ready.snapshot is not None:
+            self.snapshot = ready.snapshot
+            self.entries = []
+        for entry in ready.entries:
+            self.entries = [held for held in self.entries if held.index < entry.index]
+            self.entries.append(entry)
+
+
+@dataclass(kw_only=True)
+class Member:
+    """One member with its disk, its clock and its applied commands."""
+
+    replica: raft.Replica
+    disk: Disk
+    rate: float
+    applied: list[bytes] = field(default_factory=list)
+    applied_index: int = 0
+    up: bool = True
+    frozen_until: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Schedule:
+    """A cluster, its message bag, and what has been seen so far."""
+
+    seed: int
+    voters: int = 3
+    skip_sync: bool = False
+    """Plants a bug: half of the syncs do nothing."""
+
+    rng: random.Random = field(init=False)
+    now: float = 0.0
+    bag: list[raft.Envelope] = field(default_factory=list)
+    members: dict[str, Member] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)
+    committed: dict[int, tuple[int, bytes]] = field(default_factory=dict)
+    names: int = 0
+    proposals: int = 0
+    initial: raft.Members = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        ids = tuple(f"box{number}/initial" for number in range(self.voters))
+        self.initial = raft.Members(voters=ids)
+        for member_id in ids:
+            self.start(member_id, Disk(), self.initial)
+
+    def start(self, member_id: str, disk: Disk, initial: raft.Members) -> None:
+        rate = self.rng.uniform(0.95, 1.05)
+        replica = raft.restore_replica(
+            member_id=member_id,
+            timing=raft.Timing(),
+            hard_state=disk.hard_state,
+            snapshot=disk.snapshot,
+            entries=list(disk.entries),
+            initial_members=initial,
+            now=self.now * rate,
+            rng=self.rng,
+        )
+        member = Member(replica=replica, disk=disk, rate=rate)
+        if disk.snapshot is not None:
+            member.applied = msgspec.msgpack.decode(disk.snapshot.data, type=list[bytes])
+            member.applied_index = disk.snapshot.index
+        self.members[member_id] = member
+
+    def restart(self, member: Member) -> None:
+        member_id = member.replica.member_id
+        known = member_id in self.initial.voters
+        self.start(member_id, member.disk, self.initial if known else raft.Members(voters=()))
+
+    def clock(self, member: Member) -> float:
+        return self.now * member.rate
+
+    def active(self, member: Member) -> bool:
+        return member.up and member.frozen_until <= self.now
+
+    def pump(self, member: Member) -> None:
+        """Do the work that the core asks for, as a daemon does."""
+        while True:
+            ready = raft.take_ready(member.replica)
+            work = (ready.hard_state, ready.snapshot, ready.entries, ready.messages)
+            if not any(work) and not ready.committed and not ready.snapshots_wanted:
+                return
+            member.disk.write(ready)
+            if self.rng.random() < 0.002:
+                self.crash(member)
+                return
+            if not (self.skip_sync and self.rng.random() < 0.5):
+                member.disk.sync()
+            self.bag.extend(ready.messages)
+            if ready.snapshot is not None:
+                member.applied = msgspec.msgpack.decode(ready.snapshot.data, type=list[bytes])
+                member.applied_index = ready.snapshot.index
+            for entry in ready.committed:
+                self.apply(member, entry)
+            for target in ready.snapshots_wanted:
+                if member.disk.snapshot is not None:
+                    raft.offer_snapshot(member.replica, target, member.disk.snapshot)
+            raft.synced(member.replica, ready, self.clock(member), self.rng)
+
+    def apply(self, member: Member, entry: raft.LogEntry) -> None:
+        if entry.index != member.applied_index + 1:
+            raise InvariantError(f"{entry.index} applied after {member.applied_index}")
+        seen = self.committed.setdefault(entry.index, (entry.term, entry.data))
+        if seen != (entry.term, entry.data):
+            raise InvariantError(f"committed entry {entry.index} was replaced")
+        member.applied_index = entry.index
+        if entry.kind is raft.EntryKind.COMMAND:
+            member.applied.append(entry.data)
+
+    def crash(self, member: Member) -> None:
+        if member.disk.unsynced and self.rng.random() < 0.5 and not self.skip_sync:
+            member.disk.sync()
+        member.disk.unsynced.clear()
+        member.up = False
+
+    def step(self) -> None:
+        """Let one random thing happen, then check."""
+        self.now += self.rng.uniform(0.0, 0.02)
+        roll = self.rng.random()
+        if roll < 0.62:
+            self.deliver()
+        elif roll < 0.90:
+            self.tick_all()
+        elif roll < 0.96:
+            self.propose()
+        else:
+            self.disturb()
+        self.check()
+
+    def deliver(self) -> None:
+        for _ in range(min(len(self.bag), 6)):
+            position = self.rng.randrange(min(len(self.bag), 12))
+            envelope = self.bag.pop(position)
+            chance = self.rng.random()
+            if chance < 0.04:
+                continue
+            if chance < 0.08:
+                self.bag.append(envelope)
+            member = self.members.get(envelope.target)
+            if member is None or not member.up:
+                continue
+            if not self.active(member):
+                self.bag.append(envelope)
+                continue
+            raft.receive(member.replica, envelope, self.clock(member), self.rng)
+            self.pump(member)
+        del self.bag[:-400]
+
+    def tick_all(self) -> None:
+        for member in list(self.members.values()):
+            if self.active(member):
+                raft.tick(member.replica, self.clock(member), self.rng)
+                self.pump(member)
+
+    def propose(self) -> None:
+        for member in list(self.members.values()):
+            if self.active(member) and member.replica.is_leader:
+                self.proposals += 1
+                raft.propose(member.replica, b"command-%d" % self.proposals)
+                raft.flush(member.replica, self.clock(member))
+                self.pump(member)
+
+    def disturb(self) -> None:
+        member = self.rng.choice(list(self.members.values()))
+        roll = self.rng.random()
+        if not member.up:
+            if roll < 0.15:
+                self.lose_disk(member)
+            else:
+                self.restart(member)
+            return
+        if roll < 0.15:
+            self.crash(member)
+        elif roll < 0.30:
+            member.frozen_until = self.now + self.rng.uniform(0.1, 3.0)
+        elif roll < 0.50:
+            self.compact(member)
+        elif roll < 0.60 and self.active(member) and member.replica.is_leader:
+            target = self.rng.choice(member.replica.log.members.voters)
+            raft.start_handover(member.replica, target, self.clock(member))
+            self.pump(member)
+        else:
+            self.change_members()
+
+    def lose_disk(self, member: Member) -> None:
+        """Replace a member by an empty one under a new id, unless a majority would be gone."""
+        intact = set(self.members) - {member.replica.member_id}
+        for other in self.members.values():
+            for members in (other.replica.log.members, other.replica.log.base_members):
+                remaining = sum(1 for voter in members.voters if voter in intact)
+                if remaining < raft.quorum(len(members.voters)) and members.voters:
+                    return
+        del self.members[member.replica.member_id]
+        self.names += 1
+        box = member.replica.member_id.partition("/")[0]
+        self.start(f"{box}/r{self.names}", Disk(), raft.Members(voters=()))
+
+    def change_members(self) -> None:
+        for member in list(self.members.values()):
+            if not self.active(member) or not member.replica.is_leader:
+                continue
+            wanted = next_members(member.replica, set(self.members))
+            if wanted is not None:
+                raft.propose_members(member.replica, wanted)
+                self.pump(member)
+
+    def compact(self, member: Member) -> None:
+        if not self.active(member) or member.disk.unsynced:
+            return
+        log = member.replica.log
+        index = member.applied_index
+        term = log.term_at(index)
+        if term is None or index <= log.base_index:
+            return
+        snapshot = raft.Snapshot(
+            index=index,
+            term=term,
+            members=log.members_at(index),
+            data=msgspec.msgpack.encode(member.applied),
+        )
+        member.disk.snapshot = snapshot
+        member.disk.entries = [entry for entry in member.disk.entries if entry.index > index]
+        log.compact(index)
+
+    def check(self) -> None:
+        holders = []
+        for member_id, member in self.members.items():
+            if not member.up:
+                continue
+            replica = member.replica
+            if replica.is_leader and self.leaders.setdefault(replica.term, member_id) != member_id:
+                raise InvariantError(f"two leaders in term {replica.term}")
+            if raft.holds_lease(replica, self.clock(member)):
+                holders.append(member_id)
+        if len(holders) > 1:
+            raise InvariantError(f"leases held by {holders}")
+
+    def settle(self) -> None:
+        """Start everybody, stop disturbing, and expect one command to reach all members."""
+        for member in list(self.members.values()):
+            member.frozen_until = 0.0
+            if not member.up:
+                self.restart(member)
+        marker = b"last"
+        proposed_at = 0.0
+        for _ in range(6000):
+            self.now += 0.01
+            self.tick_all()
+            self.deliver()
+            self.change_members()
+            self.check()
+            for member in self.members.values():
+                if member.replica.is_leader and self.now > proposed_at + 2.0:
+                    raft.propose(member.replica, marker)
+                    proposed_at = self.now
+            if all(marker in member.applied for member in self.members.values() if member.up):
+                return
+            for member in list(self.members.values()):
+                if not member.up:
+                    self.restart(member)
+        raise InvariantError("no progress after the disturbances ended")
+
+
+def next_members(replica: raft.Replica, present: set[str]) -> raft.Members | None:
+    """Replace lost voters by learners, and learners that caught up by voters."""
+    members = replica.log.members
+    for learner in members.learners:
+        progress = replica.progress.get(learner)
+        if learner in present and progress and progress.match_index == replica.log.last_index:
+            rest = tuple(other for other in members.learners if other != learner)
+            return raft.Members(voters=(*members.voters, learner), learners=rest)
+    known = set(members.everyone)
+    for newcomer in sorted(present - known):
+        box = newcomer.partition("/")[0]
+        voters = tuple(v for v in members.voters if not v.startswith(f"{box}/"))
+        learners = tuple(m for m in members.learners if not m.startswith(f"{box}/"))
+        return raft.Members(voters=voters, learners=(*learners, newcomer))
+    return None
+
+
+def run(seed: int, *, steps: int = 1200, voters: int = 3, skip_sync: bool = False) -> Schedule:
+    """Run one schedule to its end."""
+    schedule = Schedule(seed=seed, voters=voters, skip_sync=skip_sync)
+    for _ in range(steps):
+        schedule.step()
+    schedule.settle()
+    return schedule
