--- /dev/null
+++ b/src/ledgeladder/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/ledgeladder/cli/change_file.py
@@ -0,0 +1,80 @@
+"""Change files: the objects of a configuration in TOML."""
+
+from __future__ import annotations
+
+import hashlib
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from ..model import ChangeDocument, Problem, ResultCode
+from ..settings import read_toml
+
+if TYPE_CHECKING:
+    from pydantic_core import ErrorDetails
+
+_CHANGE: Final = TypeAdapter(ChangeDocument)
+
+OBJECT_KEYS: Final = ("upstreams", "pipelines", "priorities", "accounts", "policies")
+
+
+def read_change(
+    path: Path, *, change_id: str, base_version: int
+) -> Result[ChangeDocument, Problem]:
+    """Read a change file.
+
+    Two conveniences are resolved here: an account may carry `key` in place of `key_sha256`, and a
+    policy `source_file` in place of `source`, relative to the change file.
+
+    Args:
+        path: The file.
+        change_id: Id to give the change.
+        base_version: Version that it is made against.
+
+    Returns:
+        The change, or a problem that names the wrong keys.
+    """
+    return read_toml(path).bind(
+        lambda content: _check(path, content, change_id=change_id, base_version=base_version)
+    )
+
+
+def _check(
+    path: Path, content: dict[str, Any], *, change_id: str, base_version: int
+) -> Result[ChangeDocument, Problem]:
+    try:
+        document = {
+            "change_id": change_id,
+            "base_version": base_version,
+            "put": {key: content.pop(key) for key in OBJECT_KEYS if key in content},
+            **content,
+        }
+        for account in document["put"].get("accounts", ()):
+            _resolve_key(account)
+        for policy in document["put"].get("policies", ()):
+            _resolve_source(path, policy)
+        return Success(_CHANGE.validate_python(document))
+    except ValidationError as error:
+        lines = [_describe(path, item) for item in error.errors()]
+        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(lines)))
+    except (OSError, AttributeError, TypeError) as error:
+        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"{path}: {error}"))
+
+
+def _describe(path: Path, item: ErrorDetails) -> str:
+    key = ".".join(str(part) for part in item["loc"])
+    return f"{path}: {key} = {item['input']!r}: {item['msg']}"
+
+
+def _resolve_key(account: dict[str, Any]) -> None:
+    key = account.pop("key", None)
+    if key is not None:
+        account["key_sha256"] = hashlib.sha256(str(key).encode()).hexdigest()
+
+
+def _resolve_source(path: Path, policy: dict[str, Any]) -> None:
+    source_file = policy.pop("source_file", None)
+    if source_file is not None:
+        policy["source"] = (path.parent / source_file).read_text(encoding="utf-8")
--- /dev/null
+++ b/src/ledgeladder/cli/config_commands.py
@@ -0,0 +1,122 @@
+"""The `config` commands: apply, show, history and validate."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..model import Configuration, Problem, ResultCode, apply_objects, find_problems
+from ..routing.policy import try_policies
+from .change_file import read_change
+from .operator_client import OperatorClient, call
+
+if TYPE_CHECKING:
+    from ..model import ChangeDocument
+
+WAIT_POLL_SECONDS: Final = 0.2
+
+
+def apply_file(
+    client: OperatorClient, path: Path, *, change_id: str, base_version: int, wait_seconds: float
+) -> Result[dict[str, Any], Problem]:
+    """Submit a change file.
+
+    Args:
+        client: Where to submit it.
+        path: The file.
+        change_id: Id of the change; empty for a new one. Resending under the same id is safe.
+        base_version: Version it was made against; below 0 for the current one.
+        wait_seconds: How long to wait until the change is in force on every box; 0 not to wait.
+
+    Returns:
+        What became of it.
+    """
+    if base_version < 0:
+        current = call(client, "GET", "/v1/status")
+        if isinstance(current, Failure):
+            return current
+        base_version = int(current.unwrap()["version"])
+    change = read_change(
+        path, change_id=change_id or secrets.token_hex(12), base_version=base_version
+    )
+    return change.bind(lambda document: _submit(client, document, wait_seconds))
+
+
+def _submit(
+    client: OperatorClient, change: ChangeDocument, wait_seconds: float
+) -> Result[dict[str, Any], Problem]:
+    print(f"change id {change.change_id}", file=sys.stderr)
+    outcome = call(client, "POST", "/v1/changes", msgspec.json.encode(change))
+    if isinstance(outcome, Failure) or not wait_seconds:
+        return outcome
+    answer = outcome.unwrap()
+    return Success(answer | wait_in_force(client, int(answer["version"]), wait_seconds))
+
+
+def wait_in_force(client: OperatorClient, version: int, seconds: float) -> dict[str, Any]:
+    """Wait until every connected box has a version in force.
+
+    Args:
+        client: Where to ask.
+        version: The version.
+        seconds: When to give up.
+
+    Returns:
+        Seconds waited, the boxes that have it, and those that were not seen to.
+    """
+    started = time.monotonic()
+    while True:
+        status = call(client, "GET", "/v1/status")
+        boxes = status.unwrap()["boxes"] if isinstance(status, Success) else {}
+        behind = sorted(name for name, box in boxes.items() if box["version"] < version)
+        waited = time.monotonic() - started
+        if (boxes and not behind) or waited > seconds:
+            return {
+                "waited_seconds": round(waited, 3),
+                "in_force": sorted(set(boxes) - set(behind)),
+                "not_confirmed": behind,
+            }
+        time.sleep(WAIT_POLL_SECONDS)
+
+
+def validate_file(path: Path) -> Result[dict[str, Any], Problem]:
+    """Check a change file as if it were applied to an empty configuration, without a server."""
+    return read_change(path, change_id="validation", base_version=0).bind(_validate)
+
+
+def _validate(change: ChangeDocument) -> Result[dict[str, Any], Problem]:
+    configuration = apply_objects(Configuration(), change.put, change.remove)
+    problems = find_problems(configuration)
+    if problems:
+        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(problems)))
+    bad_policies = try_policies(configuration)
+    if bad_policies:
+        detail = "\n".join(problem.detail for problem in bad_policies)
+        return Failure(Problem(code=ResultCode.POLICY_INVALID, detail=detail))
+    return Success({"valid": True})
+
+
+def show(client: OperatorClient) -> Result[dict[str, Any], Problem]:
+    """Return the configuration."""
+    return call(client, "GET", "/v1/configuration")
+
+
+def history(client: OperatorClient) -> Result[dict[str, Any], Problem]:
+    """Return the accepted changes."""
+    audit = call(client, "GET", "/v1/audit")
+    if isinstance(audit, Failure):
+        return audit
+    accepted = [entry for entry in audit.unwrap()["entries"] if entry["code"] == int(ResultCode.OK)]
+    return Success({"entries": accepted})
+
+
+def print_json(value: dict[str, Any]) -> None:
+    """Print an answer."""
+    print(json.dumps(value, indent=2, ensure_ascii=False))
--- a/src/ledgeladder/coordination/raft/election.py
+++ b/src/ledgeladder/coordination/raft/election.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from .messages import Message
 
+
 def quorum(count: int) -> int:
     """Return the size of a majority of `count` voters."""
     return count // 2 + 1
@@ -292,9 +293,7 @@
     return replica.round
 
 
-def accept_leader(
-    replica: Replica, sender: str, term: int, now: float, rng: random.Random
-) -> bool:
+def accept_leader(replica: Replica, sender: str, term: int, now: float, rng: random.Random) -> bool:
     """Follow the sender of an append or snapshot request unless its term is old.
 
     Returns:
@@ -305,5 +304,3 @@
     become_follower(replica, term, sender, now, rng)
     replica.leader_heard_at = now
     return True
-
-
--- /dev/null
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -0,0 +1,215 @@
+"""The links of a control box: other control boxes, and the entry boxes that follow it."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import msgspec
+from returns.result import Success
+
+from ...coordination import raft
+from ...coordination.state_machine import deltas_after
+from ...links.messages import (
+    CommandReply,
+    CommandRequest,
+    DeltaPush,
+    FullPush,
+    InForce,
+    InForceReport,
+    JoinRequest,
+    LogMessage,
+    PeerRole,
+    Pull,
+    VersionHead,
+)
+from ...model import ResultCode, digest
+from ...storage import box_of
+from .node import submit, wall_clock_ms
+
+if TYPE_CHECKING:
+    from ...coordination.raft import Envelope
+    from ...links import Link
+    from ...links.messages import LinkMessage
+    from .node import ControlNode
+
+logger = logging.getLogger(__name__)
+
+HEAD_SECONDS: Final = 2.0
+"""How often every follower is told the newest version, which heals a lost push."""
+
+JOIN_SECONDS: Final = 0.5
+"""How often a box that is no member asks to become one."""
+
+REPORT_KEPT_SECONDS: Final = 10.0
+"""How long a box counts as connected after it last reported."""
+
+
+@dataclass(kw_only=True)
+class KnownBox:
+    """What is known of one entry box."""
+
+    in_force: InForce
+    """Its newest report."""
+
+    seen_at: float
+    """When it was received, on the monotonic clock."""
+
+
+@dataclass(kw_only=True)
+class Hub:
+    """All links of one control box."""
+
+    peers: dict[str, Link] = field(default_factory=dict)
+    """Outgoing links to other control boxes, by box; messages are only sent on these."""
+
+    follower_links: dict[int, Link] = field(default_factory=dict)
+    """Links of entry boxes that follow this box's configuration, by identity."""
+
+    boxes: dict[str, KnownBox] = field(default_factory=dict)
+    """Entry boxes by name, connected here or reported by another control box."""
+
+    own_boxes: dict[str, InForce] = field(default_factory=dict)
+    """Entry boxes connected here."""
+
+
+def send_to_member(hub: Hub, envelope: Envelope) -> None:
+    """Send a message of the log over the link to its target's box, or drop it."""
+    link = hub.peers.get(box_of(envelope.target))
+    if link is not None:
+        link.post(LogMessage(envelope=envelope))
+
+
+def push_configuration(hub: Hub, node: ControlNode) -> None:
+    """Send the newest change to every follower."""
+    for link in hub.follower_links.values():
+        link.post(DeltaPush(deltas=tuple(node.state.deltas[-1:])))
+
+
+async def send_heads(hub: Hub, node: ControlNode) -> None:
+    """Tell followers the newest version, and other control boxes who follows here, for ever."""
+    while True:
+        await anyio.sleep(HEAD_SECONDS)
+        configuration = node.state.configuration
+        head = VersionHead(version=configuration.version, digest=digest(configuration))
+        for link in hub.follower_links.values():
+            link.post(head)
+        report = InForceReport(boxes=tuple(hub.own_boxes.values()))
+        for link in hub.peers.values():
+            link.post(report)
+
+
+async def serve_peer_link(hub: Hub, node: ControlNode, box: str, link: Link) -> None:
+    """Keep an outgoing link to another control box for sending, and ask to join over it."""
+    hub.peers[box] = link
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_ask_to_join, node, link)
+            while True:
+                await link.receive()
+    finally:
+        if hub.peers.get(box) is link:
+            del hub.peers[box]
+
+
+async def _ask_to_join(node: ControlNode, link: Link) -> None:
+    while True:
+        if node.replica.member_id not in node.replica.log.members.everyone:
+            link.post(JoinRequest(member_id=node.replica.member_id))
+        await anyio.sleep(JOIN_SECONDS)
+
+
+async def serve_accepted_link(hub: Hub, node: ControlNode, known: set[str], link: Link) -> None:
+    """Serve a link that another process opened.
+
+    Args:
+        hub: The links.
+        node: The node.
+        known: Names of the control boxes of the cluster.
+        link: The link.
+    """
+    async with anyio.create_task_group() as tasks:
+        try:
+            while True:
+                message = await link.receive()
+                if isinstance(message, CommandRequest):
+                    tasks.start_soon(_answer_command, node, link, message)
+                else:
+                    _take_in(hub, node, known, link, message)
+        finally:
+            _forget(hub, link)
+
+
+def _take_in(
+    hub: Hub, node: ControlNode, known: set[str], link: Link, message: LinkMessage
+) -> None:
+    from_control = link.peer is not None and link.peer.role is PeerRole.CONTROL
+    match message:
+        case LogMessage() if from_control:
+            receive_log_message(node, message)
+        case JoinRequest() if from_control and box_of(message.member_id) in known:
+            if box_of(message.member_id) == link.peer_box:
+                node.applicants.add(message.member_id)
+                node.poke()
+        case InForceReport() if from_control:
+            _note_boxes(hub, message.boxes)
+        case Pull():
+            _answer_pull(hub, node, link, message)
+        case InForce():
+            hub.own_boxes[message.box] = message
+            _note_boxes(hub, (message,))
+            # Told to the others at once, so that an operator who waits for a change sees it soon.
+            for peer in hub.peers.values():
+                peer.post(InForceReport(boxes=(message,)))
+        case _:
+            logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
+
+
+def receive_log_message(node: ControlNode, message: LogMessage) -> None:
+    """Give a message of the log to the core."""
+    raft.receive(node.replica, message.envelope, time.monotonic(), node.rng)
+    node.poke()
+
+
+def _note_boxes(hub: Hub, boxes: tuple[InForce, ...]) -> None:
+    now = anyio.current_time()
+    for in_force in boxes:
+        hub.boxes[in_force.box] = KnownBox(in_force=in_force, seen_at=now)
+
+
+def _answer_pull(hub: Hub, node: ControlNode, link: Link, pull: Pull) -> None:
+    hub.follower_links[id(link)] = link
+    deltas = None if pull.full else deltas_after(node.state, pull.version)
+    if deltas is None:
+        link.post(FullPush(configuration=node.state.configuration))
+    else:
+        link.post(DeltaPush(deltas=tuple(deltas)))
+
+
+def _forget(hub: Hub, link: Link) -> None:
+    hub.follower_links.pop(id(link), None)
+    hub.own_boxes.pop(link.peer_box, None)
+
+
+async def _answer_command(node: ControlNode, link: Link, request: CommandRequest) -> None:
+    # The leader's clock counts, so that an entry box with a wrong clock cannot expire keys.
+    command = msgspec.structs.replace(request.command, time_ms=wall_clock_ms())
+    outcome = await submit(node, command)
+    if isinstance(outcome, Success):
+        link.post(CommandReply(call=request.call, result=outcome.unwrap()))
+        return
+    code = outcome.failure().code
+    leader = node.leader_box if code is ResultCode.NOT_LEADER else ""
+    link.post(CommandReply(call=request.call, result=None, code=code, leader=leader))
+
+
+def connected_boxes(hub: Hub, now: float) -> dict[str, InForce]:
+    """Return the entry boxes that reported lately, anywhere."""
+    return {
+        name: known.in_force
+        for name, known in hub.boxes.items()
+        if known.seen_at > now - REPORT_KEPT_SECONDS
+    }
--- /dev/null
+++ b/src/ledgeladder/daemons/control/main.py
@@ -0,0 +1,166 @@
+"""The control process: one member of the replicated log and its two servers."""
+
+from __future__ import annotations
+
+import logging
+import random
+import secrets
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ...coordination import raft
+from ...links import LinkIdentity, keep_link, serve_links
+from ...links.messages import PeerRole
+from ...storage import INITIAL_INCARNATION, create_identity, member_id, read_identity
+from ..http import serve_http
+from ..signals import on_stop_signal
+from ..supervisor import Child, Restart, supervise
+from .hub import Hub, push_configuration, send_heads, send_to_member, serve_accepted_link
+from .hub import serve_peer_link as serve_peer
+from .node import ControlNode, open_node, run_log
+from .operator_api import build_operator_app, start_any_handover
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from ...settings import ControlPeer, ControlSettings
+
+logger = logging.getLogger(__name__)
+
+LEASE_SHARE = 0.8
+"""Lease as a share of the election time-out; the rest is room for clocks that drift apart."""
+
+HANDOVER_SECONDS = 2.0
+"""How long a planned stop waits for another leader."""
+
+
+def format_folder(settings: ControlSettings) -> None:
+    """Create the data folder of a control box of a new cluster.
+
+    Args:
+        settings: Settings of the box.
+
+    Raises:
+        StorageError: If the folder is in use.
+    """
+    folder, cluster = settings.control.data_folder, settings.cluster.name
+    create_identity(folder, cluster=cluster, box=settings.box.name, initial=True)
+
+
+def build_node(settings: ControlSettings, hub: Hub) -> ControlNode:
+    """Open the data folder and build the node.
+
+    A folder that is empty belongs to a box whose disk was lost, or to a new box: it gets an
+    identity of its own and joins as a learner. Only `control format` makes an initial voter.
+
+    Args:
+        settings: Settings of the box.
+        hub: Its links.
+
+    Returns:
+        The node.
+
+    Raises:
+        StorageError: If the folder cannot be trusted.
+    """
+    folder = settings.control.data_folder
+    cluster, box = settings.cluster.name, settings.box.name
+    identity = read_identity(folder, cluster=cluster, box=box)
+    if identity is None:
+        identity = create_identity(folder, cluster=cluster, box=box, initial=False)
+        logger.warning("empty data folder: joining", extra={"member": identity.member_id})
+    voters: tuple[str, ...] = ()
+    if identity.incarnation == INITIAL_INCARNATION:
+        voters = tuple(member_id(peer.name, INITIAL_INCARNATION) for peer in settings.controls)
+    election = settings.control.election_seconds
+    timing = raft.Timing(
+        heartbeat=settings.control.heartbeat_seconds,
+        election=election,
+        lease=election * LEASE_SHARE,
+    )
+    node = open_node(
+        identity=identity,
+        folder=folder,
+        initial_members=raft.Members(voters=voters),
+        timing=timing,
+        snapshot_entries=settings.control.snapshot_entries,
+        send=lambda envelope: send_to_member(hub, envelope),
+        changed=lambda: push_configuration(hub, node),
+        rng=random.Random(),
+    )
+    return node
+
+
+async def run_control(settings: ControlSettings) -> None:
+    """Run a control process until it is told to stop.
+
+    Args:
+        settings: Settings of the box.
+
+    Raises:
+        StorageError: If the data folder cannot be trusted or the disk fails.
+    """
+    hub = Hub()
+    node = build_node(settings, hub)
+    stop = anyio.Event()
+    identity = LinkIdentity(
+        cluster=settings.cluster.name,
+        role=PeerRole.CONTROL,
+        box=settings.box.name,
+        failure_domain=settings.box.failure_domain,
+        instance=secrets.token_hex(8),
+        secret=settings.cluster.secret,
+        source_address=settings.box.source_address,
+    )
+    own = next(peer for peer in settings.controls if peer.name == settings.box.name)
+    others = [peer for peer in settings.controls if peer.name != settings.box.name]
+    known = {peer.name for peer in settings.controls}
+    link_address = settings.control.listen_link_address or own.link_address
+    operator_address = settings.control.listen_operator_address or own.operator_address
+
+    async def accepted(link: Link) -> None:
+        await serve_accepted_link(hub, node, known, link)
+
+    def link_child(peer: ControlPeer) -> Child:
+        async def serve(link: Link) -> None:
+            await serve_peer(hub, node, peer.name, link)
+
+        rng = random.Random()
+        return Child(
+            name=f"link to {peer.name}",
+            run=lambda: keep_link(peer.link_address, identity, serve, rng=rng),
+            restart=Restart.ALWAYS,
+        )
+
+    app = build_operator_app(settings, node, hub)
+    children = [
+        Child(name="log", run=lambda: run_log(node), restart=Restart.NEVER),
+        Child(
+            name="links",
+            run=lambda: serve_links(link_address, identity, accepted),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="operators", run=lambda: serve_http(app, operator_address, stop)),
+        Child(name="heads", run=lambda: send_heads(hub, node), restart=Restart.ALWAYS),
+        *(link_child(peer) for peer in others),
+    ]
+    async with anyio.create_task_group() as tasks:
+
+        async def planned_stop() -> None:
+            await _hand_over(node)
+            stop.set()
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(on_stop_signal, planned_stop)
+        logger.info("control starts", extra={"member": node.identity.member_id})
+        await supervise(children)
+    node.journal.close()
+    logger.info("control stopped")
+
+
+async def _hand_over(node: ControlNode) -> None:
+    if not node.replica.is_leader or not start_any_handover(node):
+        return
+    with anyio.move_on_after(HANDOVER_SECONDS):
+        while node.replica.is_leader:
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/src/ledgeladder/daemons/control/node.py
@@ -0,0 +1,325 @@
+"""The driver of one member of the replicated log: disk, state machine, waiting callers."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from ...coordination import raft
+from ...coordination.state_machine import (
+    COMMAND_DECODER,
+    ClusterState,
+    apply_command,
+    decode_state,
+    encode_command,
+    encode_state,
+)
+from ...model import Problem, ResultCode
+from ...storage import Identity, Journal, box_of, load_snapshot, open_journal
+from .members import next_members
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from ...coordination.commands import Command
+    from ...coordination.commands import Result as CommandResult
+    from ...coordination.raft import Envelope, LogEntry, Ready, Snapshot
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS: Final = 0.02
+SUBMIT_SECONDS: Final = 5.0
+"""How long the caller of a command waits for its commitment."""
+
+RETRY_SECONDS: Final = 1.0
+"""When to come back after a refusal for want of a leader."""
+
+
+@dataclass(kw_only=True)
+class Waiter:
+    """Somebody who waits for a command at one index."""
+
+    term: int
+    """Term in which it was proposed; another term at the index means that it was replaced."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    """Set once the outcome is known."""
+
+    result: CommandResult | None = None
+    """The result, or None if it is not known whether the command was committed."""
+
+
+@dataclass(kw_only=True)
+class ControlNode:
+    """One control box's share of the cluster's state."""
+
+    identity: Identity
+    """Whose disk this is."""
+
+    replica: raft.Replica
+    """The member of the replicated log."""
+
+    journal: Journal
+    """Its disk."""
+
+    state: ClusterState
+    """The state machine after `applied_index`."""
+
+    applied_index: int
+    """Last entry applied."""
+
+    snapshot_entries: int
+    """Entries after which a snapshot is taken."""
+
+    rng: random.Random
+    """Source of election time-outs."""
+
+    send: Callable[[Envelope], None]
+    """Sends a message to another member, or drops it."""
+
+    changed: Callable[[], None]
+    """Called when a new configuration was applied."""
+
+    waiters: dict[int, Waiter] = field(default_factory=dict)
+    """Who waits for which index."""
+
+    applicants: set[str] = field(default_factory=set)
+    """Members that asked to join since this box last began to lead."""
+
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    """Set when there is work."""
+
+    syncs: int = 0
+    """Number of synced writes, for the metrics page."""
+
+    def poke(self) -> None:
+        """Let the loop run soon; everything that arrives until then shares one sync."""
+        self.wake.set()
+
+    @property
+    def leader_box(self) -> str:
+        """Box that leads, if known."""
+        return box_of(self.replica.leader_id)
+
+
+def open_node(
+    *,
+    identity: Identity,
+    folder: Path,
+    initial_members: raft.Members,
+    timing: raft.Timing,
+    snapshot_entries: int,
+    send: Callable[[Envelope], None],
+    changed: Callable[[], None],
+    rng: random.Random,
+) -> ControlNode:
+    """Read the data folder and build the node.
+
+    Args:
+        identity: Identity of the folder.
+        folder: Data folder.
+        initial_members: Members of a cluster without a snapshot; empty for a box that must join.
+        timing: Intervals of the log.
+        snapshot_entries: Entries after which a snapshot is taken.
+        send: Sends a message to another member.
+        changed: Called when a new configuration was applied.
+        rng: Source of election time-outs.
+
+    Returns:
+        The node.
+
+    Raises:
+        StorageError: If the folder cannot be trusted.
+    """
+    journal, recovered = open_journal(folder)
+    if recovered.cut_bytes:
+        logger.warning("torn tail removed", extra={"bytes": recovered.cut_bytes})
+    snapshot = recovered.snapshot
+    replica = raft.restore_replica(
+        member_id=identity.member_id,
+        timing=timing,
+        hard_state=recovered.hard_state,
+        snapshot=snapshot,
+        entries=recovered.entries,
+        initial_members=initial_members,
+        now=time.monotonic(),
+        rng=rng,
+    )
+    return ControlNode(
+        identity=identity,
+        replica=replica,
+        journal=journal,
+        state=decode_state(snapshot.data) if snapshot else ClusterState(),
+        applied_index=snapshot.index if snapshot else 0,
+        snapshot_entries=snapshot_entries,
+        rng=rng,
+        send=send,
+        changed=changed,
+    )
+
+
+async def run_log(node: ControlNode) -> None:
+    """Drive the log until cancelled.
+
+    The sync runs on the loop on purpose: a leader whose disk hangs must not go on sending
+    heartbeats, or it would lead without being able to commit.
+
+    Args:
+        node: The node.
+    """
+    while True:
+        with anyio.move_on_after(TICK_SECONDS):
+            await node.wake.wait()
+        node.wake = anyio.Event()
+        now = time.monotonic()
+        raft.tick(node.replica, now, node.rng)
+        _change_members(node, now)
+        raft.flush(node.replica, now)
+        drain(node)
+
+
+def drain(node: ControlNode) -> None:
+    """Do all work that the core asks for."""
+    while True:
+        ready = raft.take_ready(node.replica)
+        if not _has_work(ready):
+            break
+        _write(node, ready)
+        for envelope in ready.messages:
+            node.send(envelope)
+        for entry in ready.committed:
+            _apply(node, entry)
+        for target in ready.snapshots_wanted:
+            snapshot = load_snapshot(node.journal.folder)
+            if snapshot is not None:
+                raft.offer_snapshot(node.replica, target, snapshot)
+        raft.synced(node.replica, ready, time.monotonic(), node.rng)
+    if not node.replica.is_leader:
+        _give_up_waiters(node)
+    _take_snapshot_if_due(node)
+
+
+def _has_work(ready: Ready) -> bool:
+    return bool(
+        ready.hard_state
+        or ready.snapshot
+        or ready.entries
+        or ready.messages
+        or ready.committed
+        or ready.snapshots_wanted
+    )
+
+
+def _write(node: ControlNode, ready: Ready) -> None:
+    if ready.snapshot is not None:
+        node.journal.save_snapshot(ready.snapshot, node.replica.hard_state, ready.entries)
+        _restore(node, ready.snapshot)
+        node.syncs += 1
+        return
+    if ready.hard_state is not None or ready.entries:
+        node.journal.write(ready.hard_state, ready.entries)
+        node.syncs += 1
+
+
+def _restore(node: ControlNode, snapshot: Snapshot) -> None:
+    node.state = decode_state(snapshot.data)
+    node.applied_index = snapshot.index
+    logger.info("restored from the leader's snapshot", extra={"index": snapshot.index})
+    node.changed()
+
+
+def _apply(node: ControlNode, entry: LogEntry) -> None:
+    node.applied_index = entry.index
+    result = None
+    if entry.kind is raft.EntryKind.COMMAND:
+        before = node.state.configuration.version
+        result = apply_command(node.state, COMMAND_DECODER.decode(entry.data))
+        if node.state.configuration.version != before:
+            node.changed()
+    waiter = node.waiters.pop(entry.index, None)
+    if waiter is not None:
+        waiter.result = result if waiter.term == entry.term else None
+        waiter.done.set()
+
+
+def _give_up_waiters(node: ControlNode) -> None:
+    for waiter in node.waiters.values():
+        waiter.done.set()
+    node.waiters.clear()
+
+
+def _take_snapshot_if_due(node: ControlNode) -> None:
+    log = node.replica.log
+    if node.applied_index - log.base_index < node.snapshot_entries:
+        return
+    term = log.term_at(node.applied_index)
+    if term is None:
+        return
+    snapshot = raft.Snapshot(
+        index=node.applied_index,
+        term=term,
+        members=log.members_at(node.applied_index),
+        data=encode_state(node.state),
+    )
+    log.compact(node.applied_index)
+    node.journal.save_snapshot(snapshot, node.replica.hard_state, log.entries)
+    logger.info("snapshot taken", extra={"index": snapshot.index, "bytes": len(snapshot.data)})
+
+
+def _change_members(node: ControlNode, now: float) -> None:
+    if not node.replica.is_leader:
+        node.applicants.clear()
+        return
+    members = next_members(node.replica, node.applicants, now)
+    if members is not None and raft.propose_members(node.replica, members):
+        extra = {"voters": members.voters, "learners": members.learners}
+        logger.info("members change", extra=extra)
+
+
+async def submit(node: ControlNode, command: Command) -> Result[CommandResult, Problem]:
+    """Commit a command through the log.
+
+    Args:
+        node: The node, which must lead.
+        command: The command.
+
+    Returns:
+        The command's result. A problem with code NOT_LEADER means that nothing was proposed; with
+        CHANGE_UNKNOWN, that the command may yet be committed.
+    """
+    index = raft.propose(node.replica, encode_command(command))
+    if index is None:
+        return Failure(
+            Problem(
+                code=ResultCode.NOT_LEADER,
+                detail=f"the leader is {node.leader_box or 'not known'}",
+                retry_after=RETRY_SECONDS,
+            )
+        )
+    waiter = Waiter(term=node.replica.term)
+    node.waiters[index] = waiter
+    node.poke()
+    with anyio.move_on_after(SUBMIT_SECONDS):
+        await waiter.done.wait()
+    node.waiters.pop(index, None)
+    if waiter.result is None:
+        return Failure(
+            Problem(
+                code=ResultCode.CHANGE_UNKNOWN,
+                detail="not confirmed by a majority in time; resend it under the same id",
+                retry_after=RETRY_SECONDS,
+            )
+        )
+    return Success(waiter.result)
+
+
+def wall_clock_ms() -> int:
+    """Return the wall clock in milliseconds since 1970, for stamping commands."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/__init__.py
@@ -0,0 +1,7 @@
+"""The entry daemon."""
+
+from __future__ import annotations
+
+from .main import run_entry
+
+__all__ = ["run_entry"]
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -0,0 +1,204 @@
+"""Answering generation requests: server-sent events or one JSON object, over plain ASGI."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+import anyio
+import msgspec
+
+from ...model import Execution, Problem, ProblemError, ResultCode
+from ..http import CODE_HEADER, EXECUTION_HEADER, problem_body, problem_response
+from .caller_models import answer_object, chunk_object
+from .checks import Permit, admitted
+from .generation import Generation, generate
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from starlette.types import Receive, Scope, Send
+
+    from ...routing.session import Session
+    from .context import EntryContext
+
+logger = logging.getLogger(__name__)
+
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+
+
+@dataclass(kw_only=True)
+class AnswerWriter:
+    """Writes one answer to a caller."""
+
+    context: EntryContext
+    """The entry's state."""
+
+    send: Send
+    """ASGI send."""
+
+    request_id: str
+    """Id of the request, which the caller is told."""
+
+    chat: bool
+    """True for the chat shape."""
+
+    model: str
+    """Name of the pipeline."""
+
+    stream: bool
+    """True for server-sent events."""
+
+    created: int = field(default_factory=lambda: int(time.time()))
+    """When the answer was begun, in seconds since 1970."""
+
+    started: bool = False
+    """True once the head of the response was sent."""
+
+    def describe(self, text: str, finish: str | None) -> dict[str, Any]:
+        """Build the object for a piece of the answer."""
+        build = chunk_object if self.stream else answer_object
+        return build(
+            chat=self.chat,
+            request_id=self.request_id,
+            model=self.model,
+            created=self.created,
+            text=text,
+            finish=finish,
+        )
+
+    async def emit(self, texts: list[str]) -> None:
+        """Pass texts on; a streamed answer starts with the first of them."""
+        if not self.stream:
+            return
+        await self.start(content_type="text/event-stream")
+        await self.write_event(self.describe("".join(texts), None))
+
+    async def start(self, *, content_type: str) -> None:
+        """Send the head of a good response once."""
+        if self.started:
+            return
+        self.started = True
+        headers = {
+            "content-type": content_type,
+            "cache-control": "no-store",
+            "x-request-id": self.request_id,
+            "ledgeladder-served-by": self.context.settings.box.name,
+            CODE_HEADER.lower(): str(int(ResultCode.OK)),
+            EXECUTION_HEADER.lower(): Execution.RAN.value,
+        }
+        encoded = [(name.encode(), value.encode()) for name, value in headers.items()]
+        await self.send({"type": "http.response.start", "status": 200, "headers": encoded})
+
+    async def write_event(self, event: dict[str, Any]) -> None:
+        """Send one server-sent event."""
+        await self.write(b"data: " + msgspec.json.encode(event) + b"\n\n", more=True)
+
+    async def write(self, body: bytes, *, more: bool) -> None:
+        """Send a part of the body."""
+        await self.send({"type": "http.response.body", "body": body, "more_body": more})
+
+    async def finish(self, session: Session) -> None:
+        """Send the end of a whole answer."""
+        usage = {"completion_tokens": len(session.tokens), "attempts": session.attempt}
+        if self.stream:
+            await self.start(content_type="text/event-stream")
+            await self.write_event(self.describe("", session.finish_reason) | {"usage": usage})
+            await self.write(DONE_EVENT, more=False)
+            return
+        answer = self.describe("".join(session.text), session.finish_reason) | {"usage": usage}
+        await self.start(content_type="application/json")
+        await self.write(msgspec.json.encode(answer), more=False)
+
+    async def fail(self, problem: Problem, scope: Scope, receive: Receive) -> None:
+        """Send the final word on a request that was given up."""
+        if not self.started:
+            await problem_response(problem)(scope, receive, self.send)
+            return
+        await self.write_event(problem_body(problem))
+        await self.write(b"", more=False)
+
+
+async def answer_generation(
+    writer: AnswerWriter,
+    permit: Permit,
+    prompt: str,
+    max_tokens: int,
+    scope: Scope,
+    receive: Receive,
+) -> None:
+    """Run a request and answer it; a caller that goes away cancels it on every stage.
+
+    Args:
+        writer: Writes the answer.
+        permit: What the request may do.
+        prompt: Its prompt.
+        max_tokens: Most tokens of the answer.
+        scope: ASGI scope.
+        receive: ASGI receive, which tells when the caller goes away.
+    """
+
+    async def work() -> None:
+        try:
+            session = await _run(writer.context, permit, prompt, max_tokens, writer.emit)
+            await writer.finish(session)
+            note_code(writer.context, ResultCode.OK)
+        except ProblemError as error:
+            note_problem(writer.context, error.problem, writer.request_id)
+            await writer.fail(error.problem, scope, receive)
+
+    await until_caller_leaves(work, receive)
+
+
+async def _run(
+    context: EntryContext,
+    permit: Permit,
+    prompt: str,
+    max_tokens: int,
+    emit: Callable[[list[str]], Awaitable[None]],
+) -> Session:
+    bound = min(max_tokens, permit.decision.max_tokens or max_tokens)
+    async with admitted(context, permit):
+        request = Generation(
+            pipeline=permit.pipeline,
+            prompt=prompt,
+            max_tokens=bound,
+            rank=permit.rank,
+            deadline=permit.deadline,
+            arrived_at=permit.arrived_at,
+            allowed=permit.allowed,
+        )
+        return await generate(context, request, emit)
+
+
+async def until_caller_leaves(work: Callable[[], Awaitable[None]], receive: Receive) -> None:
+    """Run work, and cancel it if the caller closes the connection."""
+    async with anyio.create_task_group() as tasks:
+
+        async def watch() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(watch)
+        await work()
+        tasks.cancel_scope.cancel()
+
+
+def note_code(context: EntryContext, code: ResultCode) -> None:
+    """Count an answer."""
+    context.metrics.codes[code.name] += 1
+
+
+def note_problem(context: EntryContext, problem: Problem, request_id: str) -> None:
+    """Count and log a refusal or failure."""
+    note_code(context, problem.code)
+    extra = {
+        "request_id": request_id,
+        "code": int(problem.code),
+        "execution": problem.known_execution.value,
+        "detail": problem.detail,
+    }
+    logger.info("request not answered", extra=extra)
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -0,0 +1,212 @@
+"""Checks that a request passes before any upstream hears of it."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from returns.result import Failure
+
+from ...model import ClientAccount, Pipeline, Problem, ProblemError, ResultCode
+from ...routing.admission import DEFAULT_RANK, Ticket, arrive, expected_wait, finish
+from ...routing.policy import Decision, RequestFacts, ask_policy
+from .context import now
+from .metrics import record
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+    from ...routing.upstream_table import UpstreamView
+    from .context import EntryContext
+
+
+@dataclass(frozen=True, kw_only=True)
+class Permit:
+    """What a request may do."""
+
+    account: ClientAccount
+    """Client account."""
+
+    pipeline: Pipeline
+    """Pipeline."""
+
+    decision: Decision
+    """What the policy of the pipeline decided."""
+
+    rank: int
+    """Rank of its priority."""
+
+    arrived_at: float
+    """When it arrived, on the monotonic clock."""
+
+    @property
+    def deadline(self) -> float:
+        """When it must be answered, on the monotonic clock."""
+        return self.arrived_at + self.pipeline.deadline_seconds
+
+    @property
+    def allowed(self) -> Callable[[UpstreamView], bool]:
+        """Which upstreams the policy allows."""
+        return allowed_by(self.decision)
+
+
+def refuse(code: ResultCode, detail: str, retry_after: float | None = None) -> ProblemError:
+    """Build the error that refuses a request."""
+    return ProblemError(Problem(code=code, detail=detail, retry_after=retry_after))
+
+
+def allowed_by(decision: Decision) -> Callable[[UpstreamView], bool]:
+    """Return which upstreams a decision allows."""
+    names = None if decision.upstreams is None else frozenset(decision.upstreams)
+    domains = None if decision.failure_domains is None else frozenset(decision.failure_domains)
+
+    def allowed(view: UpstreamView) -> bool:
+        if names is not None and view.upstream.name not in names:
+            return False
+        return domains is None or view.upstream.failure_domain in domains
+
+    return allowed
+
+
+def check_open(context: EntryContext) -> None:
+    """Refuse while the box has no configuration.
+
+    Raises:
+        ProblemError: With code STARTING.
+    """
+    if not context.synced.is_set():
+        raise refuse(ResultCode.STARTING, "the box has no configuration in force yet", 1.0)
+
+
+def find_account(context: EntryContext, request: Request) -> ClientAccount:
+    """Find the client account whose key a request carries.
+
+    Raises:
+        ProblemError: With code KEY_MISSING or KEY_UNKNOWN.
+    """
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        raise refuse(ResultCode.KEY_MISSING, "send the key as Authorization: Bearer KEY")
+    account = context.accounts_by_key.get(hashlib.sha256(key.encode()).hexdigest())
+    if account is None:
+        raise refuse(ResultCode.KEY_UNKNOWN, "the key belongs to no client account")
+    return account
+
+
+async def read_body(context: EntryContext, request: Request) -> bytes:
+    """Read a request body up to the bound.
+
+    Raises:
+        ProblemError: With code BODY_TOO_LARGE.
+    """
+    limit = context.settings.entry.body_limit_bytes
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > limit:
+            raise refuse(ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes")
+    return bytes(body)
+
+
+def make_permit(
+    context: EntryContext, account: ClientAccount, pipeline_name: str, max_tokens: int
+) -> Permit:
+    """Check pipeline and policy.
+
+    Args:
+        context: The entry's state.
+        account: Client account.
+        pipeline_name: Pipeline that the caller named.
+        max_tokens: Most tokens asked for; 0 for a plain service.
+
+    Returns:
+        The permit.
+
+    Raises:
+        ProblemError: If the request may not be run.
+    """
+    configuration = context.configuration
+    pipeline = configuration.pipelines.get(pipeline_name)
+    if pipeline is None:
+        raise refuse(ResultCode.UNKNOWN_PIPELINE, f"there is no pipeline {pipeline_name[:63]}")
+    if account.pipelines and pipeline.name not in account.pipelines:
+        raise refuse(ResultCode.PIPELINE_FORBIDDEN, f"{account.name} may not use {pipeline.name}")
+    if max_tokens > pipeline.max_tokens:
+        detail = f"max_tokens {max_tokens} exceeds {pipeline.max_tokens}"
+        raise refuse(ResultCode.MALFORMED_REQUEST, detail)
+    decision = _decide(context, account, pipeline, max_tokens)
+    if not decision.allow:
+        raise refuse(ResultCode.POLICY_DENIED, decision.reason or "denied by the policy")
+    priority = configuration.priorities.get(decision.priority or account.priority or "")
+    return Permit(
+        account=account,
+        pipeline=pipeline,
+        decision=decision,
+        rank=priority.rank if priority else DEFAULT_RANK,
+        arrived_at=now(),
+    )
+
+
+def _decide(
+    context: EntryContext, account: ClientAccount, pipeline: Pipeline, max_tokens: int
+) -> Decision:
+    """Ask the pipeline's policy; one that fails on a request leaves the defaults in force."""
+    policy = context.policies.get(pipeline.policy or "")
+    if policy is None:
+        return Decision()
+    facts = RequestFacts(
+        pipeline=pipeline.name,
+        account=account.name,
+        priority=account.priority or "",
+        max_tokens=max_tokens,
+        failure_domain=context.settings.box.failure_domain,
+    )
+    outcome = ask_policy(policy, facts)
+    if isinstance(outcome, Failure):
+        context.metrics.codes[ResultCode.POLICY_INVALID.name] += 1
+        return Decision()
+    return outcome.unwrap()
+
+
+@asynccontextmanager
+async def admitted(context: EntryContext, permit: Permit) -> AsyncIterator[None]:
+    """Hold a place among the requests in progress.
+
+    Args:
+        context: The entry's state.
+        permit: The request's permit.
+
+    Raises:
+        ProblemError: If the request is refused, at once or when its deadline comes too close.
+    """
+    ticket = Ticket(account=permit.account.name, rank=permit.rank, deadline=permit.deadline)
+    problem = arrive(context.admission, permit.account, ticket, now())
+    if problem is not None:
+        raise ProblemError(problem)
+    try:
+        if not ticket.admitted:
+            await _wait_for_turn(context, ticket)
+        record(context.metrics.queue, now() - ticket.arrived_at)
+        yield
+    finally:
+        for released in finish(context.admission, ticket, now()):
+            event = context.tickets.get(released)
+            if event is not None:
+                event.set()
+
+
+async def _wait_for_turn(context: EntryContext, ticket: Ticket) -> None:
+    event = context.tickets[ticket] = anyio.Event()
+    patience = ticket.deadline - now() - context.admission.mean_seconds
+    try:
+        with anyio.move_on_after(max(0.0, patience)):
+            await event.wait()
+    finally:
+        del context.tickets[ticket]
+    if not ticket.admitted:
+        wait = expected_wait(context.admission, ticket.rank)
+        raise refuse(ResultCode.DEADLINE_UNREACHABLE, "the queue moved too slowly", wait)
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -0,0 +1,122 @@
+"""What all parts of an entry process share."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import httpx
+from returns.result import Success
+
+from ...model import Configuration, digest
+from ...routing.admission import Admission
+from ...routing.policy import CompiledPolicy, compile_policy
+from ...routing.retry_budget import RetryBudget
+from ...routing.upstream_table import UpstreamTable, adopt_configuration
+from .metrics import EntryMetrics
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from ...model import ClientAccount
+    from ...routing.admission import Ticket
+    from ...routing.chain import Pick
+    from ...settings import EntrySettings
+    from .command_client import CommandClient
+
+
+@dataclass(kw_only=True)
+class EntryContext:
+    """State of one entry process."""
+
+    settings: EntrySettings
+    """Its settings."""
+
+    commands: CommandClient
+    """Way to the leader of the replicated log."""
+
+    client: httpx.AsyncClient
+    """HTTP client for upstreams."""
+
+    background: TaskGroup
+    """Tasks that outlive the request that started them."""
+
+    admission: Admission
+    """Limits and queue."""
+
+    pick: Pick
+    """Choice among engines."""
+
+    rng: random.Random
+    """Source of jitter and choices."""
+
+    instance: str = field(default_factory=lambda: secrets.token_hex(8))
+    """Random name of this run of the process."""
+
+    configuration: Configuration = field(default_factory=Configuration)
+    """The configuration in force."""
+
+    digest: bytes = b""
+    """Digest of the configuration in force."""
+
+    policies: dict[str, CompiledPolicy] = field(default_factory=dict)
+    """Compiled policies."""
+
+    accounts_by_key: dict[str, ClientAccount] = field(default_factory=dict)
+    """Client accounts by the SHA-256 of their key."""
+
+    upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    """What is known of each upstream."""
+
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    """Retries that may be made."""
+
+    metrics: EntryMetrics = field(default_factory=EntryMetrics)
+    """Counters and histograms."""
+
+    tickets: dict[Ticket, anyio.Event] = field(default_factory=dict)
+    """Waiting requests and what wakes them."""
+
+    synced: anyio.Event = field(default_factory=anyio.Event)
+    """Set once the newest configuration known to this side is in force."""
+
+    stopping: bool = False
+    """True once a planned stop has begun."""
+
+    in_progress: int = 0
+    """Requests of callers that have not been answered in full."""
+
+
+def put_in_force(context: EntryContext, configuration: Configuration) -> bool:
+    """Put a configuration into force if it is newer than the one that is.
+
+    Args:
+        context: The entry's state.
+        configuration: The configuration.
+
+    Returns:
+        False if it is not newer.
+    """
+    if configuration.version <= context.configuration.version and context.digest:
+        return False
+    context.configuration = configuration
+    context.digest = digest(configuration)
+    context.accounts_by_key = {
+        account.key_sha256: account for account in configuration.accounts.values()
+    }
+    context.policies = {}
+    for policy in configuration.policies.values():
+        compiled = compile_policy(policy.name, policy.source)
+        if isinstance(compiled, Success):
+            context.policies[policy.name] = compiled.unwrap()
+    adopt_configuration(context.upstreams, configuration)
+    return True
+
+
+def now() -> float:
+    """Return the monotonic time in seconds."""
+    return time.monotonic()
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -0,0 +1,385 @@
+"""Running one generation request over a route, and carrying it on when a stage is lost."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure
+
+from ...model import Execution, Problem, ProblemError, ResultCode, Route
+from ...routing.chain import choose_route, engines_for, replace_stages
+from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
+from ...routing.retry_budget import note_first_try, take_retry
+from ...routing.session import Session, TokenFrame, Verdict, accept_token, begin_attempt
+from ...routing.upstream_table import note_failure, note_success
+from ...upstreams.engine import (
+    CancelRequest,
+    EngineFrame,
+    EngineLostError,
+    EngineRefusedError,
+    cancel_on_engine,
+    is_live,
+    make_run_request,
+    run_on_engine,
+)
+from .context import now
+from .metrics import record
+
+if TYPE_CHECKING:
+    from ...model import Pipeline
+    from ...routing.upstream_table import UpstreamView
+    from .context import EntryContext
+
+logger = logging.getLogger(__name__)
+
+RECOVERY_LIMIT: Final = 8
+"""Most times that stages of one request are replaced."""
+
+RECOVERY_PAUSE_SECONDS: Final = 0.05
+"""Mean pause before another try when no stage can be replaced yet."""
+
+Emit = Callable[[list[str]], Awaitable[None]]
+"""Passes texts of accepted tokens on to the caller."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Generation:
+    """A generation request after all checks."""
+
+    pipeline: Pipeline
+    """Pipeline that it runs on."""
+
+    prompt: str
+    """Prompt."""
+
+    max_tokens: int
+    """Most tokens of the answer."""
+
+    rank: int
+    """Rank of its priority."""
+
+    deadline: float
+    """When it must be answered, on the monotonic clock."""
+
+    arrived_at: float
+    """When it arrived."""
+
+    allowed: Callable[[UpstreamView], bool]
+    """Which upstreams its policy allows."""
+
+
+class AttemptEnd(StrEnum):
+    """How an attempt ended."""
+
+    COMPLETE = "complete"
+    """The answer is whole."""
+
+    LOST = "lost"
+    """Some stages failed."""
+
+    REFUSED = "refused"
+    """A stage refused the work."""
+
+
+@dataclass(kw_only=True)
+class AttemptOutcome:
+    """How an attempt ended, and on whose account."""
+
+    end: AttemptEnd
+    """How it ended."""
+
+    blamed: frozenset[str] = frozenset()
+    """Upstreams that failed or refused."""
+
+    leaving: bool = False
+    """True if an upstream refused because it is leaving."""
+
+
+@dataclass(kw_only=True)
+class Inbox:
+    """Frames that the reader has received and the attempt has not yet judged."""
+
+    frames: list[EngineFrame] = field(default_factory=list)
+    """Frames in order."""
+
+    outcome: AttemptOutcome | None = None
+    """Set when the stream from the head ended."""
+
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    """Set when there is something new."""
+
+
+@dataclass(kw_only=True)
+class Progress:
+    """Timing of one request over all its attempts."""
+
+    pace: Pace = field(default_factory=Pace)
+    """Gaps between tokens."""
+
+    last_token_at: float = 0.0
+    """When the newest token was accepted, or the request arrived."""
+
+    recovering: bool = False
+    """True from the loss of a stage to the next token."""
+
+
+async def generate(context: EntryContext, request: Generation, emit: Emit) -> Session:
+    """Run a request to its end.
+
+    Args:
+        context: The entry's state.
+        request: The request.
+        emit: Passes texts on to the caller.
+
+    Returns:
+        The session, with the whole answer.
+
+    Raises:
+        ProblemError: If the request was given up on.
+    """
+    session = Session(
+        session_id=secrets.token_hex(12),
+        layers=request.pipeline.layers,
+        max_tokens=request.max_tokens,
+    )
+    progress = Progress(last_token_at=request.arrived_at)
+    note_first_try(context.budget)
+    try:
+        with anyio.fail_after(max(0.0, request.deadline - now())):
+            await _run_attempts(context, request, session, progress, emit)
+    except TimeoutError as error:
+        raise _given_up(session, ResultCode.DEADLINE_EXCEEDED, "the deadline passed") from error
+    finally:
+        _cancel_leftovers(context, session, keep=frozenset())
+        for verdict, count in session.dropped.items():
+            context.metrics.events[f"dropped-{verdict.value}"] += count
+    return session
+
+
+async def _run_attempts(
+    context: EntryContext, request: Generation, session: Session, progress: Progress, emit: Emit
+) -> None:
+    route = _first_route(context, request)
+    recoveries = 0
+    while True:
+        attempt = begin_attempt(session, route)
+        outcome = await _run_attempt(context, request, session, progress, emit)
+        if outcome.end is AttemptEnd.COMPLETE:
+            return
+        recoveries += 1
+        _blame(context, outcome)
+        if recoveries > RECOVERY_LIMIT:
+            raise _given_up(session, ResultCode.UPSTREAM_LOST, "too many stages were lost")
+        if not session.tokens and not take_retry(context.budget):
+            raise _spent(session, outcome)
+        progress.recovering = True
+        context.metrics.events[f"attempt-{outcome.end.value}"] += 1
+        logger.info(
+            "stages replaced",
+            extra={
+                "request_id": session.session_id,
+                "attempt": attempt,
+                "blamed": sorted(outcome.blamed),
+                "end": outcome.end.value,
+            },
+        )
+        route = await _next_route(context, request, session, outcome)
+        _cancel_leftovers(context, session, keep=route.upstreams)
+
+
+def _first_route(context: EntryContext, request: Generation) -> Route:
+    engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
+    chosen = choose_route(engines, request.pipeline.layers, context.pick)
+    if isinstance(chosen, Failure):
+        raise ProblemError(chosen.failure())
+    return chosen.unwrap()
+
+
+async def _next_route(
+    context: EntryContext, request: Generation, session: Session, outcome: AttemptOutcome
+) -> Route:
+    """Replace the blamed stages, or choose a whole new route, waiting until one is there."""
+    while True:
+        engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
+        assert session.route is not None
+        replaced = replace_stages(session.route, outcome.blamed, engines, context.pick)
+        if replaced is not None:
+            return replaced
+        chosen = choose_route(engines, request.pipeline.layers, context.pick)
+        if not isinstance(chosen, Failure):
+            return chosen.unwrap()
+        await anyio.sleep(RECOVERY_PAUSE_SECONDS * context.rng.uniform(0.5, 1.5))
+
+
+def _blame(context: EntryContext, outcome: AttemptOutcome) -> None:
+    for name in outcome.blamed:
+        view = context.upstreams.views.get(name)
+        if view is None:
+            continue
+        if outcome.leaving:
+            view.leaving = True
+        else:
+            note_failure(view, now())
+
+
+def _spent(session: Session, outcome: AttemptOutcome) -> ProblemError:
+    if outcome.end is AttemptEnd.REFUSED:
+        detail = "every upstream tried refused before starting"
+        problem = Problem(code=ResultCode.UPSTREAM_REFUSED, detail=detail, retry_after=1.0)
+        return ProblemError(problem)
+    return _given_up(session, ResultCode.UPSTREAM_LOST, "too many retries are in progress")
+
+
+def _given_up(session: Session, code: ResultCode, detail: str) -> ProblemError:
+    execution = Execution.RAN if session.tokens else Execution.UNKNOWN
+    return ProblemError(Problem(code=code, detail=detail, execution=execution, retry_after=1.0))
+
+
+def _cancel_leftovers(context: EntryContext, session: Session, *, keep: frozenset[str]) -> None:
+    """Tell the stages of the last route that are not used any more to drop the request."""
+    if session.route is None or (session.ended and not keep):
+        return
+    cancel = CancelRequest(session=session.session_id, attempt=session.attempt)
+    for stage in session.route.stages:
+        if stage.upstream not in keep:
+            context.background.start_soon(cancel_on_engine, context.client, stage.address, cancel)
+
+
+async def _run_attempt(
+    context: EntryContext, request: Generation, session: Session, progress: Progress, emit: Emit
+) -> AttemptOutcome:
+    assert session.route is not None
+    views = [context.upstreams.views.get(name) for name in session.route.upstreams]
+    held = [view for view in views if view is not None]
+    for view in held:
+        view.in_flight += 1
+    inbox = Inbox()
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_read_frames, context, request, session, inbox)
+            outcome = await _judge_frames(context, session, progress, inbox, emit)
+            tasks.cancel_scope.cancel()
+    finally:
+        for view in held:
+            view.in_flight -= 1
+    if outcome.end is AttemptEnd.COMPLETE:
+        for view in held:
+            note_success(view)
+    return outcome
+
+
+async def _read_frames(
+    context: EntryContext, request: Generation, session: Session, inbox: Inbox
+) -> None:
+    assert session.route is not None
+    head = frozenset({session.route.head.upstream})
+    run = make_run_request(
+        session=session.session_id,
+        attempt=session.attempt,
+        model=request.pipeline.model,
+        prompt=request.prompt,
+        tokens=session.tokens,
+        max_tokens=request.max_tokens,
+        rank=request.rank,
+        route=session.route,
+    )
+    outcome = AttemptOutcome(end=AttemptEnd.LOST, blamed=head)
+    try:
+        async for frames in run_on_engine(context.client, run):
+            inbox.frames.extend(frames)
+            inbox.wake.set()
+    except EngineRefusedError as error:
+        outcome = AttemptOutcome(end=AttemptEnd.REFUSED, blamed=head, leaving=error.body.leaving)
+    except EngineLostError as error:
+        logger.info("head lost", extra={"upstream": sorted(head), "reason": str(error)})
+    inbox.outcome = outcome
+    inbox.wake.set()
+
+
+async def _judge_frames(
+    context: EntryContext, session: Session, progress: Progress, inbox: Inbox, emit: Emit
+) -> AttemptOutcome:
+    while True:
+        stalled = True
+        with anyio.move_on_after(stall_after(progress.pace)):
+            await inbox.wake.wait()
+            stalled = False
+        if stalled:
+            dead = await _find_dead_stages(context, session)
+            if dead:
+                context.metrics.events["stall-confirmed"] += 1
+                return AttemptOutcome(end=AttemptEnd.LOST, blamed=dead)
+            context.metrics.events["stall-false-alarm"] += 1
+            note_false_alarm(progress.pace)
+            continue
+        inbox.wake = anyio.Event()
+        frames, inbox.frames = inbox.frames, []
+        texts, lost = _take_in(context, session, progress, frames)
+        if texts:
+            await emit(texts)
+        if session.ended:
+            return AttemptOutcome(end=AttemptEnd.COMPLETE)
+        if lost is not None:
+            return lost
+        if inbox.outcome is not None:
+            return inbox.outcome
+
+
+def _take_in(
+    context: EntryContext, session: Session, progress: Progress, frames: list[EngineFrame]
+) -> tuple[list[str], AttemptOutcome | None]:
+    texts: list[str] = []
+    for frame in frames:
+        if isinstance(frame, TokenFrame):
+            if accept_token(session, frame) is Verdict.ACCEPTED:
+                texts.append(frame.text)
+            continue
+        if (frame.session, frame.attempt) == (session.session_id, session.attempt):
+            end = AttemptEnd.REFUSED if frame.refused else AttemptEnd.LOST
+            blamed = frozenset({frame.upstream})
+            lost = AttemptOutcome(end=end, blamed=blamed, leaving=frame.leaving)
+            _note_tokens(context, session, progress, texts)
+            return texts, lost
+    _note_tokens(context, session, progress, texts)
+    return texts, None
+
+
+def _note_tokens(
+    context: EntryContext, session: Session, progress: Progress, texts: list[str]
+) -> None:
+    if not texts:
+        return
+    at = now()
+    gap = at - progress.last_token_at
+    metrics = context.metrics
+    metrics.tokens += len(texts)
+    if len(session.tokens) == len(texts):
+        record(metrics.first_token, gap)
+    elif progress.recovering:
+        record(metrics.recovery, gap)
+    else:
+        record(metrics.token_gap, gap / len(texts))
+        note_gap(progress.pace, gap)
+    progress.recovering = False
+    progress.last_token_at = at
+
+
+async def _find_dead_stages(context: EntryContext, session: Session) -> frozenset[str]:
+    """Probe all stages of the route side by side and return those that do not answer."""
+    assert session.route is not None
+    dead: set[str] = set()
+
+    async def probe(upstream: str, address: str) -> None:
+        if not await is_live(context.client, address):
+            dead.add(upstream)
+
+    async with anyio.create_task_group() as tasks:
+        for stage in session.route.stages:
+            tasks.start_soon(probe, stage.upstream, stage.address)
+    return frozenset(dead)
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -0,0 +1,178 @@
+"""The entry process: callers on one side, upstreams on the other."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import httpx
+
+from ...links import Link, LinkIdentity, serve_links
+from ...links.messages import PeerRole
+from ...routing.admission import Admission
+from ...routing.chain import better_of_two
+from ...routing.upstream_table import note_leaving
+from ...upstreams.box_list import read_box_list
+from ..http import serve_http
+from ..signals import on_stop_signal
+from ..supervisor import Child, Restart, supervise
+from .caller_api import build_caller_app
+from .command_client import CommandClient, keep_command_link
+from .context import EntryContext
+from .follower import Follower, announce, first_sync, follow, serve_neighbour
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from ...settings import ControlPeer, EntryPeer, EntrySettings
+
+logger = logging.getLogger(__name__)
+
+CONNECT_SECONDS: Final = 0.5
+"""How long connecting to an upstream may take."""
+
+IDLE_SECONDS: Final = 15.0
+"""How long an unused connection to an upstream is kept."""
+
+STOP_POLL_SECONDS: Final = 0.05
+
+
+def build_context(settings: EntrySettings, background: TaskGroup) -> EntryContext:
+    """Build the state of an entry process.
+
+    Args:
+        settings: Its settings.
+        background: Tasks that outlive the request that started them.
+
+    Returns:
+        The state, without a configuration.
+    """
+    rng = random.Random()
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=200, keepalive_expiry=IDLE_SECONDS
+    )
+    client = httpx.AsyncClient(
+        timeout=httpx.Timeout(None, connect=CONNECT_SECONDS),
+        transport=httpx.AsyncHTTPTransport(
+            limits=limits, local_address=settings.box.source_address, trust_env=False
+        ),
+        trust_env=False,
+    )
+    admission = Admission(
+        in_flight_limit=settings.entry.in_flight_limit, queue_limit=settings.entry.queue_limit
+    )
+    return EntryContext(
+        settings=settings,
+        commands=CommandClient(),
+        client=client,
+        background=background,
+        admission=admission,
+        pick=better_of_two(rng),
+        rng=rng,
+    )
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry process until it is told to stop.
+
+    Args:
+        settings: Its settings.
+    """
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        context = build_context(settings, tasks)
+
+        async def planned_stop() -> None:
+            await _stop(context, stop)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(on_stop_signal, planned_stop)
+        await supervise(_children(context, stop))
+    await context.client.aclose()
+    logger.info("entry stopped")
+
+
+def _children(context: EntryContext, stop: anyio.Event) -> list[Child]:
+    settings = context.settings
+    identity = LinkIdentity(
+        cluster=settings.cluster.name,
+        role=PeerRole.ENTRY,
+        box=settings.box.name,
+        failure_domain=settings.box.failure_domain,
+        instance=context.instance,
+        secret=settings.cluster.secret,
+        source_address=settings.box.source_address,
+    )
+    follower = Follower()
+    neighbours = [peer for peer in settings.entries if peer.name != settings.box.name]
+    sources = len(settings.controls) + len(neighbours)
+    app = build_caller_app(context)
+
+    def follow_child(peer: ControlPeer | EntryPeer, *, control: bool) -> Child:
+        return Child(
+            name=f"follow {peer.name}",
+            run=lambda: follow(
+                context, follower, peer.name, peer.link_address, identity, control=control
+            ),
+            restart=Restart.ALWAYS,
+        )
+
+    def command_child(peer: ControlPeer) -> Child:
+        return Child(
+            name=f"commands to {peer.name}",
+            run=lambda: keep_command_link(context.commands, peer.name, peer.link_address, identity),
+            restart=Restart.ALWAYS,
+        )
+
+    async def neighbour(link: Link) -> None:
+        await serve_neighbour(context, link)
+
+    return [
+        Child(
+            name="callers",
+            run=lambda: serve_http(
+                app,
+                settings.entry.caller_address,
+                stop,
+                grace_seconds=settings.entry.stop_limit_seconds,
+            ),
+        ),
+        Child(
+            name="links",
+            run=lambda: serve_links(settings.entry.link_address, identity, neighbour),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="first sync", run=lambda: first_sync(context, follower, sources)),
+        Child(name="announce", run=lambda: announce(context, follower), restart=Restart.ALWAYS),
+        Child(name="box list", run=lambda: _poll_box_list(context)),
+        *(follow_child(peer, control=True) for peer in settings.controls),
+        *(follow_child(peer, control=False) for peer in neighbours),
+        *(command_child(peer) for peer in settings.controls),
+    ]
+
+
+async def _poll_box_list(context: EntryContext) -> None:
+    platform = context.settings.platform
+    if platform.box_list_url is None:
+        return
+    while True:
+        box_list = await read_box_list(context.client, platform.box_list_url)
+        if box_list is not None:
+            note_leaving(context.upstreams, set(box_list.leaving))
+        await anyio.sleep(platform.poll_seconds * random.uniform(0.8, 1.2))
+
+
+async def _stop(context: EntryContext, stop: anyio.Event) -> None:
+    """Stop without cutting a request: fail readiness, serve on, stop listening, finish."""
+    settings = context.settings.entry
+    context.stopping = True
+    logger.info("planned stop", extra={"in_progress": context.in_progress})
+    await anyio.sleep(settings.stop_notice_seconds)
+    stop.set()
+    with anyio.move_on_after(settings.stop_limit_seconds):
+        while context.in_progress:
+            await anyio.sleep(STOP_POLL_SECONDS)
+    # The last answers are still being written by the HTTP server.
+    await anyio.sleep(STOP_POLL_SECONDS)
--- /dev/null
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -0,0 +1,304 @@
+"""Calls of plain services, among them those that may run at most once."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure
+
+from ...coordination.claims import key_time_ms
+from ...coordination.commands import (
+    ClaimCommand,
+    ClaimResult,
+    ClaimVerdict,
+    CompleteCommand,
+    ReleaseCommand,
+)
+from ...model import Execution, Problem, ProblemError, ResultCode
+from ...routing.retry_budget import note_first_try, take_retry
+from ...routing.upstream_table import UpstreamView, note_failure, note_success, usable
+from ...upstreams.service import ServiceAnswer, ServiceCall, ServiceCallError, call_service
+from ..control.node import wall_clock_ms
+from .checks import Permit, refuse
+from .command_client import commit
+from .context import now
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from .context import EntryContext
+
+CLAIM_SECONDS: Final = 2.5
+"""How long a claim may take before the request is refused as not run."""
+
+RECORD_SECONDS: Final = 30.0
+"""How long recording an outcome is tried; a claim without one ends as unknown."""
+
+CLAIM_MARGIN_MS: Final = 2000
+"""Added to a request's deadline before its claim counts as abandoned."""
+
+SERVER_ERROR: Final = 500
+"""Least HTTP status that counts as a failure of the service."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClaimedCall:
+    """A call that may run at most once, with its claim."""
+
+    call: ServiceCall
+    """The call."""
+
+    attempt: str
+    """Random id of the attempt that holds the claim."""
+
+    account: str
+    """Client account."""
+
+
+async def answer_service(
+    context: EntryContext, permit: Permit, call: ServiceCall, *, repeatable: bool
+) -> ServiceAnswer:
+    """Run a call of a plain service.
+
+    Args:
+        context: The entry's state.
+        permit: What the request may do.
+        call: The call.
+        repeatable: False if it may run at most once.
+
+    Returns:
+        The service's answer, perhaps a recorded one.
+
+    Raises:
+        ProblemError: If there is no answer; it says whether the call was run.
+    """
+    note_first_try(context.budget)
+    if repeatable:
+        return await _run_repeatable(context, permit, call)
+    return await _run_once(context, permit, call)
+
+
+def _choose_service(context: EntryContext, permit: Permit, tried: set[str]) -> UpstreamView | None:
+    views = [context.upstreams.views.get(name) for name in permit.pipeline.services]
+    candidates = [
+        view
+        for view in views
+        if view is not None
+        and view.upstream.name not in tried
+        and usable(view, now())
+        and permit.allowed(view)
+    ]
+    if not candidates:
+        return None
+    pair = context.rng.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda view: view.in_flight)
+
+
+async def _dispatch(
+    context: EntryContext, permit: Permit, view: UpstreamView, call: ServiceCall
+) -> ServiceAnswer:
+    view.in_flight += 1
+    try:
+        with anyio.fail_after(max(0.0, permit.deadline - now())):
+            answer = await call_service(context.client, view.upstream.address, call)
+    except TimeoutError as error:
+        note_failure(view, now())
+        raise ServiceCallError(Execution.UNKNOWN, "the deadline passed") from error
+    except ServiceCallError:
+        note_failure(view, now())
+        raise
+    finally:
+        view.in_flight -= 1
+    note_success(view)
+    return answer
+
+
+async def _run_repeatable(
+    context: EntryContext, permit: Permit, call: ServiceCall
+) -> ServiceAnswer:
+    tried: set[str] = set()
+    while True:
+        view = _choose_service(context, permit, tried)
+        if view is None:
+            raise refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
+        tried.add(view.upstream.name)
+        try:
+            answer = await _dispatch(context, permit, view, call)
+            if answer.status < SERVER_ERROR:
+                return answer
+        except ServiceCallError as error:
+            if now() >= permit.deadline:
+                raise refuse(ResultCode.DEADLINE_EXCEEDED, str(error), 1.0) from error
+            answer = None
+        if _choose_service(context, permit, tried) is None or not take_retry(context.budget):
+            if answer is not None:
+                return answer
+            raise refuse(ResultCode.UPSTREAM_LOST, "no service answered", 1.0)
+        context.metrics.events["service-retry"] += 1
+
+
+async def _run_once(context: EntryContext, permit: Permit, call: ServiceCall) -> ServiceAnswer:
+    check_key(call.key)
+    claimed = ClaimedCall(call=call, attempt=secrets.token_hex(12), account=permit.account.name)
+    recorded = await _claim(context, permit, claimed)
+    if recorded is not None:
+        return recorded
+    try:
+        answer = await _dispatch_claimed(context, permit, claimed)
+    except ProblemError as error:
+        if error.problem.known_execution is Execution.NOT_RUN:
+            _in_background(context, lambda: _release(context, claimed))
+        else:
+            _in_background(context, lambda: _complete(context, claimed, None))
+        raise
+    except BaseException:
+        # The caller went away or the process is stopping: what happened is not known.
+        _in_background(context, lambda: _complete(context, claimed, None))
+        raise
+    with anyio.move_on_after(CLAIM_SECONDS) as scope:
+        await _complete(context, claimed, answer)
+    if scope.cancelled_caught:
+        _in_background(context, lambda: _complete(context, claimed, answer))
+    return answer
+
+
+def check_key(key: str) -> None:
+    """Check an idempotency key.
+
+    Raises:
+        ProblemError: If it is missing or is not a version 7 UUID.
+    """
+    if not key:
+        detail = "send Idempotency-Key: a version 7 UUID"
+        raise refuse(ResultCode.IDEMPOTENCY_KEY_MISSING, detail)
+    if key_time_ms(key) is None:
+        detail = "the Idempotency-Key must be a version 7 UUID (RFC 9562)"
+        raise refuse(ResultCode.IDEMPOTENCY_KEY_INVALID, detail)
+
+
+async def _claim(
+    context: EntryContext, permit: Permit, claimed: ClaimedCall
+) -> ServiceAnswer | None:
+    """Claim a call.
+
+    Returns:
+        The recorded answer if the call was run before, or None if it is granted.
+
+    Raises:
+        ProblemError: If it may not be dispatched.
+    """
+    call = claimed.call
+    content = b"\0".join((call.method.encode(), call.path.encode(), call.body))
+    remaining_ms = int((permit.deadline - now()) * 1000)
+    command = ClaimCommand(
+        account=claimed.account,
+        key=call.key,
+        body_digest=hashlib.blake2b(content, digest_size=16).digest(),
+        attempt=claimed.attempt,
+        deadline_ms=wall_clock_ms() + remaining_ms + CLAIM_MARGIN_MS,
+        time_ms=wall_clock_ms(),
+    )
+    seconds = min(CLAIM_SECONDS, max(0.0, permit.deadline - now()))
+    outcome = await commit(context.commands, command, seconds=seconds)
+    if isinstance(outcome, Failure):
+        # The claim may be committed yet; nothing was dispatched, so it is given back.
+        _in_background(context, lambda: _release(context, claimed))
+        problem = outcome.failure()
+        raise refuse(problem.code, problem.detail, problem.retry_after)
+    result = outcome.unwrap()
+    assert isinstance(result, ClaimResult)
+    return judge_claim(result)
+
+
+def judge_claim(result: ClaimResult) -> ServiceAnswer | None:
+    """Turn the outcome of a claim into what the caller gets.
+
+    Args:
+        result: The outcome.
+
+    Returns:
+        The recorded answer, or None if the call is granted and must be dispatched now.
+
+    Raises:
+        ProblemError: If it must not be dispatched.
+    """
+    match result.verdict:
+        case ClaimVerdict.GRANTED:
+            return None
+        case ClaimVerdict.ANSWERED:
+            return ServiceAnswer(
+                status=result.status, content_type=result.content_type, body=result.body
+            )
+        case ClaimVerdict.RUNNING:
+            wait = result.retry_ms / 1000
+            raise refuse(ResultCode.CLAIM_RUNNING, "the first request is in progress", wait)
+        case ClaimVerdict.UNKNOWN:
+            detail = "the request was started; whether it was run is not known"
+            raise refuse(ResultCode.CLAIM_UNKNOWN, detail)
+        case ClaimVerdict.MISMATCH:
+            detail = "the key was used with another body"
+            raise refuse(ResultCode.IDEMPOTENCY_KEY_REUSED, detail)
+        case ClaimVerdict.EXPIRED:
+            detail = "the key is older than the window in which keys are remembered"
+            raise refuse(ResultCode.IDEMPOTENCY_KEY_EXPIRED, detail)
+        case ClaimVerdict.FUTURE:
+            detail = "the time in the key lies in the future"
+            raise refuse(ResultCode.IDEMPOTENCY_KEY_INVALID, detail)
+        case ClaimVerdict.FULL:
+            raise refuse(ResultCode.CLAIM_TABLE_FULL, "too many claims are held", 60.0)
+
+
+async def _dispatch_claimed(
+    context: EntryContext, permit: Permit, claimed: ClaimedCall
+) -> ServiceAnswer:
+    """Dispatch a claimed call at most once; only a failed connection is tried elsewhere."""
+    tried: set[str] = set()
+    while True:
+        view = _choose_service(context, permit, tried)
+        if view is None or now() >= permit.deadline:
+            raise refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
+        tried.add(view.upstream.name)
+        try:
+            return await _dispatch(context, permit, view, claimed.call)
+        except ServiceCallError as error:
+            if error.execution is not Execution.NOT_RUN:
+                problem = Problem(
+                    code=ResultCode.UPSTREAM_LOST,
+                    detail=f"whether the request was run is not known: {error}",
+                    execution=error.execution,
+                )
+                raise ProblemError(problem) from error
+
+
+def _in_background(context: EntryContext, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    context.background.start_soon(work)
+
+
+async def _complete(
+    context: EntryContext, claimed: ClaimedCall, answer: ServiceAnswer | None
+) -> None:
+    command = CompleteCommand(
+        account=claimed.account,
+        key=claimed.call.key,
+        attempt=claimed.attempt,
+        status=answer.status if answer else 0,
+        content_type=answer.content_type if answer else "",
+        body=answer.body if answer else b"",
+        time_ms=wall_clock_ms(),
+    )
+    await commit(context.commands, command, seconds=RECORD_SECONDS)
+
+
+async def _release(context: EntryContext, claimed: ClaimedCall) -> None:
+    command = ReleaseCommand(
+        account=claimed.account,
+        key=claimed.call.key,
+        attempt=claimed.attempt,
+        time_ms=wall_clock_ms(),
+    )
+    await commit(context.commands, command, seconds=RECORD_SECONDS)
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -105,7 +105,7 @@
     """
     host, port = split_address(address)
     with anyio.fail_after(CONNECT_SECONDS):
-        stream = await anyio.connect_tcp(host, port)
+        stream = await anyio.connect_tcp(host, port, local_host=identity.source_address)
     async with stream:
         link = await greet(stream, identity)
         await _run_link(link, handler)
--- a/src/ledgeladder/links/link.py
+++ b/src/ledgeladder/links/link.py
@@ -49,6 +49,9 @@
     secret: str = field(repr=False)
     """Secret shared by all processes of the cluster."""
 
+    source_address: str | None = None
+    """IP number that outgoing links come from, or None for the system's choice."""
+
 
 @dataclass(kw_only=True)
 class Link:
--- a/src/ledgeladder/model/configuration.py
+++ b/src/ledgeladder/model/configuration.py
@@ -42,9 +42,7 @@
 _Item = TypeVar("_Item", Upstream, Pipeline, Priority, ClientAccount, Policy)
 
 
-def _merged(
-    current: dict[str, _Item], put: Iterable[_Item], removed: set[str]
-) -> dict[str, _Item]:
+def _merged(current: dict[str, _Item], put: Iterable[_Item], removed: set[str]) -> dict[str, _Item]:
     merged = {name: item for name, item in current.items() if name not in removed}
     merged.update({item.name: item for item in put})
     return merged
--- /dev/null
+++ b/src/ledgeladder/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about requests: admission, routes, sessions, retries, policies."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/ledgeladder/routing/admission.py
@@ -0,0 +1,194 @@
+"""Admission: limits of client accounts, a bounded queue, and refusals that say when to come back.
+
+Each box enforces its share of an account's limits. A request waits in the queue only if it can
+still be answered in time; order is by priority, then by how much the account has in progress here,
+then by deadline, so one large account cannot starve a small one of the same priority.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from ..model import Problem, ResultCode
+
+if TYPE_CHECKING:
+    from ..model import ClientAccount
+
+BURST_SECONDS: Final = 1.0
+"""A rate may be used up this far ahead."""
+
+DURATION_GAIN: Final = 0.1
+"""Weight of a new duration in the mean."""
+
+DEFAULT_RANK: Final = 50
+"""Rank of a request without a priority."""
+
+
+@dataclass(kw_only=True)
+class AccountUse:
+    """What one account uses on this box."""
+
+    in_flight: int = 0
+    """Requests admitted and not finished."""
+
+    tokens: float = 0.0
+    """Requests that may start now under the rate."""
+
+    refilled_at: float = 0.0
+    """When `tokens` was last brought up to date."""
+
+
+@dataclass(kw_only=True, eq=False)
+class Ticket:
+    """One request that waits or is in progress."""
+
+    account: str
+    """Client account."""
+
+    rank: int
+    """Rank of its priority, 0 first."""
+
+    deadline: float
+    """When it must be answered, on the monotonic clock."""
+
+    admitted: bool = False
+    """True once it may go on."""
+
+    arrived_at: float = 0.0
+    """When it arrived."""
+
+    admitted_at: float = 0.0
+    """When it was admitted."""
+
+
+@dataclass(kw_only=True)
+class Admission:
+    """Admission state of one box."""
+
+    in_flight_limit: int
+    """Most requests in progress."""
+
+    queue_limit: int
+    """Most requests that wait."""
+
+    boxes: int = 1
+    """Entry boxes among which limits are shared, this one included."""
+
+    in_flight: int = 0
+    """Requests in progress."""
+
+    waiting: list[Ticket] = field(default_factory=list)
+    """Requests that wait, in order of arrival."""
+
+    accounts: dict[str, AccountUse] = field(default_factory=dict)
+    """Use by account."""
+
+    mean_seconds: float = 0.5
+    """Mean duration of a request."""
+
+
+def arrive(
+    admission: Admission, account: ClientAccount, ticket: Ticket, now: float
+) -> Problem | None:
+    """Admit, queue or refuse a request.
+
+    Args:
+        admission: The state.
+        account: Its client account.
+        ticket: The request; `admitted` tells whether it may go on at once.
+        now: Monotonic time in seconds.
+
+    Returns:
+        The refusal, or None if the request was admitted or queued.
+    """
+    use = admission.accounts.setdefault(account.name, AccountUse(refilled_at=now, tokens=1.0))
+    problem = _over_limits(admission, account, use, now)
+    if problem is not None:
+        return problem
+    ticket.arrived_at = now
+    if admission.in_flight < admission.in_flight_limit:
+        _admit(admission, ticket, now)
+        use.tokens -= 1.0
+        return None
+    wait = expected_wait(admission, ticket.rank)
+    if len(admission.waiting) >= admission.queue_limit:
+        detail = "too many requests wait"
+        return Problem(code=ResultCode.QUEUE_FULL, detail=detail, retry_after=wait)
+    if now + wait + admission.mean_seconds > ticket.deadline:
+        detail = f"about {wait:.1f} s of waiting would pass the deadline"
+        return Problem(code=ResultCode.DEADLINE_UNREACHABLE, detail=detail, retry_after=wait)
+    admission.waiting.append(ticket)
+    use.tokens -= 1.0
+    return None
+
+
+def expected_wait(admission: Admission, rank: int) -> float:
+    """Estimate how long a request of a rank would wait, in seconds."""
+    ahead = sum(1 for ticket in admission.waiting if ticket.rank <= rank)
+    return (ahead + 1) * admission.mean_seconds / admission.in_flight_limit
+
+
+def _over_limits(
+    admission: Admission, account: ClientAccount, use: AccountUse, now: float
+) -> Problem | None:
+    rate = account.rate / admission.boxes
+    burst = max(1.0, rate * BURST_SECONDS)
+    use.tokens = min(burst, use.tokens + (now - use.refilled_at) * rate)
+    use.refilled_at = now
+    if use.tokens < 1.0:
+        retry_after = (1.0 - use.tokens) / rate
+        detail = f"account {account.name} is limited to {account.rate:g} requests a second"
+        return Problem(code=ResultCode.RATE_EXCEEDED, detail=detail, retry_after=retry_after)
+    share = max(1, account.concurrency // admission.boxes)
+    if use.in_flight + _waiting_of(admission, account.name) >= share:
+        detail = f"account {account.name} is limited to {account.concurrency} requests in progress"
+        return Problem(
+            code=ResultCode.CONCURRENCY_EXCEEDED,
+            detail=detail,
+            retry_after=admission.mean_seconds,
+        )
+    return None
+
+
+def _waiting_of(admission: Admission, account: str) -> int:
+    return sum(1 for ticket in admission.waiting if ticket.account == account)
+
+
+def _admit(admission: Admission, ticket: Ticket, now: float) -> None:
+    ticket.admitted = True
+    ticket.admitted_at = now
+    admission.in_flight += 1
+    admission.accounts[ticket.account].in_flight += 1
+
+
+def finish(admission: Admission, ticket: Ticket, now: float) -> list[Ticket]:
+    """Note that a request ended, or that a waiting one was given up.
+
+    Args:
+        admission: The state.
+        ticket: The request.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Waiting requests that are admitted in its place.
+    """
+    if not ticket.admitted:
+        if ticket in admission.waiting:
+            admission.waiting.remove(ticket)
+        return []
+    admission.in_flight -= 1
+    admission.accounts[ticket.account].in_flight -= 1
+    duration = now - ticket.admitted_at
+    admission.mean_seconds += DURATION_GAIN * (duration - admission.mean_seconds)
+    released: list[Ticket] = []
+    while admission.waiting and admission.in_flight < admission.in_flight_limit:
+        following = min(admission.waiting, key=lambda item: _order(admission, item))
+        admission.waiting.remove(following)
+        _admit(admission, following, now)
+        released.append(following)
+    return released
+
+
+def _order(admission: Admission, ticket: Ticket) -> tuple[int, int, float]:
+    return (ticket.rank, admission.accounts[ticket.account].in_flight, ticket.deadline)
--- /dev/null
+++ b/src/ledgeladder/routing/chain.py
@@ -0,0 +1,228 @@
+"""Choosing a chain of engines that covers every layer of a model exactly once.
+
+Engines hold ranges that may overlap. A chain is built from the first layer on: at each boundary one
+of the engines that hold the next layer is chosen and runs up to the end of its range, so overlaps
+are cut and no layer runs twice. The choice is the better of two random candidates by expected work
+per unit of speed ("The Power of Two Choices in Randomized Load Balancing", Mitzenmacher, 2001),
+which keeps boxes that decide apart from herding onto the same engine.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ..model import LayerSpan, Problem, ResultCode, Route, Stage, UpstreamKind
+from .upstream_table import UpstreamTable, UpstreamView, usable
+
+if TYPE_CHECKING:
+    from ..model import Pipeline
+
+Pick = Callable[[Sequence[UpstreamView], int], UpstreamView]
+"""Chooses among the engines that hold a layer."""
+
+
+def expected_work(view: UpstreamView, first: int) -> float:
+    """Estimate how loaded an engine would be with one more request.
+
+    Args:
+        view: The engine.
+        first: First layer that it would run.
+
+    Returns:
+        Layer steps per token in progress, over the engine's speed.
+    """
+    in_progress = max(view.in_flight, view.reported_load) + 1
+    span = view.upstream.end_layer - first
+    return in_progress * span / view.upstream.layers_per_second
+
+
+def better_of_two(rng: random.Random) -> Pick:
+    """Return a choice of the less loaded of two random candidates, weighted by speed."""
+
+    def pick(candidates: Sequence[UpstreamView], first: int) -> UpstreamView:
+        if len(candidates) == 1:
+            return candidates[0]
+        weights = [view.upstream.layers_per_second for view in candidates]
+        pair = rng.choices(candidates, weights=weights, k=2)
+        return min(pair, key=lambda view: expected_work(view, first))
+
+    return pick
+
+
+def round_robin() -> Pick:
+    """Return a choice that takes candidates in turn; a baseline for measurements."""
+    turn = 0
+
+    def pick(candidates: Sequence[UpstreamView], first: int) -> UpstreamView:
+        nonlocal turn
+        turn += 1
+        return candidates[turn % len(candidates)]
+
+    return pick
+
+
+def least_loaded() -> Pick:
+    """Return a choice of the engine with the least expected work; a baseline for measurements."""
+
+    def pick(candidates: Sequence[UpstreamView], first: int) -> UpstreamView:
+        return min(candidates, key=lambda view: expected_work(view, first))
+
+    return pick
+
+
+def engines_for(
+    table: UpstreamTable,
+    pipeline: Pipeline,
+    now: float,
+    *,
+    allowed: Callable[[UpstreamView], bool],
+) -> list[UpstreamView]:
+    """Return the engines that may take new work for a pipeline."""
+    return [
+        view
+        for view in table.views.values()
+        if view.upstream.kind is UpstreamKind.ENGINE
+        and view.upstream.model == pipeline.model
+        and usable(view, now)
+        and allowed(view)
+    ]
+
+
+def coverable(engines: Iterable[UpstreamView], layers: int) -> list[bool]:
+    """Tell from which layers on the rest can be covered.
+
+    Args:
+        engines: Engines that may be used.
+        layers: Number of layers.
+
+    Returns:
+        For each layer from 0 to `layers`, whether a chain from there to the end exists.
+    """
+    reach = [False] * layers + [True]
+    ranges = [(view.upstream.first_layer, view.upstream.end_layer) for view in engines]
+    for layer in range(layers - 1, -1, -1):
+        reach[layer] = any(
+            first <= layer < end and reach[min(end, layers)] for first, end in ranges
+        )
+    return reach
+
+
+def cover_span(
+    engines: Sequence[UpstreamView], span: LayerSpan, pick: Pick
+) -> tuple[Stage, ...] | None:
+    """Cover one span of layers by a chain of engines.
+
+    Args:
+        engines: Engines that may be used.
+        span: Layers to cover.
+        pick: Chooses among candidates.
+
+    Returns:
+        Stages in order, or None if some layer is held by no engine.
+    """
+    reach = coverable(engines, span.end)
+    stages: list[Stage] = []
+    layer = span.first
+    while layer < span.end:
+        candidates = [
+            view
+            for view in engines
+            if view.upstream.first_layer <= layer < view.upstream.end_layer
+            and reach[min(view.upstream.end_layer, span.end)]
+        ]
+        if not candidates:
+            return None
+        chosen = pick(candidates, layer).upstream
+        end = min(chosen.end_layer, span.end)
+        stages.append(
+            Stage(
+                upstream=chosen.name,
+                address=chosen.address,
+                span=LayerSpan(first=layer, end=end),
+            )
+        )
+        layer = end
+    return tuple(stages)
+
+
+def missing_layers(engines: Sequence[UpstreamView], layers: int) -> list[int]:
+    """Return the layers that no engine holds."""
+    held: set[int] = set()
+    for view in engines:
+        held.update(range(view.upstream.first_layer, view.upstream.end_layer))
+    return [layer for layer in range(layers) if layer not in held]
+
+
+def choose_route(
+    engines: Sequence[UpstreamView], layers: int, pick: Pick
+) -> Result[Route, Problem]:
+    """Choose a route over all layers.
+
+    Args:
+        engines: Engines that may be used.
+        layers: Number of layers of the model.
+        pick: Chooses among candidates.
+
+    Returns:
+        A route, or a problem that names the layers that nobody holds.
+    """
+    stages = cover_span(engines, LayerSpan(first=0, end=layers), pick)
+    if stages is not None:
+        return Success(Route(stages=stages))
+    missing = missing_layers(engines, layers)
+    detail = f"no reachable upstream holds layers {_ranges(missing)}"
+    return Failure(Problem(code=ResultCode.NO_ROUTE, detail=detail, retry_after=2.0))
+
+
+def replace_stages(
+    route: Route, lost: frozenset[str], engines: Sequence[UpstreamView], pick: Pick
+) -> Route | None:
+    """Replace the lost stages of a route and keep all others, with the state that they hold.
+
+    An engine that already runs a stage is not given a second one, since it keeps one state per
+    request.
+
+    Args:
+        route: The route in use.
+        lost: Names of the upstreams that were lost.
+        engines: Engines that may be used; those lost are passed over.
+        pick: Chooses among candidates.
+
+    Returns:
+        A route that covers the same layers, or None if nobody holds the lost ones.
+    """
+    taken = set(route.upstreams)
+    stages: list[Stage] = []
+    for stage in route.stages:
+        if stage.upstream not in lost:
+            stages.append(stage)
+            continue
+        remaining = [view for view in engines if view.upstream.name not in taken]
+        replacement = cover_span(remaining, stage.span, pick)
+        if replacement is None:
+            return None
+        stages.extend(replacement)
+        taken.update(new.upstream for new in replacement)
+    return Route(stages=tuple(stages))
+
+
+def _ranges(layers: Sequence[int]) -> str:
+    """Write a list of layers as ranges.
+
+    >>> _ranges([0, 1, 2, 7])
+    '0-2, 7'
+    """
+    parts: list[str] = []
+    position = 0
+    while position < len(layers):
+        end = position
+        while end + 1 < len(layers) and layers[end + 1] == layers[end] + 1:
+            end += 1
+        first, last = layers[position], layers[end]
+        parts.append(str(first) if first == last else f"{first}-{last}")
+        position = end + 1
+    return ", ".join(parts)
--- /dev/null
+++ b/src/ledgeladder/routing/pace.py
@@ -0,0 +1,61 @@
+"""Finding a stalled route by its own pace in place of one fixed time-out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+GAIN: Final = 0.125
+"""Weight of a new gap in the mean, as in TCP's round-trip estimate (RFC 6298)."""
+
+DEVIATION_GAIN: Final = 0.25
+"""Weight of a new deviation."""
+
+DEVIATIONS: Final = 6.0
+"""Deviations above the mean at which a gap counts as a stall."""
+
+FACTOR: Final = 3.0
+"""A stall is at least this many times the mean gap."""
+
+FLOOR_SECONDS: Final = 0.25
+"""Shorter gaps are never called a stall: garbage collection and scheduling cause those."""
+
+CEILING_SECONDS: Final = 5.0
+"""Longer gaps are always called a stall."""
+
+
+@dataclass(kw_only=True)
+class Pace:
+    """Mean gap between tokens and its mean deviation, in seconds."""
+
+    mean: float = 0.0
+    """Mean gap; 0 before the first."""
+
+    deviation: float = 0.0
+    """Mean deviation from it."""
+
+    leniency: float = 1.0
+    """Raised after a false alarm."""
+
+
+def note_gap(pace: Pace, gap: float) -> None:
+    """Take one gap into account."""
+    if pace.mean == 0.0:
+        pace.mean = gap
+        pace.deviation = gap / 2
+        return
+    pace.deviation += DEVIATION_GAIN * (abs(gap - pace.mean) - pace.deviation)
+    pace.mean += GAIN * (gap - pace.mean)
+
+
+def stall_after(pace: Pace) -> float:
+    """Return the gap, in seconds, from which on a route counts as stalled."""
+    if pace.mean == 0.0:
+        return CEILING_SECONDS
+    expected = max(pace.mean * FACTOR, pace.mean + DEVIATIONS * pace.deviation)
+    return min(max(expected * pace.leniency, FLOOR_SECONDS), CEILING_SECONDS)
+
+
+def note_false_alarm(pace: Pace) -> None:
+    """Wait longer from now on, since every stage turned out to be alive."""
+    pace.leniency = min(pace.leniency * 2, 16.0)
--- a/src/ledgeladder/routing/policy.py
+++ b/src/ledgeladder/routing/policy.py
@@ -1,13 +1,14 @@
 """Policies: short Starlark programs that decide what may flow where.
 
-A policy defines `decide(request)`. It gets a dict with the keys of `RequestFacts` and returns a dict
-with any of the keys of `Decision`. The language has no clock, no files and no random numbers, and
-its work is counted in interpreter steps, so every box reaches the same decision.
+A policy defines `decide(request)`. It gets a dict with the keys of `RequestFacts` and returns a
+dict with any of the keys of `Decision`. The language has no clock, no files and no random numbers,
+and its work is counted in interpreter steps, so every box reaches the same decision.
 """
 
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from typing import Annotated, Any, ClassVar, Final
 
@@ -15,7 +16,7 @@
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from ..model import Configuration, Problem, ResultCode
+from ..model import ClientAccount, Configuration, Problem, ResultCode
 
 CHECK_LIMIT: Final = 100
 """Times that the interpreter may ask whether to go on; it asks about every 1,000 steps."""
@@ -23,6 +24,9 @@
 CALL_DEPTH_LIMIT: Final = 50
 """Deepest nesting of calls."""
 
+SAMPLED_ACCOUNTS: Final = 20
+"""Client accounts that a policy is tried with before it is accepted."""
+
 _POSITION: Final = re.compile(r":(\d+):(\d+)")
 
 
@@ -196,7 +200,7 @@
         for pipeline in configuration.pipelines.values()
         if pipeline.policy == policy_name
     ]
-    accounts = list(configuration.accounts.values())[:20]
+    accounts: Sequence[ClientAccount | None] = list(configuration.accounts.values())
     domains = sorted({item.failure_domain for item in configuration.upstreams.values()})
     return [
         RequestFacts(
@@ -207,7 +211,7 @@
             failure_domain=domain,
         )
         for pipeline in pipelines or ["sample"]
-        for account in accounts or [None]
+        for account in accounts[:SAMPLED_ACCOUNTS] or [None]
         for domain in domains or ["sample"]
         for tokens in (0, 16, 4096)
     ]
--- a/src/ledgeladder/settings/models.py
+++ b/src/ledgeladder/settings/models.py
@@ -27,6 +27,9 @@
     failure_domain: Name
     """Failure domain of the box."""
 
+    source_address: Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")] | None = None
+    """IP number that outgoing connections come from, for a box that has several."""
+
 
 class ClusterSection(_Section):
     """What all processes of the cluster share."""
@@ -87,6 +90,12 @@
     data_folder: Path
     """Folder on the disk that lasts."""
 
+    listen_link_address: Address | None = None
+    """Where to accept links, if not at the address that others know."""
+
+    listen_operator_address: Address | None = None
+    """Where to accept operators, if not at the address that others know."""
+
     snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 1000
     """Log entries after which a snapshot is taken."""
 
--- a/src/ledgeladder/storage/journal.py
+++ b/src/ledgeladder/storage/journal.py
@@ -188,9 +188,7 @@
         sync(file.fileno())
     journal = Journal(folder=folder, file=file, size=scan.good_length, sync=sync)
     cut = len(content) - scan.good_length
-    recovered = Recovered(
-        hard_state=hard_state, snapshot=snapshot, entries=entries, cut_bytes=cut
-    )
+    recovered = Recovered(hard_state=hard_state, snapshot=snapshot, entries=entries, cut_bytes=cut)
     return journal, recovered
 
 
--- a/src/ledgeladder/storage/records.py
+++ b/src/ledgeladder/storage/records.py
@@ -48,7 +48,7 @@
 
 
 def scan_records(content: bytes, start: int) -> RecordScan:
-    """Read records up to the end or to the first bad one.
+    r"""Read records up to the end or to the first bad one.
 
     A crash can leave the last write short, or leave zeros where the file grew before its data was
     written; both are torn. A record of full length with a wrong checksum is called corrupt even at
@@ -62,7 +62,7 @@
     Returns:
         The records and the state of the tail.
 
-    >>> scan_records(frame_record(b"abc") + b"\\x00", 0).tail.value
+    >>> scan_records(frame_record(b"abc") + b"\x00", 0).tail.value
     'torn'
     """
     payloads: list[bytes] = []
--- /dev/null
+++ b/src/ledgeladder/upstreams/service.py
@@ -0,0 +1,94 @@
+"""The port to plain services: one HTTP request and one whole answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import httpx
+
+from ..model import Execution
+
+EXECUTION_HEADER: Final = "Ledgeladder-Execution"
+"""Header by which a service says that it refused before it started."""
+
+ANSWER_LIMIT: Final = 16 * 1024 * 1024
+"""Longest answer of a service, in bytes."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceCall:
+    """One call of a plain service."""
+
+    method: str
+    """HTTP method."""
+
+    path: str
+    """Path below the root of the service."""
+
+    content_type: str
+    """Content type of the body."""
+
+    body: bytes
+    """Request body."""
+
+    key: str
+    """Idempotency key, or empty."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceAnswer:
+    """The answer of a plain service."""
+
+    status: int
+    """HTTP status."""
+
+    content_type: str
+    """Content type of the body."""
+
+    body: bytes
+    """Answer body."""
+
+
+class ServiceCallError(Exception):
+    """A call that brought no answer."""
+
+    def __init__(self, execution: Execution, detail: str) -> None:
+        super().__init__(detail)
+        self.execution = execution
+        """Whether the service may have run the call."""
+
+
+async def call_service(client: httpx.AsyncClient, address: str, call: ServiceCall) -> ServiceAnswer:
+    """Call a service once.
+
+    Args:
+        client: HTTP client.
+        address: `host:port` of the service.
+        call: The call.
+
+    Returns:
+        The answer, whatever its status.
+
+    Raises:
+        ServiceCallError: With NOT_RUN only if no byte was sent or the service itself said so.
+    """
+    headers = {"content-type": call.content_type}
+    if call.key:
+        headers["idempotency-key"] = call.key
+    url = f"http://{address}/{call.path}"
+    try:
+        async with client.stream(call.method, url, content=call.body, headers=headers) as response:
+            body = bytearray()
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > ANSWER_LIMIT:
+                    raise ServiceCallError(Execution.RAN, "the answer is too long")
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise ServiceCallError(Execution.NOT_RUN, str(error)) from error
+    except httpx.HTTPError as error:
+        raise ServiceCallError(Execution.UNKNOWN, f"{type(error).__name__}: {error}") from error
+    if response.headers.get(EXECUTION_HEADER) == Execution.NOT_RUN.value:
+        raise ServiceCallError(Execution.NOT_RUN, f"refused with status {response.status_code}")
+    content_type = response.headers.get("content-type", "application/octet-stream")
+    return ServiceAnswer(status=response.status_code, content_type=content_type, body=bytes(body))
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,181 @@
+"""A fault-injecting TCP proxy between the processes of a fleet.
+
+It runs on a thread of its own, so that a test can change the faults while it does other things. A
+fault is set between a source and a target failure domain, told apart by IP number, or for one
+target alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """What happens to the connections that it applies to."""
+
+    refuse: bool = False
+    """New connections are closed at once and open ones are reset."""
+
+    drop_forth: bool = False
+    """Bytes towards the target vanish; the connection stays open."""
+
+    drop_back: bool = False
+    """Bytes from the target vanish."""
+
+    delay: float = 0.0
+    """Seconds that each piece is held back."""
+
+    bytes_per_second: float = 0.0
+    """Speed limit; 0 for none."""
+
+
+CUT = Fault(drop_forth=True, drop_back=True)
+"""Both ways silent, as when a switch dies: nothing is closed, nothing arrives."""
+
+NO_FAULT = Fault()
+
+
+@dataclass(kw_only=True)
+class Target:
+    """One proxied address."""
+
+    listen: tuple[str, int]
+    forward: tuple[str, int]
+    writers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
+
+
+class FaultProxy:
+    """All proxied addresses of a fleet."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.targets: dict[tuple[str, int], Target] = {}
+        self.host_faults: dict[tuple[str, str], Fault] = {}
+        self.target_faults: dict[tuple[str, int], Fault] = {}
+        self.thread.start()
+
+    def add(self, listen: tuple[str, int], forward: tuple[str, int]) -> None:
+        """Proxy one address."""
+        target = Target(listen=listen, forward=forward)
+        self.targets[listen] = target
+
+        async def start() -> None:
+            await asyncio.start_server(lambda r, w: self._serve(target, r, w), *listen)
+
+        asyncio.run_coroutine_threadsafe(start(), self.loop).result(5)
+
+    def set_between(self, source_host: str, target_host: str, fault: Fault) -> None:
+        """Set the fault from one failure domain to another, by IP number."""
+        self.host_faults[(source_host, target_host)] = fault
+        self._apply()
+
+    def set_target(self, listen: tuple[str, int], fault: Fault) -> None:
+        """Set the fault of one proxied address."""
+        self.target_faults[listen] = fault
+        self._apply()
+
+    def isolate(self, host: str, others: list[str], fault: Fault = CUT) -> None:
+        """Cut one failure domain off from all others, both ways."""
+        for other in others:
+            if other != host:
+                self.host_faults[(host, other)] = fault
+                self.host_faults[(other, host)] = fault
+        self._apply()
+
+    def heal(self) -> None:
+        """Remove all faults; connections that lost bytes are closed."""
+        self.host_faults.clear()
+        self.target_faults.clear()
+        self._call(self._reset_all)
+
+    def close(self) -> None:
+        """Stop the proxy."""
+        self._call(self._reset_all)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+    def _fault(self, source_host: str, target: Target) -> Fault:
+        named = self.target_faults.get(target.listen)
+        if named is not None:
+            return named
+        return self.host_faults.get((source_host, target.listen[0]), NO_FAULT)
+
+    def _call(self, work: Callable[[], None]) -> None:
+        done = threading.Event()
+
+        def run() -> None:
+            work()
+            done.set()
+
+        self.loop.call_soon_threadsafe(run)
+        done.wait(5)
+
+    def _apply(self) -> None:
+        self._call(self._reset_refused)
+
+    def _reset_refused(self) -> None:
+        for target in self.targets.values():
+            for writer, source_host in list(target.writers.items()):
+                if self._fault(source_host, target).refuse:
+                    writer.transport.abort()
+
+    def _reset_all(self) -> None:
+        for target in self.targets.values():
+            for writer in list(target.writers):
+                writer.transport.abort()
+
+    async def _serve(
+        self, target: Target, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        source_host = writer.get_extra_info("peername")[0]
+        fault = self._fault(source_host, target)
+        if fault.refuse:
+            writer.transport.abort()
+            return
+        target.writers[writer] = source_host
+        onward = None
+        try:
+            onward_reader, onward = await asyncio.open_connection(*target.forward)
+            target.writers[onward] = source_host
+            await asyncio.gather(
+                self._pump(target, source_host, reader, onward, forth=True),
+                self._pump(target, source_host, onward_reader, writer, forth=False),
+            )
+        except OSError:
+            pass
+        finally:
+            for side in (writer, onward):
+                if side is not None:
+                    target.writers.pop(side, None)
+                    side.transport.abort()
+
+    async def _pump(
+        self,
+        target: Target,
+        source_host: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        forth: bool,
+    ) -> None:
+        while data := await reader.read(65536):
+            fault = self._fault(source_host, target)
+            if fault.drop_forth if forth else fault.drop_back:
+                continue
+            pause = fault.delay
+            if fault.bytes_per_second:
+                pause += len(data) / fault.bytes_per_second
+            if pause:
+                await asyncio.sleep(pause)
+            writer.write(data)
+            await writer.drain()
+        fault = self._fault(source_host, target)
+        if not (fault.drop_forth if forth else fault.drop_back):
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.write_eof()
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,182 @@
+"""Open-loop load: seeded arrivals that do not wait for answers, every answer checked."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+from hdrh.histogram import HdrHistogram
+
+from .fleet import LAYERS
+from .model_function import reference_answer
+
+
+@dataclass(frozen=True, kw_only=True)
+class Workload:
+    """What is asked."""
+
+    rate: float
+    """Requests a second."""
+
+    seconds: float
+    """How long requests arrive."""
+
+    max_tokens: int = 16
+    """Tokens a request."""
+
+    account: str = "nilayam"
+    """Client account; its key is `key-of-ACCOUNT`."""
+
+    prompts: int = 50
+    """Number of different prompts."""
+
+    seed: int = 1
+    """Seed of arrivals and prompts."""
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, 600_000_000, 3)
+
+
+@dataclass(kw_only=True)
+class LoadResult:
+    """What came back."""
+
+    first_token: HdrHistogram = field(default_factory=_histogram)
+    token_gap: HdrHistogram = field(default_factory=_histogram)
+    longest_gap: HdrHistogram = field(default_factory=_histogram)
+    duration: HdrHistogram = field(default_factory=_histogram)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    tokens: int = 0
+    wrong: list[str] = field(default_factory=list)
+    started_at: float = 0.0
+    ended_at: float = 0.0
+
+    @property
+    def tokens_per_second(self) -> float:
+        """Tokens over the whole run."""
+        return self.tokens / max(1e-9, self.ended_at - self.started_at)
+
+
+def quantiles(histogram: HdrHistogram) -> str:
+    """Return median, 95 and 99 in 100 and worst, in milliseconds."""
+    values = [histogram.get_value_at_percentile(q) / 1000 for q in (50, 95, 99, 100)]
+    return " / ".join(f"{value:.1f}" for value in values)
+
+
+async def stream_once(
+    client: httpx.AsyncClient,
+    url: str,
+    prompt: str,
+    max_tokens: int,
+    account: str,
+    result: LoadResult,
+) -> None:
+    """Send one streaming request and check its answer."""
+    began = last = time.perf_counter()
+    text, gap, done, refusal = "", 0.0, False, ""
+    body = {"model": "captions", "prompt": prompt, "max_tokens": max_tokens, "stream": True}
+    headers = {"authorization": f"Bearer key-of-{account}"}
+    try:
+        async with client.stream(
+            "POST", f"{url}/v1/completions", json=body, headers=headers
+        ) as response:
+            if response.status_code != 200:
+                await response.aread()
+                error = response.json()["error"]
+                result.outcomes[f"{error['type']} {error['execution']}"] += 1
+                return
+            async for line in response.aiter_lines():
+                if not line.startswith("data: "):
+                    continue
+                if line == "data: [DONE]":
+                    done = True
+                    break
+                event: dict[str, Any] = json.loads(line[6:])
+                if "error" in event:
+                    refusal = event["error"]["type"]
+                    continue
+                piece = event["choices"][0]["text"]
+                if not piece:
+                    continue
+                now = time.perf_counter()
+                count = piece.count(" ")
+                if not text:
+                    result.first_token.record_value(int((now - began) * 1e6))
+                else:
+                    result.token_gap.record_value(int((now - last) * 1e6 / count))
+                    gap = max(gap, now - last)
+                last = now
+                text += piece
+                result.tokens += count
+    except httpx.HTTPError as error:
+        result.outcomes[f"connection {type(error).__name__}"] += 1
+        return
+    if refusal or not done:
+        result.outcomes[f"cut {refusal}"] += 1
+        return
+    result.longest_gap.record_value(int(gap * 1e6) + 1)
+    result.duration.record_value(int((time.perf_counter() - began) * 1e6))
+    right = text == reference_answer(prompt, LAYERS, max_tokens)
+    result.outcomes["whole" if right else "wrong"] += 1
+    if not right:
+        result.wrong.append(prompt)
+
+
+async def run_load(urls: list[str], workload: Workload) -> LoadResult:
+    """Run a workload over several entries."""
+    rng = random.Random(workload.seed)
+    result = LoadResult(started_at=time.perf_counter())
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=500)
+    client = httpx.AsyncClient(timeout=60, limits=limits, trust_env=False)
+    async with client, anyio.create_task_group() as tasks:
+        at = 0.0
+        number = 0
+        while True:
+            at += rng.expovariate(workload.rate)
+            if at > workload.seconds:
+                break
+            wait = result.started_at + at - time.perf_counter()
+            if wait > 0:
+                await anyio.sleep(wait)
+            prompt = f"prompt {rng.randrange(workload.prompts)} of {workload.account}"
+            url = urls[number % len(urls)]
+            number += 1
+            tasks.start_soon(
+                stream_once, client, url, prompt, workload.max_tokens, workload.account, result
+            )
+    result.ended_at = time.perf_counter()
+    return result
+
+
+async def run_burst(urls: list[str], count: int, max_tokens: int) -> LoadResult:
+    """Start `count` streams at once, each with a prompt of its own."""
+    result = LoadResult(started_at=time.perf_counter())
+    limits = httpx.Limits(max_connections=None)
+    client = httpx.AsyncClient(timeout=60, limits=limits, trust_env=False)
+    async with client, anyio.create_task_group() as tasks:
+        for number in range(count):
+            url = urls[number % len(urls)]
+            prompt = f"stream {number}"
+            tasks.start_soon(stream_once, client, url, prompt, max_tokens, "nilayam", result)
+    result.ended_at = time.perf_counter()
+    return result
+
+
+def describe_result(result: LoadResult) -> str:
+    """Return the figures of a run."""
+    return "\n".join(
+        [
+            f"outcomes: {dict(result.outcomes)}",
+            f"tokens a second: {result.tokens_per_second:.0f}",
+            f"first token ms (50/95/99/100): {quantiles(result.first_token)}",
+            f"token gap ms (50/95/99/100): {quantiles(result.token_gap)}",
+            f"longest gap of a stream ms (50/95/99/100): {quantiles(result.longest_gap)}",
+        ]
+    )
