Prove stage loss, at-most-once calls and control faults with real processes

Cause: the whole path had no proof under failure. Before: an entry that did not know the leader asked the control boxes one after the other, 1.5 s each; with one silent box the claim of a request could miss its 2.5 s (seen as a failed test: no claim within 10 s while replies were cut). Ruled out: a longer time for claims, which only delays the refusal.

--- a/src/ledgeladder/daemons/entry/command_client.py
+++ b/src/ledgeladder/daemons/entry/command_client.py
@@ -21,8 +21,8 @@
 RETRY_SECONDS: Final = 0.05
 """Pause before another control box is asked."""
 
-ANSWER_SECONDS: Final = 1.5
-"""How long one control box may take to answer."""
+ANSWER_SECONDS: Final = 0.7
+"""How long the boxes asked may take to answer before all are asked again."""
 
 
 @dataclass(kw_only=True)
@@ -32,8 +32,11 @@
     done: anyio.Event = field(default_factory=anyio.Event)
     """Set once the reply is there."""
 
+    waiting_for: int = 0
+    """Boxes that were asked and have not replied."""
+
     reply: CommandReply | None = None
-    """The reply."""
+    """The reply with a result, or else the newest refusal."""
 
 
 @dataclass(kw_only=True)
@@ -64,7 +67,7 @@
             while True:
                 message = await link.receive()
                 if isinstance(message, CommandReply):
-                    _settle(client, message)
+                    _settle(client, box, message)
         finally:
             if client.links.get(box) is link:
                 del client.links[box]
@@ -72,19 +75,27 @@
     await keep_link(address, identity, serve, rng=random.Random())
 
 
-def _settle(client: CommandClient, reply: CommandReply) -> None:
-    call = client.calls.pop(reply.call, None)
-    if call is not None:
+def _settle(client: CommandClient, box: str, reply: CommandReply) -> None:
+    call = client.calls.get(reply.call)
+    if call is None:
+        return
+    call.waiting_for -= 1
+    if reply.result is not None:
+        client.leader = box
+        call.reply = reply
+    elif call.reply is None or reply.leader:
         call.reply = reply
+    if reply.result is not None or call.waiting_for <= 0:
         call.done.set()
 
 
 async def commit(
     client: CommandClient, command: Command, *, seconds: float
 ) -> Result[CommandResult, Problem]:
-    """Commit a command, going from box to box until the leader answers.
+    """Commit a command through the leader; while that is not known, all boxes are asked at once.
 
-    Commands are safe to send again: each carries an id under which the state machine knows it.
+    Commands are safe to send again: each carries an id under which the state machine knows it, and
+    only the leader takes them.
 
     Args:
         client: The links.
@@ -97,10 +108,10 @@
     """
     with anyio.move_on_after(seconds):
         while True:
-            box = _box_to_ask(client)
-            reply = await _ask(client, box, command) if box else None
+            known = client.leader in client.links
+            boxes = [client.leader] if known else list(client.links)
+            reply = await _ask(client, boxes, command) if boxes else None
             if reply is not None and reply.result is not None:
-                client.leader = box
                 return Success(reply.result)
             client.leader = reply.leader if reply is not None else ""
             await anyio.sleep(RETRY_SECONDS)
@@ -108,22 +119,16 @@
     return Failure(Problem(code=ResultCode.NO_QUORUM, detail=detail, retry_after=2.0))
 
 
-def _box_to_ask(client: CommandClient) -> str:
-    if client.leader in client.links:
-        return client.leader
-    boxes = sorted(client.links)
-    if not boxes:
-        return ""
-    return boxes[client.last_call % len(boxes)]
-
-
-async def _ask(client: CommandClient, box: str, command: Command) -> CommandReply | None:
+async def _ask(client: CommandClient, boxes: list[str], command: Command) -> CommandReply | None:
     client.last_call += 1
     number = client.last_call
-    call = PendingCall()
+    call = PendingCall(waiting_for=len(boxes))
     client.calls[number] = call
-    client.links[box].post(CommandRequest(call=number, command=command))
-    with anyio.move_on_after(ANSWER_SECONDS):
-        await call.done.wait()
-    client.calls.pop(number, None)
+    try:
+        for box in boxes:
+            client.links[box].post(CommandRequest(call=number, command=command))
+        with anyio.move_on_after(ANSWER_SECONDS):
+            await call.done.wait()
+    finally:
+        del client.calls[number]
     return call.reply
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -394,6 +394,20 @@
         for name in self.entry_names:
             wait_until(partial(self.is_ready, name), seconds, f"{name} ready")
 
+    def wait_upstreams(self, seconds: float = 20.0) -> None:
+        """Wait until every engine and service answers."""
+        for name in self.processes:
+            if name.startswith(("fast-", "slow-", "service-")):
+                wait_until(partial(self.answers, name), seconds, f"{name} answering")
+
+    def answers(self, name: str) -> bool:
+        """Tell whether an engine or service answers."""
+        try:
+            url = self.url(name) + "/standin/stats"
+            return httpx.get(url, timeout=2, trust_env=False).status_code == 200
+        except httpx.HTTPError:
+            return False
+
     def is_ready(self, name: str) -> bool:
         """Tell whether an entry is ready for callers."""
         try:
--- /dev/null
+++ b/tests/daemons/conftest.py
@@ -0,0 +1,40 @@
+"""Fleets of real processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from standins.fleet import Fleet, running_fleet
+
+
+def started(fleet: Fleet) -> Fleet:
+    fleet.wait_leader()
+    applied = fleet.configure()
+    assert applied.returncode == 0, applied.stderr
+    fleet.wait_ready()
+    fleet.wait_upstreams()
+    return fleet
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[Fleet]:
+    """A fleet behind the fault-injecting proxy: a box of each role in each failure domain."""
+    with running_fleet(proxied=True, entries_per_domain=(1, 1, 1)) as running:
+        yield started(running)
+
+
+@pytest.fixture
+def healed(fleet: Fleet) -> Iterator[Fleet]:
+    """The fleet, with all faults removed and all processes up again after the test."""
+    yield fleet
+    assert fleet.proxy is not None
+    fleet.proxy.heal()
+    for name, process in fleet.processes.items():
+        fleet.signal(name, 18)
+        if process.popen is None or process.popen.poll() is not None:
+            fleet.launch(name)
+    fleet.wait_leader()
+    fleet.wait_ready()
+    fleet.wait_upstreams()
--- /dev/null
+++ b/tests/daemons/test_stage_loss.py
@@ -0,0 +1,75 @@
+"""A stage is lost in the middle of an answer: the answer arrives whole all the same."""
+
+from __future__ import annotations
+
+import signal
+
+import httpx
+import pytest
+
+from standins.fleet import Fleet, wait_until
+
+from .callers import KEY, Stream, complete, engine_stats
+
+TOKENS = 120
+
+
+def busy_engines(fleet: Fleet) -> list[str]:
+    return [
+        spec.name
+        for spec in fleet.engines
+        if fleet.processes[spec.name].popen.poll() is None
+        and engine_stats(fleet, spec.name)["held"] > 0
+    ]
+
+
+def start_stream(fleet: Fleet, prompt: str) -> Stream:
+    stream = Stream(fleet=fleet, entry="entry-a1", prompt=prompt, count=TOKENS)
+    wait_until(lambda: stream.tokens >= 10, 20, "the first tokens")
+    return stream
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.parametrize("first_layer", ["head", "later"])
+def test_stage_lost_mid_answer(healed: Fleet, number: signal.Signals, first_layer: str) -> None:
+    stream = start_stream(healed, f"{number.name} {first_layer}")
+    busy = busy_engines(healed)
+    heads = {spec.name for spec in healed.engines if spec.first == 0}
+    victims = [name for name in busy if (name in heads) == (first_layer == "head")]
+    healed.signal(victims[0], number)
+    stream.join()
+    assert stream.whole, (stream.error, stream.tokens)
+    assert stream.usage["attempts"] >= 2
+
+
+def test_two_stages_lost_one_after_the_other(healed: Fleet) -> None:
+    stream = start_stream(healed, "two losses")
+    for _ in range(2):
+        before = stream.tokens
+        healed.kill(busy_engines(healed)[-1])
+        wait_until(lambda before=before: stream.tokens > before + 10, 20, "tokens after a loss")
+    stream.join()
+    assert stream.whole, (stream.error, stream.tokens)
+
+
+def test_caller_that_leaves_is_cancelled_on_every_stage(healed: Fleet) -> None:
+    body = {"model": "captions", "prompt": "leaving", "max_tokens": 1000, "stream": True}
+    url = f"{healed.url('entry-b1')}/v1/completions"
+    with httpx.stream("POST", url, json=body, headers=KEY, timeout=60) as response:
+        lines = response.iter_lines()
+        assert next(lines).startswith("data: ")
+        assert busy_engines(healed)
+    wait_until(lambda: not busy_engines(healed), 20, "all stages to drop the request")
+
+
+def test_no_route_is_refused_at_once_as_not_run(healed: Fleet) -> None:
+    for spec in healed.engines:
+        if spec.end == 32:
+            healed.kill(spec.name)
+    refused = complete(healed, "entry-a1", "nowhere", 4)
+    while refused.status_code == 502:
+        # The first tries find out that the engines are gone.
+        refused = complete(healed, "entry-a1", "nowhere", 4)
+    assert refused.status_code == 503
+    assert refused.headers["ledgeladder-execution"] == "not-run"
+    assert int(refused.headers["retry-after"]) >= 1
