Use one HTTP client per fleet and load no certificates for plain HTTP

Ruled out: the log itself (100 syncs for 100 changes). Conclusion: the harness was slow, not the log; upstream clients of the entry skip the certificates as well, since upstreams speak plain HTTP.

--- a/src/ledgeladder/cli/operator_client.py
+++ b/src/ledgeladder/cli/operator_client.py
@@ -82,7 +82,13 @@
     url = f"http://{address}{path}"
     try:
         response = httpx.request(
-            method, url, content=body, headers=headers, timeout=CALL_SECONDS, trust_env=False
+            method,
+            url,
+            content=body,
+            headers=headers,
+            timeout=CALL_SECONDS,
+            trust_env=False,
+            verify=False,
         )
         content = response.json()
     except (httpx.HTTPError, ValueError):
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -55,8 +55,12 @@
     )
     client = httpx.AsyncClient(
         timeout=httpx.Timeout(None, connect=CONNECT_SECONDS),
+        # Upstreams speak plain HTTP; loading certificates would cost time and memory at the start.
         transport=httpx.AsyncHTTPTransport(
-            limits=limits, local_address=settings.box.source_address, trust_env=False
+            verify=False,
+            limits=limits,
+            local_address=settings.box.source_address,
+            trust_env=False,
         ),
         trust_env=False,
     )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -116,6 +116,10 @@
     addresses: dict[str, str] = field(default_factory=dict)
     """Advertised address by name; `NAME/link` and `NAME/operator` for the others."""
     proxy: FaultProxy | None = None
+    client: httpx.Client = field(
+        default_factory=lambda: httpx.Client(trust_env=False, verify=False, timeout=60)
+    )
+    """One client for all calls: making one loads certificates for 40 ms."""
     rng: random.Random = field(default_factory=lambda: random.Random(os.getpid()))
 
     # -- layout -----------------------------------------------------------------------------
@@ -325,8 +329,8 @@
         url = f"http://{self.addresses[f'{name}/operator']}{path}"
         headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
         if body is None:
-            return httpx.get(url, headers=headers, timeout=8, trust_env=False)
-        return httpx.post(url, headers=headers, json=body, timeout=8, trust_env=False)
+            return self.client.get(url, headers=headers, timeout=8)
+        return self.client.post(url, headers=headers, json=body, timeout=8)
 
     def status(self, name: str) -> dict[str, Any] | None:
         """Return one control box's status, or None if it does not answer."""
@@ -404,7 +408,7 @@
         """Tell whether an engine or service answers."""
         try:
             url = self.url(name) + "/standin/stats"
-            return httpx.get(url, timeout=2, trust_env=False).status_code == 200
+            return self.client.get(url, timeout=2).status_code == 200
         except httpx.HTTPError:
             return False
 
@@ -412,7 +416,7 @@
         """Tell whether an entry is ready for callers."""
         try:
             url = self.url(name) + "/ready"
-            return httpx.get(url, timeout=2, trust_env=False).status_code == 200
+            return self.client.get(url, timeout=2).status_code == 200
         except httpx.HTTPError:
             return False
 
--- a/tests/daemons/callers.py
+++ b/tests/daemons/callers.py
@@ -19,7 +19,7 @@
     """Ask for a whole answer."""
     body = {"model": "captions", "prompt": prompt, "max_tokens": count}
     url = f"{fleet.url(entry)}/v1/completions"
-    return httpx.post(url, json=body, headers=KEY, timeout=60, trust_env=False)
+    return fleet.client.post(url, json=body, headers=KEY, timeout=60)
 
 
 def answer_is_right(response: httpx.Response, prompt: str, count: int) -> bool:
@@ -34,7 +34,7 @@
     headers = KEY | {"idempotency-key": key, "ledgeladder-repeatable": "no"}
     url = f"{fleet.url(entry)}/v1/services/previews/work"
     body = {"what": what, "seconds": seconds}
-    return httpx.post(url, json=body, headers=headers, timeout=30, trust_env=False)
+    return fleet.client.post(url, json=body, headers=headers, timeout=30)
 
 
 def executions(fleet: Fleet, key: str) -> int:
@@ -42,13 +42,13 @@
     total = 0
     for name in fleet.processes:
         if name.startswith("service-"):
-            stats = httpx.get(f"{fleet.url(name)}/standin/stats", trust_env=False, timeout=5).json()
+            stats = fleet.client.get(f"{fleet.url(name)}/standin/stats", timeout=5).json()
             total += stats.get(key, 0)
     return total
 
 
 def engine_stats(fleet: Fleet, name: str) -> dict[str, Any]:
-    return dict(httpx.get(f"{fleet.url(name)}/standin/stats", trust_env=False, timeout=5).json())
+    return dict(fleet.client.get(f"{fleet.url(name)}/standin/stats", timeout=5).json())
 
 
 @dataclass(kw_only=True)
@@ -78,9 +78,7 @@
         }
         url = f"{self.fleet.url(self.entry)}/v1/completions"
         try:
-            with httpx.stream(
-                "POST", url, json=body, headers=KEY, timeout=60, trust_env=False
-            ) as response:
+            with self.fleet.client.stream("POST", url, json=body, headers=KEY) as response:
                 if response.status_code != 200:
                     self.error = json.loads(response.read())["error"]
                     return
--- a/tests/daemons/test_control_faults.py
+++ b/tests/daemons/test_control_faults.py
@@ -56,7 +56,7 @@
 
 def entry_versions(fleet: Fleet) -> set[int]:
     return {
-        httpx.get(f"{fleet.url(name)}/metrics", timeout=5, trust_env=False).json()["version"]
+        fleet.client.get(f"{fleet.url(name)}/metrics", timeout=5).json()["version"]
         for name in fleet.entry_names
     }
 
--- a/tests/daemons/test_stage_loss.py
+++ b/tests/daemons/test_stage_loss.py
@@ -4,7 +4,6 @@
 
 import signal
 
-import httpx
 import pytest
 
 from standins.fleet import Fleet, wait_until
@@ -55,7 +54,7 @@
 def test_caller_that_leaves_is_cancelled_on_every_stage(healed: Fleet) -> None:
     body = {"model": "captions", "prompt": "leaving", "max_tokens": 1000, "stream": True}
     url = f"{healed.url('entry-b1')}/v1/completions"
-    with httpx.stream("POST", url, json=body, headers=KEY, timeout=60) as response:
+    with healed.client.stream("POST", url, json=body, headers=KEY) as response:
         lines = response.iter_lines()
         assert next(lines).startswith("data: ")
         assert busy_engines(healed)
