Add membership between boxes and watching of upstreams; prove cuts, stops, bad input

Cause: each entry found out on its own, with a caller's request, that an engine was gone, and nobody knew which boxes were alive. Added: SWIM-style probes inside a failure domain, fingerprints between failure domains, two watching boxes an engine by rendezvous hashing, reports passed on by gossip; a suspected engine gets no work until it answers a probe. Ruled out: a full mesh of heartbeats (410 x 60 bytes a second is over the budget of 16 KB a second a node). Found on the way: two tasks wrote to the datagram socket at once and the child was restarted; sending now goes through one lock. A leader that was seen and gone again between two questions failed a test; the harness asks once.

--- /dev/null
+++ b/src/ledgeladder/coordination/membership/__init__.py
@@ -0,0 +1,49 @@
+"""Membership between boxes as a sans-IO core."""
+
+from __future__ import annotations
+
+from .core import announce, is_representative, leave, receive, start, tick, watchers
+from .gossip import fingerprint, merge, merge_report
+from .messages import (
+    Ack,
+    Datagram,
+    Digest,
+    Gossip,
+    MembershipMessage,
+    MemberStatus,
+    MemberUpdate,
+    Ping,
+    ProbeRequest,
+    Summary,
+    UpstreamReport,
+)
+from .state import Membership, MembershipTiming, MemberView, alive, own_update
+
+__all__ = [
+    "Ack",
+    "Datagram",
+    "Digest",
+    "Gossip",
+    "MemberStatus",
+    "MemberUpdate",
+    "MemberView",
+    "Membership",
+    "MembershipMessage",
+    "MembershipTiming",
+    "Ping",
+    "ProbeRequest",
+    "Summary",
+    "UpstreamReport",
+    "alive",
+    "announce",
+    "fingerprint",
+    "is_representative",
+    "leave",
+    "merge",
+    "merge_report",
+    "own_update",
+    "receive",
+    "start",
+    "tick",
+    "watchers",
+]
--- /dev/null
+++ b/src/ledgeladder/coordination/membership/core.py
@@ -0,0 +1,297 @@
+"""The membership protocol as a sans-IO core.
+
+Inside a failure domain boxes probe each other one at a time, directly and then through others, and
+a box that answers nobody is suspected before it is called dead ("SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", Das, Gupta and Motivala, 2002). Between failure
+domains one representative of each compares fingerprints with a random box of another, so the cost
+of a box does not grow with the number of boxes elsewhere.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from typing import Final
+
+from .gossip import everything, fingerprint, merge, merge_member, take_gossip, transmissions
+from .messages import (
+    Ack,
+    Datagram,
+    Digest,
+    Gossip,
+    MembershipMessage,
+    MemberStatus,
+    MemberUpdate,
+    Ping,
+    ProbeRequest,
+    Summary,
+)
+from .state import Membership, Probe, alive, own_update
+
+HELPERS: Final = 2
+"""Boxes that are asked to probe in place of the own one."""
+
+SECTION_SIZE: Final = 16
+"""Claims or reports in one datagram of a full digest."""
+
+
+def start(membership: Membership) -> list[Datagram]:
+    """Ask all seeds for their beliefs."""
+    gossip = Gossip(members=(own_update(membership),))
+    digest = Digest(sender=membership.name, gossip=gossip, reply_to=membership.address)
+    return [
+        Datagram(address=seed, message=digest)
+        for seed in membership.seeds
+        if seed != membership.address
+    ]
+
+
+def leave(membership: Membership) -> list[Datagram]:
+    """Tell some boxes of the own failure domain that this box leaves."""
+    membership.left = True
+    gossip = Gossip(members=(own_update(membership),))
+    digest = Digest(sender=membership.name, gossip=gossip)
+    neighbours = _neighbours(membership)
+    return [Datagram(address=update.address, message=digest) for update in neighbours]
+
+
+def tick(membership: Membership, now: float, rng: random.Random) -> list[Datagram]:
+    """Let time pass: probes, suspicions, comparisons.
+
+    Args:
+        membership: The beliefs.
+        now: Monotonic time in seconds.
+        rng: Source of choices.
+
+    Returns:
+        Datagrams to send.
+    """
+    sent: list[Datagram] = []
+    _expire(membership, now)
+    if membership.probe is not None:
+        sent += _follow_up(membership, membership.probe, now, rng)
+    if now >= membership.probe_due:
+        membership.probe_due = now + membership.timing.probe
+        sent += _start_probe(membership, now, rng)
+    if now >= membership.summary_due:
+        membership.summary_due = now + membership.timing.summary * rng.uniform(0.8, 1.2)
+        sent += _compare(membership, rng)
+    return sent
+
+
+def receive(membership: Membership, message: MembershipMessage, now: float) -> list[Datagram]:
+    """Take in one datagram.
+
+    Args:
+        membership: The beliefs.
+        message: Its content.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Datagrams to send.
+    """
+    match message:
+        case Ping():
+            return _answer_ping(membership, message, now)
+        case Ack():
+            return _take_ack(membership, message, now)
+        case ProbeRequest():
+            gossip = take_gossip(membership)
+            ping = Ping(
+                sender=membership.name,
+                number=message.number,
+                gossip=gossip,
+                on_behalf_of=message.reply_to,
+            )
+            return [Datagram(address=message.target, message=ping)]
+        case Summary():
+            if message.fingerprint == fingerprint(membership):
+                return []
+            return _sections(membership, message.reply_to, want_reply=True)
+        case Digest():
+            merge(membership, message.gossip, now)
+            if not message.reply_to:
+                return []
+            return _sections(membership, message.reply_to, want_reply=False)
+
+
+def _answer_ping(membership: Membership, ping: Ping, now: float) -> list[Datagram]:
+    merge(membership, ping.gossip, now)
+    address = ping.on_behalf_of or _address_of(membership, ping.sender)
+    if not address or membership.left:
+        return []
+    ack = Ack(sender=membership.name, number=ping.number, gossip=take_gossip(membership))
+    return [Datagram(address=address, message=ack)]
+
+
+def _take_ack(membership: Membership, ack: Ack, now: float) -> list[Datagram]:
+    merge(membership, ack.gossip, now)
+    probe = membership.probe
+    if probe is not None and (probe.target, probe.number) == (ack.sender, ack.number):
+        membership.probe = None
+    return []
+
+
+def _address_of(membership: Membership, name: str) -> str:
+    view = membership.members.get(name)
+    return view.update.address if view is not None else ""
+
+
+def _neighbours(membership: Membership) -> list[MemberUpdate]:
+    found = alive(membership, membership.failure_domain)
+    return [update for update in found if update.name != membership.name]
+
+
+def _start_probe(membership: Membership, now: float, rng: random.Random) -> list[Datagram]:
+    if membership.left:
+        return []
+    names = {update.name: update for update in _neighbours(membership)}
+    membership.order = [name for name in membership.order if name in names]
+    if not membership.order:
+        membership.order = list(names)
+        rng.shuffle(membership.order)
+    if not membership.order:
+        return start(membership)
+    target = names[membership.order.pop()]
+    membership.number += 1
+    membership.probe = Probe(target=target.name, number=membership.number, sent_at=now)
+    # The claim about the target rides along, so that a suspected box hears of it and refutes.
+    gossip = take_gossip(membership)
+    gossip = Gossip(
+        members=(*gossip.members, target, own_update(membership)), reports=gossip.reports
+    )
+    ping = Ping(sender=membership.name, number=membership.number, gossip=gossip)
+    return [Datagram(address=target.address, message=ping)]
+
+
+def _follow_up(
+    membership: Membership, probe: Probe, now: float, rng: random.Random
+) -> list[Datagram]:
+    waited = now - probe.sent_at
+    timing = membership.timing
+    if waited >= timing.probe * 0.95:
+        membership.probe = None
+        _suspect(membership, probe.target, now)
+        return []
+    if waited < timing.answer or probe.indirect:
+        return []
+    probe.indirect = True
+    target = membership.members.get(probe.target)
+    helpers = [update for update in _neighbours(membership) if update.name != probe.target]
+    if target is None or not helpers:
+        return []
+    request = ProbeRequest(
+        sender=membership.name,
+        number=probe.number,
+        reply_to=membership.address,
+        target=target.update.address,
+    )
+    chosen = rng.sample(helpers, min(HELPERS, len(helpers)))
+    return [Datagram(address=helper.address, message=request) for helper in chosen]
+
+
+def _suspect(membership: Membership, name: str, now: float) -> None:
+    view = membership.members.get(name)
+    if view is None or view.update.status is not MemberStatus.ALIVE:
+        return
+    _claim(membership, view.update, MemberStatus.SUSPECT, now)
+
+
+def _claim(membership: Membership, update: MemberUpdate, status: MemberStatus, now: float) -> None:
+    claim = MemberUpdate(
+        name=update.name,
+        failure_domain=update.failure_domain,
+        address=update.address,
+        incarnation=update.incarnation,
+        status=status,
+    )
+    merge_member(membership, claim, now)
+
+
+def _expire(membership: Membership, now: float) -> None:
+    timing = membership.timing
+    for name, view in list(membership.members.items()):
+        age = now - view.since
+        if view.update.status is MemberStatus.SUSPECT and age >= timing.suspicion:
+            _claim(membership, view.update, MemberStatus.DEAD, now)
+        elif view.update.status >= MemberStatus.DEAD and age >= timing.forget:
+            del membership.members[name]
+
+
+def is_representative(membership: Membership) -> bool:
+    """Tell whether this box speaks for its failure domain."""
+    neighbours = alive(membership, membership.failure_domain)
+    return bool(neighbours) and neighbours[0].name == membership.name
+
+
+def _compare(membership: Membership, rng: random.Random) -> list[Datagram]:
+    if membership.left or not is_representative(membership):
+        return []
+    summary = Summary(
+        sender=membership.name,
+        reply_to=membership.address,
+        fingerprint=fingerprint(membership),
+    )
+    sent: list[Datagram] = []
+    others = alive(membership)
+    for failure_domain in {update.failure_domain for update in others}:
+        candidates = [update for update in others if update.failure_domain == failure_domain]
+        if failure_domain != membership.failure_domain:
+            sent.append(Datagram(address=rng.choice(candidates).address, message=summary))
+    return sent + _knock_on_lost_seeds(membership, rng)
+
+
+def _knock_on_lost_seeds(membership: Membership, rng: random.Random) -> list[Datagram]:
+    """Ask one seed that is not among the live boxes, so that healed cuts are noticed."""
+    known = {update.address for update in alive(membership)}
+    lost = [seed for seed in membership.seeds if seed not in known]
+    if not lost:
+        return []
+    digest = Digest(
+        sender=membership.name,
+        gossip=Gossip(members=(own_update(membership),)),
+        reply_to=membership.address,
+    )
+    return [Datagram(address=rng.choice(lost), message=digest)]
+
+
+def _sections(membership: Membership, address: str, *, want_reply: bool) -> list[Datagram]:
+    """Send all beliefs in datagrams of bounded size."""
+    gossip = everything(membership)
+    count = max(len(gossip.members), len(gossip.reports))
+    sent: list[Datagram] = []
+    for first in range(0, count, SECTION_SIZE):
+        part = Gossip(
+            members=gossip.members[first : first + SECTION_SIZE],
+            reports=gossip.reports[first : first + SECTION_SIZE],
+        )
+        reply_to = membership.address if want_reply and first == 0 else ""
+        digest = Digest(sender=membership.name, gossip=part, reply_to=reply_to)
+        sent.append(Datagram(address=address, message=digest))
+    return sent
+
+
+def announce(membership: Membership) -> None:
+    """Pass the claim about the own box on again."""
+    membership.pending_members[membership.name] = transmissions(membership)
+
+
+def watchers(membership: Membership, upstream: str, count: int) -> list[str]:
+    """Choose which boxes of the own failure domain watch an upstream.
+
+    Rendezvous hashing: every box reaches the same choice, and a lost box moves only its own share.
+
+    Args:
+        membership: The beliefs.
+        upstream: Name of the upstream.
+        count: Boxes that watch it.
+
+    Returns:
+        Names of the boxes.
+    """
+
+    def weight(update: MemberUpdate) -> bytes:
+        return hashlib.blake2b(f"{update.name}|{upstream}".encode(), digest_size=8).digest()
+
+    found = sorted(alive(membership, membership.failure_domain), key=weight)
+    return [update.name for update in found[:count]]
--- /dev/null
+++ b/src/ledgeladder/coordination/membership/gossip.py
@@ -0,0 +1,118 @@
+"""Merging claims and reports, and choosing which of them to pass on."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import Final
+
+import msgspec
+
+from .messages import Gossip, MemberStatus, MemberUpdate, UpstreamReport
+from .state import Membership, MemberView, own_update
+
+MEMBERS_PER_DATAGRAM: Final = 6
+REPORTS_PER_DATAGRAM: Final = 12
+
+TRANSMISSIONS_FACTOR: Final = 3.0
+"""A claim is passed on this many times the logarithm of the number of boxes."""
+
+
+def transmissions(membership: Membership) -> int:
+    """Return how often a new claim is passed on."""
+    return math.ceil(TRANSMISSIONS_FACTOR * math.log2(len(membership.members) + 2))
+
+
+def merge(membership: Membership, gossip: Gossip, now: float) -> None:
+    """Take over all claims and reports that win over what is believed.
+
+    Args:
+        membership: The beliefs.
+        gossip: What another box believes.
+        now: Monotonic time in seconds.
+    """
+    for update in gossip.members:
+        merge_member(membership, update, now)
+    for report in gossip.reports:
+        merge_report(membership, report)
+
+
+def merge_member(membership: Membership, update: MemberUpdate, now: float) -> None:
+    """Take over one claim if it wins, and pass it on."""
+    if update.name == membership.name:
+        _refute(membership, update)
+        return
+    view = membership.members.get(update.name)
+    if view is not None and not _wins(update, view.update):
+        return
+    membership.members[update.name] = MemberView(update=update, since=now)
+    membership.pending_members[update.name] = transmissions(membership)
+
+
+def _wins(update: MemberUpdate, standing: MemberUpdate) -> bool:
+    return (update.incarnation, update.status) > (standing.incarnation, standing.status)
+
+
+def _refute(membership: Membership, update: MemberUpdate) -> None:
+    """Answer a claim that the own box is suspect or dead by a higher incarnation."""
+    if update.incarnation < membership.incarnation or membership.left:
+        return
+    if update.status is MemberStatus.ALIVE and update.incarnation == membership.incarnation:
+        return
+    membership.incarnation = update.incarnation + 1
+    membership.pending_members[membership.name] = transmissions(membership)
+
+
+def merge_report(membership: Membership, report: UpstreamReport) -> None:
+    """Take over a newer report and pass it on."""
+    standing = membership.reports.get(report.name)
+    if standing is not None and standing.version >= report.version:
+        return
+    membership.reports[report.name] = report
+    membership.pending_reports[report.name] = transmissions(membership)
+
+
+def take_gossip(membership: Membership) -> Gossip:
+    """Choose what to pass on with a datagram, the least often sent first."""
+    members: list[MemberUpdate] = []
+    for name in _choose(membership.pending_members, MEMBERS_PER_DATAGRAM):
+        if name == membership.name:
+            members.append(own_update(membership))
+        elif name in membership.members:
+            members.append(membership.members[name].update)
+    reports = [
+        membership.reports[name]
+        for name in _choose(membership.pending_reports, REPORTS_PER_DATAGRAM)
+        if name in membership.reports
+    ]
+    return Gossip(members=tuple(members), reports=tuple(reports))
+
+
+def _choose(pending: dict[str, int], limit: int) -> list[str]:
+    names = sorted(pending, key=lambda name: -pending[name])[:limit]
+    for name in names:
+        pending[name] -= 1
+        if pending[name] <= 0:
+            del pending[name]
+    return names
+
+
+def everything(membership: Membership) -> Gossip:
+    """Return all beliefs."""
+    members = [own_update(membership)]
+    members.extend(view.update for view in membership.members.values())
+    return Gossip(members=tuple(members), reports=tuple(membership.reports.values()))
+
+
+def fingerprint(membership: Membership) -> bytes:
+    """Hash the beliefs about boxes and about which upstreams are live or leaving.
+
+    Loads are left out: they change all the time and matter most in their own failure domain.
+    """
+    own = own_update(membership)
+    updates = [own, *(view.update for view in membership.members.values())]
+    claims = sorted((update.name, update.incarnation, int(update.status)) for update in updates)
+    states = sorted(
+        (report.name, report.live, report.leaving) for report in membership.reports.values()
+    )
+    return hashlib.blake2b(msgspec.msgpack.encode((claims, states)), digest_size=8).digest()
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -14,6 +14,7 @@
 
 from ...model import Configuration, digest
 from ...routing.admission import Admission
+from ...routing.pace import Pace
 from ...routing.policy import CompiledPolicy, compile_policy
 from ...routing.retry_budget import RetryBudget
 from ...routing.upstream_table import UpstreamTable, adopt_configuration
@@ -72,6 +73,9 @@
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     """What is known of each upstream."""
 
+    first_pace: Pace = field(default_factory=Pace)
+    """Times to the first token, over all requests."""
+
     budget: RetryBudget = field(default_factory=RetryBudget)
     """Retries that may be made."""
 
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -129,7 +129,7 @@
     version = context.configuration.version
     if head.version > version:
         link.post(Pull(version=version))
-    elif head.version == version and head.digest != context.digest:
+    elif context.digest and head.version == version and head.digest != context.digest:
         logger.error("same version, other content", extra={"version": version})
 
 
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -30,6 +30,7 @@
 )
 from .context import now
 from .metrics import record
+from .watching import probe_failure_domain
 
 if TYPE_CHECKING:
     from ...model import Pipeline
@@ -223,9 +224,12 @@
         if view is None:
             continue
         if outcome.leaving:
-            view.leaving = True
-        else:
-            note_failure(view, now())
+            view.said_leaving = True
+            continue
+        note_failure(view, now())
+        if outcome.end is AttemptEnd.LOST:
+            domain = view.upstream.failure_domain
+            context.background.start_soon(probe_failure_domain, context, domain)
 
 
 def _spent(session: Session, outcome: AttemptOutcome) -> ProblemError:
@@ -307,7 +311,8 @@
 ) -> AttemptOutcome:
     while True:
         stalled = True
-        with anyio.move_on_after(stall_after(progress.pace)):
+        pace = progress.pace if session.tokens else context.first_pace
+        with anyio.move_on_after(stall_after(pace)):
             await inbox.wake.wait()
             stalled = False
         if stalled:
@@ -316,7 +321,7 @@
                 context.metrics.events["stall-confirmed"] += 1
                 return AttemptOutcome(end=AttemptEnd.LOST, blamed=dead)
             context.metrics.events["stall-false-alarm"] += 1
-            note_false_alarm(progress.pace)
+            note_false_alarm(pace)
             continue
         inbox.wake = anyio.Event()
         frames, inbox.frames = inbox.frames, []
@@ -361,6 +366,7 @@
     metrics.tokens += len(texts)
     if len(session.tokens) == len(texts):
         record(metrics.first_token, gap)
+        note_gap(context.first_pace, gap)
     elif progress.recovering:
         record(metrics.recovery, gap)
     else:
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -13,7 +13,7 @@
 from ...links.messages import PeerRole
 from ...routing.admission import Admission
 from ...routing.chain import better_of_two
-from ...routing.upstream_table import note_leaving
+from ...routing.upstream_table import take_box_list
 from ...upstreams.box_list import read_box_list
 from ..http import serve_http
 from ..signals import on_stop_signal
@@ -22,6 +22,8 @@
 from .command_client import CommandClient, keep_command_link
 from .context import EntryContext
 from .follower import Follower, announce, first_sync, follow, serve_neighbour
+from .neighbourhood import build_membership, run_membership
+from .watching import probe_suspects, watch_upstreams
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -110,7 +112,13 @@
         source_address=settings.box.source_address,
     )
     follower = Follower()
-    neighbours = [peer for peer in settings.entries if peer.name != settings.box.name]
+    membership = build_membership(context)
+    own_domain = settings.box.failure_domain
+    neighbours = [
+        peer
+        for peer in settings.entries
+        if peer.name != settings.box.name and peer.failure_domain in (None, own_domain)
+    ]
     sources = len(settings.controls) + len(neighbours)
     app = build_caller_app(context)
 
@@ -151,6 +159,17 @@
         Child(name="first sync", run=lambda: first_sync(context, follower, sources)),
         Child(name="announce", run=lambda: announce(context, follower), restart=Restart.ALWAYS),
         Child(name="box list", run=lambda: _poll_box_list(context)),
+        Child(
+            name="membership",
+            run=lambda: run_membership(context, membership),
+            restart=Restart.ALWAYS,
+        ),
+        Child(
+            name="watching",
+            run=lambda: watch_upstreams(context, membership),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="probing", run=lambda: probe_suspects(context), restart=Restart.ALWAYS),
         *(follow_child(peer, control=True) for peer in settings.controls),
         *(follow_child(peer, control=False) for peer in neighbours),
         *(command_child(peer) for peer in settings.controls),
@@ -164,7 +183,7 @@
     while True:
         box_list = await read_box_list(context.client, platform.box_list_url)
         if box_list is not None:
-            note_leaving(context.upstreams, set(box_list.leaving))
+            take_box_list(context.upstreams, set(box_list.leaving))
         await anyio.sleep(platform.poll_seconds * random.uniform(0.8, 1.2))
 
 
--- a/src/ledgeladder/daemons/entry/metrics.py
+++ b/src/ledgeladder/daemons/entry/metrics.py
@@ -43,6 +43,12 @@
     tokens: int = 0
     """Tokens passed on to callers."""
 
+    gossip_bytes_sent: int = 0
+    """Bytes of membership datagrams sent."""
+
+    gossip_bytes_received: int = 0
+    """Bytes of membership datagrams received."""
+
 
 def record(histogram: HdrHistogram, seconds: float) -> None:
     """Record a duration, cut to the histogram's range."""
@@ -69,4 +75,6 @@
         "codes": dict(metrics.codes),
         "events": dict(metrics.events),
         "tokens": metrics.tokens,
+        "gossip_bytes_sent": metrics.gossip_bytes_sent,
+        "gossip_bytes_received": metrics.gossip_bytes_received,
     }
--- a/src/ledgeladder/routing/pace.py
+++ b/src/ledgeladder/routing/pace.py
@@ -20,6 +20,12 @@
 FLOOR_SECONDS: Final = 0.25
 """Shorter gaps are never called a stall: garbage collection and scheduling cause those."""
 
+LENIENCY_LIMIT: Final = 16.0
+"""Most that false alarms can stretch the time."""
+
+LENIENCY_DECAY: Final = 0.95
+"""What each gap without an alarm leaves of that stretch."""
+
 CEILING_SECONDS: Final = 5.0
 """Longer gaps are always called a stall."""
 
@@ -40,6 +46,7 @@
 
 def note_gap(pace: Pace, gap: float) -> None:
     """Take one gap into account."""
+    pace.leniency = max(1.0, pace.leniency * LENIENCY_DECAY)
     if pace.mean == 0.0:
         pace.mean = gap
         pace.deviation = gap / 2
@@ -58,4 +65,4 @@
 
 def note_false_alarm(pace: Pace) -> None:
     """Wait longer from now on, since every stage turned out to be alive."""
-    pace.leniency = min(pace.leniency * 2, 16.0)
+    pace.leniency = min(pace.leniency * 2, LENIENCY_LIMIT)
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Final
 
-from ..model import Configuration, Upstream
+from ..model import Configuration, Upstream, UpstreamKind
 
 SUSPECT_SECONDS: Final = 1.0
-"""How long an upstream is passed over after a failure; doubles with each failure in a row."""
+"""How long a service is passed over after a failure; doubles with each failure in a row."""
 
 SUSPECT_LIMIT_SECONDS: Final = 8.0
 
@@ -26,8 +27,14 @@
     reported_load: float = 0.0
     """Requests that it last said to be working on, those of other boxes included."""
 
-    leaving: bool = False
-    """True if the platform or the upstream itself said that it is leaving."""
+    listed_leaving: bool = False
+    """True if the platform's list says that it is leaving."""
+
+    said_leaving: bool = False
+    """True if it said itself that it is leaving."""
+
+    reported_down: bool = False
+    """True if the boxes that watch it get no answer."""
 
     suspect_until: float = 0.0
     """Until when it is passed over because of failures, on the monotonic clock."""
@@ -62,9 +69,20 @@
 
 
 def note_failure(view: UpstreamView, now: float) -> None:
-    """Pass an upstream over for a while, longer with each failure in a row."""
-    pause = min(SUSPECT_SECONDS * 2**view.failures, SUSPECT_LIMIT_SECONDS)
+    """Pass an upstream over after a failure.
+
+    An engine is passed over until it answers a probe, so that no request finds out again that it
+    is gone. A service has no probe and is passed over for a while, longer with each failure.
+
+    Args:
+        view: The upstream.
+        now: Monotonic time in seconds.
+    """
     view.failures += 1
+    if view.upstream.kind is UpstreamKind.ENGINE:
+        view.suspect_until = math.inf
+        return
+    pause = min(SUSPECT_SECONDS * 2 ** (view.failures - 1), SUSPECT_LIMIT_SECONDS)
     view.suspect_until = now + pause
 
 
@@ -76,18 +94,41 @@
 
 def usable(view: UpstreamView, now: float) -> bool:
     """Tell whether new work may go to an upstream."""
-    return not view.leaving and now >= view.suspect_until
+    if view.listed_leaving or view.said_leaving or view.reported_down:
+        return False
+    return now >= view.suspect_until
 
 
-def note_leaving(table: UpstreamTable, addresses: set[str]) -> None:
-    """Take over the platform's list of leaving upstreams.
+def take_report(view: UpstreamView, *, live: bool, leaving: bool, running: int) -> None:
+    """Take over what a watching box saw of an upstream.
 
-    An upstream that said so itself stays marked, since the list lags.
+    Args:
+        view: The upstream.
+        live: Whether it answered.
+        leaving: Whether it said that it is leaving.
+        running: Requests that it said to be working on.
+    """
+    view.reported_down = not live
+    if live:
+        view.said_leaving = leaving
+        view.reported_load = running
+
+
+def take_box_list(table: UpstreamTable, leaving: set[str]) -> None:
+    """Take over the platform's list of leaving upstreams.
 
     Args:
         table: The table.
-        addresses: Addresses that the list calls leaving.
+        leaving: Addresses that the list calls leaving.
     """
     for view in table.views.values():
-        if view.upstream.address in addresses:
-            view.leaving = True
+        view.listed_leaving = view.upstream.address in leaving
+
+
+def suspects(table: UpstreamTable, now: float) -> list[UpstreamView]:
+    """Return the engines that are passed over until they answer a probe."""
+    return [
+        view
+        for view in table.views.values()
+        if view.upstream.kind is UpstreamKind.ENGINE and now < view.suspect_until
+    ]
--- a/src/ledgeladder/settings/models.py
+++ b/src/ledgeladder/settings/models.py
@@ -65,13 +65,16 @@
 
 
 class EntryPeer(_Section):
-    """Another entry box of the same failure domain."""
+    """An entry box."""
 
     name: Name
     """Box name."""
 
+    failure_domain: Name | None = None
+    """Failure domain of the box; that of the reading box if left out."""
+
     link_address: Address
-    """Where it accepts links."""
+    """Where it accepts links over TCP and membership datagrams over UDP."""
 
 
 class Operator(_Section):
@@ -113,7 +116,7 @@
     """Where it accepts callers."""
 
     link_address: Address
-    """Where it accepts links from entry boxes of its failure domain."""
+    """Where it accepts links over TCP and membership datagrams over UDP."""
 
     body_limit_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
     """Longest request body."""
@@ -166,7 +169,7 @@
     """All control boxes."""
 
     entries: tuple[EntryPeer, ...] = ()
-    """The entry boxes of the same failure domain; this one may be listed."""
+    """Entry boxes: all of the own failure domain, this one included, and some of each other."""
 
     platform: PlatformSection = PlatformSection()
     log: LogSection = LogSection()
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -49,6 +49,22 @@
     writers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
 
 
+class DatagramForwarder(asyncio.DatagramProtocol):
+    """Passes datagrams on; answers come as datagrams of their own."""
+
+    def __init__(self, proxy: FaultProxy, target: Target) -> None:
+        self.proxy = proxy
+        self.target = target
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        fault = self.proxy._fault(addr[0], self.target)
+        if not (fault.refuse or fault.drop_forth):
+            self.transport.sendto(data, self.target.forward)
+
+
 class FaultProxy:
     """All proxied addresses of a fleet."""
 
@@ -67,6 +83,9 @@
 
         async def start() -> None:
             await asyncio.start_server(lambda r, w: self._serve(target, r, w), *listen)
+            await self.loop.create_datagram_endpoint(
+                lambda: DatagramForwarder(self, target), local_addr=listen
+            )
 
         asyncio.run_coroutine_threadsafe(start(), self.loop).result(5)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -218,7 +218,6 @@
                 link = self.reserve(f"{name}/link", domain, proxied=True)
                 listens[name] = (domain, caller, link)
         for name, (domain, caller, link) in listens.items():
-            neighbours = [other for other in listens if listens[other][0] == domain]
             text = _head(name, domain) + "\n".join(
                 [
                     "[entry]",
@@ -229,9 +228,9 @@
                     f'box_list_url = "http://{self.addresses["platform"]}/boxes"',
                     self._controls_text(self.control_names),
                     *(
-                        f'[[entries]]\nname = "{other}"\n'
+                        f'[[entries]]\nname = "{other}"\nfailure_domain = "{other_domain}"\n'
                         f'link_address = "{self.addresses[f"{other}/link"]}"'
-                        for other in neighbours
+                        for other, (other_domain, _, _) in listens.items()
                     ),
                 ]
             )
@@ -422,10 +421,15 @@
 
     def wait_leader(self, seconds: float = 20.0) -> str:
         """Wait for a leader and return its name."""
-        wait_until(lambda: self.leader() is not None, seconds, "a leader")
-        leader = self.leader()
-        assert leader is not None
-        return leader
+        found: list[str] = []
+
+        def look() -> bool:
+            leader = self.leader()
+            found.extend([leader] if leader else [])
+            return bool(found)
+
+        wait_until(look, seconds, "a leader")
+        return found[0]
 
 
 DEMO_POLICY = """\
--- a/tests/daemons/test_control_faults.py
+++ b/tests/daemons/test_control_faults.py
@@ -152,7 +152,9 @@
         fresh.kill(leader)
     for thread in threads:
         thread.join(60)
-    accepted = [name for name, pair in answers.items() if "version" in pair[0] and "error" not in pair[0]]
+    accepted = [
+        name for name, pair in answers.items() if "version" in pair[0] and "error" not in pair[0]
+    ]
     assert len(accepted) == 1
     for first, second in answers.values():
         # The second sending gets the first answer again.
--- /dev/null
+++ b/tests/daemons/test_domain_cuts.py
@@ -0,0 +1,114 @@
+"""A failure domain is cut off in silence: each side goes on serving what it can, then heals."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+from standins.fleet import DOMAINS, Fleet, domain_host, wait_until
+from standins.keys import new_key
+
+from .callers import answer_is_right, book, complete, executions
+from .test_control_faults import entry_versions, priority_change, submit, version
+
+TOKENS = 6
+
+
+class Callers:
+    """Call every entry again and again, and keep what came back."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.stopping = threading.Event()
+        self.outcomes: dict[str, Counter[str]] = {name: Counter() for name in fleet.entry_names}
+        self.threads = [
+            threading.Thread(target=self.call, args=(name,), daemon=True)
+            for name in fleet.entry_names
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def call(self, entry: str) -> None:
+        number = 0
+        while not self.stopping.is_set():
+            number += 1
+            prompt = f"{entry} {number}"
+            response = complete(self.fleet, entry, prompt, TOKENS)
+            if response.status_code != 200:
+                self.outcomes[entry][response.json()["error"]["type"]] += 1
+            elif answer_is_right(response, prompt, TOKENS):
+                self.outcomes[entry]["whole"] += 1
+            else:
+                self.outcomes[entry]["wrong"] += 1
+
+    def stop(self) -> None:
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(60)
+
+    def wait_for_more(self, seconds: float = 30.0) -> None:
+        """Wait until every entry has answered several more requests in full."""
+        before = {name: counter["whole"] for name, counter in self.outcomes.items()}
+        wait_until(
+            lambda: all(self.outcomes[name]["whole"] >= before[name] + 5 for name in before),
+            seconds,
+            f"answers on every side, got {self.outcomes}",
+        )
+
+
+@pytest.mark.parametrize("domain", DOMAINS)
+def test_cut_domain(healed: Fleet, domain: str) -> None:
+    assert healed.proxy is not None
+    hosts = [domain_host(name) for name in DOMAINS]
+    inside = next(n for n in healed.entry_names if healed.processes[n].domain == domain)
+    outside = next(n for n in healed.entry_names if healed.processes[n].domain != domain)
+    callers = Callers(healed)
+    try:
+        go_through_a_cut(healed, callers, domain, inside, outside, hosts)
+    finally:
+        callers.stop()
+    for counter in callers.outcomes.values():
+        assert counter["wrong"] == 0
+        assert set(counter) <= {"whole", "wrong", "no_route", "upstream_lost"}, counter
+
+
+def go_through_a_cut(
+    healed: Fleet, callers: Callers, domain: str, inside: str, outside: str, hosts: list[str]
+) -> None:
+    assert healed.proxy is not None
+    callers.wait_for_more()
+    base = version(healed)
+    healed.proxy.isolate(domain_host(domain), hosts)
+    callers.wait_for_more()
+
+    accepted = submit(healed, priority_change(f"cut-{domain}", base, 5), 30)
+    assert accepted["version"] == base + 1
+    key = new_key()
+    refused = book(healed, inside, key)
+    assert refused.json()["error"]["type"] == "no_quorum"
+    assert refused.headers["ledgeladder-execution"] == "not-run"
+    assert "retry-after" in refused.headers
+    assert executions(healed, key) == 0
+    wait_until(lambda: book(healed, outside, new_key()).status_code == 200, 20, "a booking")
+
+    healed.proxy.heal()
+    callers.wait_for_more()
+    wait_until(lambda: entry_versions(healed) == {base + 1}, 30, "all entries on one version")
+    wait_until(lambda: book(healed, inside, new_key()).status_code == 200, 20, "a booking inside")
+
+
+def test_entry_restarted_inside_a_cut_knows_what_its_side_knows(healed: Fleet) -> None:
+    assert healed.proxy is not None
+    domain = "domain-b"
+    hosts = [domain_host(name) for name in DOMAINS]
+    base = version(healed)
+    healed.proxy.isolate(domain_host(domain), hosts)
+    time.sleep(0.2)
+    healed.kill("entry-b1")
+    healed.launch("entry-b1")
+    wait_until(lambda: healed.is_ready("entry-b1"), 20, "the restarted entry")
+    metrics = healed.client.get(f"{healed.url('entry-b1')}/metrics").json()
+    assert metrics["version"] == base
