Place fenced orders to engines, with a gate for engines that check no fences

Cause: nothing told engines which version of the weights to hold, and a leader that was frozen could have sent an old order after a newer one. Chosen: the order's log index and the leader's term are its fence; the lease is looked at right before each send; engines that check no fences get orders through one box of their failure domain, which remembers the highest fence and asks a majority of control boxes for a later term. Ruled out: a gate that only remembers, since a gate that takes over remembers nothing; a leader that only asks a majority itself, since it may be frozen after.

--- a/src/ledgeladder/coordination/commands.py
+++ b/src/ledgeladder/coordination/commands.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..model import ChangeDocument, ResultCode
+from .orders import Assignment
 
 
 class ChangeCommand(msgspec.Struct, frozen=True, kw_only=True, tag="change", array_like=True):
@@ -68,7 +69,31 @@
     time_ms: int
 
 
-Command = ChangeCommand | RefusalCommand | ClaimCommand | CompleteCommand | ReleaseCommand
+class OrderCommand(msgspec.Struct, frozen=True, kw_only=True, tag="order", array_like=True):
+    """Place an order to an engine."""
+
+    upstream: str
+    assignment: Assignment
+    time_ms: int
+
+
+class OrderDoneCommand(msgspec.Struct, frozen=True, kw_only=True, tag="done", array_like=True):
+    """Record that an engine carried out an order."""
+
+    upstream: str
+    index: int
+    time_ms: int
+
+
+Command = (
+    ChangeCommand
+    | RefusalCommand
+    | ClaimCommand
+    | CompleteCommand
+    | ReleaseCommand
+    | OrderCommand
+    | OrderDoneCommand
+)
 
 
 class ChangeResult(msgspec.Struct, frozen=True, kw_only=True, tag="change", array_like=True):
--- a/src/ledgeladder/coordination/state_machine.py
+++ b/src/ledgeladder/coordination/state_machine.py
@@ -21,10 +21,13 @@
     Command,
     CompleteCommand,
     Noted,
+    OrderCommand,
+    OrderDoneCommand,
     RefusalCommand,
     ReleaseCommand,
     Result,
 )
+from .orders import OrderBook, confirm_order, place_order
 
 CHANGES_REMEMBERED: Final = 4096
 """Decided change ids that are kept. A resend of an older one fails by its base version."""
@@ -100,6 +103,9 @@
     claims: ClaimTable = field(default_factory=ClaimTable)
     """Claims of requests that may run at most once."""
 
+    orders: OrderBook = field(default_factory=OrderBook)
+    """Newest order to each engine."""
+
     clock_ms: int = 0
     """Highest wall-clock time of any command so far."""
 
@@ -147,6 +153,11 @@
             return Noted(accepted=complete(state.claims, command))
         case ReleaseCommand():
             return Noted(accepted=release(state.claims, command))
+        case OrderCommand():
+            place_order(state.orders, command.upstream, command.assignment)
+            return Noted(accepted=True)
+        case OrderDoneCommand():
+            return Noted(accepted=confirm_order(state.orders, command.upstream, command.index))
 
 
 def change_digest(change: ChangeDocument) -> bytes:
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -22,8 +22,11 @@
     InForceReport,
     JoinRequest,
     LogMessage,
+    OrderOutcome,
     PeerRole,
     Pull,
+    TermQuery,
+    TermReply,
     VersionHead,
 )
 from ...model import ResultCode, digest
@@ -69,6 +72,9 @@
     follower_links: dict[int, Link] = field(default_factory=dict)
     """Links of entry boxes that follow this box's configuration, by identity."""
 
+    order_outcomes: list[OrderOutcome] = field(default_factory=list)
+    """What gates said of orders and nobody has looked at yet."""
+
     boxes: dict[str, KnownBox] = field(default_factory=dict)
     """Entry boxes by name, connected here or reported by another control box."""
 
@@ -158,6 +164,10 @@
             _note_boxes(hub, message.boxes)
         case Pull():
             _answer_pull(hub, node, link, message)
+        case TermQuery():
+            _answer_term(node, link, message)
+        case OrderOutcome():
+            hub.order_outcomes.append(message)
         case InForce():
             hub.own_boxes[message.box] = message
             _note_boxes(hub, (message,))
@@ -189,6 +199,17 @@
         link.post(DeltaPush(deltas=tuple(deltas)))
 
 
+def _answer_term(node: ControlNode, link: Link, query: TermQuery) -> None:
+    replica = node.replica
+    reply = TermReply(
+        call=query.call,
+        term=replica.term,
+        voters=len(replica.log.members.voters),
+        is_voter=replica.is_voter,
+    )
+    link.post(reply)
+
+
 def _forget(hub: Hub, link: Link) -> None:
     hub.follower_links.pop(id(link), None)
     hub.own_boxes.pop(link.peer_box, None)
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -13,13 +13,14 @@
 from ...links import LinkIdentity, keep_link, serve_links
 from ...links.messages import PeerRole
 from ...storage import INITIAL_INCARNATION, create_identity, member_id, read_identity
-from ..http import serve_http
+from ..http import serve_http, upstream_client
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .hub import Hub, push_configuration, send_heads, send_to_member, serve_accepted_link
 from .hub import serve_peer_link as serve_peer
 from .node import ControlNode, open_node, run_log
 from .operator_api import build_operator_app, start_any_handover
+from .ordering import run_orders
 
 if TYPE_CHECKING:
     from ...links import Link
@@ -132,6 +133,7 @@
             restart=Restart.ALWAYS,
         )
 
+    client = upstream_client(settings.box.source_address)
     app = build_operator_app(settings, node, hub)
     children = [
         Child(name="log", run=lambda: run_log(node), restart=Restart.NEVER),
@@ -141,6 +143,7 @@
             restart=Restart.ALWAYS,
         ),
         Child(name="operators", run=lambda: serve_http(app, operator_address, stop)),
+        Child(name="orders", run=lambda: run_orders(node, hub, client), restart=Restart.ALWAYS),
         Child(name="heads", run=lambda: send_heads(hub, node), restart=Restart.ALWAYS),
         *(link_child(peer) for peer in others),
     ]
@@ -154,6 +157,7 @@
         tasks.start_soon(on_stop_signal, planned_stop)
         logger.info("control starts", extra={"member": node.identity.member_id})
         await supervise(children)
+    await client.aclose()
     node.journal.close()
     logger.info("control stopped")
 
--- /dev/null
+++ b/src/ledgeladder/daemons/control/ordering.py
@@ -0,0 +1,144 @@
+"""Placing and sending orders to engines while this box leads."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import httpx
+
+from ...coordination import raft
+from ...coordination.commands import OrderCommand, OrderDoneCommand
+from ...coordination.orders import next_order, pending_orders, wanted_assignment
+from ...links.messages import FencedOrder
+from ...upstreams.engine import is_live, make_order_request, send_order
+from .node import submit, wall_clock_ms
+
+if TYPE_CHECKING:
+    from ...coordination.orders import Order
+    from ...links import Link
+    from ...model import Upstream
+    from .hub import Hub
+    from .node import ControlNode
+
+logger = logging.getLogger(__name__)
+
+ROUND_SECONDS: Final = 0.25
+"""Time between two looks at what is to be ordered."""
+
+
+async def run_orders(node: ControlNode, hub: Hub, client: httpx.AsyncClient) -> None:
+    """Place orders and send those that are not confirmed, for ever.
+
+    Args:
+        node: The node.
+        hub: Its links, over which gates are reached.
+        client: HTTP client.
+    """
+    while True:
+        await anyio.sleep(ROUND_SECONDS)
+        if not may_act(node):
+            hub.order_outcomes.clear()
+            continue
+        await _take_outcomes(node, hub)
+        await _place_next(node, client)
+        for name, order in pending_orders(node.state.orders).items():
+            upstream = node.state.configuration.upstreams.get(name)
+            if upstream is not None:
+                await _send(node, hub, client, upstream, order)
+
+
+def may_act(node: ControlNode) -> bool:
+    """Tell whether this box leads under a lease right now."""
+    return raft.holds_lease(node.replica, time.monotonic())
+
+
+async def _place_next(node: ControlNode, client: httpx.AsyncClient) -> None:
+    upstreams = node.state.configuration.upstreams
+    managed = [item for item in upstreams.values() if wanted_assignment(item) is not None]
+    if not managed or pending_orders(node.state.orders):
+        return
+    live: set[str] = set()
+
+    async def check(upstream: Upstream) -> None:
+        if await is_live(client, upstream.address):
+            live.add(upstream.name)
+
+    async with anyio.create_task_group() as tasks:
+        for upstream in managed:
+            tasks.start_soon(check, upstream)
+    chosen = next_order(node.state.orders, node.state.configuration, live)
+    if chosen is not None and may_act(node):
+        name, assignment = chosen
+        command = OrderCommand(upstream=name, assignment=assignment, time_ms=wall_clock_ms())
+        await submit(node, command)
+        logger.info("order placed", extra={"upstream": name, "version": assignment.version})
+
+
+async def _send(
+    node: ControlNode, hub: Hub, client: httpx.AsyncClient, upstream: Upstream, order: Order
+) -> None:
+    """Send one order; the lease is looked at after every wait and right before the send."""
+    if not may_act(node):
+        return
+    term = node.replica.term
+    if upstream.checks_fences:
+        request = make_order_request(term, order.index, order.assignment)
+        if await send_order(client, upstream.address, request):
+            await _confirm(node, upstream.name, order.index)
+        return
+    gate = choose_gate(hub, upstream)
+    if gate is not None:
+        message = FencedOrder(
+            upstream=upstream.name,
+            address=upstream.address,
+            term=term,
+            index=order.index,
+            assignment=order.assignment,
+        )
+        gate.post(message)
+
+
+def choose_gate(hub: Hub, upstream: Upstream) -> Link | None:
+    """Choose the entry box that passes orders on to an engine that does not check fences.
+
+    Rendezvous hashing over the boxes of the engine's failure domain: every leader chooses the same
+    one while the same boxes are up.
+
+    Args:
+        hub: The links.
+        upstream: The engine.
+
+    Returns:
+        The link to the gate, or None if no box of that failure domain is connected.
+    """
+    candidates = [
+        link
+        for link in hub.follower_links.values()
+        if link.peer is not None and link.peer.failure_domain == upstream.failure_domain
+    ]
+
+    def weight(link: Link) -> bytes:
+        text = f"{link.peer_box}|{upstream.name}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return min(candidates, key=weight, default=None)
+
+
+async def _take_outcomes(node: ControlNode, hub: Hub) -> None:
+    outcomes, hub.order_outcomes = hub.order_outcomes, []
+    for outcome in outcomes:
+        if outcome.done and outcome.term == node.replica.term:
+            await _confirm(node, outcome.upstream, outcome.index)
+
+
+async def _confirm(node: ControlNode, upstream: str, index: int) -> None:
+    order = node.state.orders.orders.get(upstream)
+    if order is None or order.done:
+        return
+    command = OrderDoneCommand(upstream=upstream, index=index, time_ms=wall_clock_ms())
+    await submit(node, command)
+    logger.info("order done", extra={"upstream": upstream, "index": index})
--- a/src/ledgeladder/daemons/entry/command_client.py
+++ b/src/ledgeladder/daemons/entry/command_client.py
@@ -10,13 +10,14 @@
 from returns.result import Failure, Result, Success
 
 from ...links import keep_link
-from ...links.messages import CommandReply, CommandRequest
+from ...links.messages import CommandReply, CommandRequest, TermReply
 from ...model import Problem, ResultCode
 
 if TYPE_CHECKING:
     from ...coordination.commands import Command
     from ...coordination.commands import Result as CommandResult
     from ...links import Link, LinkIdentity
+    from .gate import TermCheck
 
 RETRY_SECONDS: Final = 0.05
 """Pause before another control box is asked."""
@@ -52,6 +53,9 @@
     calls: dict[int, PendingCall] = field(default_factory=dict)
     """Calls that wait for a reply."""
 
+    term_checks: dict[int, TermCheck] = field(default_factory=dict)
+    """Questions for terms that wait for replies."""
+
     last_call: int = 0
     """Number of the last call."""
 
@@ -68,6 +72,8 @@
                 message = await link.receive()
                 if isinstance(message, CommandReply):
                     _settle(client, box, message)
+                elif isinstance(message, TermReply):
+                    _take_term(client, box, message)
         finally:
             if client.links.get(box) is link:
                 del client.links[box]
@@ -75,6 +81,13 @@
     await keep_link(address, identity, serve, rng=random.Random())
 
 
+def _take_term(client: CommandClient, box: str, reply: TermReply) -> None:
+    check = client.term_checks.get(reply.call)
+    if check is not None:
+        check.replies[box] = reply
+        check.changed.set()
+
+
 def _settle(client: CommandClient, box: str, reply: CommandReply) -> None:
     call = client.calls.get(reply.call)
     if call is None:
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -18,6 +18,7 @@
 from ...routing.policy import CompiledPolicy, compile_policy
 from ...routing.retry_budget import RetryBudget
 from ...routing.upstream_table import UpstreamTable, adopt_configuration
+from .gate import Gate
 from .metrics import EntryMetrics
 
 if TYPE_CHECKING:
@@ -91,6 +92,9 @@
     stopping: bool = False
     """True once a planned stop has begun."""
 
+    gate: Gate = field(default_factory=Gate)
+    """Fences of orders that passed here."""
+
     in_progress: int = 0
     """Requests of callers that have not been answered in full."""
 
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -11,8 +11,18 @@
 
 from ...coordination.state_machine import advance
 from ...links import keep_link
-from ...links.messages import DeltaPush, FullPush, InForce, LinkMessage, PeerRole, Pull, VersionHead
+from ...links.messages import (
+    DeltaPush,
+    FencedOrder,
+    FullPush,
+    InForce,
+    LinkMessage,
+    PeerRole,
+    Pull,
+    VersionHead,
+)
 from .context import put_in_force
+from .gate import pass_order
 
 if TYPE_CHECKING:
     from ...links import Link, LinkIdentity
@@ -67,7 +77,11 @@
         link.post(own_version(context))
         try:
             while True:
-                take_version_message(context, link, await link.receive())
+                message = await link.receive()
+                if isinstance(message, FencedOrder) and control:
+                    context.background.start_soon(pass_order, context, context.gate, link, message)
+                    continue
+                take_version_message(context, link, message)
                 follower.answered.add(box)
                 if control:
                     follower.controls_answered.add(box)
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
-import httpx
 
 from ...links import Link, LinkIdentity, serve_links
 from ...links.messages import PeerRole
@@ -15,7 +14,7 @@
 from ...routing.chain import better_of_two
 from ...routing.upstream_table import take_box_list
 from ...upstreams.box_list import read_box_list
-from ..http import serve_http
+from ..http import serve_http, upstream_client
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .caller_api import build_caller_app
@@ -32,12 +31,6 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_SECONDS: Final = 0.5
-"""How long connecting to an upstream may take."""
-
-IDLE_SECONDS: Final = 15.0
-"""How long an unused connection to an upstream is kept."""
-
 STOP_POLL_SECONDS: Final = 0.05
 
 
@@ -52,20 +45,7 @@
         The state, without a configuration.
     """
     rng = random.Random()
-    limits = httpx.Limits(
-        max_connections=None, max_keepalive_connections=200, keepalive_expiry=IDLE_SECONDS
-    )
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_SECONDS),
-        # Upstreams speak plain HTTP; loading certificates would cost time and memory at the start.
-        transport=httpx.AsyncHTTPTransport(
-            verify=False,
-            limits=limits,
-            local_address=settings.box.source_address,
-            trust_env=False,
-        ),
-        trust_env=False,
-    )
+    client = upstream_client(settings.box.source_address)
     admission = Admission(
         in_flight_limit=settings.entry.in_flight_limit, queue_limit=settings.entry.queue_limit
     )
--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING, Any, Final
 
+import httpx
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from starlette.responses import JSONResponse
@@ -26,10 +27,36 @@
 HEADER_LIMIT_BYTES: Final = 32 * 1024
 """Longest request head."""
 
+CONNECT_SECONDS: Final = 0.5
+"""How long connecting to an upstream may take."""
+
+IDLE_SECONDS: Final = 15.0
+"""How long an unused connection to an upstream is kept."""
+
 GRACE_SECONDS: Final = 5.0
 """How long hypercorn waits for open connections once it has been told to stop."""
 
 
+def upstream_client(source_address: str | None) -> httpx.AsyncClient:
+    """Build the HTTP client for upstreams, without a read time-out: callers watch progress.
+
+    Args:
+        source_address: IP number that connections come from, or None for the system's choice.
+
+    Returns:
+        The client.
+    """
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=200, keepalive_expiry=IDLE_SECONDS
+    )
+    # Upstreams speak plain HTTP; loading certificates would cost time and memory at the start.
+    transport = httpx.AsyncHTTPTransport(
+        verify=False, limits=limits, local_address=source_address, trust_env=False
+    )
+    timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
+    return httpx.AsyncClient(timeout=timeout, transport=transport, trust_env=False)
+
+
 def problem_headers(problem: Problem) -> dict[str, str]:
     """Return the headers that go with a problem."""
     headers = {
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..coordination.commands import Command, Result
+from ..coordination.orders import Assignment
 from ..coordination.raft import Envelope
 from ..coordination.state_machine import Delta
 from ..model import Configuration, ResultCode
@@ -123,6 +124,42 @@
     """Box that leads, if known."""
 
 
+class FencedOrder(msgspec.Struct, frozen=True, kw_only=True, tag="order?", array_like=True):
+    """Ask the gate to pass an order on to an engine that does not check fences itself."""
+
+    upstream: str
+    address: str
+    term: int
+    index: int
+    assignment: Assignment
+
+
+class OrderOutcome(msgspec.Struct, frozen=True, kw_only=True, tag="order", array_like=True):
+    """What became of an order at the gate."""
+
+    upstream: str
+    term: int
+    index: int
+    done: bool
+
+
+class TermQuery(msgspec.Struct, frozen=True, kw_only=True, tag="term?", array_like=True):
+    """Ask a control box for its current term."""
+
+    call: int
+
+
+class TermReply(msgspec.Struct, frozen=True, kw_only=True, tag="term", array_like=True):
+    """A control box's current term."""
+
+    call: int
+    term: int
+    voters: int
+    """Number of voters that it knows, of which a majority must answer."""
+
+    is_voter: bool
+
+
 LinkMessage = (
     Challenge
     | Hello
@@ -137,4 +174,8 @@
     | InForceReport
     | CommandRequest
     | CommandReply
+    | FencedOrder
+    | OrderOutcome
+    | TermQuery
+    | TermReply
 )
--- a/src/ledgeladder/model/documents.py
+++ b/src/ledgeladder/model/documents.py
@@ -67,6 +67,9 @@
     end_layer: Annotated[int, Field(ge=0, le=10_000)] = 0
     """One past the last layer that an engine holds."""
 
+    version: Annotated[str, Field(max_length=64)] = ""
+    """Version of the weights that the engine is ordered to load; empty if it is not ordered."""
+
     layers_per_second: Annotated[float, Field(gt=0, le=1e9)] = 1.0
     """Declared speed in layer steps a second over all requests; measurements correct it."""
 
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -17,17 +17,22 @@
 from ..routing.session import ReceiptStage, TokenFrame
 
 if TYPE_CHECKING:
+    from ..coordination.orders import Assignment
     from ..model import Route
 
 RUN_PATH: Final = "/stage/v1/run"
 CANCEL_PATH: Final = "/stage/v1/cancel"
 LIVE_PATH: Final = "/stage/v1/live"
 LOAD_PATH: Final = "/stage/v1/load"
+ORDER_PATH: Final = "/stage/v1/orders"
 
 CONNECT_SECONDS: Final = 0.5
 PROBE_SECONDS: Final = 0.4
 """How long a live engine may take to answer a probe."""
 
+ORDER_SECONDS: Final = 1.0
+"""How long an engine may take to answer an order; loading goes on after the answer."""
+
 LINE_LIMIT: Final = 1024 * 1024
 """Longest line that an engine may send, in bytes."""
 
@@ -108,6 +113,50 @@
     """The connection to the head failed or ended early."""
 
 
+class OrderRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Order an engine to hold layers of a model version; the fence is (term, index)."""
+
+    term: int
+    index: int
+    model: str
+    version: str
+    first: int
+    end: int
+
+
+def make_order_request(term: int, index: int, assignment: Assignment) -> OrderRequest:
+    """Build an order under a fence."""
+    return OrderRequest(
+        term=term,
+        index=index,
+        model=assignment.model,
+        version=assignment.version,
+        first=assignment.span.first,
+        end=assignment.span.end,
+    )
+
+
+async def send_order(client: httpx.AsyncClient, address: str, order: OrderRequest) -> bool | None:
+    """Send an order to an engine.
+
+    Args:
+        client: HTTP client.
+        address: `host:port` of the engine.
+        order: The order.
+
+    Returns:
+        True if the engine holds what was ordered, False if it refused the fence or is at it, None
+        if it did not answer.
+    """
+    url = f"http://{address}{ORDER_PATH}"
+    try:
+        with anyio.fail_after(ORDER_SECONDS):
+            response = await client.post(url, content=msgspec.json.encode(order))
+    except (httpx.HTTPError, TimeoutError):
+        return None
+    return response.status_code == OK_STATUS
+
+
 class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load as an engine reports it, with a lag."""
 
@@ -248,6 +297,7 @@
     "EngineLostError",
     "EngineRefusedError",
     "LostFrame",
+    "OrderRequest",
     "ReceiptStage",
     "RefusalBody",
     "RouteStage",
@@ -255,7 +305,9 @@
     "TokenFrame",
     "cancel_on_engine",
     "is_live",
+    "make_order_request",
     "make_run_request",
     "read_load",
     "run_on_engine",
+    "send_order",
 ]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import httpx
 import msgspec
 import uvloop
 from anyio.abc import SocketStream, TaskGroup
@@ -23,7 +24,13 @@
 
 from ledgeladder.daemons.http import serve_http
 from ledgeladder.routing.session import ReceiptStage, TokenFrame
-from ledgeladder.upstreams.engine import CancelRequest, LostFrame, RefusalBody, RunRequest
+from ledgeladder.upstreams.engine import (
+    CancelRequest,
+    LostFrame,
+    OrderRequest,
+    RefusalBody,
+    RunRequest,
+)
 
 from .batcher import Batcher, Speed
 from .model_function import SpanCache, input_at, prompt_seed, run_layers, text_of, token_of
@@ -82,6 +89,9 @@
     leaving: bool = False
     lagged_running: int = 0
     highest_fence: tuple[int, int] = (0, 0)
+    wanted: tuple[str, str, int, int] | None = None
+    loading: bool = False
+    store: str = ""
     orders: list[tuple[int, int, str]] = field(default_factory=list)
 
     # -- running layers ---------------------------------------------------------------------
@@ -180,7 +190,7 @@
             self.counts["foreign-steps"] += 1
             await self.report(step, self.name, refused=True, leaving=False)
             return
-        if self.leaving and step.session not in self.held:
+        if (self.leaving or self.loading) and step.session not in self.held:
             await self.report(step, self.name, refused=True, leaving=True)
             return
         held = self.admit(step.session, step.attempt, stage.first, stage.end)
@@ -363,14 +373,31 @@
             while len(self.fenced) > 20_000:
                 del self.fenced[next(iter(self.fenced))]
 
-    def take_order(self, term: int, index: int, what: str) -> bool:
-        """Carry out a fenced order unless a newer one was seen."""
-        if self.check_fences and (term, index) <= self.highest_fence:
+    def take_order(self, order: OrderRequest) -> bool:
+        """Carry out a fenced order; True once the weights are loaded."""
+        fence = (order.term, order.index)
+        if self.check_fences and fence < self.highest_fence:
             self.counts["orders-refused"] += 1
             return False
-        self.highest_fence = max(self.highest_fence, (term, index))
-        self.orders.append((term, index, what))
-        return True
+        self.highest_fence = max(self.highest_fence, fence)
+        wanted = (order.model, order.version, order.first, order.end)
+        if self.wanted != wanted:
+            self.wanted = wanted
+            self.orders.append((order.term, order.index, order.version))
+            self.loading = True
+            self.tasks.start_soon(self.load, order)
+            return False
+        return not self.loading
+
+    async def load(self, order: OrderRequest) -> None:
+        """Fetch the weights from the store, as slowly as it gives them."""
+        layers = order.end - order.first
+        async with httpx.AsyncClient(verify=False, trust_env=False, timeout=60) as client:
+            await client.get(f"http://{self.store}/weights?layers={layers}")
+        if self.wanted == (order.model, order.version, order.first, order.end):
+            self.loading = False
+            self.first, self.end = order.first, order.end
+            self.counts["loads"] += 1
 
 
 def build_app(engine: Engine) -> Starlette:
@@ -380,8 +407,8 @@
         body = msgspec.json.decode(await request.body(), type=RunRequest)
         stage = body.route[0]
         known = body.session in engine.held
-        if engine.leaving and not known:
-            refusal = RefusalBody(reason="leaving", leaving=True)
+        if (engine.leaving or engine.loading) and not known:
+            refusal = RefusalBody(reason="leaving or loading", leaving=True)
             return Response(msgspec.json.encode(refusal), status_code=503)
         if stage.upstream != engine.name or stage.first < engine.first or stage.end > engine.end:
             engine.counts["foreign-steps"] += 1
@@ -403,11 +430,13 @@
         return Response("live")
 
     async def load(request: Request) -> Response:
-        return JSONResponse({"running": engine.lagged_running, "leaving": engine.leaving})
+        return JSONResponse(
+            {"running": engine.lagged_running, "leaving": engine.leaving or engine.loading}
+        )
 
     async def order(request: Request) -> Response:
-        body = await request.json()
-        done = engine.take_order(body["term"], body["index"], body["what"])
+        body = msgspec.json.decode(await request.body(), type=OrderRequest)
+        done = engine.take_order(body)
         return JSONResponse({"done": done}, status_code=200 if done else 409)
 
     async def control(request: Request) -> Response:
@@ -425,6 +454,7 @@
                 "steps": engine.batcher.steps,
                 "busy_seconds": engine.batcher.busy_seconds,
                 "orders": engine.orders,
+                "version": engine.wanted[1] if engine.wanted else "",
             }
         )
 
@@ -451,6 +481,7 @@
             end=arguments.end,
             batcher=Batcher(speed=Speed(layer_seconds=arguments.layer_seconds)),
             tasks=tasks,
+            store=arguments.store,
             check_fences=not arguments.ignore_fences,
         )
         host, port = stage_address(arguments.address)
@@ -474,6 +505,7 @@
     parser.add_argument("end", type=int)
     parser.add_argument("layer_seconds", type=float)
     parser.add_argument("--ignore-fences", action="store_true")
+    parser.add_argument("--store", default="", help="address of the weight store")
     parser.add_argument("--advertised", help="address under which others know this engine")
     uvloop.install()
     anyio.run(main, parser.parse_args())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -162,12 +162,13 @@
             self.launch(name)
 
     def _add_upstreams(self) -> None:
+        store = self.reserve("platform", DOMAINS[0], proxied=False)
         for spec in self.engines:
             listen = self.reserve(spec.name, spec.domain, proxied=True, pair=True)
             command = [
                 *(sys.executable, "-m", "standins.engine", spec.name, listen),
                 *(str(spec.first), str(spec.end), str(spec.layer_seconds)),
-                *("--advertised", self.addresses[spec.name]),
+                *("--advertised", self.addresses[spec.name], "--store", store),
             ]
             if spec.ignore_fences:
                 command.append("--ignore-fences")
@@ -177,9 +178,8 @@
             name = f"service-{number + 1}"
             listen = self.reserve(name, domain, proxied=True)
             self._add(name, domain, [sys.executable, "-m", "standins.service", listen])
-        listen = self.reserve("platform", DOMAINS[0], proxied=False)
         lag = str(self.platform_lag)
-        command = [sys.executable, "-m", "standins.platform", listen, lag]
+        command = [sys.executable, "-m", "standins.platform", store, lag]
         self._add("platform", DOMAINS[0], command)
 
     def _add_controls(self) -> None:
@@ -350,8 +350,8 @@
                 leaders.append((status["term"], name))
         return max(leaders)[1] if leaders else None
 
-    def configuration_text(self) -> str:
-        """Return the change file for this fleet."""
+    def configuration_text(self, version: str = "") -> str:
+        """Return the change file for this fleet, with a version of the weights to load."""
         parts = [
             '[[priorities]]\nname = "urgent"\nrank = 0',
             '[[priorities]]\nname = "batch"\nrank = 60',
@@ -374,7 +374,7 @@
                 f'[[upstreams]]\nname = "{spec.name}"\nkind = "engine"\n'
                 f'address = "{self.addresses[spec.name]}"\nfailure_domain = "{spec.domain}"\n'
                 f'model = "caption-model"\nfirst_layer = {spec.first}\nend_layer = {spec.end}\n'
-                f"layers_per_second = {1 / spec.layer_seconds:.1f}\n"
+                f'layers_per_second = {1 / spec.layer_seconds:.1f}\nversion = "{version}"\n'
                 f"checks_fences = {str(not spec.ignore_fences).lower()}"
             )
         for number in range(self.services):
@@ -386,10 +386,10 @@
             )
         return "\n\n".join(parts) + "\n"
 
-    def configure(self) -> subprocess.CompletedProcess[str]:
+    def configure(self, version: str = "") -> subprocess.CompletedProcess[str]:
         """Apply the configuration and wait until it is in force on every box."""
         path = self.folder / "change.toml"
-        path.write_text(self.configuration_text(), encoding="utf-8")
+        path.write_text(self.configuration_text(version), encoding="utf-8")
         return self.cli("config", "apply", str(path), "--wait=20")
 
     def wait_ready(self, seconds: float = 30.0) -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,4 @@
-"""A stand-in of the platform: its lagging list of live and leaving upstreams.
+"""A stand-in of the platform: its lagging list of upstreams, and the weight store.
 
 Run as `python -m standins.platform ADDRESS LAG_SECONDS`; `POST /standin/leaving` takes a list of
 addresses, which the list shows only after the lag.
@@ -18,6 +18,8 @@
 
 from ledgeladder.daemons.http import serve_http
 
+WEIGHT_SECONDS_PER_LAYER = 0.01
+
 
 def build_app(lag_seconds: float) -> Starlette:
     """Build the page."""
@@ -32,9 +34,18 @@
         changes.append((anyio.current_time(), await request.json()))
         return Response()
 
+    store = anyio.Lock()
+
+    async def weights(request: Request) -> Response:
+        # One reader at a time: the store gives all of its rate to whoever reads.
+        async with store:
+            await anyio.sleep(int(request.query_params["layers"]) * WEIGHT_SECONDS_PER_LAYER)
+        return Response()
+
     return Starlette(
         routes=[
             Route("/boxes", boxes),
+            Route("/weights", weights),
             Route("/standin/leaving", leave, methods=["POST"]),
         ]
     )
