--- a/src/ledgeladder/routing/admission.py
+++ b/src/ledgeladder/routing/admission.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -32,8 +33,8 @@
     in_flight: int = 0
     """Requests admitted and not finished."""
 
-    tokens: float = 0.0
-    """Requests that may start now under the rate."""
+    tokens: float = math.inf
+    """Requests that may start now under the rate; a new account starts with a full burst."""
 
     refilled_at: float = 0.0
     """When `tokens` was last brought up to date."""
@@ -102,7 +103,7 @@
     Returns:
         The refusal, or None if the request was admitted or queued.
     """
-    use = admission.accounts.setdefault(account.name, AccountUse(refilled_at=now, tokens=1.0))
+    use = admission.accounts.setdefault(account.name, AccountUse(refilled_at=now))
     problem = _over_limits(admission, account, use, now)
     if problem is not None:
         return problem
