Ask a few seeds at the start, and look for run-out suspicions four times a second

Cause: every starting box asked every seed for all it believed, so 192 boxes that start together exchanged 192 x 192 digests; and each tick, 20 a second, looked at every member. Ruled out: the probes themselves, which do not grow with the number of boxes.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes behind docs/CAPACITY.md."""
--- /dev/null
+++ b/bench/capacity/fit.py
@@ -0,0 +1,88 @@
+"""Points, fitted lines and what they say at the size to come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+import matplotlib.pyplot as plt  # noqa: E402
+import numpy  # noqa: E402
+
+
+@dataclass(frozen=True, kw_only=True)
+class Slope:
+    """One measured dependency."""
+
+    name: str
+    """File name of its plot."""
+
+    what: str
+    """What was measured, with its unit."""
+
+    against: str
+    """What it depends on."""
+
+    points: list[tuple[float, float]]
+    """Measured points."""
+
+    target: float
+    """Value of `against` at the size to come."""
+
+    target_measured: bool = False
+    """True if the target itself was among the points."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fit:
+    """A straight line through points."""
+
+    base: float
+    slope: float
+    error: float
+    """Root mean square of the residuals."""
+
+    at_target: float
+
+
+def fit_line(slope: Slope) -> Fit:
+    """Fit a line by least squares."""
+    x = numpy.array([point[0] for point in slope.points])
+    y = numpy.array([point[1] for point in slope.points])
+    gradient, base = numpy.polyfit(x, y, 1)
+    error = float(numpy.sqrt(numpy.mean((y - (gradient * x + base)) ** 2)))
+    return Fit(
+        base=float(base),
+        slope=float(gradient),
+        error=error,
+        at_target=float(gradient * slope.target + base),
+    )
+
+
+def plot(slope: Slope, folder: Path) -> None:
+    """Write a plot of points and line."""
+    fit = fit_line(slope)
+    x = [point[0] for point in slope.points]
+    figure, axes = plt.subplots(figsize=(5, 3.2))
+    axes.plot(x, [point[1] for point in slope.points], "o")
+    line = [min(x), slope.target]
+    axes.plot(line, [fit.base + fit.slope * value for value in line], "--")
+    axes.set_xlabel(slope.against)
+    axes.set_ylabel(slope.what)
+    figure.tight_layout()
+    figure.savefig(folder / f"{slope.name}.png", dpi=80)
+    plt.close(figure)
+
+
+def row(slope: Slope) -> str:
+    """Return the table row of a slope."""
+    fit = fit_line(slope)
+    points = ", ".join(f"{x:g}: {y:.4g}" for x, y in slope.points)
+    kind = "measured there" if slope.target_measured else "extrapolated"
+    return (
+        f"| {slope.what} | {slope.against} | {points} | {fit.base:.4g} + {fit.slope:.4g} x "
+        f"| {fit.error:.3g} | {fit.at_target:.4g} at {slope.target:g} ({kind}) |"
+    )
--- a/src/ledgeladder/coordination/membership/core.py
+++ b/src/ledgeladder/coordination/membership/core.py
@@ -11,6 +11,7 @@
 
 import hashlib
 import random
+import zlib
 from typing import Final
 
 from .gossip import everything, fingerprint, merge, merge_member, take_gossip, transmissions
@@ -31,19 +32,34 @@
 HELPERS: Final = 2
 """Boxes that are asked to probe in place of the own one."""
 
+START_SEEDS: Final = 4
+"""Seeds that are asked at a time."""
+
+EXPIRY_SECONDS: Final = 0.25
+"""Time between two looks at all boxes for suspicions that have run out."""
+
 SECTION_SIZE: Final = 16
 """Claims or reports in one datagram of a full digest."""
 
 
 def start(membership: Membership) -> list[Datagram]:
-    """Ask all seeds for their beliefs."""
+    """Ask a few seeds for their beliefs; called again, it asks the next ones.
+
+    Asking all of them would cost every box a digest of every other box when many start together.
+
+    Args:
+        membership: The beliefs.
+
+    Returns:
+        Datagrams to send.
+    """
     gossip = Gossip(members=(own_update(membership),))
     digest = Digest(sender=membership.name, gossip=gossip, reply_to=membership.address)
-    return [
-        Datagram(address=seed, message=digest)
-        for seed in membership.seeds
-        if seed != membership.address
-    ]
+    seeds = [seed for seed in membership.seeds if seed != membership.address]
+    first = zlib.crc32(membership.name.encode()) + membership.number * START_SEEDS
+    membership.number += 1
+    chosen = {seeds[(first + step) % len(seeds)] for step in range(START_SEEDS) if seeds}
+    return [Datagram(address=seed, message=digest) for seed in sorted(chosen)]
 
 
 def leave(membership: Membership) -> list[Datagram]:
@@ -67,7 +83,9 @@
         Datagrams to send.
     """
     sent: list[Datagram] = []
-    _expire(membership, now)
+    if now >= membership.expiry_due:
+        membership.expiry_due = now + EXPIRY_SECONDS
+        _expire(membership, now)
     if membership.probe is not None:
         sent += _follow_up(membership, membership.probe, now, rng)
     if now >= membership.probe_due:
--- a/src/ledgeladder/coordination/membership/state.py
+++ b/src/ledgeladder/coordination/membership/state.py
@@ -101,6 +101,9 @@
     probe_due: float = 0.0
     """When to probe next."""
 
+    expiry_due: float = 0.0
+    """When to look for suspicions that have run out next."""
+
     summary_due: float = 0.0
     """When to compare with another failure domain next."""
 
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -169,11 +169,7 @@
         case OrderOutcome():
             hub.order_outcomes.append(message)
         case InForce():
-            hub.own_boxes[message.box] = message
-            _note_boxes(hub, (message,))
-            # Told to the others at once, so that an operator who waits for a change sees it soon.
-            for peer in hub.peers.values():
-                peer.post(InForceReport(boxes=(message,)))
+            _take_in_force(hub, message)
         case _:
             logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
 
@@ -184,6 +180,16 @@
     node.poke()
 
 
+def _take_in_force(hub: Hub, in_force: InForce) -> None:
+    changed = hub.own_boxes.get(in_force.box) != in_force
+    hub.own_boxes[in_force.box] = in_force
+    _note_boxes(hub, (in_force,))
+    if changed:
+        # Told to the others at once, so that an operator who waits for a change sees it soon.
+        for peer in hub.peers.values():
+            peer.post(InForceReport(boxes=(in_force,)))
+
+
 def _note_boxes(hub: Hub, boxes: tuple[InForce, ...]) -> None:
     now = anyio.current_time()
     for in_force in boxes:
