--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -312,7 +312,8 @@
     while True:
         stalled = True
         pace = progress.pace if session.tokens else context.first_pace
-        with anyio.move_on_after(stall_after(pace)):
+        patience = context.settings.entry.stall_seconds or stall_after(pace)
+        with anyio.move_on_after(patience):
             await inbox.wake.wait()
             stalled = False
         if stalled:
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -11,7 +11,7 @@
 from ...links import Link, LinkIdentity, serve_links
 from ...links.messages import PeerRole
 from ...routing.admission import Admission
-from ...routing.chain import better_of_two
+from ...routing.chain import better_of_two, least_loaded, round_robin
 from ...routing.upstream_table import take_box_list
 from ...upstreams.box_list import read_box_list
 from ..http import serve_http, upstream_client
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from ...routing.chain import Pick
     from ...settings import ControlPeer, EntryPeer, EntrySettings
 
 logger = logging.getLogger(__name__)
@@ -47,7 +48,9 @@
     rng = random.Random()
     client = upstream_client(settings.box.source_address)
     admission = Admission(
-        in_flight_limit=settings.entry.in_flight_limit, queue_limit=settings.entry.queue_limit
+        in_flight_limit=settings.entry.in_flight_limit,
+        queue_limit=settings.entry.queue_limit,
+        boxes=settings.entry.entry_boxes or max(1, len(settings.entries)),
     )
     return EntryContext(
         settings=settings,
@@ -55,11 +58,21 @@
         client=client,
         background=background,
         admission=admission,
-        pick=better_of_two(rng),
+        pick=_pick(settings, rng),
         rng=rng,
     )
 
 
+def _pick(settings: EntrySettings, rng: random.Random) -> Pick:
+    match settings.entry.route_choice:
+        case "better-of-two":
+            return better_of_two(rng)
+        case "least-loaded":
+            return least_loaded()
+        case "round-robin":
+            return round_robin()
+
+
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry process until it is told to stop.
 
--- a/src/ledgeladder/routing/admission.py
+++ b/src/ledgeladder/routing/admission.py
@@ -1,8 +1,11 @@
 """Admission: limits of client accounts, a bounded queue, and refusals that say when to come back.
 
-Each box enforces its share of an account's limits. A request waits in the queue only if it can
-still be answered in time; order is by priority, then by how much the account has in progress here,
-then by deadline, so one large account cannot starve a small one of the same priority.
+Each box enforces an equal share of an account's limits, so the shares sum to at most the limit
+also while boxes are down or cut off; the price is that a share is not moved to where the demand
+is. An account with fewer requests allowed in progress than there are boxes gets one on each. A
+request waits in the queue only if it can still be answered in time; order is by priority, then by
+how much the account has in progress here, then by deadline, so one large account cannot starve a
+small one of the same priority.
 """
 
 from __future__ import annotations
--- a/src/ledgeladder/settings/models.py
+++ b/src/ledgeladder/settings/models.py
@@ -127,6 +127,15 @@
     in_flight_limit: Annotated[int, Field(ge=1, le=100_000)] = 400
     """Most requests in progress."""
 
+    route_choice: Literal["better-of-two", "least-loaded", "round-robin"] = "better-of-two"
+    """How an engine is chosen among those that hold a layer; the others are baselines."""
+
+    stall_seconds: Annotated[float, Field(gt=0, le=60)] | None = None
+    """Fixed gap between tokens after which stages are probed; if left out, each stream's pace."""
+
+    entry_boxes: Annotated[int, Field(ge=1, le=10_000)] | None = None
+    """Entry boxes of the cluster, among which limits are split; those listed if left out."""
+
     stop_notice_seconds: Annotated[float, Field(ge=0, le=600)] = 1.0
     """How long a stopping process still serves what the balancer sends."""
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -479,7 +479,10 @@
             address=arguments.advertised or arguments.address,
             first=arguments.first,
             end=arguments.end,
-            batcher=Batcher(speed=Speed(layer_seconds=arguments.layer_seconds)),
+            batcher=Batcher(
+                speed=Speed(layer_seconds=arguments.layer_seconds),
+                batch_limit=arguments.batch_limit,
+            ),
             tasks=tasks,
             store=arguments.store,
             check_fences=not arguments.ignore_fences,
@@ -505,6 +508,7 @@
     parser.add_argument("end", type=int)
     parser.add_argument("layer_seconds", type=float)
     parser.add_argument("--ignore-fences", action="store_true")
+    parser.add_argument("--batch-limit", type=int, default=64)
     parser.add_argument("--store", default="", help="address of the weight store")
     parser.add_argument("--advertised", help="address under which others know this engine")
     uvloop.install()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,6 +80,7 @@
     first: int
     end: int
     layer_seconds: float
+    batch_limit: int = 64
     ignore_fences: bool = False
 
 
@@ -110,6 +111,9 @@
     proxied: bool = False
     platform_lag: float = 1.0
     snapshot_entries: int = 200
+    route_choice: str = "better-of-two"
+    stall_seconds: float = 0.0
+    """Fixed stall time-out of the entries; 0 for the streams' own pace."""
     spare_controls: int = 0
     """Control boxes that are listed but start with an empty folder, as learners."""
     processes: dict[str, Process] = field(default_factory=dict)
@@ -169,6 +173,7 @@
                 *(sys.executable, "-m", "standins.engine", spec.name, listen),
                 *(str(spec.first), str(spec.end), str(spec.layer_seconds)),
                 *("--advertised", self.addresses[spec.name], "--store", store),
+                *("--batch-limit", str(spec.batch_limit)),
             ]
             if spec.ignore_fences:
                 command.append("--ignore-fences")
@@ -224,6 +229,8 @@
                     f'caller_address = "{caller}"',
                     f'link_address = "{link}"',
                     "stop_notice_seconds = 0.3",
+                    f'route_choice = "{self.route_choice}"',
+                    f"stall_seconds = {self.stall_seconds}" if self.stall_seconds else "",
                     "[platform]",
                     f'box_list_url = "http://{self.addresses["platform"]}/boxes"',
                     self._controls_text(self.control_names),
