Judge tokens where they are read; give probes the patience that answers suggest

Cause: each token went from a reading task through an event into a judging task, with a cancel scope of its own for the stall: two task switches and a timer a token. Ruled out: the histogram and the JSON of an event, which are small beside it. Probes now wait five times the mean of answered ones, 0.4 to 2 s.

--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -77,6 +77,9 @@
     first_pace: Pace = field(default_factory=Pace)
     """Times to the first token, over all requests."""
 
+    probe_pace: Pace = field(default_factory=Pace)
+    """Times of answered probes."""
+
     budget: RetryBudget = field(default_factory=RetryBudget)
     """Retries that may be made."""
 
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -5,6 +5,7 @@
 import logging
 import secrets
 from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
@@ -24,15 +25,16 @@
     EngineLostError,
     EngineRefusedError,
     cancel_on_engine,
-    is_live,
     make_run_request,
     run_on_engine,
 )
 from .context import now
 from .metrics import record
-from .watching import probe_failure_domain
+from .watching import answers, probe_failure_domain
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from ...model import Pipeline
     from ...routing.upstream_table import UpstreamView
     from .context import EntryContext
@@ -103,17 +105,17 @@
 
 
 @dataclass(kw_only=True)
-class Inbox:
-    """Frames that the reader has received and the attempt has not yet judged."""
+class Attempt:
+    """One attempt while it runs."""
 
-    frames: list[EngineFrame] = field(default_factory=list)
-    """Frames in order."""
+    outcome: AttemptOutcome
+    """How it ends; the loss of the head until something else is known."""
 
-    outcome: AttemptOutcome | None = None
-    """Set when the stream from the head ended."""
+    moved_at: float
+    """When it last made progress, on the monotonic clock."""
 
-    wake: anyio.Event = field(default_factory=anyio.Event)
-    """Set when there is something new."""
+    blocked: bool = False
+    """True while the caller does not take what is sent."""
 
 
 @dataclass(kw_only=True)
@@ -258,31 +260,38 @@
 async def _run_attempt(
     context: EntryContext, request: Generation, session: Session, progress: Progress, emit: Emit
 ) -> AttemptOutcome:
+    """Run the current attempt: follow the head, with a watch on progress beside it."""
     assert session.route is not None
     views = [context.upstreams.views.get(name) for name in session.route.upstreams]
     held = [view for view in views if view is not None]
     for view in held:
         view.in_flight += 1
-    inbox = Inbox()
+    head = frozenset({session.route.head.upstream})
+    attempt = Attempt(outcome=AttemptOutcome(end=AttemptEnd.LOST, blamed=head), moved_at=now())
     try:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_read_frames, context, request, session, inbox)
-            outcome = await _judge_frames(context, session, progress, inbox, emit)
+            tasks.start_soon(_watch_progress, context, session, progress, attempt, tasks)
+            await _follow_head(context, request, session, progress, attempt, emit)
             tasks.cancel_scope.cancel()
     finally:
         for view in held:
             view.in_flight -= 1
-    if outcome.end is AttemptEnd.COMPLETE:
+    if attempt.outcome.end is AttemptEnd.COMPLETE:
         for view in held:
             note_success(view)
-    return outcome
+    return attempt.outcome
 
 
-async def _read_frames(
-    context: EntryContext, request: Generation, session: Session, inbox: Inbox
+async def _follow_head(
+    context: EntryContext,
+    request: Generation,
+    session: Session,
+    progress: Progress,
+    attempt: Attempt,
+    emit: Emit,
 ) -> None:
+    """Judge frames as the head sends them, until the attempt has an outcome."""
     assert session.route is not None
-    head = frozenset({session.route.head.upstream})
     run = make_run_request(
         session=session.session_id,
         attempt=session.attempt,
@@ -293,48 +302,57 @@
         rank=request.rank,
         route=session.route,
     )
-    outcome = AttemptOutcome(end=AttemptEnd.LOST, blamed=head)
     try:
-        async for frames in run_on_engine(context.client, run):
-            inbox.frames.extend(frames)
-            inbox.wake.set()
+        async with aclosing(run_on_engine(context.client, run)) as batches:
+            async for frames in batches:
+                texts, lost = _take_in(context, session, progress, frames)
+                if texts:
+                    attempt.blocked = True
+                    await emit(texts)
+                    attempt.blocked = False
+                    attempt.moved_at = now()
+                if session.ended:
+                    attempt.outcome = AttemptOutcome(end=AttemptEnd.COMPLETE)
+                    return
+                if lost is not None:
+                    attempt.outcome = lost
+                    return
     except EngineRefusedError as error:
-        outcome = AttemptOutcome(end=AttemptEnd.REFUSED, blamed=head, leaving=error.body.leaving)
+        attempt.outcome.end = AttemptEnd.REFUSED
+        attempt.outcome.leaving = error.body.leaving
     except EngineLostError as error:
-        logger.info("head lost", extra={"upstream": sorted(head), "reason": str(error)})
-    inbox.outcome = outcome
-    inbox.wake.set()
+        extra = {"upstream": sorted(attempt.outcome.blamed), "reason": str(error)}
+        logger.info("head lost", extra=extra)
 
 
-async def _judge_frames(
-    context: EntryContext, session: Session, progress: Progress, inbox: Inbox, emit: Emit
-) -> AttemptOutcome:
+async def _watch_progress(
+    context: EntryContext,
+    session: Session,
+    progress: Progress,
+    attempt: Attempt,
+    tasks: TaskGroup,
+) -> None:
+    """End the attempt if it makes no progress and some of its stages do not answer.
+
+    One timer a gap and not one a token: the watch looks again when the allowed gap would be over.
+    A caller that does not read is no stall.
+    """
     while True:
-        stalled = True
         pace = progress.pace if session.tokens else context.first_pace
         patience = context.settings.entry.stall_seconds or stall_after(pace)
-        with anyio.move_on_after(patience):
-            await inbox.wake.wait()
-            stalled = False
-        if stalled:
-            dead = await _find_dead_stages(context, session)
-            if dead:
-                context.metrics.events["stall-confirmed"] += 1
-                return AttemptOutcome(end=AttemptEnd.LOST, blamed=dead)
-            context.metrics.events["stall-false-alarm"] += 1
-            note_false_alarm(pace)
+        waited = now() - attempt.moved_at
+        if attempt.blocked or waited < patience:
+            await anyio.sleep(patience if attempt.blocked else patience - waited)
             continue
-        inbox.wake = anyio.Event()
-        frames, inbox.frames = inbox.frames, []
-        texts, lost = _take_in(context, session, progress, frames)
-        if texts:
-            await emit(texts)
-        if session.ended:
-            return AttemptOutcome(end=AttemptEnd.COMPLETE)
-        if lost is not None:
-            return lost
-        if inbox.outcome is not None:
-            return inbox.outcome
+        dead = await _find_dead_stages(context, session)
+        if dead:
+            context.metrics.events["stall-confirmed"] += 1
+            attempt.outcome = AttemptOutcome(end=AttemptEnd.LOST, blamed=dead)
+            tasks.cancel_scope.cancel()
+            return
+        context.metrics.events["stall-false-alarm"] += 1
+        note_false_alarm(pace)
+        attempt.moved_at = now()
 
 
 def _take_in(
@@ -383,7 +401,7 @@
     dead: set[str] = set()
 
     async def probe(upstream: str, address: str) -> None:
-        if not await is_live(context.client, address):
+        if not await answers(context, address):
             dead.add(upstream)
 
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/entry/watching.py
+++ b/src/ledgeladder/daemons/entry/watching.py
@@ -9,6 +9,7 @@
 
 from ...coordination.membership import UpstreamReport, merge_report, watchers
 from ...model import UpstreamKind
+from ...routing.pace import note_gap, probe_patience
 from ...routing.upstream_table import note_failure, note_success, suspects, take_report
 from ...upstreams.engine import is_live, read_load
 from ..control.node import wall_clock_ms
@@ -112,8 +113,25 @@
                 tasks.start_soon(_probe, context, view)
 
 
+async def answers(context: EntryContext, address: str) -> bool:
+    """Probe an engine, with as much patience as answered probes suggest.
+
+    Args:
+        context: The entry's state.
+        address: `host:port` of the engine.
+
+    Returns:
+        False if it did not answer in time.
+    """
+    began = now()
+    live = await is_live(context.client, address, seconds=probe_patience(context.probe_pace))
+    if live:
+        note_gap(context.probe_pace, now() - began)
+    return live
+
+
 async def _probe(context: EntryContext, view: UpstreamView) -> None:
-    if await is_live(context.client, view.upstream.address):
+    if await answers(context, view.upstream.address):
         note_success(view)
 
 
@@ -128,7 +146,7 @@
     """
 
     async def check(view: UpstreamView) -> None:
-        if not await is_live(context.client, view.upstream.address):
+        if not await answers(context, view.upstream.address):
             note_failure(view, now())
 
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/routing/pace.py
+++ b/src/ledgeladder/routing/pace.py
@@ -20,6 +20,12 @@
 FLOOR_SECONDS: Final = 0.25
 """Shorter gaps are never called a stall: garbage collection and scheduling cause those."""
 
+PROBE_FACTOR: Final = 5.0
+"""A probe may take this many times the mean of answered ones."""
+
+PROBE_FLOOR_SECONDS: Final = 0.4
+PROBE_CEILING_SECONDS: Final = 2.0
+
 LENIENCY_LIMIT: Final = 16.0
 """Most that false alarms can stretch the time."""
 
@@ -63,6 +69,20 @@
     return min(max(expected * pace.leniency, FLOOR_SECONDS), CEILING_SECONDS)
 
 
+def probe_patience(pace: Pace) -> float:
+    """Return how long a probe may take, in seconds, given how long answered ones took.
+
+    Args:
+        pace: Times of answered probes.
+
+    Returns:
+        At least the floor, so that a quick neighbourhood does not make a busy engine look dead; at
+        most the ceiling, so that a dead one is replaced in time.
+    """
+    expected = max(pace.mean * PROBE_FACTOR, pace.mean + DEVIATIONS * pace.deviation)
+    return min(max(expected, PROBE_FLOOR_SECONDS), PROBE_CEILING_SECONDS)
+
+
 def note_false_alarm(pace: Pace) -> None:
     """Wait longer from now on, since every stage turned out to be alive."""
     pace.leniency = min(pace.leniency * 2, LENIENCY_LIMIT)
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING, Annotated, Final
 
 import anyio
@@ -28,7 +28,7 @@
 
 CONNECT_SECONDS: Final = 0.5
 PROBE_SECONDS: Final = 0.4
-"""How long a live engine may take to answer a probe."""
+"""How long a live engine may take to answer a probe or to tell its load."""
 
 ORDER_SECONDS: Final = 1.0
 """How long an engine may take to answer an order; loading goes on after the answer."""
@@ -199,7 +199,7 @@
 
 async def run_on_engine(
     client: httpx.AsyncClient, request: RunRequest
-) -> AsyncIterator[list[EngineFrame]]:
+) -> AsyncGenerator[list[EngineFrame], None]:
     """Run a request and yield the frames that each read brings.
 
     Args:
@@ -254,18 +254,21 @@
         return
 
 
-async def is_live(client: httpx.AsyncClient, address: str) -> bool:
+async def is_live(
+    client: httpx.AsyncClient, address: str, *, seconds: float = PROBE_SECONDS
+) -> bool:
     """Ask an engine for a sign of life.
 
     Args:
         client: HTTP client.
         address: `host:port` of the engine.
+        seconds: How long it may take.
 
     Returns:
-        False if it does not answer within the probe time.
+        False if it does not answer in time.
     """
     try:
-        with anyio.fail_after(PROBE_SECONDS):
+        with anyio.fail_after(seconds):
             response = await client.get(f"http://{address}{LIVE_PATH}")
     except (httpx.HTTPError, TimeoutError):
         return False
