Freeze the leader with an order in hand, so that the proof can fail

Now it is frozen while an order is pending and thawed only after every engine holds the newer version; none may go back within 2 s.

--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -17,6 +17,7 @@
 
 from ...coordination import raft
 from ...coordination.commands import ChangeCommand, ChangeResult, RefusalCommand
+from ...coordination.orders import pending_orders
 from ...coordination.state_machine import decided_before, judge_base
 from ...model import (
     ChangeDocument,
@@ -227,6 +228,7 @@
         "voters": list(replica.log.members.voters),
         "learners": list(replica.log.members.learners),
         "version": node.state.configuration.version,
+        "orders_pending": sorted(pending_orders(node.state.orders)),
         "claims": node.state.claims.count,
         "journal_bytes": node.journal.size,
         "syncs": node.syncs,
--- a/tests/daemons/test_orders.py
+++ b/tests/daemons/test_orders.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from functools import partial
 
 import pytest
 
@@ -43,27 +44,41 @@
         assert stream.whole, stream.error
 
 
+def freeze_leader_with_an_order_in_hand(fleet: Fleet) -> str:
+    """Freeze the leader while an order of its own waits for an engine."""
+
+    def pending() -> bool:
+        status = fleet.status(fleet.wait_leader())
+        return status is not None and bool(status["orders_pending"])
+
+    wait_until(pending, 20, "a pending order")
+    leader = fleet.wait_leader()
+    fleet.signal(leader, signal.SIGSTOP)
+    return leader
+
+
 def test_frozen_leader_overtakes_nobody(mixed: Fleet) -> None:
-    for round_number in range(2):
+    for round_number in range(3):
         old, new = f"w{round_number}", f"x{round_number}"
         assert mixed.configure(old).returncode == 0
-        leader = mixed.wait_leader()
-        mixed.signal(leader, signal.SIGSTOP)
+        leader = freeze_leader_with_an_order_in_hand(mixed)
         try:
             others = [name for name in mixed.control_names if name != leader]
-            wait_until(
-                lambda others=others: any(
-                    (mixed.status(name) or {}).get("role") == "leader" for name in others
-                ),
-                20,
-                "another leader",
-            )
+            wait_until(partial(one_leads, mixed, others), 20, "another leader")
             assert mixed.configure(new).returncode == 0
-            wait_until(lambda new=new: new in versions(mixed), 30, "the first new version")
+            wait_until(partial(all_have, mixed, new), 60, f"{new} on all engines")
         finally:
             mixed.signal(leader, signal.SIGCONT)
-        wait_until(lambda new=new: versions(mixed) == {new}, 60, f"{new} on all engines")
-    time.sleep(1.0)
+        time.sleep(2.0)
+        assert versions(mixed) == {new}
     for spec in mixed.engines:
         fences = [(term, index) for term, index, _ in engine_stats(mixed, spec.name)["orders"]]
         assert fences == sorted(fences), f"{spec.name}: {fences}"
+
+
+def one_leads(fleet: Fleet, names: list[str]) -> bool:
+    return any((fleet.status(name) or {}).get("role") == "leader" for name in names)
+
+
+def all_have(fleet: Fleet, version: str) -> bool:
+    return versions(fleet) == {version}
