Give each port once, keep control out of the entry process, build answers in one place

Cause: reading as a newcomer. The entry imported the control daemon for one function that reads a clock; two builders of answers and two starters of daemons stood twice.

--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -6,15 +6,17 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import anyio
 from absl import flags
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..daemons.logs import set_up_logging
 from ..model import Problem, ProblemError, ResultCode
 from ..settings import (
+    ControlSettings,
+    EntrySettings,
     load_control_settings,
     load_entry_settings,
     read_toml,
@@ -59,6 +61,8 @@
 
 Command = Callable[[list[str]], int]
 
+_Settings = TypeVar("_Settings", ControlSettings, EntrySettings)
+
 
 def _fail(problem: Problem, status: int) -> int:
     print(f"error {int(problem.code)} {problem.code.name}: {problem.detail}", file=sys.stderr)
@@ -88,39 +92,41 @@
     return OperatorClient(addresses=tuple(FLAGS.controls), token=token)
 
 
+def _load(
+    loader: Callable[[Path], Result[_Settings, Problem]],
+) -> Result[_Settings, Problem]:
+    """Load the settings file that the command line names, and set up logging as it says."""
+    if FLAGS.settings is None:
+        return Failure(Problem(code=ResultCode.SETTINGS_INVALID, detail="--settings is missing"))
+    loaded = loader(Path(FLAGS.settings))
+    if isinstance(loaded, Success):
+        settings = loaded.unwrap()
+        set_up_logging(
+            level=settings.log.level,
+            box=settings.box.name,
+            failure_domain=settings.box.failure_domain,
+        )
+    return loaded
+
+
 def _run_entry(arguments: list[str]) -> int:
     # Imported late: operator commands need no server.
     from ..daemons.entry import run_entry
 
-    if FLAGS.settings is None:
-        return _usage("--settings is missing")
-    loaded = load_entry_settings(Path(FLAGS.settings))
-    if isinstance(loaded, Failure):
-        return _fail(loaded.failure(), EXIT_USAGE)
-    settings = loaded.unwrap()
-    set_up_logging(
-        level=settings.log.level,
-        box=settings.box.name,
-        failure_domain=settings.box.failure_domain,
-    )
-    anyio.run(run_entry, settings, backend_options={"use_uvloop": True})
+    loaded = _load(load_entry_settings)
+    if isinstance(loaded, Failure) or arguments:
+        return _bad_settings(loaded)
+    anyio.run(run_entry, loaded.unwrap(), backend_options={"use_uvloop": True})
     return EXIT_OK
 
 
 def _run_control(arguments: list[str]) -> int:
     from ..daemons.control import format_folder, run_control
 
-    if FLAGS.settings is None:
-        return _usage("--settings is missing")
-    loaded = load_control_settings(Path(FLAGS.settings))
-    if isinstance(loaded, Failure):
-        return _fail(loaded.failure(), EXIT_USAGE)
+    loaded = _load(load_control_settings)
+    if isinstance(loaded, Failure) or arguments not in ([], ["format"]):
+        return _bad_settings(loaded)
     settings = loaded.unwrap()
-    set_up_logging(
-        level=settings.log.level,
-        box=settings.box.name,
-        failure_domain=settings.box.failure_domain,
-    )
     try:
         if arguments == ["format"]:
             format_folder(settings)
@@ -134,6 +140,12 @@
     return EXIT_OK
 
 
+def _bad_settings(loaded: Result[Any, Problem]) -> int:
+    if isinstance(loaded, Failure) and FLAGS.settings is not None:
+        return _fail(loaded.failure(), EXIT_USAGE)
+    return _usage("--settings is missing" if FLAGS.settings is None else "unknown words")
+
+
 def _find_problem(error: BaseException) -> Problem | None:
     """Find the numbered problem in an error or in a group of errors."""
     if isinstance(error, ProblemError):
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -31,7 +31,8 @@
 )
 from ...model import ResultCode, digest
 from ...storage import box_of
-from .node import submit, wall_clock_ms
+from ..clock import wall_clock_ms
+from .node import submit
 
 if TYPE_CHECKING:
     from ...coordination.raft import Envelope
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -321,8 +321,3 @@
             )
         )
     return Success(waiter.result)
-
-
-def wall_clock_ms() -> int:
-    """Return the wall clock in milliseconds since 1970, for stamping commands."""
-    return time.time_ns() // 1_000_000
--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -27,9 +27,10 @@
     find_problems,
 )
 from ...routing.policy import try_policies
+from ..clock import wall_clock_ms
 from ..http import not_found, problem_response
 from .hub import connected_boxes
-from .node import submit, wall_clock_ms
+from .node import submit
 
 if TYPE_CHECKING:
     from starlette.requests import Request
--- a/src/ledgeladder/daemons/control/ordering.py
+++ b/src/ledgeladder/daemons/control/ordering.py
@@ -15,7 +15,8 @@
 from ...coordination.orders import next_order, pending_orders, wanted_assignment
 from ...links.messages import FencedOrder
 from ...upstreams.engine import is_live, make_order_request, send_order
-from .node import submit, wall_clock_ms
+from ..clock import wall_clock_ms
+from .node import submit
 
 if TYPE_CHECKING:
     from ...coordination.orders import Order
--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import logging
-import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import anyio
@@ -12,7 +11,7 @@
 
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ..http import CODE_HEADER, EXECUTION_HEADER, problem_body, problem_response
-from .caller_models import answer_object, chunk_object
+from .caller_models import AnswerLabel, answer_object, chunk_object
 from .checks import Permit, admitted
 from .generation import Generation, generate
 
@@ -39,35 +38,19 @@
     send: Send
     """ASGI send."""
 
-    request_id: str
-    """Id of the request, which the caller is told."""
-
-    chat: bool
-    """True for the chat shape."""
-
-    model: str
-    """Name of the pipeline."""
+    label: AnswerLabel
+    """What every object of the answer repeats."""
 
     stream: bool
     """True for server-sent events."""
 
-    created: int = field(default_factory=lambda: int(time.time()))
-    """When the answer was begun, in seconds since 1970."""
-
     started: bool = False
     """True once the head of the response was sent."""
 
     def describe(self, text: str, finish: str | None) -> dict[str, Any]:
         """Build the object for a piece of the answer."""
         build = chunk_object if self.stream else answer_object
-        return build(
-            chat=self.chat,
-            request_id=self.request_id,
-            model=self.model,
-            created=self.created,
-            text=text,
-            finish=finish,
-        )
+        return build(self.label, text, finish)
 
     async def emit(self, texts: list[str]) -> None:
         """Pass texts on; a streamed answer starts with the first of them."""
@@ -84,7 +67,7 @@
         headers = {
             "content-type": content_type,
             "cache-control": "no-store",
-            "x-request-id": self.request_id,
+            "x-request-id": self.label.request_id,
             "ledgeladder-served-by": self.context.settings.box.name,
             CODE_HEADER.lower(): str(int(ResultCode.OK)),
             EXECUTION_HEADER.lower(): Execution.RAN.value,
@@ -146,7 +129,7 @@
             await writer.finish(session)
             note_code(writer.context, ResultCode.OK)
         except ProblemError as error:
-            note_problem(writer.context, error.problem, writer.request_id)
+            note_problem(writer.context, error.problem, writer.label.request_id)
             await writer.fail(error.problem, scope, receive)
 
     await until_caller_leaves(work, receive)
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from pydantic import BaseModel, ValidationError
@@ -20,7 +21,7 @@
     note_problem,
     until_caller_leaves,
 )
-from .caller_models import ChatBody, CompletionBody, chat_prompt
+from .caller_models import AnswerLabel, ChatBody, CompletionBody, chat_prompt
 from .checks import admitted, check_open, find_account, make_permit, read_body, refuse
 from .metrics import metrics_page
 from .service_calls import answer_service
@@ -144,9 +145,12 @@
             writer = AnswerWriter(
                 context=context,
                 send=send,
-                request_id=request_id,
-                chat=self.chat,
-                model=body.model,
+                label=AnswerLabel(
+                    request_id=request_id,
+                    model=body.model,
+                    created=int(time.time()),
+                    chat=self.chat,
+                ),
                 stream=body.stream,
             )
             await answer_generation(writer, permit, prompt, body.max_tokens, scope, receive)
--- a/src/ledgeladder/daemons/entry/caller_models.py
+++ b/src/ledgeladder/daemons/entry/caller_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -54,39 +55,43 @@
     return "\n".join(f"{message.role}: {message.content}" for message in body.messages)
 
 
-def answer_object(
-    *, chat: bool, request_id: str, model: str, created: int, text: str, finish: str | None
-) -> dict[str, Any]:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerLabel:
+    """What every object of one answer repeats."""
+
+    request_id: str
+    """Id of the request."""
+
+    model: str
+    """Name of the pipeline."""
+
+    created: int
+    """When the answer was begun, in seconds since 1970."""
+
+    chat: bool
+    """True for the chat shape."""
+
+
+def answer_object(label: AnswerLabel, text: str, finish: str | None) -> dict[str, Any]:
     """Build a whole answer in the shape that clients of such interfaces read."""
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    kind = "chat.completion" if chat else "text_completion"
-    return {
-        "id": request_id,
-        "object": kind,
-        "created": created,
-        "model": model,
-        "choices": [choice],
-    }
+    content = {"message": {"role": "assistant", "content": text}} if label.chat else {"text": text}
+    return _object(label, "chat.completion", content, finish)
 
 
-def chunk_object(
-    *, chat: bool, request_id: str, model: str, created: int, text: str, finish: str | None
-) -> dict[str, Any]:
+def chunk_object(label: AnswerLabel, text: str, finish: str | None) -> dict[str, Any]:
     """Build one event of a streamed answer."""
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
-    if chat:
-        choice["delta"] = {"content": text} if text else {}
-    else:
-        choice["text"] = text
-    kind = "chat.completion.chunk" if chat else "text_completion"
+    delta = {"content": text} if text else {}
+    content: dict[str, Any] = {"delta": delta} if label.chat else {"text": text}
+    return _object(label, "chat.completion.chunk", content, finish)
+
+
+def _object(
+    label: AnswerLabel, chat_kind: str, content: dict[str, Any], finish: str | None
+) -> dict[str, Any]:
     return {
-        "id": request_id,
-        "object": kind,
-        "created": created,
-        "model": model,
-        "choices": [choice],
+        "id": label.request_id,
+        "object": chat_kind if label.chat else "text_completion",
+        "created": label.created,
+        "model": label.model,
+        "choices": [{"index": 0, "finish_reason": finish} | content],
     }
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -14,7 +14,7 @@
 from ...model import ClientAccount, Pipeline, Problem, ProblemError, ResultCode
 from ...routing.admission import DEFAULT_RANK, Ticket, arrive, expected_wait, finish
 from ...routing.policy import Decision, RequestFacts, ask_policy
-from .context import now
+from ..clock import now
 from .metrics import record
 
 if TYPE_CHECKING:
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -4,7 +4,6 @@
 
 import random
 import secrets
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -126,8 +125,3 @@
             context.policies[policy.name] = compiled.unwrap()
     adopt_configuration(context.upstreams, configuration)
     return True
-
-
-def now() -> float:
-    """Return the monotonic time in seconds."""
-    return time.monotonic()
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -28,7 +28,7 @@
     make_run_request,
     run_on_engine,
 )
-from .context import now
+from ..clock import now
 from .metrics import record
 from .watching import answers, probe_failure_domain
 
--- a/src/ledgeladder/daemons/entry/neighbourhood.py
+++ b/src/ledgeladder/daemons/entry/neighbourhood.py
@@ -11,8 +11,7 @@
 from ...links import split_address
 from ...links.datagrams import seal, unseal
 from ...model import ProblemError
-from ..control.node import wall_clock_ms
-from .context import now
+from ..clock import now, wall_clock_ms
 from .watching import adopt_reports
 
 if TYPE_CHECKING:
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -22,10 +22,9 @@
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.upstream_table import UpstreamView, note_failure, note_success, usable
 from ...upstreams.service import ServiceAnswer, ServiceCall, ServiceCallError, call_service
-from ..control.node import wall_clock_ms
+from ..clock import now, wall_clock_ms
 from .checks import Permit, refuse
 from .command_client import commit
-from .context import now
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/src/ledgeladder/daemons/entry/watching.py
+++ b/src/ledgeladder/daemons/entry/watching.py
@@ -12,8 +12,7 @@
 from ...routing.pace import note_gap, probe_patience
 from ...routing.upstream_table import note_failure, note_success, suspects, take_report
 from ...upstreams.engine import is_live, read_load
-from ..control.node import wall_clock_ms
-from .context import now
+from ..clock import now, wall_clock_ms
 
 if TYPE_CHECKING:
     from ...coordination.membership import Membership
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -120,6 +120,7 @@
     addresses: dict[str, str] = field(default_factory=dict)
     """Advertised address by name; `NAME/link` and `NAME/operator` for the others."""
     proxy: FaultProxy | None = None
+    given_ports: set[tuple[str, int]] = field(default_factory=set)
     client: httpx.Client = field(
         default_factory=lambda: httpx.Client(
             trust_env=False,
@@ -149,16 +150,24 @@
     def reserve(self, name: str, domain: str, *, proxied: bool, pair: bool = False) -> str:
         """Reserve an address; returns where the process must listen."""
         host = domain_host(domain)
-        port = free_port(host, self.rng)
+        port = self.unused_port(host)
         self.addresses[name] = f"{host}:{port}"
         if not (self.proxied and proxied):
             return f"{host}:{port}"
         assert self.proxy is not None
-        inner = free_port(host, self.rng)
+        inner = self.unused_port(host)
         for offset in range(2 if pair else 1):
             self.proxy.add((host, port + offset), (host, inner + offset))
         return f"{host}:{inner}"
 
+    def unused_port(self, host: str) -> int:
+        """Return a free port that this fleet has not given to anybody yet."""
+        while True:
+            port = free_port(host, self.rng)
+            if (host, port) not in self.given_ports:
+                self.given_ports.add((host, port))
+                return port
+
     def start(self) -> None:
         """Start everything."""
         if self.proxied:
