--- a/bench/capacity/fit.py
+++ b/bench/capacity/fit.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from textwrap import fill
 
 import matplotlib
 
@@ -12,6 +13,8 @@
 import matplotlib.pyplot as plt  # noqa: E402
 import numpy  # noqa: E402
 
+TITLE_WIDTH = 60
+
 
 @dataclass(frozen=True, kw_only=True)
 class Slope:
@@ -71,7 +74,7 @@
     line = [min(x), slope.target]
     axes.plot(line, [fit.base + fit.slope * value for value in line], "--")
     axes.set_xlabel(slope.against)
-    axes.set_ylabel(slope.what)
+    axes.set_title(fill(slope.what, TITLE_WIDTH), fontsize=9)
     figure.tight_layout()
     figure.savefig(folder / f"{slope.name}.png", dpi=80)
     plt.close(figure)
