Refuse changes over links from entries, and bodies that never arrive

A control box committed any command that came over an authenticated link, so a process with the cluster's secret could change the configuration without an operator's token; and a half-sent body held its connection for ever. Before: the change would have been accepted (read in the code, not run).

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from ...coordination import raft
+from ...coordination.commands import ClaimCommand, CompleteCommand, ReleaseCommand
 from ...coordination.state_machine import deltas_after
 from ...links.messages import (
     CommandReply,
@@ -48,6 +49,9 @@
 JOIN_SECONDS: Final = 0.5
 """How often a box that is no member asks to become one."""
 
+COMMANDS_OF_ENTRIES: Final = (ClaimCommand, CompleteCommand, ReleaseCommand)
+"""Commands that an entry box may ask for."""
+
 REPORT_KEPT_SECONDS: Final = 10.0
 """How long a box counts as connected after it last reported."""
 
@@ -172,7 +176,7 @@
             _answer_term(node, link, message)
         case OrderOutcome():
             hub.order_outcomes.append(message)
-        case InForce():
+        case InForce() if message.box == link.peer_box:
             _take_in_force(hub, message)
         case _:
             logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
@@ -226,6 +230,12 @@
 
 
 async def _answer_command(node: ControlNode, link: Link, request: CommandRequest) -> None:
+    if not isinstance(request.command, COMMANDS_OF_ENTRIES):
+        # Changes and orders come from operators and from the leader itself, never over a link.
+        logger.warning("command refused", extra={"peer": link.peer_box})
+        reply = CommandReply(call=request.call, result=None, code=ResultCode.FRAME_INVALID)
+        link.post(reply)
+        return
     # The leader's clock counts, so that an entry box with a wrong clock cannot expire keys.
     command = msgspec.structs.replace(request.command, time_ms=wall_clock_ms())
     outcome = await submit(node, command)
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -6,10 +6,11 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import anyio
 from returns.result import Failure
+from starlette.requests import ClientDisconnect
 
 from ...model import ClientAccount, Pipeline, Problem, ProblemError, ResultCode
 from ...routing.admission import DEFAULT_RANK, Ticket, arrive, expected_wait, finish
@@ -24,6 +25,10 @@
     from .context import EntryContext
 
 
+BODY_SECONDS: Final = 15.0
+"""How long the body of a request may take to arrive."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Permit:
     """What a request may do."""
@@ -98,17 +103,22 @@
 
 
 async def read_body(context: EntryContext, request: Request) -> bytes:
-    """Read a request body up to the bound.
+    """Read a request body up to the bound, for a bounded time.
 
     Raises:
-        ProblemError: With code BODY_TOO_LARGE.
+        ProblemError: With code BODY_TOO_LARGE, or MALFORMED_REQUEST if it does not arrive whole.
     """
     limit = context.settings.entry.body_limit_bytes
     body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > limit:
-            raise refuse(ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes")
+    try:
+        with anyio.fail_after(BODY_SECONDS):
+            async for chunk in request.stream():
+                body += chunk
+                if len(body) > limit:
+                    raise refuse(ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes")
+    except (TimeoutError, ClientDisconnect) as error:
+        detail = f"the body did not arrive within {BODY_SECONDS:g} s"
+        raise refuse(ResultCode.MALFORMED_REQUEST, detail) from error
     return bytes(body)
 
 
--- a/tests/daemons/test_bad_input.py
+++ b/tests/daemons/test_bad_input.py
@@ -8,12 +8,22 @@
 import socket
 import time
 
+import anyio
 import pytest
 
+from ledgeladder.coordination.commands import ChangeCommand
+from ledgeladder.links import Link, LinkIdentity, open_link
 from ledgeladder.links.datagrams import seal
 from ledgeladder.links.frames import encode_frame
-from ledgeladder.links.messages import Hello, PeerRole
-from standins.fleet import Fleet, wait_until
+from ledgeladder.links.messages import (
+    CommandReply,
+    CommandRequest,
+    Hello,
+    LinkMessage,
+    PeerRole,
+)
+from ledgeladder.model import ChangeDocument, ResultCode
+from standins.fleet import SECRET, Fleet, wait_until
 
 from .callers import KEY, Stream, answer_is_right, complete
 
@@ -135,6 +145,45 @@
     assert answer_is_right(complete(healed, "entry-a1", "after garbage", 4), "after garbage", 4)
 
 
+def test_half_a_body_is_answered(healed: Fleet) -> None:
+    half = raw(healed, "entry-a1")
+    half.settimeout(40)
+    half.sendall(
+        b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        b"Authorization: Bearer key-of-nilayam\r\nContent-Length: 500\r\n\r\n{"
+    )
+    assert half.recv(100).startswith(b"HTTP/1.1 400")
+    half.close()
+
+
+def test_entry_cannot_change_the_configuration(healed: Fleet) -> None:
+    """A process that holds the cluster's secret is no operator."""
+    leader = healed.wait_leader()
+    before = healed.status(leader)
+    command = ChangeCommand(
+        change=ChangeDocument(change_id="from-an-entry", base_version=before["version"]),
+        operator="nobody",
+        time_ms=1,
+    )
+    replies: list[LinkMessage] = []
+
+    async def ask(link: Link) -> None:
+        link.post(CommandRequest(call=7, command=command))
+        replies.append(await link.receive())
+
+    identity = LinkIdentity(
+        cluster="fleet",
+        role=PeerRole.ENTRY,
+        box="entry-x",
+        failure_domain="domain-a",
+        instance="x",
+        secret=SECRET,
+    )
+    anyio.run(open_link, healed.addresses[f"{leader}/link"], identity, ask)
+    assert replies == [CommandReply(call=7, result=None, code=ResultCode.FRAME_INVALID)]
+    assert healed.status(leader)["version"] == before["version"]
+
+
 def test_garbage_datagrams_are_counted(healed: Fleet) -> None:
     from ledgeladder.coordination.membership import Digest, Gossip, MemberStatus, MemberUpdate
 
