--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -11,9 +11,10 @@
 
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ..http import CODE_HEADER, EXECUTION_HEADER, problem_body, problem_response
+from .attempt import Generation
 from .caller_models import AnswerLabel, answer_object, chunk_object
 from .checks import Permit, admitted
-from .generation import Generation, generate
+from .generation import generate
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
