--- a/src/ledgeladder/routing/policy.py
+++ b/src/ledgeladder/routing/policy.py
@@ -85,6 +85,9 @@
     module: Any
     """The frozen Starlark module."""
 
+    decide_line: int
+    """Line on which `decide` is defined, named where a result is at fault."""
+
 
 _DECISION: Final = TypeAdapter(Decision)
 
@@ -100,12 +103,12 @@
     return starlark.EvalOptions(check_cancelled=over_budget, max_callstack_size=CALL_DEPTH_LIMIT)
 
 
-def _problem(name: str, text: str) -> Problem:
+def _problem(name: str, text: str, line: int = 1) -> Problem:
     position = _POSITION.search(text)
-    place = f" line {position[1]} column {position[2]}" if position else ""
+    place = f"line {position[1]} column {position[2]}" if position else f"line {line} column 1"
     lines = [line.strip() for line in text.splitlines() if line.strip()]
     cause = next((line for line in lines if line.startswith("error:")), lines[0] if lines else "")
-    detail = f"policy {name}{place}: {cause}"
+    detail = f"policy {name} {place}: {cause}"
     return Problem(code=ResultCode.POLICY_INVALID, detail=detail[:500])
 
 
@@ -134,7 +137,17 @@
         frozen = module.freeze()
     except starlark.StarlarkError as error:
         return Failure(_problem(name, str(error)))
-    return Success(CompiledPolicy(name=name, module=frozen))
+    return Success(CompiledPolicy(name=name, module=frozen, decide_line=_decide_line(source)))
+
+
+def _decide_line(source: str) -> int:
+    r"""Return the line that defines `decide`, or 1 without one.
+
+    >>> _decide_line("x = 1\ndef decide(request):\n    return {}")
+    2
+    """
+    lines = enumerate(source.splitlines(), start=1)
+    return next((number for number, line in lines if line.startswith("def decide(")), 1)
 
 
 def ask_policy(policy: CompiledPolicy, facts: RequestFacts) -> Result[Decision, Problem]:
@@ -150,13 +163,14 @@
     try:
         answer = policy.module.call_with(_options(), "decide", asdict(facts)).value
     except starlark.StarlarkError as error:
-        return Failure(_problem(policy.name, str(error)))
+        return Failure(_problem(policy.name, str(error), policy.decide_line))
     try:
         return Success(_DECISION.validate_python(answer))
     except ValidationError as error:
         first = error.errors()[0]
         where = ".".join(str(part) for part in first["loc"]) or "result"
-        return Failure(_problem(policy.name, f"decide returned {where}: {first['msg']}"))
+        text = f"decide returned {where}: {first['msg']}"
+        return Failure(_problem(policy.name, text, policy.decide_line))
 
 
 def try_policies(configuration: Configuration) -> list[Problem]:
@@ -188,9 +202,10 @@
         decision = outcome.unwrap()
         for name in decision.upstreams or []:
             if name not in configuration.upstreams:
-                return _problem(policy.name, f"decide returned unknown upstream {name}")
+                return _problem(policy.name, f"unknown upstream {name}", policy.decide_line)
         if decision.priority and decision.priority not in configuration.priorities:
-            return _problem(policy.name, f"decide returned unknown priority {decision.priority}")
+            text = f"unknown priority {decision.priority}"
+            return _problem(policy.name, text, policy.decide_line)
     return None
 
 
--- a/tests/daemons/test_stage_loss.py
+++ b/tests/daemons/test_stage_loss.py
@@ -72,3 +72,17 @@
     assert refused.status_code == 503
     assert refused.headers["ledgeladder-execution"] == "not-run"
     assert int(refused.headers["retry-after"]) >= 1
+
+
+def test_stream_that_cannot_go_on_is_told_so_before_its_deadline(healed: Fleet) -> None:
+    stream = start_stream(healed, "nowhere to go")
+    for spec in healed.engines:
+        if spec.end == 32:
+            healed.kill(spec.name)
+    stream.join()
+    assert stream.error is not None
+    # At the deadline it would be told deadline_exceeded.
+    assert stream.error["type"] == "upstream_lost"
+    assert stream.error["execution"] == "ran"
+    assert stream.error["retry_after"]
+    assert not stream.done
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 from returns.result import Failure
 
@@ -46,7 +48,7 @@
     assert problems
     assert problems[0].code is ResultCode.POLICY_INVALID
     assert part in problems[0].detail
-    assert "bad" in problems[0].detail
+    assert re.match(r"policy bad line \d+ column \d+: ", problems[0].detail)
 
 
 def test_good_policy_decides() -> None:
