Log failures of background work, which ended the whole entry before

Work that outlives a request ran bare in the process's task group, so an unforeseen error in it would have stopped the entry and all its streams (read in the code, never seen). After: one function starts such work and logs its failure. A set that nothing read is gone.

--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import secrets
 from dataclasses import dataclass, field
@@ -21,6 +22,9 @@
 from .metrics import EntryMetrics
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from typing import Any
+
     from anyio.abc import TaskGroup
 
     from ...model import ClientAccount
@@ -29,6 +33,8 @@
     from ...settings import EntrySettings
     from .command_client import CommandClient
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(kw_only=True)
 class EntryContext:
@@ -125,3 +131,23 @@
             context.policies[policy.name] = compiled.unwrap()
     adopt_configuration(context.upstreams, configuration)
     return True
+
+
+def in_background(
+    context: EntryContext, work: Callable[..., Awaitable[None]], *arguments: Any
+) -> None:
+    """Run work that outlives the request; its failure is logged and ends nothing else.
+
+    Args:
+        context: The entry's state.
+        work: What to run.
+        arguments: What to pass to it.
+    """
+
+    async def run() -> None:
+        try:
+            await work(*arguments)
+        except Exception:
+            logger.exception("background work failed")
+
+    context.background.start_soon(run)
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -21,7 +21,7 @@
     Pull,
     VersionHead,
 )
-from .context import put_in_force
+from .context import in_background, put_in_force
 from .gate import pass_order
 
 if TYPE_CHECKING:
@@ -47,9 +47,6 @@
     answered: set[str] = field(default_factory=set)
     """Boxes that have told their newest version since this process started."""
 
-    controls_answered: set[str] = field(default_factory=set)
-    """Control boxes among them."""
-
 
 async def follow(
     context: EntryContext,
@@ -79,12 +76,10 @@
             while True:
                 message = await link.receive()
                 if isinstance(message, FencedOrder) and control:
-                    context.background.start_soon(pass_order, context, context.gate, link, message)
+                    in_background(context, pass_order, context, context.gate, link, message)
                     continue
                 take_version_message(context, link, message)
                 follower.answered.add(box)
-                if control:
-                    follower.controls_answered.add(box)
         finally:
             if follower.links.get(box) is link:
                 del follower.links[box]
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -17,6 +17,7 @@
 from ...upstreams.engine import CancelRequest, cancel_on_engine
 from ..clock import now
 from .attempt import AttemptEnd, AttemptOutcome, Emit, Generation, Progress, run_attempt
+from .context import in_background
 from .watching import probe_failure_domain
 
 if TYPE_CHECKING:
@@ -140,7 +141,7 @@
         note_failure(view, now())
         if outcome.end is AttemptEnd.LOST:
             domain = view.upstream.failure_domain
-            context.background.start_soon(probe_failure_domain, context, domain)
+            in_background(context, probe_failure_domain, context, domain)
 
 
 def _spent(session: Session, outcome: AttemptOutcome) -> ProblemError:
@@ -163,4 +164,4 @@
     cancel = CancelRequest(session=session.session_id, attempt=session.attempt)
     for stage in session.route.stages:
         if stage.upstream not in keep:
-            context.background.start_soon(cancel_on_engine, context.client, stage.address, cancel)
+            in_background(context, cancel_on_engine, context.client, stage.address, cancel)
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -25,10 +25,9 @@
 from ..clock import now, wall_clock_ms
 from .checks import Permit, refuse
 from .command_client import commit
+from .context import in_background
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-    from typing import Any
 
     from .context import EntryContext
 
@@ -151,18 +150,18 @@
         answer = await _dispatch_claimed(context, permit, claimed)
     except ProblemError as error:
         if error.problem.known_execution is Execution.NOT_RUN:
-            _in_background(context, lambda: _release(context, claimed))
+            in_background(context, _release, context, claimed)
         else:
-            _in_background(context, lambda: _complete(context, claimed, None))
+            in_background(context, _complete, context, claimed, None)
         raise
     except BaseException:
         # The caller went away or the process is stopping: what happened is not known.
-        _in_background(context, lambda: _complete(context, claimed, None))
+        in_background(context, _complete, context, claimed, None)
         raise
     with anyio.move_on_after(CLAIM_SECONDS) as scope:
         await _complete(context, claimed, answer)
     if scope.cancelled_caught:
-        _in_background(context, lambda: _complete(context, claimed, answer))
+        in_background(context, _complete, context, claimed, answer)
     return answer
 
 
@@ -206,7 +205,7 @@
     outcome = await commit(context.commands, command, seconds=seconds)
     if isinstance(outcome, Failure):
         # The claim may be committed yet; nothing was dispatched, so it is given back.
-        _in_background(context, lambda: _release(context, claimed))
+        in_background(context, _release, context, claimed)
         problem = outcome.failure()
         raise refuse(problem.code, problem.detail, problem.retry_after)
     result = outcome.unwrap()
@@ -274,10 +273,6 @@
                 raise ProblemError(problem) from error
 
 
-def _in_background(context: EntryContext, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    context.background.start_soon(work)
-
-
 async def _complete(
     context: EntryContext, claimed: ClaimedCall, answer: ServiceAnswer | None
 ) -> None:
