Name the execution header once, and drop a function that nobody called

The same header was a constant of the HTTP servers and of the port to services; a membership function had no caller. Before and after: the same behaviour, 94 tests of membership, model, chat and the doctests pass; the whole suite was not run again.

--- a/src/ledgeladder/coordination/membership/__init__.py
+++ b/src/ledgeladder/coordination/membership/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .core import announce, is_representative, leave, next_due, receive, start, tick, watchers
+from .core import is_representative, leave, next_due, receive, start, tick, watchers
 from .gossip import fingerprint, merge, merge_report
 from .messages import (
     Ack,
@@ -35,7 +35,6 @@
     "Summary",
     "UpstreamReport",
     "alive",
-    "announce",
     "fingerprint",
     "is_representative",
     "leave",
--- a/src/ledgeladder/coordination/membership/core.py
+++ b/src/ledgeladder/coordination/membership/core.py
@@ -14,7 +14,7 @@
 import zlib
 from typing import Final
 
-from .gossip import everything, fingerprint, merge, merge_member, take_gossip, transmissions
+from .gossip import everything, fingerprint, merge, merge_member, take_gossip
 from .messages import (
     Ack,
     Datagram,
@@ -303,11 +303,6 @@
     return sent
 
 
-def announce(membership: Membership) -> None:
-    """Pass the claim about the own box on again."""
-    membership.pending_members[membership.name] = transmissions(membership)
-
-
 def watchers(membership: Membership, upstream: str, count: int) -> list[str]:
     """Choose which boxes of the own failure domain watch an upstream.
 
--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -9,8 +9,8 @@
 import anyio
 import msgspec
 
-from ...model import Execution, Problem, ProblemError, ResultCode
-from ..http import CODE_HEADER, EXECUTION_HEADER, problem_body, problem_response
+from ...model import EXECUTION_HEADER, Execution, Problem, ProblemError, ResultCode
+from ..http import CODE_HEADER, problem_body, problem_response
 from .attempt import Generation
 from .caller_models import AnswerLabel, answer_object, chunk_object
 from .checks import Permit, admitted
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -11,9 +11,9 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from ...model import ProblemError, ResultCode
+from ...model import EXECUTION_HEADER, ProblemError, ResultCode
 from ...upstreams.service import ServiceAnswer, ServiceCall
-from ..http import CODE_HEADER, EXECUTION_HEADER, not_found, problem_response
+from ..http import CODE_HEADER, not_found, problem_response
 from .answers import (
     AnswerWriter,
     answer_generation,
--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -11,7 +11,7 @@
 from hypercorn.config import Config
 from starlette.responses import JSONResponse
 
-from ..model import Problem, ResultCode
+from ..model import EXECUTION_HEADER, Problem, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -21,9 +21,6 @@
 CODE_HEADER: Final = "Ledgeladder-Code"
 """Header with the numbered result code."""
 
-EXECUTION_HEADER: Final = "Ledgeladder-Execution"
-"""Header with `not-run`, `ran` or `unknown`."""
-
 HEADER_LIMIT_BYTES: Final = 32 * 1024
 """Longest request head."""
 
--- a/src/ledgeladder/model/__init__.py
+++ b/src/ledgeladder/model/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .codes import CODE_TABLE, CodeEntry, Execution, ResultCode
+from .codes import CODE_TABLE, EXECUTION_HEADER, CodeEntry, Execution, ResultCode
 from .configuration import Configuration, apply_objects, digest, find_problems
 from .documents import (
     ChangeDocument,
@@ -25,6 +25,7 @@
     "ClientAccount",
     "CodeEntry",
     "Configuration",
+    "EXECUTION_HEADER",
     "Execution",
     "Problem",
     "ProblemError",
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -20,6 +20,10 @@
     """The request may or may not have been run, and nobody can tell from here."""
 
 
+EXECUTION_HEADER: Final = "Ledgeladder-Execution"
+"""Header with `not-run`, `ran` or `unknown`, towards callers and from services alike."""
+
+
 class ResultCode(IntEnum):
     """The number that names the outcome of a request, a change or a command."""
 
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -7,10 +7,7 @@
 
 import httpx
 
-from ..model import Execution
-
-EXECUTION_HEADER: Final = "Ledgeladder-Execution"
-"""Header by which a service says that it refused before it started."""
+from ..model import EXECUTION_HEADER, Execution
 
 ANSWER_LIMIT: Final = 16 * 1024 * 1024
 """Longest answer of a service, in bytes."""
