Parts for boxes without a list: registrations, freshness, voters, placement, paths

Cause: the users' platform keeps no list of boxes and no upstreams in its configuration; upstreams register, operators publish whole documents, and three seeds are all that a process is told. The product had none of this. Weighed: registrations in the replicated log (refused: soft state that comes again within one heartbeat, 30 writes a second) against a merge by (run, sequence) on every control box (taken). Freshness from the answer (refused: a frozen box would believe it) against freshness from the question (taken). Before: nothing.

--- a/src/ledgeladder/coordination/commands.py
+++ b/src/ledgeladder/coordination/commands.py
@@ -85,6 +85,16 @@
     time_ms: int
 
 
+class PublishCommand(msgspec.Struct, frozen=True, kw_only=True, tag="publish", array_like=True):
+    """Put a whole document in force if its version is the highest so far."""
+
+    version: int
+    body: bytes
+    """The document as the operator sent it, compressed with zlib."""
+
+    time_ms: int
+
+
 Command = (
     ChangeCommand
     | RefusalCommand
@@ -93,6 +103,7 @@
     | ReleaseCommand
     | OrderCommand
     | OrderDoneCommand
+    | PublishCommand
 )
 
 
@@ -153,4 +164,14 @@
     accepted: bool
 
 
-Result = ChangeResult | ClaimResult | Noted
+class PublishResult(msgspec.Struct, frozen=True, kw_only=True, tag="publish", array_like=True):
+    """Outcome of a publication; it is never refused at this point."""
+
+    version: int
+    """Highest version so far, which is in force."""
+
+    in_force: bool
+    """True if the published document was the newest."""
+
+
+Result = ChangeResult | ClaimResult | Noted | PublishResult
--- /dev/null
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -0,0 +1,107 @@
+"""Orders to engines that registered: what is wanted, what was sent, and what came of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from ..model.registration import Holding
+
+CONFIRM_SECONDS: Final = 4.0
+"""How long an engine may take to report layers that it was ordered to hold: one load of a
+quarter of the model at the shared rate, and two heartbeats. After that it is ordered again."""
+
+
+class OrderOutcome(StrEnum):
+    """What an engine said to an order."""
+
+    DONE = "done"
+    BEGUN = "begun"
+    CONFLICT = "conflict"
+    """It does not fit the state of the engine."""
+
+    FENCED = "fenced"
+    """The engine has seen an order of a later leader."""
+
+    WRONG_UPSTREAM = "wrong-upstream"
+    UNKNOWN_REQUEST = "unknown-request"
+    REFUSED = "refused"
+    NO_ANSWER = "no-answer"
+    """It may have been taken, or may be carried out late."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineCall:
+    """An encoded call to an engine."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+@dataclass(kw_only=True, slots=True)
+class SentOrder:
+    """The newest order to one run of an engine."""
+
+    holding: Holding
+    """Layers that it is to hold; never changed, so that a late order does no harm."""
+
+    sent_at: float
+    """When it was last sent, on the monotonic clock."""
+
+    fence: int
+    """Term under which it was last sent."""
+
+
+@dataclass(kw_only=True)
+class OrderLedger:
+    """Orders of one leader, by run of the engine."""
+
+    sent: dict[str, SentOrder] = field(default_factory=dict)
+    """Newest order to each engine that has not reported its layers."""
+
+    fenced_terms: set[int] = field(default_factory=set)
+    """Terms that an engine has refused; a leader of such a term orders nothing more."""
+
+
+def due(ledger: OrderLedger, instance: str, now: float) -> bool:
+    """Tell whether an engine that reports no layers is to be ordered now."""
+    order = ledger.sent.get(instance)
+    return order is None or now - order.sent_at >= CONFIRM_SECONDS
+
+
+def note_sent(ledger: OrderLedger, instance: str, holding: Holding, fence: int, now: float) -> None:
+    """Note an order that is about to be sent."""
+    ledger.sent[instance] = SentOrder(holding=holding, sent_at=now, fence=fence)
+
+
+def note_outcome(ledger: OrderLedger, instance: str, outcome: OrderOutcome, now: float) -> None:
+    """Take in what an engine said."""
+    order = ledger.sent.get(instance)
+    if order is None:
+        return
+    if outcome is OrderOutcome.FENCED:
+        ledger.fenced_terms.add(order.fence)
+    if outcome is OrderOutcome.WRONG_UPSTREAM:
+        del ledger.sent[instance]
+
+
+def settle(ledger: OrderLedger, holding_now: set[str], known: set[str]) -> list[str]:
+    """Forget orders whose engines report layers or are gone.
+
+    Args:
+        ledger: The orders.
+        holding_now: Engines that report layers.
+        known: Engines that are registered.
+
+    Returns:
+        Engines whose orders were confirmed.
+    """
+    confirmed = [instance for instance in ledger.sent if instance in holding_now]
+    for instance in list(ledger.sent):
+        if instance in holding_now or instance not in known:
+            del ledger.sent[instance]
+    return confirmed
--- /dev/null
+++ b/src/ledgeladder/coordination/registrations.py
@@ -0,0 +1,156 @@
+"""Registrations of upstreams as soft state: kept by id and sequence, merged from many sources.
+
+Every control box takes registrations and tells every other box. Nothing here is written to a disk:
+upstreams register again within one heartbeat interval.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from ..model.registration import Liveness, Registration, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+GONE_REMEMBERED: Final = 4096
+"""Ids of ended upstreams that are kept, so that a late heartbeat does not bring one back.
+A day of 600 upstreams with 110 restarts needs a few hundred."""
+
+
+@dataclass(kw_only=True, slots=True)
+class KnownUpstream:
+    """An upstream that registered."""
+
+    registration: Registration
+    """The newest registration."""
+
+    heard_at: float
+    """When the upstream was last heard by anybody, on the own monotonic clock."""
+
+
+@dataclass(kw_only=True)
+class RegistrationTable:
+    """All upstreams that are known."""
+
+    known: dict[str, KnownUpstream] = field(default_factory=dict)
+    """Upstreams that have not ended, by id."""
+
+    gone: dict[str, None] = field(default_factory=dict)
+    """Ids of upstreams that have ended, oldest first."""
+
+
+def take_registration(
+    table: RegistrationTable, registration: Registration, heard_at: float
+) -> bool:
+    """Take in a registration, wherever it came from.
+
+    Args:
+        table: The table.
+        registration: The registration.
+        heard_at: When the upstream was heard, on the own monotonic clock.
+
+    Returns:
+        True if it says anything new, so that others must be told.
+    """
+    instance = registration.instance
+    if instance in table.gone:
+        return False
+    if registration.state is UpstreamState.GONE:
+        table.known.pop(instance, None)
+        _remember_gone(table, instance)
+        return True
+    held = table.known.get(instance)
+    if held is None:
+        table.known[instance] = KnownUpstream(registration=registration, heard_at=heard_at)
+        return True
+    held.heard_at = max(held.heard_at, heard_at)
+    if registration.sequence <= held.registration.sequence:
+        return False
+    registration = _keep_leaving(held.registration, registration)
+    changed = not _same_content(held.registration, registration)
+    held.registration = registration
+    return changed
+
+
+def _remember_gone(table: RegistrationTable, instance: str) -> None:
+    table.gone[instance] = None
+    while len(table.gone) > GONE_REMEMBERED:
+        del table.gone[next(iter(table.gone))]
+
+
+def _keep_leaving(held: Registration, new: Registration) -> Registration:
+    """Keep an upstream that announced its end from being taken for a ready one again."""
+    if held.state is UpstreamState.LEAVING and new.state is UpstreamState.READY:
+        return msgspec.structs.replace(new, state=UpstreamState.LEAVING)
+    return new
+
+
+def _same_content(one: Registration, other: Registration) -> bool:
+    return msgspec.structs.replace(one, sequence=other.sequence) == other
+
+
+def end_of(instance: str) -> Registration:
+    """Return the registration that says that an upstream has ended."""
+    return Registration(instance=instance, sequence=0, state=UpstreamState.GONE)
+
+
+def tell_all(table: RegistrationTable, now: float) -> tuple[Liveness, ...]:
+    """Return everything that is known, for a box that has just connected."""
+    return tuple(
+        Liveness(registration=item.registration, age=max(0.0, now - item.heard_at))
+        for item in table.known.values()
+    )
+
+
+def take_all(table: RegistrationTable, told: Iterable[Liveness], now: float) -> list[Registration]:
+    """Merge what another box knows.
+
+    Args:
+        table: The own table.
+        told: What the other box told.
+        now: Own monotonic time.
+
+    Returns:
+        The registrations that were news.
+    """
+    return [
+        item.registration
+        for item in told
+        if take_registration(table, item.registration, now - item.age)
+    ]
+
+
+def ages(table: RegistrationTable, now: float) -> dict[str, float]:
+    """Return for each upstream how long ago it was last heard, in seconds."""
+    return {
+        instance: round(max(0.0, now - item.heard_at), 2) for instance, item in table.known.items()
+    }
+
+
+def take_ages(table: RegistrationTable, told: dict[str, float], now: float) -> None:
+    """Note when other boxes heard the upstreams that are known here."""
+    for instance, age in told.items():
+        held = table.known.get(instance)
+        if held is not None:
+            held.heard_at = max(held.heard_at, now - age)
+
+
+def forget_silent(table: RegistrationTable, now: float, silence: float) -> list[str]:
+    """Drop upstreams that nobody has heard for long; they may register again.
+
+    Args:
+        table: The table.
+        now: Monotonic time.
+        silence: Seconds without a heartbeat after which an upstream is dropped.
+
+    Returns:
+        Ids that were dropped.
+    """
+    silent = [instance for instance, item in table.known.items() if now - item.heard_at > silence]
+    for instance in silent:
+        del table.known[instance]
+    return silent
--- a/src/ledgeladder/coordination/state_machine.py
+++ b/src/ledgeladder/coordination/state_machine.py
@@ -23,6 +23,8 @@
     Noted,
     OrderCommand,
     OrderDoneCommand,
+    PublishCommand,
+    PublishResult,
     RefusalCommand,
     ReleaseCommand,
     Result,
@@ -35,6 +37,9 @@
 AUDIT_REMEMBERED: Final = 4096
 """Audit entries that are kept in the state; the log file has them all."""
 
+PLATFORM_OPERATOR: Final = "platform"
+"""Name in the audit trail of an operator that publishes whole documents, which name nobody."""
+
 DELTAS_REMEMBERED: Final = 256
 """Accepted changes that are kept to send to boxes that lag by a few versions."""
 
@@ -84,6 +89,17 @@
     """The objects put and removed."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PublishedDocument:
+    """The whole document of the highest version, for boxes that are configured that way."""
+
+    version: int = 0
+    """Its version; 0 before the first."""
+
+    body: bytes = b""
+    """The document as the operator sent it, compressed with zlib."""
+
+
 @dataclass(kw_only=True)
 class ClusterState:
     """Everything that survives."""
@@ -109,6 +125,9 @@
     clock_ms: int = 0
     """Highest wall-clock time of any command so far."""
 
+    published: PublishedDocument = field(default_factory=PublishedDocument)
+    """The document in force, if whole documents are published."""
+
 
 COMMAND_DECODER: Final = msgspec.msgpack.Decoder(Command)
 _STATE_DECODER: Final = msgspec.msgpack.Decoder(ClusterState)
@@ -158,6 +177,26 @@
             return Noted(accepted=True)
         case OrderDoneCommand():
             return Noted(accepted=confirm_order(state.orders, command.upstream, command.index))
+        case PublishCommand():
+            return _publish(state, command)
+
+
+def _publish(state: ClusterState, command: PublishCommand) -> PublishResult:
+    """Keep the document of the highest version; an equal version never replaces the first."""
+    is_newer = command.version > state.published.version
+    if is_newer:
+        state.published = PublishedDocument(version=command.version, body=command.body)
+    entry = AuditEntry(
+        time_ms=command.time_ms,
+        operator=PLATFORM_OPERATOR,
+        change_id=f"version {command.version}",
+        code=ResultCode.OK,
+        version=state.published.version,
+        detail="published" if is_newer else "not newer; nothing changed",
+    )
+    state.audit.append(entry)
+    del state.audit[:-AUDIT_REMEMBERED]
+    return PublishResult(version=state.published.version, in_force=is_newer)
 
 
 def change_digest(change: ChangeDocument) -> bytes:
--- /dev/null
+++ b/src/ledgeladder/coordination/voters.py
@@ -0,0 +1,87 @@
+"""Which members of the replicated log vote, where boxes come and go without an operator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from . import raft
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+LEARNER_HEARD_SECONDS: Final = 1.0
+"""A learner that answered within this time, ten heartbeats, may be promoted."""
+
+VOTER_SILENT_SECONDS: Final = 2.0
+"""A voter that has been silent for this long, over one election, gives way to a learner that
+holds the whole log. The platform lets another box fail 4 s after a replacement started."""
+
+
+def next_voters(
+    replica: raft.Replica,
+    applicants: Collection[str],
+    now: float,
+    *,
+    wanted: int,
+    box_of: Callable[[str], str],
+) -> raft.Members | None:
+    """Choose the next single change of members, if one is due.
+
+    Args:
+        replica: The leader.
+        applicants: Member ids that asked to join.
+        now: Monotonic time in seconds.
+        wanted: Number of voters, odd.
+        box_of: Returns the box of a member id.
+
+    Returns:
+        The whole new set, or None if nothing is due.
+    """
+    members = replica.log.members
+    returned = _replace_lost_disk(members, applicants, box_of)
+    if returned is not None:
+        return returned
+    learner = next((item for item in members.learners if _caught_up(replica, item, now)), None)
+    if learner is not None:
+        if len(members.voters) < wanted:
+            rest = tuple(item for item in members.learners if item != learner)
+            return raft.Members(voters=(*members.voters, learner), learners=rest)
+        silent = _silent_voter(replica, now)
+        if silent is not None:
+            voters = tuple(voter for voter in members.voters if voter != silent)
+            return raft.Members(voters=voters, learners=members.learners)
+    newcomer = next((item for item in sorted(applicants) if item not in members.everyone), None)
+    if newcomer is None:
+        return None
+    return raft.Members(voters=members.voters, learners=(*members.learners, newcomer))
+
+
+def _replace_lost_disk(
+    members: raft.Members, applicants: Collection[str], box_of: Callable[[str], str]
+) -> raft.Members | None:
+    """Swap the member of a box whose disk is new: its old id cannot come back."""
+    for applicant in sorted(applicants):
+        if applicant in members.everyone:
+            continue
+        box = box_of(applicant)
+        voters = tuple(item for item in members.voters if box_of(item) != box)
+        learners = tuple(item for item in members.learners if box_of(item) != box)
+        replaced = (voters, learners) != (members.voters, members.learners)
+        if replaced and voters:
+            return raft.Members(voters=voters, learners=(*learners, applicant))
+    return None
+
+
+def _silent_voter(replica: raft.Replica, now: float) -> str | None:
+    for voter in replica.log.members.voters:
+        progress = replica.progress.get(voter)
+        if progress is not None and progress.heard_at < now - VOTER_SILENT_SECONDS:
+            return voter
+    return None
+
+
+def _caught_up(replica: raft.Replica, learner: str, now: float) -> bool:
+    progress = replica.progress.get(learner)
+    if progress is None or progress.heard_at < now - LEARNER_HEARD_SECONDS:
+        return False
+    return progress.match_index >= replica.commit_index > 0
--- /dev/null
+++ b/src/ledgeladder/daemons/control/handover.py
@@ -0,0 +1,23 @@
+"""Handing the leadership over before a planned stop."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ...coordination import raft
+
+if TYPE_CHECKING:
+    from .node import ControlNode
+
+
+def start_any_handover(node: ControlNode) -> bool:
+    """Hand the leadership to the voter that holds most of the log."""
+    replica = node.replica
+    voters = [voter for voter in replica.log.members.voters if voter in replica.progress]
+    if not voters:
+        return False
+    best = max(voters, key=lambda voter: replica.progress[voter].match_index)
+    started = raft.start_handover(replica, best, time.monotonic())
+    node.poke()
+    return started
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -16,10 +16,11 @@
 from ..http import serve_http, upstream_client
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
+from .handover import start_any_handover
 from .hub import Hub, push_configuration, send_heads, send_to_member, serve_accepted_link
 from .hub import serve_peer_link as serve_peer
 from .node import ControlNode, open_node, run_log
-from .operator_api import build_operator_app, start_any_handover
+from .operator_api import build_operator_app
 from .ordering import run_orders
 
 if TYPE_CHECKING:
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -89,6 +89,9 @@
     changed: Callable[[], None]
     """Called when a new configuration was applied."""
 
+    choose_members: Callable[[raft.Replica, set[str], float], raft.Members | None] = next_members
+    """Chooses the next change of members from the log, the applicants and the time."""
+
     waiters: dict[int, Waiter] = field(default_factory=dict)
     """Who waits for which index."""
 
@@ -242,9 +245,9 @@
     node.applied_index = entry.index
     result = None
     if entry.kind is raft.EntryKind.COMMAND:
-        before = node.state.configuration.version
+        before = (node.state.configuration.version, node.state.published.version)
         result = apply_command(node.state, COMMAND_DECODER.decode(entry.data))
-        if node.state.configuration.version != before:
+        if before != (node.state.configuration.version, node.state.published.version):
             node.changed()
     waiter = node.waiters.pop(entry.index, None)
     if waiter is not None:
@@ -280,7 +283,7 @@
     if not node.replica.is_leader:
         node.applicants.clear()
         return
-    members = next_members(node.replica, node.applicants, now)
+    members = node.choose_members(node.replica, node.applicants, now)
     if members is not None and raft.propose_members(node.replica, members):
         extra = {"voters": members.voters, "learners": members.learners}
         logger.info("members change", extra=extra)
--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import time
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
@@ -15,7 +14,6 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from ...coordination import raft
 from ...coordination.commands import ChangeCommand, ChangeResult, RefusalCommand
 from ...coordination.orders import pending_orders
 from ...coordination.state_machine import decided_before, judge_base
@@ -29,6 +27,7 @@
 from ...routing.policy import try_policies
 from ..clock import wall_clock_ms
 from ..http import not_found, problem_response
+from .handover import start_any_handover
 from .hub import connected_boxes
 from .node import submit
 
@@ -204,18 +203,6 @@
     return None
 
 
-def start_any_handover(node: ControlNode) -> bool:
-    """Hand the leadership to the voter that holds most of the log."""
-    replica = node.replica
-    voters = [voter for voter in replica.log.members.voters if voter in replica.progress]
-    if not voters:
-        return False
-    best = max(voters, key=lambda voter: replica.progress[voter].match_index)
-    started = raft.start_handover(replica, best, time.monotonic())
-    node.poke()
-    return started
-
-
 def _status(node: ControlNode, hub: Hub) -> dict[str, Any]:
     replica = node.replica
     boxes = connected_boxes(hub, anyio.current_time())
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -11,6 +11,7 @@
 from ..coordination.raft import Envelope
 from ..coordination.state_machine import Delta
 from ..model import Configuration, ResultCode
+from ..model.registration import Liveness
 
 
 class PeerRole(StrEnum):
@@ -160,6 +161,56 @@
     is_voter: bool
 
 
+class PeerHint(msgspec.Struct, frozen=True, kw_only=True, tag="peers", array_like=True):
+    """Link addresses of control boxes, for processes that are given no list of them."""
+
+    addresses: tuple[str, ...]
+
+
+class RegistrationNews(msgspec.Struct, frozen=True, kw_only=True, tag="upstreams", array_like=True):
+    """What upstreams said of themselves, and when."""
+
+    told: tuple[Liveness, ...]
+
+
+class RegistrationAges(msgspec.Struct, frozen=True, kw_only=True, tag="ages", array_like=True):
+    """How long ago each known upstream was last heard, in seconds."""
+
+    ages: dict[str, float]
+
+
+class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="newest?", array_like=True):
+    """Ask which published version is the newest."""
+
+    call: int
+
+
+class VersionReply(msgspec.Struct, frozen=True, kw_only=True, tag="newest", array_like=True):
+    """The newest published version, as far as the sender can be sure."""
+
+    call: int
+    version: int
+    age: float | None
+    """Seconds that the knowledge is old; None if the sender cannot be sure of anything."""
+
+    entries: int = 1
+    """Entry boxes that the sender serves, among which shared budgets are split."""
+
+
+class DocumentPull(msgspec.Struct, frozen=True, kw_only=True, tag="document?", array_like=True):
+    """Ask for the published document if it is newer than a version."""
+
+    version: int
+
+
+class DocumentPush(msgspec.Struct, frozen=True, kw_only=True, tag="document", array_like=True):
+    """A published document."""
+
+    version: int
+    body: bytes
+    """The document, compressed with zlib."""
+
+
 LinkMessage = (
     Challenge
     | Hello
@@ -178,4 +229,11 @@
     | OrderOutcome
     | TermQuery
     | TermReply
+    | PeerHint
+    | RegistrationNews
+    | RegistrationAges
+    | VersionQuery
+    | VersionReply
+    | DocumentPull
+    | DocumentPush
 )
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -40,6 +40,8 @@
     IDEMPOTENCY_KEY_REUSED = 1010
     POLICY_DENIED = 1011
     NOT_FOUND = 1012
+    HEAD_TOO_LARGE = 1013
+    REQUEST_SLOW = 1014
     RATE_EXCEEDED = 1101
     CONCURRENCY_EXCEEDED = 1102
     QUEUE_FULL = 1103
@@ -55,6 +57,7 @@
     CLAIM_TABLE_FULL = 1304
     STARTING = 1401
     STOPPING = 1402
+    BELIEF_STALE = 1403
     VERSION_CONFLICT = 2001
     VERSION_FUTURE = 2002
     CHANGE_ID_REUSED = 2003
@@ -63,6 +66,7 @@
     OPERATOR_UNKNOWN = 2006
     NOT_LEADER = 2007
     CHANGE_UNKNOWN = 2008
+    REGISTRATION_INVALID = 2101
     SETTINGS_INVALID = 3001
     JOURNAL_CORRUPT = 3002
     JOURNAL_FORMAT = 3003
@@ -121,6 +125,8 @@
     ),
     ResultCode.POLICY_DENIED: _entry(403, _NOT_RUN, "The policy of the pipeline denied it."),
     ResultCode.NOT_FOUND: _entry(404, _NOT_RUN, "No page or object of that name exists."),
+    ResultCode.HEAD_TOO_LARGE: _entry(431, _NOT_RUN, "The request head exceeds its bound."),
+    ResultCode.REQUEST_SLOW: _entry(408, _NOT_RUN, "The request did not arrive in time."),
     ResultCode.RATE_EXCEEDED: _entry(429, _NOT_RUN, "The client account is over its rate."),
     ResultCode.CONCURRENCY_EXCEEDED: _entry(
         429, _NOT_RUN, "The client account has too many requests in progress."
@@ -156,6 +162,9 @@
     ),
     ResultCode.STARTING: _entry(503, _NOT_RUN, "The box has no configuration in force yet."),
     ResultCode.STOPPING: _entry(503, _NOT_RUN, "The box is stopping and takes no new requests."),
+    ResultCode.BELIEF_STALE: _entry(
+        503, _NOT_RUN, "The box cannot be sure that it knows the newest configuration and keys."
+    ),
     ResultCode.VERSION_CONFLICT: _entry(
         409, _NOT_RUN, "Another change was accepted first; the answer names the current version."
     ),
@@ -178,6 +187,9 @@
     ResultCode.CHANGE_UNKNOWN: _entry(
         504, _UNKNOWN, "The change was submitted and not confirmed; resend it with the same id."
     ),
+    ResultCode.REGISTRATION_INVALID: _entry(
+        400, _NOT_RUN, "An upstream's registration is malformed or too long; it was ignored."
+    ),
     ResultCode.SETTINGS_INVALID: _entry(
         500, _NOT_RUN, "The settings file is wrong; the message names file, key and value."
     ),
--- /dev/null
+++ b/src/ledgeladder/model/registration.py
@@ -0,0 +1,69 @@
+"""What an upstream says of itself when it registers."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+
+class UpstreamState(StrEnum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    """It ends soon and must get no new work."""
+
+    GONE = "gone"
+    """It has ended, or is about to; its id never returns."""
+
+
+class Holding(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A range of layers that an upstream holds."""
+
+    first: int
+    """First layer."""
+
+    end: int
+    """One past the last layer."""
+
+
+class Registration(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The newest that one run of an upstream said of itself."""
+
+    instance: str
+    """Id of this run of the upstream; a restart has another."""
+
+    sequence: int
+    """Rises with every message of this run, so that a late one is recognised."""
+
+    pool: str = ""
+    """Pool that it belongs to."""
+
+    address: str = ""
+    """`host:port` at which it takes requests."""
+
+    failure_domain: str = ""
+    """Where it runs."""
+
+    slots: int = 1
+    """Requests that it works on at once."""
+
+    state: UpstreamState = UpstreamState.READY
+    """Whether it takes new work."""
+
+    card: str = ""
+    """Kind of its accelerator; empty for a plain service."""
+
+    holdings: tuple[Holding, ...] = ()
+    """Layers that it holds."""
+
+
+class Liveness(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A registration and how long ago its upstream was last heard."""
+
+    registration: Registration
+    """The registration."""
+
+    age: float
+    """Seconds since the upstream was last heard by whoever tells this."""
--- /dev/null
+++ b/src/ledgeladder/model/traffic.py
@@ -0,0 +1,210 @@
+"""Configuration of forwarded traffic: routes, pools of upstreams, engines and client accounts.
+
+An operator publishes it as one whole document with a version; the highest version is in force.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RequestKind(StrEnum):
+    """What may be done with a request whose outcome is not known."""
+
+    REPEATABLE = "repeatable"
+    """It may run more than once."""
+
+    ONCE = "once"
+    """It runs at most once."""
+
+    STREAM = "stream"
+    """It is answered by a series of events."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PoolWeight:
+    """Share of a route's requests that goes to one pool."""
+
+    pool: str
+    """Name of the pool."""
+
+    weight: float
+    """Share, relative to the other weights of the route."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RouteRule:
+    """Which requests go where, and under which limits."""
+
+    name: str
+    """Name of the route."""
+
+    host: str
+    """Host that the caller asks for."""
+
+    path_prefix: str
+    """Start of the path, with a slash at both ends."""
+
+    kind: RequestKind
+    """What may be repeated."""
+
+    resumable: bool
+    """True if a broken stream may be continued on another upstream."""
+
+    timeout: float
+    """Longest time that a request is held, in seconds."""
+
+    target_latency: float
+    """Time to the answer or to the first event that callers expect, in seconds."""
+
+    gap_target: float
+    """Longest pause between events that callers expect, in seconds; 0 if none is set."""
+
+    priority: int
+    """Rank; 0 is the most urgent."""
+
+    pools: tuple[PoolWeight, ...]
+    """Where the requests go."""
+
+    max_attempts: int
+    """Most upstreams that one request may run on."""
+
+    public: bool
+    """True if no key is needed."""
+
+    @property
+    def repeatable(self) -> bool:
+        """True if a second run of the same request does no harm."""
+        return self.kind is RequestKind.REPEATABLE or (
+            self.kind is RequestKind.STREAM and self.resumable
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CardKind:
+    """A kind of accelerator."""
+
+    name: str
+    """Name of the kind."""
+
+    memory_mb: float
+    """Memory for layers and KV cache, in megabytes."""
+
+    step_factor: float
+    """How many times longer a decoding step takes than the engine's figures say."""
+
+    read_factor: float
+    """How many times longer reading a prompt takes than the engine's figures say."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineProfile:
+    """Speed and memory of the engines of one pool."""
+
+    model: str
+    """Name of the model."""
+
+    layers: int
+    """Layers of the model."""
+
+    layer_mb: float
+    """Memory of one layer, in megabytes."""
+
+    kv_token_bytes: float
+    """KV cache of one token over all layers, in bytes."""
+
+    step_ms: float
+    """Time of one decoding step through all layers, in milliseconds."""
+
+    sequence_ms: float
+    """Added to a step for each running request, in milliseconds."""
+
+    read_per_s: float
+    """Prompt tokens that are read a second, through all layers."""
+
+    stride: int
+    """Steps in one pass of an engine, which is also the number of tokens in one event."""
+
+    load_seconds: float
+    """Time to load all layers."""
+
+    loads_at_once: int
+    """Loads that run side by side at full speed."""
+
+    usual_prompt: float
+    """Mean length of a prompt, in tokens."""
+
+    usual_answer: float
+    """Mean length of an answer, in tokens."""
+
+    cards: dict[str, CardKind] = field(default_factory=dict)
+    """Kinds of accelerators by name."""
+
+    delays: dict[tuple[str, str], float] = field(default_factory=dict)
+    """One-way delay between failure domains, in seconds; both directions are held."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamPool:
+    """Upstreams that stand in for each other."""
+
+    name: str
+    """Name of the pool."""
+
+    max_connections: int
+    """Connections that one upstream accepts from all boxes together."""
+
+    engine: EngineProfile | None
+    """Figures of the engines, or None for a plain service."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or rest."""
+
+    header_bytes: int = 16384
+    """Longest request head, in bytes."""
+
+    body_bytes: int = 4 * 1024 * 1024
+    """Longest request body, in bytes."""
+
+    header_seconds: float = 3.0
+    """Longest time from the first byte of a head to its last."""
+
+    idle_seconds: float = 15.0
+    """How long a connection may rest between requests."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountKeys:
+    """A client account and the keys that prove it."""
+
+    name: str
+    """Name of the client account."""
+
+    keys: tuple[str, ...]
+    """Valid keys."""
+
+    priority: int | None
+    """Rank that goes before the rank of the route, or None."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class TrafficConfiguration:
+    """One published document, decoded."""
+
+    version: int
+    """Version; the highest one is in force."""
+
+    routes: tuple[RouteRule, ...]
+    """All routes."""
+
+    pools: dict[str, UpstreamPool]
+    """Pools by name."""
+
+    limits: CallerLimits
+    """Bounds for callers."""
+
+    accounts: tuple[AccountKeys, ...]
+    """Client accounts; without any, no key is needed."""
--- /dev/null
+++ b/src/ledgeladder/routing/event_stream.py
@@ -0,0 +1,98 @@
+"""Server-sent events, passed on whole: a broken one never reaches the caller."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import Final
+
+EVENT_LIMIT_BYTES: Final = 1024 * 1024
+"""Longest event that is waited for."""
+
+_END: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID: Final = re.compile(rb"(?:^|\n|\r)id: ?(\d+)")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StreamEvent:
+    """One whole event."""
+
+    event_id: int | None
+    """Its id, or None if it has none."""
+
+    data: bytes
+    """The event as it was received, with the empty line that ends it."""
+
+
+@dataclass(kw_only=True)
+class EventBuffer:
+    """Bytes of an event that is not complete."""
+
+    pending: bytes = b""
+
+    def feed(self, part: bytes) -> list[StreamEvent]:
+        r"""Take in bytes and return the events that became complete.
+
+        Args:
+            part: Bytes from the upstream.
+
+        Returns:
+            Whole events in order.
+
+        Raises:
+            ValueError: If an event grows too long.
+
+        >>> buffer = EventBuffer()
+        >>> buffer.feed(b"id: 1\ndata: a\n")
+        []
+        >>> [event.event_id for event in buffer.feed(b"\nid: 2\n\n")]
+        [1, 2]
+        """
+        pending = self.pending + part
+        events: list[StreamEvent] = []
+        start = 0
+        for match in _END.finditer(pending):
+            data = pending[start : match.end()]
+            start = match.end()
+            found = _ID.search(data)
+            event_id = int(found.group(1)) if found else None
+            events.append(StreamEvent(event_id=event_id, data=data))
+        self.pending = pending[start:]
+        if len(self.pending) > EVENT_LIMIT_BYTES:
+            raise ValueError("event too long")
+        return events
+
+
+@dataclass(kw_only=True)
+class EventOrder:
+    """Position of the caller in a stream, over all of its runs."""
+
+    last_id: int | None
+    """Id of the last event that the caller has; None before the first."""
+
+    delivered: int = 0
+    """Events that were passed on."""
+
+
+def accept_event(order: EventOrder, event: StreamEvent) -> bool | None:
+    """Judge the next event of a run.
+
+    Args:
+        order: Position of the caller, which is moved.
+        event: The event.
+
+    Returns:
+        True if it is the next one, False if the caller has it already, None if one is missing in
+        between, so that the run cannot be used.
+    """
+    if event.event_id is None:
+        order.delivered += 1
+        return True
+    if order.last_id is not None:
+        if event.event_id <= order.last_id:
+            return False
+        if event.event_id != order.last_id + 1:
+            return None
+    order.last_id = event.event_id
+    order.delivered += 1
+    return True
--- /dev/null
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -0,0 +1,182 @@
+"""What an entry box knows of each registered upstream: registration, own load, failures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from ..model.registration import Registration, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..model.exchange import UpstreamLoad
+
+AVOID_SECONDS: Final = 1.0
+"""How long an upstream is avoided after a failure; doubled with each further one."""
+
+AVOID_LIMIT_SECONDS: Final = 8.0
+"""Longest time that an upstream is avoided before one request tries it again."""
+
+FULL_SECONDS: Final = 0.25
+"""How long an upstream that was full is avoided, about one report interval of an engine."""
+
+SILENT_SECONDS: Final = 4.0
+"""An upstream that nobody has heard for this long, three heartbeats, is a last resort."""
+
+LOAD_BELIEVED_SECONDS: Final = 0.3
+"""How long the load that an upstream told is believed."""
+
+
+@dataclass(kw_only=True, eq=False)
+class ForwardedUpstream:
+    """One run of an upstream, as this box sees it."""
+
+    registration: Registration
+    """What it said of itself."""
+
+    heard_at: float
+    """When anybody last heard it, on the own monotonic clock."""
+
+    in_flight: int = 0
+    """Requests of this box on it."""
+
+    kv_reserved: float = 0.0
+    """Tokens x layers that requests of this box take on it."""
+
+    failures: int = 0
+    """Failures in a row."""
+
+    avoid_until: float = 0.0
+    """Until when it gets no new work, on the monotonic clock."""
+
+    load: UpstreamLoad | None = None
+    """Load that it told last."""
+
+    load_at: float = 0.0
+    """When it told it."""
+
+    on_lost: set[Callable[[ForwardedUpstream], None]] = field(default_factory=set)
+    """Called once it is known to be lost, for the requests that pass it."""
+
+    @property
+    def leaving(self) -> bool:
+        """True if it must get no new work."""
+        return self.registration.state is not UpstreamState.READY
+
+
+@dataclass(kw_only=True)
+class ForwardingTable:
+    """All upstreams that are registered."""
+
+    upstreams: dict[str, ForwardedUpstream] = field(default_factory=dict)
+    """Upstreams by run."""
+
+    pools: dict[str, list[ForwardedUpstream]] = field(default_factory=dict)
+    """The same by pool."""
+
+
+def put_registration(
+    table: ForwardingTable, registration: Registration, heard_at: float
+) -> ForwardedUpstream | None:
+    """Take in a registration that is newer than what was known.
+
+    Args:
+        table: The table.
+        registration: The registration.
+        heard_at: When the upstream was heard, on the own monotonic clock.
+
+    Returns:
+        The upstream, or None if it has ended.
+    """
+    held = table.upstreams.get(registration.instance)
+    if registration.state is UpstreamState.GONE:
+        drop_upstream(table, registration.instance)
+        return None
+    if held is None:
+        held = ForwardedUpstream(registration=registration, heard_at=heard_at)
+        table.upstreams[registration.instance] = held
+        table.pools.setdefault(registration.pool, []).append(held)
+        return held
+    if registration.pool != held.registration.pool:
+        _leave_pool(table, held)
+        table.pools.setdefault(registration.pool, []).append(held)
+    held.registration = registration
+    held.heard_at = max(held.heard_at, heard_at)
+    return held
+
+
+def drop_upstream(table: ForwardingTable, instance: str) -> None:
+    """Forget an upstream; requests in progress on it go on."""
+    held = table.upstreams.pop(instance, None)
+    if held is not None:
+        _leave_pool(table, held)
+
+
+def _leave_pool(table: ForwardingTable, held: ForwardedUpstream) -> None:
+    pool = table.pools.get(held.registration.pool, [])
+    if held in pool:
+        pool.remove(held)
+
+
+def note_served(upstream: ForwardedUpstream) -> None:
+    """Note that an upstream did its work."""
+    upstream.failures = 0
+    upstream.avoid_until = 0.0
+
+
+def note_failed(upstream: ForwardedUpstream, now: float) -> None:
+    """Note that an upstream failed, and avoid it for a while."""
+    if now < upstream.avoid_until:
+        # Several requests fail together when one upstream is lost; they count once.
+        return
+    upstream.failures += 1
+    seconds = min(AVOID_SECONDS * 2 ** (upstream.failures - 1), AVOID_LIMIT_SECONDS)
+    upstream.avoid_until = now + seconds
+
+
+def note_lost(upstream: ForwardedUpstream, now: float) -> None:
+    """Note that an upstream does not answer at all, and tell the requests that pass it."""
+    note_failed(upstream, now)
+    for callback in list(upstream.on_lost):
+        callback(upstream)
+
+
+def note_full(upstream: ForwardedUpstream, now: float) -> None:
+    """Note that an upstream had no room."""
+    upstream.avoid_until = max(upstream.avoid_until, now + FULL_SECONDS)
+
+
+def note_load(upstream: ForwardedUpstream, load: UpstreamLoad | None, now: float) -> None:
+    """Note the load that an upstream told in an answer."""
+    if load is not None:
+        upstream.load = load
+        upstream.load_at = now
+
+
+def pressure(upstream: ForwardedUpstream, now: float, sharers: int) -> float:
+    """Estimate how full a plain service is, in requests per slot.
+
+    Args:
+        upstream: The service.
+        now: Monotonic time.
+        sharers: Entry boxes that are likely to send to it as much as this one.
+    """
+    slots = max(1, upstream.registration.slots)
+    estimate = float(upstream.in_flight)
+    load = upstream.load
+    if load is not None and now - upstream.load_at < LOAD_BELIEVED_SECONDS:
+        estimate = max(estimate, load.running + load.waiting)
+    elif sharers > 1:
+        estimate += upstream.in_flight * 0.5
+    return estimate / slots
+
+
+def is_usable(upstream: ForwardedUpstream, now: float) -> bool:
+    """Tell whether an upstream may get new work right now."""
+    return not upstream.leaving and now >= upstream.avoid_until
+
+
+def is_silent(upstream: ForwardedUpstream, now: float) -> bool:
+    """Tell whether nobody has heard an upstream for so long that it is likely lost."""
+    return now - upstream.heard_at > SILENT_SECONDS
--- a/src/ledgeladder/routing/pace.py
+++ b/src/ledgeladder/routing/pace.py
@@ -49,6 +49,9 @@
     leniency: float = 1.0
     """Raised after a false alarm."""
 
+    floor: float = FLOOR_SECONDS
+    """Shorter gaps are never called a stall, in seconds."""
+
 
 def note_gap(pace: Pace, gap: float) -> None:
     """Take one gap into account."""
@@ -66,7 +69,7 @@
     if pace.mean == 0.0:
         return CEILING_SECONDS
     expected = max(pace.mean * FACTOR, pace.mean + DEVIATIONS * pace.deviation)
-    return min(max(expected * pace.leniency, FLOOR_SECONDS), CEILING_SECONDS)
+    return min(max(expected * pace.leniency, pace.floor), CEILING_SECONDS)
 
 
 def probe_patience(pace: Pace) -> float:
--- /dev/null
+++ b/src/ledgeladder/routing/paths.py
@@ -0,0 +1,291 @@
+"""The path of one generation over engines that hold ranges of layers.
+
+The cheapest path is found over the layers from first to last: a state is a layer that has been
+reached and the engine that reached it, a step is a range that one engine runs. Costs are predicted
+times, so that fast cards go first, full engines are left out, and another failure domain is used
+only when the own one is slower or full.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from ..model.exchange import PathPart
+from .forwarding_table import is_silent, is_usable
+from .placement import kv_capacity
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from ..model.traffic import EngineProfile
+    from .forwarding_table import ForwardedUpstream
+
+LOCAL_HOP_SECONDS: Final = 0.0002
+"""One-way delay inside a failure domain, as the platform's sheet gives it for its own links."""
+
+SILENT_PENALTY_SECONDS: Final = 5.0
+"""Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
+
+FULL_AT: Final = 0.92
+"""Share of the KV cache at which an engine takes no more requests of this box. Answers are often
+longer than hinted, and the other boxes' requests are only estimated."""
+
+CROWDING: Final = 2.0
+"""Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
+any engine is full."""
+
+PARTS_LIMIT: Final = 32
+"""Most engines on one path."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PathRequest:
+    """What a path is wanted for."""
+
+    prompt_tokens: int
+    """Tokens to read."""
+
+    answer_tokens: int
+    """Tokens that are likely to be generated."""
+
+    failure_domain: str
+    """Failure domain of the entry box."""
+
+    sharers: float = 1.0
+    """How many times the own requests an engine is likely to hold of all boxes."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChosenPath:
+    """A path with the engines that it passes."""
+
+    parts: tuple[PathPart, ...]
+    """Layers by engine, in order."""
+
+    engines: tuple[ForwardedUpstream, ...]
+    """The engines, in the same order."""
+
+    cost: float
+    """Predicted time, in seconds."""
+
+    @property
+    def head(self) -> ForwardedUpstream:
+        """The engine that the request is sent to."""
+        return self.engines[0]
+
+
+@dataclass(slots=True)
+class _Step:
+    cost: float
+    engine: ForwardedUpstream
+    first: int
+    end: int
+    before: _Step | None
+    length: int
+
+
+def kv_free_share(
+    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float
+) -> float:
+    """Return how full the KV cache of an engine would be with one more request, from 0.
+
+    Args:
+        profile: Figures of the engines.
+        engine: The engine.
+        sharers: Factor from the own requests to those of all boxes.
+        needed: Tokens x layers of the new request.
+    """
+    held = sum(item.end - item.first for item in engine.registration.holdings)
+    capacity = kv_capacity(profile, engine.registration.card, held)
+    if capacity <= 0:
+        return float("inf")
+    return (engine.kv_reserved * sharers + needed) / capacity
+
+
+def choose_path(
+    profile: EngineProfile,
+    engines: Iterable[ForwardedUpstream],
+    request: PathRequest,
+    now: float,
+    *,
+    excluded: Collection[str] = (),
+) -> ChosenPath | None:
+    """Find the path with the least predicted time that runs every layer once and in order.
+
+    Args:
+        profile: Figures of the engines.
+        engines: Engines of the pool.
+        request: What the path is for.
+        now: Monotonic time.
+        excluded: Runs of engines that must not be used.
+
+    Returns:
+        The path, or None if the usable engines do not cover all layers.
+    """
+    usable = [
+        engine
+        for engine in engines
+        if engine.registration.holdings
+        and engine.registration.instance not in excluded
+        and is_usable(engine, now)
+    ]
+    own = [item for item in usable if item.registration.failure_domain == request.failure_domain]
+    nearby = _search(profile, own, request, now)
+    if nearby is not None and nearby.cost < _patience(profile, request):
+        return nearby
+    anywhere = _search(profile, usable, request, now)
+    return anywhere or nearby
+
+
+def _patience(profile: EngineProfile, request: PathRequest) -> float:
+    """Return the cost up to which the own failure domain is used without a look at others.
+
+    Twice the time on the slowest cards: beyond that something is crowded or doubtful.
+    """
+    slowest = max((card.step_factor for card in profile.cards.values()), default=1.0)
+    slowest_read = max((card.read_factor for card in profile.cards.values()), default=1.0)
+    steps = (profile.step_ms * request.answer_tokens / 1000.0) * slowest
+    return 2.0 * (steps + request.prompt_tokens / profile.read_per_s * slowest_read)
+
+
+def _search(
+    profile: EngineProfile,
+    engines: list[ForwardedUpstream],
+    request: PathRequest,
+    now: float,
+) -> ChosenPath | None:
+    """Walk over the layers from first to last, keeping the best step per layer and domain."""
+    edges = sorted({0, profile.layers}.union(*(_edges(engine) for engine in engines)))
+    best: dict[int, dict[str, _Step]] = {0: {}}
+    for start in edges[:-1]:
+        arrived = best.get(start)
+        if arrived is None:
+            continue
+        for engine in engines:
+            holding = _holding_at(engine, start)
+            if holding is None:
+                continue
+            before, waited = _best_before(profile, arrived, engine, start, request)
+            if before is None and start > 0:
+                continue
+            for end in edges:
+                if start < end <= holding:
+                    cost = waited + _cost(profile, engine, end - start, request, now)
+                    _keep(best, _Step(cost, engine, start, end, before, _length(before)))
+    steps = best.get(profile.layers, {})
+    finite = [step for step in steps.values() if step.cost < float("inf")]
+    return _unwind(min(finite, key=lambda step: step.cost)) if finite else None
+
+
+def _edges(engine: ForwardedUpstream) -> set[int]:
+    holdings = engine.registration.holdings
+    return {item.first for item in holdings} | {item.end for item in holdings}
+
+
+def _holding_at(engine: ForwardedUpstream, layer: int) -> int | None:
+    """Return up to where an engine can run from a layer on, or None if it lacks the layer."""
+    ends = [item.end for item in engine.registration.holdings if item.first <= layer < item.end]
+    return max(ends, default=None)
+
+
+def _length(before: _Step | None) -> int:
+    return 1 if before is None else before.length + 1
+
+
+def _best_before(
+    profile: EngineProfile,
+    arrived: dict[str, _Step],
+    engine: ForwardedUpstream,
+    start: int,
+    request: PathRequest,
+) -> tuple[_Step | None, float]:
+    domain = engine.registration.failure_domain
+    if start == 0:
+        return None, _hop(profile, request.failure_domain, domain)
+    best, waited = None, float("inf")
+    for other, step in arrived.items():
+        if step.length >= PARTS_LIMIT or _passes(step, engine):
+            continue
+        cost = step.cost + _hop(profile, other, domain) * max(1, request.answer_tokens)
+        if cost < waited:
+            best, waited = step, cost
+    return best, waited
+
+
+def _passes(step: _Step | None, engine: ForwardedUpstream) -> bool:
+    """Tell whether a path already uses an engine; an engine may be named once only."""
+    while step is not None:
+        if step.engine is engine:
+            return True
+        step = step.before
+    return False
+
+
+def _hop(profile: EngineProfile, one: str, other: str) -> float:
+    return LOCAL_HOP_SECONDS if one == other else profile.delays.get((one, other), 0.001)
+
+
+def _cost(
+    profile: EngineProfile,
+    engine: ForwardedUpstream,
+    layers: int,
+    request: PathRequest,
+    now: float,
+) -> float:
+    card = profile.cards.get(engine.registration.card)
+    if card is None:
+        return float("inf")
+    share = layers / profile.layers
+    tokens = request.prompt_tokens + request.answer_tokens
+    fullness = kv_free_share(profile, engine, request.sharers, float(tokens * layers))
+    if fullness > FULL_AT:
+        return float("inf")
+    running = engine.in_flight * request.sharers + 1
+    step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
+    read = request.prompt_tokens / profile.read_per_s * card.read_factor
+    seconds = (step * request.answer_tokens + read) * share * (1.0 + CROWDING * fullness**2)
+    return seconds + (SILENT_PENALTY_SECONDS if is_silent(engine, now) else 0.0)
+
+
+def _keep(best: dict[int, dict[str, _Step]], step: _Step) -> None:
+    domain = step.engine.registration.failure_domain
+    held = best.setdefault(step.end, {}).get(domain)
+    if held is None or step.cost < held.cost:
+        best[step.end][domain] = step
+
+
+def _unwind(last: _Step) -> ChosenPath:
+    steps: list[_Step] = []
+    step: _Step | None = last
+    while step is not None:
+        steps.append(step)
+        step = step.before
+    steps.reverse()
+    return ChosenPath(
+        parts=tuple(
+            PathPart(
+                instance=item.engine.registration.instance,
+                address=item.engine.registration.address,
+                first=item.first,
+                end=item.end,
+            )
+            for item in steps
+        ),
+        engines=tuple(item.engine for item in steps),
+        cost=last.cost,
+    )
+
+
+def reserve(path: ChosenPath, tokens: int) -> None:
+    """Count a request on every engine of its path."""
+    for part, engine in zip(path.parts, path.engines, strict=True):
+        engine.in_flight += 1
+        engine.kv_reserved += tokens * (part.end - part.first)
+
+
+def release(path: ChosenPath, tokens: int) -> None:
+    """Take back what `reserve` counted."""
+    for part, engine in zip(path.parts, path.engines, strict=True):
+        engine.in_flight -= 1
+        engine.kv_reserved -= tokens * (part.end - part.first)
--- /dev/null
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -0,0 +1,66 @@
+"""A shared budget of repeats over a sliding window, split over boxes that cannot ask each other."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Final
+
+SHARE_USED: Final = 0.8
+"""Part of the allowed share of repeats that a box uses: requests that never arrived here still
+count for the budget, but those of others may be fewer than they seem."""
+
+LEAST_ENTRIES: Final = 4
+"""Entry boxes that are assumed at least, until control boxes have told how many there are."""
+
+
+@dataclass(kw_only=True)
+class RepeatWindow:
+    """Arrivals at one pool's upstreams that this box caused, in a sliding window."""
+
+    ratio: float
+    """Repeats that all boxes together may make for each request."""
+
+    reserve: float
+    """Repeats that all boxes together may make besides, in one window."""
+
+    seconds: float
+    """Length of the window."""
+
+    firsts: deque[float] = field(default_factory=deque)
+    """When requests were first sent."""
+
+    repeats: deque[float] = field(default_factory=deque)
+    """When they were sent again."""
+
+
+def note_first(window: RepeatWindow, now: float) -> None:
+    """Note that a request was sent for the first time."""
+    window.firsts.append(now)
+    _forget(window, now)
+
+
+def take_repeat(window: RepeatWindow, now: float, entries: int) -> bool:
+    """Spend one repeat.
+
+    Args:
+        window: The budget.
+        now: Monotonic time.
+        entries: Entry boxes among which the reserve is split.
+
+    Returns:
+        False if the budget is spent and the request must not be sent again.
+    """
+    _forget(window, now)
+    share = window.reserve / max(entries, LEAST_ENTRIES)
+    allowed = (window.ratio * len(window.firsts) + share) * SHARE_USED
+    if len(window.repeats) + 1 > allowed:
+        return False
+    window.repeats.append(now)
+    return True
+
+
+def _forget(window: RepeatWindow, now: float) -> None:
+    for times in (window.firsts, window.repeats):
+        while times and times[0] <= now - window.seconds:
+            times.popleft()
--- /dev/null
+++ b/src/ledgeladder/routing/route_index.py
@@ -0,0 +1,67 @@
+"""Finding the route of a request and the account of a key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from ..model.traffic import AccountKeys, RouteRule, TrafficConfiguration
+
+
+@dataclass(kw_only=True)
+class RouteIndex:
+    """A configuration, arranged for look-ups."""
+
+    routes: dict[str, dict[str, RouteRule]] = field(default_factory=dict)
+    """Routes by host and prefix."""
+
+    accounts: dict[str, AccountKeys] = field(default_factory=dict)
+    """Client accounts by key."""
+
+    needs_keys: bool = False
+    """True if there are client accounts, so that routes need a key unless they are public."""
+
+
+def build_index(configuration: TrafficConfiguration) -> RouteIndex:
+    """Arrange a configuration for look-ups."""
+    index = RouteIndex(needs_keys=bool(configuration.accounts))
+    for route in configuration.routes:
+        index.routes.setdefault(route.host, {})[route.path_prefix] = route
+    for account in configuration.accounts:
+        for key in account.keys:
+            index.accounts[key] = account
+    return index
+
+
+def find_route(index: RouteIndex, host: str, path: str) -> RouteRule | None:
+    """Return the route with the longest prefix that begins a path.
+
+    Args:
+        index: The look-up tables.
+        host: Host that the caller asks for, in lower case.
+        path: Path without its query.
+    """
+    prefixes = index.routes.get(host)
+    if not prefixes:
+        return None
+    end = path.rfind("/")
+    while end >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
+
+
+def choose_pool(route: RouteRule, rng: random.Random) -> str:
+    """Choose a pool by weight."""
+    total = sum(item.weight for item in route.pools)
+    point = rng.random() * total
+    for item in route.pools:
+        point -= item.weight
+        if point < 0:
+            return item.pool
+    return next(item.pool for item in reversed(route.pools) if item.weight > 0)
