--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import anyio
 from absl import flags
@@ -17,13 +17,18 @@
 from ..settings import (
     ControlSettings,
     EntrySettings,
+    GatewaySettings,
+    RegistrySettings,
     load_control_settings,
     load_entry_settings,
+    load_gateway_settings,
+    load_registry_settings,
     read_toml,
     reference_page,
 )
-from . import config_commands
-from .operator_client import OperatorClient, call
+
+if TYPE_CHECKING:
+    from .operator_client import OperatorClient
 
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
@@ -32,11 +37,16 @@
 
 TOKEN_VARIABLE: Final = "LEDGELADDER_TOKEN"
 
+SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
+"""Path of the settings file where a platform lays it."""
+
 USAGE: Final = """\
 usage: ledgeladder COMMAND [flags]
 
   entry --settings FILE            run an entry process
   control --settings FILE          run a control process
+  gateway [--settings FILE]        run an entry process that forwards HTTP and discovers upstreams
+  registry [--settings FILE]       run a control process that upstreams register with
   control format --settings FILE   create the data folder of a new cluster's control box
   settings check FILE              check a settings file of either role
   settings reference               print every key with what is allowed
@@ -61,7 +71,7 @@
 
 Command = Callable[[list[str]], int]
 
-_Settings = TypeVar("_Settings", ControlSettings, EntrySettings)
+_Settings = TypeVar("_Settings", ControlSettings, EntrySettings, GatewaySettings, RegistrySettings)
 
 
 def _fail(problem: Problem, status: int) -> int:
@@ -77,6 +87,8 @@
 
 
 def _print(outcome: Result[dict[str, Any], Problem]) -> int:
+    from . import config_commands
+
     if isinstance(outcome, Failure):
         return _fail(outcome.failure(), EXIT_FAILED)
     config_commands.print_json(outcome.unwrap())
@@ -84,6 +96,9 @@
 
 
 def _operator_client() -> OperatorClient | None:
+    # Imported late, as all of the operators' side: daemons should not pay for its libraries.
+    from .operator_client import OperatorClient
+
     token = os.environ.get(TOKEN_VARIABLE, "")
     if FLAGS.token_file:
         token = Path(FLAGS.token_file).read_text(encoding="utf-8").strip()
@@ -121,7 +136,7 @@
 
 
 def _run_control(arguments: list[str]) -> int:
-    from ..daemons.control import format_folder, run_control
+    from ..daemons.control.main import format_folder, run_control
 
     loaded = _load(load_control_settings)
     if isinstance(loaded, Failure) or arguments not in ([], ["format"]):
@@ -140,6 +155,40 @@
     return EXIT_OK
 
 
+def _run_gateway(arguments: list[str]) -> int:
+    from ..daemons.gateway import run_gateway
+
+    _use_settings_variable()
+    loaded = _load(load_gateway_settings)
+    if isinstance(loaded, Failure) or arguments:
+        return _bad_settings(loaded)
+    anyio.run(run_gateway, loaded.unwrap(), backend_options={"use_uvloop": True})
+    return EXIT_OK
+
+
+def _run_registry(arguments: list[str]) -> int:
+    from ..daemons.registry import run_registry
+
+    _use_settings_variable()
+    loaded = _load(load_registry_settings)
+    if isinstance(loaded, Failure) or arguments:
+        return _bad_settings(loaded)
+    try:
+        anyio.run(run_registry, loaded.unwrap(), backend_options={"use_uvloop": True})
+    except (ProblemError, ExceptionGroup) as error:
+        problem = _find_problem(error)
+        if problem is None:
+            raise
+        return _fail(problem, EXIT_STORAGE)
+    return EXIT_OK
+
+
+def _use_settings_variable() -> None:
+    """Take the settings file from the environment if the command line names none."""
+    if FLAGS.settings is None and SETTINGS_VARIABLE in os.environ:
+        FLAGS["settings"].value = os.environ[SETTINGS_VARIABLE]
+
+
 def _bad_settings(loaded: Result[Any, Problem]) -> int:
     if isinstance(loaded, Failure) and FLAGS.settings is not None:
         return _fail(loaded.failure(), EXIT_USAGE)
@@ -175,6 +224,8 @@
 
 
 def _config(arguments: list[str]) -> int:
+    from . import config_commands
+
     if len(arguments) == 2 and arguments[0] == "validate":
         return _print(config_commands.validate_file(Path(arguments[1])))
     client = _operator_client()
@@ -198,6 +249,8 @@
 
 def _operator_call(method: str, path: str) -> Command:
     def command(arguments: list[str]) -> int:
+        from .operator_client import call
+
         client = _operator_client()
         if client is None or arguments:
             return _usage("--controls and a token are needed, and no further words")
@@ -209,6 +262,8 @@
 COMMANDS: Final[dict[str, Command]] = {
     "entry": _run_entry,
     "control": _run_control,
+    "gateway": _run_gateway,
+    "registry": _run_registry,
     "settings": _settings,
     "config": _config,
     "status": _operator_call("GET", "/v1/status"),
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -0,0 +1,83 @@
+"""Answering callers: checks, forwarding, and one log line for each request."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ...http1 import HttpSite
+from ...model import ProblemError
+from ...model.traffic import RequestKind
+from ...platform.exchange import read_caller_facts
+from ..plain_problems import write_problem
+from .checks import Permit, permit_request
+from .plain import forward_plain
+from .stream import forward_stream
+
+if TYPE_CHECKING:
+    from ...http1 import Exchange, HttpRequest
+    from ...model.exchange import CallerFacts
+    from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+
+def build_caller_site(state: GatewayState) -> HttpSite:
+    """Build what callers are served.
+
+    Args:
+        state: The process's state.
+    """
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        facts = read_caller_facts(request)
+        permit: Permit | None = None
+        outcome = "caller-left"
+        try:
+            permit = permit_request(state, request, facts)
+            await _forward(state, permit, request, exchange)
+            outcome = "answered" if exchange.complete else "broken-off"
+        except ProblemError as error:
+            outcome = f"{error.problem.code.name}: {error.problem.detail}"
+            state.metrics.counters[f"code-{error.problem.code.name}"] += 1
+            await write_problem(exchange, error.problem)
+        finally:
+            _note_request(state, request, facts, permit, outcome)
+
+    return HttpSite(handler=handle, write_problem=write_problem, limits=lambda: state.limits)
+
+
+async def _forward(
+    state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
+) -> None:
+    is_path = permit.pool.engine is not None and permit.route.kind is RequestKind.STREAM
+    if is_path:
+        await forward_stream(state, permit, request, exchange)
+    else:
+        await forward_plain(state, permit, request, exchange)
+
+
+def _note_request(
+    state: GatewayState,
+    request: HttpRequest,
+    facts: CallerFacts,
+    permit: Permit | None,
+    outcome: str,
+) -> None:
+    state.metrics.counters["requests"] += 1
+    now = anyio.current_time()
+    extra = {
+        "request": facts.attempt_id,
+        "outcome": outcome,
+        "seconds": round(now - request.arrived_at, 4),
+        "version": state.version,
+        "version_age": round(now - state.freshness.as_of, 2),
+    }
+    if permit is not None:
+        extra["route"] = permit.route.name
+        extra["pool"] = permit.pool.name
+        extra["account"] = permit.account
+    level = logging.INFO if outcome in ("answered", "caller-left") else logging.WARNING
+    logger.log(level, "request", extra=extra)
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -0,0 +1,112 @@
+"""What a request may do: route, client account, time, all judged by one version of the document."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...model import Problem, ProblemError, ResultCode
+from ...routing.route_index import choose_pool, find_route
+from .state import belief_holds
+
+if TYPE_CHECKING:
+    from ...http1 import HttpRequest
+    from ...model.exchange import CallerFacts
+    from ...model.traffic import RouteRule, UpstreamPool
+    from .state import GatewayState
+
+STALE_RETRY_SECONDS: Final = 0.5
+"""When to come back to a box that lost touch with the control boxes: one question to them."""
+
+ANSWER_MARGIN_SECONDS: Final = 0.05
+"""Taken off a caller's patience, so that the final answer reaches it in time."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Permit:
+    """A request after all checks."""
+
+    facts: CallerFacts
+    """What the request says."""
+
+    route: RouteRule
+    """Its route."""
+
+    pool: UpstreamPool
+    """Pool that was drawn for it."""
+
+    account: str | None
+    """Client account that its key belongs to."""
+
+    priority: int
+    """Its rank."""
+
+    deadline: float
+    """When it must have its final answer, on the monotonic clock."""
+
+    version: int
+    """Version of the document that it was judged by."""
+
+
+def refusal(code: ResultCode, detail: str, retry_after: float | None = None) -> ProblemError:
+    """Build the error that refuses a request."""
+    return ProblemError(Problem(code=code, detail=detail, retry_after=retry_after))
+
+
+def permit_request(state: GatewayState, request: HttpRequest, facts: CallerFacts) -> Permit:
+    """Check a request against the document in force.
+
+    A box that cannot be sure to hold the newest document refuses what depends on it: a key may
+    have been taken away, and a missing route may have been added.
+
+    Args:
+        state: The process's state.
+        request: The request.
+        facts: What it says.
+
+    Returns:
+        What it may do.
+
+    Raises:
+        ProblemError: If it is refused; it has not run.
+    """
+    configuration = state.configuration
+    if configuration is None:
+        raise refusal(ResultCode.STARTING, "no document yet", STALE_RETRY_SECONDS)
+    is_sure = belief_holds(state, anyio.current_time())
+    route = find_route(state.index, facts.host, facts.path)
+    if route is None:
+        if not is_sure:
+            raise _stale(state)
+        raise refusal(ResultCode.NOT_FOUND, f"no route for {facts.host}{facts.path}")
+    account, priority = None, route.priority
+    if state.index.needs_keys and not route.public:
+        if not is_sure:
+            raise _stale(state)
+        held = state.index.accounts.get(facts.key or "")
+        if held is None:
+            code = ResultCode.KEY_UNKNOWN if facts.key else ResultCode.KEY_MISSING
+            raise refusal(code, f"document {configuration.version}")
+        account = held.name
+        priority = route.priority if held.priority is None else held.priority
+    pool = configuration.pools[choose_pool(route, state.rng)]
+    seconds = route.timeout
+    if facts.patience is not None:
+        seconds = min(seconds, facts.patience - ANSWER_MARGIN_SECONDS)
+    return Permit(
+        facts=facts,
+        route=route,
+        pool=pool,
+        account=account,
+        priority=priority,
+        deadline=request.arrived_at + seconds,
+        version=configuration.version,
+    )
+
+
+def _stale(state: GatewayState) -> ProblemError:
+    age = anyio.current_time() - state.freshness.as_of
+    detail = f"document {state.version} was last confirmed {age:.1f} s ago"
+    return refusal(ResultCode.BELIEF_STALE, detail, STALE_RETRY_SECONDS)
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -0,0 +1,166 @@
+"""Following control boxes: the published document, its freshness, and registrations."""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure
+
+from ...coordination.freshness import ask, take_answer
+from ...links.messages import (
+    DocumentPull,
+    DocumentPush,
+    PeerHint,
+    RegistrationAges,
+    RegistrationNews,
+    VersionQuery,
+    VersionReply,
+)
+from ...model.registration import UpstreamState
+from ...platform.configuration import decode_configuration
+from ...routing.forwarding_table import drop_upstream, put_registration
+from ...routing.route_index import build_index
+from ..peers import SILENCE_SECONDS, add_peers
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from ...model.registration import Liveness
+    from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+ASK_SECONDS: Final = 0.5
+"""How often each control box is asked for the newest version: ten times within the bound after
+which a key that was taken away must not work."""
+
+FORGET_SECONDS: Final = 15.0
+"""An upstream that no control box has heard for this long is dropped here too."""
+
+GONE_REMEMBERED: Final = 4096
+"""Runs of ended upstreams that are kept, so that late news do not bring one back."""
+
+
+async def serve_control(state: GatewayState, address: str, link: Link) -> None:
+    """Serve the link to one control box.
+
+    Args:
+        state: The process's state.
+        address: IP number of the control box.
+        link: The link.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_keep_asking, state, link)
+        while True:
+            with anyio.fail_after(SILENCE_SECONDS):
+                message = await link.receive()
+            match message:
+                case VersionReply():
+                    _take_reply(state, link, message)
+                case DocumentPush():
+                    put_in_force(state, message)
+                case RegistrationNews():
+                    take_news(state, message.told)
+                case RegistrationAges():
+                    _take_ages(state, message.ages)
+                case PeerHint():
+                    if state.peers is not None:
+                        add_peers(state.peers, message.addresses)
+                case _:
+                    logger.warning("message of the wrong kind", extra={"peer": address})
+
+
+async def _keep_asking(state: GatewayState, link: Link) -> None:
+    link.post(DocumentPull(version=state.version))
+    while True:
+        link.post(VersionQuery(call=ask(state.freshness, anyio.current_time())))
+        await anyio.sleep(ASK_SECONDS)
+
+
+def _take_reply(state: GatewayState, link: Link, reply: VersionReply) -> None:
+    take_answer(state.freshness, reply.call, reply.version, reply.age)
+    state.entries = max(state.entries, reply.entries)
+    if reply.version > state.version:
+        link.post(DocumentPull(version=state.version))
+
+
+def put_in_force(state: GatewayState, push: DocumentPush) -> None:
+    """Put a document in force if it is newer than the one that is.
+
+    Args:
+        state: The process's state.
+        push: The document.
+    """
+    if push.version <= state.version:
+        return
+    decoded = decode_configuration(zlib.decompress(push.body))
+    if isinstance(decoded, Failure):
+        logger.error(
+            "document unreadable",
+            extra={"version": push.version, "detail": decoded.failure().detail},
+        )
+        return
+    before = state.version
+    configuration = decoded.unwrap()
+    state.index = build_index(configuration)
+    state.configuration = configuration
+    logger.info(
+        "document in force",
+        extra={"version": push.version, "before": before, "routes": len(configuration.routes)},
+    )
+
+
+def take_news(state: GatewayState, told: tuple[Liveness, ...]) -> None:
+    """Take in what upstreams said of themselves.
+
+    Args:
+        state: The process's state.
+        told: Registrations with their ages.
+    """
+    now = anyio.current_time()
+    for item in told:
+        registration = item.registration
+        instance = registration.instance
+        if instance in state.gone:
+            continue
+        held = state.table.upstreams.get(instance)
+        if registration.state is UpstreamState.GONE:
+            _remember_gone(state, instance)
+        elif held is not None and registration.sequence <= held.registration.sequence:
+            continue
+        put_registration(state.table, registration, now - item.age)
+        if held is None or held.registration.state is not registration.state:
+            logger.info(
+                "upstream known",
+                extra={
+                    "upstream": instance,
+                    "state": registration.state.value,
+                    "sequence": registration.sequence,
+                },
+            )
+
+
+def _remember_gone(state: GatewayState, instance: str) -> None:
+    state.gone[instance] = None
+    while len(state.gone) > GONE_REMEMBERED:
+        del state.gone[next(iter(state.gone))]
+
+
+def _take_ages(state: GatewayState, told: dict[str, float]) -> None:
+    now = anyio.current_time()
+    for instance, age in told.items():
+        held = state.table.upstreams.get(instance)
+        if held is not None:
+            held.heard_at = max(held.heard_at, now - age)
+    silent = [
+        instance
+        for instance, held in state.table.upstreams.items()
+        if now - held.heard_at > FORGET_SECONDS
+    ]
+    for instance in silent:
+        drop_upstream(state.table, instance)
+        logger.warning(
+            "upstream not heard", extra={"upstream": instance, "seconds": FORGET_SECONDS}
+        )
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -0,0 +1,120 @@
+"""The gateway process: callers on one side, registered upstreams on the other."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...http1 import HttpSite, serve_http1
+from ...links import LinkIdentity
+from ...links.messages import PeerRole
+from ..peers import Peers, run_peers
+from ..signals import on_stop_signal
+from ..supervisor import Child, Restart, supervise
+from .app import build_caller_site
+from .following import serve_control
+from .readiness import build_ready_site
+from .state import GatewayState
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from ...settings import GatewaySettings
+
+logger = logging.getLogger(__name__)
+
+NOTICE_SECONDS: Final = 2.6
+"""How long a stopping process still serves new connections: the balancer asks once a second and
+takes two refusals in a row."""
+
+STOP_MARGIN_SECONDS: Final = 0.8
+"""Left of the time for a planned stop when requests in progress are given up."""
+
+POLL_SECONDS: Final = 0.05
+
+EXPIRE_SECONDS: Final = 2.0
+"""How often idle connections to upstreams are looked through."""
+
+
+def build_state(settings: GatewaySettings) -> GatewayState:
+    """Build the state of a gateway process, without a document."""
+    state = GatewayState(settings=settings)
+    own = settings.box.address
+
+    async def serve(address: str, link: Link) -> None:
+        await serve_control(state, address, link)
+
+    state.peers = Peers(
+        identity=LinkIdentity(
+            cluster=settings.cluster.name,
+            role=PeerRole.ENTRY,
+            box=own,
+            failure_domain=settings.box.failure_domain,
+            instance=secrets.token_hex(8),
+            secret=settings.cluster.secret,
+            source_address=own,
+        ),
+        own_address=own,
+        link_port=settings.cluster.link_port,
+        serve=serve,
+    )
+    return state
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway process until it is told to stop.
+
+    Args:
+        settings: Settings of the process.
+    """
+    state = build_state(settings)
+    peers = state.peers
+    assert peers is not None
+    callers = build_caller_site(state)
+    ready = build_ready_site(state)
+    children = [
+        Child(name="callers", run=lambda: serve_http1(settings.gateway.caller_address, callers)),
+        Child(name="ready", run=lambda: serve_http1(settings.gateway.ready_address, ready)),
+        Child(
+            name="peers",
+            run=lambda: run_peers(peers, lambda: settings.cluster.seeds),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="expiry", run=lambda: _expire(state), restart=Restart.ALWAYS),
+    ]
+    async with anyio.create_task_group() as tasks:
+
+        async def planned_stop() -> None:
+            await _stop(state, callers)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(on_stop_signal, planned_stop)
+        logger.info("gateway starts", extra={"seeds": list(settings.cluster.seeds)})
+        await supervise(children)
+    logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
+
+
+async def _expire(state: GatewayState) -> None:
+    while True:
+        await anyio.sleep(EXPIRE_SECONDS)
+        await state.connections.close_expired()
+
+
+async def _stop(state: GatewayState, callers: HttpSite) -> None:
+    """Stop without cutting a request: call unready, serve on, end idle connections, finish."""
+    state.stopping = True
+    callers.stopping = True
+    logger.info("planned stop", extra={"in_progress": callers.in_progress})
+    limit = state.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+    with anyio.move_on_after(limit) as scope:
+        await anyio.sleep(min(NOTICE_SECONDS, limit / 2))
+        callers.close_idle()
+        while callers.in_progress or callers.open_connections:
+            await anyio.sleep(POLL_SECONDS)
+            callers.close_idle()
+    if scope.cancelled_caught:
+        logger.warning(
+            "stopped with requests in progress", extra={"in_progress": callers.in_progress}
+        )
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -0,0 +1,242 @@
+"""Forwarding to plain services: choice of the upstream, repeats, and the final answer."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...model import Execution, Problem, ProblemError, ResultCode
+from ...model.exchange import Dispatch
+from ...model.traffic import RequestKind
+from ...platform.exchange import caller_headers
+from ...routing.forwarding_table import (
+    is_silent,
+    is_usable,
+    note_failed,
+    note_full,
+    note_lost,
+    note_served,
+    pressure,
+)
+from ...routing.repeat_window import note_first, take_repeat
+from .checks import Permit, refusal
+from .state import budget_of, record
+from .upstream_call import (
+    FAILED_STATUS,
+    AnswerLostError,
+    NotSentError,
+    OpenAnswer,
+    open_answer,
+    read_whole,
+)
+
+if TYPE_CHECKING:
+    from ...http1 import Exchange, HttpRequest
+    from ...routing.forwarding_table import ForwardedUpstream
+    from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+FAR_PRESSURE: Final = 0.15
+"""How much emptier an upstream of another failure domain must be, in requests per slot."""
+
+JITTER: Final = 0.05
+"""Random part of the choice, so that boxes that know the same do not choose the same."""
+
+SILENT_PRESSURE: Final = 2.0
+"""Added for an upstream that nobody has heard lately."""
+
+TRY_SHARE: Final = 0.6
+"""Part of the expected latency after which a repeatable request is tried elsewhere. Slow and
+silent upstreams take that long; of healthy ones under 1 in 100 requests does."""
+
+TRY_FLOOR_SECONDS: Final = 0.2
+"""Least time for one try."""
+
+REFUSALS_LIMIT: Final = 3
+"""Upstreams that may refuse one request before the caller is told to come back."""
+
+
+@dataclass(kw_only=True)
+class _Tries:
+    """What came of a request so far."""
+
+    tried: set[str] = field(default_factory=set)
+    """Upstreams that it was sent to or could not be sent to."""
+
+    sent: int = 0
+    """Times it was sent."""
+
+    runs: int = 0
+    """Times it may have run."""
+
+    refusals: int = 0
+    """Upstreams that refused it as not run."""
+
+    answer: OpenAnswer | None = None
+    """Newest answer of an upstream that ran it and failed."""
+
+    body: bytes = b""
+    """Body of that answer."""
+
+
+async def forward_plain(
+    state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
+) -> None:
+    """Forward a request and give the caller the final answer.
+
+    Args:
+        state: The process's state.
+        permit: What the request may do.
+        request: The request.
+        exchange: The answering side.
+
+    Raises:
+        ProblemError: If no upstream answered it.
+    """
+    tries = _Tries()
+    budget = budget_of(state, permit.pool.name)
+    note_first(budget, anyio.current_time())
+    with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
+        while (upstream := _next_upstream(state, permit, tries)) is not None:
+            if tries.sent and not take_repeat(budget, anyio.current_time(), state.entries):
+                state.metrics.counters["repeat-refused"] += 1
+                break
+            if await _try_once(state, permit, request, tries, upstream):
+                break
+    await _finish(state, permit, request, exchange, tries)
+
+
+def _next_upstream(state: GatewayState, permit: Permit, tries: _Tries) -> ForwardedUpstream | None:
+    """Choose the upstream for the next try, if there is to be one."""
+    repeatable = permit.route.kind is RequestKind.REPEATABLE
+    if tries.runs and (not repeatable or tries.runs >= permit.route.max_attempts):
+        return None
+    if tries.refusals >= REFUSALS_LIMIT:
+        return None
+    now = anyio.current_time()
+    candidates = [
+        item
+        for item in state.table.pools.get(permit.pool.name, [])
+        if not item.leaving and item.registration.instance not in tries.tried
+    ]
+    usable = [item for item in candidates if is_usable(item, now)] or candidates
+    if not usable:
+        return None
+    own = state.settings.box.failure_domain
+
+    def weight(item: ForwardedUpstream) -> float:
+        far = FAR_PRESSURE if item.registration.failure_domain != own else 0.0
+        silent = SILENT_PRESSURE if is_silent(item, now) else 0.0
+        return pressure(item, now, state.entries) + far + silent + state.rng.random() * JITTER
+
+    return min(usable, key=weight)
+
+
+async def _try_once(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    tries: _Tries,
+    upstream: ForwardedUpstream,
+) -> bool:
+    """Send a request to one upstream; returns True if its answer is final."""
+    instance = upstream.registration.instance
+    tries.tried.add(instance)
+    repeatable = permit.route.kind is RequestKind.REPEATABLE
+    now = anyio.current_time()
+    seconds = permit.deadline - now
+    if repeatable and tries.runs == 0 and permit.route.max_attempts > 1:
+        seconds = min(seconds, max(permit.route.target_latency * TRY_SHARE, TRY_FLOOR_SECONDS))
+    dispatch = Dispatch(
+        instance=instance,
+        account=permit.account,
+        patience=permit.deadline - now,
+        priority=permit.priority,
+    )
+    tries.sent += 1
+    tries.runs += 1
+    upstream.in_flight += 1
+    outcome = "answered"
+    try:
+        with anyio.fail_after(seconds):
+            answer = await open_answer(
+                state, permit, request, dispatch, upstream, fresh_connection=not repeatable
+            )
+            body = await read_whole(state, answer)
+        return _judge(tries, upstream, answer, body)
+    except NotSentError as error:
+        outcome = f"not sent: {error}"
+        tries.sent -= 1
+        tries.runs -= 1
+        note_lost(upstream, anyio.current_time())
+        return False
+    except AnswerLostError as error:
+        outcome = f"lost: {error}"
+        note_failed(upstream, anyio.current_time())
+        return False
+    except TimeoutError:
+        outcome = f"no answer within {seconds:.2f} s"
+        note_failed(upstream, anyio.current_time())
+        return False
+    finally:
+        upstream.in_flight -= 1
+        if outcome != "answered":
+            state.metrics.counters["try-failed"] += 1
+            logger.warning(
+                "try failed",
+                extra={
+                    "request": permit.facts.attempt_id,
+                    "upstream": instance,
+                    "outcome": outcome,
+                    "tries": tries.sent,
+                },
+            )
+
+
+def _judge(tries: _Tries, upstream: ForwardedUpstream, answer: OpenAnswer, body: bytes) -> bool:
+    """Take in a whole answer; returns True if it is final."""
+    now = anyio.current_time()
+    status = answer.head.status_code
+    if answer.facts.not_run:
+        tries.runs -= 1
+        tries.refusals += 1
+        if answer.facts.wrong_upstream:
+            note_failed(upstream, now)
+        else:
+            note_full(upstream, now)
+        return False
+    if not answer.facts.signed:
+        # An answer that its upstream did not sign may belong to anybody.
+        raise AnswerLostError(f"unsigned answer with status {status}")
+    tries.answer, tries.body = answer, body
+    if status >= FAILED_STATUS:
+        return False
+    note_served(upstream)
+    return True
+
+
+async def _finish(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    tries: _Tries,
+) -> None:
+    if tries.answer is not None:
+        head = tries.answer.head
+        record(state.metrics.answer, anyio.current_time() - request.arrived_at)
+        headers = caller_headers(head.headers.raw_items())
+        await exchange.answer(head.status_code, headers, tries.body)
+        return
+    if tries.runs == 0:
+        if tries.refusals:
+            raise refusal(ResultCode.UPSTREAM_REFUSED, f"{tries.refusals} upstreams refused")
+        raise refusal(ResultCode.NO_ROUTE, f"no upstream of {permit.pool.name}", 0.5)
+    late = anyio.current_time() >= permit.deadline
+    code = ResultCode.DEADLINE_EXCEEDED if late else ResultCode.UPSTREAM_LOST
+    detail = f"sent {tries.sent} times without a whole answer"
+    raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/readiness.py
@@ -0,0 +1,41 @@
+"""Whether this box wants new connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ...http1 import HttpSite
+from ...model import Problem, ResultCode
+from ...platform.control_calls import READY_PATH
+from ..plain_problems import write_problem
+from .state import belief_holds
+
+if TYPE_CHECKING:
+    from ...http1 import Exchange, HttpRequest
+    from .state import GatewayState
+
+OK = 200
+
+
+def is_ready(state: GatewayState) -> bool:
+    """Tell whether a caller that connects now is likely to be served."""
+    if state.stopping or state.configuration is None:
+        return False
+    return belief_holds(state, anyio.current_time()) and bool(state.table.upstreams)
+
+
+def build_ready_site(state: GatewayState) -> HttpSite:
+    """Build what the balancer asks."""
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        if request.target.decode("latin-1").partition("?")[0] != READY_PATH:
+            await write_problem(exchange, Problem(code=ResultCode.NOT_FOUND))
+        elif is_ready(state):
+            await exchange.answer(OK, [(b"Content-Type", b"text/plain")], b"ready\n")
+        else:
+            code = ResultCode.STOPPING if state.stopping else ResultCode.STARTING
+            await write_problem(exchange, Problem(code=code))
+
+    return HttpSite(handler=handle, write_problem=write_problem)
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -0,0 +1,143 @@
+"""What all parts of a gateway process share."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from hdrh.histogram import HdrHistogram
+
+from ...coordination.freshness import Freshness, is_fresh
+from ...http1 import ConnectionPool
+from ...model.traffic import CallerLimits
+from ...routing.forwarding_table import ForwardingTable
+from ...routing.pace import Pace
+from ...routing.repeat_window import RepeatWindow
+from ...routing.route_index import RouteIndex
+
+if TYPE_CHECKING:
+    from ...model.traffic import TrafficConfiguration
+    from ...settings import GatewaySettings
+    from ..peers import Peers
+
+BELIEF_SHARE: Final = 0.85
+"""Part of the revocation bound for which a belief is used; the rest is room for the request's way
+here and on to the upstream."""
+
+LOWEST_MICROSECONDS: Final = 100
+HIGHEST_MICROSECONDS: Final = 60_000_000
+SIGNIFICANT_DIGITS: Final = 2
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+
+
+@dataclass(kw_only=True)
+class GatewayMetrics:
+    """What a gateway counts and times."""
+
+    counters: Counter[str] = field(default_factory=Counter)
+    """Answers by code, repeats, lost engines and the like."""
+
+    answer: HdrHistogram = field(default_factory=_histogram)
+    """Time to whole answers of plain services."""
+
+    first_event: HdrHistogram = field(default_factory=_histogram)
+    """Time to the first event of streams."""
+
+    gap: HdrHistogram = field(default_factory=_histogram)
+    """Time between events of streams."""
+
+
+def record(histogram: HdrHistogram, seconds: float) -> None:
+    """Record a duration, cut to the histogram's range."""
+    value = int(seconds * 1e6)
+    histogram.record_value(min(max(value, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS))
+
+
+@dataclass(kw_only=True)
+class GatewayState:
+    """State of one gateway process."""
+
+    settings: GatewaySettings
+    """Its settings."""
+
+    configuration: TrafficConfiguration | None = None
+    """The document in force, decoded; None before the first."""
+
+    index: RouteIndex = field(default_factory=RouteIndex)
+    """Look-up tables of the document in force."""
+
+    freshness: Freshness = field(default_factory=Freshness)
+    """Since when the document is known to be the newest."""
+
+    entries: int = 1
+    """Most entry boxes that a control box has told of."""
+
+    table: ForwardingTable = field(default_factory=ForwardingTable)
+    """Upstreams that registered."""
+
+    gone: dict[str, None] = field(default_factory=dict)
+    """Runs of upstreams that have ended, oldest first."""
+
+    connections: ConnectionPool = field(default_factory=ConnectionPool)
+    """Idle connections to upstreams."""
+
+    repeats: dict[str, RepeatWindow] = field(default_factory=dict)
+    """Budget of repeats by pool."""
+
+    first_pace: Pace = field(default_factory=Pace)
+    """Times to the first event of streams."""
+
+    rng: random.Random = field(default_factory=random.Random)
+    """Source of choices and jitter."""
+
+    metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
+    """Counters and histograms."""
+
+    peers: Peers | None = None
+    """Links to control boxes."""
+
+    stopping: bool = False
+    """True once a planned stop has begun."""
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force; 0 before the first."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Bounds for callers."""
+        return self.configuration.limits if self.configuration is not None else CallerLimits()
+
+
+def belief_holds(state: GatewayState, now: float) -> bool:
+    """Tell whether keys and routes may be judged by the document in force.
+
+    Args:
+        state: The process's state.
+        now: Monotonic time, read after the request.
+    """
+    bounds = state.settings.bounds
+    if not bounds.strict_revocation:
+        return state.configuration is not None
+    bound = bounds.revocation_ms / 1000.0 * BELIEF_SHARE
+    return state.configuration is not None and is_fresh(state.freshness, state.version, now, bound)
+
+
+def budget_of(state: GatewayState, pool: str) -> RepeatWindow:
+    """Return the budget of repeats of a pool."""
+    window = state.repeats.get(pool)
+    if window is None:
+        bounds = state.settings.bounds
+        window = RepeatWindow(
+            ratio=bounds.repeat_ratio,
+            reserve=bounds.repeat_reserve,
+            seconds=bounds.repeat_window_seconds,
+        )
+        state.repeats[pool] = window
+    return window
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -0,0 +1,144 @@
+"""One try of a request at one upstream, up to the head of its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...http1 import (
+    AnswerBrokenError,
+    ConnectError,
+    UpstreamConnection,
+    connect,
+    read_head,
+    read_part,
+    send_request,
+)
+from ...platform.exchange import dispatch_headers, read_answer_facts
+from ...routing.forwarding_table import note_load
+
+if TYPE_CHECKING:
+    import h11
+
+    from ...http1 import HttpRequest
+    from ...model.exchange import AnswerFacts, Dispatch
+    from ...routing.forwarding_table import ForwardedUpstream
+    from .checks import Permit
+    from .state import GatewayState
+
+CONNECT_SECONDS: Final = 0.25
+"""How long a connection may take: a hundred round trips inside a region. An upstream that does
+not accept by then is full or lost, and nothing was sent to it."""
+
+FAILED_STATUS: Final = 500
+"""Least status that counts as a failure of the upstream."""
+
+
+class NotSentError(Exception):
+    """The upstream could not be reached; nothing was sent."""
+
+
+class AnswerLostError(Exception):
+    """The request may have run, and there is no whole answer."""
+
+
+@dataclass(kw_only=True)
+class OpenAnswer:
+    """An answer whose head has been read."""
+
+    connection: UpstreamConnection
+    """Connection that carries the rest."""
+
+    head: h11.Response
+    """Status and header fields."""
+
+    facts: AnswerFacts
+    """What the head says."""
+
+    @property
+    def succeeded(self) -> bool:
+        """True for a status that says that the request was served."""
+        return 200 <= self.head.status_code < 300
+
+
+async def open_answer(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    dispatch: Dispatch,
+    upstream: ForwardedUpstream,
+    *,
+    fresh_connection: bool,
+) -> OpenAnswer:
+    """Send a request to an upstream and wait for the head of its answer.
+
+    Args:
+        state: The process's state.
+        permit: What the request may do.
+        request: The request.
+        dispatch: What is added to it.
+        upstream: Where to send it.
+        fresh_connection: True if a connection that was used before must not carry it: its loss
+            could not be told from the loss of the answer.
+
+    Returns:
+        The answer, of which only the head was read. The caller closes or gives back its
+        connection.
+
+    Raises:
+        NotSentError: If nothing was sent.
+        AnswerLostError: If the request may have run and no answer that belongs to it came.
+    """
+    connection = await _connection(state, upstream, fresh_connection=fresh_connection)
+    hide_key = state.index.needs_keys
+    headers = dispatch_headers(request, dispatch, hide_key=hide_key)
+    try:
+        await send_request(connection, request.method, request.target, headers, request.body)
+        head = await read_head(connection)
+        facts = read_answer_facts(head.status_code, head.headers)
+        if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
+            raise AnswerBrokenError("the answer belongs to another request")
+    except AnswerBrokenError as error:
+        await connection.close()
+        raise AnswerLostError(str(error)) from error
+    except BaseException:
+        await connection.close()
+        raise
+    note_load(upstream, facts.load, anyio.current_time())
+    return OpenAnswer(connection=connection, head=head, facts=facts)
+
+
+async def _connection(
+    state: GatewayState, upstream: ForwardedUpstream, *, fresh_connection: bool
+) -> UpstreamConnection:
+    address = upstream.registration.address
+    if not fresh_connection:
+        pooled = await state.connections.take(address)
+        if pooled is not None:
+            return pooled
+    try:
+        return await connect(address, source=state.settings.box.address, seconds=CONNECT_SECONDS)
+    except ConnectError as error:
+        raise NotSentError(str(error)) from error
+
+
+async def read_whole(state: GatewayState, answer: OpenAnswer) -> bytes:
+    """Read the body of an answer to its end and give the connection back.
+
+    Raises:
+        AnswerLostError: If it ends early.
+    """
+    parts: list[bytes] = []
+    try:
+        while (part := await read_part(answer.connection)) is not None:
+            parts.append(part)
+    except AnswerBrokenError as error:
+        await answer.connection.close()
+        raise AnswerLostError(str(error)) from error
+    except BaseException:
+        await answer.connection.close()
+        raise
+    await state.connections.give_back(answer.connection, answer.facts.keep_seconds)
+    return b"".join(parts)
--- /dev/null
+++ b/src/ledgeladder/daemons/plain_problems.py
@@ -0,0 +1,48 @@
+"""How a problem is answered where requests and answers are forwarded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from ..model import CODE_TABLE, EXECUTION_HEADER, Execution, Problem
+
+if TYPE_CHECKING:
+    from ..http1 import Exchange
+
+CODE_FIELD: Final = b"Ledgeladder-Code"
+
+DEFAULT_RETRY_SECONDS: Final = 0.25
+"""When to come back after a refusal that names no time. Half of the time in which a first event
+is expected, so that a second try can still be in time."""
+
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and will not run."""
+
+
+async def write_problem(exchange: Exchange, problem: Problem) -> None:
+    """Answer with a problem.
+
+    Args:
+        exchange: The answering side.
+        problem: The problem.
+    """
+    headers = [
+        (b"Content-Type", b"application/json"),
+        (CODE_FIELD, str(int(problem.code)).encode()),
+        (EXECUTION_HEADER.encode(), problem.known_execution.value.encode()),
+    ]
+    if problem.status in NOT_RUN_STATUSES:
+        assert problem.known_execution is Execution.NOT_RUN
+        seconds = problem.retry_after or DEFAULT_RETRY_SECONDS
+        headers.append((b"Retry-After", f"{seconds:.3g}".encode()))
+    body = {
+        "error": {
+            "code": int(problem.code),
+            "type": problem.code.name.lower(),
+            "meaning": CODE_TABLE[problem.code].meaning,
+            "detail": problem.detail,
+        }
+    }
+    await exchange.answer(problem.status, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -0,0 +1,135 @@
+"""The HTTP interface of a registry process: upstreams register, operators publish and read."""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure
+
+from ...coordination.registrations import take_registration
+from ...http1 import HttpSite
+from ...model import Problem, ResultCode
+from ...model.registration import UpstreamState
+from ...model.traffic import CallerLimits
+from ...platform.configuration import decode_configuration
+from ...platform.control_calls import (
+    ACKNOWLEDGED,
+    JSON_HEADERS,
+    Publish,
+    ReadDocument,
+    Register,
+    read_control_call,
+)
+from ..plain_problems import write_problem
+from .mesh import tell_registration
+from .newest import publish, wait_until_sure
+
+if TYPE_CHECKING:
+    from ...http1 import Exchange, HttpRequest
+    from .state import RegistryState
+
+logger = logging.getLogger(__name__)
+
+DOCUMENT_LIMIT_BYTES: Final = 16 * 1024 * 1024
+"""Longest document that an operator may publish."""
+
+READ_SECONDS: Final = 0.8
+"""How long a read waits to be sure of the newest version. Operators move on to another box after
+a second without an answer."""
+
+OK: Final = 200
+
+
+def build_site(state: RegistryState, counters: Counter[str]) -> HttpSite:
+    """Build what a registry process serves.
+
+    Args:
+        state: The process's state.
+        counters: Counts calls by outcome.
+    """
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        call = read_control_call(request)
+        match call:
+            case Register():
+                await _register(state, counters, call, exchange)
+            case Publish():
+                await _publish(state, counters, call, exchange)
+            case ReadDocument():
+                await _read(state, counters, request, exchange)
+            case Problem():
+                counters[call.code.name] += 1
+                logger.info("call refused", extra={"code": call.code.name, "detail": call.detail})
+                await write_problem(exchange, call)
+
+    limits = CallerLimits(body_bytes=DOCUMENT_LIMIT_BYTES)
+    return HttpSite(handler=handle, write_problem=write_problem, limits=lambda: limits)
+
+
+async def _register(
+    state: RegistryState, counters: Counter[str], call: Register, exchange: Exchange
+) -> None:
+    """Take a registration, tell everybody, then acknowledge."""
+    registration = call.registration
+    counters["registrations"] += 1
+    if take_registration(state.table, registration, anyio.current_time()):
+        tell_registration(state, registration, to_peers=True)
+        if registration.state is not UpstreamState.READY or registration.sequence <= 1:
+            logger.info(
+                "upstream registered",
+                extra={
+                    "upstream": registration.instance,
+                    "state": registration.state.value,
+                    "pool": registration.pool,
+                    "address": registration.address,
+                    "sequence": registration.sequence,
+                },
+            )
+    await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
+
+
+async def _publish(
+    state: RegistryState, counters: Counter[str], call: Publish, exchange: Exchange
+) -> None:
+    decoded = decode_configuration(call.body)
+    if isinstance(decoded, Failure):
+        problem = decoded.failure()
+        counters[problem.code.name] += 1
+        logger.warning(
+            "document refused", extra={"code": problem.code.name, "detail": problem.detail}
+        )
+        await write_problem(exchange, problem)
+        return
+    version = decoded.unwrap().version
+    if version <= state.node.state.published.version:
+        logger.info("document not newer", extra={"version": version})
+        await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
+        return
+    outcome = await publish(state, version, call.body)
+    if isinstance(outcome, Failure):
+        counters[ResultCode.NO_QUORUM.name] += 1
+        logger.warning("document not confirmed", extra={"version": version})
+        await write_problem(exchange, outcome.failure())
+        return
+    result = outcome.unwrap()
+    logger.info("document accepted", extra={"version": version, "newest": result.version})
+    await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
+
+
+async def _read(
+    state: RegistryState, counters: Counter[str], request: HttpRequest, exchange: Exchange
+) -> None:
+    if not await wait_until_sure(state, request.arrived_at, READ_SECONDS):
+        counters[ResultCode.BELIEF_STALE.name] += 1
+        logger.warning("read refused", extra={"version": state.node.state.published.version})
+        await write_problem(exchange, Problem(code=ResultCode.BELIEF_STALE, retry_after=0.5))
+        return
+    published = state.node.state.published
+    if published.version == 0:
+        await write_problem(exchange, Problem(code=ResultCode.STARTING, retry_after=0.5))
+        return
+    await exchange.answer(OK, JSON_HEADERS, zlib.decompress(published.body))
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -0,0 +1,209 @@
+"""The registry process: one member of the replicated log, registrations, publications, orders."""
+
+from __future__ import annotations
+
+import logging
+import random
+import secrets
+import zlib
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Success
+
+from ...coordination import raft
+from ...coordination.voters import next_voters
+from ...http1 import serve_http1
+from ...links import Link, LinkIdentity, serve_links
+from ...links.messages import PeerRole
+from ...platform.configuration import decode_configuration
+from ...storage import box_of, create_identity, member_id, read_identity
+from ..control.handover import start_any_handover
+from ..control.node import ControlNode, open_node, run_log
+from ..peers import Peers, run_peers, seed_addresses
+from ..signals import on_stop_signal
+from ..supervisor import Child, Restart, supervise
+from .http_api import build_site
+from .mesh import push_document, send_to_member, serve_accepted, serve_peer, tell_ages
+from .newest import keep_asking
+from .placing import run_placing
+from .state import RegistryState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...coordination.raft import Envelope
+    from ...settings import RegistrySettings
+
+logger = logging.getLogger(__name__)
+
+LEASE_SHARE: Final = 0.8
+"""Lease as a share of the election time-out; the rest is room for clocks that drift apart."""
+
+HANDOVER_SECONDS: Final = 1.5
+"""How long a planned stop waits for another leader."""
+
+INITIAL_INCARNATION: Final = "initial"
+"""Incarnation of the folders that a cluster is first created with."""
+
+
+def build_state(settings: RegistrySettings) -> RegistryState:
+    """Open the data folder and build the state of the process.
+
+    Only the first start of the whole system makes initial voters, out of the seeds. A box with an
+    empty folder at any other time is a new member: it gets an identity of its own and joins as a
+    learner, so that a vote never rests on a disk that forgot what it had accepted.
+
+    Args:
+        settings: Settings of the process.
+
+    Returns:
+        The state.
+
+    Raises:
+        StorageError: If the folder cannot be trusted.
+    """
+    links: list[RegistryState] = []
+
+    async def serve(address: str, link: Link) -> None:
+        await serve_peer(links[0], address, link)
+
+    def send(envelope: Envelope) -> None:
+        send_to_member(links[0], envelope)
+
+    def changed() -> None:
+        take_published(links[0])
+
+    own = settings.box.address
+    peers = Peers(
+        identity=LinkIdentity(
+            cluster=settings.cluster.name,
+            role=PeerRole.CONTROL,
+            box=own,
+            failure_domain=settings.box.failure_domain,
+            instance=secrets.token_hex(8),
+            secret=settings.cluster.secret,
+            source_address=own,
+        ),
+        own_address=own,
+        link_port=settings.cluster.link_port,
+        serve=serve,
+    )
+    node = _open(settings, send, changed)
+    state = RegistryState(settings=settings, node=node, peers=peers)
+    links.append(state)
+    take_published(state)
+    return state
+
+
+def _open(
+    settings: RegistrySettings,
+    send: Callable[[Envelope], None],
+    changed: Callable[[], None],
+) -> ControlNode:
+    folder, cluster, own = (
+        settings.registry.data_folder,
+        settings.cluster.name,
+        settings.box.address,
+    )
+    seeds = seed_addresses(settings.cluster.seeds)
+    identity = read_identity(folder, cluster=cluster, box=own)
+    if identity is None:
+        initial = settings.cluster.bootstrap and own in seeds
+        identity = create_identity(folder, cluster=cluster, box=own, initial=initial)
+        logger.info("new identity", extra={"member": identity.member_id, "initial": initial})
+    voters: tuple[str, ...] = ()
+    if identity.incarnation == INITIAL_INCARNATION:
+        voters = tuple(sorted(member_id(seed, INITIAL_INCARNATION) for seed in seeds))
+    election = settings.registry.election_seconds
+    wanted = 2 * settings.cluster.tolerated_losses + 1
+    node = open_node(
+        identity=identity,
+        folder=folder,
+        initial_members=raft.Members(voters=voters),
+        timing=raft.Timing(
+            heartbeat=settings.registry.heartbeat_seconds,
+            election=election,
+            lease=election * LEASE_SHARE,
+        ),
+        snapshot_entries=settings.registry.snapshot_entries,
+        send=send,
+        changed=changed,
+        rng=random.Random(),
+    )
+    node.choose_members = lambda replica, applicants, now: next_voters(
+        replica, applicants, now, wanted=wanted, box_of=box_of
+    )
+    return node
+
+
+def take_published(state: RegistryState) -> None:
+    """Decode the published document and send it to the entry boxes."""
+    published = state.node.state.published
+    if published.version == 0:
+        return
+    decoded = decode_configuration(zlib.decompress(published.body))
+    if isinstance(decoded, Success):
+        state.configuration = decoded.unwrap()
+    else:
+        logger.error("published document unreadable", extra={"version": published.version})
+    push_document(state)
+
+
+async def run_registry(settings: RegistrySettings) -> None:
+    """Run a registry process until it is told to stop.
+
+    Args:
+        settings: Settings of the process.
+
+    Raises:
+        StorageError: If the data folder cannot be trusted or the disk fails.
+    """
+    state = build_state(settings)
+    counters: Counter[str] = Counter()
+    site = build_site(state, counters)
+    link_address = f"{settings.box.address}:{settings.cluster.link_port}"
+
+    async def accepted(link: Link) -> None:
+        await serve_accepted(state, link)
+
+    children = [
+        Child(name="log", run=lambda: run_log(state.node), restart=Restart.NEVER),
+        Child(
+            name="links",
+            run=lambda: serve_links(link_address, state.peers.identity, accepted),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="http", run=lambda: serve_http1(settings.registry.address, site)),
+        Child(
+            name="peers",
+            run=lambda: run_peers(state.peers, lambda: settings.cluster.seeds),
+            restart=Restart.ALWAYS,
+        ),
+        Child(name="ages", run=lambda: tell_ages(state), restart=Restart.ALWAYS),
+        Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
+        Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
+    ]
+    async with anyio.create_task_group() as tasks:
+
+        async def planned_stop() -> None:
+            state.stopping = True
+            site.stopping = True
+            logger.info("planned stop", extra={"leads": state.node.replica.is_leader})
+            await _hand_over(state.node)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(on_stop_signal, planned_stop)
+        logger.info("registry starts", extra={"member": state.node.identity.member_id})
+        await supervise(children)
+    state.node.journal.close()
+    logger.info("registry stopped")
+
+
+async def _hand_over(node: ControlNode) -> None:
+    if not node.replica.is_leader or not start_any_handover(node):
+        return
+    with anyio.move_on_after(HANDOVER_SECONDS):
+        while node.replica.is_leader:
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -0,0 +1,210 @@
+"""Links of a registry process: the other control boxes, and the entry boxes that follow it."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...coordination import raft
+from ...coordination.registrations import (
+    ages,
+    forget_silent,
+    take_ages,
+    take_all,
+    tell_all,
+)
+from ...links.messages import (
+    CommandReply,
+    CommandRequest,
+    DocumentPull,
+    DocumentPush,
+    JoinRequest,
+    LogMessage,
+    PeerHint,
+    PeerRole,
+    RegistrationAges,
+    RegistrationNews,
+    VersionQuery,
+    VersionReply,
+)
+from ...model.registration import Liveness
+from ...storage import box_of
+from ..peers import SILENCE_SECONDS, add_peers
+from .newest import (
+    answer_command,
+    answer_version,
+    take_command_reply,
+    take_version_reply,
+)
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from ...coordination.raft import Envelope
+    from ...links import Link
+    from ...links.messages import LinkMessage
+    from ...model.registration import Registration
+    from .state import RegistryState
+
+logger = logging.getLogger(__name__)
+
+AGES_SECONDS: Final = 1.0
+"""How often other boxes are told when each upstream was last heard, about one heartbeat."""
+
+JOIN_SECONDS: Final = 0.3
+"""How often a box that is no member of the log asks to become one."""
+
+LEADER_SILENT_SECONDS: Final = 1.5
+"""A member that heard no leader for this long may have been removed and asks to join again."""
+
+FORGET_SECONDS: Final = 12.0
+"""An upstream that nobody heard for this long, ten heartbeats, is dropped."""
+
+
+def send_to_member(state: RegistryState, envelope: Envelope) -> None:
+    """Send a message of the log over the link to its target's box, or drop it."""
+    link = state.peers.links.get(box_of(envelope.target))
+    if link is not None:
+        link.post(LogMessage(envelope=envelope))
+
+
+def push_document(state: RegistryState) -> None:
+    """Send the published document to every entry box that follows this one."""
+    published = state.node.state.published
+    for link in state.accepted.values():
+        link.post(DocumentPush(version=published.version, body=published.body))
+
+
+def tell_registration(state: RegistryState, registration: Registration, *, to_peers: bool) -> None:
+    """Tell others what an upstream has just said.
+
+    Args:
+        state: The process's state.
+        registration: The news.
+        to_peers: True if it was heard here, so that the other control boxes must be told.
+    """
+    news = RegistrationNews(told=(Liveness(registration=registration, age=0.0),))
+    for link in state.accepted.values():
+        link.post(news)
+    if to_peers:
+        for link in state.peers.links.values():
+            link.post(news)
+
+
+async def serve_peer(state: RegistryState, address: str, link: Link) -> None:
+    """Serve the own link to another control box.
+
+    Args:
+        state: The process's state.
+        address: IP number of the other box.
+        link: The link.
+    """
+    link.post(RegistrationNews(told=tell_all(state.table, anyio.current_time())))
+    link.post(PeerHint(addresses=_known_controls(state)))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_ask_to_join, state, link)
+        while True:
+            with anyio.fail_after(SILENCE_SECONDS):
+                message = await link.receive()
+            match message:
+                case VersionReply():
+                    take_version_reply(state, message)
+                case CommandReply():
+                    take_command_reply(state, message)
+                case PeerHint():
+                    add_peers(state.peers, message.addresses)
+                case _:
+                    logger.warning("message of the wrong kind", extra={"peer": address})
+
+
+async def _ask_to_join(state: RegistryState, link: Link) -> None:
+    replica = state.node.replica
+    while True:
+        heard = time.monotonic() - replica.leader_heard_at < LEADER_SILENT_SECONDS
+        is_member = replica.member_id in replica.log.members.everyone
+        if not replica.is_leader and not (is_member and heard):
+            link.post(JoinRequest(member_id=replica.member_id))
+        await anyio.sleep(JOIN_SECONDS)
+
+
+async def serve_accepted(state: RegistryState, link: Link) -> None:
+    """Serve a link that another process opened.
+
+    Args:
+        state: The process's state.
+        link: The link.
+    """
+    is_control = link.peer is not None and link.peer.role is PeerRole.CONTROL
+    if is_control:
+        add_peers(state.peers, [link.peer_box])
+        state.accepted_peers[id(link)] = link
+    else:
+        state.accepted[id(link)] = link
+        link.post(RegistrationNews(told=tell_all(state.table, anyio.current_time())))
+    link.post(PeerHint(addresses=_known_controls(state)))
+    async with anyio.create_task_group() as tasks:
+        try:
+            while True:
+                with anyio.fail_after(SILENCE_SECONDS):
+                    message = await link.receive()
+                _take_in(state, tasks, link, message, is_control=is_control)
+        finally:
+            state.accepted.pop(id(link), None)
+            state.accepted_peers.pop(id(link), None)
+
+
+def _take_in(
+    state: RegistryState, tasks: TaskGroup, link: Link, message: LinkMessage, *, is_control: bool
+) -> None:
+    match message:
+        case LogMessage() if is_control:
+            raft.receive(state.node.replica, message.envelope, time.monotonic(), state.node.rng)
+            state.node.poke()
+        case JoinRequest() if is_control and box_of(message.member_id) == link.peer_box:
+            state.node.applicants.add(message.member_id)
+            state.node.poke()
+        case CommandRequest() if is_control:
+            tasks.start_soon(answer_command, state, link, message)
+        case RegistrationNews() if is_control:
+            for registration in take_all(state.table, message.told, anyio.current_time()):
+                tell_registration(state, registration, to_peers=False)
+        case RegistrationAges() if is_control:
+            take_ages(state.table, message.ages, anyio.current_time())
+        case PeerHint() if is_control:
+            add_peers(state.peers, message.addresses)
+        case VersionQuery():
+            answer_version(state, link, message)
+        case DocumentPull():
+            published = state.node.state.published
+            if published.version > message.version:
+                link.post(DocumentPush(version=published.version, body=published.body))
+        case _:
+            logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
+
+
+def _known_controls(state: RegistryState) -> tuple[str, ...]:
+    members = {box_of(member) for member in state.node.replica.log.members.everyone}
+    return tuple(sorted(members | set(state.peers.links) | {state.peers.own_address}))
+
+
+async def tell_ages(state: RegistryState) -> None:
+    """Tell others when upstreams were last heard and who serves control, for ever."""
+    while True:
+        await anyio.sleep(AGES_SECONDS)
+        now = anyio.current_time()
+        for instance in forget_silent(state.table, now, FORGET_SECONDS):
+            logger.warning(
+                "upstream not heard", extra={"upstream": instance, "seconds": FORGET_SECONDS}
+            )
+        add_peers(state.peers, _known_controls(state))
+        told = RegistrationAges(ages=ages(state.table, now))
+        hint = PeerHint(addresses=_known_controls(state))
+        for link in state.peers.links.values():
+            link.post(told)
+        for link in state.accepted.values():
+            link.post(told)
+        for link in (*state.accepted.values(), *state.accepted_peers.values()):
+            link.post(hint)
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/newest.py
@@ -0,0 +1,193 @@
+"""Being sure of the newest version, and publishing a new one, from any control box."""
+
+from __future__ import annotations
+
+import logging
+import time
+import zlib
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from ...coordination import raft
+from ...coordination.commands import PublishCommand, PublishResult
+from ...coordination.freshness import ask, take_answer
+from ...links.messages import CommandReply, CommandRequest, VersionQuery, VersionReply
+from ...model import Problem, ResultCode
+from ..clock import wall_clock_ms
+from ..control.node import submit
+from .state import CommandWaiter
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from .state import RegistryState
+
+logger = logging.getLogger(__name__)
+
+ASK_SECONDS: Final = 0.4
+"""How often a box that does not lead asks the leader for the newest version."""
+
+ASK_NOW_SECONDS: Final = 0.02
+"""How often a reader that waits looks for the answer."""
+
+PUBLISH_SECONDS: Final = 3.0
+"""How long a publication may take before its sender is told that it is not confirmed. Below the
+4 s within which the platform wants an acknowledgement, so that a second try fits in."""
+
+LEADER_POLL_SECONDS: Final = 0.05
+"""How often a publication that found no leader looks for one."""
+
+
+def leader_is_sure(state: RegistryState) -> bool:
+    """Tell whether this box leads, holds its lease and has applied everything committed."""
+    replica = state.node.replica
+    if not replica.is_leader or not raft.holds_lease(replica, time.monotonic()):
+        return False
+    own_term = replica.log.term_at(replica.commit_index) == replica.term
+    return own_term and state.node.applied_index >= replica.commit_index
+
+
+def current_knowledge(state: RegistryState) -> float | None:
+    """Return how many seconds old the knowledge of the newest version is, or None without any.
+
+    A box that has not applied the version that the leader named knows it only from hearsay.
+    """
+    if leader_is_sure(state):
+        return 0.0
+    freshness = state.freshness
+    if state.node.state.published.version < freshness.version:
+        return None
+    age = anyio.current_time() - freshness.as_of
+    return age if age < float("inf") else None
+
+
+def answer_version(state: RegistryState, link: Link, query: VersionQuery) -> None:
+    """Answer a box that asks which version is the newest."""
+    from_control = link.peer is not None and link.peer.role.value == "control"
+    age = current_knowledge(state)
+    if from_control and age != 0.0:
+        # Control boxes believe the leader only, or two of them could refresh each other for ever.
+        age = None
+    reply = VersionReply(
+        call=query.call,
+        version=state.node.state.published.version,
+        age=age,
+        entries=max(1, len(state.accepted)),
+    )
+    link.post(reply)
+
+
+def take_version_reply(state: RegistryState, reply: VersionReply) -> None:
+    """Note what the leader said."""
+    take_answer(state.freshness, reply.call, reply.version, reply.age)
+
+
+def ask_leader(state: RegistryState) -> None:
+    """Ask the leader which version is the newest, if it is known and reachable."""
+    link = state.peers.links.get(state.node.leader_box)
+    if link is not None:
+        link.post(VersionQuery(call=ask(state.freshness, anyio.current_time())))
+
+
+async def keep_asking(state: RegistryState) -> None:
+    """Ask the leader now and then, for ever."""
+    while True:
+        if not state.node.replica.is_leader:
+            ask_leader(state)
+        await anyio.sleep(ASK_SECONDS)
+
+
+async def wait_until_sure(state: RegistryState, since: float, seconds: float) -> bool:
+    """Wait until the newest version is known as of a moment after `since`.
+
+    Args:
+        state: The process's state.
+        since: Own monotonic time, at which a reader asked.
+        seconds: Longest time to wait.
+
+    Returns:
+        False if no leader confirmed it in time.
+    """
+    ask_leader(state)
+    with anyio.move_on_after(seconds):
+        while True:
+            age = current_knowledge(state)
+            if age is not None and anyio.current_time() - age >= since:
+                return True
+            await anyio.sleep(ASK_NOW_SECONDS)
+    return False
+
+
+async def publish(
+    state: RegistryState, version: int, body: bytes
+) -> Result[PublishResult, Problem]:
+    """Commit a document through the leader, wherever it is.
+
+    Args:
+        state: The process's state.
+        version: Version of the document.
+        body: The document as it was sent.
+
+    Returns:
+        What the state machine said. A problem says that the outcome is not known; publishing the
+        same document again does no harm.
+    """
+    command = PublishCommand(version=version, body=zlib.compress(body), time_ms=wall_clock_ms())
+    deadline = anyio.current_time() + PUBLISH_SECONDS
+    while anyio.current_time() < deadline:
+        if state.node.replica.is_leader:
+            outcome = await submit(state.node, command)
+            if isinstance(outcome, Success):
+                result = outcome.unwrap()
+                assert isinstance(result, PublishResult)
+                return Success(result)
+        else:
+            passed = await _pass_on(state, command, deadline)
+            if passed is not None:
+                return Success(passed)
+        await anyio.sleep(LEADER_POLL_SECONDS)
+    return Failure(Problem(code=ResultCode.NO_QUORUM, detail="not confirmed", retry_after=0.5))
+
+
+async def _pass_on(
+    state: RegistryState, command: PublishCommand, deadline: float
+) -> PublishResult | None:
+    link = state.peers.links.get(state.node.leader_box)
+    if link is None:
+        return None
+    call, waiter = state.next_call, CommandWaiter()
+    state.next_call += 1
+    state.waiters[call] = waiter
+    link.post(CommandRequest(call=call, command=command))
+    try:
+        with anyio.move_on_after(max(0.0, deadline - anyio.current_time())):
+            await waiter.done.wait()
+    finally:
+        state.waiters.pop(call, None)
+    reply = waiter.reply
+    if reply is None or not isinstance(reply.result, PublishResult):
+        return None
+    return reply.result
+
+
+async def answer_command(state: RegistryState, link: Link, request: CommandRequest) -> None:
+    """Commit a publication that another control box passed on."""
+    if not isinstance(request.command, PublishCommand):
+        logger.warning("command refused", extra={"peer": link.peer_box})
+        link.post(CommandReply(call=request.call, result=None, code=ResultCode.FRAME_INVALID))
+        return
+    outcome = await submit(state.node, request.command)
+    if isinstance(outcome, Success):
+        link.post(CommandReply(call=request.call, result=outcome.unwrap()))
+    else:
+        code = outcome.failure().code
+        link.post(CommandReply(call=request.call, result=None, code=code))
+
+
+def take_command_reply(state: RegistryState, reply: CommandReply) -> None:
+    """Wake whoever waits for a command that was passed on."""
+    waiter = state.waiters.get(reply.call)
+    if waiter is not None:
+        waiter.reply = reply
+        waiter.done.set()
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -0,0 +1,185 @@
+"""Ordering engines to hold layers, while this box leads."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...coordination import raft
+from ...coordination.engine_orders import OrderOutcome, due, note_outcome, note_sent, settle
+from ...http1 import (
+    AnswerBrokenError,
+    ConnectError,
+    connect,
+    read_head,
+    send_request,
+)
+from ...model.registration import UpstreamState
+from ...platform.engine_calls import place_call, read_outcome
+from ...routing.placement import PlacedEngine, missing_layers, plan_placement
+
+if TYPE_CHECKING:
+    from ...model.registration import Holding, Registration
+    from ...model.traffic import UpstreamPool
+    from .state import RegistryState
+
+logger = logging.getLogger(__name__)
+
+LOOK_SECONDS: Final = 0.2
+"""How often the leader looks for engines without layers."""
+
+GATHER_SECONDS: Final = 0.6
+"""How long no new engine must have come before the first plan is made: engines register within
+a few seconds of each other, and a plan over all of them covers every failure domain."""
+
+GATHER_LIMIT_SECONDS: Final = 3.0
+"""Longest time that the first plan waits for further engines; traffic starts some seconds later."""
+
+CALL_SECONDS: Final = 1.5
+"""How long an engine may take to answer an order."""
+
+
+@dataclass(kw_only=True)
+class _Gathering:
+    """When engines came, before the first plan."""
+
+    seen: int = 0
+    first_at: float = 0.0
+    last_at: float = 0.0
+
+    def is_over(self, count: int, now: float) -> bool:
+        if count > self.seen:
+            self.first_at = self.first_at or now
+            self.seen, self.last_at = count, now
+        quiet = now - self.last_at >= GATHER_SECONDS
+        return quiet or now - self.first_at >= GATHER_LIMIT_SECONDS
+
+
+async def run_placing(state: RegistryState) -> None:
+    """Order layers for engines that have none, for ever."""
+    gathering = _Gathering()
+    while True:
+        await anyio.sleep(LOOK_SECONDS)
+        if not _may_order(state) or state.configuration is None:
+            state.ledger.sent.clear()
+            continue
+        pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
+        async with anyio.create_task_group() as tasks:
+            for pool in pools:
+                engines = _engines(state, pool)
+                empty = [item for item in engines if not item.holdings]
+                _settle(state, engines)
+                if not empty or not gathering.is_over(len(engines), anyio.current_time()):
+                    continue
+                for engine, holding in _plan(state, pool, engines):
+                    tasks.start_soon(_order, state, engine, holding)
+
+
+def _may_order(state: RegistryState) -> bool:
+    replica = state.node.replica
+    if replica.term in state.ledger.fenced_terms or state.stopping:
+        return False
+    return raft.holds_lease(replica, time.monotonic())
+
+
+def _engines(state: RegistryState, pool: UpstreamPool) -> list[Registration]:
+    return [
+        item.registration
+        for item in state.table.known.values()
+        if item.registration.pool == pool.name and item.registration.card
+    ]
+
+
+def _settle(state: RegistryState, engines: list[Registration]) -> None:
+    holding = {item.instance for item in engines if item.holdings}
+    known = {item.instance for item in engines}
+    for instance in settle(state.ledger, holding, known):
+        logger.info("engine holds its layers", extra={"upstream": instance})
+
+
+def _plan(
+    state: RegistryState, pool: UpstreamPool, engines: list[Registration]
+) -> list[tuple[Registration, Holding]]:
+    """Return the engines that are to be ordered now, with their layers."""
+    assert pool.engine is not None
+    placed = [
+        PlacedEngine(
+            instance=item.instance,
+            failure_domain=item.failure_domain,
+            card=item.card,
+            holding=_holding(state, item),
+        )
+        for item in engines
+        if item.state is UpstreamState.READY
+    ]
+    chosen = plan_placement(pool.engine, placed)
+    held = [item.holding for item in placed if item.holding is not None]
+    lacking = missing_layers(pool.engine, [*held, *chosen.values()])
+    if lacking:
+        logger.warning(
+            "layers without an engine",
+            extra={
+                "pool": pool.name,
+                "layers": f"{lacking[0]}-{lacking[-1]}",
+                "count": len(lacking),
+                "short_mb": len(lacking) * pool.engine.layer_mb,
+            },
+        )
+    now = anyio.current_time()
+    orders = []
+    for item in engines:
+        order = state.ledger.sent.get(item.instance)
+        holding = chosen.get(item.instance) or (order.holding if order else None)
+        if holding is None or item.holdings or not due(state.ledger, item.instance, now):
+            continue
+        note_sent(state.ledger, item.instance, holding, state.node.replica.term, now)
+        orders.append((item, holding))
+    return orders
+
+
+def _holding(state: RegistryState, engine: Registration) -> Holding | None:
+    if engine.holdings:
+        return max(engine.holdings, key=lambda item: item.end - item.first)
+    order = state.ledger.sent.get(engine.instance)
+    return order.holding if order is not None else None
+
+
+async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
+    """Send one order; the lease is checked right before the bytes leave."""
+    outcome = await _send(state, engine, holding)
+    note_outcome(state.ledger, engine.instance, outcome, anyio.current_time())
+    logger.info(
+        "layers ordered",
+        extra={
+            "upstream": engine.instance,
+            "layers": f"{holding.first}-{holding.end}",
+            "card": engine.card,
+            "term": state.node.replica.term,
+            "outcome": outcome.value,
+        },
+    )
+
+
+async def _send(state: RegistryState, engine: Registration, holding: Holding) -> OrderOutcome:
+    source = state.settings.box.address
+    try:
+        connection = await connect(engine.address, source=source, seconds=CALL_SECONDS)
+    except ConnectError:
+        return OrderOutcome.NO_ANSWER
+    try:
+        if not _may_order(state):
+            return OrderOutcome.NO_ANSWER
+        call = place_call(engine.instance, holding, state.node.replica.term, wait=True)
+        headers = [(b"Host", engine.address.encode()), *call.headers]
+        with anyio.fail_after(CALL_SECONDS):
+            await send_request(connection, call.method, call.target, headers, call.body)
+            head = await read_head(connection)
+        return read_outcome(head.status_code)
+    except (AnswerBrokenError, TimeoutError):
+        return OrderOutcome.NO_ANSWER
+    finally:
+        await connection.close()
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -0,0 +1,72 @@
+"""What all parts of a registry process share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ...coordination.engine_orders import OrderLedger
+from ...coordination.freshness import Freshness
+from ...coordination.registrations import RegistrationTable
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from ...links.messages import CommandReply
+    from ...model.traffic import TrafficConfiguration
+    from ...settings import RegistrySettings
+    from ..control.node import ControlNode
+    from ..peers import Peers
+
+
+@dataclass(kw_only=True)
+class CommandWaiter:
+    """Somebody who waits for the leader's answer to a command that was passed on."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    """Set once the answer is here."""
+
+    reply: CommandReply | None = None
+    """The answer, or None if the link ended first."""
+
+
+@dataclass(kw_only=True)
+class RegistryState:
+    """State of one registry process."""
+
+    settings: RegistrySettings
+    """Its settings."""
+
+    node: ControlNode
+    """Its member of the replicated log."""
+
+    peers: Peers
+    """Links to the other control boxes."""
+
+    table: RegistrationTable = field(default_factory=RegistrationTable)
+    """Upstreams that registered."""
+
+    accepted: dict[int, Link] = field(default_factory=dict)
+    """Links that entry boxes opened, by identity."""
+
+    accepted_peers: dict[int, Link] = field(default_factory=dict)
+    """Links that other control boxes opened, by identity."""
+
+    freshness: Freshness = field(default_factory=Freshness)
+    """What the leader said of the newest version."""
+
+    waiters: dict[int, CommandWaiter] = field(default_factory=dict)
+    """Commands that were passed on to the leader."""
+
+    next_call: int = 1
+    """Number of the next command that is passed on."""
+
+    ledger: OrderLedger = field(default_factory=OrderLedger)
+    """Orders to engines, while this box leads."""
+
+    configuration: TrafficConfiguration | None = None
+    """The published document, decoded."""
+
+    stopping: bool = False
+    """True once a planned stop has begun."""
--- /dev/null
+++ b/src/ledgeladder/http1/server.py
@@ -0,0 +1,329 @@
+"""Serving HTTP/1.1: one task a connection, and a watch for callers who leave."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import h11
+
+from ..links import split_address
+from ..model import Problem, ResultCode
+from ..model.traffic import CallerLimits
+from .sockets import tune_socket
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream
+
+logger = logging.getLogger(__name__)
+
+Headers = list[tuple[bytes, bytes]]
+
+READ_BYTES: Final = 65536
+PIPELINED_LIMIT_BYTES: Final = 65536
+"""Bytes of further requests that are read while one is being answered."""
+
+STREAM_ENDED: Final = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+"""What reading or writing raises once a connection has ended."""
+
+_CODES: Final = {413: ResultCode.BODY_TOO_LARGE, 431: ResultCode.HEAD_TOO_LARGE}
+
+
+@dataclass(kw_only=True, slots=True)
+class HttpRequest:
+    """A request that was read in full."""
+
+    method: bytes
+    """Method."""
+
+    target: bytes
+    """Path and query as they were sent."""
+
+    headers: Headers
+    """Header fields as they were sent."""
+
+    fields: dict[bytes, bytes]
+    """Values by lower-case name; the last one of a repeated field."""
+
+    body: bytes = b""
+    """Body without its framing."""
+
+    arrived_at: float = 0.0
+    """When its first byte was read, on the monotonic clock."""
+
+
+Handler = Callable[[HttpRequest, "Exchange"], Awaitable[None]]
+"""Answers one request through its exchange."""
+
+ProblemWriter = Callable[["Exchange", Problem], Awaitable[None]]
+"""Answers with a problem."""
+
+
+@dataclass(kw_only=True)
+class HttpSite:
+    """What a listener serves."""
+
+    handler: Handler
+    """Answers requests."""
+
+    write_problem: ProblemWriter
+    """Answers requests that cannot be read."""
+
+    limits: Callable[[], CallerLimits] = CallerLimits
+    """Bounds in force right now."""
+
+    stopping: bool = False
+    """True once answers must end their connections."""
+
+    idle_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    """Connections on which nothing has arrived since their last answer."""
+
+    open_connections: int = 0
+    """Connections that are up."""
+
+    in_progress: int = 0
+    """Requests that are being answered."""
+
+    def close_idle(self) -> None:
+        """End the connections on which no request is being read or answered."""
+        for scope in list(self.idle_scopes):
+            scope.cancel()
+
+
+@dataclass(kw_only=True)
+class Exchange:
+    """The answering side of one request."""
+
+    stream: SocketStream
+    """The caller's connection."""
+
+    protocol: h11.Connection
+    """State of the protocol on it."""
+
+    site: HttpSite
+    """Site that serves it."""
+
+    started: bool = False
+    """True once a status was sent."""
+
+    gone: bool = False
+    """True if the caller has left."""
+
+    @property
+    def complete(self) -> bool:
+        """True once the whole answer was sent."""
+        return self.protocol.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
+
+    async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer in one write.
+
+        Args:
+            status: HTTP status.
+            headers: Header fields without those that belong to the connection.
+            body: The body.
+        """
+        length = (b"Content-Length", str(len(body)).encode())
+        data = self._head(status, [*headers, length])
+        if body:
+            data += self.protocol.send(h11.Data(data=body)) or b""
+        data += self.protocol.send(h11.EndOfMessage()) or b""
+        await self.stream.send(data)
+
+    async def begin(self, status: int, headers: Headers, first: bytes) -> None:
+        """Send the head and the first part of an answer of unknown length."""
+        data = self._head(status, headers)
+        data += self.protocol.send(h11.Data(data=first)) or b""
+        await self.stream.send(data)
+
+    async def send(self, part: bytes) -> None:
+        """Send a further part of the body."""
+        await self.stream.send(self.protocol.send(h11.Data(data=part)) or b"")
+
+    async def end(self) -> None:
+        """Mark the answer as complete."""
+        await self.stream.send(self.protocol.send(h11.EndOfMessage()) or b"")
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.started = True
+        if self.site.stopping:
+            headers = [*headers, (b"Connection", b"close")]
+        return self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
+
+
+@dataclass(kw_only=True)
+class _Connection:
+    stream: SocketStream
+    protocol: h11.Connection
+    site: HttpSite
+    first_byte_at: float = 0.0
+
+    async def read_request(self) -> HttpRequest | None:
+        """Read the next request; None if the connection ended before one began."""
+        head = await self._read_head()
+        if head is None:
+            return None
+        request = HttpRequest(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers.raw_items()),
+            fields=dict(head.headers),
+            arrived_at=self.first_byte_at,
+        )
+        if self.protocol.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self.stream.send(self.protocol.send(interim) or b"")
+        request.body = await self._read_body(request)
+        return request
+
+    async def _read_head(self) -> h11.Request | None:
+        if not self.protocol.trailing_data[0] and not await self._wait_for_first_byte():
+            return None
+        self.first_byte_at = anyio.current_time()
+        with anyio.fail_after(self.site.limits().header_seconds):
+            while True:
+                event = self.protocol.next_event()
+                if isinstance(event, h11.Request):
+                    return event
+                if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                    return None
+                await self._feed()
+
+    async def _wait_for_first_byte(self) -> bool:
+        """Wait on an idle connection; a planned stop ends it here and nowhere else."""
+        with anyio.move_on_after(self.site.limits().idle_seconds) as scope:
+            self.site.idle_scopes.add(scope)
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            finally:
+                self.site.idle_scopes.discard(scope)
+            self.protocol.receive_data(data)
+            return True
+        return False
+
+    async def _read_body(self, request: HttpRequest) -> bytes:
+        limit = self.site.limits().body_bytes
+        if int(request.fields.get(b"content-length", b"0")) > limit:
+            raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        body = bytearray()
+        while True:
+            event = self.protocol.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limit:
+                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+                continue
+            with anyio.fail_after(self.site.limits().idle_seconds):
+                await self._feed()
+
+    async def _feed(self) -> None:
+        try:
+            data = await self.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            data = b""
+        self.protocol.receive_data(data)
+
+    async def answer(self, request: HttpRequest) -> bool:
+        """Answer a request; returns True if the connection can serve another."""
+        exchange = Exchange(stream=self.stream, protocol=self.protocol, site=self.site)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_caller, exchange, tasks.cancel_scope)
+            await self.site.handler(request, exchange)
+            tasks.cancel_scope.cancel()
+        if exchange.gone or self.protocol.our_state is not h11.DONE:
+            return False
+        if self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        return True
+
+    async def _watch_caller(self, exchange: Exchange, scope: anyio.CancelScope) -> None:
+        """Read ahead while a request is answered, and cancel the answer if the caller leaves."""
+        try:
+            while len(self.protocol.trailing_data[0]) < PIPELINED_LIMIT_BYTES:
+                self.protocol.receive_data(await self.stream.receive(READ_BYTES))
+        except STREAM_ENDED:
+            exchange.gone = True
+            scope.cancel()
+
+    async def refuse(self, problem: Problem) -> None:
+        """Answer a request that could not be read, if that is still possible."""
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        exchange = Exchange(stream=self.stream, protocol=self.protocol, site=self.site)
+        await self.site.write_problem(exchange, problem)
+
+
+async def serve_http1(address: str, site: HttpSite) -> None:
+    """Listen and serve until cancelled.
+
+    Args:
+        address: `host:port` to listen on.
+        site: What to serve.
+    """
+    host, port = split_address(address)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    async with listener:
+        await listener.serve(lambda stream: _serve_connection(stream, site))
+
+
+async def _serve_connection(stream: SocketStream, site: HttpSite) -> None:
+    limit = site.limits().header_bytes
+    connection = _Connection(
+        stream=stream,
+        protocol=h11.Connection(h11.SERVER, max_incomplete_event_size=limit),
+        site=site,
+    )
+    site.open_connections += 1
+    try:
+        tune_socket(stream)
+        await _serve_requests(connection)
+    except STREAM_ENDED:
+        # The caller closed or reset its connection; the request's own line says what was lost.
+        pass
+    except Exception:
+        logger.exception("connection failed")
+    finally:
+        site.open_connections -= 1
+        with anyio.CancelScope(shield=True):
+            await stream.aclose()
+
+
+async def _serve_requests(connection: _Connection) -> None:
+    site = connection.site
+    while True:
+        try:
+            request = await connection.read_request()
+        except h11.RemoteProtocolError as error:
+            code = _CODES.get(error.error_status_hint, ResultCode.MALFORMED_REQUEST)
+            logger.warning("request not readable", extra={"code": code.name, "detail": str(error)})
+            await connection.refuse(Problem(code=code, detail=str(error)))
+            return
+        except TimeoutError:
+            logger.warning("request too slow", extra={"code": ResultCode.REQUEST_SLOW.name})
+            await connection.refuse(Problem(code=ResultCode.REQUEST_SLOW))
+            return
+        if request is None:
+            return
+        site.in_progress += 1
+        try:
+            reusable = await connection.answer(request)
+        except BaseExceptionGroup as group:
+            # A task group wraps what its tasks raise; a lost connection is no failure.
+            _, rest = group.split(STREAM_ENDED)
+            if rest is not None:
+                raise rest from None
+            return
+        finally:
+            site.in_progress -= 1
+        if not reusable or site.stopping:
+            return
--- /dev/null
+++ b/src/ledgeladder/platform/control_calls.py
@@ -0,0 +1,72 @@
+"""Calls of upstreams and operators to a control box, and the answers to them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from ..coordination.registrations import end_of
+from ..model import Problem, ResultCode
+from .registrations import UPSTREAMS_PATH, decode_heartbeat
+
+if TYPE_CHECKING:
+    from ..http1 import HttpRequest
+    from ..model.registration import Registration
+
+CONFIGURATION_PATH: Final = "/api/config"
+READY_PATH: Final = "/api/ready"
+JSON_HEADERS: Final = [(b"Content-Type", b"application/json")]
+
+ACKNOWLEDGED: Final = b"{}"
+"""Body that acknowledges a call."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Register:
+    """An upstream tells its state, or its end."""
+
+    registration: Registration
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Publish:
+    """An operator publishes a whole document."""
+
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadDocument:
+    """An operator reads the newest document."""
+
+
+ControlCall = Register | Publish | ReadDocument
+
+
+def read_control_call(request: HttpRequest) -> ControlCall | Problem:
+    """Tell what a request to a control box asks for.
+
+    Args:
+        request: The request.
+
+    Returns:
+        The call, or why there is none.
+    """
+    path = request.target.decode("latin-1").partition("?")[0]
+    if path == CONFIGURATION_PATH:
+        if request.method == b"PUT":
+            return Publish(body=request.body)
+        if request.method == b"GET":
+            return ReadDocument()
+    instance = path.removeprefix(UPSTREAMS_PATH)
+    if instance != path and instance:
+        if request.method == b"PUT":
+            decoded = decode_heartbeat(instance, request.body)
+            if isinstance(decoded, Failure):
+                return decoded.failure()
+            return Register(registration=decoded.unwrap())
+        if request.method == b"DELETE":
+            return Register(registration=end_of(instance))
+    return Problem(code=ResultCode.NOT_FOUND)
--- a/src/ledgeladder/settings/__init__.py
+++ b/src/ledgeladder/settings/__init__.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from .loading import load_control_settings, load_entry_settings, read_toml
+from .discovered import GatewaySettings, RegistrySettings
+from .loading import (
+    load_control_settings,
+    load_entry_settings,
+    load_gateway_settings,
+    load_registry_settings,
+    read_toml,
+)
 from .models import ControlPeer, ControlSettings, EntryPeer, EntrySettings, Operator
 from .reference import reference_page
 
@@ -11,9 +18,13 @@
     "ControlSettings",
     "EntryPeer",
     "EntrySettings",
+    "GatewaySettings",
     "Operator",
+    "RegistrySettings",
     "load_control_settings",
     "load_entry_settings",
+    "load_gateway_settings",
+    "load_registry_settings",
     "read_toml",
     "reference_page",
 ]
--- /dev/null
+++ b/src/ledgeladder/settings/discovered.py
@@ -0,0 +1,162 @@
+"""Settings of processes that are given a few seeds instead of a list of boxes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from .models import Address, LogSection, Name
+
+
+class _Section(BaseModel):
+    """A section whose unknown keys are ignored and whose empty values count as left out.
+
+    The file is filled in by a template, which writes an empty text where it has no value.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True, use_attribute_docstrings=True)
+
+    @model_validator(mode="before")
+    @classmethod
+    def _drop_empty(cls, values: Any) -> Any:
+        if not isinstance(values, dict):
+            return values
+        return {key: value for key, value in values.items() if value not in ("", None)}
+
+
+class DiscoveredBox(_Section):
+    """Where the process runs."""
+
+    name: Name
+    """Name of the box, for logs."""
+
+    failure_domain: Name
+    """Failure domain of the box."""
+
+    address: Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")]
+    """IP number of the box, from which its connections come and by which others know it."""
+
+
+class DiscoveredCluster(_Section):
+    """How the processes find each other."""
+
+    name: Name = "ledgeladder"
+    """Name of the cluster."""
+
+    secret: Annotated[str, Field(min_length=16, repr=False)]
+    """Secret by which the processes recognise each other."""
+
+    link_port: Annotated[int, Field(ge=1, le=65535)]
+    """Port on every box for links between the system's processes."""
+
+    metrics_port: Annotated[int, Field(ge=1, le=65535)]
+    """Port on every box for metrics."""
+
+    seeds: tuple[Address, ...]
+    """Some control boxes, which may be out of date."""
+
+    bootstrap: bool = False
+    """True only when the whole system starts for the first time."""
+
+    tolerated_losses: Annotated[int, Field(ge=0, le=3)] = 1
+    """Boxes with a disk that may be lost at once; twice that and one vote."""
+
+
+class Bounds(_Section):
+    """What callers, operators and upstreams were promised."""
+
+    strict_revocation: bool = True
+    """True if a key that was taken away must not work after `revocation_ms`."""
+
+    revocation_ms: Annotated[float, Field(gt=0)] = 5000.0
+    """How long a key may still work after a document without it was accepted."""
+
+    apply_ms: Annotated[float, Field(gt=0)] = 2000.0
+    """How long an accepted document may take to be in force, and a read may be out of date."""
+
+    stop_seconds: Annotated[float, Field(gt=0)] = 8.0
+    """How long a planned stop may take before the process is killed."""
+
+    heartbeat_ms: Annotated[float, Field(gt=0)] = 1200.0
+    """Time between heartbeats of an upstream."""
+
+    stall_ms: Annotated[float, Field(gt=0)] = 3000.0
+    """How long an engine waits for another one that is lost before it ends a request."""
+
+    repeat_ratio: Annotated[float, Field(ge=0)] = 0.2
+    """Repeats that all boxes may make for each request."""
+
+    repeat_reserve: Annotated[float, Field(ge=0)] = 0.0
+    """Repeats that all boxes may make besides, within `repeat_window_seconds`."""
+
+    repeat_window_seconds: Annotated[float, Field(gt=0)] = 10.0
+    """Window of the two above."""
+
+
+class GatewaySection(_Section):
+    """An entry process that forwards HTTP."""
+
+    caller_address: Address
+    """Where it accepts callers."""
+
+    ready_address: Address
+    """Where it is asked whether it is ready."""
+
+
+class RegistrySection(_Section):
+    """A control process that upstreams register with."""
+
+    address: Address
+    """Where it accepts upstreams and operators."""
+
+    data_folder: Path
+    """Folder on the disk that lasts."""
+
+    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 200
+    """Log entries after which a snapshot is taken; a document is a few kilobytes."""
+
+    heartbeat_seconds: Annotated[float, Field(ge=0.01, le=5)] = 0.1
+    """Time between heartbeats of the leader."""
+
+    election_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.6
+    """Least silence after which another leader is elected."""
+
+
+class GatewaySettings(_Section):
+    """Settings file of an entry process that forwards HTTP."""
+
+    box: DiscoveredBox
+    """Where the process runs."""
+
+    cluster: DiscoveredCluster
+    """How the processes find each other."""
+
+    gateway: GatewaySection
+    """The process."""
+
+    bounds: Bounds = Bounds()
+    """What was promised."""
+
+    log: LogSection = LogSection()
+    """Structured logging."""
+
+
+class RegistrySettings(_Section):
+    """Settings file of a control process that upstreams register with."""
+
+    box: DiscoveredBox
+    """Where the process runs."""
+
+    cluster: DiscoveredCluster
+    """How the processes find each other."""
+
+    registry: RegistrySection
+    """The process."""
+
+    bounds: Bounds = Bounds()
+    """What was promised."""
+
+    log: LogSection = LogSection()
+    """Structured logging."""
--- a/src/ledgeladder/settings/loading.py
+++ b/src/ledgeladder/settings/loading.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..model import Problem, ResultCode
+from .discovered import GatewaySettings, RegistrySettings
 from .models import ControlSettings, EntrySettings
 
 if TYPE_CHECKING:
@@ -76,3 +77,13 @@
 def load_control_settings(path: Path) -> Result[ControlSettings, Problem]:
     """Load the settings of a control process."""
     return read_toml(path).bind(lambda content: check_settings(path, content, ControlSettings))
+
+
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, Problem]:
+    """Load the settings of a gateway process."""
+    return read_toml(path).bind(lambda content: check_settings(path, content, GatewaySettings))
+
+
+def load_registry_settings(path: Path) -> Result[RegistrySettings, Problem]:
+    """Load the settings of a registry process."""
+    return read_toml(path).bind(lambda content: check_settings(path, content, RegistrySettings))
