Stand-in upstreams that register, and the platform's path tested as real processes

The stand-ins register, take orders, run streams over several engines and write each run into a ledger, so that tests judge what upstreams saw. Found by the first run of the new tests: a head over its bound was let pass when it arrived in one read, since h11 checks only heads that are not complete. Before: 200 for a head of 20,000 bytes; after: 431.

--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -191,11 +191,18 @@
             while True:
                 event = self.protocol.next_event()
                 if isinstance(event, h11.Request):
+                    self._check_length(event)
                     return event
                 if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                     return None
                 await self._feed()
 
+    def _check_length(self, head: h11.Request) -> None:
+        """Refuse a head that is too long although it arrived whole, which h11 lets pass."""
+        fields = sum(len(name) + len(value) + 4 for name, value in head.headers.raw_items())
+        if len(head.target) + fields > self.site.limits().header_bytes:
+            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+
     async def _wait_for_first_byte(self) -> bool:
         """Wait on an idle connection; a planned stop ends it here and nowhere else."""
         with anyio.move_on_after(self.site.limits().idle_seconds) as scope:
--- /dev/null
+++ b/standins/discovered_fleet.py
@@ -0,0 +1,321 @@
+"""Starts gateways, registries and upstreams that register, as processes on loopback.
+
+Each box has an IP number of its own out of 127.0.0.0/8, as the system knows boxes by that.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from .registered_upstream import CARD_MB, LAYER_MB
+
+ROOT = Path(__file__).resolve().parent.parent
+ZONES = ("zone-a", "zone-b", "zone-c")
+LAYERS = 16
+KEY = "key-of-the-designers"
+SECOND_KEY = "second-key-of-the-designers"
+HOST = "captions.example"
+
+SETTINGS = """
+[box]
+name = "{name}"
+failure_domain = "{zone}"
+address = "{ip}"
+
+[cluster]
+secret = "loopback-secret-0123456789"
+link_port = {port}
+metrics_port = {metrics_port}
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+
+{role}
+
+[bounds]
+repeat_reserve = 200
+heartbeat_ms = 300
+revocation_ms = {revocation_ms}
+stop_seconds = 8
+"""
+
+
+@dataclass(kw_only=True)
+class Box:
+    """One process."""
+
+    name: str
+    ip: str
+    command: list[str]
+    log: Path
+    popen: subprocess.Popen[bytes] | None = None
+
+
+@dataclass(kw_only=True)
+class DiscoveredFleet:
+    """A running system."""
+
+    folder: Path
+    gateways: int = 3
+    registries: int = 3
+    revocation_ms: int = 5000
+    port: int = 0
+    boxes: dict[str, Box] = field(default_factory=dict)
+    version: int = 0
+    client: httpx.Client = field(
+        default_factory=lambda: httpx.Client(timeout=10.0, trust_env=False)
+    )
+
+    def __post_init__(self) -> None:
+        rng = random.Random()
+        self.port = rng.randrange(12_000, 30_000, 10)
+        self.network = rng.randrange(20, 250)
+
+    def ip(self, kind: int, number: int) -> str:
+        """Return the IP number of a box."""
+        return f"127.{self.network}.{kind}.{number + 1}"
+
+    @property
+    def control_addresses(self) -> list[str]:
+        """Where the registries take upstreams and operators."""
+        return [f"{self.ip(1, number)}:{self.port + 2}" for number in range(self.registries)]
+
+    def caller_address(self, number: int) -> str:
+        """Return where a gateway takes callers."""
+        return f"{self.ip(2, number)}:{self.port + 3}"
+
+    def ready(self, number: int) -> bool:
+        """Tell whether a gateway calls itself ready."""
+        url = f"http://{self.ip(2, number)}:{self.port + 4}/api/ready"
+        with contextlib.suppress(httpx.HTTPError):
+            return self.client.get(url).status_code == 200
+        return False
+
+    def settings(self, name: str, zone: str, ip: str, role: str, *, bootstrap: bool) -> Path:
+        """Write a settings file."""
+        path = self.folder / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name,
+            zone=zone,
+            ip=ip,
+            port=self.port,
+            metrics_port=self.port + 1,
+            seeds=", ".join(f'"{item}"' for item in self.control_addresses[:3]),
+            bootstrap=str(bootstrap).lower(),
+            role=role,
+            revocation_ms=self.revocation_ms,
+        )
+        path.write_text(text)
+        return path
+
+    def add_registry(self, number: int, *, bootstrap: bool = True) -> str:
+        """Start a control box."""
+        name, ip = f"registry-{number}", self.ip(1, number)
+        role = (
+            f'[registry]\naddress = "{ip}:{self.port + 2}"\n'
+            f'data_folder = "{self.folder / name}"'
+        )
+        zone = ZONES[number % 3]
+        path = self.settings(name, zone, ip, role, bootstrap=bootstrap)
+        command = [sys.executable, "-m", "ledgeladder", "registry", "--settings", str(path)]
+        return self.start(name, ip, command)
+
+    def add_gateway(self, number: int) -> str:
+        """Start an entry box."""
+        name, ip = f"gateway-{number}", self.ip(2, number)
+        role = (
+            f'[gateway]\ncaller_address = "{ip}:{self.port + 3}"\n'
+            f'ready_address = "{ip}:{self.port + 4}"'
+        )
+        path = self.settings(name, ZONES[number % 3], ip, role, bootstrap=True)
+        command = [sys.executable, "-m", "ledgeladder", "gateway", "--settings", str(path)]
+        return self.start(name, ip, command)
+
+    def add_upstream(self, number: int, pool: str, card: str = "", **options: float) -> str:
+        """Start an upstream."""
+        name, ip = f"{pool}-{number}", self.ip(3 if card else 4, number)
+        command = [
+            sys.executable,
+            "-m",
+            "standins.registered_upstream",
+            f"--address={ip}:{self.port + 5}",
+            f"--pool={pool}",
+            f"--zone={ZONES[number % 3]}",
+            f"--card={card}",
+            f"--controls={','.join(self.control_addresses)}",
+            f"--ledger={self.folder / (name + '.ledger')}",
+        ]
+        command += [f"--{option.replace('_', '-')}={value}" for option, value in options.items()]
+        return self.start(name, ip, command)
+
+    def start(self, name: str, ip: str, command: list[str]) -> str:
+        """Start a process, or start it again."""
+        box = self.boxes.setdefault(
+            name, Box(name=name, ip=ip, command=command, log=self.folder / f"{name}.log")
+        )
+        with box.log.open("ab") as log:
+            box.popen = subprocess.Popen(box.command, stdout=log, stderr=log, cwd=ROOT)
+        return name
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended."""
+        box = self.boxes[name]
+        self.start(name, box.ip, box.command)
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process that this fleet started."""
+        popen = self.boxes[name].popen
+        if popen is not None and popen.poll() is None:
+            popen.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        popen = self.boxes[name].popen
+        if popen is not None:
+            popen.wait()
+
+    def wait_end(self, name: str, seconds: float = 15) -> int:
+        """Wait for the end of a process; returns its exit code."""
+        popen = self.boxes[name].popen
+        assert popen is not None
+        return popen.wait(seconds)
+
+    def publish(self, document: dict[str, Any], number: int = 0) -> httpx.Response:
+        """Publish a document at one registry."""
+        url = f"http://{self.control_addresses[number]}/api/config"
+        return self.client.put(url, json=document)
+
+    def publish_next(self, **changes: Any) -> dict[str, Any]:
+        """Publish a document under the next version until it is acknowledged."""
+        self.version += 1
+        document = example_document(self.version) | changes
+
+        def accepted() -> bool:
+            numbers = range(self.registries)
+            with contextlib.suppress(httpx.HTTPError):
+                return any(self.publish(document, item).status_code == 200 for item in numbers)
+            return False
+
+        wait_until(accepted, 20, "the document accepted")
+        return document
+
+    def ledger(self, event: str = "run") -> list[dict[str, Any]]:
+        """Return what the upstreams noted."""
+        lines = []
+        for path in self.folder.glob("*.ledger"):
+            text = path.read_text().splitlines()
+            lines += [json.loads(line) for line in text if line.endswith("}")]
+        return [line for line in lines if line["event"] == event]
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of a process."""
+        lines = self.boxes[name].log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+
+
+def example_document(version: int) -> dict[str, Any]:
+    """Return a document with a stream, a repeatable and an at-most-once route."""
+
+    def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "routeType": kind,
+            "timeoutMs": 8000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "public": False,
+        } | more
+
+    cards = [{"name": name, "mb": mb, "pace": 2.0, "read_x": 2.0} for name, mb in CARD_MB.items()]
+    engine = {
+        "kvTokenBytes": 1_000_000,
+        "stride": 1,
+        "models": [{"name": "m", "load_s": 1.0}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "read_per_s": 100_000.0,
+        "loads_at_once": 5,
+        "delays": [],
+        "usual": {"prompt": 10, "answer": 50},
+        "layers": LAYERS,
+        "layer_mb": LAYER_MB,
+        "kinds": cards,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "engines", resumable=True, gap_aim_ms=200),
+            route("status", "safe", "services"),
+            route("preview", "unsafe", "services", maxAttempts=1),
+            route("open", "safe", "services", public=True),
+        ],
+        "services": [
+            {"name": "engines", "maxConnections": 100, "engine": engine},
+            {"name": "services", "maxConnections": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "designers", "apiKeys": [KEY, SECOND_KEY], "priority": 1}],
+    }
+
+
+def wait_until(condition: Callable[[], bool], seconds: float, what: str) -> None:
+    """Wait for a condition.
+
+    Raises:
+        TimeoutError: If it does not come true in time.
+    """
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not in {seconds} s: {what}")
+        time.sleep(0.05)
+
+
+@contextlib.contextmanager
+def running_discovered_fleet(**options: Any) -> Iterator[DiscoveredFleet]:
+    """Start a system with its upstreams, and end every process that it started."""
+    engines = options.pop("engines", 6)
+    services = options.pop("services", 3)
+    fail_share = options.pop("fail_share", 0.0)
+    with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
+        fleet = DiscoveredFleet(folder=Path(folder), **options)
+        try:
+            for number in range(fleet.registries):
+                fleet.add_registry(number)
+            for number in range(fleet.gateways):
+                fleet.add_gateway(number)
+            for number in range(engines):
+                fleet.add_upstream(number, "engines", "big")
+            for number in range(services):
+                fleet.add_upstream(number, "services", fail_share=fail_share)
+            fleet.publish_next()
+            numbers = range(fleet.gateways)
+            wait_until(lambda: all(fleet.ready(item) for item in numbers), 30, "gateways ready")
+            yield fleet
+        finally:
+            for name in fleet.boxes:
+                fleet.signal(name, signal.SIGCONT)
+                fleet.kill(name)
+            fleet.client.close()
--- /dev/null
+++ b/tests/daemons/test_gateway.py
@@ -0,0 +1,305 @@
+"""Requests over gateways, registries and upstreams that register, all as real processes."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import time
+from collections.abc import Iterator
+
+import httpx
+import pytest
+
+from standins.discovered_fleet import (
+    HOST,
+    KEY,
+    SECOND_KEY,
+    DiscoveredFleet,
+    example_document,
+    running_discovered_fleet,
+    wait_until,
+)
+
+
+def request(
+    fleet: DiscoveredFleet,
+    route: str,
+    *,
+    gateway: int = 0,
+    method: str = "POST",
+    body: bytes = b"",
+    **headers: str,
+) -> httpx.Response:
+    """Send one request through a gateway."""
+    fields = {
+        "Host": HOST,
+        "Attempt-Id": secrets.token_hex(8),
+        "Deadline-Ms": "6000",
+        "Authorization": f"Token {KEY}",
+    }
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    if route == "draft":
+        fields.setdefault("Token-Count", "10,30")
+    url = f"http://{fleet.caller_address(gateway)}/{route}/x?q=1"
+    return fleet.client.request(method, url, headers=fields, content=body)
+
+
+def stream_text(first: int, end: int) -> str:
+    """Return the stream that engines produce."""
+    return "".join(f"id: {number}\ndata: token-{number}\n\n" for number in range(first, end))
+
+
+def serves_streams(fleet: DiscoveredFleet, gateway: int) -> bool:
+    return request(fleet, "draft", gateway=gateway).status_code == 200
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[DiscoveredFleet]:
+    with running_discovered_fleet() as running:
+        for gateway in range(running.gateways):
+            wait_until(lambda: serves_streams(running, gateway), 20, "streams")  # noqa: B023
+        yield running
+
+
+def test_stream_is_whole_and_every_layer_is_named_once(fleet: DiscoveredFleet) -> None:
+    answer = request(fleet, "draft", Attempt_Id="whole")
+    assert answer.text == stream_text(0, 30)
+    assert answer.headers["replica-seal"].endswith(".whole")
+    runs = [line for line in fleet.ledger() if line["id"] == "whole"]
+    assert len(runs) == 1
+    spans = [part.partition("=")[2] for part in runs[0]["path"].split(",")]
+    layers = [int(edge) for span in spans for edge in span.split("-")]
+    assert layers[0] == 0
+    assert layers[-1] == 16
+    assert layers[1:-1:2] == layers[2::2]
+
+
+def test_engines_hold_no_more_than_fits(fleet: DiscoveredFleet) -> None:
+    assert fleet.ledger("order")
+    assert not fleet.ledger("over-limit")
+
+
+def test_stream_resumes_where_the_caller_says(fleet: DiscoveredFleet) -> None:
+    answer = request(fleet, "draft", Last_Event_Id="11")
+    assert answer.text == stream_text(12, 30)
+
+
+def test_request_reaches_the_upstream_as_it_was_sent(fleet: DiscoveredFleet) -> None:
+    answer = request(
+        fleet, "preview", body=b"\x00bytes", Attempt_Id="as-sent", Tenant_Name="somebody-else"
+    )
+    assert answer.content == b"echo:\x00bytes"
+    runs = [line for line in fleet.ledger() if line["id"] == "as-sent"]
+    assert len(runs) == 1
+    assert runs[0]["tenant"] == "designers"
+    assert runs[0]["key"] is False
+    assert runs[0]["target"] == "/preview/x?q=1"
+    assert runs[0]["method"] == "POST"
+    assert 5000 < int(runs[0]["deadline"]) <= 6000
+
+
+@pytest.mark.parametrize(
+    ("route", "headers", "status"),
+    [
+        ("nowhere", {}, 404),
+        ("status", {"Authorization": "Token unknown"}, 401),
+        ("status", {"Authorization": ""}, 401),
+        ("open", {"Authorization": ""}, 200),
+    ],
+)
+def test_routes_and_keys(
+    fleet: DiscoveredFleet, route: str, headers: dict[str, str], status: int
+) -> None:
+    assert request(fleet, route, **headers).status_code == status
+
+
+def test_oversized_requests_are_refused(fleet: DiscoveredFleet) -> None:
+    assert request(fleet, "status", body=b"x" * 100_001).status_code == 413
+    assert request(fleet, "status", X_Long="y" * 20_000).status_code == 431
+    assert request(fleet, "status").status_code == 200
+
+
+def test_document_rules(fleet: DiscoveredFleet) -> None:
+    good = fleet.publish_next()
+    held = good["version"]
+    # A resend and an older one are acknowledged and change nothing.
+    assert fleet.publish(good, 1).status_code == 200
+    assert fleet.publish(good | {"routes": []}, 2).status_code == 200
+    assert fleet.publish(example_document(held - 1), 0).status_code == 200
+    for number in range(3):
+        url = f"http://{fleet.control_addresses[number]}/api/config"
+        assert fleet.client.get(url).json() == good
+    route = good["routes"][0]
+    for fault in (
+        {"routes": [route, route]},
+        {"routes": [route | {"service": "unknown"}]},
+        {"routes": [route | {"timeoutMs": 0}]},
+        {"routes": [route | {"trafficSplit": [{"service": "engines", "weight": 0}]}]},
+        {"tenants": [{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}]},
+        {"services": None},
+    ):
+        refused = fleet.publish(good | {"version": held + 1} | fault)
+        assert refused.status_code == 400, fault
+    url = f"http://{fleet.control_addresses[0]}/api/config"
+    assert fleet.client.get(url).json()["version"] == held
+
+
+def test_revoked_key_stops_working_everywhere(fleet: DiscoveredFleet) -> None:
+    fleet.publish_next(tenants=[{"name": "designers", "apiKeys": [KEY]}])
+
+    def refused(gateway: int) -> bool:
+        fields = {"Authorization": f"Token {SECOND_KEY}"}
+        return request(fleet, "status", gateway=gateway, **fields).status_code == 401
+
+    for gateway in range(fleet.gateways):
+        wait_until(lambda: refused(gateway), 5, "key refused")  # noqa: B023
+        assert request(fleet, "status", gateway=gateway).status_code == 200
+    fleet.publish_next()
+
+
+def test_malformed_registrations_touch_nobody(fleet: DiscoveredFleet) -> None:
+    url = f"http://{fleet.control_addresses[0]}/api/replicas/i-forged"
+    for content in (b"", b"{", b"[]", b'{"service":"engines"}', b"\xff" * 10, b"x" * 5000):
+        assert fleet.client.put(url, content=content).status_code == 400
+    assert request(fleet, "status").status_code == 200
+
+
+def test_lost_engine_in_the_middle_of_streams(fleet: DiscoveredFleet) -> None:
+    with httpx.Client(timeout=10.0, trust_env=False) as client:
+        fields = {
+            "Host": HOST,
+            "Attempt-Id": "carried-on",
+            "Deadline-Ms": "8000",
+            "Authorization": f"Token {KEY}",
+            "Token-Count": "10,60",
+        }
+        url = f"http://{fleet.caller_address(0)}/draft/x"
+        with client.stream("POST", url, headers=fields) as answer:
+            parts = answer.iter_text()
+            text = next(parts)
+            path = next(line for line in fleet.ledger() if line["id"] == "carried-on")["path"]
+            second = path.split(",")[1].partition("=")[0].rpartition(":")[0]
+            name = next(box.name for box in fleet.boxes.values() if box.ip == second)
+            fleet.kill(name)
+            text += "".join(parts)
+    assert text == stream_text(0, 60)
+    fleet.restart(name)
+
+
+def test_lost_service_is_not_run_twice(fleet: DiscoveredFleet) -> None:
+    fleet.kill("services-0")
+    answers = [request(fleet, "preview", Attempt_Id=f"once-{n}") for n in range(12)]
+    fleet.restart("services-0")
+    assert {answer.status_code for answer in answers} <= {200}
+    ids = [line["id"] for line in fleet.ledger() if line["id"].startswith("once-")]
+    assert len(ids) == len(set(ids))
+
+
+def test_leaving_upstream_gets_no_new_work(fleet: DiscoveredFleet) -> None:
+    fleet.signal("services-1", signal.SIGTERM)
+    wait_until(lambda: bool(fleet.ledger("draining")), 5, "draining")
+    left = fleet.ledger("draining")[0]
+    assert left["acknowledged"]
+    for number in range(30):
+        assert request(fleet, "status", gateway=number % 3).status_code == 200
+    late = [
+        line
+        for line in fleet.ledger()
+        if line["upstream"] == left["upstream"] and line["at"] > left["at"] + 0.5
+    ]
+    assert not late
+    fleet.wait_end("services-1")
+    fleet.restart("services-1")
+
+
+def test_planned_stop_of_a_gateway_cuts_no_stream(fleet: DiscoveredFleet) -> None:
+    fields = {
+        "Host": HOST,
+        "Attempt-Id": "through-the-stop",
+        "Deadline-Ms": "8000",
+        "Authorization": f"Token {KEY}",
+        "Token-Count": "10,100",
+    }
+    with httpx.Client(timeout=10.0, trust_env=False) as client:
+        url = f"http://{fleet.caller_address(2)}/draft/x"
+        with client.stream("POST", url, headers=fields) as answer:
+            parts = answer.iter_text()
+            text = next(parts)
+            fleet.signal("gateway-2", signal.SIGTERM)
+            wait_until(lambda: not fleet.ready(2), 3, "unready")
+            text += "".join(parts)
+    assert text == stream_text(0, 100)
+    assert fleet.wait_end("gateway-2") == 0
+    fleet.restart("gateway-2")
+    wait_until(lambda: fleet.ready(2), 20, "ready again")
+
+
+def test_gateway_without_control_boxes_refuses_keys_but_not_public_routes(
+    fleet: DiscoveredFleet,
+) -> None:
+    for number in range(3):
+        fleet.signal(f"registry-{number}", signal.SIGSTOP)
+    try:
+        wait_until(lambda: request(fleet, "status").status_code == 503, 12, "belief too old")
+        refused = request(fleet, "status")
+        assert refused.headers["ledgeladder-execution"] == "not-run"
+        assert float(refused.headers["retry-after"]) > 0
+        assert request(fleet, "nowhere").status_code == 503
+        assert request(fleet, "open").status_code == 200
+        assert not fleet.ready(0)
+    finally:
+        for number in range(3):
+            fleet.signal(f"registry-{number}", signal.SIGCONT)
+    wait_until(lambda: request(fleet, "status").status_code == 200, 15, "belief renewed")
+
+
+def test_control_box_that_lost_its_disk_and_one_that_is_new(fleet: DiscoveredFleet) -> None:
+    document = fleet.publish_next()
+    fleet.kill("registry-0")
+    folder = fleet.folder / "registry-0"
+    for path in folder.iterdir():
+        path.unlink()
+    fleet.add_registry(0, bootstrap=False)
+    wait_until(lambda: reads(fleet, 0) == document, 20, "the wiped box reads the document")
+    # With the wiped box a voter again, the loss of another leaves a majority.
+    wait_until(lambda: is_voter(fleet, "registry-0"), 20, "the wiped box votes")
+    fleet.kill("registry-1")
+    fleet.publish_next()
+    fleet.restart("registry-1")
+
+
+def reads(fleet: DiscoveredFleet, number: int) -> object:
+    try:
+        answer = fleet.client.get(f"http://{fleet.control_addresses[number]}/api/config")
+    except httpx.HTTPError:
+        return None
+    return answer.json() if answer.status_code == 200 else None
+
+
+def is_voter(fleet: DiscoveredFleet, name: str) -> bool:
+    """Tell from the logs of the leaders whether a box has been made a voter since its restart."""
+    ip = fleet.boxes[name].ip
+    members = [
+        line["voters"]
+        for box in fleet.boxes
+        if box.startswith("registry")
+        for line in fleet.log(box)
+        if line["message"] == "members change"
+    ]
+    return any(
+        voter.startswith(f"{ip}/") and not voter.endswith("/initial")
+        for voters in members
+        for voter in voters
+    )
+
+
+def test_all_control_boxes_killed_at_once(fleet: DiscoveredFleet) -> None:
+    document = fleet.publish_next()
+    for number in range(3):
+        fleet.kill(f"registry-{number}")
+    for number in range(3):
+        fleet.restart(f"registry-{number}")
+    for number in range(3):
+        wait_until(lambda: reads(fleet, number) == document, 20, "read back")  # noqa: B023
+    time.sleep(0.1)
+    wait_until(lambda: request(fleet, "status").status_code == 200, 15, "served again")
