--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,3 +10,5 @@
   touch target/installed
 fi
 ln -sfn ../../src/ledgeladder target/deps/ledgeladder
+# Processes cannot write where they start, so modules are compiled once here.
+python3 -m compileall -q target/deps src || true
--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -162,7 +162,8 @@
     loaded = _load(load_gateway_settings)
     if isinstance(loaded, Failure) or arguments:
         return _bad_settings(loaded)
-    anyio.run(run_gateway, loaded.unwrap(), backend_options={"use_uvloop": True})
+    path = Path(FLAGS.settings)
+    anyio.run(run_gateway, loaded.unwrap(), path, backend_options={"use_uvloop": True})
     return EXIT_OK
 
 
@@ -174,7 +175,8 @@
     if isinstance(loaded, Failure) or arguments:
         return _bad_settings(loaded)
     try:
-        anyio.run(run_registry, loaded.unwrap(), backend_options={"use_uvloop": True})
+        path = Path(FLAGS.settings)
+        anyio.run(run_registry, loaded.unwrap(), path, backend_options={"use_uvloop": True})
     except (ProblemError, ExceptionGroup) as error:
         problem = _find_problem(error)
         if problem is None:
--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -63,6 +63,9 @@
     sent: dict[str, SentOrder] = field(default_factory=dict)
     """Newest order to each engine that has not reported its layers."""
 
+    repaired_at: float = float("-inf")
+    """When an engine was last moved to layers that a failure domain lacked."""
+
     fenced_terms: set[int] = field(default_factory=set)
     """Terms that an engine has refused; a leader of such a term orders nothing more."""
 
--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -20,6 +20,9 @@
 STALE_RETRY_SECONDS: Final = 0.5
 """When to come back to a box that lost touch with the control boxes: one question to them."""
 
+STOPPING_RETRY_SECONDS: Final = 0.05
+"""When to come back to another box: at once, but not in a tight loop."""
+
 ANSWER_MARGIN_SECONDS: Final = 0.05
 """Taken off a caller's patience, so that the final answer reaches it in time."""
 
@@ -73,9 +76,13 @@
         ProblemError: If it is refused; it has not run.
     """
     configuration = state.configuration
+    if state.refusing:
+        raise refusal(ResultCode.STOPPING, "the box stops", STOPPING_RETRY_SECONDS)
     if configuration is None:
         raise refusal(ResultCode.STARTING, "no document yet", STALE_RETRY_SECONDS)
     is_sure = belief_holds(state, anyio.current_time())
+    if not state.confirmed:
+        raise refusal(ResultCode.STARTING, "document not confirmed", STALE_RETRY_SECONDS)
     route = find_route(state.index, facts.host, facts.path)
     if route is None:
         if not is_sure:
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -11,7 +11,9 @@
 from ...http1 import HttpSite, serve_http1
 from ...links import LinkIdentity
 from ...links.messages import PeerRole
+from ...settings import load_gateway_settings
 from ..peers import Peers, run_peers
+from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .app import build_caller_site
@@ -20,16 +22,18 @@
 from .state import GatewayState
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from ...links import Link
     from ...settings import GatewaySettings
 
 logger = logging.getLogger(__name__)
 
-NOTICE_SECONDS: Final = 2.6
-"""How long a stopping process still serves new connections: the balancer asks once a second and
-takes two refusals in a row."""
+NOTICE_SHARE: Final = 0.36
+"""Part of the time for a planned stop in which new connections are still served, 2.9 s of 8: the
+balancer asks once a second and takes two refusals in a row. Streams last up to 4 s."""
 
-STOP_MARGIN_SECONDS: Final = 0.8
+STOP_MARGIN_SECONDS: Final = 0.4
 """Left of the time for a planned stop when requests in progress are given up."""
 
 POLL_SECONDS: Final = 0.05
@@ -63,15 +67,17 @@
     return state
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
+async def run_gateway(settings: GatewaySettings, path: Path) -> None:
     """Run a gateway process until it is told to stop.
 
     Args:
         settings: Settings of the process.
+        path: File that they were read from, which is read again when it changes.
     """
     state = build_state(settings)
     peers = state.peers
     assert peers is not None
+    seeds = SeedList(path=path, seeds=settings.cluster.seeds)
     callers = build_caller_site(state)
     ready = build_ready_site(state)
     children = [
@@ -79,7 +85,7 @@
         Child(name="ready", run=lambda: serve_http1(settings.gateway.ready_address, ready)),
         Child(
             name="peers",
-            run=lambda: run_peers(peers, lambda: settings.cluster.seeds),
+            run=lambda: run_peers(peers, seeds),
             restart=Restart.ALWAYS,
         ),
         Child(name="expiry", run=lambda: _expire(state), restart=Restart.ALWAYS),
@@ -91,6 +97,7 @@
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(on_stop_signal, planned_stop)
+        tasks.start_soon(reload_seeds, seeds, peers, load_gateway_settings)
         logger.info("gateway starts", extra={"seeds": list(settings.cluster.seeds)})
         await supervise(children)
     logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
@@ -109,7 +116,9 @@
     logger.info("planned stop", extra={"in_progress": callers.in_progress})
     limit = state.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
     with anyio.move_on_after(limit) as scope:
-        await anyio.sleep(min(NOTICE_SECONDS, limit / 2))
+        await anyio.sleep(state.settings.bounds.stop_seconds * NOTICE_SHARE)
+        callers.listening.cancel()
+        state.refusing = True
         callers.close_idle()
         while callers.in_progress or callers.open_connections:
             await anyio.sleep(POLL_SECONDS)
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ...http1 import ConnectError, connect
+from ...links.messages import LostReport
 from ...routing.forwarding_table import note_lost
 
 if TYPE_CHECKING:
@@ -57,4 +58,7 @@
         dead.add(engine.registration.instance)
         state.metrics.counters["engine-lost"] += 1
         note_lost(engine, anyio.current_time())
+        if state.peers is not None:
+            for link in state.peers.links.values():
+                link.post(LostReport(instance=engine.registration.instance))
     return bool(found)
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,7 +12,7 @@
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
-from ...routing.forwarding_table import ForwardingTable
+from ...routing.forwarding_table import DomainDoubts, ForwardingTable
 from ...routing.pace import Pace
 from ...routing.repeat_window import RepeatWindow
 from ...routing.route_index import RouteIndex
@@ -74,12 +74,19 @@
     freshness: Freshness = field(default_factory=Freshness)
     """Since when the document is known to be the newest."""
 
+    confirmed: bool = False
+    """True once a document in force was confirmed as the newest. Until then nothing is served:
+    a control box that has just started may have sent an old one."""
+
     entries: int = 1
     """Most entry boxes that a control box has told of."""
 
     table: ForwardingTable = field(default_factory=ForwardingTable)
     """Upstreams that registered."""
 
+    doubts: DomainDoubts = field(default_factory=DomainDoubts)
+    """Failure domains that may be cut off."""
+
     gone: dict[str, None] = field(default_factory=dict)
     """Runs of upstreams that have ended, oldest first."""
 
@@ -104,6 +111,9 @@
     stopping: bool = False
     """True once a planned stop has begun."""
 
+    refusing: bool = False
+    """True once a planned stop takes no further requests."""
+
     @property
     def version(self) -> int:
         """Version of the document in force; 0 before the first."""
@@ -122,11 +132,15 @@
         state: The process's state.
         now: Monotonic time, read after the request.
     """
+    if state.configuration is None:
+        return False
     bounds = state.settings.bounds
-    if not bounds.strict_revocation:
-        return state.configuration is not None
-    bound = bounds.revocation_ms / 1000.0 * BELIEF_SHARE
-    return state.configuration is not None and is_fresh(state.freshness, state.version, now, bound)
+    seconds = bounds.revocation_ms / 1000.0 * BELIEF_SHARE
+    if not bounds.strict_revocation and state.confirmed:
+        seconds = float("inf")
+    holds = is_fresh(state.freshness, state.version, now, seconds)
+    state.confirmed = state.confirmed or holds
+    return holds
 
 
 def budget_of(state: GatewayState, pool: str) -> RepeatWindow:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -15,7 +15,13 @@
 from ...model.exchange import Dispatch
 from ...platform.exchange import caller_headers
 from ...routing.event_stream import EventBuffer, EventOrder, accept_event
-from ...routing.forwarding_table import note_failed, note_full, note_served
+from ...routing.forwarding_table import (
+    doubt_domain,
+    is_doubtful,
+    note_failed,
+    note_full,
+    note_served,
+)
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
 from ...routing.paths import ChosenPath, PathRequest, choose_path, release, reserve
 from ...routing.repeat_window import note_first, take_repeat
@@ -83,6 +89,9 @@
     excluded: set[str] = field(default_factory=set)
     """Engines that failed this request."""
 
+    failed_domains: set[str] = field(default_factory=set)
+    """Other failure domains whose engines failed or refused this request."""
+
     dead: set[str] = field(default_factory=set)
     """Engines among them that were found dead."""
 
@@ -110,6 +119,12 @@
     moved_at: float = 0.0
     """When the newest event was passed on, or when the request arrived."""
 
+    emitting: bool = False
+    """True while events that count as passed on are being written to the caller."""
+
+    interrupted: bool = False
+    """True if an engine was found dead during that; the run ends right after the write."""
+
 
 async def forward_stream(
     state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
@@ -179,12 +194,24 @@
     engines = state.table.pools.get(permit.pool.name, [])
     now = anyio.current_time()
     excluded = session.excluded | session.dead
-    path = choose_path(profile, engines, wanted, now, excluded=excluded)
+    near = [item for item in engines if not _is_avoided(state, session, item, now)]
+    path = choose_path(profile, near, wanted, now, excluded=excluded)
+    if path is None:
+        path = choose_path(profile, engines, wanted, now, excluded=excluded)
     if path is None and excluded != session.dead:
         path = choose_path(profile, engines, wanted, now, excluded=session.dead)
     return path
 
 
+def _is_avoided(
+    state: GatewayState, session: StreamSession, engine: ForwardedUpstream, now: float
+) -> bool:
+    domain = engine.registration.failure_domain
+    if domain == state.settings.box.failure_domain:
+        return False
+    return domain in session.failed_domains or is_doubtful(state.doubts, domain, now)
+
+
 def _domains(state: GatewayState, permit: Permit) -> int:
     engines = state.table.pools.get(permit.pool.name, [])
     return max(1, len({item.registration.failure_domain for item in engines}))
@@ -223,7 +250,11 @@
 
     def lost(engine: ForwardedUpstream) -> None:
         session.dead.add(engine.registration.instance)
-        scope.cancel()
+        if session.emitting:
+            # Cancelling the write would lose events that the next run does not send again.
+            session.interrupted = True
+        else:
+            scope.cancel()
 
     for engine in path.engines:
         engine.on_lost.add(lost)
@@ -295,6 +326,7 @@
     except NotSentError as error:
         now = anyio.current_time()
         note_failed(path.head, now)
+        _doubt(state, session, path.head)
         return RunEnd.NOT_SENT, str(error)
     except AnswerLostError as error:
         await _blame(state, session, path)
@@ -371,6 +403,7 @@
         for engine in at_fault:
             note_full(engine, now)
             session.excluded.add(engine.registration.instance)
+            _doubt(state, session, engine)
         return RunEnd.REFUSED, f"status {status} at {at_fault[0].registration.instance}"
     if not answer.facts.signed:
         return RunEnd.LOST, f"unsigned answer with status {status}"
@@ -405,7 +438,12 @@
                 accepted.append(event.data)
         if accepted:
             _note_events(state, session, started_at)
+            session.emitting = True
             await _emit(exchange, session, answer, b"".join(accepted))
+            session.emitting = False
+            if session.interrupted:
+                session.interrupted = False
+                raise AnswerLostError("an engine of the path was found dead by another request")
 
 
 def _note_events(state: GatewayState, session: StreamSession, started_at: float) -> None:
@@ -460,6 +498,14 @@
         note_false_alarm(session.pace)
 
 
+def _doubt(state: GatewayState, session: StreamSession, engine: ForwardedUpstream) -> None:
+    """Hold a failure against the failure domain of an engine if it is not the own one."""
+    domain = engine.registration.failure_domain
+    if domain != state.settings.box.failure_domain:
+        session.failed_domains.add(domain)
+        doubt_domain(state.doubts, engine, anyio.current_time())
+
+
 async def _blame(state: GatewayState, session: StreamSession, path: ChosenPath) -> None:
     """Find out which engines of a broken run are dead, and avoid those."""
     if not await find_lost(state, path, session.dead):
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -18,6 +18,7 @@
     from anyio.abc import TaskGroup
 
     from ..links import Link, LinkIdentity
+    from .reloading import SeedList
 
 logger = logging.getLogger(__name__)
 
@@ -113,16 +114,16 @@
             scope.cancel()
 
 
-async def run_peers(peers: Peers, seeds: Callable[[], Iterable[str]]) -> None:
+async def run_peers(peers: Peers, seeds: SeedList) -> None:
     """Keep links up until cancelled; without any, the seeds are looked at again.
 
     Args:
         peers: The links.
-        seeds: Returns the `host:port` of the seeds that are in the settings now.
+        seeds: Seeds that are in the settings now.
     """
     async with anyio.create_task_group() as tasks:
         peers.tasks = tasks
         while True:
             if not peers.links:
-                add_peers(peers, seed_addresses(seeds()))
+                add_peers(peers, seed_addresses(seeds.seeds))
             await anyio.sleep(SILENCE_SECONDS)
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -18,10 +18,12 @@
 from ...links import Link, LinkIdentity, serve_links
 from ...links.messages import PeerRole
 from ...platform.configuration import decode_configuration
+from ...settings import load_registry_settings
 from ...storage import box_of, create_identity, member_id, read_identity
 from ..control.handover import start_any_handover
 from ..control.node import ControlNode, open_node, run_log
 from ..peers import Peers, run_peers, seed_addresses
+from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .http_api import build_site
@@ -32,6 +34,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
     from ...coordination.raft import Envelope
     from ...settings import RegistrySettings
@@ -73,7 +76,7 @@
         send_to_member(links[0], envelope)
 
     def changed() -> None:
-        take_published(links[0])
+        links[0].published_changed.set()
 
     own = settings.box.address
     peers = Peers(
@@ -151,17 +154,31 @@
     push_document(state)
 
 
-async def run_registry(settings: RegistrySettings) -> None:
+async def keep_publishing(state: RegistryState) -> None:
+    """Send each newly published document out, for ever.
+
+    A restart applies the whole log in one go: only the last of its documents is sent, since an
+    entry box that has none yet must not put an old one in force.
+    """
+    while True:
+        await state.published_changed.wait()
+        state.published_changed = anyio.Event()
+        take_published(state)
+
+
+async def run_registry(settings: RegistrySettings, path: Path) -> None:
     """Run a registry process until it is told to stop.
 
     Args:
         settings: Settings of the process.
+        path: File that they were read from, which is read again when it changes.
 
     Raises:
         StorageError: If the data folder cannot be trusted or the disk fails.
     """
     state = build_state(settings)
     counters: Counter[str] = Counter()
+    seeds = SeedList(path=path, seeds=settings.cluster.seeds)
     site = build_site(state, counters)
     link_address = f"{settings.box.address}:{settings.cluster.link_port}"
 
@@ -178,11 +195,12 @@
         Child(name="http", run=lambda: serve_http1(settings.registry.address, site)),
         Child(
             name="peers",
-            run=lambda: run_peers(state.peers, lambda: settings.cluster.seeds),
+            run=lambda: run_peers(state.peers, seeds),
             restart=Restart.ALWAYS,
         ),
         Child(name="ages", run=lambda: tell_ages(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
+        Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
         Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
@@ -195,6 +213,7 @@
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(on_stop_signal, planned_stop)
+        tasks.start_soon(reload_seeds, seeds, state.peers, load_registry_settings)
         logger.info("registry starts", extra={"member": state.node.identity.member_id})
         await supervise(children)
     state.node.journal.close()
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -23,6 +23,7 @@
     DocumentPush,
     JoinRequest,
     LogMessage,
+    LostReport,
     PeerHint,
     PeerRole,
     RegistrationAges,
@@ -175,6 +176,8 @@
             take_ages(state.table, message.ages, anyio.current_time())
         case PeerHint() if is_control:
             add_peers(state.peers, message.addresses)
+        case LostReport():
+            state.lost_at[message.instance] = anyio.current_time()
         case VersionQuery():
             answer_version(state, link, message)
         case DocumentPull():
@@ -199,6 +202,8 @@
             logger.warning(
                 "upstream not heard", extra={"upstream": instance, "seconds": FORGET_SECONDS}
             )
+        for instance in [item for item in state.lost_at if item not in state.table.known]:
+            del state.lost_at[instance]
         add_peers(state.peers, _known_controls(state))
         told = RegistrationAges(ages=ages(state.table, now))
         hint = PeerHint(addresses=_known_controls(state))
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -20,7 +20,12 @@
 )
 from ...model.registration import UpstreamState
 from ...platform.engine_calls import place_call, read_outcome
-from ...routing.placement import PlacedEngine, missing_layers, plan_placement
+from ...routing.placement import (
+    PlacedEngine,
+    missing_layers,
+    plan_placement,
+    plan_repair,
+)
 
 if TYPE_CHECKING:
     from ...model.registration import Holding, Registration
@@ -39,6 +44,12 @@
 GATHER_LIMIT_SECONDS: Final = 3.0
 """Longest time that the first plan waits for further engines; traffic starts some seconds later."""
 
+REPAIR_SECONDS: Final = 4.0
+"""Least time between two moves: one load, and the heartbeat that reports it."""
+
+SILENT_HEARTBEATS: Final = 3.0
+"""Heartbeats that an engine may miss before it counts as lost for the placement."""
+
 CALL_SECONDS: Final = 1.5
 """How long an engine may take to answer an order."""
 
@@ -73,9 +84,11 @@
                 engines = _engines(state, pool)
                 empty = [item for item in engines if not item.holdings]
                 _settle(state, engines)
-                if not empty or not gathering.is_over(len(engines), anyio.current_time()):
+                if not gathering.is_over(len(engines), anyio.current_time()):
                     continue
-                for engine, holding in _plan(state, pool, engines):
+                orders = _plan(state, pool, engines) if empty else []
+                orders = orders or _repair(state, pool, engines)
+                for engine, holding in orders:
                     tasks.start_soon(_order, state, engine, holding)
 
 
@@ -141,6 +154,54 @@
     return orders
 
 
+def _repair(
+    state: RegistryState, pool: UpstreamPool, engines: list[Registration]
+) -> list[tuple[Registration, Holding]]:
+    """Return the engine that is to be moved to layers that a failure domain lacks."""
+    assert pool.engine is not None
+    now = anyio.current_time()
+    if now - state.ledger.repaired_at < REPAIR_SECONDS or state.ledger.sent:
+        return []
+    up = [item for item in engines if _is_up(state, item, now)]
+    placed = [
+        PlacedEngine(
+            instance=item.instance,
+            failure_domain=item.failure_domain,
+            card=item.card,
+            holding=_holding(state, item),
+        )
+        for item in up
+    ]
+    move = plan_repair(pool.engine, placed)
+    if move is None:
+        return []
+    spare, holding = move
+    state.ledger.repaired_at = now
+    logger.warning(
+        "layers lost in a failure domain",
+        extra={
+            "failure_domain_short": spare.failure_domain,
+            "up": len(up),
+            "registered": len(engines),
+            "moved": spare.instance,
+            "layers": f"{holding.first}-{holding.end}",
+        },
+    )
+    engine = next(item for item in up if item.instance == spare.instance)
+    return [(engine, holding)]
+
+
+def _is_up(state: RegistryState, engine: Registration, now: float) -> bool:
+    """Tell whether an engine is ready, heard lately, and not found dead since."""
+    known = state.table.known.get(engine.instance)
+    if known is None or engine.state is not UpstreamState.READY:
+        return False
+    lost_at = state.lost_at.get(engine.instance, float("-inf"))
+    heartbeat = state.settings.bounds.heartbeat_ms / 1000.0
+    silent = now - known.heard_at > SILENT_HEARTBEATS * heartbeat
+    return not silent and known.heard_at > lost_at
+
+
 def _holding(state: RegistryState, engine: Registration) -> Holding | None:
     if engine.holdings:
         return max(engine.holdings, key=lambda item: item.end - item.first)
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -68,5 +68,11 @@
     configuration: TrafficConfiguration | None = None
     """The published document, decoded."""
 
+    published_changed: anyio.Event = field(default_factory=anyio.Event)
+    """Set once a newer document was applied."""
+
+    lost_at: dict[str, float] = field(default_factory=dict)
+    """When an entry box last found an engine dead, by run of the engine."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -26,6 +26,12 @@
 PIPELINED_LIMIT_BYTES: Final = 65536
 """Bytes of further requests that are read while one is being answered."""
 
+LINGER_SECONDS: Final = 0.5
+"""How long a refused request is read on; a caller that has its answer stops sending within it."""
+
+LINGER_LIMIT_BYTES: Final = 8 * 1024 * 1024
+"""Most bytes that are dropped meanwhile."""
+
 STREAM_ENDED: Final = (
     OSError,
     anyio.EndOfStream,
@@ -86,6 +92,9 @@
     idle_scopes: set[anyio.CancelScope] = field(default_factory=set)
     """Connections on which nothing has arrived since their last answer."""
 
+    listening: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    """Cancelled to refuse new connections; those that are up go on."""
+
     open_connections: int = 0
     """Connections that are up."""
 
@@ -117,6 +126,9 @@
     gone: bool = False
     """True if the caller has left."""
 
+    last: bool = False
+    """True if the connection ends with this answer."""
+
     @property
     def complete(self) -> bool:
         """True once the whole answer was sent."""
@@ -153,7 +165,7 @@
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.started = True
-        if self.site.stopping:
+        if self.site.stopping or self.last:
             headers = [*headers, (b"Connection", b"close")]
         return self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
 
@@ -262,16 +274,29 @@
             exchange.gone = True
             scope.cancel()
 
+    async def linger(self) -> None:
+        """Read and drop what the caller still sends, so that the close does not reset its answer.
+
+        Closing a connection with unread bytes makes the kernel reset it, and the caller may lose
+        an answer that it has not read (RFC 9112, section 9.6).
+        """
+        dropped = 0
+        with anyio.move_on_after(LINGER_SECONDS):
+            await self.stream.send_eof()
+            while dropped < LINGER_LIMIT_BYTES:
+                dropped += len(await self.stream.receive(READ_BYTES))
+
     async def refuse(self, problem: Problem) -> None:
         """Answer a request that could not be read, if that is still possible."""
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        exchange = Exchange(stream=self.stream, protocol=self.protocol, site=self.site)
+        exchange = Exchange(stream=self.stream, protocol=self.protocol, site=self.site, last=True)
         await self.site.write_problem(exchange, problem)
+        await self.linger()
 
 
 async def serve_http1(address: str, site: HttpSite) -> None:
-    """Listen and serve until cancelled.
+    """Listen and serve until cancelled; the site may stop listening before that.
 
     Args:
         address: `host:port` to listen on.
@@ -279,8 +304,11 @@
     """
     host, port = split_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    async with listener:
-        await listener.serve(lambda stream: _serve_connection(stream, site))
+    async with listener, anyio.create_task_group() as connections:
+        with anyio.CancelScope() as site.listening:
+            await listener.serve(lambda stream: _serve_connection(stream, site), connections)
+        await listener.aclose()
+        await anyio.sleep_forever()
 
 
 async def _serve_connection(stream: SocketStream, site: HttpSite) -> None:
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -179,6 +179,12 @@
     ages: dict[str, float]
 
 
+class LostReport(msgspec.Struct, frozen=True, kw_only=True, tag="lost", array_like=True):
+    """An entry box found an upstream dead."""
+
+    instance: str
+
+
 class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="newest?", array_like=True):
     """Ask which published version is the newest."""
 
@@ -232,6 +238,7 @@
     | PeerHint
     | RegistrationNews
     | RegistrationAges
+    | LostReport
     | VersionQuery
     | VersionReply
     | DocumentPull
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -24,6 +24,15 @@
 SILENT_SECONDS: Final = 4.0
 """An upstream that nobody has heard for this long, three heartbeats, is a last resort."""
 
+DOUBT_SECONDS: Final = 1.0
+"""How long failures of a failure domain are held against it; then one request tries it again."""
+
+DOUBT_UPSTREAMS: Final = 2
+"""Upstreams of a failure domain that must fail: one alone is more likely lost itself."""
+
+DOUBTS_KEPT: Final = 16
+"""Failures that are remembered for each failure domain."""
+
 LOAD_BELIEVED_SECONDS: Final = 0.3
 """How long the load that an upstream told is believed."""
 
@@ -76,6 +85,28 @@
     """The same by pool."""
 
 
+@dataclass(kw_only=True)
+class DomainDoubts:
+    """Failure domains that may be cut off from this one or from its engines."""
+
+    failures: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    """Recent failures by failure domain: when, and at which upstream."""
+
+
+def doubt_domain(doubts: DomainDoubts, upstream: ForwardedUpstream, now: float) -> None:
+    """Note that an upstream of another failure domain failed or refused."""
+    registration = upstream.registration
+    recent = doubts.failures.setdefault(registration.failure_domain, [])
+    recent.append((now, registration.instance))
+    del recent[:-DOUBTS_KEPT]
+
+
+def is_doubtful(doubts: DomainDoubts, domain: str, now: float) -> bool:
+    """Tell whether two upstreams of a failure domain have failed lately, as in a cut."""
+    recent = doubts.failures.get(domain, ())
+    return len({name for at, name in recent if now - at < DOUBT_SECONDS}) >= DOUBT_UPSTREAMS
+
+
 def put_registration(
     table: ForwardingTable, registration: Registration, heard_at: float
 ) -> ForwardedUpstream | None:
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -19,9 +19,10 @@
 
     from ..model.traffic import EngineProfile
 
-KV_SHARE: Final = 0.4
+KV_SHARE: Final = 0.2
 """Share of a card's memory that is kept for requests. Worked out in docs/design/placement.md: with
-0.2 the KV cache binds long before compute, with 0.6 a failure domain holds no whole copy."""
+0.4 a failure domain holds some layers once only and is cut off from them by one lost engine; with
+0.2 the KV cache still holds twice the requests of an ordinary day."""
 
 DOMAIN_WEIGHT: Final = 10.0
 """How much more a layer counts that its own failure domain lacks than one that all lack."""
@@ -105,6 +106,52 @@
     return chosen
 
 
+def plan_repair(
+    profile: EngineProfile, engines: Sequence[PlacedEngine]
+) -> tuple[PlacedEngine, Holding] | None:
+    """Choose one engine to move where a failure domain lacks layers after a loss.
+
+    Only an engine whose layers its own failure domain holds elsewhere too is moved, the slowest
+    first: the fast ones carry more requests.
+
+    Args:
+        profile: Figures of the engines.
+        engines: Engines that are up, with what they hold or were ordered to hold.
+
+    Returns:
+        The engine and its new layers, or None if nothing is missing or nobody can be spared.
+    """
+    by_domain: dict[str, list[PlacedEngine]] = {}
+    for engine in engines:
+        by_domain.setdefault(engine.failure_domain, []).append(engine)
+    for members in by_domain.values():
+        held = [item.holding for item in members if item.holding is not None]
+        lacking = missing_layers(profile, held)
+        # A failure domain that never held a whole copy is not repaired.
+        if not lacking or len(lacking) > profile.layers // 2:
+            continue
+        spare = _spare_engine(profile, members)
+        if spare is None:
+            continue
+        count = min(layers_for(profile, spare.card), profile.layers)
+        first = min(lacking[0], profile.layers - count)
+        return spare, Holding(first=first, end=first + count)
+    return None
+
+
+def _spare_engine(profile: EngineProfile, members: Sequence[PlacedEngine]) -> PlacedEngine | None:
+    copies = [0] * profile.layers
+    for item in members:
+        if item.holding is not None:
+            for layer in range(item.holding.first, min(item.holding.end, profile.layers)):
+                copies[layer] += 1
+    for item in sorted(members, key=lambda one: -_slowness(profile, one.card)):
+        holding = item.holding
+        if holding is not None and min(copies[holding.first : holding.end], default=0) >= 2:
+            return item
+    return None
+
+
 def missing_layers(profile: EngineProfile, holdings: Iterable[Holding]) -> list[int]:
     """Return the layers that nobody holds."""
     held = [False] * profile.layers
--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -303,3 +303,47 @@
         wait_until(lambda: reads(fleet, number) == document, 20, "read back")  # noqa: B023
     time.sleep(0.1)
     wait_until(lambda: request(fleet, "status").status_code == 200, 15, "served again")
+
+
+@pytest.mark.parametrize("name", ["gateway-0", "registry-0"])
+def test_hang_up_signal_reloads_and_ends_nothing(fleet: DiscoveredFleet, name: str) -> None:
+    def reloads() -> int:
+        return sum(line["message"] == "reload" for line in fleet.log(name))
+
+    before = reloads()
+    fleet.signal(name, signal.SIGHUP)
+    wait_until(lambda: reloads() > before, 5, "reload")
+    popen = fleet.boxes[name].popen
+    assert popen is not None
+    assert popen.poll() is None
+    assert request(fleet, "status").status_code == 200
+
+
+def test_stopping_gateway_refuses_late_requests_as_not_run(fleet: DiscoveredFleet) -> None:
+    """A request on a kept connection near the end of a planned stop must not be taken and cut."""
+    fields = {
+        "Host": HOST,
+        "Deadline-Ms": "8000",
+        "Authorization": f"Token {KEY}",
+        "Token-Count": "10,200",
+    }
+    fleet.signal("gateway-1", signal.SIGTERM)
+    statuses: list[int] = []
+    with httpx.Client(timeout=10.0, trust_env=False) as client:
+        url = f"http://{fleet.caller_address(1)}/draft/x"
+        deadline = time.monotonic() + 6
+        while time.monotonic() < deadline:
+            fields["Attempt-Id"] = secrets.token_hex(8)
+            try:
+                # Either whole, or refused, or not connected at all; never cut in the middle.
+                answer = client.post(url, headers=fields)
+            except httpx.ConnectError:
+                break
+            statuses.append(answer.status_code)
+            if answer.status_code == 200:
+                assert answer.text == stream_text(0, 200)
+    assert statuses
+    assert set(statuses) <= {200, 503}
+    assert fleet.wait_end("gateway-1") == 0
+    fleet.restart("gateway-1")
+    wait_until(lambda: fleet.ready(1), 20, "ready again")
