--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -14,6 +14,7 @@
 from ...links.messages import PeerRole
 from ...storage import INITIAL_INCARNATION, create_identity, member_id, read_identity
 from ..http import serve_http, upstream_client
+from ..log_child import log_child
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .handover import start_any_handover
@@ -144,6 +145,7 @@
             restart=Restart.ALWAYS,
         ),
         Child(name="operators", run=lambda: serve_http(app, operator_address, stop)),
+        log_child(),
         Child(name="orders", run=lambda: run_orders(node, hub, client), restart=Restart.ALWAYS),
         Child(name="heads", run=lambda: send_heads(hub, node), restart=Restart.ALWAYS),
         *(link_child(peer) for peer in others),
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -15,6 +15,7 @@
 from ...routing.upstream_table import take_box_list
 from ...upstreams.box_list import read_box_list
 from ..http import serve_http, upstream_client
+from ..log_child import log_child
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .caller_api import build_caller_app
@@ -149,6 +150,7 @@
             run=lambda: serve_links(settings.entry.link_address, identity, neighbour),
             restart=Restart.ALWAYS,
         ),
+        log_child(),
         Child(name="first sync", run=lambda: first_sync(context, follower, sources)),
         Child(name="announce", run=lambda: announce(context, follower), restart=Restart.ALWAYS),
         Child(name="box list", run=lambda: _poll_box_list(context)),
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -12,12 +12,15 @@
 from ...links import LinkIdentity
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
+from ..log_child import log_child
+from ..metrics_page import metrics_child
 from ..peers import Peers, run_peers
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .app import build_caller_site
 from .following import serve_control
+from .metrics import metrics_lines
 from .readiness import build_ready_site
 from .state import GatewayState
 
@@ -88,6 +91,10 @@
             run=lambda: run_peers(peers, seeds),
             restart=Restart.ALWAYS,
         ),
+        log_child(),
+        metrics_child(
+            f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: metrics_lines(state)
+        ),
         Child(name="expiry", run=lambda: _expire(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -0,0 +1,34 @@
+"""The metrics page of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..metrics_page import counter_lines, gauge_lines, histogram_lines
+
+if TYPE_CHECKING:
+    from .state import GatewayState
+
+
+def metrics_lines(state: GatewayState) -> list[str]:
+    """Return counters, histograms and gauges of a gateway."""
+    now = anyio.current_time()
+    metrics = state.metrics
+    gauges = {
+        "document_version": float(state.version),
+        "document_confirmed_age_seconds": now - state.freshness.as_of,
+        "control_links": float(len(state.peers.links) if state.peers is not None else 0),
+        "upstreams": float(len(state.table.upstreams)),
+        "upstreams_avoided": float(
+            sum(item.avoid_until > now for item in state.table.upstreams.values())
+        ),
+    }
+    return [
+        *counter_lines(metrics.counters),
+        *histogram_lines("answer", metrics.answer),
+        *histogram_lines("first_event", metrics.first_event),
+        *histogram_lines("event_gap", metrics.gap),
+        *gauge_lines(gauges),
+    ]
--- /dev/null
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -0,0 +1,63 @@
+"""Counters and histograms as text, on the metrics address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ..http1 import HttpSite, serve_http1
+from ..model import Problem, ResultCode
+from .plain_problems import write_problem
+from .supervisor import Child
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from hdrh.histogram import HdrHistogram
+
+    from ..http1 import Exchange, HttpRequest
+
+METRICS_PATH: Final = b"/metrics"
+QUANTILES: Final = (50.0, 95.0, 99.0, 100.0)
+OK: Final = 200
+
+
+def histogram_lines(name: str, histogram: HdrHistogram) -> list[str]:
+    """Return count and quantiles of a histogram, in seconds."""
+    lines = [f"ledgeladder_{name}_seconds_count {histogram.get_total_count()}"]
+    for quantile in QUANTILES:
+        seconds = histogram.get_value_at_percentile(quantile) / 1e6
+        label = f'quantile="{quantile / 100:g}"'
+        lines.append(f"ledgeladder_{name}_seconds{{{label}}} {seconds:.6f}")
+    return lines
+
+
+def counter_lines(counters: Mapping[str, int]) -> list[str]:
+    """Return counters, sorted by name."""
+    return [
+        f'ledgeladder_events_total{{event="{name}"}} {count}'
+        for name, count in sorted(counters.items())
+    ]
+
+
+def gauge_lines(gauges: Mapping[str, float]) -> list[str]:
+    """Return gauges in the order given."""
+    return [f"ledgeladder_{name} {value:g}" for name, value in gauges.items()]
+
+
+def metrics_child(address: str, lines: Callable[[], list[str]]) -> Child:
+    """Return the child that serves the metrics page.
+
+    Args:
+        address: `host:port` to listen on.
+        lines: Returns the lines of the page.
+    """
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> None:
+        if request.target != METRICS_PATH:
+            await write_problem(exchange, Problem(code=ResultCode.NOT_FOUND))
+            return
+        body = "\n".join(lines()) + "\n"
+        await exchange.answer(OK, [(b"Content-Type", b"text/plain; version=0.0.4")], body.encode())
+
+    site = HttpSite(handler=handle, write_problem=write_problem)
+    return Child(name="metrics", run=lambda: serve_http1(address, site))
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -22,12 +22,15 @@
 from ...storage import box_of, create_identity, member_id, read_identity
 from ..control.handover import start_any_handover
 from ..control.node import ControlNode, open_node, run_log
+from ..log_child import log_child
+from ..metrics_page import metrics_child
 from ..peers import Peers, run_peers, seed_addresses
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .http_api import build_site
 from .mesh import push_document, send_to_member, serve_accepted, serve_peer, tell_ages
+from .metrics import metrics_lines
 from .newest import keep_asking
 from .placing import run_placing
 from .state import RegistryState
@@ -198,6 +201,11 @@
             run=lambda: run_peers(state.peers, seeds),
             restart=Restart.ALWAYS,
         ),
+        log_child(),
+        metrics_child(
+            f"{settings.box.address}:{settings.cluster.metrics_port}",
+            lambda: metrics_lines(state, counters),
+        ),
         Child(name="ages", run=lambda: tell_ages(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -0,0 +1,31 @@
+"""The metrics page of a registry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..metrics_page import counter_lines, gauge_lines
+
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from .state import RegistryState
+
+
+def metrics_lines(state: RegistryState, counters: Counter[str]) -> list[str]:
+    """Return counters and gauges of a registry."""
+    replica = state.node.replica
+    gauges = {
+        "document_version": float(state.node.state.published.version),
+        "log_term": float(replica.term),
+        "log_commit_index": float(replica.commit_index),
+        "log_leads": float(replica.is_leader),
+        "log_voters": float(len(replica.log.members.voters)),
+        "journal_bytes": float(state.node.journal.size),
+        "journal_syncs": float(state.node.syncs),
+        "upstreams": float(len(state.table.known)),
+        "entry_links": float(len(state.accepted)),
+        "control_links": float(len(state.peers.links)),
+        "orders_unconfirmed": float(len(state.ledger.sent)),
+    }
+    return [*counter_lines(counters), *gauge_lines(gauges)]
