--- a/src/ledgeladder/storage/identity.py
+++ b/src/ledgeladder/storage/identity.py
@@ -13,8 +13,8 @@
 from .files import replace_file
 
 IDENTITY_FILE: Final = "identity.json"
-FORMAT_VERSION: Final = 1
-"""Version of everything in a data folder."""
+FORMAT_VERSION: Final = 2
+"""Version of everything in a data folder. Version 1 framed each journal record by itself."""
 
 INITIAL_INCARNATION: Final = "initial"
 """Incarnation of the folders that a cluster is first created with."""
--- a/src/ledgeladder/storage/journal.py
+++ b/src/ledgeladder/storage/journal.py
@@ -17,7 +17,7 @@
 from .records import Tail, frame_record, scan_records
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from .files import Sync
 
@@ -40,7 +40,9 @@
     entry: LogEntry
 
 
-_RECORD_DECODER: Final = msgspec.msgpack.Decoder(StateRecord | EntryRecord)
+JournalRecord = StateRecord | EntryRecord
+
+_BATCH_DECODER: Final = msgspec.msgpack.Decoder(list[JournalRecord])
 _SNAPSHOT_DECODER: Final = msgspec.msgpack.Decoder(Snapshot)
 
 
@@ -87,13 +89,14 @@
         Raises:
             StorageError: If the disk is full or does not sync; the journal must not be used again.
         """
-        records: list[StateRecord | EntryRecord] = []
+        records: list[JournalRecord] = []
         if hard_state is not None:
             records.append(StateRecord(hard_state=hard_state))
         records.extend(EntryRecord(entry=entry) for entry in entries)
         if not records:
             return
-        content = b"".join(frame_record(msgspec.msgpack.encode(record)) for record in records)
+        # One frame a sync: a frame that is not whole can then only be the last one.
+        content = frame_record(msgspec.msgpack.encode(records))
         with disk_faults_named(self.folder / JOURNAL_FILE):
             self.file.write(content)
             self.file.flush()
@@ -117,10 +120,9 @@
         """
         framed = PREFIX + frame_record(msgspec.msgpack.encode(snapshot))
         replace_file(self.folder / SNAPSHOT_FILE, framed, sync=self.sync)
-        records: list[StateRecord | EntryRecord] = [StateRecord(hard_state=hard_state)]
+        records: list[JournalRecord] = [StateRecord(hard_state=hard_state)]
         records.extend(EntryRecord(entry=entry) for entry in entries)
-        framed_records = (frame_record(msgspec.msgpack.encode(record)) for record in records)
-        content = PREFIX + b"".join(framed_records)
+        content = PREFIX + frame_record(msgspec.msgpack.encode(records))
         path = self.folder / JOURNAL_FILE
         replace_file(path, content, sync=self.sync)
         self.file.close()
@@ -195,11 +197,7 @@
 def _replay(path: Path, payloads: list[bytes], base: int) -> tuple[HardState, list[LogEntry]]:
     hard_state = HardState()
     entries: list[LogEntry] = []
-    for payload in payloads:
-        try:
-            record = _RECORD_DECODER.decode(payload)
-        except msgspec.DecodeError as error:
-            raise _corrupt(path, 0) from error
+    for record in _records(path, payloads):
         if isinstance(record, StateRecord):
             hard_state = record.hard_state
             continue
@@ -215,11 +213,19 @@
     return hard_state, entries
 
 
+def _records(path: Path, payloads: list[bytes]) -> Iterator[JournalRecord]:
+    for payload in payloads:
+        try:
+            yield from _BATCH_DECODER.decode(payload)
+        except msgspec.DecodeError as error:
+            raise _corrupt(path, 0) from error
+
+
 def _check_prefix(path: Path, content: bytes) -> None:
     if content.startswith(PREFIX):
         return
-    if content.startswith(MAGIC) and len(content) >= len(PREFIX) and content[3] > FORMAT_VERSION:
-        detail = f"{path}: format {content[3]}, this program reads up to {FORMAT_VERSION}"
+    if content.startswith(MAGIC) and len(content) >= len(PREFIX):
+        detail = f"{path}: format {content[3]}, this program reads format {FORMAT_VERSION}"
         raise storage_error(ResultCode.JOURNAL_FORMAT, detail)
     raise _corrupt(path, 0)
 
--- a/src/ledgeladder/storage/records.py
+++ b/src/ledgeladder/storage/records.py
@@ -22,10 +22,10 @@
     """Right after a whole record."""
 
     TORN = "torn"
-    """In the middle of a record, as after a crash during a write."""
+    """In the middle of the last record, or with one that was not written in full."""
 
     CORRUPT = "corrupt"
-    """With a whole record whose checksum does not match, or with an absurd length."""
+    """With a bad record that others follow, or with an absurd length."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,9 +51,10 @@
     r"""Read records up to the end or to the first bad one.
 
     A crash can leave the last write short, or leave zeros where the file grew before its data was
-    written; both are torn. A record of full length with a wrong checksum is called corrupt even at
-    the end, since it may have been synced and promised to others. Taking a torn write for a corrupt
-    one costs a rejoin as a learner; the opposite would lose an accepted change.
+    written, or leave a write of full length of which some blocks are missing; all are torn. One
+    record is one synced write, so a bad last record was never promised to anybody: the next write
+    starts only after the sync of the one before has returned. A bad record with another behind it
+    was synced once and is corrupt.
 
     Args:
         content: The whole file.
@@ -80,7 +81,9 @@
         if len(payload) < length:
             return RecordScan(payloads=payloads, good_length=offset, tail=Tail.TORN)
         if zlib.crc32(payload) != checksum:
-            return RecordScan(payloads=payloads, good_length=offset, tail=Tail.CORRUPT)
+            is_last = offset + HEADER.size + length == len(content)
+            tail = Tail.TORN if is_last else Tail.CORRUPT
+            return RecordScan(payloads=payloads, good_length=offset, tail=tail)
         payloads.append(payload)
         offset += HEADER.size + length
     return RecordScan(payloads=payloads, good_length=offset, tail=Tail.CLEAN)
--- /dev/null
+++ b/tests/coordination/test_registrations.py
@@ -0,0 +1,76 @@
+"""Registrations that arrive late, twice, out of order and over several control boxes."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from ledgeladder.coordination.registrations import (
+    RegistrationTable,
+    end_of,
+    forget_silent,
+    take_ages,
+    take_all,
+    take_registration,
+    tell_all,
+)
+from ledgeladder.model.registration import Holding, Registration, UpstreamState
+
+
+def said(sequence: int, state: UpstreamState = UpstreamState.READY, first: int = 0) -> Registration:
+    return Registration(
+        instance="i-1",
+        sequence=sequence,
+        pool="engines",
+        address="10.0.0.1:80",
+        state=state,
+        holdings=(Holding(first=first, end=first + 10),),
+    )
+
+
+def test_order_of_arrival_does_not_matter() -> None:
+    messages = [said(1), said(2, first=10), said(3, UpstreamState.LEAVING), said(4)]
+    for seed in range(50):
+        rng = random.Random(seed)
+        table = RegistrationTable()
+        shuffled = messages * 2
+        rng.shuffle(shuffled)
+        for message in shuffled:
+            take_registration(table, message, rng.random())
+        held = table.known["i-1"].registration
+        assert held.sequence == 4
+        # An end that was announced is never taken back by a later heartbeat, unless the
+        # announcement itself was the late one.
+        leaving_seen_first = shuffled.index(messages[2]) < shuffled.index(messages[3])
+        expected = UpstreamState.LEAVING if leaving_seen_first else UpstreamState.READY
+        assert held.state is expected
+
+
+def test_late_heartbeat_does_not_bring_back_what_has_ended() -> None:
+    table = RegistrationTable()
+    take_registration(table, said(1), 0.0)
+    assert take_registration(table, end_of("i-1"), 1.0)
+    assert not take_registration(table, said(9), 2.0)
+    assert not table.known
+
+
+def test_merge_of_two_boxes_and_their_clocks() -> None:
+    here, there = RegistrationTable(), RegistrationTable()
+    take_registration(there, said(5), 100.0)
+    news = take_all(here, tell_all(there, 103.0), 7.0)
+    assert news == [said(5)]
+    assert here.known["i-1"].heard_at == 4.0
+    take_ages(here, {"i-1": 0.5, "i-unknown": 0.1}, 8.0)
+    assert here.known["i-1"].heard_at == 7.5
+    assert not forget_silent(here, 12.0, 5.0)
+    assert forget_silent(here, 13.0, 5.0) == ["i-1"]
+    # Silence is not an end: the next heartbeat brings it back.
+    assert take_registration(here, said(6), 14.0)
+
+
+def test_unchanged_heartbeat_is_no_news() -> None:
+    table = RegistrationTable()
+    assert take_registration(table, said(1), 0.0)
+    assert not take_registration(table, msgspec.structs.replace(said(1), sequence=2), 1.0)
+    assert take_registration(table, said(3, first=20), 2.0)
--- /dev/null
+++ b/tests/daemons/test_log_queue.py
@@ -0,0 +1,68 @@
+"""Log lines that never block and stay bounded."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+from ledgeladder.daemons.log_queue import (
+    ORDINARY_LINES_PER_SECOND,
+    QUEUE_LINES,
+    LogQueue,
+    QueueHandler,
+    admit,
+    write_ready,
+)
+
+
+def test_reader_that_stops_costs_lines_and_no_time() -> None:
+    reading, writing = os.pipe()
+    queue = LogQueue(descriptor=writing)
+    handler = QueueHandler(queue)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    try:
+        for number in range(5000):
+            message = f"{number:05d}" + "x" * 200
+            handler.emit(logging.LogRecord("n", logging.WARNING, "", 0, message, (), None))
+        assert len(queue.lines) <= QUEUE_LINES
+        assert queue.dropped > 0
+        received = b""
+        while not write_ready(queue):
+            received += os.read(reading, 1 << 20)
+        os.close(writing)
+        while chunk := os.read(reading, 1 << 20):
+            received += chunk
+        lines = received.split(b"\n")[:-1]
+        assert all(len(line) == 205 for line in lines)
+        numbers = [int(line[:5]) for line in lines]
+        assert numbers == sorted(numbers)
+    finally:
+        os.close(reading)
+
+
+def test_ordinary_lines_are_sampled_and_warnings_are_not() -> None:
+    queue = LogQueue(descriptor=1)
+    kept = sum(admit(queue, logging.INFO, 5.5) for _ in range(500))
+    assert kept == ORDINARY_LINES_PER_SECOND
+    assert queue.sampled_out == 400
+    assert all(admit(queue, logging.WARNING, 5.5) for _ in range(500))
+    assert admit(queue, logging.INFO, 6.0)
+
+
+def test_next_line_says_what_was_left_out() -> None:
+    reading, writing = os.pipe()
+    queue = LogQueue(descriptor=writing, dropped=3, sampled_out=4)
+    handler = QueueHandler(queue)
+
+    class Shown(logging.Formatter):
+        def format(self, record: logging.LogRecord) -> str:
+            shown = {"dropped": getattr(record, "lines_dropped", 0)}
+            return json.dumps(shown | {"sampled": getattr(record, "lines_sampled_out", 0)})
+
+    handler.setFormatter(Shown())
+    handler.emit(logging.LogRecord("n", logging.WARNING, "", 0, "m", (), None))
+    os.close(writing)
+    assert json.loads(os.read(reading, 1000)) == {"dropped": 3, "sampled": 4}
+    os.close(reading)
+    assert queue.dropped == 0
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,141 @@
+"""Decoding of the operator's document and of heartbeats."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from ledgeladder.model import ResultCode
+from ledgeladder.model.registration import Holding, UpstreamState
+from ledgeladder.model.traffic import RequestKind
+from ledgeladder.platform.configuration import decode_configuration
+from ledgeladder.platform.registrations import decode_heartbeat
+from standins.discovered_fleet import example_document
+
+BEAT = {
+    "service": "engines",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "routeType": "small",
+    "layers": {"from": 14, "targetVersion": 21, "version": 1},
+    "unknown": {"more": [1]},
+}
+
+
+def test_document_is_decoded_into_names_that_say_what_they_hold() -> None:
+    decoded = decode_configuration(json.dumps(example_document(7) | {"later": 1}).encode())
+    assert isinstance(decoded, Success)
+    configuration = decoded.unwrap()
+    assert configuration.version == 7
+    draft = configuration.routes[0]
+    assert draft.kind is RequestKind.STREAM
+    assert draft.repeatable
+    assert draft.timeout == 8.0
+    assert not configuration.routes[2].repeatable
+    engine = configuration.pools["engines"].engine
+    assert engine is not None
+    assert engine.cards["big"].memory_mb == 12_000
+    assert configuration.accounts[0].name == "designers"
+
+
+def broken(change: str) -> Any:
+    document = copy.deepcopy(example_document(3))
+    route = document["routes"][1]
+    match change:
+        case "no-version":
+            del document["version"]
+        case "negative-version":
+            document["version"] = -1
+        case "same-place":
+            document["routes"].append(route | {"name": "again"})
+        case "zero-weight":
+            route["trafficSplit"] = [{"service": "services", "weight": 0}]
+        case "negative-weight":
+            route["trafficSplit"] = [{"service": "services", "weight": -1}]
+        case "unknown-service":
+            route["service"] = "missing"
+        case "no-service":
+            del route["service"]
+        case "zero-timeout":
+            route["timeoutMs"] = 0
+        case "shared-key":
+            document["tenants"].append(
+                {"name": "other", "apiKeys": document["tenants"][0]["apiKeys"]}
+            )
+        case "unknown-type":
+            route["routeType"] = "sometimes"
+        case "routes-not-a-list":
+            document["routes"] = {"a": 1}
+    return document
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        "no-version",
+        "negative-version",
+        "same-place",
+        "zero-weight",
+        "negative-weight",
+        "unknown-service",
+        "no-service",
+        "zero-timeout",
+        "shared-key",
+        "unknown-type",
+        "routes-not-a-list",
+    ],
+)
+def test_invalid_document_is_refused_with_its_code(change: str) -> None:
+    refused = decode_configuration(json.dumps(broken(change)).encode())
+    assert isinstance(refused, Failure)
+    assert refused.failure().code is ResultCode.CHANGE_INVALID
+    assert refused.failure().detail
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"null", b"\xff", b"[" * 5000, b'{"version":1}'])
+def test_garbage_is_refused(body: bytes) -> None:
+    assert isinstance(decode_configuration(body), Failure)
+
+
+def test_every_cut_of_a_document_is_refused() -> None:
+    whole = json.dumps(example_document(3)).encode()
+    for length in range(0, len(whole), 37):
+        assert isinstance(decode_configuration(whole[:length]), Failure)
+
+
+def test_heartbeat() -> None:
+    decoded = decode_heartbeat("i-1", json.dumps(BEAT).encode())
+    assert isinstance(decoded, Success)
+    registration = decoded.unwrap()
+    assert registration.holdings == (Holding(first=14, end=21),)
+    assert registration.card == "small"
+    assert registration.state is UpstreamState.READY
+    empty = decode_heartbeat("i-1", json.dumps(BEAT | {"layers": None}).encode())
+    assert empty.unwrap().holdings == ()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "sleeping"},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:x"},
+        {"sequence": "4"},
+        {"service": None},
+        {"layers": "all"},
+        {"padding": "x" * 4096},
+    ],
+)
+def test_malformed_heartbeat_is_refused(change: dict[str, Any]) -> None:
+    refused = decode_heartbeat("i-1", json.dumps(BEAT | change).encode())
+    assert isinstance(refused, Failure)
+    assert refused.failure().code is ResultCode.REGISTRATION_INVALID
--- /dev/null
+++ b/tests/routing/test_forwarding.py
@@ -0,0 +1,156 @@
+"""Routes, budgets, doubts and events of forwarded traffic."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ledgeladder.model.registration import Registration
+from ledgeladder.model.traffic import (
+    CallerLimits,
+    PoolWeight,
+    RequestKind,
+    RouteRule,
+    TrafficConfiguration,
+)
+from ledgeladder.routing.event_stream import EventBuffer, EventOrder, accept_event
+from ledgeladder.routing.forwarding_table import (
+    DomainDoubts,
+    ForwardedUpstream,
+    doubt_domain,
+    is_doubtful,
+    is_usable,
+    note_failed,
+    note_served,
+)
+from ledgeladder.routing.repeat_window import RepeatWindow, note_first, take_repeat
+from ledgeladder.routing.route_index import build_index, choose_pool, find_route
+
+
+def rule(prefix: str, *pools: tuple[str, float]) -> RouteRule:
+    return RouteRule(
+        name=prefix,
+        host="h",
+        path_prefix=prefix,
+        kind=RequestKind.REPEATABLE,
+        resumable=False,
+        timeout=1.0,
+        target_latency=0.5,
+        gap_target=0.0,
+        priority=1,
+        pools=tuple(PoolWeight(pool=name, weight=weight) for name, weight in pools),
+        max_attempts=2,
+        public=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [
+        ("/a/x", "/a/"),
+        ("/a/b/x", "/a/b/"),
+        ("/a/b", "/a/"),
+        ("/a", None),
+        ("/c/x", None),
+        ("/a/b/c/d/e", "/a/b/"),
+    ],
+)
+def test_longest_prefix_wins(path: str, expected: str | None) -> None:
+    configuration = TrafficConfiguration(
+        version=1,
+        routes=(rule("/a/", ("p", 1)), rule("/a/b/", ("p", 1))),
+        pools={},
+        limits=CallerLimits(),
+        accounts=(),
+    )
+    index = build_index(configuration)
+    route = find_route(index, "h", path)
+    assert (route.path_prefix if route else None) == expected
+    assert find_route(index, "other", path) is None
+
+
+def test_weights_are_kept_and_zero_gets_nothing() -> None:
+    route = rule("/a/", ("p", 90), ("q", 10), ("none", 0))
+    rng = random.Random(1)
+    drawn = [choose_pool(route, rng) for _ in range(5000)]
+    assert 0.87 < drawn.count("p") / 5000 < 0.93
+    assert "none" not in drawn
+
+
+def test_budgets_of_all_boxes_together_keep_the_shared_one() -> None:
+    entries = 8
+    windows = [RepeatWindow(ratio=0.2, reserve=200.0, seconds=10.0) for _ in range(entries)]
+    rng = random.Random(2)
+    sent: list[float] = []
+    firsts: list[float] = []
+    for step in range(20_000):
+        now = step * 0.002
+        window = rng.choice(windows)
+        if rng.random() < 0.1:
+            note_first(window, now)
+            firsts.append(now)
+        if take_repeat(window, now, entries):
+            sent.append(now)
+    for end in range(10, 40):
+        repeats = sum(end - 10 < at <= end for at in sent)
+        requests = sum(end - 10 < at <= end for at in firsts)
+        assert repeats <= 0.2 * requests + 200
+
+
+def test_one_failure_of_many_requests_counts_once_and_is_forgiven() -> None:
+    upstream = ForwardedUpstream(registration=Registration(instance="i", sequence=1), heard_at=0.0)
+    for _ in range(20):
+        note_failed(upstream, 1.0)
+    assert upstream.failures == 1
+    assert not is_usable(upstream, 1.5)
+    assert is_usable(upstream, 2.1)
+    note_failed(upstream, 2.1)
+    assert not is_usable(upstream, 4.0)
+    note_served(upstream)
+    assert is_usable(upstream, 4.0)
+
+
+def test_doubt_needs_two_upstreams_and_passes() -> None:
+    doubts = DomainDoubts()
+
+    def upstream(name: str) -> ForwardedUpstream:
+        registration = Registration(instance=name, sequence=1, failure_domain="b")
+        return ForwardedUpstream(registration=registration, heard_at=0.0)
+
+    doubt_domain(doubts, upstream("one"), 1.0)
+    doubt_domain(doubts, upstream("one"), 1.1)
+    assert not is_doubtful(doubts, "b", 1.2)
+    doubt_domain(doubts, upstream("two"), 1.2)
+    assert is_doubtful(doubts, "b", 1.3)
+    assert not is_doubtful(doubts, "a", 1.3)
+    assert not is_doubtful(doubts, "b", 2.5)
+
+
+def test_broken_event_never_passes_however_the_bytes_are_cut() -> None:
+    whole = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(30))
+    for seed in range(50):
+        rng = random.Random(seed)
+        cuts = sorted(rng.sample(range(len(whole)), 12))
+        end = cuts[-1]
+        buffer, order, passed = EventBuffer(), EventOrder(last_id=None), b""
+        for start, stop in zip([0, *cuts], cuts, strict=False):
+            for event in buffer.feed(whole[start:stop]):
+                assert accept_event(order, event)
+                passed += event.data
+        assert whole.startswith(passed)
+        assert passed.endswith(b"\n\n") or not passed
+        assert len(passed) <= end
+        # Another run carries on behind the last event, repeats some and loses none.
+        resumed = EventBuffer()
+        for event in resumed.feed(whole):
+            if accept_event(order, event):
+                passed += event.data
+        assert passed == whole
+
+
+def test_missing_event_ends_a_run() -> None:
+    order = EventOrder(last_id=3)
+    [late] = EventBuffer().feed(b"id: 5\n\n")
+    assert accept_event(order, late) is None
+    assert order.last_id == 3
--- /dev/null
+++ b/tests/routing/test_paths.py
@@ -0,0 +1,130 @@
+"""Paths over engines: every layer once and in order, and no further than need be."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ledgeladder.model.registration import Holding, Registration, UpstreamState
+from ledgeladder.routing.forwarding_table import (
+    ForwardedUpstream,
+    note_failed,
+    note_full,
+    put_registration,
+)
+from ledgeladder.routing.forwarding_table import ForwardingTable as Table
+from ledgeladder.routing.paths import PathRequest, choose_path, release, reserve
+
+from .test_placement import CARDS, DOMAINS, PROFILE, fleet, placed, plan_placement
+
+
+def engines(now: float = 0.0) -> list[ForwardedUpstream]:
+    made = []
+    empty = fleet()
+    for item in placed(empty, plan_placement(PROFILE, empty)):
+        assert item.holding is not None
+        registration = Registration(
+            instance=item.instance,
+            sequence=1,
+            pool="p",
+            address=f"{item.instance}:1",
+            failure_domain=item.failure_domain,
+            card=item.card,
+            holdings=(item.holding,),
+        )
+        made.append(ForwardedUpstream(registration=registration, heard_at=now))
+    return made
+
+
+def wanted(domain: str = "a") -> PathRequest:
+    return PathRequest(prompt_tokens=774, answer_tokens=200, failure_domain=domain)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_every_layer_once_and_in_order_whatever_is_lost(seed: int) -> None:
+    rng = random.Random(seed)
+    pool = engines()
+    lost = rng.sample(pool, rng.randrange(0, 20))
+    for engine in lost:
+        note_failed(engine, 0.0)
+    path = choose_path(PROFILE, pool, wanted(rng.choice("abc")), 0.1)
+    usable = [engine for engine in pool if engine not in lost]
+    covered = {
+        layer
+        for engine in usable
+        for item in engine.registration.holdings
+        for layer in range(item.first, item.end)
+    }
+    if path is None:
+        assert covered != set(range(80))
+        return
+    position = 0
+    for part, engine in zip(path.parts, path.engines, strict=True):
+        assert part.first == position
+        assert engine not in lost
+        held = engine.registration.holdings[0]
+        assert held.first <= part.first < part.end <= held.end
+        position = part.end
+    assert position == 80
+    assert len({part.instance for part in path.parts}) == len(path.parts)
+
+
+@pytest.mark.parametrize("domain", sorted(DOMAINS))
+def test_idle_system_stays_in_the_own_failure_domain(domain: str) -> None:
+    path = choose_path(PROFILE, engines(), wanted(domain), 0.0)
+    assert path is not None
+    assert {engine.registration.failure_domain for engine in path.engines} == {domain}
+
+
+def test_full_engines_are_left_out_before_they_refuse() -> None:
+    pool = engines()
+    paths = []
+    while (path := choose_path(PROFILE, pool, wanted(), 0.0)) is not None:
+        reserve(path, 974)
+        paths.append(path)
+        assert len(paths) < 1000
+    assert len(paths) > 60
+    for path in paths:
+        release(path, 974)
+    assert all(engine.in_flight == 0 for engine in pool)
+    assert all(abs(engine.kv_reserved) < 1e-6 for engine in pool)
+
+
+def test_leaving_and_excluded_engines_are_not_used() -> None:
+    pool = engines()
+    path = choose_path(PROFILE, pool, wanted(), 0.0)
+    assert path is not None
+    first = path.head
+    table = Table()
+    left = Registration(
+        instance=first.registration.instance,
+        sequence=2,
+        state=UpstreamState.LEAVING,
+        holdings=(Holding(first=0, end=80),),
+    )
+    first.registration = left
+    put_registration(table, left, 0.0)
+    other = choose_path(PROFILE, pool, wanted(), 0.0)
+    assert other is not None
+    assert first not in other.engines
+    excluded = {engine.registration.instance for engine in other.engines}
+    third = choose_path(PROFILE, pool, wanted(), 0.0, excluded=excluded)
+    assert third is not None
+    assert not excluded & {part.instance for part in third.parts}
+
+
+def test_engine_that_was_full_is_tried_again_soon() -> None:
+    pool = engines()
+    for engine in pool:
+        note_full(engine, 0.0)
+    assert choose_path(PROFILE, pool, wanted(), 0.1) is None
+    assert choose_path(PROFILE, pool, wanted(), 0.3) is not None
+
+
+def test_faster_cards_go_first() -> None:
+    path = choose_path(PROFILE, engines(), wanted("b"), 0.0)
+    assert path is not None
+    slow = [engine for engine in path.engines if engine.registration.card == "slow"]
+    assert len(slow) < len(path.engines) / 2
+    assert set(CARDS) >= {engine.registration.card for engine in path.engines}
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -155,3 +155,30 @@
         for number in range(3)
     ]
     assert len(set(made)) == 3
+
+
+def test_last_write_with_missing_blocks_is_a_torn_tail(tmp_path: Path) -> None:
+    """Power loss in the middle of a sync leaves a write of full length with holes."""
+    journal, _ = open_journal(tmp_path)
+    journal.write(HardState(term=1), [entry(1)])
+    synced = journal.size
+    journal.write(None, [entry(index, data=b"x" * 3000) for index in range(2, 6)])
+    journal.close()
+    path = tmp_path / JOURNAL_FILE
+    whole = path.read_bytes()
+    for block in range(synced + 8, len(whole) - 512, 512):
+        path.write_bytes(whole[:block] + b"\0" * 512 + whole[block + 512 :])
+        assert reopened(tmp_path) == [1]
+
+
+def test_same_damage_before_a_synced_write_is_refused(tmp_path: Path) -> None:
+    journal, _ = open_journal(tmp_path)
+    journal.write(HardState(term=1), [entry(1)])
+    synced = journal.size
+    journal.write(None, [entry(2, data=b"x" * 3000)])
+    journal.write(None, [entry(3)])
+    journal.close()
+    path = tmp_path / JOURNAL_FILE
+    whole = path.read_bytes()
+    path.write_bytes(whole[: synced + 100] + b"\0" * 512 + whole[synced + 612 :])
+    assert code_of(tmp_path) is ResultCode.JOURNAL_CORRUPT
