--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -35,6 +35,10 @@
 """Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
 any engine is full."""
 
+FAR_FACTOR: Final = 1.25
+"""How many times cheaper a path over other failure domains must be: it shares their pipes, and a
+cut would end it."""
+
 PARTS_LIMIT: Final = 32
 """Most engines on one path."""
 
@@ -132,21 +136,26 @@
     ]
     own = [item for item in usable if item.registration.failure_domain == request.failure_domain]
     nearby = _search(profile, own, request, now)
-    if nearby is not None and nearby.cost < _patience(profile, request):
+    if nearby is not None and nearby.cost <= _unhurried(profile, request):
         return nearby
     anywhere = _search(profile, usable, request, now)
-    return anywhere or nearby
+    if nearby is None or anywhere is None:
+        return nearby or anywhere
+    return anywhere if anywhere.cost * FAR_FACTOR < nearby.cost else nearby
 
 
-def _patience(profile: EngineProfile, request: PathRequest) -> float:
-    """Return the cost up to which the own failure domain is used without a look at others.
+def _unhurried(profile: EngineProfile, request: PathRequest) -> float:
+    """Return the cost up to which other failure domains are not even looked at.
 
-    Twice the time on the slowest cards: beyond that something is crowded or doubtful.
+    The time on an idle path of the second fastest kind of card, which the own failure domain gives
+    for as long as its fast cards have room.
     """
-    slowest = max((card.step_factor for card in profile.cards.values()), default=1.0)
-    slowest_read = max((card.read_factor for card in profile.cards.values()), default=1.0)
-    steps = (profile.step_ms * request.answer_tokens / 1000.0) * slowest
-    return 2.0 * (steps + request.prompt_tokens / profile.read_per_s * slowest_read)
+    cards = sorted(profile.cards.values(), key=lambda card: card.step_factor)
+    if not cards:
+        return 0.0
+    card = cards[min(1, len(cards) - 1)]
+    steps = profile.step_ms * request.answer_tokens / 1000.0 * card.step_factor
+    return steps + request.prompt_tokens / profile.read_per_s * card.read_factor
 
 
 def _search(
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -19,10 +19,16 @@
 
     from ..model.traffic import EngineProfile
 
-KV_SHARE: Final = 0.2
-"""Share of a card's memory that is kept for requests. Worked out in docs/design/placement.md: with
-0.4 a failure domain holds some layers once only and is cut off from them by one lost engine; with
-0.2 the KV cache still holds twice the requests of an ordinary day."""
+LEAST_KV_SHARE: Final = 0.2
+"""Least share of a card's memory that is kept for requests, and what the slowest cards keep: with
+less, an engine holds fewer requests than one burst brings."""
+
+MOST_KV_SHARE: Final = 0.4
+"""Most that is kept. With 0.4 everywhere failure domains held some layers once only, on fast cards
+of which one was lost; with 0.2 everywhere requests overflowed to slow cards, and the days without
+faults fell from 0.95 to 0.60 of their worth. Both runs are in docs/design/placement.md."""
+
+KV_SHARE_STEP: Final = 0.01
 
 DOMAIN_WEIGHT: Final = 10.0
 """How much more a layer counts that its own failure domain lacks than one that all lack."""
@@ -47,12 +53,13 @@
     """Layers that it holds or was ordered to hold."""
 
 
-def layers_for(profile: EngineProfile, card: str) -> int:
+def layers_for(profile: EngineProfile, card: str, kv_share: float = LEAST_KV_SHARE) -> int:
     """Return how many layers an engine with a card is given.
 
     Args:
         profile: Figures of the engines.
         card: Kind of the accelerator.
+        kv_share: Share of its memory that is kept for requests.
 
     Returns:
         Layers, 0 if the kind is not known or not one layer fits.
@@ -61,10 +68,31 @@
     if kind is None or profile.layer_mb <= 0:
         return 0
     most = int(kind.memory_mb // profile.layer_mb)
-    wanted = int(kind.memory_mb * (1.0 - KV_SHARE) // profile.layer_mb)
+    wanted = int(kind.memory_mb * (1.0 - kv_share) / profile.layer_mb)
     return min(max(wanted, 1), most, profile.layers)
 
 
+def kv_share_for(profile: EngineProfile, cards: Sequence[str]) -> float:
+    """Choose the share of memory that the faster cards of a failure domain keep for requests.
+
+    The largest share with which the cards other than the slowest kind still hold one whole copy:
+    requests then stay on fast cards, and as many as possible fit there.
+
+    Args:
+        profile: Figures of the engines.
+        cards: Kinds of the engines of the failure domain.
+    """
+    slowest = max((_slowness(profile, card) for card in cards), default=0.0)
+    fast = [card for card in cards if _slowness(profile, card) < slowest]
+    for candidates in (fast, cards):
+        share = MOST_KV_SHARE
+        while share > LEAST_KV_SHARE:
+            if sum(layers_for(profile, card, share) for card in candidates) >= profile.layers:
+                return share
+            share -= KV_SHARE_STEP
+    return LEAST_KV_SHARE
+
+
 def kv_capacity(profile: EngineProfile, card: str, layers: int) -> float:
     """Return how many tokens x layers of KV cache fit beside the layers of an engine.
 
@@ -94,10 +122,11 @@
     for engine in engines:
         if engine.holding is not None:
             coverage.add(engine, engine.holding)
+    shares = _kv_shares(profile, engines)
     chosen: dict[str, Holding] = {}
     empty = [engine for engine in engines if engine.holding is None]
     for engine in sorted(empty, key=lambda item: (_slowness(profile, item.card), item.instance)):
-        count = layers_for(profile, engine.card)
+        count = layers_for(profile, engine.card, shares[engine.failure_domain, engine.card])
         if count == 0:
             continue
         holding = coverage.best_range(engine, count)
@@ -106,6 +135,23 @@
     return chosen
 
 
+def _kv_shares(
+    profile: EngineProfile, engines: Sequence[PlacedEngine]
+) -> dict[tuple[str, str], float]:
+    """Return the share that is kept for requests, by failure domain and kind of card."""
+    cards: dict[str, list[str]] = {}
+    for engine in engines:
+        cards.setdefault(engine.failure_domain, []).append(engine.card)
+    shares: dict[tuple[str, str], float] = {}
+    for domain, members in cards.items():
+        slowest = max(_slowness(profile, card) for card in members)
+        share = kv_share_for(profile, members)
+        for card in members:
+            is_slowest = _slowness(profile, card) == slowest and len(set(members)) > 1
+            shares[domain, card] = LEAST_KV_SHARE if is_slowest else share
+    return shares
+
+
 def plan_repair(
     profile: EngineProfile, engines: Sequence[PlacedEngine]
 ) -> tuple[PlacedEngine, Holding] | None:
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -20,6 +20,7 @@
 
 import httpx
 
+from .fault_proxy import FaultProxy
 from .registered_upstream import CARD_MB, LAYER_MB
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -72,6 +73,8 @@
     registries: int = 3
     revocation_ms: int = 5000
     port: int = 0
+    proxy: FaultProxy | None = None
+    """Proxy in front of every upstream, if there is one."""
     boxes: dict[str, Box] = field(default_factory=dict)
     version: int = 0
     client: httpx.Client = field(
@@ -143,9 +146,14 @@
         command = [sys.executable, "-m", "ledgeladder", "gateway", "--settings", str(path)]
         return self.start(name, ip, command)
 
-    def add_upstream(self, number: int, pool: str, card: str = "", **options: float) -> str:
+    def add_upstream(self, number: int, pool: str, card: str = "", **options: Any) -> str:
         """Start an upstream."""
         name, ip = f"{pool}-{number}", self.ip(3 if card else 4, number)
+        address = (ip, self.port + 5)
+        if self.proxy is not None:
+            # Others reach it through the proxy; it listens one port further.
+            self.proxy.add(address, (ip, self.port + 6))
+            options = {"listen": f"{ip}:{self.port + 6}"} | options
         command = [
             sys.executable,
             "-m",
@@ -165,13 +173,16 @@
         box = self.boxes.setdefault(
             name, Box(name=name, ip=ip, command=command, log=self.folder / f"{name}.log")
         )
+        box.command = command
         with box.log.open("ab") as log:
             box.popen = subprocess.Popen(box.command, stdout=log, stderr=log, cwd=ROOT)
         return name
 
     def restart(self, name: str) -> None:
-        """Start a process that has ended."""
+        """Start a process again, unless it is running."""
         box = self.boxes[name]
+        if box.popen is not None and box.popen.poll() is None:
+            return
         self.start(name, box.ip, box.command)
 
     def signal(self, name: str, number: int) -> None:
@@ -212,6 +223,14 @@
         wait_until(accepted, 20, "the document accepted")
         return document
 
+    def wipe(self, number: int) -> None:
+        """Kill a registry, empty its disk and start it again as a new member."""
+        name = f"registry-{number}"
+        self.kill(name)
+        for path in (self.folder / name).iterdir():
+            path.unlink()
+        self.add_registry(number, bootstrap=False)
+
     def ledger(self, event: str = "run") -> list[dict[str, Any]]:
         """Return what the upstreams noted."""
         lines = []
@@ -319,3 +338,5 @@
                 fleet.signal(name, signal.SIGCONT)
                 fleet.kill(name)
             fleet.client.close()
+            if fleet.proxy is not None:
+                fleet.proxy.close()
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -34,6 +34,8 @@
     """One upstream."""
 
     address: str
+    """Where others reach it, which may be a proxy."""
+    listen: str
     pool: str
     zone: str
     card: str
@@ -241,7 +243,7 @@
 async def main(upstream: StandIn) -> None:
     """Serve until SIGTERM, which announces the end and leaves some seconds later."""
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_http1, upstream.address, build_site(upstream))
+        tasks.start_soon(serve_http1, upstream.listen, build_site(upstream))
         tasks.start_soon(keep_beating, upstream)
         with anyio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
@@ -258,6 +260,7 @@
     """Read the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
+    parser.add_argument("--listen", default="")
     parser.add_argument("--pool", required=True)
     parser.add_argument("--zone", required=True)
     parser.add_argument("--card", default="")
@@ -266,6 +269,7 @@
     parser.add_argument("--seconds", type=float, default=0.02)
     parser.add_argument("--fail-share", type=float, default=0.0)
     values = vars(parser.parse_args())
+    values["listen"] = values["listen"] or values["address"]
     values["controls"] = values["controls"].split(",")
     return StandIn(**values)
 
