Entry boxes share what their requests take on each upstream

Cause: the fastest card of one failure domain is the cheapest start of a path from everywhere, and each box knew its own requests only. Each box reports its load to every control box four times a second, more rarely with more boxes; control boxes send the sums back.

--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -13,6 +13,9 @@
 from ...links.messages import (
     DocumentPull,
     DocumentPush,
+    Load,
+    LoadReport,
+    LoadTotals,
     PeerHint,
     RegistrationAges,
     RegistrationNews,
@@ -21,7 +24,8 @@
 )
 from ...model.registration import UpstreamState
 from ...platform.configuration import decode_configuration
-from ...routing.forwarding_table import drop_upstream, put_registration
+from ...routing.forwarding_table import drop_upstream, put_registration, take_others
+from ...routing.load_sharing import load_interval
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers
 
@@ -53,6 +57,7 @@
     """
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_keep_asking, state, link)
+        tasks.start_soon(_keep_reporting, state, link)
         while True:
             with anyio.fail_after(SILENCE_SECONDS):
                 message = await link.receive()
@@ -65,6 +70,8 @@
                     take_news(state, message.told)
                 case RegistrationAges():
                     _take_ages(state, message.ages)
+                case LoadTotals():
+                    _take_loads(state, message)
                 case PeerHint():
                     if state.peers is not None:
                         add_peers(state.peers, message.addresses)
@@ -79,6 +86,28 @@
         await anyio.sleep(ASK_SECONDS)
 
 
+async def _keep_reporting(state: GatewayState, link: Link) -> None:
+    """Tell a control box what the own requests take on each upstream, for ever."""
+    while True:
+        await anyio.sleep(load_interval(state.entries))
+        loads = {}
+        for instance, item in state.table.upstreams.items():
+            item.reported_in_flight, item.reported_kv = item.in_flight, item.kv_reserved
+            if item.in_flight:
+                loads[instance] = Load(in_flight=item.in_flight, kv_reserved=item.kv_reserved)
+        link.post(LoadReport(loads=loads))
+
+
+def _take_loads(state: GatewayState, totals: LoadTotals) -> None:
+    now = anyio.current_time()
+    for instance, item in state.table.upstreams.items():
+        load = totals.loads.get(instance)
+        if load is None:
+            take_others(item, 0, 0.0, now)
+        else:
+            take_others(item, load.in_flight, load.kv_reserved, now)
+
+
 def _take_reply(state: GatewayState, link: Link, reply: VersionReply) -> None:
     take_answer(state.freshness, reply.call, reply.version, reply.age)
     state.entries = max(state.entries, reply.entries)
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -29,7 +29,7 @@
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .http_api import build_site
-from .mesh import push_document, send_to_member, serve_accepted, serve_peer, tell_ages
+from .mesh import push_document, send_to_member, serve_accepted, serve_peer, tell_ages, tell_loads
 from .metrics import metrics_lines
 from .newest import keep_asking
 from .placing import run_placing
@@ -207,6 +207,7 @@
             lambda: metrics_lines(state, counters),
         ),
         Child(name="ages", run=lambda: tell_ages(state), restart=Restart.ALWAYS),
+        Child(name="loads", run=lambda: tell_loads(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
         Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -22,6 +22,9 @@
     DocumentPull,
     DocumentPush,
     JoinRequest,
+    Load,
+    LoadReport,
+    LoadTotals,
     LogMessage,
     LostReport,
     PeerHint,
@@ -32,6 +35,7 @@
     VersionReply,
 )
 from ...model.registration import Liveness
+from ...routing.load_sharing import LOAD_BELIEVED_SECONDS, load_interval
 from ...storage import box_of
 from ..peers import SILENCE_SECONDS, add_peers
 from .newest import (
@@ -40,6 +44,7 @@
     take_command_reply,
     take_version_reply,
 )
+from .state import ReportedLoad
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -154,6 +159,7 @@
                 _take_in(state, tasks, link, message, is_control=is_control)
         finally:
             state.accepted.pop(id(link), None)
+            state.loads.pop(id(link), None)
             state.accepted_peers.pop(id(link), None)
 
 
@@ -176,6 +182,8 @@
             take_ages(state.table, message.ages, anyio.current_time())
         case PeerHint() if is_control:
             add_peers(state.peers, message.addresses)
+        case LoadReport():
+            state.loads[id(link)] = ReportedLoad(loads=message.loads, at=anyio.current_time())
         case LostReport():
             state.lost_at[message.instance] = anyio.current_time()
         case VersionQuery():
@@ -213,3 +221,29 @@
             link.post(told)
         for link in (*state.accepted.values(), *state.accepted_peers.values()):
             link.post(hint)
+
+
+async def tell_loads(state: RegistryState) -> None:
+    """Tell entry boxes what the requests of all of them take on each upstream, for ever."""
+    while True:
+        await anyio.sleep(load_interval(len(state.accepted)))
+        if not state.loads:
+            continue
+        totals = LoadTotals(loads=sum_loads(state, anyio.current_time()))
+        for link in state.accepted.values():
+            link.post(totals)
+
+
+def sum_loads(state: RegistryState, now: float) -> dict[str, Load]:
+    """Add up what entry boxes reported lately."""
+    sums: dict[str, tuple[int, float]] = {}
+    for report in state.loads.values():
+        if now - report.at > LOAD_BELIEVED_SECONDS:
+            continue
+        for instance, load in report.loads.items():
+            in_flight, kv_reserved = sums.get(instance, (0, 0.0))
+            sums[instance] = (in_flight + load.in_flight, kv_reserved + load.kv_reserved)
+    return {
+        instance: Load(in_flight=in_flight, kv_reserved=kv_reserved)
+        for instance, (in_flight, kv_reserved) in sums.items()
+    }
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from ...links import Link
-    from ...links.messages import CommandReply
+    from ...links.messages import CommandReply, Load
     from ...model.traffic import TrafficConfiguration
     from ...settings import RegistrySettings
     from ..control.node import ControlNode
@@ -31,6 +31,17 @@
     """The answer, or None if the link ended first."""
 
 
+@dataclass(kw_only=True)
+class ReportedLoad:
+    """What one entry box said of its requests."""
+
+    loads: dict[str, Load]
+    """Load by run of the upstream."""
+
+    at: float
+    """When it said so, on the monotonic clock."""
+
+
 @dataclass(kw_only=True)
 class RegistryState:
     """State of one registry process."""
@@ -53,6 +64,9 @@
     accepted_peers: dict[int, Link] = field(default_factory=dict)
     """Links that other control boxes opened, by identity."""
 
+    loads: dict[int, ReportedLoad] = field(default_factory=dict)
+    """Newest load report of each entry box, by identity of its link."""
+
     freshness: Freshness = field(default_factory=Freshness)
     """What the leader said of the newest version."""
 
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -14,6 +14,16 @@
 from ..model.registration import Liveness
 
 
+class Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What requests take on one upstream."""
+
+    in_flight: int
+    """Requests in progress."""
+
+    kv_reserved: float
+    """Tokens x layers of KV cache; 0 on a plain service."""
+
+
 class PeerRole(StrEnum):
     """What the process at the other end of a link is."""
 
@@ -185,6 +195,18 @@
     instance: str
 
 
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="load", array_like=True):
+    """What the sender's requests take on each upstream."""
+
+    loads: dict[str, Load]
+
+
+class LoadTotals(msgspec.Struct, frozen=True, kw_only=True, tag="loads", array_like=True):
+    """What the requests of all entry boxes take on each upstream."""
+
+    loads: dict[str, Load]
+
+
 class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="newest?", array_like=True):
     """Ask which published version is the newest."""
 
@@ -239,6 +261,8 @@
     | RegistrationNews
     | RegistrationAges
     | LostReport
+    | LoadReport
+    | LoadTotals
     | VersionQuery
     | VersionReply
     | DocumentPull
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..model.registration import Registration, UpstreamState
+from .load_sharing import LOAD_BELIEVED_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +34,7 @@
 DOUBTS_KEPT: Final = 16
 """Failures that are remembered for each failure domain."""
 
-LOAD_BELIEVED_SECONDS: Final = 0.3
+TOLD_LOAD_SECONDS: Final = 0.3
 """How long the load that an upstream told is believed."""
 
 
@@ -53,6 +54,21 @@
     kv_reserved: float = 0.0
     """Tokens x layers that requests of this box take on it."""
 
+    reported_in_flight: int = 0
+    """Requests of this box in its newest report."""
+
+    reported_kv: float = 0.0
+    """Tokens x layers in that report."""
+
+    others_in_flight: int = 0
+    """Requests of other boxes, as last told."""
+
+    others_kv: float = 0.0
+    """Tokens x layers of other boxes, as last told."""
+
+    others_at: float = float("-inf")
+    """When that was told."""
+
     failures: int = 0
     """Failures in a row."""
 
@@ -185,6 +201,47 @@
         upstream.load_at = now
 
 
+def take_others(
+    upstream: ForwardedUpstream, in_flight: int, kv_reserved: float, now: float
+) -> None:
+    """Take in what the requests of all boxes, this one included, take on an upstream.
+
+    Args:
+        upstream: The upstream.
+        in_flight: Requests of all boxes.
+        kv_reserved: Their tokens x layers.
+        now: Monotonic time.
+    """
+    upstream.others_in_flight = max(0, in_flight - upstream.reported_in_flight)
+    upstream.others_kv = max(0.0, kv_reserved - upstream.reported_kv)
+    upstream.others_at = now
+
+
+def knows_others(upstream: ForwardedUpstream, now: float) -> bool:
+    """Tell whether the load of other boxes was told lately."""
+    return now - upstream.others_at < LOAD_BELIEVED_SECONDS
+
+
+def total_in_flight(upstream: ForwardedUpstream, now: float, sharers: float) -> float:
+    """Estimate the requests of all boxes on an upstream.
+
+    Args:
+        upstream: The upstream.
+        now: Monotonic time.
+        sharers: Factor from the own requests to those of all boxes, where nothing was told.
+    """
+    if knows_others(upstream, now):
+        return upstream.in_flight + upstream.others_in_flight
+    return upstream.in_flight * sharers
+
+
+def total_kv(upstream: ForwardedUpstream, now: float, sharers: float) -> float:
+    """Estimate the tokens x layers of all boxes on an engine."""
+    if knows_others(upstream, now):
+        return upstream.kv_reserved + upstream.others_kv
+    return upstream.kv_reserved * sharers
+
+
 def pressure(upstream: ForwardedUpstream, now: float, sharers: int) -> float:
     """Estimate how full a plain service is, in requests per slot.
 
@@ -194,12 +251,10 @@
         sharers: Entry boxes that are likely to send to it as much as this one.
     """
     slots = max(1, upstream.registration.slots)
-    estimate = float(upstream.in_flight)
+    estimate = total_in_flight(upstream, now, 1.5 if sharers > 1 else 1.0)
     load = upstream.load
-    if load is not None and now - upstream.load_at < LOAD_BELIEVED_SECONDS:
+    if load is not None and now - upstream.load_at < TOLD_LOAD_SECONDS:
         estimate = max(estimate, load.running + load.waiting)
-    elif sharers > 1:
-        estimate += upstream.in_flight * 0.5
     return estimate / slots
 
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_silent, is_usable
+from .forwarding_table import is_silent, is_usable, total_in_flight, total_kv
 from .placement import kv_capacity
 
 if TYPE_CHECKING:
@@ -89,8 +89,8 @@
     length: int
 
 
-def kv_free_share(
-    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float
+def kv_fullness(
+    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float, now: float
 ) -> float:
     """Return how full the KV cache of an engine would be with one more request, from 0.
 
@@ -99,12 +99,13 @@
         engine: The engine.
         sharers: Factor from the own requests to those of all boxes.
         needed: Tokens x layers of the new request.
+        now: Monotonic time.
     """
     held = sum(item.end - item.first for item in engine.registration.holdings)
     capacity = kv_capacity(profile, engine.registration.card, held)
     if capacity <= 0:
         return float("inf")
-    return (engine.kv_reserved * sharers + needed) / capacity
+    return (total_kv(engine, now, sharers) + needed) / capacity
 
 
 def choose_path(
@@ -247,10 +248,10 @@
         return float("inf")
     share = layers / profile.layers
     tokens = request.prompt_tokens + request.answer_tokens
-    fullness = kv_free_share(profile, engine, request.sharers, float(tokens * layers))
+    fullness = kv_fullness(profile, engine, request.sharers, float(tokens * layers), now)
     if fullness > FULL_AT:
         return float("inf")
-    running = engine.in_flight * request.sharers + 1
+    running = total_in_flight(engine, now, request.sharers) + 1
     step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
     read = request.prompt_tokens / profile.read_per_s * card.read_factor
     seconds = (step * request.answer_tokens + read) * share * (1.0 + CROWDING * fullness**2)
