Take an applicant under its newest id only; a control box that lost its disk after a silence joins once

Cause: a box that heard no leader for 1.5 s asks to join again. Found by a test that failed once in a run of the whole file and passed alone; reproduced by pausing all control boxes before a wipe. Ruled out: load (the same with an idle machine), the log sampling. Now the newest id of a box counts, and members are no applicants. Also mended: two tests took an old line for the new start of a wiped box and then wiped a second disk.

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -166,8 +166,7 @@
             receive_log_message(node, message)
         case JoinRequest() if from_control and box_of(message.member_id) in known:
             if box_of(message.member_id) == link.peer_box:
-                node.applicants.add(message.member_id)
-                node.poke()
+                node.note_applicant(message.member_id)
         case InForceReport() if from_control:
             _note_boxes(hub, message.boxes)
         case Pull():
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -108,6 +108,17 @@
         """Let the loop run soon; everything that arrives until then shares one sync."""
         self.wake.set()
 
+    def note_applicant(self, member_id: str) -> None:
+        """Note that a box asks to join, under the newest of its ids only.
+
+        A box whose disk was lost asked under its old id before; with both on the list the leader
+        would swap them for each other for ever.
+        """
+        box = box_of(member_id)
+        self.applicants = {other for other in self.applicants if box_of(other) != box}
+        self.applicants.add(member_id)
+        self.poke()
+
     @property
     def leader_box(self) -> str:
         """Box that leads, if known."""
@@ -283,6 +294,7 @@
     if not node.replica.is_leader:
         node.applicants.clear()
         return
+    node.applicants.difference_update(node.replica.log.members.everyone)
     members = node.choose_members(node.replica, node.applicants, now)
     if members is not None and raft.propose_members(node.replica, members):
         extra = {"voters": members.voters, "learners": members.learners}
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -171,8 +171,7 @@
             raft.receive(state.node.replica, message.envelope, time.monotonic(), state.node.rng)
             state.node.poke()
         case JoinRequest() if is_control and box_of(message.member_id) == link.peer_box:
-            state.node.applicants.add(message.member_id)
-            state.node.poke()
+            state.node.note_applicant(message.member_id)
         case CommandRequest() if is_control:
             tasks.start_soon(answer_command, state, link, message)
         case RegistrationNews() if is_control:
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -229,7 +229,13 @@
         self.kill(name)
         for path in (self.folder / name).iterdir():
             path.unlink()
+        starts = self.starts(name)
         self.add_registry(number, bootstrap=False)
+        wait_until(lambda: self.starts(name) > starts, 20, f"{name} started")
+
+    def starts(self, name: str) -> int:
+        """Return how often a registry has started."""
+        return sum(line["message"] == "registry starts" for line in self.log(name))
 
     def ledger(self, event: str = "run") -> list[dict[str, Any]]:
         """Return what the upstreams noted."""
--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -255,11 +255,7 @@
 
 def test_control_box_that_lost_its_disk_and_one_that_is_new(fleet: DiscoveredFleet) -> None:
     document = fleet.publish_next()
-    fleet.kill("registry-0")
-    folder = fleet.folder / "registry-0"
-    for path in folder.iterdir():
-        path.unlink()
-    fleet.add_registry(0, bootstrap=False)
+    fleet.wipe(0)
     wait_until(lambda: reads(fleet, 0) == document, 20, "the wiped box reads the document")
     # With the wiped box a voter again, the loss of another leaves a majority.
     wait_until(lambda: is_voter(fleet, "registry-0"), 20, "the wiped box votes")
@@ -268,6 +264,35 @@
     fleet.restart("registry-1")
 
 
+def test_disk_lost_after_all_control_boxes_stood_still(fleet: DiscoveredFleet) -> None:
+    """A box that asked to join under its old id comes back under a new one.
+
+    The leader once swapped the two ids for each other hundreds of times a second.
+    """
+    for number in range(3):
+        fleet.signal(f"registry-{number}", signal.SIGSTOP)
+    time.sleep(4)
+    for number in range(3):
+        fleet.signal(f"registry-{number}", signal.SIGCONT)
+    for number in range(3):
+        fleet.publish_next()
+        before = member_changes(fleet)
+        fleet.wipe(number)
+        name = f"registry-{number}"
+        wait_until(lambda: is_voter(fleet, name), 20, "the wiped box votes")  # noqa: B023
+        assert member_changes(fleet) - before <= 4
+        wait_until(lambda: request(fleet, "status").status_code == 200, 15, "served")
+
+
+def member_changes(fleet: DiscoveredFleet) -> int:
+    return sum(
+        line["message"] == "members change"
+        for name in fleet.boxes
+        if name.startswith("registry")
+        for line in fleet.log(name)
+    )
+
+
 def reads(fleet: DiscoveredFleet, number: int) -> object:
     try:
         answer = fleet.client.get(f"http://{fleet.control_addresses[number]}/api/config")
@@ -277,20 +302,17 @@
 
 
 def is_voter(fleet: DiscoveredFleet, name: str) -> bool:
-    """Tell from the logs of the leaders whether a box has been made a voter since its restart."""
-    ip = fleet.boxes[name].ip
-    members = [
-        line["voters"]
+    """Tell from the newest change of members whether a box votes under its newest id."""
+    started = [line for line in fleet.log(name) if line["message"] == "registry starts"]
+    lines = [
+        line
         for box in fleet.boxes
         if box.startswith("registry")
         for line in fleet.log(box)
         if line["message"] == "members change"
     ]
-    return any(
-        voter.startswith(f"{ip}/") and not voter.endswith("/initial")
-        for voters in members
-        for voter in voters
-    )
+    newest = max(lines, key=lambda line: line["time"], default=None)
+    return newest is not None and bool(started) and started[-1]["member"] in newest["voters"]
 
 
 def test_all_control_boxes_killed_at_once(fleet: DiscoveredFleet) -> None:
--- /dev/null
+++ b/tests/daemons/test_node.py
@@ -0,0 +1,29 @@
+"""Boxes that ask to join the replicated log."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+from ledgeladder.coordination import raft
+from ledgeladder.daemons.control.node import open_node
+from ledgeladder.storage import create_identity
+
+
+def test_box_is_an_applicant_under_its_newest_id_only(tmp_path: Path) -> None:
+    """With both ids on the list a leader swapped them for each other for ever."""
+    node = open_node(
+        identity=create_identity(tmp_path, cluster="c", box="a", initial=True),
+        folder=tmp_path,
+        initial_members=raft.Members(voters=("a/initial", "b/initial", "c/initial")),
+        timing=raft.Timing(),
+        snapshot_entries=100,
+        send=lambda envelope: None,
+        changed=lambda: None,
+        rng=random.Random(1),
+    )
+    node.note_applicant("b/initial")
+    node.note_applicant("d/1")
+    node.note_applicant("b/2")
+    assert node.applicants == {"b/2", "d/1"}
+    node.journal.close()
