--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -207,6 +207,15 @@
     return None
 
 
+SETTINGS_LOADERS: Final[dict[str, Callable[[Path], Result[Any, Problem]]]] = {
+    "control": load_control_settings,
+    "gateway": load_gateway_settings,
+    "registry": load_registry_settings,
+    "entry": load_entry_settings,
+}
+"""Loaders by the section that only the settings of that process have."""
+
+
 def _settings(arguments: list[str]) -> int:
     if arguments == ["reference"]:
         print(reference_page(), end="")
@@ -217,11 +226,12 @@
     content = read_toml(path)
     if isinstance(content, Failure):
         return _fail(content.failure(), EXIT_USAGE)
-    is_control = "control" in content.unwrap()
-    loaded = load_control_settings(path) if is_control else load_entry_settings(path)
+    role = next((name for name in SETTINGS_LOADERS if name in content.unwrap()), "entry")
+    loaded = SETTINGS_LOADERS[role](path)
     if isinstance(loaded, Failure):
         return _fail(loaded.failure(), EXIT_USAGE)
-    print(f"{path}: good settings of {'a control' if is_control else 'an entry'} process")
+    article = "an" if role == "entry" else "a"
+    print(f"{path}: good settings of {article} {role} process")
     return EXIT_OK
 
 
--- a/src/ledgeladder/settings/reference.py
+++ b/src/ledgeladder/settings/reference.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel
 
+from .discovered import GatewaySettings, RegistrySettings
 from .models import ControlSettings, EntrySettings
 
 if TYPE_CHECKING:
@@ -21,10 +22,19 @@
 """
 
 
+PROCESSES: Final[tuple[tuple[str, type[BaseModel]], ...]] = (
+    ("Entry", EntrySettings),
+    ("Control", ControlSettings),
+    ("Gateway", GatewaySettings),
+    ("Registry", RegistrySettings),
+)
+"""Processes with their settings, in the order of the page."""
+
+
 def reference_page() -> str:
     """Return the page in Markdown."""
     lines = [PAGE_HEAD]
-    for title, model in (("Entry", EntrySettings), ("Control", ControlSettings)):
+    for title, model in PROCESSES:
         lines.append(f"## {title} process\n")
         lines.append("| Key | Allowed | Default | Meaning |")
         lines.append("| --- | --- | --- | --- |")
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -76,3 +76,35 @@
 
 def test_missing_file() -> None:
     assert run("settings", "check", "/nowhere/at-all.toml").returncode == 2
+
+
+def test_settings_of_processes_that_discover_each_other(tmp_path: Path) -> None:
+    path = tmp_path / "gateway.toml"
+    text = """
+[box]
+name = "front-1"
+failure_domain = "zone-a"
+address = "10.0.0.1"
+later = "ignored"
+[cluster]
+secret = "a-secret-of-the-cluster"
+link_port = "7340"
+metrics_port = 9102
+seeds = ["10.0.0.2:80"]
+bootstrap = "true"
+[gateway]
+caller_address = "10.0.0.1:80"
+ready_address = "10.0.0.1:81"
+[bounds]
+revocation_ms = ""
+"""
+    path.write_text(text)
+    good = run("settings", "check", str(path))
+    assert good.returncode == 0, good.stderr
+    assert "a gateway process" in good.stdout
+    path.write_text(text.replace('ready_address = "10.0.0.1:81"', ""))
+    missing = run("settings", "check", str(path))
+    assert missing.returncode == 2
+    assert "gateway.ready_address: missing" in missing.stderr
+    started = run("gateway", "--settings", str(path))
+    assert started.returncode == 2
