--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -369,3 +369,16 @@
     assert fleet.wait_end("gateway-1") == 0
     fleet.restart("gateway-1")
     wait_until(lambda: fleet.ready(1), 20, "ready again")
+
+
+def test_hang_up_during_the_start_ends_nothing(fleet: DiscoveredFleet) -> None:
+    """Found by soak seed 1010: a signal outside the time in which it is handled ends a process."""
+    fleet.kill("gateway-1")
+    fleet.restart("gateway-1")
+    time.sleep(0.05)
+    fleet.signal("gateway-1", signal.SIGHUP)
+    try:
+        wait_until(lambda: fleet.ready(1), 15, "ready in spite of the signal")
+    finally:
+        fleet.restart("gateway-1")
+        wait_until(lambda: fleet.ready(1), 20, "ready again")
