Docstrings of http1: what ends a connection, what is raised, who is watched

Unclear: the time after which an idle connection ends was given as 5 s, although TCP_USER_TIMEOUT decides it (tcp(7)); 3000 ms were called below 3 s; nothing said what sending to a caller that left raises, when a pipelined request counts as arrived, or how a site stops listening. Now each stands at its place. No code changed.

--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -19,6 +19,8 @@
     from .server import Headers
 
 READ_BYTES: Final = 65536
+"""Most bytes that one read takes."""
+
 ANSWER_HEAD_LIMIT_BYTES: Final = 65536
 """Longest head of an answer that is accepted."""
 
@@ -98,6 +100,13 @@
 ) -> None:
     """Send a request in one write.
 
+    Args:
+        connection: A connection that carries no other request.
+        method: Method.
+        target: Path and query.
+        headers: Header fields with the length of the body; nothing is added here.
+        body: The body, in full.
+
     Raises:
         AnswerBrokenError: If the connection ended; the request may have arrived.
     """
@@ -170,7 +179,11 @@
 
 @dataclass(kw_only=True)
 class ConnectionPool:
-    """Connections that wait for another request."""
+    """Connections that wait for another request.
+
+    Only requests that may run again are to be sent over them: the loss of such a connection cannot
+    be told from the loss of the answer.
+    """
 
     idle: dict[str, list[UpstreamConnection]] = field(default_factory=dict)
     """Idle connections by address, the most recently used one last."""
@@ -196,7 +209,8 @@
 
         Args:
             connection: The connection.
-            keep_seconds: How long the upstream says it keeps it, or None if it does not say.
+            keep_seconds: How long the upstream says it keeps it, or None if it does not say, for
+                which `KEEP_SECONDS` is taken.
         """
         protocol = connection.protocol
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -21,8 +21,11 @@
 logger = logging.getLogger(__name__)
 
 Headers = list[tuple[bytes, bytes]]
+"""Header fields in order, as they stand on the wire; a name may come more than once."""
 
 READ_BYTES: Final = 65536
+"""Most bytes that one read takes."""
+
 PIPELINED_LIMIT_BYTES: Final = 65536
 """Bytes of further requests that are read while one is being answered."""
 
@@ -40,6 +43,7 @@
 )
 """What reading or writing raises once a connection has ended."""
 
+# What h11 and the checks below hint at, for requests that cannot be read; others are malformed.
 _CODES: Final = {413: ResultCode.BODY_TOO_LARGE, 431: ResultCode.HEAD_TOO_LARGE}
 
 
@@ -63,7 +67,8 @@
     """Body without its framing."""
 
     arrived_at: float = 0.0
-    """When its first byte was read, on the monotonic clock."""
+    """When its first byte was read, on the monotonic clock. For a request that came while another
+    was being answered, when its turn came."""
 
 
 Handler = Callable[[HttpRequest, "Exchange"], Awaitable[None]]
@@ -87,7 +92,8 @@
     """Bounds in force right now."""
 
     stopping: bool = False
-    """True once answers must end their connections."""
+    """True once a planned stop has begun: each answer that starts from then on ends its
+    connection."""
 
     idle_scopes: set[anyio.CancelScope] = field(default_factory=set)
     """Connections on which nothing has arrived since their last answer."""
@@ -109,7 +115,11 @@
 
 @dataclass(kw_only=True)
 class Exchange:
-    """The answering side of one request."""
+    """The answering side of one request.
+
+    Every method that sends raises one of `STREAM_ENDED` if the caller's connection is gone. The
+    handler need not catch it: its connection's task does.
+    """
 
     stream: SocketStream
     """The caller's connection."""
@@ -131,7 +141,7 @@
 
     @property
     def complete(self) -> bool:
-        """True once the whole answer was sent."""
+        """True once the whole answer was handed to the connection."""
         return self.protocol.our_state not in (h11.SEND_RESPONSE, h11.SEND_BODY)
 
     async def answer(self, status: int, headers: Headers, body: bytes = b"") -> None:
@@ -172,13 +182,27 @@
 
 @dataclass(kw_only=True)
 class _Connection:
+    """A caller's connection, which carries one request after the other."""
+
     stream: SocketStream
+    """The connection."""
+
     protocol: h11.Connection
+    """State of the protocol on it."""
+
     site: HttpSite
+    """Site that serves it."""
+
     first_byte_at: float = 0.0
+    """When the request that is being read began, on the monotonic clock."""
 
     async def read_request(self) -> HttpRequest | None:
-        """Read the next request; None if the connection ended before one began."""
+        """Read the next request; None if the connection ended or rested too long before one began.
+
+        Raises:
+            h11.RemoteProtocolError: If it is malformed or too long; its hint is the status.
+            TimeoutError: If it does not arrive in time.
+        """
         head = await self._read_head()
         if head is None:
             return None
@@ -216,7 +240,10 @@
             raise h11.RemoteProtocolError("head too large", error_status_hint=431)
 
     async def _wait_for_first_byte(self) -> bool:
-        """Wait on an idle connection; a planned stop ends it here and nowhere else."""
+        """Wait on an idle connection; False if it rested too long or a planned stop ended it.
+
+        A planned stop ends connections here and nowhere else, so that it never cuts a request.
+        """
         with anyio.move_on_after(self.site.limits().idle_seconds) as scope:
             self.site.idle_scopes.add(scope)
             try:
@@ -266,7 +293,11 @@
         return True
 
     async def _watch_caller(self, exchange: Exchange, scope: anyio.CancelScope) -> None:
-        """Read ahead while a request is answered, and cancel the answer if the caller leaves."""
+        """Read ahead while a request is answered, and cancel the answer if the caller leaves.
+
+        A caller that closes only its sending side counts as gone. One that sends more than
+        `PIPELINED_LIMIT_BYTES` ahead is no longer watched: its leaving shows with the next write.
+        """
         try:
             while len(self.protocol.trailing_data[0]) < PIPELINED_LIMIT_BYTES:
                 self.protocol.receive_data(await self.stream.receive(READ_BYTES))
@@ -296,11 +327,16 @@
 
 
 async def serve_http1(address: str, site: HttpSite) -> None:
-    """Listen and serve until cancelled; the site may stop listening before that.
+    """Listen and serve until cancelled.
+
+    Cancelling `site.listening` closes the listener only; connections that are up are served on.
 
     Args:
         address: `host:port` to listen on.
         site: What to serve.
+
+    Raises:
+        OSError: If the address cannot be listened on.
     """
     host, port = split_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
--- a/src/ledgeladder/http1/sockets.py
+++ b/src/ledgeladder/http1/sockets.py
@@ -11,13 +11,15 @@
     from anyio.abc import SocketStream
 
 UNACKNOWLEDGED_MILLISECONDS: Final = 3000
-"""Sent bytes that nobody acknowledged for this long end a connection. Below the 3 s after which
-the platform expects a box that is cut off to have noticed, plus one retransmission."""
+"""Sent bytes that nobody acknowledged for this long end a connection. The platform gives a box that
+is cut off 3 s and one retransmission to notice it."""
 
 KEEPALIVE_IDLE_SECONDS: Final = 2
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 3
-"""An idle connection to a box without power ends after about 5 s."""
+"""Probes of an idle connection. Linux lets TCP_USER_TIMEOUT decide when they have failed (tcp(7)),
+so an idle connection to a box without power ends about 3 s after the last byte, and the number of
+probes counts only where that option is not known."""
 
 
 def tune_socket(stream: SocketStream) -> None:
