--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -181,8 +181,8 @@
 class ConnectionPool:
     """Connections that wait for another request.
 
-    Only requests that may run again are to be sent over them: the loss of such a connection cannot
-    be told from the loss of the answer.
+    The loss of such a connection cannot be told from the loss of the answer; who sends a request
+    chooses whether that matters.
     """
 
     idle: dict[str, list[UpstreamConnection]] = field(default_factory=dict)
