Docstrings of coordination, registry and peers follow the code

Unclear or wrong: 32 open questions were said to last 16 s, which holds for one control box only; an order was called never changed although a leader that loses its lease forgets it, and moves are not noted at all; a waiter was said to be woken when its link ends; links were said to be written to twice a second from both ends, while control boxes tell each other something once a second; run_placing moves engines too; five outcomes of an order said nothing. No code changed.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -18,7 +18,11 @@
     """What an engine said to an order."""
 
     DONE = "done"
+    """The engine holds the layers, or the request runs on its new path."""
+
     BEGUN = "begun"
+    """The engine loads the layers; its heartbeats report them once it holds them."""
+
     CONFLICT = "conflict"
     """It does not fit the state of the engine."""
 
@@ -26,10 +30,17 @@
     """The engine has seen an order of a later leader."""
 
     WRONG_UPSTREAM = "wrong-upstream"
+    """Another run of an engine has the address."""
+
     UNKNOWN_REQUEST = "unknown-request"
+    """The request whose path was to change does not run on the engine."""
+
     REFUSED = "refused"
+    """Any other answer."""
+
     NO_ANSWER = "no-answer"
-    """It may have been taken, or may be carried out late."""
+    """None came, or the order was not sent since the engine could not be reached or the lease had
+    ended. It may have been taken, or may be carried out late."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,9 +48,16 @@
     """An encoded call to an engine."""
 
     method: bytes
+    """Method."""
+
     target: bytes
+    """Path and query."""
+
     headers: list[tuple[bytes, bytes]]
+    """Header fields without `Host`, which whoever sends the call adds."""
+
     body: bytes
+    """The body."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -47,7 +65,8 @@
     """The newest order to one run of an engine."""
 
     holding: Holding
-    """Layers that it is to hold; never changed, so that a late order does no harm."""
+    """Layers that it is to hold. The same are ordered again for as long as this leader remembers
+    the order, so that one that is carried out late does no harm."""
 
     sent_at: float
     """When it was last sent, on the monotonic clock."""
@@ -58,16 +77,18 @@
 
 @dataclass(kw_only=True)
 class OrderLedger:
-    """Orders of one leader, by run of the engine."""
+    """Orders of one leader, by run of the engine; emptied while this box does not lead."""
 
     sent: dict[str, SentOrder] = field(default_factory=dict)
-    """Newest order to each engine that has not reported its layers."""
+    """Newest order to each engine that came without layers and has not reported any. Moves of
+    engines that hold layers are not noted here."""
 
     repaired_at: float = float("-inf")
     """When an engine was last moved to layers that a failure domain lacked."""
 
     fenced_terms: set[int] = field(default_factory=set)
-    """Terms that an engine has refused; a leader of such a term orders nothing more."""
+    """Terms under which an engine refused an order of `sent`; this box orders nothing more under
+    them."""
 
 
 def due(ledger: OrderLedger, instance: str, now: float) -> bool:
@@ -82,7 +103,7 @@
 
 
 def note_outcome(ledger: OrderLedger, instance: str, outcome: OrderOutcome, now: float) -> None:
-    """Take in what an engine said."""
+    """Take in what an engine said; without an order in `sent`, nothing is noted."""
     order = ledger.sent.get(instance)
     if order is None:
         return
--- a/src/ledgeladder/coordination/freshness.py
+++ b/src/ledgeladder/coordination/freshness.py
@@ -12,7 +12,8 @@
 from typing import Final
 
 QUESTIONS_KEPT: Final = 32
-"""Unanswered questions that are remembered; at two a second, those of the last 16 seconds."""
+"""Unanswered questions that are remembered, over all links. An entry box asks each control box
+twice a second: with three of them, those of the last 5 seconds, and with eight, of the last 2."""
 
 
 @dataclass(kw_only=True)
@@ -53,6 +54,9 @@
 def take_answer(freshness: Freshness, number: int, version: int, age: float | None) -> None:
     """Take in an answer.
 
+    One that names an older version than is known counts for nothing: it comes from a box that has
+    not caught up.
+
     Args:
         freshness: The box's state.
         number: Number of the question.
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -18,11 +18,18 @@
 
 METRICS_PATH: Final = b"/metrics"
 QUANTILES: Final = (50.0, 95.0, 99.0, 100.0)
+"""Percentiles on the page; the last is the longest time."""
+
 OK: Final = 200
 
 
 def histogram_lines(name: str, histogram: HdrHistogram) -> list[str]:
-    """Return count and quantiles of a histogram, in seconds."""
+    """Return count and quantiles of a histogram.
+
+    Args:
+        name: Middle part of the metric's name.
+        histogram: Times in microseconds; the page shows seconds.
+    """
     lines = [f"ledgeladder_{name}_seconds_count {histogram.get_total_count()}"]
     for quantile in QUANTILES:
         seconds = histogram.get_value_at_percentile(quantile) / 1e6
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -29,7 +29,8 @@
 """How long a control box that cannot be reached is tried; it may be gone for good."""
 
 SILENCE_SECONDS: Final = 3.0
-"""A link on which nothing arrives for this long is given up: both ends send twice a second."""
+"""A link on which nothing arrives for this long is given up. Entry boxes ask, and are answered,
+twice a second; control boxes tell each other ages or hints once a second."""
 
 ServeLink = Callable[[str, "Link"], Awaitable[None]]
 """Serves the link to one control box until it ends."""
@@ -52,13 +53,14 @@
     """Serves each link."""
 
     known: dict[str, float] = field(default_factory=dict)
-    """IP numbers of control boxes, with the time at which each was last up or hinted."""
+    """IP numbers of control boxes, with the time at which each was last up, or first named if it
+    has not been up yet, on the monotonic clock."""
 
     links: dict[str, Link] = field(default_factory=dict)
     """Links that are up, by IP number."""
 
     tasks: TaskGroup | None = None
-    """Runs one task a known control box."""
+    """Runs one task for each known control box; None before the links are run."""
 
 
 def seed_addresses(seeds: Iterable[str]) -> list[str]:
@@ -75,7 +77,8 @@
 
     Args:
         peers: The links.
-        addresses: IP numbers of control boxes.
+        addresses: IP numbers of control boxes. The own one is passed over, and so are those beyond
+            `PEERS_LIMIT`.
     """
     for address in addresses:
         if address == peers.own_address or address in peers.known:
@@ -87,6 +90,8 @@
 
 
 async def _keep(peers: Peers, address: str) -> None:
+    """Keep the link to one control box up until it has been out of reach for too long."""
+
     async def serve(link: Link) -> None:
         peers.links[address] = link
         logger.info("dependency regained", extra={"peer": address})
--- a/src/ledgeladder/daemons/plain_problems.py
+++ b/src/ledgeladder/daemons/plain_problems.py
@@ -25,8 +25,11 @@
     """Answer with a problem.
 
     Args:
-        exchange: The answering side.
+        exchange: The answering side, on which nothing was sent yet.
         problem: The problem.
+
+    Raises:
+        AssertionError: If its status promises that the request has not run and its code does not.
     """
     headers = [
         (b"Content-Type", b"application/json"),
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -145,7 +145,7 @@
 
 
 def take_published(state: RegistryState) -> None:
-    """Decode the published document and send it to the entry boxes."""
+    """Decode the published document for the placement and send it to the entry boxes."""
     published = state.node.state.published
     if published.version == 0:
         return
@@ -230,6 +230,7 @@
 
 
 async def _hand_over(node: ControlNode) -> None:
+    """Let another member lead before this one stops, and wait for it for a bounded time."""
     if not node.replica.is_leader or not start_any_handover(node):
         return
     with anyio.move_on_after(HANDOVER_SECONDS):
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -127,6 +127,7 @@
 
 
 async def _ask_to_join(state: RegistryState, link: Link) -> None:
+    """Ask to become a member of the log while this box is none or hears no leader, for ever."""
     replica = state.node.replica
     while True:
         heard = time.monotonic() - replica.leader_heard_at < LEADER_SILENT_SECONDS
@@ -166,6 +167,7 @@
 def _take_in(
     state: RegistryState, tasks: TaskGroup, link: Link, message: LinkMessage, *, is_control: bool
 ) -> None:
+    """Take in one message; the log, registrations and hints only from control boxes."""
     match message:
         case LogMessage() if is_control:
             raft.receive(state.node.replica, message.envelope, time.monotonic(), state.node.rng)
@@ -196,6 +198,7 @@
 
 
 def _known_controls(state: RegistryState) -> tuple[str, ...]:
+    """Return the IP numbers of the log's members, of the boxes with a link up, and of this one."""
     members = {box_of(member) for member in state.node.replica.log.members.everyone}
     return tuple(sorted(members | set(state.peers.links) | {state.peers.own_address}))
 
@@ -234,7 +237,15 @@
 
 
 def sum_loads(state: RegistryState, now: float) -> dict[str, Load]:
-    """Add up what entry boxes reported lately."""
+    """Add up what entry boxes reported lately.
+
+    Args:
+        state: The process's state.
+        now: Monotonic time.
+
+    Returns:
+        Load by run of the upstream; upstreams without any are left out.
+    """
     sums: dict[str, tuple[int, float]] = {}
     for report in state.loads.values():
         if now - report.at > LOAD_BELIEVED_SECONDS:
--- a/src/ledgeladder/daemons/registry/newest.py
+++ b/src/ledgeladder/daemons/registry/newest.py
@@ -36,7 +36,7 @@
 4 s within which the platform wants an acknowledgement, so that a second try fits in."""
 
 LEADER_POLL_SECONDS: Final = 0.05
-"""How often a publication that found no leader looks for one."""
+"""How often a publication that found no leader, or was not confirmed by one, tries again."""
 
 
 def leader_is_sure(state: RegistryState) -> bool:
@@ -79,7 +79,7 @@
 
 
 def take_version_reply(state: RegistryState, reply: VersionReply) -> None:
-    """Note what the leader said."""
+    """Note an answer of another control box; only the leader's carries an age and counts."""
     take_answer(state.freshness, reply.call, reply.version, reply.age)
 
 
@@ -91,7 +91,7 @@
 
 
 async def keep_asking(state: RegistryState) -> None:
-    """Ask the leader now and then, for ever."""
+    """Ask the leader now and then, for ever, so that entry boxes can be answered at once."""
     while True:
         if not state.node.replica.is_leader:
             ask_leader(state)
@@ -153,6 +153,7 @@
 async def _pass_on(
     state: RegistryState, command: PublishCommand, deadline: float
 ) -> PublishResult | None:
+    """Have the leader commit a publication; None if none is known or it did not confirm in time."""
     link = state.peers.links.get(state.node.leader_box)
     if link is None:
         return None
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -1,4 +1,4 @@
-"""Ordering engines to hold layers, while this box leads."""
+"""Ordering engines to hold layers, and moving them after losses, while this box leads."""
 
 from __future__ import annotations
 
@@ -59,10 +59,16 @@
     """When engines came, before the first plan."""
 
     seen: int = 0
+    """Most engines that were registered at once."""
+
     first_at: float = 0.0
+    """When the first came, on the monotonic clock; 0 before that."""
+
     last_at: float = 0.0
+    """When `seen` last rose."""
 
     def is_over(self, count: int, now: float) -> bool:
+        """Tell whether enough engines have come, or enough time has passed, to plan."""
         if count > self.seen:
             self.first_at = self.first_at or now
             self.seen, self.last_at = count, now
@@ -71,7 +77,10 @@
 
 
 async def run_placing(state: RegistryState) -> None:
-    """Order layers for engines that have none, for ever."""
+    """Order layers for engines that have none, and move one where some were lost, for ever.
+
+    A box that does not lead forgets its orders: the next leader plans from what engines report.
+    """
     gathering = _Gathering()
     while True:
         await anyio.sleep(LOOK_SECONDS)
@@ -93,6 +102,7 @@
 
 
 def _may_order(state: RegistryState) -> bool:
+    """Tell whether this box holds the lease under a term that no engine has refused."""
     replica = state.node.replica
     if replica.term in state.ledger.fenced_terms or state.stopping:
         return False
@@ -210,7 +220,7 @@
 
 
 async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
-    """Send one order; the lease is checked right before the bytes leave."""
+    """Send one order and note what came of it."""
     outcome = await _send(state, engine, holding)
     note_outcome(state.ledger, engine.instance, outcome, anyio.current_time())
     logger.info(
@@ -226,6 +236,7 @@
 
 
 async def _send(state: RegistryState, engine: Registration, holding: Holding) -> OrderOutcome:
+    """Send one order; the lease is checked once more right before the bytes leave."""
     source = state.settings.box.address
     try:
         connection = await connect(engine.address, source=source, seconds=CALL_SECONDS)
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -28,7 +28,7 @@
     """Set once the answer is here."""
 
     reply: CommandReply | None = None
-    """The answer, or None if the link ended first."""
+    """The answer; None if none came in time. The end of the link does not wake who waits."""
 
 
 @dataclass(kw_only=True)
@@ -59,16 +59,16 @@
     """Upstreams that registered."""
 
     accepted: dict[int, Link] = field(default_factory=dict)
-    """Links that entry boxes opened, by identity."""
+    """Links that entry boxes opened, by `id` of the link."""
 
     accepted_peers: dict[int, Link] = field(default_factory=dict)
-    """Links that other control boxes opened, by identity."""
+    """Links that other control boxes opened, by `id` of the link."""
 
     loads: dict[int, ReportedLoad] = field(default_factory=dict)
-    """Newest load report of each entry box, by identity of its link."""
+    """Newest load report of each entry box, by `id` of its link."""
 
     freshness: Freshness = field(default_factory=Freshness)
-    """What the leader said of the newest version."""
+    """What the leader said of the newest version; not used while this box is sure itself."""
 
     waiters: dict[int, CommandWaiter] = field(default_factory=dict)
     """Commands that were passed on to the leader."""
--- a/src/ledgeladder/daemons/reloading.py
+++ b/src/ledgeladder/daemons/reloading.py
@@ -39,7 +39,7 @@
     """`host:port` of some control boxes."""
 
     modified: float = 0.0
-    """When the file was last changed, as the file system tells."""
+    """When the file was last changed, in seconds since 1970; 0 if it could not be read."""
 
 
 async def reload_seeds(seeds: SeedList, peers: Peers, load: Loader) -> None:
