Docstrings of the gateway: what is raised, counted, logged and given up

Unclear: belief_holds also sets what permit_request reads next; which engines are excluded for good and in which order a path's wishes are given up; that a run which its caller cancels is logged as lost without a detail; RunEnd.FAILED, which no run ends with; what raises ValueError; what times and histograms are in. Now each stands at its place. No code changed.

--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -47,7 +47,8 @@
     """Its rank."""
 
     deadline: float
-    """When it must have its final answer, on the monotonic clock."""
+    """When it must have its final answer, on the monotonic clock: the route's time, or the caller's
+    patience less `ANSWER_MARGIN_SECONDS` if that is shorter."""
 
     version: int
     """Version of the document that it was judged by."""
@@ -62,7 +63,8 @@
     """Check a request against the document in force.
 
     A box that cannot be sure to hold the newest document refuses what depends on it: a key may
-    have been taken away, and a missing route may have been added.
+    have been taken away, and a missing route may have been added. Routes that need no key are
+    served on, once any document was confirmed.
 
     Args:
         state: The process's state.
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -44,7 +44,7 @@
 """An upstream that no control box has heard for this long is dropped here too."""
 
 GONE_REMEMBERED: Final = 4096
-"""Runs of ended upstreams that are kept, so that late news do not bring one back."""
+"""Runs of ended upstreams that are remembered, so that late news does not bring one back."""
 
 
 async def serve_control(state: GatewayState, address: str, link: Link) -> None:
@@ -80,6 +80,7 @@
 
 
 async def _keep_asking(state: GatewayState, link: Link) -> None:
+    """Ask a control box for its document once and for the newest version again and again."""
     link.post(DocumentPull(version=state.version))
     while True:
         link.post(VersionQuery(call=ask(state.freshness, anyio.current_time())))
@@ -99,6 +100,7 @@
 
 
 def _take_loads(state: GatewayState, totals: LoadTotals) -> None:
+    """Take in the load of all entry boxes; upstreams that are not named carry none."""
     now = anyio.current_time()
     for instance, item in state.table.upstreams.items():
         load = totals.loads.get(instance)
@@ -120,7 +122,7 @@
 
     Args:
         state: The process's state.
-        push: The document.
+        push: The document, compressed. One that cannot be decoded is logged and changes nothing.
     """
     if push.version <= state.version:
         return
@@ -146,7 +148,8 @@
 
     Args:
         state: The process's state.
-        told: Registrations with their ages.
+        told: Registrations with their ages. One that is not newer than what is known is passed
+            over; ages alone come with `RegistrationAges`.
     """
     now = anyio.current_time()
     for item in told:
@@ -178,6 +181,7 @@
 
 
 def _take_ages(state: GatewayState, told: dict[str, float]) -> None:
+    """Note when upstreams were last heard, in seconds before now, and drop the silent ones."""
     now = anyio.current_time()
     for instance, age in told.items():
         held = state.table.upstreams.get(instance)
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -40,6 +40,7 @@
 """Left of the time for a planned stop when requests in progress are given up."""
 
 POLL_SECONDS: Final = 0.05
+"""How often a planned stop looks whether the last request has ended."""
 
 EXPIRE_SECONDS: Final = 2.0
 """How often idle connections to upstreams are looked through."""
@@ -117,7 +118,10 @@
 
 
 async def _stop(state: GatewayState, callers: HttpSite) -> None:
-    """Stop without cutting a request: call unready, serve on, end idle connections, finish."""
+    """Stop without cutting a request: call unready, serve on, refuse, end idle connections, finish.
+
+    What is still in progress when the time is over is cut and logged.
+    """
     state.stopping = True
     callers.stopping = True
     logger.info("planned stop", extra={"in_progress": callers.in_progress})
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -68,7 +68,7 @@
     """Upstreams that it was sent to or could not be sent to."""
 
     sent: int = 0
-    """Times it was sent."""
+    """Times it was sent, refused ones included."""
 
     runs: int = 0
     """Times it may have run."""
@@ -143,7 +143,10 @@
     tries: _Tries,
     upstream: ForwardedUpstream,
 ) -> bool:
-    """Send a request to one upstream; returns True if its answer is final."""
+    """Send a request to one upstream; returns True if its answer is final.
+
+    The first try of a repeatable request gets a part of the time only, so that another one fits in.
+    """
     instance = upstream.registration.instance
     tries.tried.add(instance)
     repeatable = permit.route.kind is RequestKind.REPEATABLE
@@ -198,7 +201,11 @@
 
 
 def _judge(tries: _Tries, upstream: ForwardedUpstream, answer: OpenAnswer, body: bytes) -> bool:
-    """Take in a whole answer; returns True if it is final."""
+    """Take in a whole answer; returns True if it is final.
+
+    Raises:
+        AnswerLostError: If the upstream did not sign it.
+    """
     now = anyio.current_time()
     status = answer.head.status_code
     if answer.facts.not_run:
@@ -226,6 +233,11 @@
     exchange: Exchange,
     tries: _Tries,
 ) -> None:
+    """Pass the newest whole answer on, a failed one too, or refuse.
+
+    Raises:
+        ProblemError: If no upstream gave a whole answer.
+    """
     if tries.answer is not None:
         head = tries.answer.head
         record(state.metrics.answer, anyio.current_time() - request.arrived_at)
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -24,7 +24,9 @@
 
 
 async def find_lost(state: GatewayState, path: ChosenPath, dead: set[str]) -> bool:
-    """Connect to every engine of a path side by side.
+    """Connect to every engine of a path side by side, and tell of those that do not accept.
+
+    Those are avoided, the other requests on them are interrupted, and the control boxes are told.
 
     Args:
         state: The process's state.
--- a/src/ledgeladder/daemons/gateway/readiness.py
+++ b/src/ledgeladder/daemons/gateway/readiness.py
@@ -20,7 +20,11 @@
 
 
 def is_ready(state: GatewayState) -> bool:
-    """Tell whether a caller that connects now is likely to be served."""
+    """Tell whether a caller that connects now is likely to be served.
+
+    True if no planned stop has begun, the document is sure to be the newest, and any upstream is
+    known.
+    """
     if state.stopping or state.configuration is None:
         return False
     return belief_holds(state, anyio.current_time()) and bool(state.table.upstreams)
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -53,7 +53,7 @@
 
 
 def record(histogram: HdrHistogram, seconds: float) -> None:
-    """Record a duration, cut to the histogram's range."""
+    """Record a duration in seconds, cut to the histogram's range; it holds microseconds."""
     value = int(seconds * 1e6)
     histogram.record_value(min(max(value, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS))
 
@@ -79,7 +79,8 @@
     a control box that has just started may have sent an old one."""
 
     entries: int = 1
-    """Most entry boxes that a control box has told of."""
+    """Most entry boxes that a control box has ever told of; never lowered, so that a control box
+    that few have reached yet does not make the share of repeats larger."""
 
     table: ForwardingTable = field(default_factory=ForwardingTable)
     """Upstreams that registered."""
@@ -88,7 +89,7 @@
     """Failure domains that may be cut off."""
 
     gone: dict[str, None] = field(default_factory=dict)
-    """Runs of upstreams that have ended, oldest first."""
+    """Ids of runs of upstreams that have ended, oldest first."""
 
     connections: ConnectionPool = field(default_factory=ConnectionPool)
     """Idle connections to upstreams."""
@@ -97,7 +98,7 @@
     """Budget of repeats by pool."""
 
     first_pace: Pace = field(default_factory=Pace)
-    """Times to the first event of streams."""
+    """Times from the sending of a run to its first event, in seconds."""
 
     rng: random.Random = field(default_factory=random.Random)
     """Source of choices and jitter."""
@@ -128,9 +129,11 @@
 def belief_holds(state: GatewayState, now: float) -> bool:
     """Tell whether keys and routes may be judged by the document in force.
 
+    Also sets `confirmed` the first time that they may: whoever reads that asks here before.
+
     Args:
         state: The process's state.
-        now: Monotonic time, read after the request.
+        now: Monotonic time, read after the request arrived.
     """
     if state.configuration is None:
         return False
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -73,7 +73,8 @@
     """The run broke off; some of it may have been passed on."""
 
     FAILED = "failed"
-    """The engine answered with a failure of its own, which was kept."""
+    """The engine answered with a failure of its own. No run ends so today: such a run counts as
+    lost, and its answer is kept for the case that no other run succeeds."""
 
 
 @dataclass(kw_only=True)
@@ -87,16 +88,17 @@
     """Tokens that the request is likely to hold on each engine."""
 
     excluded: set[str] = field(default_factory=set)
-    """Engines that failed this request."""
+    """Runs of engines that failed or refused this request; used again only if no path is left
+    without them."""
 
     failed_domains: set[str] = field(default_factory=set)
     """Other failure domains whose engines failed or refused this request."""
 
     dead: set[str] = field(default_factory=set)
-    """Engines among them that were found dead."""
+    """Runs of engines that were found dead while they carried this request; never used again."""
 
     sent: int = 0
-    """Times it was sent."""
+    """Times it was sent, refused ones included."""
 
     runs: int = 0
     """Runs that count towards the most attempts: those on first engines that are not dead."""
@@ -114,10 +116,10 @@
     """Its body."""
 
     pace: Pace = field(default_factory=lambda: Pace(floor=GAP_FLOOR_SECONDS))
-    """Gaps between events."""
+    """Gaps between events, in seconds."""
 
     moved_at: float = 0.0
-    """When the newest event was passed on, or when the request arrived."""
+    """When the newest event was passed on, or when the request arrived, on the monotonic clock."""
 
     emitting: bool = False
     """True while events that count as passed on are being written to the caller."""
@@ -165,12 +167,14 @@
 
 
 def _expected_answer(permit: Permit, profile: EngineProfile) -> int:
+    """Return how many tokens an answer is likely to have."""
     most = permit.facts.answer_tokens
     usual = int(profile.usual_answer) or int(most * ANSWER_SHARE)
     return max(1, min(most, usual) if most else usual)
 
 
 def _may_run_again(permit: Permit, session: StreamSession) -> bool:
+    """Tell whether another run is allowed; the first one always is."""
     if session.refusals >= REFUSALS_LIMIT:
         return False
     if session.runs == 0:
@@ -185,6 +189,11 @@
     session: StreamSession,
     expected: int,
 ) -> ChosenPath | None:
+    """Choose the path of the next run, giving up one wish after the other until there is one.
+
+    First other failure domains that seem cut off are left out, then only engines that failed this
+    request, at last only those that were found dead.
+    """
     wanted = PathRequest(
         prompt_tokens=permit.facts.prompt_tokens,
         answer_tokens=expected,
@@ -206,6 +215,7 @@
 def _is_avoided(
     state: GatewayState, session: StreamSession, engine: ForwardedUpstream, now: float
 ) -> bool:
+    """Tell whether an engine is in another failure domain that seems cut off."""
     domain = engine.registration.failure_domain
     if domain == state.settings.box.failure_domain:
         return False
@@ -273,6 +283,11 @@
     end: RunEnd,
     detail: str,
 ) -> None:
+    """Count a run's end, take back what does not count as a run, and log all but whole ones.
+
+    A run that is cancelled because the caller left or its time is over is logged as lost, without
+    a detail.
+    """
     state.metrics.counters[f"run-{end.value}"] += 1
     if end is RunEnd.COMPLETE:
         for engine in path.engines:
@@ -336,6 +351,7 @@
     try:
         return await _pass_events(state, exchange, session, path, answer, started_at)
     except (AnswerBrokenError, AnswerLostError, ValueError) as error:
+        # ValueError: an event that never ends.
         await _blame(state, session, path)
         return RunEnd.LOST, str(error)
     finally:
@@ -350,7 +366,12 @@
     path: ChosenPath,
     dispatch: Dispatch,
 ) -> OpenAnswer:
-    """Open the answer with a watch on its engines while it does not come."""
+    """Open the answer with a watch on its engines while it does not come.
+
+    Raises:
+        NotSentError: If nothing was sent.
+        AnswerLostError: If the request may have run and no head came, or came too late.
+    """
     answer: OpenAnswer | None = None
     failure: Exception = AnswerLostError("no answer in time")
     async with anyio.create_task_group() as tasks:
@@ -421,6 +442,13 @@
     answer: OpenAnswer,
     started_at: float,
 ) -> tuple[RunEnd, str]:
+    """Pass whole events on until the answer ends; those that the caller has are left out.
+
+    Raises:
+        AnswerBrokenError: If the answer ends early.
+        AnswerLostError: If an engine of the path is dead or silent for too long.
+        ValueError: If an event grows too long.
+    """
     buffer = EventBuffer()
     while True:
         part = await _read_watched(state, session, path, answer)
@@ -480,7 +508,15 @@
 async def _read_watched(
     state: GatewayState, session: StreamSession, path: ChosenPath, answer: OpenAnswer
 ) -> bytes | None:
-    """Read the next part; a pause beyond the stream's own pace has the engines probed."""
+    """Read the next part; a pause beyond the stream's own pace has the engines probed.
+
+    Returns:
+        The part, or None once the answer is complete.
+
+    Raises:
+        AnswerBrokenError: If the answer ends early.
+        AnswerLostError: If an engine is dead, or none is and the silence lasts too long.
+    """
     waited = 0.0
     while True:
         known = session.pace.mean > 0
@@ -515,7 +551,11 @@
 async def _finish(
     permit: Permit, exchange: Exchange, session: StreamSession, *, late: bool
 ) -> None:
-    """Give the final answer of a stream that is not complete."""
+    """Give the final answer of a stream of which the caller has no head yet.
+
+    Raises:
+        ProblemError: If no engine answered with a failure that can be passed on.
+    """
     if session.started:
         # An answer that is not complete ends with its connection, which the caller notices.
         return
