--- a/src/ledgeladder/routing/event_stream.py
+++ b/src/ledgeladder/routing/event_stream.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 EVENT_LIMIT_BYTES: Final = 1024 * 1024
-"""Longest event that is waited for."""
+"""Longest event that is waited for; a longer one ends its run."""
 
 _END: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID: Final = re.compile(rb"(?:^|\n|\r)id: ?(\d+)")
@@ -26,9 +26,10 @@
 
 @dataclass(kw_only=True)
 class EventBuffer:
-    """Bytes of an event that is not complete."""
+    """Cuts the bytes of one run into whole events."""
 
     pending: bytes = b""
+    """Bytes of an event that is not complete."""
 
     def feed(self, part: bytes) -> list[StreamEvent]:
         r"""Take in bytes and return the events that became complete.
@@ -77,6 +78,9 @@
 def accept_event(order: EventOrder, event: StreamEvent) -> bool | None:
     """Judge the next event of a run.
 
+    Ids count up by one. The first event that the caller gets may have any; an event without an id
+    is always passed on, since nothing tells whether the caller has it.
+
     Args:
         order: Position of the caller, which is moved.
         event: The event.
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -17,16 +17,16 @@
 """How long an upstream is avoided after a failure; doubled with each further one."""
 
 AVOID_LIMIT_SECONDS: Final = 8.0
-"""Longest time that an upstream is avoided before one request tries it again."""
+"""Longest time that an upstream is avoided before it gets work again, to find out."""
 
 FULL_SECONDS: Final = 0.25
 """How long an upstream that was full is avoided, about one report interval of an engine."""
 
 SILENT_SECONDS: Final = 4.0
-"""An upstream that nobody has heard for this long, three heartbeats, is a last resort."""
+"""An upstream that nobody has heard for this long, over three heartbeats, is a last resort."""
 
 DOUBT_SECONDS: Final = 1.0
-"""How long failures of a failure domain are held against it; then one request tries it again."""
+"""How long failures of a failure domain are held against it; then it gets work again."""
 
 DOUBT_UPSTREAMS: Final = 2
 """Upstreams of a failure domain that must fail: one alone is more likely lost itself."""
@@ -82,7 +82,7 @@
     """When it told it."""
 
     on_lost: set[Callable[[ForwardedUpstream], None]] = field(default_factory=set)
-    """Called once it is known to be lost, for the requests that pass it."""
+    """Called each time that it is found lost; one for each request that passes it."""
 
     @property
     def leaving(self) -> bool:
@@ -167,13 +167,13 @@
 
 
 def note_served(upstream: ForwardedUpstream) -> None:
-    """Note that an upstream did its work."""
+    """Note that an upstream did its work; it is avoided no longer, also if it was full."""
     upstream.failures = 0
     upstream.avoid_until = 0.0
 
 
 def note_failed(upstream: ForwardedUpstream, now: float) -> None:
-    """Note that an upstream failed, and avoid it for a while."""
+    """Note that an upstream failed, and avoid it for a while, longer with each failure in a row."""
     if now < upstream.avoid_until:
         # Several requests fail together when one upstream is lost; they count once.
         return
@@ -236,7 +236,13 @@
 
 
 def total_kv(upstream: ForwardedUpstream, now: float, sharers: float) -> float:
-    """Estimate the tokens x layers of all boxes on an engine."""
+    """Estimate the tokens x layers of all boxes on an engine.
+
+    Args:
+        upstream: The engine.
+        now: Monotonic time.
+        sharers: Factor from the own requests to those of all boxes, where nothing was told.
+    """
     if knows_others(upstream, now):
         return upstream.kv_reserved + upstream.others_kv
     return upstream.kv_reserved * sharers
@@ -248,7 +254,8 @@
     Args:
         upstream: The service.
         now: Monotonic time.
-        sharers: Entry boxes that are likely to send to it as much as this one.
+        sharers: Entry boxes. Where their load was not told lately and there are others, the own
+            requests count one and a half times.
     """
     slots = max(1, upstream.registration.slots)
     estimate = total_in_flight(upstream, now, 1.5 if sharers > 1 else 1.0)
--- a/src/ledgeladder/routing/load_sharing.py
+++ b/src/ledgeladder/routing/load_sharing.py
@@ -1,4 +1,7 @@
-"""How often entry boxes tell each other what their requests take, and how long it is believed."""
+"""How often entry boxes tell what their requests take, and how long it is believed.
+
+They tell control boxes, which add up what they were told and tell the sums to all entry boxes.
+"""
 
 from __future__ import annotations
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -81,12 +81,25 @@
 
 @dataclass(slots=True)
 class _Step:
+    """The cheapest way found so far to run the layers up to `end`, with its last engine."""
+
     cost: float
+    """Predicted time of the whole way, in seconds."""
+
     engine: ForwardedUpstream
+    """Engine that runs the last layers of it."""
+
     first: int
+    """First of those layers."""
+
     end: int
+    """One past the last of them."""
+
     before: _Step | None
+    """The way up to `first`; None if that is layer 0."""
+
     length: int
+    """Engines on the way."""
 
 
 def kv_fullness(
@@ -165,7 +178,11 @@
     request: PathRequest,
     now: float,
 ) -> ChosenPath | None:
-    """Walk over the layers from first to last, keeping the best step per layer and domain."""
+    """Walk over the layers from first to last, keeping the best step per layer and domain.
+
+    One step per failure domain is kept, and not one per engine, since hops cost the same from every
+    engine of it: this bounds the work by the layers at which holdings begin or end.
+    """
     edges = sorted({0, profile.layers}.union(*(_edges(engine) for engine in engines)))
     best: dict[int, dict[str, _Step]] = {0: {}}
     for start in edges[:-1]:
@@ -210,6 +227,10 @@
     start: int,
     request: PathRequest,
 ) -> tuple[_Step | None, float]:
+    """Return the cheapest way to a layer that an engine can carry on, and its time with the hop.
+
+    None with an infinite time if there is no such way; None with the hop's time at layer 0.
+    """
     domain = engine.registration.failure_domain
     if start == 0:
         return None, _hop(profile, request.failure_domain, domain)
@@ -233,6 +254,7 @@
 
 
 def _hop(profile: EngineProfile, one: str, other: str) -> float:
+    """Return the one-way delay between two failure domains, in seconds; 1 ms if none is given."""
     return LOCAL_HOP_SECONDS if one == other else profile.delays.get((one, other), 0.001)
 
 
@@ -243,6 +265,10 @@
     request: PathRequest,
     now: float,
 ) -> float:
+    """Predict how long an engine takes for its layers of a request, in seconds.
+
+    Infinity if its card is not known or its KV cache has no room.
+    """
     card = profile.cards.get(engine.registration.card)
     if card is None:
         return float("inf")
@@ -288,14 +314,19 @@
 
 
 def reserve(path: ChosenPath, tokens: int) -> None:
-    """Count a request on every engine of its path."""
+    """Count a request on every engine of its path.
+
+    Args:
+        path: The path.
+        tokens: Tokens that it is likely to hold; each takes KV cache for each layer.
+    """
     for part, engine in zip(path.parts, path.engines, strict=True):
         engine.in_flight += 1
         engine.kv_reserved += tokens * (part.end - part.first)
 
 
 def release(path: ChosenPath, tokens: int) -> None:
-    """Take back what `reserve` counted."""
+    """Take back what `reserve` counted; the tokens must be the same."""
     for part, engine in zip(path.parts, path.engines, strict=True):
         engine.in_flight -= 1
         engine.kv_reserved -= tokens * (part.end - part.first)
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -25,15 +25,17 @@
 
 MOST_KV_SHARE: Final = 0.4
 """Most that is kept. With 0.4 everywhere failure domains held some layers once only, on fast cards
-of which one was lost; with 0.2 everywhere requests overflowed to slow cards, and the days without
-faults fell from 0.95 to 0.60 of their worth. Both runs are in docs/design/placement.md."""
+of which one was lost; with 0.2 everywhere requests overflowed to slow cards, and days without
+faults fell from 0.95 of their worth to 0.48 to 0.82. Both are in docs/design/placement.md."""
 
 KV_SHARE_STEP: Final = 0.01
+"""Step in which the share is lowered until the copy fits."""
 
 DOMAIN_WEIGHT: Final = 10.0
 """How much more a layer counts that its own failure domain lacks than one that all lack."""
 
 MEGABYTE: Final = 1e6
+"""Bytes of a megabyte, as cards and layers are measured."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,7 +64,7 @@
         kv_share: Share of its memory that is kept for requests.
 
     Returns:
-        Layers, 0 if the kind is not known or not one layer fits.
+        Layers, 0 if the kind is not known or not one layer fits; at least one if one fits.
     """
     kind = profile.cards.get(card)
     if kind is None or profile.layer_mb <= 0:
@@ -76,11 +78,15 @@
     """Choose the share of memory that the faster cards of a failure domain keep for requests.
 
     The largest share with which the cards other than the slowest kind still hold one whole copy:
-    requests then stay on fast cards, and as many as possible fit there.
+    requests then stay on fast cards, and as many as possible fit there. Where the faster cards hold
+    no copy even with the least share, all cards are taken together.
 
     Args:
         profile: Figures of the engines.
-        cards: Kinds of the engines of the failure domain.
+        cards: Kinds of the engines of the failure domain, one for each engine.
+
+    Returns:
+        A share between `LEAST_KV_SHARE` and `MOST_KV_SHARE`.
     """
     slowest = max((_slowness(profile, card) for card in cards), default=0.0)
     fast = [card for card in cards if _slowness(profile, card) < slowest]
@@ -100,6 +106,9 @@
         profile: Figures of the engines.
         card: Kind of the accelerator.
         layers: Layers that it holds.
+
+    Returns:
+        Tokens x layers; infinity if the kind or the size of a token is not known.
     """
     kind = profile.cards.get(card)
     if kind is None or profile.kv_token_bytes <= 0:
@@ -138,7 +147,10 @@
 def _kv_shares(
     profile: EngineProfile, engines: Sequence[PlacedEngine]
 ) -> dict[tuple[str, str], float]:
-    """Return the share that is kept for requests, by failure domain and kind of card."""
+    """Return the share that is kept for requests, by failure domain and kind of card.
+
+    The slowest kind of a failure domain keeps the least, unless it is the only one there.
+    """
     cards: dict[str, list[str]] = {}
     for engine in engines:
         cards.setdefault(engine.failure_domain, []).append(engine.card)
@@ -173,7 +185,8 @@
     for members in by_domain.values():
         held = [item.holding for item in members if item.holding is not None]
         lacking = missing_layers(profile, held)
-        # A failure domain that never held a whole copy is not repaired.
+        # One that lacks over half of the layers never held a whole copy, or lost too much for one
+        # move to help.
         if not lacking or len(lacking) > profile.layers // 2:
             continue
         spare = _spare_engine(profile, members)
@@ -186,6 +199,7 @@
 
 
 def _spare_engine(profile: EngineProfile, members: Sequence[PlacedEngine]) -> PlacedEngine | None:
+    """Return the slowest engine all of whose layers another of its failure domain holds too."""
     copies = [0] * profile.layers
     for item in members:
         if item.holding is not None:
@@ -208,12 +222,13 @@
 
 
 def _slowness(profile: EngineProfile, card: str) -> float:
+    """Return the step factor of a kind of card; an unknown kind is the slowest."""
     kind = profile.cards.get(card)
     return kind.step_factor if kind is not None else float("inf")
 
 
 class _Coverage:
-    """KV capacity that each layer has, in each failure domain and in all."""
+    """What each layer can carry, in each failure domain and in all: requests per step factor."""
 
     def __init__(self, profile: EngineProfile) -> None:
         self.profile = profile
@@ -235,6 +250,7 @@
             self.everywhere[layer] += weight
 
     def best_range(self, engine: PlacedEngine, count: int) -> Holding:
+        """Return the range of that many layers whose need is greatest; the first of equal ones."""
         domain = self.domain(engine.failure_domain)
         need = [
             DOMAIN_WEIGHT / (0.1 + own) ** 2 + 1.0 / (0.1 + total) ** 2
--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -25,13 +25,13 @@
     """Repeats that all boxes together may make besides, in one window."""
 
     seconds: float
-    """Length of the window."""
+    """Length of the window, in seconds."""
 
     firsts: deque[float] = field(default_factory=deque)
-    """When requests were first sent."""
+    """When requests were first sent, on the monotonic clock, oldest first."""
 
     repeats: deque[float] = field(default_factory=deque)
-    """When they were sent again."""
+    """When they were sent again, likewise."""
 
 
 def note_first(window: RepeatWindow, now: float) -> None:
--- a/src/ledgeladder/routing/route_index.py
+++ b/src/ledgeladder/routing/route_index.py
@@ -1,4 +1,4 @@
-"""Finding the route of a request and the account of a key."""
+"""Finding the route of a request and the client account of a key."""
 
 from __future__ import annotations
 
@@ -39,10 +39,15 @@
 def find_route(index: RouteIndex, host: str, path: str) -> RouteRule | None:
     """Return the route with the longest prefix that begins a path.
 
+    Prefixes end with a slash; one that does not is never found.
+
     Args:
         index: The look-up tables.
-        host: Host that the caller asks for, in lower case.
+        host: Host that the caller asks for, in lower case and without a port.
         path: Path without its query.
+
+    Returns:
+        The route, or None if no prefix of the host begins the path.
     """
     prefixes = index.routes.get(host)
     if not prefixes:
@@ -57,7 +62,15 @@
 
 
 def choose_pool(route: RouteRule, rng: random.Random) -> str:
-    """Choose a pool by weight."""
+    """Choose a pool by weight; one of weight 0 is never chosen.
+
+    Args:
+        route: The route, whose weights sum to more than 0.
+        rng: Source of the choice.
+
+    Returns:
+        Name of the pool.
+    """
     total = sum(item.weight for item in route.pools)
     point = rng.random() * total
     for item in route.pools:
