Docstrings of platform and log queue: what is read from a field, when lines are written

Unclear: what counts as a number or a key, which names belong to the platform, that only the first of several models counts, and what is written without a background writer. No code changed.

--- a/src/ledgeladder/daemons/log_queue.py
+++ b/src/ledgeladder/daemons/log_queue.py
@@ -36,7 +36,7 @@
     """File descriptor of the output."""
 
     lines: deque[bytes] = field(default_factory=deque)
-    """Lines in order; the first may be what is left of one."""
+    """Lines in order, each with its line end; the first may be what is left of one."""
 
     dropped: int = 0
     """Lines that found the queue full since the last one that says so."""
@@ -45,7 +45,7 @@
     """Ordinary lines over the rate since the last one that says so."""
 
     second: int = 0
-    """Second of the monotonic clock in which ordinary lines are being counted."""
+    """Whole second of the monotonic clock in which ordinary lines are being counted."""
 
     ordinary: int = 0
     """Ordinary lines in that second."""
@@ -109,7 +109,11 @@
 
 
 class QueueHandler(logging.Handler):
-    """Formats records into a `LogQueue`."""
+    """Formats records into a `LogQueue`.
+
+    Without a writer in the background, before the loop runs and after it ends, lines are written at
+    once for as long as the output takes them.
+    """
 
     def __init__(self, queue: LogQueue) -> None:
         super().__init__()
--- a/src/ledgeladder/platform/configuration.py
+++ b/src/ledgeladder/platform/configuration.py
@@ -22,6 +22,9 @@
 
 MILLISECONDS: Final = 1000.0
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+"""A number above 0."""
+
+# The classes below name fields as the platform does; `_convert` gives them the names used inside.
 
 REQUEST_KINDS: Final = {
     "safe": RequestKind.REPEATABLE,
@@ -144,6 +147,7 @@
 
 
 def _splits(route: _Route) -> list[_Split]:
+    """Return the services of a route with their weights; a split goes before a single service."""
     if route.traffic_split:
         return route.traffic_split
     return [_Split(service=route.service, weight=1.0)] if route.service else []
@@ -219,6 +223,7 @@
 
 
 def _convert_engine(engine: _Engine) -> EngineProfile:
+    """Give an engine's figures the names used inside; of several models the first one counts."""
     delays: dict[tuple[str, str], float] = {}
     for delay in engine.delays:
         seconds = delay.delay_ms / MILLISECONDS
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -19,9 +19,11 @@
 """Least urgent rank that an upstream knows."""
 
 MISDIRECTED: Final = 421
-"""Status by which an upstream refuses a request meant for another."""
+"""Status by which an upstream refuses a request meant for another, or a path that names layers
+that it does not hold."""
 
 KEY_SCHEME: Final = "token"
+"""Scheme of the authorization field that carries a key, in lower case."""
 
 CONNECTION_FIELDS: Final = frozenset(
     {
@@ -81,6 +83,7 @@
 
 
 def _number(value: bytes | None) -> float | None:
+    """Read a finite number that is not negative; None for anything else."""
     if value is None:
         return None
     with contextlib.suppress(ValueError):
@@ -90,11 +93,13 @@
 
 
 def _key(value: bytes | None) -> str | None:
+    """Read the key out of an authorization field; None for another scheme or an empty key."""
     scheme, _, key = (value or b"").decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == KEY_SCHEME and key.strip() else None
 
 
 def _listed(fields: dict[bytes, bytes]) -> set[bytes]:
+    """Return the fields that the sender calls its connection's own."""
     return {name.strip().lower() for name in fields.get(b"connection", b"").split(b",")}
 
 
@@ -105,6 +110,10 @@
         request: The caller's request.
         dispatch: What the system adds.
         hide_key: True if the caller's key must not be shown.
+
+    Returns:
+        The caller's fields, in order and as they were sent, without those of its connection and
+        those that only the system sets, and the system's own behind them.
     """
     dropped = CONNECTION_FIELDS | SET_BY_SYSTEM | _listed(request.fields)
     if hide_key:
@@ -141,6 +150,9 @@
     Args:
         status: HTTP status.
         headers: Header fields with lower-case names.
+
+    Returns:
+        Its facts; what cannot be read counts as not said.
     """
     fields = dict(headers)
     return AnswerFacts(
@@ -163,6 +175,7 @@
 
 
 def _keep_seconds(fields: dict[bytes, bytes]) -> float | None:
+    """Read how long an idle connection is kept, in seconds: 0 if it ends, None if not said."""
     if b"close" in fields.get(b"connection", b"").lower():
         return 0.0
     for part in fields.get(b"keep-alive", b"").split(b","):
--- a/src/ledgeladder/platform/registrations.py
+++ b/src/ledgeladder/platform/registrations.py
@@ -11,7 +11,7 @@
 from ..model.registration import Holding, Registration, UpstreamState
 
 HEARTBEAT_LIMIT_BYTES: Final = 4096
-"""Longest heartbeat that the platform counts as acknowledged."""
+"""Longest heartbeat that is taken; the platform counts no longer one as acknowledged."""
 
 UPSTREAMS_PATH: Final = "/api/replicas/"
 """Path under which an upstream registers, followed by its id."""
