Test the refusal to change two voters in a term in which changes are taken

The last line of the test on the number of voters passed whatever the rule did: its leader was in term 0 over a log of term 1, where every change is refused, one of a single voter too (tried). It stands in a test of its own now, in the log's term, with an allowed change beside it, so it is stricter.

--- a/tests/coordination/test_voters.py
+++ b/tests/coordination/test_voters.py
@@ -62,7 +62,14 @@
     chosen = choose(replica, wanted=5)
     assert chosen is not None
     assert len(chosen.voters) == 4
-    assert not raft.propose_members(replica, Members(voters=("a/1",), learners=()))
+
+
+def test_log_refuses_to_change_two_voters_at_once() -> None:
+    replica = leader(("a/1", "b/1", "c/1"), ("d/1", "e/1"))
+    # In the term of the newest committed entry: in another one every change is refused.
+    replica.hard_state = raft.HardState(term=1)
+    assert not raft.propose_members(replica, Members(voters=("a/1",)))
+    assert raft.propose_members(replica, Members(voters=("a/1", "b/1")))
 
 
 def test_never_more_than_one_voter_changes() -> None:
