Test a leaving engine that only its state keeps out of paths

The old test put a registration without a card into an empty table. An engine without a card costs infinity, so the test passed also with is_usable made blind to leaving engines (tried). Now the registration goes through the engines' own table and changes its state only; with the same fault the test fails. Exclusion has a test of its own, over three paths in a row.

--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -4,16 +4,17 @@
 
 import random
 
+import msgspec
 import pytest
 
-from ledgeladder.model.registration import Holding, Registration, UpstreamState
+from ledgeladder.model.registration import Registration, UpstreamState
 from ledgeladder.routing.forwarding_table import (
     ForwardedUpstream,
+    ForwardingTable,
     note_failed,
     note_full,
     put_registration,
 )
-from ledgeladder.routing.forwarding_table import ForwardingTable as Table
 from ledgeladder.routing.paths import PathRequest, choose_path, release, reserve
 
 from .test_placement import CARDS, DOMAINS, PROFILE, fleet, placed, plan_placement
@@ -91,27 +92,30 @@
     assert all(abs(engine.kv_reserved) < 1e-6 for engine in pool)
 
 
-def test_leaving_and_excluded_engines_are_not_used() -> None:
-    pool = engines()
-    path = choose_path(PROFILE, pool, wanted(), 0.0)
+def test_leaving_engine_is_not_used() -> None:
+    table = ForwardingTable()
+    pool = [put_registration(table, item.registration, 0.0) for item in engines()]
+    known = [engine for engine in pool if engine is not None]
+    path = choose_path(PROFILE, known, wanted(), 0.0)
     assert path is not None
     first = path.head
-    table = Table()
-    left = Registration(
-        instance=first.registration.instance,
-        sequence=2,
-        state=UpstreamState.LEAVING,
-        holdings=(Holding(first=0, end=80),),
-    )
-    first.registration = left
-    put_registration(table, left, 0.0)
-    other = choose_path(PROFILE, pool, wanted(), 0.0)
+    # Nothing else of it changes, so that nothing else keeps it out.
+    left = msgspec.structs.replace(first.registration, sequence=2, state=UpstreamState.LEAVING)
+    assert put_registration(table, left, 0.0) is first
+    other = choose_path(PROFILE, known, wanted(), 0.0)
     assert other is not None
     assert first not in other.engines
-    excluded = {engine.registration.instance for engine in other.engines}
-    third = choose_path(PROFILE, pool, wanted(), 0.0, excluded=excluded)
-    assert third is not None
-    assert not excluded & {part.instance for part in third.parts}
+
+
+def test_excluded_engines_are_not_used() -> None:
+    pool = engines()
+    excluded: set[str] = set()
+    for _ in range(3):
+        path = choose_path(PROFILE, pool, wanted(), 0.0, excluded=excluded)
+        assert path is not None
+        instances = {part.instance for part in path.parts}
+        assert not excluded & instances
+        excluded |= instances
 
 
 def test_engine_that_was_full_is_tried_again_soon() -> None:
