Names of tests of the platform and its processes say what is checked

Unclear: names such as test_document_rules, test_orders or test_heartbeat; one promised a control box that is new beside one that lost its disk, and starts none; 'stood still' for processes that are paused. Orders and their outcomes are two tests now. Every check stays as it was.

--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -50,6 +50,7 @@
 
 
 def serves_streams(fleet: DiscoveredFleet, gateway: int) -> bool:
+    """Tell whether a gateway serves a stream, as it does once engines hold all layers."""
     return request(fleet, "draft", gateway=gateway).status_code == 200
 
 
@@ -107,7 +108,7 @@
         ("open", {"Authorization": ""}, 200),
     ],
 )
-def test_routes_and_keys(
+def test_route_and_key_decide_the_status(
     fleet: DiscoveredFleet, route: str, headers: dict[str, str], status: int
 ) -> None:
     assert request(fleet, route, **headers).status_code == status
@@ -119,7 +120,7 @@
     assert request(fleet, "status").status_code == 200
 
 
-def test_document_rules(fleet: DiscoveredFleet) -> None:
+def test_newest_document_stays_and_broken_ones_are_refused(fleet: DiscoveredFleet) -> None:
     good = fleet.publish_next()
     held = good["version"]
     # A resend and an older one are acknowledged and change nothing.
@@ -164,7 +165,7 @@
     assert request(fleet, "status").status_code == 200
 
 
-def test_lost_engine_in_the_middle_of_streams(fleet: DiscoveredFleet) -> None:
+def test_stream_is_carried_on_when_an_engine_is_killed(fleet: DiscoveredFleet) -> None:
     with httpx.Client(timeout=10.0, trust_env=False) as client:
         fields = {
             "Host": HOST,
@@ -186,7 +187,7 @@
     fleet.restart(name)
 
 
-def test_lost_service_is_not_run_twice(fleet: DiscoveredFleet) -> None:
+def test_killed_service_makes_no_request_run_twice(fleet: DiscoveredFleet) -> None:
     fleet.kill("services-0")
     answers = [request(fleet, "preview", Attempt_Id=f"once-{n}") for n in range(12)]
     fleet.restart("services-0")
@@ -253,7 +254,7 @@
     wait_until(lambda: request(fleet, "status").status_code == 200, 15, "belief renewed")
 
 
-def test_control_box_that_lost_its_disk_and_one_that_is_new(fleet: DiscoveredFleet) -> None:
+def test_control_box_that_lost_its_disk_votes_again(fleet: DiscoveredFleet) -> None:
     document = fleet.publish_next()
     fleet.wipe(0)
     wait_until(lambda: reads(fleet, 0) == document, 20, "the wiped box reads the document")
@@ -264,7 +265,7 @@
     fleet.restart("registry-1")
 
 
-def test_disk_lost_after_all_control_boxes_stood_still(fleet: DiscoveredFleet) -> None:
+def test_disk_lost_after_all_control_boxes_were_paused(fleet: DiscoveredFleet) -> None:
     """A box that asked to join under its old id comes back under a new one.
 
     The leader once swapped the two ids for each other hundreds of times a second.
@@ -285,6 +286,7 @@
 
 
 def member_changes(fleet: DiscoveredFleet) -> int:
+    """Return how often members of the log have changed, over all registries' logs."""
     return sum(
         line["message"] == "members change"
         for name in fleet.boxes
@@ -294,6 +296,7 @@
 
 
 def reads(fleet: DiscoveredFleet, number: int) -> object:
+    """Return the document that a registry answers with; None if it refuses or does not answer."""
     try:
         answer = fleet.client.get(f"http://{fleet.control_addresses[number]}/api/config")
     except httpx.HTTPError:
@@ -315,7 +318,7 @@
     return newest is not None and bool(started) and started[-1]["member"] in newest["voters"]
 
 
-def test_all_control_boxes_killed_at_once(fleet: DiscoveredFleet) -> None:
+def test_document_outlives_the_kill_of_all_control_boxes(fleet: DiscoveredFleet) -> None:
     document = fleet.publish_next()
     for number in range(3):
         fleet.kill(f"registry-{number}")
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -48,6 +48,7 @@
 
 
 def broken(change: str) -> Any:
+    """Return a document with one fault."""
     document = copy.deepcopy(example_document(3))
     route = document["routes"][1]
     match change:
@@ -102,7 +103,7 @@
 
 
 @pytest.mark.parametrize("body", [b"", b"{", b"null", b"\xff", b"[" * 5000, b'{"version":1}'])
-def test_garbage_is_refused(body: bytes) -> None:
+def test_body_that_is_no_document_is_refused(body: bytes) -> None:
     assert isinstance(decode_configuration(body), Failure)
 
 
@@ -112,7 +113,7 @@
         assert isinstance(decode_configuration(whole[:length]), Failure)
 
 
-def test_heartbeat() -> None:
+def test_heartbeat_is_decoded_with_layers_and_without() -> None:
     decoded = decode_heartbeat("i-1", json.dumps(BEAT).encode())
     assert isinstance(decoded, Success)
     registration = decoded.unwrap()
--- a/tests/platform/test_exchange.py
+++ b/tests/platform/test_exchange.py
@@ -36,7 +36,7 @@
     return HttpRequest(method=b"POST", target=b"/a/b?q=1", headers=SENT, fields=fields, body=body)
 
 
-def test_caller_facts() -> None:
+def test_request_is_read_into_facts() -> None:
     facts = read_caller_facts(request())
     assert facts.host == "captions.example"
     assert facts.path == "/a/b"
@@ -46,7 +46,7 @@
     assert (facts.prompt_tokens, facts.answer_tokens) == (1460, 80)
 
 
-def test_nonsense_counts_as_not_said() -> None:
+def test_fields_that_cannot_be_read_count_as_not_said() -> None:
     sent = request()
     sent.fields |= {
         b"deadline-ms": b"soon",
@@ -93,7 +93,7 @@
     assert b"authorization" in names
 
 
-def test_answer_facts() -> None:
+def test_head_of_an_answer_is_read_into_facts() -> None:
     facts = read_answer_facts(
         503,
         [
@@ -126,11 +126,14 @@
     assert caller_headers(headers) == [(b"Replica-Seal", b"s"), (b"X", b"1")]
 
 
-def test_orders() -> None:
+def test_orders_carry_the_names_of_the_platform() -> None:
     call = place_call("i-1", Holding(first=20, end=31), 7, wait=True)
     assert call.body == b'{"op":"place","from":20,"targetVersion":31,"how":"wait","fence":7}'
     part = PathPart(instance="i-1", address="10.0.0.1:1", first=0, end=80)
     assert b'"path":"10.0.0.1:1=0-80"' in repath_call("i-1", "9c41", [part]).body
+
+
+def test_statuses_of_an_order_are_told_apart() -> None:
     assert [read_outcome(status).value for status in (200, 202, 409, 412, 500)] == [
         "done",
         "begun",
