Schedules of freshness play what they say, with ages and without slack

The schedule said that the leader reads its version on the way, drew that time and did not use it: versions were those at the question, ages always 0, and 11 ms of slack were allowed that nothing needed. Now the version is that of a random moment between question and answer, or of a moment before it that the answer names as its age, and the slack is rounding only.

--- a/tests/coordination/test_freshness.py
+++ b/tests/coordination/test_freshness.py
@@ -10,43 +10,50 @@
 from ledgeladder.coordination.freshness import Freshness, ask, is_fresh, take_answer
 
 BOUND = 4.0
+"""Longest age of a belief, in seconds."""
+
+ROUNDING = 1e-9
+"""Room for sums of floating-point numbers, in seconds."""
 
 
 def run_schedule(seed: int, take: Callable[[Freshness, int, int, float, float], None]) -> int:
     """Play questions, answers, publications and freezes; returns how often a belief was wrong.
 
     A belief is wrong if the box trusts a version although a newer one was published more than the
-    bound ago.
+    bound ago. Answers come from the leader, or from a box that heard the leader some time before
+    and says how long ago that was.
     """
     rng = random.Random(seed)
     freshness = Freshness()
     now, newest, held = 0.0, 1, 1
     published_at = {1: 0.0}
-    answers: list[tuple[float, int, int, float]] = []
+    questions: list[tuple[float, int]] = []
     wrong = 0
     for _ in range(400):
         now += rng.choice((0.01, 0.1, 0.5, rng.uniform(1.0, 12.0)))
         match rng.choice(("ask", "publish", "learn", "answer", "answer")):
             case "ask":
-                number = ask(freshness, now)
-                # The leader reads its version somewhere on the way.
-                read_at = now + rng.uniform(0.0, 0.01)
-                answers.append((read_at, number, newest, 0.0))
+                questions.append((now, ask(freshness, now)))
             case "publish" if rng.random() < 0.3:
                 newest += 1
                 published_at[newest] = now
             case "learn":
                 held = max(held, rng.randint(held, newest))
-            case "answer" if answers:
-                _, number, version, age = answers.pop(rng.randrange(len(answers)))
+            case "answer" if questions:
+                asked_at, number = questions.pop(rng.randrange(len(questions)))
+                # The question is answered somewhere on the way, out of what was known before.
+                answered_at = rng.uniform(asked_at, now)
+                age = rng.choice((0.0, min(answered_at, rng.uniform(0.0, 2.0))))
+                known_at = answered_at - age
+                version = max(item for item, at in published_at.items() if at <= known_at)
                 take(freshness, number, version, age, now)
         if is_fresh(freshness, held, now, BOUND) and held < newest:
             overtaken = min(at for version, at in published_at.items() if version > held)
-            wrong += now - overtaken > BOUND + 0.011
+            wrong += now - overtaken > BOUND + ROUNDING
     return wrong
 
 
-def right(freshness: Freshness, number: int, version: int, age: float, now: float) -> None:
+def as_it_is(freshness: Freshness, number: int, version: int, age: float, now: float) -> None:
     take_answer(freshness, number, version, age)
 
 
@@ -59,13 +66,21 @@
     take_answer(freshness, number, version, age)
 
 
+def without_age(freshness: Freshness, number: int, version: int, age: float, now: float) -> None:
+    """A planted fault: an answer that was passed on counts like one of the leader."""
+    take_answer(freshness, number, version, 0.0)
+
+
 @pytest.mark.parametrize("seed", range(200))
 def test_no_stale_belief(seed: int) -> None:
-    assert run_schedule(seed, right) == 0
+    assert run_schedule(seed, as_it_is) == 0
 
 
-def test_planted_fault_is_caught() -> None:
-    assert sum(run_schedule(seed, from_the_answer) for seed in range(50)) > 0
+@pytest.mark.parametrize("fault", [from_the_answer, without_age])
+def test_planted_fault_is_caught(
+    fault: Callable[[Freshness, int, int, float, float], None],
+) -> None:
+    assert sum(run_schedule(seed, fault) for seed in range(50)) > 0
 
 
 def test_answers_without_knowledge_count_for_nothing() -> None:
