Stand-ins say what their constants, fields and options hold

Unclear: which ports and IP numbers a box has, which engines and options a fleet starts, that the fleet does not wait for layers, when times are on the wall clock, that a fault's printed box is hit by kills and pauses only, and which promises are checked for which requests. The time between the announcement of an end and the end has a name. Behaviour as before.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -24,12 +24,25 @@
 from .registered_upstream import CARD_MB, LAYER_MB
 
 ROOT = Path(__file__).resolve().parent.parent
+"""Folder in which the processes run, so that they find this package."""
+
 ZONES = ("zone-a", "zone-b", "zone-c")
+"""Failure domains; boxes of each kind are spread over them in turn."""
+
 LAYERS = 16
+"""Layers of the model; two engines with big cards hold them all."""
+
 KEY = "key-of-the-designers"
+"""Key of the only client account, never taken away."""
+
 SECOND_KEY = "second-key-of-the-designers"
+"""Another key of it, which tests take away."""
+
 HOST = "captions.example"
+"""Host of all routes."""
 
+# Ports of a box, counted from the first one: 0 links, 1 metrics, 2 registry, 3 callers, 4 ready,
+# 5 upstream or the proxy before it, 6 upstream behind a proxy.
 SETTINGS = """
 [box]
 name = "{name}"
@@ -58,10 +71,19 @@
     """One process."""
 
     name: str
+    """Kind and number, such as `gateway-0`."""
+
     ip: str
+    """IP number."""
+
     command: list[str]
+    """Command line that starts it."""
+
     log: Path
+    """File that its output is appended to, over all of its runs."""
+
     popen: subprocess.Popen[bytes] | None = None
+    """Its newest run."""
 
 
 @dataclass(kw_only=True)
@@ -69,14 +91,29 @@
     """A running system."""
 
     folder: Path
+    """Folder for settings, logs, ledgers and data."""
+
     gateways: int = 3
+    """Entry boxes to start."""
+
     registries: int = 3
+    """Control boxes to start."""
+
     revocation_ms: int = 5000
+    """How long a key may work after it was taken away, in milliseconds."""
+
     port: int = 0
+    """First port of every box; chosen at random."""
+
     proxy: FaultProxy | None = None
     """Proxy in front of every upstream, if there is one."""
+
     boxes: dict[str, Box] = field(default_factory=dict)
+    """Processes by name."""
+
     version: int = 0
+    """Newest version that `publish_next` has published."""
+
     client: httpx.Client = field(
         default_factory=lambda: httpx.Client(timeout=10.0, trust_env=False)
     )
@@ -87,7 +124,12 @@
         self.network = rng.randrange(20, 250)
 
     def ip(self, kind: int, number: int) -> str:
-        """Return the IP number of a box."""
+        """Return the IP number of a box.
+
+        Args:
+            kind: 1 for registries, 2 for gateways, 3 for engines, 4 for plain services.
+            number: Number of the box among its kind.
+        """
         return f"127.{self.network}.{kind}.{number + 1}"
 
     @property
@@ -124,7 +166,13 @@
         return path
 
     def add_registry(self, number: int, *, bootstrap: bool = True) -> str:
-        """Start a control box."""
+        """Start a control box.
+
+        Args:
+            number: Its number.
+            bootstrap: True while the whole system starts for the first time; else an empty disk
+                makes it a new member.
+        """
         name, ip = f"registry-{number}", self.ip(1, number)
         role = (
             f'[registry]\naddress = "{ip}:{self.port + 2}"\n'
@@ -147,7 +195,14 @@
         return self.start(name, ip, command)
 
     def add_upstream(self, number: int, pool: str, card: str = "", **options: Any) -> str:
-        """Start an upstream."""
+        """Start an upstream.
+
+        Args:
+            number: Its number in the pool.
+            pool: Its pool.
+            card: Kind of its accelerator; empty for a plain service.
+            options: Further options of `standins.registered_upstream`.
+        """
         name, ip = f"{pool}-{number}", self.ip(3 if card else 4, number)
         address = (ip, self.port + 5)
         if self.proxy is not None:
@@ -224,7 +279,7 @@
         return document
 
     def wipe(self, number: int) -> None:
-        """Kill a registry, empty its disk and start it again as a new member."""
+        """Kill a registry, empty its disk, start it again as a new member and wait for that."""
         name = f"registry-{number}"
         self.kill(name)
         for path in (self.folder / name).iterdir():
@@ -238,7 +293,7 @@
         return sum(line["message"] == "registry starts" for line in self.log(name))
 
     def ledger(self, event: str = "run") -> list[dict[str, Any]]:
-        """Return what the upstreams noted."""
+        """Return what the upstreams noted of one kind of event, in no order over upstreams."""
         lines = []
         for path in self.folder.glob("*.ledger"):
             text = path.read_text().splitlines()
@@ -246,7 +301,7 @@
         return [line for line in lines if line["event"] == event]
 
     def log(self, name: str) -> list[dict[str, Any]]:
-        """Return the log lines of a process."""
+        """Return the log lines of a process over all of its runs; torn ones are left out."""
         lines = self.boxes[name].log.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
 
@@ -320,7 +375,15 @@
 
 @contextlib.contextmanager
 def running_discovered_fleet(**options: Any) -> Iterator[DiscoveredFleet]:
-    """Start a system with its upstreams, and end every process that it started."""
+    """Start a system with its upstreams, and end every process that it started.
+
+    Args:
+        options: Fields of `DiscoveredFleet`, and besides `engines` (6) and `services` (3), how many
+            upstreams to start, and `fail_share`, what share of plain requests services fail.
+
+    Yields:
+        The system, once every gateway is ready. Engines may not hold their layers yet.
+    """
     engines = options.pop("engines", 6)
     services = options.pop("services", 3)
     fail_share = options.pop("fail_share", 0.0)
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -23,10 +23,22 @@
 from ledgeladder.model import Problem
 
 LAYER_MB = 1000.0
+"""Memory of one layer, in megabytes."""
+
 CARD_MB = {"big": 12000.0, "small": 7000.0}
+"""Memory of each kind of accelerator, in megabytes."""
+
 EVENT_SECONDS = 0.02
+"""Time between two events of a stream."""
+
 STALL_SECONDS = 3.0
+"""How long a first engine is silent before it breaks off, once another of its path is lost."""
+
 BEAT_SECONDS = 0.3
+"""Time between heartbeats; the fleet's settings name the same."""
+
+LEAVE_SECONDS = 2.5
+"""Time between the announcement of an end and the end."""
 
 
 @dataclass(kw_only=True)
@@ -34,23 +46,49 @@
     """One upstream."""
 
     address: str
-    """Where others reach it, which may be a proxy."""
+    """Where others reach it, as `host:port`, which may be a proxy."""
+
     listen: str
+    """Where it listens, as `host:port`."""
+
     pool: str
+    """Pool that it registers for."""
+
     zone: str
+    """Failure domain that it names."""
+
     card: str
+    """Kind of its accelerator; empty for a plain service."""
+
     controls: list[str]
+    """Control boxes that it registers with, as `host:port`; tried in this order."""
+
     ledger: Path
+    """File that its runs are appended to, which outlives it."""
+
     seconds: float
     """Time that a plain request takes."""
+
     fail_share: float = 0.0
     """Share of plain requests that are run and answered with 500."""
+
     instance: str = field(default_factory=lambda: f"i-{secrets.token_hex(5)}")
+    """Id of this run of it."""
+
     sequence: int = 0
+    """Number of the newest heartbeat."""
+
     state: str = "ready"
+    """State that heartbeats name."""
+
     layers: tuple[int, int] | None = None
+    """First layer that it holds and one past the last; None before an order."""
+
     fence: int = 0
+    """Highest term of an order that it took."""
+
     runs: int = 0
+    """Plain requests that it works on."""
 
     def note(self, event: str, **facts: Any) -> None:
         """Append a line to the ledger."""
@@ -141,7 +179,11 @@
 
 
 async def answer_stream(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
-    """Run a generation as the first engine of its path."""
+    """Run a generation as the first engine of its path.
+
+    A path that names layers which this engine does not hold is refused as not run. Once another
+    engine of the path is lost, the stream is silent for a while and breaks off.
+    """
     parts = parse_path(request.fields.get(b"path", b"").decode())
     own = next((part for part in parts if part[0] == upstream.address), None)
     held = upstream.layers
@@ -203,7 +245,7 @@
 
 
 async def take_order(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
-    """Take an order to hold layers."""
+    """Take an order to hold layers, which are there at once; one of an earlier term is refused."""
     body = json.loads(request.body)
     fence = body.get("fence", 0)
     if fence < upstream.fence:
@@ -251,7 +293,7 @@
         upstream.state = "draining"
         acknowledged = await call_control(upstream, "PUT", beat(upstream))
         upstream.note("draining", acknowledged=acknowledged)
-        await anyio.sleep(2.5)
+        await anyio.sleep(LEAVE_SECONDS)
         await call_control(upstream, "DELETE", None)
         tasks.cancel_scope.cancel()
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -35,12 +35,22 @@
 from .registered_upstream import parse_path
 
 CALLERS = 5
+"""Threads that send requests, one after the other each."""
+
 EVENTS = 25
+"""Events of a whole stream."""
+
 REVOCATION_MS = 5000
+"""How long a key may work after it was taken away, in milliseconds."""
+
 CLOCK_SLACK_SECONDS = 0.1
 """Room between the times that callers and upstreams write down on one machine."""
+
 SETTLE_SECONDS = 45
+"""How long each route of each gateway may take to be served again, once all faults are gone."""
+
 NOT_RUN = {408, 421, 429, 503}
+"""Statuses that promise that a request has not run and will not run."""
 
 
 @dataclass(kw_only=True)
@@ -48,15 +58,28 @@
     """One request of a caller."""
 
     id: str
+    """Its `Attempt-Id`."""
+
     route: str
+    """Name of its route in the example document."""
+
     key: str
+    """Key that it carries."""
+
     sent_at: float
+    """When it was sent, in seconds since 1970."""
+
     body: bytes
+    """Its body."""
+
     status: int = 0
-    """Status, or 0 if there was no whole answer."""
+    """Status, or 0 if no head of an answer arrived."""
+
     text: bytes = b""
     """What arrived of the body."""
+
     whole: bool = False
+    """True if the answer ended as it should."""
 
 
 @dataclass(kw_only=True)
@@ -64,21 +87,39 @@
     """One seeded run."""
 
     fleet: DiscoveredFleet
+    """The system."""
+
     rng: random.Random
+    """Source of the faults; what callers do is seeded from it too."""
+
     seconds: float
+    """How long faults are injected."""
+
     calls: list[Call] = field(default_factory=list)
+    """Every request that was sent while faults were injected."""
+
     over: threading.Event = field(default_factory=threading.Event)
+    """Set once callers are to end; faults that wait for their end then end at once."""
+
     acknowledged: int = 0
     """Highest version that was acknowledged."""
+
     offered: int = 1
     """Highest version that was sent."""
+
     revoked_at: float | None = None
-    """When a document without the second key was acknowledged."""
+    """When a document without the second key was first acknowledged, in seconds since 1970; no
+    later document has the key again."""
+
     planned_ends: list[int] = field(default_factory=list)
     """Exit codes of gateways that were stopped as planned and not killed meanwhile."""
+
     killed: set[int] = field(default_factory=set)
     """Processes that were killed, by id."""
+
     faults: list[str] = field(default_factory=list)
+    """Kinds of the faults in order, each with a box that was drawn for it; kills and pauses hit
+    that box, the other kinds one of their own."""
 
 
 def stream_bytes(count: int) -> bytes:
@@ -127,7 +168,7 @@
 
 
 def publish(soak: Soak, *, with_second_key: bool) -> None:
-    """Publish the next document at a random box; the answer may be lost."""
+    """Publish the next document at a random box; a lost answer counts as no acknowledgement."""
     soak.offered += 1
     keys = [KEY, SECOND_KEY] if with_second_key else [KEY]
     tenants = [{"name": "designers", "apiKeys": keys, "priority": 1}]
@@ -146,7 +187,7 @@
 
 
 def later(soak: Soak, seconds: float, action: Callable[[], None]) -> None:
-    """Run an action after a while, while other faults go on."""
+    """Run an action after a while or at the end of the run, while other faults go on."""
 
     def run() -> None:
         soak.over.wait(seconds)
@@ -262,7 +303,10 @@
 
 
 def check_runs(soak: Soak, runs: list[dict[str, Any]]) -> list[str]:
-    """Check what upstreams ran."""
+    """Check what upstreams ran, against what callers sent and what they were told.
+
+    The promise of a refusal is checked for requests that may run once only.
+    """
     broken = []
     calls = {call.id: call for call in soak.calls}
     counts = Counter(run["id"] for run in runs)
@@ -301,7 +345,10 @@
 
 
 def check_answers(soak: Soak, runs: list[dict[str, Any]]) -> list[str]:
-    """Check what callers got."""
+    """Check what callers got: nothing but their own answer, and all of it if it ended as whole.
+
+    An answer that was broken off may have any part of its own from the start.
+    """
     broken = []
     expected = stream_bytes(EVENTS)
     ran = {run["id"] for run in runs}
