--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -102,15 +102,19 @@
     ledger.sent[instance] = SentOrder(holding=holding, sent_at=now, fence=fence)
 
 
-def note_outcome(ledger: OrderLedger, instance: str, outcome: OrderOutcome, now: float) -> None:
-    """Take in what an engine said; without an order in `sent`, nothing is noted."""
-    order = ledger.sent.get(instance)
-    if order is None:
-        return
+def note_outcome(ledger: OrderLedger, instance: str, outcome: OrderOutcome, fence: int) -> None:
+    """Take in what an engine said to an order, also to a move, which is not kept in `sent`.
+
+    Args:
+        ledger: The orders.
+        instance: Run of the engine.
+        outcome: What it said.
+        fence: Term under which the order was sent.
+    """
     if outcome is OrderOutcome.FENCED:
-        ledger.fenced_terms.add(order.fence)
-    if outcome is OrderOutcome.WRONG_UPSTREAM:
-        del ledger.sent[instance]
+        ledger.fenced_terms.add(fence)
+    elif outcome is OrderOutcome.WRONG_UPSTREAM:
+        ledger.sent.pop(instance, None)
 
 
 def settle(ledger: OrderLedger, holding_now: set[str], known: set[str]) -> list[str]:
--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -73,7 +73,7 @@
         "outcome": outcome,
         "seconds": round(now - request.arrived_at, 4),
         "version": state.version,
-        "version_age": round(now - state.freshness.as_of, 2),
+        "version_age": _version_age(state, now),
     }
     if permit is not None:
         extra["route"] = permit.route.name
@@ -81,3 +81,9 @@
         extra["account"] = permit.account
     level = logging.INFO if outcome in ("answered", "caller-left") else logging.WARNING
     logger.log(level, "request", extra=extra)
+
+
+def _version_age(state: GatewayState, now: float) -> float | None:
+    """Return how long ago the document was confirmed, in seconds; None before the first time."""
+    age = now - state.freshness.as_of
+    return round(age, 2) if age < float("inf") else None
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -13,6 +13,7 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
 from ...routing.forwarding_table import (
+    has_alternative,
     is_silent,
     is_usable,
     note_failed,
@@ -152,7 +153,9 @@
     repeatable = permit.route.kind is RequestKind.REPEATABLE
     now = anyio.current_time()
     seconds = permit.deadline - now
-    if repeatable and tries.runs == 0 and permit.route.max_attempts > 1:
+    pool = state.table.pools.get(permit.pool.name, [])
+    may_move = repeatable and tries.runs == 0 and permit.route.max_attempts > 1
+    if may_move and has_alternative(pool, upstream, tries.tried, now):
         seconds = min(seconds, max(permit.route.target_latency * TRY_SHARE, TRY_FLOOR_SECONDS))
     dispatch = Dispatch(
         instance=instance,
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -378,7 +378,12 @@
         tasks.start_soon(_watch_first, state, session, path, tasks.cancel_scope)
         try:
             answer = await open_answer(
-                state, permit, request, dispatch, path.head, fresh_connection=False
+                state,
+                permit,
+                request,
+                dispatch,
+                path.head,
+                fresh_connection=not permit.route.repeatable,
             )
         except (NotSentError, AnswerLostError) as error:
             # Raised below: a task group would wrap it.
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -126,6 +126,8 @@
         peers: The links.
         seeds: Seeds that are in the settings now.
     """
+    # A restart of this task begins anew: the tasks that kept the links ended with the one before.
+    peers.known.clear()
     async with anyio.create_task_group() as tasks:
         peers.tasks = tasks
         while True:
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -221,21 +221,24 @@
 
 async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
     """Send one order and note what came of it."""
-    outcome = await _send(state, engine, holding)
-    note_outcome(state.ledger, engine.instance, outcome, anyio.current_time())
+    fence = state.node.replica.term
+    outcome = await _send(state, engine, holding, fence)
+    note_outcome(state.ledger, engine.instance, outcome, fence)
     logger.info(
         "layers ordered",
         extra={
             "upstream": engine.instance,
             "layers": f"{holding.first}-{holding.end}",
             "card": engine.card,
-            "term": state.node.replica.term,
+            "term": fence,
             "outcome": outcome.value,
         },
     )
 
 
-async def _send(state: RegistryState, engine: Registration, holding: Holding) -> OrderOutcome:
+async def _send(
+    state: RegistryState, engine: Registration, holding: Holding, fence: int
+) -> OrderOutcome:
     """Send one order; the lease is checked once more right before the bytes leave."""
     source = state.settings.box.address
     try:
@@ -243,9 +246,9 @@
     except ConnectError:
         return OrderOutcome.NO_ANSWER
     try:
-        if not _may_order(state):
+        if not _may_order(state) or state.node.replica.term != fence:
             return OrderOutcome.NO_ANSWER
-        call = place_call(engine.instance, holding, state.node.replica.term, wait=True)
+        call = place_call(engine.instance, holding, fence, wait=True)
         headers = [(b"Host", engine.address.encode()), *call.headers]
         with anyio.fail_after(CALL_SECONDS):
             await send_request(connection, call.method, call.target, headers, call.body)
--- a/src/ledgeladder/daemons/reloading.py
+++ b/src/ledgeladder/daemons/reloading.py
@@ -54,11 +54,15 @@
         load: Reads and checks the file.
     """
     seeds.modified = _modified(seeds.path)
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_look_now_and_then, seeds, peers, load)
-            async for _ in signals:
-                _reload(seeds, peers, load)
+    try:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_look_now_and_then, seeds, peers, load)
+                async for _ in signals:
+                    _reload(seeds, peers, load)
+    finally:
+        # The default action would end a process that is about to end as planned.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 async def _look_now_and_then(seeds: SeedList, peers: Peers, load: Loader) -> None:
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -90,6 +90,7 @@
     try:
         tune_socket(stream)
     except OSError as error:
+        await stream.aclose()
         raise ConnectError(f"{address}: {type(error).__name__}") from error
     protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_HEAD_LIMIT_BYTES)
     return UpstreamConnection(address=address, stream=stream, protocol=protocol)
@@ -201,7 +202,9 @@
                 connection.reused = True
                 return connection
             await connection.close()
-        self.idle.pop(address, None)
+        if not self.idle.get(address):
+            # Another request may have given one back while a stale one was being closed.
+            self.idle.pop(address, None)
         return None
 
     async def give_back(self, connection: UpstreamConnection, keep_seconds: float | None) -> None:
@@ -232,13 +235,13 @@
     async def close_expired(self) -> None:
         """Close connections that have waited too long."""
         now = anyio.current_time()
-        for address in list(self.idle):
-            kept = []
-            for connection in self.idle[address]:
-                if now < connection.keep_until:
-                    kept.append(connection)
-                else:
-                    await connection.close()
-            self.idle[address] = kept
-            if not kept:
+        expired: list[UpstreamConnection] = []
+        # Sorted out before anything is awaited: a connection that is taken meanwhile must be gone
+        # from here, or two requests would share it.
+        for address, waiting in list(self.idle.items()):
+            expired += [item for item in waiting if now >= item.keep_until]
+            waiting[:] = [item for item in waiting if now < item.keep_until]
+            if not waiting:
                 del self.idle[address]
+        for connection in expired:
+            await connection.close()
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -270,6 +270,29 @@
     return not upstream.leaving and now >= upstream.avoid_until
 
 
+def has_alternative(
+    pool: list[ForwardedUpstream], upstream: ForwardedUpstream, tried: set[str], now: float
+) -> bool:
+    """Tell whether a request could be tried at another upstream right now.
+
+    Args:
+        pool: Upstreams of the pool.
+        upstream: Where the request is.
+        tried: Runs of upstreams that it was tried at.
+        now: Monotonic time.
+
+    Returns:
+        False too if the only other one has the same address: that is an older run of it.
+    """
+    address = upstream.registration.address
+    return any(
+        is_usable(item, now)
+        and item.registration.instance not in tried
+        and item.registration.address != address
+        for item in pool
+    )
+
+
 def is_silent(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether nobody has heard an upstream for so long that it is likely lost."""
     return now - upstream.heard_at > SILENT_SECONDS
--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from pathlib import Path
 
 import httpx
 import pytest
@@ -374,14 +375,27 @@
     wait_until(lambda: fleet.ready(1), 20, "ready again")
 
 
+def ignores_hang_up(pid: int) -> bool:
+    """Tell from the kernel's tables whether a process ignores or handles SIGHUP."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    masks = [line.split()[1] for line in lines if line.startswith(("SigIgn:", "SigCgt:"))]
+    return any(int(mask, 16) & 1 << (signal.SIGHUP - 1) for mask in masks)
+
+
 def test_hang_up_during_the_start_ends_nothing(fleet: DiscoveredFleet) -> None:
-    """Found by soak seed 1010: a signal outside the time in which it is handled ends a process."""
+    """Found by soak seed 1010: a signal outside the time in which it is handled ended a process.
+
+    The test waits for the first moment in which the program can ignore it, long before it can
+    handle it: the start of the interpreter itself is not the program's.
+    """
     fleet.kill("gateway-1")
     fleet.restart("gateway-1")
-    time.sleep(0.05)
-    fleet.signal("gateway-1", signal.SIGHUP)
-    try:
-        wait_until(lambda: fleet.ready(1), 15, "ready in spite of the signal")
-    finally:
-        fleet.restart("gateway-1")
-        wait_until(lambda: fleet.ready(1), 20, "ready again")
+    popen = fleet.boxes["gateway-1"].popen
+    assert popen is not None
+    wait_until(lambda: ignores_hang_up(popen.pid), 10, "the signal ignored")
+    assert not fleet.ready(1)
+    for _ in range(20):
+        fleet.signal("gateway-1", signal.SIGHUP)
+        time.sleep(0.02)
+    wait_until(lambda: fleet.ready(1), 20, "ready in spite of the signals")
+    assert popen.poll() is None
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ledgeladder.model.registration import Registration
+from ledgeladder.model.registration import Registration, UpstreamState
 from ledgeladder.model.traffic import (
     CallerLimits,
     PoolWeight,
@@ -19,6 +19,7 @@
     DomainDoubts,
     ForwardedUpstream,
     doubt_domain,
+    has_alternative,
     is_doubtful,
     is_usable,
     note_failed,
@@ -154,3 +155,21 @@
     [late] = EventBuffer().feed(b"id: 5\n\n")
     assert accept_event(order, late) is None
     assert order.last_id == 3
+
+
+def test_no_alternative_in_a_leaving_avoided_tried_or_older_upstream() -> None:
+    """A request once left its only upstream early and was answered with a failure."""
+
+    def upstream(name: str, address: str, *, leaving: bool = False) -> ForwardedUpstream:
+        state = UpstreamState.LEAVING if leaving else UpstreamState.READY
+        registration = Registration(instance=name, sequence=1, address=address, state=state)
+        return ForwardedUpstream(registration=registration, heard_at=0.0)
+
+    own, older = upstream("own", "a:1"), upstream("older", "a:1")
+    leaving, avoided = upstream("leaving", "b:1", leaving=True), upstream("avoided", "c:1")
+    tried, good = upstream("tried", "d:1"), upstream("good", "e:1")
+    note_failed(avoided, 1.0)
+    pool = [own, older, leaving, avoided, tried]
+    assert not has_alternative(pool, own, {"own", "tried"}, 1.5)
+    assert has_alternative([*pool, good], own, {"own", "tried"}, 1.5)
+    assert has_alternative(pool, own, {"own", "tried"}, 2.5)
