--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -14,7 +14,7 @@
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...model.exchange import Dispatch
 from ...platform.exchange import caller_headers
-from ...routing.event_stream import EventBuffer, EventOrder, accept_event
+from ...routing.event_stream import EventBuffer, EventOrder, take_events
 from ...routing.forwarding_table import (
     doubt_domain,
     is_doubtful,
@@ -462,13 +462,7 @@
                 return RunEnd.LOST, "the stream ended within an event"
             await _finish_events(exchange, session, answer)
             return RunEnd.COMPLETE, ""
-        accepted: list[bytes] = []
-        for event in buffer.feed(part):
-            verdict = accept_event(session.order, event)
-            if verdict is None:
-                return RunEnd.LOST, f"event {event.event_id} after {session.order.last_id}"
-            if verdict:
-                accepted.append(event.data)
+        accepted, fault = take_events(session.order, buffer.feed(part))
         if accepted:
             _note_events(state, session, started_at)
             session.emitting = True
@@ -477,6 +471,8 @@
             if session.interrupted:
                 session.interrupted = False
                 raise AnswerLostError("an engine of the path was found dead by another request")
+        if fault:
+            return RunEnd.LOST, fault
 
 
 def _note_events(state: GatewayState, session: StreamSession, started_at: float) -> None:
--- a/src/ledgeladder/routing/event_stream.py
+++ b/src/ledgeladder/routing/event_stream.py
@@ -100,3 +100,24 @@
     order.last_id = event.event_id
     order.delivered += 1
     return True
+
+
+def take_events(order: EventOrder, events: list[StreamEvent]) -> tuple[list[bytes], str]:
+    """Judge the events of one part.
+
+    Args:
+        order: Position of the caller, which is moved.
+        events: Events in order.
+
+    Returns:
+        The events to pass on, also those before one that cannot be used, since the position counts
+        them already; and what is wrong with the first that cannot be used, or an empty text.
+    """
+    accepted: list[bytes] = []
+    for event in events:
+        verdict = accept_event(order, event)
+        if verdict is None:
+            return accepted, f"event {event.event_id} after {order.last_id}"
+        if verdict:
+            accepted.append(event.data)
+    return accepted, ""
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -14,7 +14,7 @@
     RouteRule,
     TrafficConfiguration,
 )
-from ledgeladder.routing.event_stream import EventBuffer, EventOrder, accept_event
+from ledgeladder.routing.event_stream import EventBuffer, EventOrder, accept_event, take_events
 from ledgeladder.routing.forwarding_table import (
     DomainDoubts,
     ForwardedUpstream,
@@ -173,3 +173,13 @@
     assert not has_alternative(pool, own, {"own", "tried"}, 1.5)
     assert has_alternative([*pool, good], own, {"own", "tried"}, 1.5)
     assert has_alternative(pool, own, {"own", "tried"}, 2.5)
+
+
+def test_events_before_a_gap_in_the_same_part_are_passed_on() -> None:
+    """They counted as passed on and were dropped, so the caller lacked them for good."""
+    order = EventOrder(last_id=4)
+    events = EventBuffer().feed(b"id: 5\ndata: a\n\nid: 7\ndata: c\n\n")
+    accepted, fault = take_events(order, events)
+    assert accepted == [b"id: 5\ndata: a\n\n"]
+    assert order.last_id == 5
+    assert fault == "event 7 after 5"
