Pass on no events that were read in the moment an engine was found dead

Cause: a read that is done already returns its events although the run has been cancelled meanwhile (asyncio cancels a task whose future is done only at its next wait). The guard that was there looked at the moment of the loss only, not at the moment of the write. Ruled out: events before a gap (mended before; a unit test holds it), surplus bytes of pooled connections (streams close theirs). Before: the new unit test fails (1 event counted, 0 received). After: it passes.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -125,7 +125,7 @@
     """True while events that count as passed on are being written to the caller."""
 
     interrupted: bool = False
-    """True if an engine was found dead during that; the run ends right after the write."""
+    """True if an engine of the current run was found dead; it passes on nothing more."""
 
 
 async def forward_stream(
@@ -238,6 +238,7 @@
     """Run a stream once over one path."""
     session.sent += 1
     session.runs += 1
+    session.interrupted = False
     reserve(path, session.tokens)
     detail = ""
     end = RunEnd.LOST
@@ -260,10 +261,9 @@
 
     def lost(engine: ForwardedUpstream) -> None:
         session.dead.add(engine.registration.instance)
-        if session.emitting:
-            # Cancelling the write would lose events that the next run does not send again.
-            session.interrupted = True
-        else:
+        session.interrupted = True
+        if not session.emitting:
+            # Cancelling a write would lose events that the next run does not send again.
             scope.cancel()
 
     for engine in path.engines:
@@ -451,12 +451,15 @@
 
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AnswerLostError: If an engine of the path is dead or silent for too long.
+        AnswerLostError: If an engine of the path is dead, or silent for too long.
         ValueError: If an event grows too long.
     """
     buffer = EventBuffer()
     while True:
         part = await _read_watched(state, session, path, answer)
+        # A read that was done already returns although the run is cancelled; the cancellation would
+        # then cut the write, and the next run would start after events that were never written.
+        _end_if_interrupted(session)
         if part is None:
             if buffer.pending:
                 return RunEnd.LOST, "the stream ended within an event"
@@ -468,13 +471,21 @@
             session.emitting = True
             await _emit(exchange, session, answer, b"".join(accepted))
             session.emitting = False
-            if session.interrupted:
-                session.interrupted = False
-                raise AnswerLostError("an engine of the path was found dead by another request")
+            _end_if_interrupted(session)
         if fault:
             return RunEnd.LOST, fault
 
 
+def _end_if_interrupted(session: StreamSession) -> None:
+    """Raise an error if an engine of the run was found dead.
+
+    Raises:
+        AnswerLostError: If so.
+    """
+    if session.interrupted:
+        raise AnswerLostError("an engine of the path was found dead by another request")
+
+
 def _note_events(state: GatewayState, session: StreamSession, started_at: float) -> None:
     now = anyio.current_time()
     gap = now - session.moved_at
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
+from types import SimpleNamespace
+
 import anyio
+import h11
+import pytest
 
+from ledgeladder.daemons.gateway import stream
+from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.daemons.gateway.stream import StreamSession, _told_of_losses
+from ledgeladder.daemons.gateway.upstream_call import AnswerLostError
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.event_stream import EventOrder
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, note_lost
@@ -46,3 +54,44 @@
     assert went_on
     assert session.interrupted
     assert session.dead == {"i-1"}
+
+
+class RecordingExchange:
+    """Records what reaches the caller; a write that is cut does not reach it."""
+
+    def __init__(self) -> None:
+        self.received = b""
+
+    async def begin(self, status: int, headers: object, data: bytes) -> None:
+        await anyio.sleep(0)
+        self.received += data
+
+
+def test_events_read_in_the_moment_of_a_loss_are_not_counted_as_passed_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The read may be done already when the run is cancelled: the cancellation then hits the write,
+    and the next run would start after events that never reached the caller."""
+    session = StreamSession(order=EventOrder(last_id=None), tokens=10)
+    lost = engine()
+    path = ChosenPath(parts=(), engines=(lost,), cost=1.0)
+    exchange = RecordingExchange()
+    state = GatewayState(settings=None)  # type: ignore[arg-type]
+    head = h11.Response(status_code=200, headers=[])
+    answer = SimpleNamespace(head=head)
+
+    async def read_during_loss(*_: object) -> bytes:
+        note_lost(lost, 1.0)
+        return b"id: 1\ndata: a\n\n"
+
+    monkeypatch.setattr(stream, "_read_watched", read_during_loss)
+
+    async def run() -> None:
+        with anyio.CancelScope() as scope, _told_of_losses(path, session, scope):
+            with contextlib.suppress(AnswerLostError):
+                await stream._pass_events(state, exchange, session, path, answer, 0.0)
+
+    anyio.run(run)
+    passed_on = exchange.received.count(b"id:")
+    assert passed_on == session.order.delivered
+    assert (session.order.last_id is None) == (passed_on == 0)
