Give an engine that was found dead no work until somebody has heard it since

Cause: an engine that was found dead was avoided for one second only, while its registration stays for up to 12 s. Ruled out: a too short avoidance alone (doubling it also keeps engines out that came back). Heartbeats tell it: ages come each second.

--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -34,6 +34,10 @@
 DOUBTS_KEPT: Final = 16
 """Failures that are remembered for each failure domain."""
 
+HEARD_MARGIN_SECONDS: Final = 0.05
+"""How much later than its loss an upstream must have been heard: ages are told in hundredths of a
+second, and news of a heartbeat takes a few milliseconds."""
+
 TOLD_LOAD_SECONDS: Final = 0.3
 """How long the load that an upstream told is believed."""
 
@@ -75,6 +79,9 @@
     avoid_until: float = 0.0
     """Until when it gets no new work, on the monotonic clock."""
 
+    lost_at: float = float("-inf")
+    """When it was found dead; it gets no new work until somebody has heard it since."""
+
     load: UpstreamLoad | None = None
     """Load that it told last."""
 
@@ -170,6 +177,7 @@
     """Note that an upstream did its work; it is avoided no longer, also if it was full."""
     upstream.failures = 0
     upstream.avoid_until = 0.0
+    upstream.lost_at = float("-inf")
 
 
 def note_failed(upstream: ForwardedUpstream, now: float) -> None:
@@ -185,6 +193,7 @@
 def note_lost(upstream: ForwardedUpstream, now: float) -> None:
     """Note that an upstream does not answer at all, and tell the requests that pass it."""
     note_failed(upstream, now)
+    upstream.lost_at = now
     for callback in list(upstream.on_lost):
         callback(upstream)
 
@@ -267,7 +276,9 @@
 
 def is_usable(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether an upstream may get new work right now."""
-    return not upstream.leaving and now >= upstream.avoid_until
+    if upstream.leaving or now < upstream.avoid_until:
+        return False
+    return upstream.heard_at > upstream.lost_at + HEARD_MARGIN_SECONDS
 
 
 def has_alternative(
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -23,6 +23,7 @@
     is_doubtful,
     is_usable,
     note_failed,
+    note_lost,
     note_served,
 )
 from ledgeladder.routing.repeat_window import RepeatWindow, note_first, take_repeat
@@ -183,3 +184,25 @@
     assert accepted == [b"id: 5\ndata: a\n\n"]
     assert order.last_id == 5
     assert fault == "event 7 after 5"
+
+
+def test_dead_upstream_gets_no_work_until_it_is_heard_again() -> None:
+    """Its registration stays for some seconds; trying it each second cost a refusal each time."""
+    upstream = ForwardedUpstream(
+        registration=Registration(instance="i-1", sequence=1), heard_at=9.5
+    )
+    note_lost(upstream, 10.0)
+    assert not is_usable(upstream, 60.0)
+    upstream.heard_at = 10.02
+    assert not is_usable(upstream, 60.0)
+    upstream.heard_at = 11.2
+    assert is_usable(upstream, 11.3)
+
+
+def test_dead_upstream_that_serves_all_the_same_is_used_again() -> None:
+    upstream = ForwardedUpstream(
+        registration=Registration(instance="i-1", sequence=1), heard_at=9.5
+    )
+    note_lost(upstream, 10.0)
+    note_served(upstream)
+    assert is_usable(upstream, 10.1)
