Tell a held-up box from a dead engine when a probe times out

Now a time-out that fires late counts for nothing and is tried once more, and the patience follows the times of answered probes. Refused connections stay evidence. Test: a process that stands still.

--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -10,6 +10,7 @@
 from ...http1 import ConnectError, connect
 from ...links.messages import LostReport
 from ...routing.forwarding_table import note_lost
+from ...routing.pace import note_gap, probe_patience
 
 if TYPE_CHECKING:
     from ...routing.forwarding_table import ForwardedUpstream
@@ -18,9 +19,16 @@
 
 logger = logging.getLogger(__name__)
 
-PROBE_SECONDS: Final = 0.06
-"""How long an engine may take to accept a connection: twenty round trips between failure domains.
-A machine without power or behind a cut says nothing at all."""
+PROBE_FLOOR_SECONDS: Final = 0.05
+"""Least time that an engine gets to accept a connection: over thirty round trips between failure
+domains. A machine without power or behind a cut says nothing at all."""
+
+PROBE_CEILING_SECONDS: Final = 0.4
+"""Most time that it gets, on a box whose connections come up slowly. Callers leave after 2 s."""
+
+LATE_SECONDS: Final = 0.02
+"""A time-out that fires later than this says that the own box was held up, and nothing of the
+engine: timers of a box that is not held up fire within a few milliseconds."""
 
 
 async def find_lost(state: GatewayState, path: ChosenPath, dead: set[str]) -> bool:
@@ -39,19 +47,13 @@
     found: list[ForwardedUpstream] = []
 
     async def probe(engine: ForwardedUpstream) -> None:
-        source = state.settings.box.address
-        try:
-            connection = await connect(
-                engine.registration.address, source=source, seconds=PROBE_SECONDS
-            )
-        except ConnectError as error:
+        reason = await _probe(state, engine)
+        if reason:
             found.append(engine)
             logger.warning(
                 "engine does not answer",
-                extra={"upstream": engine.registration.instance, "reason": str(error)},
+                extra={"upstream": engine.registration.instance, "reason": reason},
             )
-            return
-        await connection.close()
 
     async with anyio.create_task_group() as tasks:
         for engine in path.engines:
@@ -64,3 +66,43 @@
             for link in state.peers.links.values():
                 link.post(LostReport(instance=engine.registration.instance))
     return bool(found)
+
+
+async def _probe(state: GatewayState, engine: ForwardedUpstream) -> str:
+    """Connect to an engine, once more if the own box was held up meanwhile.
+
+    A box that runs slowly would otherwise find every engine dead, break off its streams and have
+    the control boxes move layers.
+
+    Returns:
+        Why the engine seems dead; empty if it accepted, or if nothing can be said.
+    """
+    reason = ""
+    for _ in range(2):
+        patience = probe_patience(
+            state.probe_pace, floor=PROBE_FLOOR_SECONDS, ceiling=PROBE_CEILING_SECONDS
+        )
+        began = anyio.current_time()
+        try:
+            connection = await connect(
+                engine.registration.address, source=state.settings.box.address, seconds=patience
+            )
+        except ConnectError as error:
+            reason = str(error)
+            if not isinstance(error.__cause__, TimeoutError):
+                return reason
+        else:
+            note_gap(state.probe_pace, anyio.current_time() - began)
+            await connection.close()
+            return ""
+        took = anyio.current_time() - began
+        if took <= patience + LATE_SECONDS:
+            return reason
+        # The late time-out is a sign that connections come up slowly from here, too.
+        note_gap(state.probe_pace, took)
+    state.metrics.counters["probe-held-up"] += 1
+    logger.warning(
+        "probe says nothing",
+        extra={"upstream": engine.registration.instance, "reason": reason},
+    )
+    return ""
--- a/src/ledgeladder/routing/pace.py
+++ b/src/ledgeladder/routing/pace.py
@@ -72,18 +72,25 @@
     return min(max(expected * pace.leniency, pace.floor), CEILING_SECONDS)
 
 
-def probe_patience(pace: Pace) -> float:
+def probe_patience(
+    pace: Pace,
+    *,
+    floor: float = PROBE_FLOOR_SECONDS,
+    ceiling: float = PROBE_CEILING_SECONDS,
+) -> float:
     """Return how long a probe may take, in seconds, given how long answered ones took.
 
     Args:
         pace: Times of answered probes.
+        floor: Least time, in seconds.
+        ceiling: Most time, in seconds.
 
     Returns:
         At least the floor, so that a quick neighbourhood does not make a busy engine look dead; at
         most the ceiling, so that a dead one is replaced in time.
     """
     expected = max(pace.mean * PROBE_FACTOR, pace.mean + DEVIATIONS * pace.deviation)
-    return min(max(expected, PROBE_FLOOR_SECONDS), PROBE_CEILING_SECONDS)
+    return min(max(expected, floor), ceiling)
 
 
 def note_false_alarm(pace: Pace) -> None:
