Move as many engines as a loss takes, on the word of two boxes, and remember the moves

Cause: a lost fast engine leaves 14 to 29 layers of its failure domain without a holder; one slow engine (9 layers) was moved, and the next four seconds later, and only while no other order was open. That move itself came from one slow entry box which called 20 engines dead. Now all moves that a loss takes are ordered together, open moves count as held until the engine reports them (12 s at most), and one entry box's word counts only with an overdue heartbeat. Tests: several moves at once, moves that load, conflicts, witnesses.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
     from ..model.registration import Holding
 
 CONFIRM_SECONDS: Final = 4.0
@@ -14,6 +16,11 @@
 quarter of the model at the shared rate, and two heartbeats. After that it is ordered again."""
 
 
+FORGET_SECONDS: Final = 12.0
+"""After this time an order to move that was not carried out is forgotten, and planned anew: three
+times the time that it may take."""
+
+
 class OrderOutcome(StrEnum):
     """What an engine said to an order."""
 
@@ -68,6 +75,9 @@
     """Layers that it is to hold. The same are ordered again for as long as this leader remembers
     the order, so that one that is carried out late does no harm."""
 
+    first_sent_at: float
+    """When it was first sent, on the monotonic clock."""
+
     sent_at: float
     """When it was last sent, on the monotonic clock."""
 
@@ -80,56 +90,71 @@
     """Orders of one leader, by run of the engine; emptied while this box does not lead."""
 
     sent: dict[str, SentOrder] = field(default_factory=dict)
-    """Newest order to each engine that came without layers and has not reported any. Moves of
-    engines that hold layers are not noted here."""
+    """Newest order to each engine that has not reported the layers yet: to one that came without
+    any, or to one that was moved."""
 
     repaired_at: float = float("-inf")
-    """When an engine was last moved to layers that a failure domain lacked."""
+    """When engines were last moved to layers that a failure domain lacked."""
 
     fenced_terms: set[int] = field(default_factory=set)
-    """Terms under which an engine refused an order of `sent`; this box orders nothing more under
-    them."""
+    """Terms under which an engine refused an order; this box orders nothing more under them."""
 
 
 def due(ledger: OrderLedger, instance: str, now: float) -> bool:
-    """Tell whether an engine that reports no layers is to be ordered now."""
+    """Tell whether an engine that has not reported its layers is to be ordered now."""
     order = ledger.sent.get(instance)
     return order is None or now - order.sent_at >= CONFIRM_SECONDS
 
 
 def note_sent(ledger: OrderLedger, instance: str, holding: Holding, fence: int, now: float) -> None:
-    """Note an order that is about to be sent."""
-    ledger.sent[instance] = SentOrder(holding=holding, sent_at=now, fence=fence)
+    """Note an order that is about to be sent, or sent once more."""
+    held = ledger.sent.get(instance)
+    first = held.first_sent_at if held is not None and held.holding == holding else now
+    ledger.sent[instance] = SentOrder(
+        holding=holding, first_sent_at=first, sent_at=now, fence=fence
+    )
 
 
 def note_outcome(ledger: OrderLedger, instance: str, outcome: OrderOutcome, fence: int) -> None:
-    """Take in what an engine said to an order, also to a move, which is not kept in `sent`.
+    """Take in what an engine said to an order.
 
     Args:
         ledger: The orders.
         instance: Run of the engine.
-        outcome: What it said.
+        outcome: What it said. An order that does not fit the engine's state is forgotten, since the
+            engine may be carrying out another one.
         fence: Term under which the order was sent.
     """
     if outcome is OrderOutcome.FENCED:
         ledger.fenced_terms.add(fence)
-    elif outcome is OrderOutcome.WRONG_UPSTREAM:
+    elif outcome in (OrderOutcome.WRONG_UPSTREAM, OrderOutcome.CONFLICT):
         ledger.sent.pop(instance, None)
 
 
-def settle(ledger: OrderLedger, holding_now: set[str], known: set[str]) -> list[str]:
-    """Forget orders whose engines report layers or are gone.
+def settle(
+    ledger: OrderLedger, reported: Mapping[str, Collection[Holding]], now: float
+) -> list[str]:
+    """Forget orders whose engines report the layers, are gone, or have not carried them out.
 
     Args:
         ledger: The orders.
-        holding_now: Engines that report layers.
-        known: Engines that are registered.
+        reported: What each registered engine says that it holds.
+        now: Monotonic time.
 
     Returns:
         Engines whose orders were confirmed.
     """
-    confirmed = [instance for instance in ledger.sent if instance in holding_now]
-    for instance in list(ledger.sent):
-        if instance in holding_now or instance not in known:
-            del ledger.sent[instance]
+    confirmed = []
+    for instance, order in list(ledger.sent.items()):
+        holdings = reported.get(instance)
+        if holdings is not None and order.holding in holdings:
+            confirmed.append(instance)
+        elif holdings is not None and not _is_overdue(order, holdings, now):
+            continue
+        del ledger.sent[instance]
     return confirmed
+
+
+def _is_overdue(order: SentOrder, holdings: Collection[Holding], now: float) -> bool:
+    """Tell whether an engine still reports other layers long after it was moved."""
+    return bool(holdings) and now - order.first_sent_at > FORGET_SECONDS
--- /dev/null
+++ b/src/ledgeladder/coordination/loss_evidence.py
@@ -0,0 +1,65 @@
+"""Whether an engine counts as lost, from heartbeats and from what entry boxes found.
+
+One entry box may be slow or cut off itself and call every engine dead. Its word alone counts only
+together with a heartbeat that is overdue; two boxes that say the same are believed at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+WITNESSES: Final = 2
+"""Entry boxes that must find an engine dead while its heartbeats are not overdue."""
+
+OVERDUE_HEARTBEATS: Final = 1.25
+"""Heartbeats after which the next one is overdue; they come about once an interval."""
+
+SILENT_HEARTBEATS: Final = 3.0
+"""Heartbeats that an engine may miss before it counts as lost although nobody found it dead."""
+
+
+@dataclass(kw_only=True)
+class LossEvidence:
+    """What entry boxes found."""
+
+    reports: dict[str, dict[str, float]] = field(default_factory=dict)
+    """When each entry box last found an engine dead, by run of the engine and box, on the monotonic
+    clock."""
+
+
+def note_report(evidence: LossEvidence, instance: str, box: str, now: float) -> None:
+    """Note that an entry box found an engine dead."""
+    evidence.reports.setdefault(instance, {})[box] = now
+
+
+def forget_engines(evidence: LossEvidence, known: set[str]) -> None:
+    """Forget engines that are not registered any more."""
+    for instance in [item for item in evidence.reports if item not in known]:
+        del evidence.reports[instance]
+
+
+def seems_lost(
+    evidence: LossEvidence, instance: str, heard_at: float, now: float, heartbeat: float
+) -> bool:
+    """Tell whether an engine counts as lost.
+
+    Args:
+        evidence: What entry boxes found. Reports from before the last heartbeat count for nothing.
+        instance: Run of the engine.
+        heard_at: When its last heartbeat came, on the monotonic clock.
+        now: Monotonic time.
+        heartbeat: Time between two heartbeats, in seconds.
+
+    Returns:
+        True if it is silent for long, if several boxes found it dead, or if one did and its next
+        heartbeat is overdue.
+    """
+    silence = now - heard_at
+    if silence > SILENT_HEARTBEATS * heartbeat:
+        return True
+    reports = evidence.reports.get(instance, {})
+    witnesses = sum(1 for at in reports.values() if at > heard_at)
+    if witnesses >= WITNESSES:
+        return True
+    return witnesses > 0 and silence > OVERDUE_HEARTBEATS * heartbeat
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -9,6 +9,7 @@
 import anyio
 
 from ...coordination import raft
+from ...coordination.loss_evidence import forget_engines, note_report
 from ...coordination.registrations import (
     ages,
     forget_silent,
@@ -186,7 +187,7 @@
         case LoadReport():
             state.loads[id(link)] = ReportedLoad(loads=message.loads, at=anyio.current_time())
         case LostReport():
-            state.lost_at[message.instance] = anyio.current_time()
+            note_report(state.losses, message.instance, link.peer_box, anyio.current_time())
         case VersionQuery():
             answer_version(state, link, message)
         case DocumentPull():
@@ -212,8 +213,7 @@
             logger.warning(
                 "upstream not heard", extra={"upstream": instance, "seconds": FORGET_SECONDS}
             )
-        for instance in [item for item in state.lost_at if item not in state.table.known]:
-            del state.lost_at[instance]
+        forget_engines(state.losses, set(state.table.known))
         add_peers(state.peers, _known_controls(state))
         told = RegistrationAges(ages=ages(state.table, now))
         hint = PeerHint(addresses=_known_controls(state))
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -11,6 +11,7 @@
 
 from ...coordination import raft
 from ...coordination.engine_orders import OrderOutcome, due, note_outcome, note_sent, settle
+from ...coordination.loss_evidence import seems_lost
 from ...http1 import (
     AnswerBrokenError,
     ConnectError,
@@ -24,7 +25,7 @@
     PlacedEngine,
     missing_layers,
     plan_placement,
-    plan_repair,
+    plan_repairs,
 )
 
 if TYPE_CHECKING:
@@ -44,11 +45,9 @@
 GATHER_LIMIT_SECONDS: Final = 3.0
 """Longest time that the first plan waits for further engines; traffic starts some seconds later."""
 
-REPAIR_SECONDS: Final = 4.0
-"""Least time between two moves: one load, and the heartbeat that reports it."""
-
-SILENT_HEARTBEATS: Final = 3.0
-"""Heartbeats that an engine may miss before it counts as lost for the placement."""
+REPAIR_SECONDS: Final = 0.6
+"""Least time between two rounds of moves: losses come together, and the reports of several entry
+boxes come within half a second."""
 
 CALL_SECONDS: Final = 1.5
 """How long an engine may take to answer an order."""
@@ -77,7 +76,7 @@
 
 
 async def run_placing(state: RegistryState) -> None:
-    """Order layers for engines that have none, and move one where some were lost, for ever.
+    """Order layers for engines that have none, and move some where layers were lost, for ever.
 
     A box that does not lead forgets its orders: the next leader plans from what engines report.
     """
@@ -118,18 +117,13 @@
 
 
 def _settle(state: RegistryState, engines: list[Registration]) -> None:
-    holding = {item.instance for item in engines if item.holdings}
-    known = {item.instance for item in engines}
-    for instance in settle(state.ledger, holding, known):
+    reported = {item.instance: item.holdings for item in engines}
+    for instance in settle(state.ledger, reported, anyio.current_time()):
         logger.info("engine holds its layers", extra={"upstream": instance})
 
 
-def _plan(
-    state: RegistryState, pool: UpstreamPool, engines: list[Registration]
-) -> list[tuple[Registration, Holding]]:
-    """Return the engines that are to be ordered now, with their layers."""
-    assert pool.engine is not None
-    placed = [
+def _placed(state: RegistryState, engines: list[Registration]) -> list[PlacedEngine]:
+    return [
         PlacedEngine(
             instance=item.instance,
             failure_domain=item.failure_domain,
@@ -137,8 +131,15 @@
             holding=_holding(state, item),
         )
         for item in engines
-        if item.state is UpstreamState.READY
     ]
+
+
+def _plan(
+    state: RegistryState, pool: UpstreamPool, engines: list[Registration]
+) -> list[tuple[Registration, Holding]]:
+    """Return the engines that are to be ordered now, with their layers."""
+    assert pool.engine is not None
+    placed = _placed(state, [item for item in engines if item.state is UpstreamState.READY])
     chosen = plan_placement(pool.engine, placed)
     held = [item.holding for item in placed if item.holding is not None]
     lacking = missing_layers(pool.engine, [*held, *chosen.values()])
@@ -167,56 +168,55 @@
 def _repair(
     state: RegistryState, pool: UpstreamPool, engines: list[Registration]
 ) -> list[tuple[Registration, Holding]]:
-    """Return the engine that is to be moved to layers that a failure domain lacks."""
+    """Return the engines that are to be moved to layers that a failure domain lacks.
+
+    Also those that were to move before, did not answer, and still report other layers.
+    """
     assert pool.engine is not None
     now = anyio.current_time()
-    if now - state.ledger.repaired_at < REPAIR_SECONDS or state.ledger.sent:
+    if now - state.ledger.repaired_at < REPAIR_SECONDS:
         return []
-    up = [item for item in engines if _is_up(state, item, now)]
-    placed = [
-        PlacedEngine(
-            instance=item.instance,
-            failure_domain=item.failure_domain,
-            card=item.card,
-            holding=_holding(state, item),
-        )
-        for item in up
+    up = {item.instance: item for item in engines if _is_up(state, item, now)}
+    orders = [
+        (up[instance], order.holding)
+        for instance, order in state.ledger.sent.items()
+        if instance in up and due(state.ledger, instance, now)
     ]
-    move = plan_repair(pool.engine, placed)
-    if move is None:
-        return []
-    spare, holding = move
-    state.ledger.repaired_at = now
-    logger.warning(
-        "layers lost in a failure domain",
-        extra={
-            "failure_domain_short": spare.failure_domain,
-            "up": len(up),
-            "registered": len(engines),
-            "moved": spare.instance,
-            "layers": f"{holding.first}-{holding.end}",
-        },
-    )
-    engine = next(item for item in up if item.instance == spare.instance)
-    return [(engine, holding)]
+    moves = plan_repairs(pool.engine, _placed(state, list(up.values())))
+    for spare, holding in moves:
+        logger.warning(
+            "layers lost in a failure domain",
+            extra={
+                "failure_domain_short": spare.failure_domain,
+                "up": len(up),
+                "registered": len(engines),
+                "moved": spare.instance,
+                "layers": f"{holding.first}-{holding.end}",
+            },
+        )
+        orders.append((up[spare.instance], holding))
+    if orders:
+        state.ledger.repaired_at = now
+    for engine, holding in orders:
+        note_sent(state.ledger, engine.instance, holding, state.node.replica.term, now)
+    return orders
 
 
 def _is_up(state: RegistryState, engine: Registration, now: float) -> bool:
-    """Tell whether an engine is ready, heard lately, and not found dead since."""
+    """Tell whether an engine is ready and does not seem lost."""
     known = state.table.known.get(engine.instance)
     if known is None or engine.state is not UpstreamState.READY:
         return False
-    lost_at = state.lost_at.get(engine.instance, float("-inf"))
     heartbeat = state.settings.bounds.heartbeat_ms / 1000.0
-    silent = now - known.heard_at > SILENT_HEARTBEATS * heartbeat
-    return not silent and known.heard_at > lost_at
+    return not seems_lost(state.losses, engine.instance, known.heard_at, now, heartbeat)
 
 
 def _holding(state: RegistryState, engine: Registration) -> Holding | None:
-    if engine.holdings:
-        return max(engine.holdings, key=lambda item: item.end - item.first)
+    """Return the layers that an engine was ordered to hold, or else those that it reports."""
     order = state.ledger.sent.get(engine.instance)
-    return order.holding if order is not None else None
+    if order is not None:
+        return order.holding
+    return max(engine.holdings, key=lambda item: item.end - item.first, default=None)
 
 
 async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -9,6 +9,7 @@
 
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
+from ...coordination.loss_evidence import LossEvidence
 from ...coordination.registrations import RegistrationTable
 
 if TYPE_CHECKING:
@@ -85,8 +86,8 @@
     published_changed: anyio.Event = field(default_factory=anyio.Event)
     """Set once a newer document was applied."""
 
-    lost_at: dict[str, float] = field(default_factory=dict)
-    """When an entry box last found an engine dead, by run of the engine."""
+    losses: LossEvidence = field(default_factory=LossEvidence)
+    """Engines that entry boxes found dead."""
 
     stopping: bool = False
     """True once a planned stop has begun."""
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -164,38 +164,58 @@
     return shares
 
 
-def plan_repair(
+def plan_repairs(
     profile: EngineProfile, engines: Sequence[PlacedEngine]
-) -> tuple[PlacedEngine, Holding] | None:
-    """Choose one engine to move where a failure domain lacks layers after a loss.
+) -> list[tuple[PlacedEngine, Holding]]:
+    """Choose engines to move where failure domains lack layers after a loss.
 
-    Only an engine whose layers its own failure domain holds elsewhere too is moved, the slowest
-    first: the fast ones carry more requests.
+    Only engines whose layers their own failure domain holds elsewhere too are moved, the slowest
+    first: the fast ones carry more requests. A lost fast engine takes several slow ones.
 
     Args:
         profile: Figures of the engines.
         engines: Engines that are up, with what they hold or were ordered to hold.
 
     Returns:
-        The engine and its new layers, or None if nothing is missing or nobody can be spared.
+        Engines with their new layers; empty if nothing is missing or nobody can be spared.
     """
     by_domain: dict[str, list[PlacedEngine]] = {}
     for engine in engines:
         by_domain.setdefault(engine.failure_domain, []).append(engine)
+    moves: list[tuple[PlacedEngine, Holding]] = []
     for members in by_domain.values():
-        held = [item.holding for item in members if item.holding is not None]
-        lacking = missing_layers(profile, held)
-        # One that lacks over half of the layers never held a whole copy, or lost too much for one
-        # move to help.
-        if not lacking or len(lacking) > profile.layers // 2:
-            continue
-        spare = _spare_engine(profile, members)
+        moves += _repair_domain(profile, members)
+    return moves
+
+
+def _repair_domain(
+    profile: EngineProfile, members: Sequence[PlacedEngine]
+) -> list[tuple[PlacedEngine, Holding]]:
+    """Choose moves within one failure domain until it lacks nothing or has nobody to spare."""
+    moves: list[tuple[PlacedEngine, Holding]] = []
+    lacking = missing_layers(profile, _holdings(members))
+    # One that lacks over half of the layers never held a whole copy, or lost too much for moves to
+    # help.
+    if len(lacking) > profile.layers // 2:
+        return moves
+    rest = list(members)
+    while lacking:
+        spare = _spare_engine(profile, rest)
         if spare is None:
-            continue
-        count = min(layers_for(profile, spare.card), profile.layers)
+            break
+        count = layers_for(profile, spare.card)
+        if count == 0:
+            break
         first = min(lacking[0], profile.layers - count)
-        return spare, Holding(first=first, end=first + count)
-    return None
+        holding = Holding(first=first, end=first + count)
+        moves.append((spare, holding))
+        rest = [item for item in rest if item is not spare]
+        lacking = missing_layers(profile, [*_holdings(rest), *(moved for _engine, moved in moves)])
+    return moves
+
+
+def _holdings(engines: Iterable[PlacedEngine]) -> list[Holding]:
+    return [item.holding for item in engines if item.holding is not None]
 
 
 def _spare_engine(profile: EngineProfile, members: Sequence[PlacedEngine]) -> PlacedEngine | None:
--- a/tests/coordination/test_engine_orders.py
+++ b/tests/coordination/test_engine_orders.py
@@ -6,6 +6,7 @@
 
 from ledgeladder.coordination.engine_orders import (
     CONFIRM_SECONDS,
+    FORGET_SECONDS,
     OrderLedger,
     OrderOutcome,
     due,
@@ -20,7 +21,7 @@
 
 @pytest.mark.parametrize("is_kept", [True, False])
 def test_fenced_answer_ends_the_orders_of_its_term(is_kept: bool) -> None:
-    """Also the answer to a move, which is not kept among the orders."""
+    """Also the answer to an order that is not kept any more."""
     ledger = OrderLedger()
     if is_kept:
         note_sent(ledger, "i-1", LAYERS, 4, 0.0)
@@ -34,7 +35,8 @@
     note_sent(ledger, "i-1", LAYERS, 4, 0.0)
     assert not due(ledger, "i-1", CONFIRM_SECONDS - 0.1)
     assert due(ledger, "i-1", CONFIRM_SECONDS)
-    assert settle(ledger, {"i-1"}, {"i-1"}) == ["i-1"]
+    assert settle(ledger, {"i-1": ()}, 1.0) == []
+    assert settle(ledger, {"i-1": (LAYERS,)}, 2.0) == ["i-1"]
     assert not ledger.sent
 
 
@@ -44,5 +46,34 @@
     note_sent(ledger, "i-2", LAYERS, 4, 0.0)
     note_outcome(ledger, "i-1", OrderOutcome.WRONG_UPSTREAM, 4)
     assert set(ledger.sent) == {"i-2"}
-    assert settle(ledger, set(), {"i-1"}) == []
+    assert settle(ledger, {"i-1": ()}, 1.0) == []
+    assert not ledger.sent
+
+
+def test_moved_engine_is_not_taken_for_settled_or_empty_while_it_loads() -> None:
+    """It reports its old layers first, then none: planning must count the layers it is to hold."""
+    ledger = OrderLedger()
+    old = Holding(first=40, end=49)
+    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    assert settle(ledger, {"i-1": (old,)}, 1.0) == []
+    assert settle(ledger, {"i-1": ()}, 2.0) == []
+    assert ledger.sent["i-1"].holding == LAYERS
+    assert settle(ledger, {"i-1": (LAYERS,)}, 3.0) == ["i-1"]
+
+
+def test_move_that_is_not_carried_out_is_planned_anew() -> None:
+    ledger = OrderLedger()
+    old = Holding(first=40, end=49)
+    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    note_sent(ledger, "i-1", LAYERS, 4, CONFIRM_SECONDS)
+    assert settle(ledger, {"i-1": (old,)}, FORGET_SECONDS - 0.1) == []
+    assert "i-1" in ledger.sent
+    assert settle(ledger, {"i-1": (old,)}, FORGET_SECONDS + 0.1) == []
+    assert not ledger.sent
+
+
+def test_order_that_does_not_fit_the_engine_is_forgotten() -> None:
+    ledger = OrderLedger()
+    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    note_outcome(ledger, "i-1", OrderOutcome.CONFLICT, 4)
     assert not ledger.sent
--- /dev/null
+++ b/tests/coordination/test_loss_evidence.py
@@ -0,0 +1,49 @@
+"""When an engine counts as lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from ledgeladder.coordination.loss_evidence import (
+    LossEvidence,
+    forget_engines,
+    note_report,
+    seems_lost,
+)
+
+HEARTBEAT = 1.2
+
+
+@pytest.mark.parametrize(
+    ("boxes", "heard_at", "expected"),
+    [
+        ([], 9.0, False),
+        ([], 6.0, True),  # Silent for more than three heartbeats.
+        (["a"], 9.0, False),  # The box may be slow itself.
+        (["a", "a"], 9.0, False),
+        (["a"], 8.0, True),  # Its heartbeat is overdue as well.
+        (["a", "b"], 9.0, True),
+    ],
+)
+def test_one_witness_needs_an_overdue_heartbeat(
+    boxes: list[str], heard_at: float, expected: bool
+) -> None:
+    evidence = LossEvidence()
+    for box in boxes:
+        note_report(evidence, "i-1", box, 9.5)
+    assert seems_lost(evidence, "i-1", heard_at, 10.0, HEARTBEAT) is expected
+
+
+def test_heartbeat_outweighs_earlier_reports() -> None:
+    evidence = LossEvidence()
+    for box in ("a", "b", "c"):
+        note_report(evidence, "i-1", box, 9.5)
+    assert not seems_lost(evidence, "i-1", 9.6, 10.0, HEARTBEAT)
+
+
+def test_engines_that_are_gone_are_forgotten() -> None:
+    evidence = LossEvidence()
+    note_report(evidence, "i-1", "a", 9.5)
+    note_report(evidence, "i-2", "a", 9.5)
+    forget_engines(evidence, {"i-2"})
+    assert set(evidence.reports) == {"i-2"}
--- a/tests/daemons/gateway/test_probing.py
+++ b/tests/daemons/gateway/test_probing.py
@@ -31,7 +31,12 @@
     return GatewaySettings.model_validate(
         {
             "box": {"name": "n", "failure_domain": "a", "address": "127.0.0.1"},
-            "cluster": {"secret": "loopback-and-private-network", "link_port": 1, "metrics_port": 4, "seeds": ["127.0.0.1:9"]},
+            "cluster": {
+                "secret": "loopback-and-private-network",
+                "link_port": 1,
+                "metrics_port": 4,
+                "seeds": ["127.0.0.1:9"],
+            },
             "gateway": {"caller_address": "127.0.0.1:2", "ready_address": "127.0.0.1:3"},
         }
     )
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -87,9 +87,12 @@
     monkeypatch.setattr(stream, "_read_watched", read_during_loss)
 
     async def run() -> None:
-        with anyio.CancelScope() as scope, _told_of_losses(path, session, scope):
-            with contextlib.suppress(AnswerLostError):
-                await stream._pass_events(state, exchange, session, path, answer, 0.0)
+        with (
+            anyio.CancelScope() as scope,
+            _told_of_losses(path, session, scope),
+            contextlib.suppress(AnswerLostError),
+        ):
+            await stream._pass_events(state, exchange, session, path, answer, 0.0)
 
     anyio.run(run)
     passed_on = exchange.received.count(b"id:")
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -11,7 +11,7 @@
     layers_for,
     missing_layers,
     plan_placement,
-    plan_repair,
+    plan_repairs,
 )
 
 CARDS = {
@@ -104,29 +104,47 @@
     assert plan_placement(profile, [engine]) == {}
 
 
-def test_repair_moves_one_spare_engine_of_the_same_failure_domain() -> None:
+def test_repair_moves_spare_engines_of_the_same_failure_domain() -> None:
     engines = fleet()
     settled = placed(engines, plan_placement(PROFILE, engines))
-    assert plan_repair(PROFILE, settled) is None
+    assert plan_repairs(PROFILE, settled) == []
     moves = 0
+    whole = 0
     # Take one engine of domain a away at a time; some losses leave layers without a holder there.
     for lost in [item for item in settled if item.failure_domain == "a"]:
         rest = [item for item in settled if item is not lost]
         own = [item.holding for item in rest if item.failure_domain == "a" and item.holding]
         lacking = missing_layers(PROFILE, own)
-        move = plan_repair(PROFILE, rest)
-        if not lacking or move is None:
+        repairs = plan_repairs(PROFILE, rest)
+        if not lacking or not repairs:
             continue
-        moves += 1
-        spare, holding = move
-        assert spare.failure_domain == "a"
-        others = [item.holding for item in rest if item is not spare and item.holding]
-        in_domain = [
-            item.holding
-            for item in rest
-            if item is not spare and item.failure_domain == "a" and item.holding
-        ]
+        moves += len(repairs)
+        spares = [spare for spare, _holding in repairs]
+        assert {spare.failure_domain for spare in spares} == {"a"}
+        assert len({spare.instance for spare in spares}) == len(spares)
+        moved = [holding for _spare, holding in repairs]
+        kept = [item for item in rest if item not in spares]
+        others = [item.holding for item in kept if item.holding]
+        in_domain = [item.holding for item in kept if item.failure_domain == "a" and item.holding]
         assert missing_layers(PROFILE, others) == []
-        assert lacking[0] in range(holding.first, holding.end)
-        assert len(missing_layers(PROFILE, [*in_domain, holding])) < len(lacking)
+        assert lacking[0] in range(moved[0].first, moved[0].end)
+        left = missing_layers(PROFILE, [*in_domain, *moved])
+        assert len(left) < len(lacking)
+        # What the domain still held is not given up for what it lacked.
+        assert set(left) <= set(lacking)
+        whole += not left
     assert moves
+    assert whole
+
+
+def test_lost_fast_engine_is_replaced_by_several_slow_ones_at_once() -> None:
+    engines = fleet()
+    settled = placed(engines, plan_placement(PROFILE, engines))
+    widest = max(
+        (item for item in settled if item.failure_domain == "a" and item.holding),
+        key=lambda item: item.holding.end - item.holding.first,
+    )
+    rest = [item for item in settled if item is not widest]
+    own = [item.holding for item in rest if item.failure_domain == "a" and item.holding]
+    assert len(missing_layers(PROFILE, own)) > layers_for(PROFILE, "l4")
+    assert len(plan_repairs(PROFILE, rest)) >= 2
