--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -13,6 +13,7 @@
 from ...platform.exchange import read_caller_facts
 from ..plain_problems import write_problem
 from .checks import Permit, permit_request
+from .notes import RequestNotes, log_fields
 from .plain import forward_plain
 from .stream import forward_stream
 
@@ -34,29 +35,34 @@
     async def handle(request: HttpRequest, exchange: Exchange) -> None:
         facts = read_caller_facts(request)
         permit: Permit | None = None
+        notes = RequestNotes()
         outcome = "caller-left"
         try:
             permit = permit_request(state, request, facts)
-            await _forward(state, permit, request, exchange)
+            await _forward(state, permit, request, exchange, notes)
             outcome = "answered" if exchange.complete else "broken-off"
         except ProblemError as error:
             outcome = f"{error.problem.code.name}: {error.problem.detail}"
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
             await write_problem(exchange, error.problem)
         finally:
-            _note_request(state, request, facts, permit, outcome)
+            _note_request(state, request, facts, permit, notes, outcome)
 
     return HttpSite(handler=handle, write_problem=write_problem, limits=lambda: state.limits)
 
 
 async def _forward(
-    state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    notes: RequestNotes,
 ) -> None:
     is_path = permit.pool.engine is not None and permit.route.kind is RequestKind.STREAM
     if is_path:
-        await forward_stream(state, permit, request, exchange)
+        await forward_stream(state, permit, request, exchange, notes)
     else:
-        await forward_plain(state, permit, request, exchange)
+        await forward_plain(state, permit, request, exchange, notes)
 
 
 def _note_request(
@@ -64,6 +70,7 @@
     request: HttpRequest,
     facts: CallerFacts,
     permit: Permit | None,
+    notes: RequestNotes,
     outcome: str,
 ) -> None:
     state.metrics.counters["requests"] += 1
@@ -74,6 +81,7 @@
         "seconds": round(now - request.arrived_at, 4),
         "version": state.version,
         "version_age": _version_age(state, now),
+        **log_fields(notes),
     }
     if permit is not None:
         extra["route"] = permit.route.name
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -0,0 +1,38 @@
+"""What is learnt of a request while it is forwarded, for the one log line at its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(kw_only=True)
+class RequestNotes:
+    """Course of one request."""
+
+    first_event: float | None = None
+    """Time from the arrival of the request to its first event, in seconds; None before that."""
+
+    longest_gap: float = 0.0
+    """Longest pause between events that were passed on, in seconds."""
+
+    runs: int = 0
+    """Times it was sent to an upstream, refused ones included."""
+
+    path: list[str] = field(default_factory=list)
+    """Upstreams of the newest run, with their layers."""
+
+
+def log_fields(notes: RequestNotes) -> dict[str, Any]:
+    """Return the fields of a log line; those that do not apply are left out.
+
+    >>> log_fields(RequestNotes(runs=1, path=["i-1=0-80"]))
+    {'runs': 1, 'path': ['i-1=0-80']}
+    """
+    fields: dict[str, Any] = {"runs": notes.runs}
+    if notes.path:
+        fields["path"] = notes.path
+    if notes.first_event is not None:
+        fields["first_event"] = round(notes.first_event, 3)
+        fields["longest_gap"] = round(notes.longest_gap, 3)
+    return fields
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
     from ...routing.forwarding_table import ForwardedUpstream
+    from .notes import RequestNotes
     from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -85,7 +86,11 @@
 
 
 async def forward_plain(
-    state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    notes: RequestNotes,
 ) -> None:
     """Forward a request and give the caller the final answer.
 
@@ -94,6 +99,7 @@
         permit: What the request may do.
         request: The request.
         exchange: The answering side.
+        notes: Takes what is learnt of the request.
 
     Raises:
         ProblemError: If no upstream answered it.
@@ -106,6 +112,8 @@
             if tries.sent and not take_repeat(budget, anyio.current_time(), state.entries):
                 state.metrics.counters["repeat-refused"] += 1
                 break
+            notes.runs += 1
+            notes.path = [upstream.registration.instance]
             if await _try_once(state, permit, request, tries, upstream):
                 break
     await _finish(state, permit, request, exchange, tries)
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -26,6 +26,7 @@
 from ...routing.paths import ChosenPath, PathRequest, choose_path, release, reserve
 from ...routing.repeat_window import note_first, take_repeat
 from .checks import Permit, refusal
+from .notes import RequestNotes
 from .probing import find_lost
 from .state import budget_of, record
 from .upstream_call import AnswerLostError, NotSentError, OpenAnswer, open_answer, read_whole
@@ -106,6 +107,9 @@
     refusals: int = 0
     """Paths that refused it."""
 
+    notes: RequestNotes = field(default_factory=RequestNotes)
+    """Takes what is learnt, for the log line at the end."""
+
     started: bool = False
     """True once the caller has a head."""
 
@@ -129,7 +133,11 @@
 
 
 async def forward_stream(
-    state: GatewayState, permit: Permit, request: HttpRequest, exchange: Exchange
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    notes: RequestNotes,
 ) -> None:
     """Forward a stream until it is complete or is given up.
 
@@ -138,6 +146,7 @@
         permit: What the request may do.
         request: The request.
         exchange: The answering side.
+        notes: Takes what is learnt of the request.
 
     Raises:
         ProblemError: If it is given up before the caller has a head.
@@ -149,6 +158,7 @@
         order=EventOrder(last_id=permit.facts.resume_after),
         tokens=permit.facts.prompt_tokens + expected,
         moved_at=request.arrived_at,
+        notes=notes,
     )
     budget = budget_of(state, permit.pool.name)
     note_first(budget, anyio.current_time())
@@ -239,6 +249,8 @@
     session.sent += 1
     session.runs += 1
     session.interrupted = False
+    session.notes.runs += 1
+    session.notes.path = _describe(path)
     reserve(path, session.tokens)
     detail = ""
     end = RunEnd.LOST
@@ -309,7 +321,7 @@
             "request": permit.facts.attempt_id,
             "end": end.value,
             "detail": detail,
-            "path": [f"{part.instance}={part.first}-{part.end}" for part in path.parts],
+            "path": _describe(path),
             "events": session.order.delivered,
             "dead": sorted(session.dead),
             "silent_for": round(anyio.current_time() - session.moved_at, 3),
@@ -317,6 +329,11 @@
     )
 
 
+def _describe(path: ChosenPath) -> list[str]:
+    """Return the engines of a path with their layers, for logs."""
+    return [f"{part.instance}={part.first}-{part.end}" for part in path.parts]
+
+
 async def _follow(
     state: GatewayState,
     permit: Permit,
@@ -491,9 +508,11 @@
     gap = now - session.moved_at
     if not session.started:
         record(state.metrics.first_event, gap)
+        session.notes.first_event = gap
         note_gap(state.first_pace, now - started_at)
     else:
         record(state.metrics.gap, gap)
+        session.notes.longest_gap = max(session.notes.longest_gap, gap)
         note_gap(session.pace, gap)
     session.moved_at = now
 
