--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -23,7 +23,14 @@
     note_served,
 )
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
-from ...routing.paths import ChosenPath, PathRequest, choose_path, release, reserve
+from ...routing.paths import (
+    ChosenPath,
+    PathRequest,
+    choose_path,
+    explain_no_path,
+    release,
+    reserve,
+)
 from ...routing.repeat_window import note_first, take_repeat
 from .checks import Permit, refusal
 from .notes import RequestNotes
@@ -113,6 +120,9 @@
     started: bool = False
     """True once the caller has a head."""
 
+    no_path: str = ""
+    """Why no further path was found; empty if one was found each time."""
+
     failure: OpenAnswer | None = None
     """Failure that an engine answered with."""
 
@@ -166,6 +176,7 @@
         while _may_run_again(permit, session):
             path = _choose(state, permit, profile, session, expected)
             if path is None:
+                session.no_path = _explain_no_path(state, permit, profile, session, expected)
                 break
             if session.sent and not take_repeat(budget, anyio.current_time(), state.entries):
                 state.metrics.counters["repeat-refused"] += 1
@@ -204,12 +215,7 @@
     First other failure domains that seem cut off are left out, then only engines that failed this
     request, at last only those that were found dead.
     """
-    wanted = PathRequest(
-        prompt_tokens=permit.facts.prompt_tokens,
-        answer_tokens=expected,
-        failure_domain=state.settings.box.failure_domain,
-        sharers=max(1.0, state.entries / _domains(state, permit)),
-    )
+    wanted = _wanted(state, permit, expected)
     engines = state.table.pools.get(permit.pool.name, [])
     now = anyio.current_time()
     excluded = session.excluded | session.dead
@@ -222,6 +228,31 @@
     return path
 
 
+def _wanted(state: GatewayState, permit: Permit, expected: int) -> PathRequest:
+    return PathRequest(
+        prompt_tokens=permit.facts.prompt_tokens,
+        answer_tokens=expected,
+        failure_domain=state.settings.box.failure_domain,
+        sharers=max(1.0, state.entries / _domains(state, permit)),
+    )
+
+
+def _explain_no_path(
+    state: GatewayState,
+    permit: Permit,
+    profile: EngineProfile,
+    session: StreamSession,
+    expected: int,
+) -> str:
+    return explain_no_path(
+        profile,
+        state.table.pools.get(permit.pool.name, []),
+        _wanted(state, permit, expected),
+        anyio.current_time(),
+        excluded=session.excluded | session.dead,
+    )
+
+
 def _is_avoided(
     state: GatewayState, session: StreamSession, engine: ForwardedUpstream, now: float
 ) -> bool:
@@ -597,8 +628,9 @@
         return
     if session.runs <= 0 and session.sent == session.refusals:
         if session.refusals:
-            raise refusal(ResultCode.UPSTREAM_REFUSED, f"{session.refusals} paths refused")
-        raise refusal(ResultCode.NO_ROUTE, f"no path over {permit.pool.name}")
+            detail = f"{session.refusals} paths refused; {session.no_path or 'too many'}"
+            raise refusal(ResultCode.UPSTREAM_REFUSED, detail)
+        raise refusal(ResultCode.NO_ROUTE, f"no path over {permit.pool.name}; {session.no_path}")
     code = ResultCode.DEADLINE_EXCEEDED if late else ResultCode.UPSTREAM_LOST
     detail = f"sent {session.sent} times without a first event"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -143,7 +144,7 @@
     """
     usable = [
         engine
-        for engine in engines
+        for engine in _newest_runs(engines)
         if engine.registration.holdings
         and engine.registration.instance not in excluded
         and is_usable(engine, now)
@@ -158,6 +159,77 @@
     return anywhere if anywhere.cost * FAR_FACTOR < nearby.cost else nearby
 
 
+def _newest_runs(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
+    """Return one run for each address, the one heard last.
+
+    An engine that crashed and was started again stays registered under its old id for some seconds.
+    """
+    newest: dict[str, ForwardedUpstream] = {}
+    for engine in engines:
+        held = newest.get(engine.registration.address)
+        if held is None or engine.heard_at > held.heard_at:
+            newest[engine.registration.address] = engine
+    return newest.values()
+
+
+def explain_no_path(
+    profile: EngineProfile,
+    engines: Iterable[ForwardedUpstream],
+    request: PathRequest,
+    now: float,
+    *,
+    excluded: Collection[str] = (),
+) -> str:
+    """Say why there is no path, for logs and answers.
+
+    Args:
+        profile: Figures of the engines.
+        engines: Engines of the pool.
+        request: What the path was for.
+        now: Monotonic time.
+        excluded: Runs of engines that this request does not use any more.
+
+    Returns:
+        How many engines are out and why, and which layers nobody can take.
+    """
+    reasons: Counter[str] = Counter()
+    open_layers = [False] * profile.layers
+    for engine in engines:
+        reason = _why_unusable(profile, engine, request, now, excluded)
+        reasons[reason or "usable"] += 1
+        if reason:
+            continue
+        for item in engine.registration.holdings:
+            for layer in range(item.first, min(item.end, profile.layers)):
+                open_layers[layer] = True
+    closed = [layer for layer, is_open in enumerate(open_layers) if not is_open]
+    counts = ", ".join(f"{count} {reason}" for reason, count in sorted(reasons.items()))
+    layers = f"; layers {closed[0]}-{closed[-1] + 1}" if closed else ""
+    return f"engines: {counts or 'none'}{layers}"
+
+
+def _why_unusable(
+    profile: EngineProfile,
+    engine: ForwardedUpstream,
+    request: PathRequest,
+    now: float,
+    excluded: Collection[str],
+) -> str:
+    registration = engine.registration
+    if not registration.holdings:
+        return "without layers"
+    if registration.instance in excluded:
+        return "failed this request"
+    if engine.leaving:
+        return "leaving"
+    if not is_usable(engine, now):
+        return "lost" if engine.lost_at > engine.heard_at else "avoided"
+    layers = min(item.end - item.first for item in registration.holdings)
+    if _cost(profile, engine, layers, request, now) == float("inf"):
+        return "full"
+    return ""
+
+
 def _unhurried(profile: EngineProfile, request: PathRequest) -> float:
     """Return the cost up to which other failure domains are not even looked at.
 
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -13,9 +13,16 @@
     ForwardingTable,
     note_failed,
     note_full,
+    note_lost,
     put_registration,
 )
-from ledgeladder.routing.paths import PathRequest, choose_path, release, reserve
+from ledgeladder.routing.paths import (
+    PathRequest,
+    choose_path,
+    explain_no_path,
+    release,
+    reserve,
+)
 
 from .test_placement import CARDS, DOMAINS, PROFILE, fleet, placed, plan_placement
 
@@ -132,3 +139,30 @@
     slow = [engine for engine in path.engines if engine.registration.card == "slow"]
     assert len(slow) < len(path.engines) / 2
     assert set(CARDS) >= {engine.registration.card for engine in path.engines}
+
+
+def test_two_runs_at_one_address_are_not_on_one_path() -> None:
+    """A path that names an address twice is answered with 400."""
+    pool = engines()
+    old = pool[0]
+    restarted = ForwardedUpstream(
+        registration=msgspec.structs.replace(old.registration, instance="restarted"), heard_at=5.0
+    )
+    path = choose_path(PROFILE, [*pool, restarted], wanted(), 5.1)
+    assert path is not None
+    addresses = [part.address for part in path.parts]
+    assert len(set(addresses)) == len(addresses)
+    assert old.registration.instance not in {part.instance for part in path.parts}
+
+
+def test_missing_path_is_explained() -> None:
+    pool = engines()
+    for engine in pool:
+        if engine.registration.holdings[0].first == 0:
+            note_lost(engine, 1.0)
+    note_full(pool[-1], 1.0)
+    text = explain_no_path(PROFILE, pool, wanted(), 2.5, excluded={pool[-2].registration.instance})
+    assert "lost" in text
+    assert "1 failed this request" in text
+    assert "; layers 0-" in text
+    assert explain_no_path(PROFILE, [], wanted(), 2.5).startswith("engines: none; layers 0-")
