Do not order a load again while it runs, and run no more loads than the store feeds

Cause: an engine that loads reports nothing, and was ordered again every 4 s; each repeat begins the load anew. Now a load that has begun is left alone for twice its predicted time, and once the system serves no more loads are open than run at full speed, the neediest first. Orders of several pools no longer forget each other's. Tests: begun and unanswered orders.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -12,8 +12,12 @@
     from ..model.registration import Holding
 
 CONFIRM_SECONDS: Final = 4.0
-"""How long an engine may take to report layers that it was ordered to hold: one load of a
-quarter of the model at the shared rate, and two heartbeats. After that it is ordered again."""
+"""How long an engine that did not answer an order may take to report the layers: a load of a
+quarter of the model and two heartbeats. After that it is ordered again."""
+
+LOAD_ROOM: Final = 2.0
+"""How many times as long as predicted a load may take before it is ordered again: an order that is
+repeated while the engine loads begins the load anew, and loads of other orders slow it down."""
 
 
 FORGET_SECONDS: Final = 12.0
@@ -84,6 +88,17 @@
     fence: int
     """Term under which it was last sent."""
 
+    load_seconds: float = 0.0
+    """Time that the load is predicted to take."""
+
+    begun: bool = False
+    """True once the engine said that it loads the layers."""
+
+    @property
+    def patience(self) -> float:
+        """Time from its sending after which it is sent once more, in seconds."""
+        return CONFIRM_SECONDS + (self.load_seconds * LOAD_ROOM if self.begun else 0.0)
+
 
 @dataclass(kw_only=True)
 class OrderLedger:
@@ -103,15 +118,35 @@
 def due(ledger: OrderLedger, instance: str, now: float) -> bool:
     """Tell whether an engine that has not reported its layers is to be ordered now."""
     order = ledger.sent.get(instance)
-    return order is None or now - order.sent_at >= CONFIRM_SECONDS
+    return order is None or now - order.sent_at >= order.patience
+
 
+def note_sent(
+    ledger: OrderLedger,
+    instance: str,
+    holding: Holding,
+    fence: int,
+    now: float,
+    load_seconds: float = 0.0,
+) -> None:
+    """Note an order that is about to be sent, or sent once more.
 
-def note_sent(ledger: OrderLedger, instance: str, holding: Holding, fence: int, now: float) -> None:
-    """Note an order that is about to be sent, or sent once more."""
+    Args:
+        ledger: The orders.
+        instance: Run of the engine.
+        holding: Layers that it is to hold.
+        fence: Term under which the order is sent.
+        now: Monotonic time.
+        load_seconds: Time that the load is predicted to take.
+    """
     held = ledger.sent.get(instance)
     first = held.first_sent_at if held is not None and held.holding == holding else now
     ledger.sent[instance] = SentOrder(
-        holding=holding, first_sent_at=first, sent_at=now, fence=fence
+        holding=holding,
+        first_sent_at=first,
+        sent_at=now,
+        fence=fence,
+        load_seconds=load_seconds,
     )
 
 
@@ -129,6 +164,8 @@
         ledger.fenced_terms.add(fence)
     elif outcome in (OrderOutcome.WRONG_UPSTREAM, OrderOutcome.CONFLICT):
         ledger.sent.pop(instance, None)
+    elif outcome is OrderOutcome.BEGUN and instance in ledger.sent:
+        ledger.sent[instance].begun = True
 
 
 def settle(
@@ -157,4 +194,5 @@
 
 def _is_overdue(order: SentOrder, holdings: Collection[Holding], now: float) -> bool:
     """Tell whether an engine still reports other layers long after it was moved."""
-    return bool(holdings) and now - order.first_sent_at > FORGET_SECONDS
+    patience = max(FORGET_SECONDS, order.patience)
+    return bool(holdings) and now - order.first_sent_at > patience
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -23,6 +23,7 @@
 from ...platform.engine_calls import place_call, read_outcome
 from ...routing.placement import (
     PlacedEngine,
+    load_seconds,
     missing_layers,
     plan_placement,
     plan_repairs,
@@ -87,19 +88,49 @@
             state.ledger.sent.clear()
             continue
         pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
+        engines = {pool.name: _engines(state, pool) for pool in pools}
+        _settle(state, [item for members in engines.values() for item in members])
         async with anyio.create_task_group() as tasks:
             for pool in pools:
-                engines = _engines(state, pool)
-                empty = [item for item in engines if not item.holdings]
-                _settle(state, engines)
-                if not gathering.is_over(len(engines), anyio.current_time()):
+                members = engines[pool.name]
+                if not gathering.is_over(len(members), anyio.current_time()):
                     continue
-                orders = _plan(state, pool, engines) if empty else []
-                orders = orders or _repair(state, pool, engines)
-                for engine, holding in orders:
+                empty = [item for item in members if not item.holdings]
+                orders = _plan(state, pool, members) if empty else []
+                orders = orders or _repair(state, pool, members)
+                for engine, holding in _within_limit(state, pool, members, orders):
                     tasks.start_soon(_order, state, engine, holding)
 
 
+def _within_limit(
+    state: RegistryState,
+    pool: UpstreamPool,
+    engines: list[Registration],
+    orders: list[tuple[Registration, Holding]],
+) -> list[tuple[Registration, Holding]]:
+    """Note the orders that are sent now, no more than loads run at full speed, and return them.
+
+    The first plan is ordered at once: nothing is served before all of it is loaded. Later on, a few
+    engines that are back soon are worth more than many that load slowly.
+    """
+    profile = pool.engine
+    assert profile is not None
+    now = anyio.current_time()
+    names = {item.instance for item in engines}
+    serving = sum(bool(item.holdings) for item in engines)
+    if serving >= len(engines) / 2:
+        open_loads = sum(
+            name in names and not due(state.ledger, name, now) for name in state.ledger.sent
+        )
+        orders = orders[: max(0, profile.loads_at_once - open_loads)]
+    loads = min(len(orders), profile.loads_at_once) if serving else len(orders)
+    for engine, holding in orders:
+        seconds = load_seconds(profile, holding.end - holding.first, loads)
+        term = state.node.replica.term
+        note_sent(state.ledger, engine.instance, holding, term, now, seconds)
+    return orders
+
+
 def _may_order(state: RegistryState) -> bool:
     """Tell whether this box holds the lease under a term that no engine has refused."""
     replica = state.node.replica
@@ -154,15 +185,18 @@
             },
         )
     now = anyio.current_time()
-    orders = []
-    for item in engines:
-        order = state.ledger.sent.get(item.instance)
-        holding = chosen.get(item.instance) or (order.holding if order else None)
-        if holding is None or item.holdings or not due(state.ledger, item.instance, now):
-            continue
-        note_sent(state.ledger, item.instance, holding, state.node.replica.term, now)
-        orders.append((item, holding))
-    return orders
+    by_instance = {item.instance: item for item in engines}
+    # In the order of the plan, so that what is needed most is loaded first.
+    wanted = chosen | {
+        instance: order.holding
+        for instance, order in state.ledger.sent.items()
+        if instance in by_instance
+    }
+    return [
+        (by_instance[instance], holding)
+        for instance, holding in wanted.items()
+        if not by_instance[instance].holdings and due(state.ledger, instance, now)
+    ]
 
 
 def _repair(
@@ -197,8 +231,6 @@
         orders.append((up[spare.instance], holding))
     if orders:
         state.ledger.repaired_at = now
-    for engine, holding in orders:
-        note_sent(state.ledger, engine.instance, holding, state.node.replica.term, now)
     return orders
 
 
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -74,6 +74,18 @@
     return min(max(wanted, 1), most, profile.layers)
 
 
+def load_seconds(profile: EngineProfile, layers: int, loads: int) -> float:
+    """Predict how long a load takes, in seconds.
+
+    Args:
+        profile: Figures of the engines.
+        layers: Layers to load.
+        loads: Loads that run at a time; beyond `loads_at_once` they slow each other down.
+    """
+    sharing = max(1.0, loads / max(1, profile.loads_at_once))
+    return profile.load_seconds * layers / profile.layers * sharing
+
+
 def kv_share_for(profile: EngineProfile, cards: Sequence[str]) -> float:
     """Choose the share of memory that the faster cards of a failure domain keep for requests.
 
--- a/tests/coordination/test_engine_orders.py
+++ b/tests/coordination/test_engine_orders.py
@@ -77,3 +77,20 @@
     note_sent(ledger, "i-1", LAYERS, 4, 0.0)
     note_outcome(ledger, "i-1", OrderOutcome.CONFLICT, 4)
     assert not ledger.sent
+
+
+def test_load_that_has_begun_is_not_ordered_again_while_it_may_still_run() -> None:
+    """Ordered again it begins anew: one engine took 11 s for a load of 2 s."""
+    ledger = OrderLedger()
+    note_sent(ledger, "i-1", LAYERS, 4, 0.0, load_seconds=3.0)
+    assert due(ledger, "i-1", CONFIRM_SECONDS)
+    note_outcome(ledger, "i-1", OrderOutcome.BEGUN, 4)
+    assert not due(ledger, "i-1", CONFIRM_SECONDS + 5.9)
+    assert due(ledger, "i-1", CONFIRM_SECONDS + 6.0)
+
+
+def test_order_without_an_answer_is_due_sooner_than_one_that_has_begun() -> None:
+    ledger = OrderLedger()
+    note_sent(ledger, "i-1", LAYERS, 4, 0.0, load_seconds=3.0)
+    note_outcome(ledger, "i-1", OrderOutcome.NO_ANSWER, 4)
+    assert due(ledger, "i-1", CONFIRM_SECONDS)
