Spread requests over engines that cost alike, and reckon with what other boxes move meanwhile

Now costs have a random part of up to 0.3, below the step between kinds of cards, and what the own load grew since its last report is taken for every box. Tests: spread, growth.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -220,11 +220,11 @@
     now = anyio.current_time()
     excluded = session.excluded | session.dead
     near = [item for item in engines if not _is_avoided(state, session, item, now)]
-    path = choose_path(profile, near, wanted, now, excluded=excluded)
+    path = choose_path(profile, near, wanted, now, excluded=excluded, rng=state.rng)
     if path is None:
-        path = choose_path(profile, engines, wanted, now, excluded=excluded)
+        path = choose_path(profile, engines, wanted, now, excluded=excluded, rng=state.rng)
     if path is None and excluded != session.dead:
-        path = choose_path(profile, engines, wanted, now, excluded=session.dead)
+        path = choose_path(profile, engines, wanted, now, excluded=session.dead, rng=state.rng)
     return path
 
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -237,11 +237,13 @@
     Args:
         upstream: The upstream.
         now: Monotonic time.
-        sharers: Factor from the own requests to those of all boxes, where nothing was told.
+        sharers: Factor from the own requests to those of all boxes. It is used where nothing was
+            told, and for what came since the own load was last reported.
     """
-    if knows_others(upstream, now):
-        return upstream.in_flight + upstream.others_in_flight
-    return upstream.in_flight * sharers
+    if not knows_others(upstream, now):
+        return upstream.in_flight * sharers
+    growth = _growth_of_others(upstream.in_flight - upstream.reported_in_flight, sharers)
+    return upstream.in_flight + upstream.others_in_flight + growth
 
 
 def total_kv(upstream: ForwardedUpstream, now: float, sharers: float) -> float:
@@ -250,11 +252,21 @@
     Args:
         upstream: The engine.
         now: Monotonic time.
-        sharers: Factor from the own requests to those of all boxes, where nothing was told.
+        sharers: Factor from the own requests to those of all boxes, as for `total_in_flight`.
     """
-    if knows_others(upstream, now):
-        return upstream.kv_reserved + upstream.others_kv
-    return upstream.kv_reserved * sharers
+    if not knows_others(upstream, now):
+        return upstream.kv_reserved * sharers
+    growth = _growth_of_others(upstream.kv_reserved - upstream.reported_kv, sharers)
+    return upstream.kv_reserved + upstream.others_kv + growth
+
+
+def _growth_of_others(own_growth: float, sharers: float) -> float:
+    """Estimate how much the load of other boxes grew since they were last heard of.
+
+    They see the same upstreams and choose alike: when an engine is lost, all of them move their
+    requests to the same others at the same moment.
+    """
+    return max(0.0, own_growth) * max(0.0, sharers - 1.0)
 
 
 def pressure(upstream: ForwardedUpstream, now: float, sharers: int) -> float:
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -17,7 +17,8 @@
 from .placement import kv_capacity
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    import random
+    from collections.abc import Collection, Iterable, Mapping
 
     from ..model.traffic import EngineProfile
     from .forwarding_table import ForwardedUpstream
@@ -36,6 +37,10 @@
 """Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
 any engine is full."""
 
+SPREAD: Final = 0.3
+"""Random part of the cost of an engine, so that boxes that know the same do not choose the same.
+Below the step between two kinds of cards (2.3 and 2.9): an idle fast card is still chosen."""
+
 FAR_FACTOR: Final = 1.25
 """How many times cheaper a path over other failure domains must be: it shares their pipes, and a
 cut would end it."""
@@ -129,6 +134,7 @@
     now: float,
     *,
     excluded: Collection[str] = (),
+    rng: random.Random | None = None,
 ) -> ChosenPath | None:
     """Find the path with the least predicted time that runs every layer once and in order.
 
@@ -138,6 +144,7 @@
         request: What the path is for.
         now: Monotonic time.
         excluded: Runs of engines that must not be used.
+        rng: Source of the random part of costs; without it there is none.
 
     Returns:
         The path, or None if the usable engines do not cover all layers.
@@ -149,11 +156,15 @@
         and engine.registration.instance not in excluded
         and is_usable(engine, now)
     ]
+    spread = {
+        item.registration.instance: 1.0 + (SPREAD * rng.random() if rng is not None else 0.0)
+        for item in usable
+    }
     own = [item for item in usable if item.registration.failure_domain == request.failure_domain]
-    nearby = _search(profile, own, request, now)
+    nearby = _search(profile, own, request, now, spread)
     if nearby is not None and nearby.cost <= _unhurried(profile, request):
         return nearby
-    anywhere = _search(profile, usable, request, now)
+    anywhere = _search(profile, usable, request, now, spread)
     if nearby is None or anywhere is None:
         return nearby or anywhere
     return anywhere if anywhere.cost * FAR_FACTOR < nearby.cost else nearby
@@ -249,6 +260,7 @@
     engines: list[ForwardedUpstream],
     request: PathRequest,
     now: float,
+    spread: Mapping[str, float],
 ) -> ChosenPath | None:
     """Walk over the layers from first to last, keeping the best step per layer and domain.
 
@@ -268,9 +280,10 @@
             before, waited = _best_before(profile, arrived, engine, start, request)
             if before is None and start > 0:
                 continue
+            factor = spread[engine.registration.instance]
             for end in edges:
                 if start < end <= holding:
-                    cost = waited + _cost(profile, engine, end - start, request, now)
+                    cost = waited + factor * _cost(profile, engine, end - start, request, now)
                     _keep(best, _Step(cost, engine, start, end, before, _length(before)))
     steps = best.get(profile.layers, {})
     finite = [step for step in steps.values() if step.cost < float("inf")]
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 import msgspec
 import pytest
@@ -15,6 +16,9 @@
     note_full,
     note_lost,
     put_registration,
+    take_others,
+    total_in_flight,
+    total_kv,
 )
 from ledgeladder.routing.paths import (
     PathRequest,
@@ -166,3 +170,29 @@
     assert "1 failed this request" in text
     assert "; layers 0-" in text
     assert explain_no_path(PROFILE, [], wanted(), 2.5).startswith("engines: none; layers 0-")
+
+
+def test_boxes_that_know_the_same_do_not_all_choose_the_same() -> None:
+    """When a fast engine is lost, every box moves its requests in the same moment."""
+    pool = engines()
+    lost = next(item for item in pool if item.registration.instance == "a-middle-1")
+    note_lost(lost, 1.0)
+    rng = random.Random(7)
+    chosen = [choose_path(PROFILE, pool, wanted("a"), 2.5, rng=rng) for _ in range(40)]
+    passed = Counter(part.instance for path in chosen if path for part in path.parts)
+    alone = choose_path(PROFILE, pool, wanted("a"), 2.5)
+    assert alone is not None
+    assert len(passed) > len(alone.parts)
+
+
+def test_own_growth_since_the_last_report_stands_for_that_of_other_boxes() -> None:
+    engine = engines()[0]
+    take_others(engine, 10, 1000.0, 5.0)
+    assert total_kv(engine, 5.1, 8.0) == 1000.0
+    engine.in_flight, engine.kv_reserved = 2, 200.0
+    assert total_kv(engine, 5.1, 8.0) == 1000.0 + 200.0 + 7 * 200.0
+    assert total_in_flight(engine, 5.1, 8.0) == 10 + 2 + 7 * 2
+    engine.reported_in_flight, engine.reported_kv = 2, 200.0
+    assert total_kv(engine, 5.1, 8.0) == 1200.0
+    engine.in_flight, engine.kv_reserved = 1, 100.0
+    assert total_kv(engine, 5.1, 8.0) == 1100.0
