Probe only engines over which nothing has come lately

An engine over which any stream got an event within the last 0.035 s works. Ruled out: comparing with the last event of the silent stream, since others got events between it and the loss. Test: one working and one silent engine.

--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -30,15 +30,20 @@
 PROBE_CEILING_SECONDS: Final = 0.4
 """Most time that it gets, on a box whose connections come up slowly. Callers leave after 2 s."""
 
+PROOF_SECONDS: Final = 0.035
+"""How long an engine counts as working after it showed so: half of the shortest pause that is looked
+into. An engine in use shows it every few milliseconds."""
+
 LATE_SECONDS: Final = 0.02
 """A time-out that fires later than this says that the own box was held up, and nothing of the
 engine: timers of a box that is not held up fire within a few milliseconds."""
 
 
 async def find_lost(state: GatewayState, path: ChosenPath, dead: set[str]) -> bool:
-    """Connect to every engine of a path side by side, and tell of those that do not accept.
+    """Connect to the suspected engines of a path side by side, and tell of those that are dead.
 
     Those are avoided, the other requests on them are interrupted, and the control boxes are told.
+    An engine over which another request has just made progress is not suspected.
 
     Args:
         state: The process's state.
@@ -61,7 +66,8 @@
 
     async with anyio.create_task_group() as tasks:
         for engine in path.engines:
-            tasks.start_soon(probe, engine)
+            if anyio.current_time() - engine.proven_at > PROOF_SECONDS:
+                tasks.start_soon(probe, engine)
     for engine in found:
         dead.add(engine.registration.instance)
         state.metrics.counters["engine-lost"] += 1
@@ -95,6 +101,7 @@
                 return reason
         else:
             note_gap(state.probe_pace, took)
+            engine.proven_at = anyio.current_time()
             return ""
         took = anyio.current_time() - began
         if took <= patience + LATE_SECONDS:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -516,7 +516,7 @@
             return RunEnd.COMPLETE, ""
         accepted, fault = take_events(session.order, buffer.feed(part))
         if accepted:
-            _note_events(state, session, started_at)
+            _note_events(state, session, path, started_at)
             session.emitting = True
             await _emit(exchange, session, answer, b"".join(accepted))
             session.emitting = False
@@ -535,8 +535,12 @@
         raise AnswerLostError("an engine of the path was found dead by another request")
 
 
-def _note_events(state: GatewayState, session: StreamSession, started_at: float) -> None:
+def _note_events(
+    state: GatewayState, session: StreamSession, path: ChosenPath, started_at: float
+) -> None:
     now = anyio.current_time()
+    for engine in path.engines:
+        engine.proven_at = now
     gap = now - session.moved_at
     if not session.started:
         record(state.metrics.first_event, gap)
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -82,6 +82,10 @@
     lost_at: float = float("-inf")
     """When it was found dead; it gets no new work until somebody has heard it since."""
 
+    proven_at: float = float("-inf")
+    """When it last showed that it works: an event came over a path through it, or it accepted a
+    probe. On the monotonic clock."""
+
     load: UpstreamLoad | None = None
     """Load that it told last."""
 
--- a/tests/daemons/gateway/test_probing.py
+++ b/tests/daemons/gateway/test_probing.py
@@ -112,3 +112,29 @@
 
     assert not anyio.run(run)
     assert tries == 2
+
+
+def test_engine_over_which_other_requests_go_on_is_not_probed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    probed: list[str] = []
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Connected:
+        probed.append(address)
+        raise ConnectError(f"{address}: OSError") from OSError()
+
+    monkeypatch.setattr(probing, "connect", connect)
+    state = GatewayState(settings=settings())
+    working, silent = engine(), engine()
+    silent.registration = Registration(instance="i-2", sequence=1, address="127.0.0.1:2")
+    path = ChosenPath(parts=(), engines=(working, silent), cost=1.0)
+    dead: set[str] = set()
+
+    async def run() -> bool:
+        working.proven_at = anyio.current_time()
+        silent.proven_at = working.proven_at - probing.PROOF_SECONDS * 2
+        return await find_lost(state, path, dead)
+
+    assert anyio.run(run)
+    assert probed == ["127.0.0.1:2"]
+    assert dead == {"i-2"}
