--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -253,8 +253,9 @@
         slow.registration, instance="slow", address="slow:1", card="slow"
     )
     pool = [half("a", Holding(first=0, end=40)), half("b", Holding(first=40, end=80)), slow]
-    free = choose_path(PROFILE, pool, wanted("a"), 2.5)
-    narrow = dataclasses.replace(PROFILE, activation_bytes=91_800, pipe_bytes_per_s=1e8)
+    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    free = choose_path(small, pool, wanted("a"), 2.5)
+    narrow = dataclasses.replace(small, activation_bytes=91_800, pipe_bytes_per_s=1e8)
     kept = choose_path(narrow, pool, wanted("a"), 2.5)
     assert free is not None
     assert kept is not None
