Move only slow engines that report their layers, fill layers that are thin everywhere, and do not take silence for loss while control boxes are out of reach

A newcomer that was loading counted as holding its layers and was chosen as a spare eight times, each conflict began its load anew (21.5 to 25.8 s); fast engines were moved once no slow one could be spared; layers 51 to 60 kept three full holders for 15 s, since no failure domain lacked them; and a leader that was cut off from the other control boxes took 14 of 34 engines for lost, whose heartbeats went elsewhere.

--- a/src/ledgeladder/coordination/loss_evidence.py
+++ b/src/ledgeladder/coordination/loss_evidence.py
@@ -40,7 +40,13 @@
 
 
 def seems_lost(
-    evidence: LossEvidence, instance: str, heard_at: float, now: float, heartbeat: float
+    evidence: LossEvidence,
+    instance: str,
+    heard_at: float,
+    now: float,
+    heartbeat: float,
+    *,
+    silence_counts: bool,
 ) -> bool:
     """Tell whether an engine counts as lost.
 
@@ -50,12 +56,14 @@
         heard_at: When its last heartbeat came, on the monotonic clock.
         now: Monotonic time.
         heartbeat: Time between two heartbeats, in seconds.
+        silence_counts: False while some control boxes are out of reach: they may hear what this one
+            does not.
 
     Returns:
-        True if it is silent for long, if several boxes found it dead, or if one did and its next
-        heartbeat is overdue.
+        True if several boxes found it dead, if one did and its next heartbeat is overdue, or if it
+        is silent for long.
     """
-    silence = now - heard_at
+    silence = now - heard_at if silence_counts else 0.0
     if silence > SILENT_HEARTBEATS * heartbeat:
         return True
     reports = evidence.reports.get(instance, {})
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -161,6 +161,7 @@
             failure_domain=item.failure_domain,
             card=item.card,
             holding=_holding(state, item),
+            settled=item.instance not in state.ledger.sent,
         )
         for item in engines
     ]
@@ -259,7 +260,10 @@
     if known is None or engine.state is not UpstreamState.READY:
         return False
     heartbeat = state.settings.bounds.heartbeat_ms / 1000.0
-    return not seems_lost(state.losses, engine.instance, known.heard_at, now, heartbeat)
+    hears_all = len(state.peers.links) >= len(state.peers.known)
+    return not seems_lost(
+        state.losses, engine.instance, known.heard_at, now, heartbeat, silence_counts=hears_all
+    )
 
 
 def _holding(state: RegistryState, engine: Registration) -> Holding | None:
--- a/src/ledgeladder/routing/placed_engine.py
+++ b/src/ledgeladder/routing/placed_engine.py
@@ -24,3 +24,6 @@
 
     holding: Holding | None
     """Layers that it holds or was ordered to hold."""
+
+    settled: bool = True
+    """False while it has not reported the layers that it was ordered to hold."""
--- a/src/ledgeladder/routing/placement_repair.py
+++ b/src/ledgeladder/routing/placement_repair.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING, Final
 
 from .layer_coverage import LayerCoverage, slowness
 from .placement import layers_for, missing_layers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Collection, Iterable, Sequence
 
     from ..model.registration import Holding
     from ..model.traffic import EngineProfile
@@ -20,14 +21,23 @@
 site to two full engines."""
 
 
+THIN_SHARE: Final = 0.4
+"""Share of the mean over all layers below which a layer counts as lacking everywhere."""
+
+MOVES_LIMIT: Final = 6
+"""Most moves in one round; what is still lacking then is looked at again."""
+
+
 def plan_repairs(
     profile: EngineProfile, engines: Sequence[PlacedEngine]
 ) -> list[tuple[PlacedEngine, Holding]]:
-    """Choose engines to move where failure domains lack layers after a loss.
+    """Choose engines to move where layers are lacking after a loss.
 
-    Only engines whose layers are held elsewhere too, in their own failure domain and in all, are
-    moved, the slowest first: the fast ones carry more requests. A lost fast engine takes several
-    slow ones. What nobody can be spared for is left to the other failure domains.
+    A failure domain lacks layers that none of its engines holds; the whole system lacks those that
+    carry much less than the others. Only engines of the slowest kind of a failure domain are moved,
+    since the fast ones carry more requests, and only if their layers are held elsewhere too, in
+    their own failure domain and in all. A lost fast engine takes several slow ones. What nobody can
+    be spared for is left to the other failure domains.
 
     Args:
         profile: Figures of the engines.
@@ -44,35 +54,53 @@
             coverage.add(engine, engine.holding)
     moves: list[tuple[PlacedEngine, Holding]] = []
     for members in by_domain.values():
-        moves += _repair_domain(profile, members, coverage)
-    return moves
+        moves += _repair(profile, members, coverage, lambda rest: _lacked_by(profile, rest))
+    moves += _repair(profile, engines, coverage, lambda _rest: _thin_layers(coverage))
+    return moves[:MOVES_LIMIT]
 
 
-def _repair_domain(
-    profile: EngineProfile, members: Sequence[PlacedEngine], coverage: LayerCoverage
+def _lacked_by(profile: EngineProfile, members: Iterable[PlacedEngine]) -> list[int]:
+    """Return the layers that a failure domain lacks.
+
+    None if it lacks over half of them: then it never held a whole copy, or lost too much for moves
+    to help.
+    """
+    lacking = missing_layers(profile, _holdings(members))
+    return lacking if len(lacking) <= profile.layers // 2 else []
+
+
+def _thin_layers(coverage: LayerCoverage) -> list[int]:
+    """Return the layers that carry much less than the others."""
+    least = THIN_SHARE * sum(coverage.everywhere) / len(coverage.everywhere)
+    return [layer for layer, carried in enumerate(coverage.everywhere) if carried < least]
+
+
+def _repair(
+    profile: EngineProfile,
+    members: Sequence[PlacedEngine],
+    coverage: LayerCoverage,
+    find_lacking: Callable[[Sequence[PlacedEngine]], list[int]],
 ) -> list[tuple[PlacedEngine, Holding]]:
-    """Choose moves within one failure domain until it lacks nothing or has nobody to spare."""
+    """Choose moves among some engines until they lack nothing or nobody can be spared."""
     moves: list[tuple[PlacedEngine, Holding]] = []
-    lacking = missing_layers(profile, _holdings(members))
-    # One that lacks over half of the layers never held a whole copy, or lost too much for moves to
-    # help.
-    if len(lacking) > profile.layers // 2:
-        return moves
-    rest = list(members)
-    while lacking:
-        spare = _spare_engine(profile, rest, coverage)
+    present = list(members)
+    moved: set[str] = set()
+    while len(moves) < MOVES_LIMIT:
+        lacking = find_lacking(present)
+        spare = _spare_engine(profile, present, coverage, moved) if lacking else None
         if spare is None or spare.holding is None:
-            break
-        rest = [item for item in rest if item is not spare]
+            return moves
         coverage.add(spare, spare.holding, -1.0)
         holding = coverage.best_range(spare, layers_for(profile, spare.card))
         coverage.add(spare, holding)
         if not any(holding.first <= layer < holding.end for layer in lacking):
             coverage.add(spare, holding, -1.0)
             coverage.add(spare, spare.holding)
-            break
+            return moves
         moves.append((spare, holding))
-        lacking = missing_layers(profile, [*_holdings(rest), *(moved for _engine, moved in moves)])
+        moved.add(spare.instance)
+        there = dataclasses.replace(spare, holding=holding, settled=False)
+        present = [there if item.instance == spare.instance else item for item in present]
     return moves
 
 
@@ -81,26 +109,39 @@
 
 
 def _spare_engine(
-    profile: EngineProfile, members: Sequence[PlacedEngine], coverage: LayerCoverage
+    profile: EngineProfile,
+    members: Sequence[PlacedEngine],
+    coverage: LayerCoverage,
+    moved: Collection[str],
 ) -> PlacedEngine | None:
-    """Return the slowest engine that can be spared, and of equal ones the least missed."""
-    copies = [0] * profile.layers
+    """Return the engine of the slowest kind that is missed least; None if nobody can be spared."""
+    copies: dict[str, list[int]] = {}
+    slowest: dict[str, float] = {}
     for item in members:
+        pace = slowness(profile, item.card)
+        slowest[item.failure_domain] = max(slowest.get(item.failure_domain, 0.0), pace)
+        held = copies.setdefault(item.failure_domain, [0] * profile.layers)
         if item.holding is not None:
             for layer in range(item.holding.first, min(item.holding.end, profile.layers)):
-                copies[layer] += 1
+                held[layer] += 1
     least = KEPT_SHARE * sum(coverage.everywhere) / profile.layers
 
     def left_without(item: PlacedEngine, holding: Holding) -> float:
         carried = min(coverage.everywhere[holding.first : holding.end], default=0.0)
         return carried - coverage.capacity(item, holding)
 
+    def can_go(item: PlacedEngine, holding: Holding) -> bool:
+        held = copies[item.failure_domain][holding.first : holding.end]
+        return min(held, default=0) >= 2 and left_without(item, holding) >= least
+
     candidates = [
-        (-slowness(profile, item.card), -left_without(item, item.holding), index)
+        (-left_without(item, item.holding), index)
         for index, item in enumerate(members)
         if item.holding is not None
+        and item.settled
+        and item.instance not in moved
+        and slowness(profile, item.card) == slowest[item.failure_domain]
         and layers_for(profile, item.card) > 0
-        and min(copies[item.holding.first : item.holding.end], default=0) >= 2
-        and left_without(item, item.holding) >= least
+        and can_go(item, item.holding)
     ]
-    return members[min(candidates)[2]] if candidates else None
+    return members[min(candidates)[1]] if candidates else None
--- a/tests/routing/test_placement_repair.py
+++ b/tests/routing/test_placement_repair.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from ledgeladder.routing.placement import missing_layers, plan_placement
 from ledgeladder.routing.placement_repair import KEPT_SHARE, plan_repairs
 
@@ -62,3 +64,34 @@
         narrowest = min(requests_by_layer(rest, before))
         mean = sum(left) / PROFILE.layers
         assert min(left) >= min(narrowest, KEPT_SHARE * mean) - 1e-6
+
+
+def test_engine_that_has_not_reported_its_layers_is_not_moved() -> None:
+    """It loads; another order to it is a conflict, and forgetting the first one begins it anew."""
+    engines = fleet()
+    settled = placed(engines, plan_placement(PROFILE, engines))
+    for lost in settled:
+        rest = [item for item in settled if item is not lost]
+        loading = [dataclasses.replace(item, settled=False) for item in rest]
+        assert plan_repairs(PROFILE, loading) == []
+
+
+def test_fast_engines_are_not_moved() -> None:
+    engines = fleet()
+    settled = placed(engines, plan_placement(PROFILE, engines))
+    for lost in settled:
+        rest = [item for item in settled if item is not lost]
+        assert {spare.card for spare, _holding in plan_repairs(PROFILE, rest)} <= {"slow"}
+
+
+def test_layers_that_lost_most_of_their_holders_everywhere_get_some_back() -> None:
+    engines = fleet()
+    settled = placed(engines, plan_placement(PROFILE, engines))
+    layer = 40
+    holders = [
+        item for item in settled if item.holding and item.holding.first <= layer < item.holding.end
+    ]
+    rest = [item for item in settled if item not in holders[:-1]]
+    before = {item.instance: item.holding for item in rest if item.holding}
+    after = before | {spare.instance: holding for spare, holding in plan_repairs(PROFILE, rest)}
+    assert requests_by_layer(rest, after)[layer] > requests_by_layer(rest, before)[layer]
