Tell the other control boxes of orders, so that the next leader does not repeat them

Ruled out: asking each engine whether it is busy (a probe each, and it does not say with what). Tests: taking over, and forgetting.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -108,6 +108,9 @@
     """Newest order to each engine that has not reported the layers yet: to one that came without
     any, or to one that was moved."""
 
+    heard: dict[str, SentOrder] = field(default_factory=dict)
+    """Newest order to each engine that another leader told of, while this box does not lead."""
+
     repaired_at: float = float("-inf")
     """When engines were last moved to layers that a failure domain lacked."""
 
@@ -115,6 +118,45 @@
     """Terms under which an engine refused an order; this box orders nothing more under them."""
 
 
+def hear(
+    ledger: OrderLedger, instance: str, holding: Holding, load_seconds: float, now: float
+) -> None:
+    """Note that the leader has ordered an engine, so that the next one does not order it again.
+
+    Args:
+        ledger: The orders of this box.
+        instance: Run of the engine.
+        holding: Layers that it is to hold.
+        load_seconds: Time that the load is predicted to take.
+        now: Monotonic time.
+    """
+    ledger.heard[instance] = SentOrder(
+        holding=holding,
+        first_sent_at=now,
+        sent_at=now,
+        fence=0,
+        load_seconds=load_seconds,
+        begun=True,
+    )
+
+
+def follow(ledger: OrderLedger, now: float) -> None:
+    """Drop the own orders, and what was heard too long ago, while another box leads."""
+    ledger.sent.clear()
+    ledger.heard = {
+        instance: order
+        for instance, order in ledger.heard.items()
+        if now - order.sent_at < order.patience
+    }
+
+
+def take_over(ledger: OrderLedger) -> None:
+    """Go on with the orders of the last leader, as far as they were told."""
+    for instance, order in ledger.heard.items():
+        ledger.sent.setdefault(instance, order)
+    ledger.heard = {}
+
+
 def due(ledger: OrderLedger, instance: str, now: float) -> bool:
     """Tell whether an engine that has not reported its layers is to be ordered now."""
     order = ledger.sent.get(instance)
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -9,6 +9,7 @@
 import anyio
 
 from ...coordination import raft
+from ...coordination.engine_orders import hear
 from ...coordination.loss_evidence import forget_engines, note_report
 from ...coordination.registrations import (
     ages,
@@ -28,6 +29,7 @@
     LoadTotals,
     LogMessage,
     LostReport,
+    OrderNews,
     PeerHint,
     PeerRole,
     RegistrationAges,
@@ -190,6 +192,14 @@
             state.loads[id(link)] = ReportedLoad(loads=message.loads, at=anyio.current_time())
         case LoadShare() if is_control:
             state.shares[id(link)] = ReportedShare(share=message, at=anyio.current_time())
+        case OrderNews() if is_control:
+            hear(
+                state.ledger,
+                message.instance,
+                message.holding,
+                message.load_seconds,
+                anyio.current_time(),
+            )
         case LostReport():
             note_report(state.losses, message.instance, link.peer_box, anyio.current_time())
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -10,7 +10,15 @@
 import anyio
 
 from ...coordination import raft
-from ...coordination.engine_orders import OrderOutcome, due, note_outcome, note_sent, settle
+from ...coordination.engine_orders import (
+    OrderOutcome,
+    due,
+    follow,
+    note_outcome,
+    note_sent,
+    settle,
+    take_over,
+)
 from ...coordination.loss_evidence import seems_lost
 from ...http1 import (
     AnswerBrokenError,
@@ -19,6 +27,7 @@
     read_head,
     send_request,
 )
+from ...links.messages import OrderNews
 from ...model.registration import UpstreamState
 from ...platform.engine_calls import place_call, read_outcome
 from ...routing.placed_engine import PlacedEngine
@@ -80,14 +89,16 @@
 async def run_placing(state: RegistryState) -> None:
     """Order layers for engines that have none, and move some where layers were lost, for ever.
 
-    A box that does not lead forgets its orders: the next leader plans from what engines report.
+    A box that does not lead forgets its orders. The next leader plans from what engines report and
+    from the orders that the last one told it.
     """
     gathering = _Gathering()
     while True:
         await anyio.sleep(LOOK_SECONDS)
         if not _may_order(state) or state.configuration is None:
-            state.ledger.sent.clear()
+            follow(state.ledger, anyio.current_time())
             continue
+        take_over(state.ledger)
         pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
         engines = {pool.name: _engines(state, pool) for pool in pools}
         _settle(state, [item for members in engines.values() for item in members])
@@ -277,6 +288,11 @@
 async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
     """Send one order and note what came of it."""
     fence = state.node.replica.term
+    order = state.ledger.sent.get(engine.instance)
+    seconds = order.load_seconds if order is not None else 0.0
+    news = OrderNews(instance=engine.instance, holding=holding, load_seconds=seconds)
+    for link in state.peers.links.values():
+        link.post(news)
     outcome = await _send(state, engine, holding, fence)
     note_outcome(state.ledger, engine.instance, outcome, fence)
     logger.info(
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -11,7 +11,7 @@
 from ..coordination.raft import Envelope
 from ..coordination.state_machine import Delta
 from ..model import Configuration, ResultCode
-from ..model.registration import Liveness
+from ..model.registration import Holding, Liveness
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -197,6 +197,15 @@
     instance: str
 
 
+class OrderNews(msgspec.Struct, frozen=True, kw_only=True, tag="ordered", array_like=True):
+    """The leader has ordered an engine to hold layers, which it has not reported yet."""
+
+    instance: str
+    holding: Holding
+    load_seconds: float
+    """Time that the load is predicted to take."""
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="load", array_like=True):
     """What the sender's requests take on each upstream."""
 
@@ -272,6 +281,7 @@
     | RegistrationNews
     | RegistrationAges
     | LostReport
+    | OrderNews
     | LoadReport
     | LoadShare
     | LoadTotals
--- a/tests/coordination/test_engine_orders.py
+++ b/tests/coordination/test_engine_orders.py
@@ -10,9 +10,12 @@
     OrderLedger,
     OrderOutcome,
     due,
+    follow,
+    hear,
     note_outcome,
     note_sent,
     settle,
+    take_over,
 )
 from ledgeladder.model.registration import Holding
 
@@ -94,3 +97,23 @@
     note_sent(ledger, "i-1", LAYERS, 4, 0.0, load_seconds=3.0)
     note_outcome(ledger, "i-1", OrderOutcome.NO_ANSWER, 4)
     assert due(ledger, "i-1", CONFIRM_SECONDS)
+
+
+def test_next_leader_does_not_order_again_what_loads() -> None:
+    """An order that is repeated begins the load anew; leaders change in the middle of loads."""
+    ledger = OrderLedger()
+    hear(ledger, "i-1", LAYERS, 3.0, 10.0)
+    follow(ledger, 11.0)
+    take_over(ledger)
+    assert not due(ledger, "i-1", 15.0)
+    assert due(ledger, "i-1", 10.0 + CONFIRM_SECONDS + 6.0)
+    assert settle(ledger, {"i-1": (LAYERS,)}, 15.0) == ["i-1"]
+
+
+def test_what_an_old_leader_ordered_long_ago_is_forgotten() -> None:
+    ledger = OrderLedger()
+    hear(ledger, "i-1", LAYERS, 3.0, 10.0)
+    note_sent(ledger, "i-2", LAYERS, 4, 10.0)
+    follow(ledger, 10.0 + CONFIRM_SECONDS + 6.0)
+    take_over(ledger)
+    assert not ledger.sent
