Give the next run of a crashed engine its layers back, and explain missing paths by the newest runs

Cause: an engine that crashed comes back empty at the same address and under another id, while its old run stays registered for 12 s; the new one waited 1.2 s and was then placed where need seemed greatest, with the old run counted as a holder. Ruled out: dead ends of the search (3,000 random pools: none). Tests: superseded runs.

--- a/src/ledgeladder/coordination/registrations.py
+++ b/src/ledgeladder/coordination/registrations.py
@@ -144,6 +144,18 @@
             held.heard_at = max(held.heard_at, now - age)
 
 
+def superseded(table: RegistrationTable) -> set[str]:
+    """Return the ids of upstreams at whose address a newer one has registered.
+
+    An upstream that crashed says nothing; its next run registers under another id.
+    """
+    newest: dict[str, tuple[float, str]] = {}
+    for instance, item in table.known.items():
+        address = item.registration.address
+        newest[address] = max(newest.get(address, (0.0, "")), (item.first_heard_at, instance))
+    return set(table.known) - {instance for _first_heard_at, instance in newest.values()}
+
+
 def forget_silent(table: RegistrationTable, now: float, silence: float) -> list[str]:
     """Drop upstreams that nobody has heard for long; they may register again.
 
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...coordination import raft
 from ...coordination.engine_orders import (
@@ -20,6 +21,7 @@
     take_over,
 )
 from ...coordination.loss_evidence import seems_lost
+from ...coordination.registrations import superseded
 from ...http1 import (
     AnswerBrokenError,
     ConnectError,
@@ -152,9 +154,15 @@
 
 
 def _engines(state: RegistryState, pool: UpstreamPool) -> list[Registration]:
+    """Return the engines of a pool; one whose address a newer run has taken counts as leaving."""
+    old = superseded(state.table)
     return [
-        item.registration
-        for item in state.table.known.values()
+        (
+            msgspec.structs.replace(item.registration, state=UpstreamState.LEAVING)
+            if instance in old
+            else item.registration
+        )
+        for instance, item in state.table.known.items()
         if item.registration.pool == pool.name and item.registration.card
     ]
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -213,7 +213,7 @@
     """
     reasons: Counter[str] = Counter()
     open_layers = [False] * profile.layers
-    for engine in engines:
+    for engine in _newest_runs(engines):
         reason = _why_unusable(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
         if reason:
--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -10,6 +10,7 @@
     RegistrationTable,
     end_of,
     forget_silent,
+    superseded,
     take_ages,
     take_all,
     take_registration,
@@ -74,3 +75,13 @@
     assert take_registration(table, said(1), 0.0)
     assert not take_registration(table, msgspec.structs.replace(said(1), sequence=2), 1.0)
     assert take_registration(table, said(3, first=20), 2.0)
+
+
+def test_run_at_whose_address_a_newer_one_registered_is_superseded() -> None:
+    table = RegistrationTable()
+    for instance, address, at in (("old", "a:1", 1.0), ("other", "b:1", 2.0), ("new", "a:1", 3.0)):
+        registration = Registration(instance=instance, sequence=1, address=address)
+        take_registration(table, registration, at)
+    # A late heartbeat of the old run changes nothing.
+    take_registration(table, Registration(instance="old", sequence=2, address="a:1"), 4.0)
+    assert superseded(table) == {"old"}
