Ask the engines of a late path how slowly they work, and pass by the slow ones

Probes find such an engine alive. Now the engines of a path that stands still for 0.14 s are asked for their pace, each once a second at most, and the pace counts in the cost of paths for 4 s.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -71,6 +71,14 @@
     """The body."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineReport:
+    """What an engine says of itself when it is asked."""
+
+    pace: float
+    """How many times slower than usual it works; 1 if it works as usual."""
+
+
 @dataclass(kw_only=True, slots=True)
 class SentOrder:
     """The newest order to one run of an engine."""
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/asking.py
@@ -0,0 +1,85 @@
+"""Asking engines of a path that is late how slowly they work."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...http1 import AnswerBrokenError, ConnectError, connect, read_head, read_part, send_request
+from ...platform.engine_calls import read_report, report_call
+
+if TYPE_CHECKING:
+    from ...routing.forwarding_table import ForwardedUpstream
+    from ...routing.paths import ChosenPath
+    from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+ASK_SECONDS: Final = 0.06
+"""How long engines may take to tell, connection included: reports need no slot. The stream that is
+late is not read meanwhile."""
+
+ASK_AGAIN_SECONDS: Final = 1.0
+"""Least time between two questions to one engine; a report is 0.2 s old and has a price."""
+
+REPORT_LIMIT_BYTES: Final = 65536
+"""Longest report that is read."""
+
+
+async def ask_paces(state: GatewayState, path: ChosenPath) -> None:
+    """Ask the engines of a path how slowly they work, side by side.
+
+    What they say counts for the choice of the next paths. One that does not tell in time is left as
+    it is.
+
+    Args:
+        state: The process's state.
+        path: The path.
+    """
+    now = anyio.current_time()
+    asked = [item for item in path.engines if now - item.pace_at >= ASK_AGAIN_SECONDS]
+    with anyio.move_on_after(ASK_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            for engine in asked:
+                engine.pace_at = now
+                engine.pace = 1.0
+                tasks.start_soon(_ask, state, engine)
+
+
+async def _ask(state: GatewayState, engine: ForwardedUpstream) -> None:
+    try:
+        body = await _read(state, engine)
+    except (AnswerBrokenError, ConnectError) as error:
+        logger.debug(
+            "no report", extra={"upstream": engine.registration.instance, "why": str(error)}
+        )
+        return
+    report = read_report(body)
+    if report is None:
+        logger.warning("report unreadable", extra={"upstream": engine.registration.instance})
+        return
+    engine.pace = report.pace
+    state.metrics.counters["pace-asked"] += 1
+    if report.pace > 1.0:
+        logger.warning(
+            "engine works slowly",
+            extra={"upstream": engine.registration.instance, "pace": report.pace},
+        )
+
+
+async def _read(state: GatewayState, engine: ForwardedUpstream) -> bytes:
+    address = engine.registration.address
+    connection = await connect(address, source=state.settings.box.address, seconds=ASK_SECONDS)
+    try:
+        call = report_call()
+        headers = [(b"Host", address.encode()), *call.headers]
+        await send_request(connection, call.method, call.target, headers, call.body)
+        await read_head(connection)
+        body = b""
+        while (part := await read_part(connection)) is not None and len(body) < REPORT_LIMIT_BYTES:
+            body += part
+        return body
+    finally:
+        await connection.close()
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -33,6 +33,7 @@
     reserve,
 )
 from ...routing.repeat_window import note_first, take_repeat
+from .asking import ask_paces
 from .checks import Permit, refusal
 from .notes import RequestNotes
 from .probing import find_lost
@@ -60,6 +61,10 @@
 SILENCE_LIMIT_SECONDS: Final = 1.0
 """Silence after which a run is replaced although its engines answer. Callers leave after 2 s."""
 
+SLOW_SILENCE_SECONDS: Final = 0.14
+"""Silence on a path of engines that all answer, after which they are asked how slowly they work: 9
+in 10 streams never pause for so long."""
+
 LINK_SILENCE_SECONDS: Final = 0.3
 """Silence on a path of engines that all answer, after which the links that it passes are avoided:
 twice the pauses of a busy engine on a slow card (0.15 s for 9 in 10 streams)."""
@@ -462,6 +467,7 @@
         if await find_lost(state, path, session.dead):
             scope.cancel()
             return
+        await ask_paces(state, path)
         _suspect_links(state, path, waited)
     session.excluded.update(item.registration.instance for item in path.engines)
     scope.cancel()
@@ -601,6 +607,8 @@
         waited += patience
         if await find_lost(state, path, session.dead):
             raise AnswerLostError("an engine of the path does not answer")
+        if waited >= SLOW_SILENCE_SECONDS:
+            await ask_paces(state, path)
         _suspect_links(state, path, waited)
         if waited >= SILENCE_LIMIT_SECONDS:
             session.excluded.update(item.registration.instance for item in path.engines)
--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -1,4 +1,4 @@
-"""Calls to engines beside requests: orders to hold layers, and to change a running path."""
+"""Calls to engines beside requests: orders to hold layers or change a running path, and reports."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..coordination.engine_orders import EngineCall, OrderOutcome
+from ..coordination.engine_orders import EngineCall, EngineReport, OrderOutcome
 from .exchange import encode_path
 
 if TYPE_CHECKING:
@@ -17,6 +17,15 @@
 
 ORDER_TARGET: Final = b"/api/order"
 
+REPORT_TARGET: Final = b"/api/report"
+
+
+class _Report(msgspec.Struct):
+    pace: float = 1.0
+
+
+_REPORT_DECODER: Final = msgspec.json.Decoder(_Report)
+
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.BEGUN,
@@ -74,3 +83,23 @@
 def read_outcome(status: int) -> OrderOutcome:
     """Tell what an engine's answer to an order means."""
     return _OUTCOMES.get(status, OrderOutcome.REFUSED)
+
+
+def report_call() -> EngineCall:
+    """Build the question how an engine does."""
+    return EngineCall(method=b"GET", target=REPORT_TARGET, headers=[], body=b"")
+
+
+def read_report(body: bytes) -> EngineReport | None:
+    """Decode an engine's report; None if it cannot be read.
+
+    >>> read_report(b'{"pace":4.0,"busy":false}')
+    EngineReport(pace=4.0)
+    >>> read_report(b"oops") is None
+    True
+    """
+    try:
+        report = _REPORT_DECODER.decode(body)
+    except msgspec.DecodeError:
+        return None
+    return EngineReport(pace=report.pace)
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -34,6 +34,9 @@
 DOUBTS_KEPT: Final = 16
 """Failures that are remembered for each failure domain."""
 
+PACE_BELIEVED_SECONDS: Final = 4.0
+"""How long an engine that said that it is slow counts as slow; then a few requests find out."""
+
 HEARD_MARGIN_SECONDS: Final = 0.05
 """How much later than its loss an upstream must have been heard: ages are told in hundredths of a
 second, and news of a heartbeat takes a few milliseconds."""
@@ -86,6 +89,12 @@
     """When it last showed that it works: an event came over a path through it, or it accepted a
     probe. On the monotonic clock."""
 
+    pace: float = 1.0
+    """How many times slower than usual it works, as it last said."""
+
+    pace_at: float = float("-inf")
+    """When it was last asked for its pace, on the monotonic clock."""
+
     load: UpstreamLoad | None = None
     """Load that it told last."""
 
@@ -323,3 +332,9 @@
 def is_silent(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether nobody has heard an upstream for so long that it is likely lost."""
     return now - upstream.heard_at > SILENT_SECONDS
+
+
+def slow_factor(upstream: ForwardedUpstream, now: float) -> float:
+    """Return how many times slower than usual an engine is likely to work; at least 1."""
+    believed = now - upstream.pace_at < PACE_BELIEVED_SECONDS
+    return max(1.0, upstream.pace) if believed else 1.0
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_silent, is_usable, total_in_flight, total_kv
+from .forwarding_table import is_silent, is_usable, slow_factor, total_in_flight, total_kv
 from .layer_coverage import kv_capacity
 
 if TYPE_CHECKING:
@@ -390,6 +390,7 @@
     step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
     read = request.prompt_tokens / profile.read_per_s * card.read_factor
     seconds = (step * request.answer_tokens + read) * share * (1.0 + CROWDING * fullness**2)
+    seconds *= slow_factor(engine, now)
     return seconds + (SILENT_PENALTY_SECONDS if is_silent(engine, now) else 0.0)
 
 
