Try engines that seem full when nothing else is left

An engine that is full says so within milliseconds, or lets the request wait for what ends next. Test: the last resort.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -4,7 +4,7 @@
 
 import logging
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
@@ -25,6 +25,7 @@
 from ...routing.link_doubts import doubt_links, link_penalties
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
 from ...routing.paths import (
+    OVERFULL_AT,
     ChosenPath,
     PathRequest,
     choose_path,
@@ -224,7 +225,7 @@
     """Choose the path of the next run, giving up one wish after the other until there is one.
 
     First other failure domains that seem cut off are left out, then only engines that failed this
-    request, at last only those that were found dead.
+    request, then only those that were found dead; at last engines that seem full are tried.
     """
     wanted = _wanted(state, permit, expected)
     engines = state.table.pools.get(permit.pool.name, [])
@@ -236,6 +237,9 @@
         path = choose_path(profile, engines, wanted, now, excluded=excluded, rng=state.rng)
     if path is None and excluded != session.dead:
         path = choose_path(profile, engines, wanted, now, excluded=session.dead, rng=state.rng)
+    if path is None:
+        wanted = replace(wanted, full_at=OVERFULL_AT)
+        path = choose_path(profile, engines, wanted, now, excluded=excluded, rng=state.rng)
     return path
 
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -33,6 +33,10 @@
 """Share of the KV cache at which an engine takes no more requests of this box. Answers are often
 longer than hinted, and the other boxes' requests are only estimated."""
 
+OVERFULL_AT: Final = 1.2
+"""The same as a last resort: the load of other boxes is an estimate, and an engine that has no room
+says so within milliseconds or lets the request wait for what ends next."""
+
 CROWDING: Final = 2.0
 """Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
 any engine is full."""
@@ -70,6 +74,9 @@
     link_penalties: Mapping[tuple[str, str], float] = field(default_factory=dict)
     """Extra cost of links between failure domains that are avoided, in seconds."""
 
+    full_at: float = FULL_AT
+    """Share of the KV cache at which an engine counts as full."""
+
     sharers: float = 1.0
     """How many times the own requests an engine is likely to hold of all boxes."""
 
@@ -384,7 +391,7 @@
     share = layers / profile.layers
     tokens = request.prompt_tokens + request.answer_tokens
     fullness = kv_fullness(profile, engine, request.sharers, float(tokens * layers), now)
-    if fullness > FULL_AT:
+    if fullness > request.full_at:
         return float("inf")
     running = total_in_flight(engine, now, request.sharers) + 1
     step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -22,6 +22,7 @@
     total_in_flight,
     total_kv,
 )
+from ledgeladder.routing.layer_coverage import kv_capacity
 from ledgeladder.routing.link_doubts import (
     DOUBT_SECONDS,
     LinkDoubts,
@@ -29,6 +30,7 @@
     link_penalties,
 )
 from ledgeladder.routing.paths import (
+    OVERFULL_AT,
     ChosenPath,
     PathRequest,
     choose_path,
@@ -277,3 +279,15 @@
     again = choose_path(PROFILE, pool, wanted("a"), 1.0 + PACE_BELIEVED_SECONDS)
     assert again is not None
     assert slow in again.engines
+
+
+def test_engines_that_seem_full_are_a_last_resort() -> None:
+    pool = [half("a", Holding(first=0, end=40)), half("b", Holding(first=40, end=80))]
+    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    capacity = kv_capacity(small, "fast", 40)
+    pool[1].kv_reserved = capacity
+    assert choose_path(small, pool, wanted("a"), 1.0) is None
+    anyway = dataclasses.replace(wanted("a"), full_at=OVERFULL_AT)
+    assert choose_path(small, pool, anyway, 1.0) is not None
+    pool[1].kv_reserved = capacity * 2
+    assert choose_path(small, pool, anyway, 1.0) is None
