--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -24,8 +24,8 @@
 )
 from ...routing.link_doubts import doubt_links, link_penalties
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
+from ...routing.path_costs import OVERFULL_AT
 from ...routing.paths import (
-    OVERFULL_AT,
     ChosenPath,
     PathRequest,
     choose_path,
--- /dev/null
+++ b/src/ledgeladder/routing/path_costs.py
@@ -0,0 +1,173 @@
+"""Predicted time of a request on one engine, and from one engine to the next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from .forwarding_table import is_silent, slow_factor, total_in_flight, total_kv
+from .layer_coverage import kv_capacity
+
+if TYPE_CHECKING:
+    from ..model.traffic import EngineProfile
+    from .forwarding_table import ForwardedUpstream
+    from .paths import PathRequest
+
+LOCAL_HOP_SECONDS: Final = 0.0002
+"""One-way delay inside a failure domain, as the platform's sheet gives it for its own links."""
+
+SILENT_PENALTY_SECONDS: Final = 5.0
+"""Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
+
+FULL_AT: Final = 0.92
+"""Share of the KV cache at which an engine takes no more requests of this box. Answers are often
+longer than hinted, and the other boxes' requests are only estimated."""
+
+OVERFULL_AT: Final = 1.2
+"""The same as a last resort: the load of other boxes is an estimate, and an engine that has no room
+says so within milliseconds or lets the request wait for what ends next."""
+
+CROWDING: Final = 2.0
+"""Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
+any engine is full."""
+
+PIPE_CROWDING: Final = 3.0
+"""Cost factor of the time that a request takes on the link between two failure domains. On the
+users' sites a prompt takes 23 ms of a link that all requests pass one after the other: 30 a second
+that cross once keep it two thirds busy, and each then waits twice its own time."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class EngineOffer:
+    """What one engine would do for a request with one of the ranges that it holds."""
+
+    engine: ForwardedUpstream
+    """The engine."""
+
+    failure_domain: str
+    """Its failure domain."""
+
+    first: int
+    """First layer of the range."""
+
+    end: int
+    """One past its last layer."""
+
+    most_layers: int
+    """Layers of the request for which its KV cache has room; at least one."""
+
+    seconds_per_layer: float
+    """Predicted time for each layer."""
+
+    fixed_seconds: float
+    """Predicted time besides, once."""
+
+
+def kv_fullness(
+    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float, now: float
+) -> float:
+    """Return how full the KV cache of an engine would be with one more request, from 0.
+
+    Args:
+        profile: Figures of the engines.
+        engine: The engine.
+        sharers: Factor from the own requests to those of all boxes.
+        needed: Tokens x layers of the new request.
+        now: Monotonic time.
+    """
+    held = sum(item.end - item.first for item in engine.registration.holdings)
+    capacity = kv_capacity(profile, engine.registration.card, held)
+    if capacity <= 0:
+        return float("inf")
+    return (total_kv(engine, now, sharers) + needed) / capacity
+
+
+def engine_offers(
+    profile: EngineProfile,
+    engine: ForwardedUpstream,
+    request: PathRequest,
+    now: float,
+    *,
+    factor: float = 1.0,
+) -> list[EngineOffer]:
+    """Return what an engine offers for a request, one for each range of layers that it holds.
+
+    Times are worked out once for each range and not for each part of one, as if the whole range
+    were used: a path is chosen among thousands of parts, and the difference is small.
+
+    Args:
+        profile: Figures of the engines.
+        engine: The engine.
+        request: What the path is for.
+        now: Monotonic time.
+        factor: Factor on its times.
+
+    Returns:
+        Offers; none if its card is not known, or if its KV cache has no room for one layer.
+    """
+    card = profile.cards.get(engine.registration.card)
+    if card is None:
+        return []
+    tokens = float(max(1, request.prompt_tokens + request.answer_tokens))
+    running = total_in_flight(engine, now, request.sharers) + 1
+    step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
+    read = request.prompt_tokens / profile.read_per_s * card.read_factor
+    seconds = (step * request.answer_tokens + read) / profile.layers
+    seconds *= slow_factor(engine, now) * factor
+    offers = []
+    for holding in engine.registration.holdings:
+        layers = holding.end - holding.first
+        most = _room(profile, engine, request, tokens, now)
+        if most < 1:
+            continue
+        used = min(layers, most)
+        fullness = kv_fullness(profile, engine, request.sharers, tokens * used, now)
+        offers.append(
+            EngineOffer(
+                engine=engine,
+                failure_domain=engine.registration.failure_domain,
+                first=holding.first,
+                end=min(holding.end, profile.layers),
+                most_layers=used,
+                seconds_per_layer=seconds * (1.0 + CROWDING * fullness**2),
+                fixed_seconds=SILENT_PENALTY_SECONDS if is_silent(engine, now) else 0.0,
+            )
+        )
+    return offers
+
+
+def _room(
+    profile: EngineProfile,
+    engine: ForwardedUpstream,
+    request: PathRequest,
+    tokens: float,
+    now: float,
+) -> int:
+    """Return for how many layers of a request the KV cache of an engine has room."""
+    held = sum(item.end - item.first for item in engine.registration.holdings)
+    capacity = kv_capacity(profile, engine.registration.card, held)
+    if capacity == float("inf"):
+        return profile.layers
+    room = capacity * request.full_at - total_kv(engine, now, request.sharers)
+    return min(profile.layers, max(0, int(room / tokens)))
+
+
+def handover(profile: EngineProfile, one: str, other: str, request: PathRequest) -> float:
+    """Return what it costs that one engine hands a request on to another, in seconds.
+
+    Every token is handed on with a delay; between failure domains, prompt and answer also take time
+    on a link that all requests share.
+    """
+    delay = hop(profile, one, other) * max(1, request.answer_tokens)
+    if one == other:
+        return delay
+    transfer = 0.0
+    if profile.pipe_bytes_per_s > 0:
+        tokens = request.prompt_tokens + request.answer_tokens
+        transfer = tokens * profile.activation_bytes / profile.pipe_bytes_per_s
+    return delay + PIPE_CROWDING * transfer + request.link_penalties.get((one, other), 0.0)
+
+
+def hop(profile: EngineProfile, one: str, other: str) -> float:
+    """Return the one-way delay between two failure domains, in seconds; 1 ms if none is given."""
+    return LOCAL_HOP_SECONDS if one == other else profile.delays.get((one, other), 0.001)
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -13,8 +13,9 @@
 from typing import TYPE_CHECKING, Final
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_silent, is_usable, slow_factor, total_in_flight, total_kv
-from .layer_coverage import kv_capacity
+from .forwarding_table import is_usable
+from .path_costs import FULL_AT, engine_offers
+from .path_search import cheapest_steps
 
 if TYPE_CHECKING:
     import random
@@ -22,24 +23,7 @@
 
     from ..model.traffic import EngineProfile
     from .forwarding_table import ForwardedUpstream
-
-LOCAL_HOP_SECONDS: Final = 0.0002
-"""One-way delay inside a failure domain, as the platform's sheet gives it for its own links."""
-
-SILENT_PENALTY_SECONDS: Final = 5.0
-"""Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
-
-FULL_AT: Final = 0.92
-"""Share of the KV cache at which an engine takes no more requests of this box. Answers are often
-longer than hinted, and the other boxes' requests are only estimated."""
-
-OVERFULL_AT: Final = 1.2
-"""The same as a last resort: the load of other boxes is an estimate, and an engine that has no room
-says so within milliseconds or lets the request wait for what ends next."""
-
-CROWDING: Final = 2.0
-"""Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
-any engine is full."""
+    from .path_costs import EngineOffer
 
 SPREAD: Final = 0.3
 """Random part of the cost of an engine, so that boxes that know the same do not choose the same.
@@ -49,14 +33,6 @@
 """How many times cheaper a path over other failure domains must be: it shares their pipes, and a
 cut would end it."""
 
-PIPE_CROWDING: Final = 3.0
-"""Cost factor of the time that a request takes on the link between two failure domains. On the
-users' sites a prompt takes 23 ms of a link that all requests pass one after the other: 30 a second
-that cross once keep it two thirds busy, and each then waits twice its own time."""
-
-PARTS_LIMIT: Final = 32
-"""Most engines on one path."""
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PathRequest:
@@ -100,48 +76,6 @@
         return self.engines[0]
 
 
-@dataclass(slots=True)
-class _Step:
-    """The cheapest way found so far to run the layers up to `end`, with its last engine."""
-
-    cost: float
-    """Predicted time of the whole way, in seconds."""
-
-    engine: ForwardedUpstream
-    """Engine that runs the last layers of it."""
-
-    first: int
-    """First of those layers."""
-
-    end: int
-    """One past the last of them."""
-
-    before: _Step | None
-    """The way up to `first`; None if that is layer 0."""
-
-    length: int
-    """Engines on the way."""
-
-
-def kv_fullness(
-    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float, now: float
-) -> float:
-    """Return how full the KV cache of an engine would be with one more request, from 0.
-
-    Args:
-        profile: Figures of the engines.
-        engine: The engine.
-        sharers: Factor from the own requests to those of all boxes.
-        needed: Tokens x layers of the new request.
-        now: Monotonic time.
-    """
-    held = sum(item.end - item.first for item in engine.registration.holdings)
-    capacity = kv_capacity(profile, engine.registration.card, held)
-    if capacity <= 0:
-        return float("inf")
-    return (total_kv(engine, now, sharers) + needed) / capacity
-
-
 def choose_path(
     profile: EngineProfile,
     engines: Iterable[ForwardedUpstream],
@@ -171,20 +105,46 @@
         and engine.registration.instance not in excluded
         and is_usable(engine, now)
     ]
-    spread = {
-        item.registration.instance: 1.0 + (SPREAD * rng.random() if rng is not None else 0.0)
+    offers = [
+        offer
         for item in usable
-    }
-    own = [item for item in usable if item.registration.failure_domain == request.failure_domain]
-    nearby = _search(profile, own, request, now, spread)
+        for offer in engine_offers(profile, item, request, now, factor=_spread(rng))
+    ]
+    own = [item for item in offers if item.failure_domain == request.failure_domain]
+    nearby = _search(profile, own, request)
     if nearby is not None and nearby.cost <= _unhurried(profile, request):
         return nearby
-    anywhere = _search(profile, usable, request, now, spread)
+    anywhere = _search(profile, offers, request)
     if nearby is None or anywhere is None:
         return nearby or anywhere
     return anywhere if anywhere.cost * FAR_FACTOR < nearby.cost else nearby
 
 
+def _spread(rng: random.Random | None) -> float:
+    return 1.0 if rng is None else 1.0 + SPREAD * rng.random()
+
+
+def _search(
+    profile: EngineProfile, offers: list[EngineOffer], request: PathRequest
+) -> ChosenPath | None:
+    steps = cheapest_steps(profile, offers, request)
+    if not steps:
+        return None
+    return ChosenPath(
+        parts=tuple(
+            PathPart(
+                instance=item.offer.engine.registration.instance,
+                address=item.offer.engine.registration.address,
+                first=item.first,
+                end=item.end,
+            )
+            for item in steps
+        ),
+        engines=tuple(item.offer.engine for item in steps),
+        cost=steps[-1].cost,
+    )
+
+
 def _newest_runs(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
     """Return one run for each address, the one heard last.
 
@@ -250,10 +210,7 @@
         return "leaving"
     if not is_usable(engine, now):
         return "lost" if engine.lost_at > engine.heard_at else "avoided"
-    layers = min(item.end - item.first for item in registration.holdings)
-    if _cost(profile, engine, layers, request, now) == float("inf"):
-        return "full"
-    return ""
+    return "" if engine_offers(profile, engine, request, now) else "full"
 
 
 def _unhurried(profile: EngineProfile, request: PathRequest) -> float:
@@ -270,166 +227,6 @@
     return steps + request.prompt_tokens / profile.read_per_s * card.read_factor
 
 
-def _search(
-    profile: EngineProfile,
-    engines: list[ForwardedUpstream],
-    request: PathRequest,
-    now: float,
-    spread: Mapping[str, float],
-) -> ChosenPath | None:
-    """Walk over the layers from first to last, keeping the best step per layer and domain.
-
-    One step per failure domain is kept, and not one per engine, since hops cost the same from every
-    engine of it: this bounds the work by the layers at which holdings begin or end.
-    """
-    edges = sorted({0, profile.layers}.union(*(_edges(engine) for engine in engines)))
-    best: dict[int, dict[str, _Step]] = {0: {}}
-    for start in edges[:-1]:
-        arrived = best.get(start)
-        if arrived is None:
-            continue
-        for engine in engines:
-            holding = _holding_at(engine, start)
-            if holding is None:
-                continue
-            before, waited = _best_before(profile, arrived, engine, start, request)
-            if before is None and start > 0:
-                continue
-            factor = spread[engine.registration.instance]
-            for end in edges:
-                if start < end <= holding:
-                    cost = waited + factor * _cost(profile, engine, end - start, request, now)
-                    _keep(best, _Step(cost, engine, start, end, before, _length(before)))
-    steps = best.get(profile.layers, {})
-    finite = [step for step in steps.values() if step.cost < float("inf")]
-    return _unwind(min(finite, key=lambda step: step.cost)) if finite else None
-
-
-def _edges(engine: ForwardedUpstream) -> set[int]:
-    holdings = engine.registration.holdings
-    return {item.first for item in holdings} | {item.end for item in holdings}
-
-
-def _holding_at(engine: ForwardedUpstream, layer: int) -> int | None:
-    """Return up to where an engine can run from a layer on, or None if it lacks the layer."""
-    ends = [item.end for item in engine.registration.holdings if item.first <= layer < item.end]
-    return max(ends, default=None)
-
-
-def _length(before: _Step | None) -> int:
-    return 1 if before is None else before.length + 1
-
-
-def _best_before(
-    profile: EngineProfile,
-    arrived: dict[str, _Step],
-    engine: ForwardedUpstream,
-    start: int,
-    request: PathRequest,
-) -> tuple[_Step | None, float]:
-    """Return the cheapest way to a layer that an engine can carry on, and its time with the hop.
-
-    None with an infinite time if there is no such way; None with the hop's time at layer 0.
-    """
-    domain = engine.registration.failure_domain
-    if start == 0:
-        return None, _hop(profile, request.failure_domain, domain)
-    best, waited = None, float("inf")
-    for other, step in arrived.items():
-        if step.length >= PARTS_LIMIT or _passes(step, engine):
-            continue
-        cost = step.cost + _handover(profile, other, domain, request)
-        if cost < waited:
-            best, waited = step, cost
-    return best, waited
-
-
-def _passes(step: _Step | None, engine: ForwardedUpstream) -> bool:
-    """Tell whether a path already uses an engine; an engine may be named once only."""
-    while step is not None:
-        if step.engine is engine:
-            return True
-        step = step.before
-    return False
-
-
-def _handover(profile: EngineProfile, one: str, other: str, request: PathRequest) -> float:
-    """Return what it costs that one engine hands a request on to another, in seconds.
-
-    Every token is handed on with a delay; between failure domains, prompt and answer also take time
-    on a link that all requests share.
-    """
-    delay = _hop(profile, one, other) * max(1, request.answer_tokens)
-    if one == other:
-        return delay
-    transfer = 0.0
-    if profile.pipe_bytes_per_s > 0:
-        tokens = request.prompt_tokens + request.answer_tokens
-        transfer = tokens * profile.activation_bytes / profile.pipe_bytes_per_s
-    return delay + PIPE_CROWDING * transfer + request.link_penalties.get((one, other), 0.0)
-
-
-def _hop(profile: EngineProfile, one: str, other: str) -> float:
-    """Return the one-way delay between two failure domains, in seconds; 1 ms if none is given."""
-    return LOCAL_HOP_SECONDS if one == other else profile.delays.get((one, other), 0.001)
-
-
-def _cost(
-    profile: EngineProfile,
-    engine: ForwardedUpstream,
-    layers: int,
-    request: PathRequest,
-    now: float,
-) -> float:
-    """Predict how long an engine takes for its layers of a request, in seconds.
-
-    Infinity if its card is not known or its KV cache has no room.
-    """
-    card = profile.cards.get(engine.registration.card)
-    if card is None:
-        return float("inf")
-    share = layers / profile.layers
-    tokens = request.prompt_tokens + request.answer_tokens
-    fullness = kv_fullness(profile, engine, request.sharers, float(tokens * layers), now)
-    if fullness > request.full_at:
-        return float("inf")
-    running = total_in_flight(engine, now, request.sharers) + 1
-    step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
-    read = request.prompt_tokens / profile.read_per_s * card.read_factor
-    seconds = (step * request.answer_tokens + read) * share * (1.0 + CROWDING * fullness**2)
-    seconds *= slow_factor(engine, now)
-    return seconds + (SILENT_PENALTY_SECONDS if is_silent(engine, now) else 0.0)
-
-
-def _keep(best: dict[int, dict[str, _Step]], step: _Step) -> None:
-    domain = step.engine.registration.failure_domain
-    held = best.setdefault(step.end, {}).get(domain)
-    if held is None or step.cost < held.cost:
-        best[step.end][domain] = step
-
-
-def _unwind(last: _Step) -> ChosenPath:
-    steps: list[_Step] = []
-    step: _Step | None = last
-    while step is not None:
-        steps.append(step)
-        step = step.before
-    steps.reverse()
-    return ChosenPath(
-        parts=tuple(
-            PathPart(
-                instance=item.engine.registration.instance,
-                address=item.engine.registration.address,
-                first=item.first,
-                end=item.end,
-            )
-            for item in steps
-        ),
-        engines=tuple(item.engine for item in steps),
-        cost=last.cost,
-    )
-
-
 def reserve(path: ChosenPath, tokens: int) -> None:
     """Count a request on every engine of its path.
 
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -29,8 +29,8 @@
     doubt_links,
     link_penalties,
 )
+from ledgeladder.routing.path_costs import OVERFULL_AT
 from ledgeladder.routing.paths import (
-    OVERFULL_AT,
     ChosenPath,
     PathRequest,
     choose_path,
