--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -269,6 +269,8 @@
             await exchange.answer(421, [(b"Replica-Id", upstream.instance.encode())], b"")
         elif request.target == b"/hold":
             await anyio.sleep_forever()
+        elif request.target == b"/api/report":
+            await exchange.answer(200, [(b"Content-Type", b"application/json")], b'{"pace":1.0}')
         elif request.target == b"/api/order":
             await take_order(upstream, request, exchange)
         elif b"token-count" in request.fields:
--- /dev/null
+++ b/tests/daemons/gateway/test_asking.py
@@ -0,0 +1,81 @@
+"""Asking the engines of a late path for their pace."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from ledgeladder.daemons.gateway import asking
+from ledgeladder.daemons.gateway.asking import ask_paces
+from ledgeladder.daemons.gateway.state import GatewayState
+from ledgeladder.model.registration import Registration
+from ledgeladder.routing.forwarding_table import ForwardedUpstream, slow_factor
+from ledgeladder.routing.paths import ChosenPath
+
+from .test_probing import settings
+
+
+def asked(answer: bytes | None, times: int = 1) -> tuple[ForwardedUpstream, list[bytes], float]:
+    """Ask one engine that answers with some bytes, or not at all; returns also what it was sent."""
+    sent: list[bytes] = []
+    engine = ForwardedUpstream(registration=Registration(instance="i-1", sequence=1), heard_at=0.0)
+    factor = 0.0
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            sent.append(await stream.receive())
+            if answer is None:
+                await anyio.sleep_forever()
+            await stream.send(answer)
+
+    async def run() -> None:
+        nonlocal factor
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(SocketAttribute.local_port)
+            engine.registration = Registration(
+                instance="i-1", sequence=1, address=f"127.0.0.1:{port}"
+            )
+            tasks.start_soon(listener.serve, serve)
+            state = GatewayState(settings=settings())
+            path = ChosenPath(parts=(), engines=(engine,), cost=1.0)
+            for _ in range(times):
+                await ask_paces(state, path)
+            factor = slow_factor(engine, anyio.current_time())
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return engine, sent, factor
+
+
+def http(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+@pytest.fixture(autouse=True)
+def patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Beside a load an answer may take longer than a stream would wait for it."""
+    monkeypatch.setattr(asking, "ASK_SECONDS", 5.0)
+
+
+def test_slow_engine_says_so() -> None:
+    _engine, sent, factor = asked(http(b'{"pace":4.0,"running":3}'))
+    assert sent[0].startswith(b"GET /api/report HTTP/1.1\r\n")
+    assert factor == 4.0
+
+
+@pytest.mark.parametrize("answer", [http(b"oops"), b"", http(b'{"pace":0.5}')])
+def test_other_answers_leave_the_engine_as_it_is(answer: bytes) -> None:
+    assert asked(answer)[2] == 1.0
+
+
+def test_engine_is_not_asked_again_at_once() -> None:
+    assert len(asked(http(b'{"pace":4.0}'), times=3)[1]) == 1
+
+
+def test_engine_that_does_not_tell_in_time_is_left_as_it_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(asking, "ASK_SECONDS", 0.05)
+    assert asked(None)[2] == 1.0
