Tell callers without a path to come back in a second

Cause: callers come back once. Layers that were lost take 1.6 s to load. Ruled out: holding such requests back until a path is there (refusals that come late are priced, and a caller that is told can go elsewhere).

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -70,6 +70,14 @@
 """Silence on a path of engines that all answer, after which the links that it passes are avoided:
 twice the pauses of a busy engine on a slow card (0.15 s for 9 in 10 streams)."""
 
+NO_PATH_RETRY_SECONDS: Final = 1.0
+"""When to come back if no path was found: layers that were lost are back after a load of 1.6 s at
+best, engines that were full have room sooner. Callers come back once, and earn as much after one
+second as after a quarter."""
+
+FULL_RETRY_SECONDS: Final = 0.6
+"""When to come back if engines refused: about half of the time that a stream takes."""
+
 REFUSALS_LIMIT: Final = 4
 """Paths that may refuse one request before the caller is told to come back."""
 
@@ -667,8 +675,9 @@
     if session.runs <= 0 and session.sent == session.refusals:
         if session.refusals:
             detail = f"{session.refusals} paths refused; {session.no_path or 'too many'}"
-            raise refusal(ResultCode.UPSTREAM_REFUSED, detail)
-        raise refusal(ResultCode.NO_ROUTE, f"no path over {permit.pool.name}; {session.no_path}")
+            raise refusal(ResultCode.UPSTREAM_REFUSED, detail, FULL_RETRY_SECONDS)
+        detail = f"no path over {permit.pool.name}; {session.no_path}"
+        raise refusal(ResultCode.NO_ROUTE, detail, NO_PATH_RETRY_SECONDS)
     code = ResultCode.DEADLINE_EXCEEDED if late else ResultCode.UPSTREAM_LOST
     detail = f"sent {session.sent} times without a first event"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
