--- a/tests/daemons/test_gateway.py
+++ b/tests/daemons/test_gateway.py
@@ -203,7 +203,9 @@
     left = fleet.ledger("draining")[0]
     assert left["acknowledged"]
     for number in range(30):
-        assert request(fleet, "status", gateway=number % 3).status_code == 200
+        answer = request(fleet, "status", gateway=number % 3, Attempt_Id=f"leaving-{number}")
+        lines = [line for line in fleet.log(f"gateway-{number % 3}") if "leaving-" in str(line)]
+        assert answer.status_code == 200, (answer.text, lines[-4:])
     late = [
         line
         for line in fleet.ledger()
