--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -9,8 +9,8 @@
 
 from ...routing.forwarding_table import is_doubtful
 from ...routing.link_doubts import link_penalties
-from ...routing.path_costs import OVERFULL_AT
-from ...routing.paths import ChosenPath, PathRequest, choose_path, explain_no_path
+from ...routing.path_costs import OVERFULL_AT, PathRequest
+from ...routing.paths import ChosenPath, choose_path, explain_no_path
 
 if TYPE_CHECKING:
     from ...model.traffic import EngineProfile
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from .forwarding_table import is_silent, slow_factor, total_in_flight, total_kv
 from .layer_coverage import kv_capacity
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ..model.traffic import EngineProfile
     from .forwarding_table import ForwardedUpstream
-    from .paths import PathRequest
 
 LOCAL_HOP_SECONDS: Final = 0.0002
 """One-way delay inside a failure domain, as the platform's sheet gives it for its own links."""
@@ -20,21 +21,45 @@
 """Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
 
 FULL_AT: Final = 0.92
-"""Share of the KV cache at which an engine takes no more requests of this box. Answers are often
-longer than hinted, and the other boxes' requests are only estimated."""
+"""Share of the KV cache up to which this box fills an engine. The rest is kept free: answers are
+often longer than hinted, and the other boxes' requests are only estimated."""
 
 OVERFULL_AT: Final = 1.2
-"""The same as a last resort: the load of other boxes is an estimate, and an engine that has no room
-says so within milliseconds or lets the request wait for what ends next."""
+"""The same where no path is found otherwise: the load of other boxes is an estimate, and an engine
+without room says so within milliseconds or lets the request wait for what ends next."""
 
 CROWDING: Final = 2.0
-"""Cost factor of an engine whose KV cache is full, against an empty one: spreads requests before
-any engine is full."""
+"""What a full KV cache adds to the cost of an engine, as a multiple of the cost of an empty one; it
+grows with the square of the fullness. Spreads requests before any engine is full."""
 
 PIPE_CROWDING: Final = 3.0
-"""Cost factor of the time that a request takes on the link between two failure domains. On the
-users' sites a prompt takes 23 ms of a link that all requests pass one after the other: 30 a second
-that cross once keep it two thirds busy, and each then waits twice its own time."""
+"""Cost of a crossing between failure domains, as a multiple of the time that the request's
+activations take on the link. On the users' sites that is 23 ms for 800 tokens, on a link that all
+requests pass one after the other: 30 a second that cross once keep it two thirds busy, and each
+then waits twice its own time, which makes three with the time itself."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PathRequest:
+    """What a path is wanted for."""
+
+    prompt_tokens: int
+    """Tokens to read."""
+
+    answer_tokens: int
+    """Tokens that are likely to be generated."""
+
+    failure_domain: str
+    """Failure domain of the entry box."""
+
+    link_penalties: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    """Extra cost of links between failure domains that are avoided, in seconds."""
+
+    full_at: float = FULL_AT
+    """Share of the KV cache at which an engine counts as full."""
+
+    sharers: float = 1.0
+    """How many times the own requests an engine is likely to hold of all boxes."""
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -57,29 +82,10 @@
     """Layers of the request for which its KV cache has room; at least one."""
 
     seconds_per_layer: float
-    """Predicted time for each layer."""
+    """Predicted time for each layer that it runs."""
 
     fixed_seconds: float
-    """Predicted time besides, once."""
-
-
-def kv_fullness(
-    profile: EngineProfile, engine: ForwardedUpstream, sharers: float, needed: float, now: float
-) -> float:
-    """Return how full the KV cache of an engine would be with one more request, from 0.
-
-    Args:
-        profile: Figures of the engines.
-        engine: The engine.
-        sharers: Factor from the own requests to those of all boxes.
-        needed: Tokens x layers of the new request.
-        now: Monotonic time.
-    """
-    held = sum(item.end - item.first for item in engine.registration.holdings)
-    capacity = kv_capacity(profile, engine.registration.card, held)
-    if capacity <= 0:
-        return float("inf")
-    return (total_kv(engine, now, sharers) + needed) / capacity
+    """Predicted time besides, whatever it runs."""
 
 
 def engine_offers(
@@ -90,17 +96,17 @@
     *,
     factor: float = 1.0,
 ) -> list[EngineOffer]:
-    """Return what an engine offers for a request, one for each range of layers that it holds.
+    """Return what an engine offers for a request, one offer for each range of layers that it holds.
 
-    Times are worked out once for each range and not for each part of one, as if the whole range
-    were used: a path is chosen among thousands of parts, and the difference is small.
+    Times are worked out as if the whole range were used, and not for each part of it: a path is
+    chosen among thousands of parts, and the difference is small.
 
     Args:
         profile: Figures of the engines.
         engine: The engine.
         request: What the path is for.
         now: Monotonic time.
-        factor: Factor on its times.
+        factor: What its predicted times are multiplied by.
 
     Returns:
         Offers; none if its card is not known, or if its KV cache has no room for one layer.
@@ -114,14 +120,16 @@
     read = request.prompt_tokens / profile.read_per_s * card.read_factor
     seconds = (step * request.answer_tokens + read) / profile.layers
     seconds *= slow_factor(engine, now) * factor
+    held = sum(item.end - item.first for item in engine.registration.holdings)
+    capacity = kv_capacity(profile, engine.registration.card, held)
+    taken = total_kv(engine, now, request.sharers)
+    room = _layers_with_room(profile, capacity * request.full_at - taken, tokens)
+    if room < 1:
+        return []
     offers = []
     for holding in engine.registration.holdings:
-        layers = holding.end - holding.first
-        most = _room(profile, engine, request, tokens, now)
-        if most < 1:
-            continue
-        used = min(layers, most)
-        fullness = kv_fullness(profile, engine, request.sharers, tokens * used, now)
+        used = min(holding.end - holding.first, room)
+        fullness = (taken + tokens * used) / capacity
         offers.append(
             EngineOffer(
                 engine=engine,
@@ -136,20 +144,17 @@
     return offers
 
 
-def _room(
-    profile: EngineProfile,
-    engine: ForwardedUpstream,
-    request: PathRequest,
-    tokens: float,
-    now: float,
-) -> int:
-    """Return for how many layers of a request the KV cache of an engine has room."""
-    held = sum(item.end - item.first for item in engine.registration.holdings)
-    capacity = kv_capacity(profile, engine.registration.card, held)
-    if capacity == float("inf"):
+def _layers_with_room(profile: EngineProfile, free: float, tokens: float) -> int:
+    """Return for how many layers of a request free KV cache is enough.
+
+    Args:
+        profile: Figures of the engines.
+        free: Tokens x layers that are free; infinity if the size of the cache is not known.
+        tokens: Tokens of the request.
+    """
+    if free == float("inf"):
         return profile.layers
-    room = capacity * request.full_at - total_kv(engine, now, request.sharers)
-    return min(profile.layers, max(0, int(room / tokens)))
+    return min(profile.layers, max(0, int(free / tokens)))
 
 
 def handover(profile: EngineProfile, one: str, other: str, request: PathRequest) -> float:
--- a/src/ledgeladder/routing/path_search.py
+++ b/src/ledgeladder/routing/path_search.py
@@ -1,9 +1,9 @@
 """Finding the cheapest path over offers of engines, from the first layer to the last.
 
-A state is a layer that has been reached and the failure domain of the engine that reached it, a
-step is a range that one engine runs. One way is kept for each state, and not one for each engine,
-since hops cost the same from every engine of a failure domain: this bounds the work by the layers
-at which ranges begin or end.
+A state is a layer that has been reached and the failure domain of the engine that reached it; a
+step is a range that one engine runs. Only the cheapest way to each state is kept, whichever engine
+it ends with, since a hop costs the same from every engine of a failure domain. This bounds the work
+by failure domains and by the layers at which ranges begin or end.
 """
 
 from __future__ import annotations
@@ -16,8 +16,7 @@
 
 if TYPE_CHECKING:
     from ..model.traffic import EngineProfile
-    from .path_costs import EngineOffer
-    from .paths import PathRequest
+    from .path_costs import EngineOffer, PathRequest
 
 PARTS_LIMIT: Final = 32
 """Most engines on one path."""
@@ -83,7 +82,8 @@
 def _edges(offer: EngineOffer) -> tuple[int, ...]:
     """Return the layers at which a path may come to an engine or leave it.
 
-    One with little room may run the first layers of its range, or the last.
+    Those in the middle are there for an engine whose room is less than its range: it may run the
+    first layers of the range, or the last.
     """
     return offer.first, offer.first + offer.most_layers, offer.end - offer.most_layers, offer.end
 
@@ -96,7 +96,16 @@
     before: SearchStep | None,
     waited: float,
 ) -> None:
-    """Keep the steps of one engine from one layer on that are cheaper than what was found."""
+    """Note the steps of one engine that are cheaper than what was found up to the same layer.
+
+    Args:
+        best: Cheapest step found so far, by the layer that it reaches and its failure domain.
+        offer: What the engine offers.
+        start: First layer that it would run.
+        ends: Layers up to which it could run.
+        before: The way up to `start`; None if that is layer 0.
+        waited: Predicted time of that way and of the hop to the engine, in seconds.
+    """
     domain = offer.failure_domain
     fixed = waited + offer.fixed_seconds
     length = 1 if before is None else before.length + 1
@@ -117,9 +126,12 @@
     start: int,
     request: PathRequest,
 ) -> tuple[SearchStep | None, float]:
-    """Return the cheapest way to a layer that an engine can carry on, and its time with the hop.
+    """Choose the way to a layer after which an engine goes on.
 
-    None with an infinite time if there is no such way; None with the hop's time at layer 0.
+    Returns:
+        The way, and its predicted time with the hop to the engine, in seconds. At layer 0 there is
+        no way, and the time is that of the hop; elsewhere, None and infinity if no way may go on
+        with the engine.
     """
     domain = offer.failure_domain
     if start == 0:
@@ -135,6 +147,7 @@
 
 
 def _unwind(last: SearchStep) -> list[SearchStep]:
+    """Return a way's steps from the first layer to the last."""
     steps: list[SearchStep] = []
     step: SearchStep | None = last
     while step is not None:
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -1,29 +1,29 @@
 """The path of one generation over engines that hold ranges of layers.
 
-The cheapest path is found over the layers from first to last: a state is a layer that has been
-reached and the engine that reached it, a step is a range that one engine runs. Costs are predicted
-times, so that fast cards go first, full engines are left out, and another failure domain is used
-only when the own one is slower or full.
+Costs are predicted times (`path_costs`), so that fast cards go first, full engines are left out,
+and another failure domain is used only when the own one is slower or full. `path_search` finds the
+cheapest path; this module says which engines may be used, prefers the own failure domain, and
+counts what the requests of this box take on the engines.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from ..model.exchange import PathPart
 from .forwarding_table import is_usable
-from .path_costs import FULL_AT, engine_offers
+from .path_costs import engine_offers
 from .path_search import cheapest_steps
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Iterable
 
     from ..model.traffic import EngineProfile
     from .forwarding_table import ForwardedUpstream
-    from .path_costs import EngineOffer
+    from .path_costs import EngineOffer, PathRequest
 
 SPREAD: Final = 0.3
 """Random part of the cost of an engine, so that boxes that know the same do not choose the same.
@@ -34,29 +34,6 @@
 cut would end it."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PathRequest:
-    """What a path is wanted for."""
-
-    prompt_tokens: int
-    """Tokens to read."""
-
-    answer_tokens: int
-    """Tokens that are likely to be generated."""
-
-    failure_domain: str
-    """Failure domain of the entry box."""
-
-    link_penalties: Mapping[tuple[str, str], float] = field(default_factory=dict)
-    """Extra cost of links between failure domains that are avoided, in seconds."""
-
-    full_at: float = FULL_AT
-    """Share of the KV cache at which an engine counts as full."""
-
-    sharers: float = 1.0
-    """How many times the own requests an engine is likely to hold of all boxes."""
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChosenPath:
     """A path with the engines that it passes."""
@@ -176,7 +153,8 @@
         excluded: Runs of engines that this request does not use any more.
 
     Returns:
-        How many engines are out and why, and which layers nobody can take.
+        How many engines are usable, and how many are out for which reason; then the range from the
+        first to the last of the layers that nobody can take, some of which may have a taker.
     """
     reasons: Counter[str] = Counter()
     open_layers = [False] * profile.layers
@@ -214,10 +192,10 @@
 
 
 def _unhurried(profile: EngineProfile, request: PathRequest) -> float:
-    """Return the cost up to which other failure domains are not even looked at.
+    """Return the cost up to which other failure domains are not even looked at, in seconds.
 
-    The time on an idle path of the second fastest kind of card, which the own failure domain gives
-    for as long as its fast cards have room.
+    This is the time on an idle path of the second fastest kind of card. The own failure domain
+    keeps below it for as long as its fast cards have room.
     """
     cards = sorted(profile.cards.values(), key=lambda card: card.step_factor)
     if not cards:
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -29,10 +29,9 @@
     doubt_links,
     link_penalties,
 )
-from ledgeladder.routing.path_costs import OVERFULL_AT
+from ledgeladder.routing.path_costs import OVERFULL_AT, PathRequest
 from ledgeladder.routing.paths import (
     ChosenPath,
-    PathRequest,
     choose_path,
     explain_no_path,
     release,
