Call what an engine says of itself its slowdown; its pace is the gap between tokens

What was unclear: 'pace' meant the mean gap between tokens (routing/pace.py) and how many times slower than usual an engine works (ForwardedUpstream, EngineReport), which is also the users' wire name. The latter is slowdown now; the counter and the field of the log line keep their names. The docstring of asking said that an engine that does not tell is left as it is, while it counts as working as usual from the moment it is asked; test names likewise. Module docstring of the forwarding table brought up to date; the one of note_served says that losses end, too.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -75,7 +75,7 @@
 class EngineReport:
     """What an engine says of itself when it is asked."""
 
-    pace: float
+    slowdown: float
     """How many times slower than usual it works; 1 if it works as usual."""
 
 
--- a/src/ledgeladder/daemons/gateway/asking.py
+++ b/src/ledgeladder/daemons/gateway/asking.py
@@ -18,8 +18,8 @@
 logger = logging.getLogger(__name__)
 
 ASK_SECONDS: Final = 0.06
-"""How long engines may take to tell, connection included: reports need no slot. The stream that is
-late is not read meanwhile."""
+"""How long engines may take to tell, connection included. Short, since the stream that is late is
+not read meanwhile; reports wait for no slot of the engine."""
 
 ASK_AGAIN_SECONDS: Final = 1.0
 """Least time between two questions to one engine; a report is 0.2 s old and has a price."""
@@ -28,29 +28,29 @@
 """Longest report that is read."""
 
 
-async def ask_paces(state: GatewayState, path: ChosenPath) -> None:
+async def ask_slowdowns(state: GatewayState, path: ChosenPath) -> None:
     """Ask the engines of a path how slowly they work, side by side.
 
-    What they say counts for the choice of the next paths. One that does not tell in time is left as
-    it is.
+    What they say counts for the choice of the next paths. One that does not tell in time counts as
+    working as usual, also if it said before that it is slow.
 
     Args:
         state: The process's state.
         path: The path.
     """
     now = anyio.current_time()
-    asked = [item for item in path.engines if now - item.pace_at >= ASK_AGAIN_SECONDS]
+    asked = [item for item in path.engines if now - item.slowdown_at >= ASK_AGAIN_SECONDS]
     with anyio.move_on_after(ASK_SECONDS):
         async with anyio.create_task_group() as tasks:
             for engine in asked:
-                engine.pace_at = now
-                engine.pace = 1.0
+                engine.slowdown_at = now
+                engine.slowdown = 1.0
                 tasks.start_soon(_ask, state, engine)
 
 
 async def _ask(state: GatewayState, engine: ForwardedUpstream) -> None:
     try:
-        body = await _read(state, engine)
+        body = await _fetch_report(state, engine)
     except (AnswerBrokenError, ConnectError) as error:
         logger.debug(
             "no report", extra={"upstream": engine.registration.instance, "why": str(error)}
@@ -60,16 +60,22 @@
     if report is None:
         logger.warning("report unreadable", extra={"upstream": engine.registration.instance})
         return
-    engine.pace = report.pace
+    engine.slowdown = report.slowdown
     state.metrics.counters["pace-asked"] += 1
-    if report.pace > 1.0:
+    if report.slowdown > 1.0:
         logger.warning(
             "engine works slowly",
-            extra={"upstream": engine.registration.instance, "pace": report.pace},
+            extra={"upstream": engine.registration.instance, "pace": report.slowdown},
         )
 
 
-async def _read(state: GatewayState, engine: ForwardedUpstream) -> bytes:
+async def _fetch_report(state: GatewayState, engine: ForwardedUpstream) -> bytes:
+    """Return the body of an engine's report.
+
+    Raises:
+        ConnectError: If the engine does not accept a connection.
+        AnswerBrokenError: If the answer ends early.
+    """
     address = engine.registration.address
     connection = await connect(address, source=state.settings.box.address, seconds=ASK_SECONDS)
     try:
--- a/src/ledgeladder/daemons/gateway/silence.py
+++ b/src/ledgeladder/daemons/gateway/silence.py
@@ -10,7 +10,7 @@
 from ...http1 import read_part
 from ...routing.link_doubts import doubt_links
 from ...routing.pace import note_false_alarm, stall_after
-from .asking import ask_paces
+from .asking import ask_slowdowns
 from .probing import find_lost
 from .upstream_call import AnswerLostError, NotSentError, OpenAnswer, open_answer
 
@@ -88,7 +88,7 @@
         if await find_lost(state, path, session.dead):
             scope.cancel()
             return
-        await ask_paces(state, path)
+        await ask_slowdowns(state, path)
         _suspect_links(state, path, waited)
     session.excluded.update(item.registration.instance for item in path.engines)
     scope.cancel()
@@ -117,7 +117,7 @@
         if await find_lost(state, path, session.dead):
             raise AnswerLostError("an engine of the path does not answer")
         if waited >= SLOW_SILENCE_SECONDS:
-            await ask_paces(state, path)
+            await ask_slowdowns(state, path)
         _suspect_links(state, path, waited)
         if waited >= SILENCE_LIMIT_SECONDS:
             session.excluded.update(item.registration.instance for item in path.engines)
--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -21,6 +21,7 @@
 
 
 class _Report(msgspec.Struct):
+    # How many times slower than usual the engine works, and not how fast.
     pace: float = 1.0
 
 
@@ -86,7 +87,7 @@
 
 
 def report_call() -> EngineCall:
-    """Build the question how an engine does."""
+    """Build the call that asks an engine for its report."""
     return EngineCall(method=b"GET", target=REPORT_TARGET, headers=[], body=b"")
 
 
@@ -94,7 +95,7 @@
     """Decode an engine's report; None if it cannot be read.
 
     >>> read_report(b'{"pace":4.0,"busy":false}')
-    EngineReport(pace=4.0)
+    EngineReport(slowdown=4.0)
     >>> read_report(b"oops") is None
     True
     """
@@ -102,4 +103,4 @@
         report = _REPORT_DECODER.decode(body)
     except msgspec.DecodeError:
         return None
-    return EngineReport(pace=report.pace)
+    return EngineReport(slowdown=report.pace)
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -1,4 +1,8 @@
-"""What an entry box knows of each registered upstream: registration, own load, failures."""
+"""What an entry box knows of each registered upstream.
+
+What it said of itself, the load of this box's requests and of those of others, failures, losses,
+and how slowly it works; from these follow whether it may get new work and what that would cost.
+"""
 
 from __future__ import annotations
 
@@ -34,12 +38,12 @@
 DOUBTS_KEPT: Final = 16
 """Failures that are remembered for each failure domain."""
 
-PACE_BELIEVED_SECONDS: Final = 4.0
-"""How long an engine that said that it is slow counts as slow; then a few requests find out."""
+SLOWDOWN_BELIEVED_SECONDS: Final = 4.0
+"""How long an engine counts as slow from the moment it was asked; then a few requests find out."""
 
 HEARD_MARGIN_SECONDS: Final = 0.05
-"""How much later than its loss an upstream must have been heard: ages are told in hundredths of a
-second, and news of a heartbeat takes a few milliseconds."""
+"""How much later than its loss an upstream must have been heard to get work again: ages are told in
+hundredths of a second, and news of a heartbeat takes a few milliseconds."""
 
 TOLD_LOAD_SECONDS: Final = 0.3
 """How long the load that an upstream told is believed."""
@@ -74,7 +78,7 @@
     """Tokens x layers of other boxes, as last told."""
 
     others_at: float = float("-inf")
-    """When that was told."""
+    """When that was told, on the monotonic clock."""
 
     failures: int = 0
     """Failures in a row."""
@@ -83,23 +87,24 @@
     """Until when it gets no new work, on the monotonic clock."""
 
     lost_at: float = float("-inf")
-    """When it was found dead; it gets no new work until somebody has heard it since."""
+    """When it was found dead, on the monotonic clock; it gets no new work until somebody has heard
+    it since."""
 
     proven_at: float = float("-inf")
     """When it last showed that it works: an event came over a path through it, or it accepted a
     probe. On the monotonic clock."""
 
-    pace: float = 1.0
-    """How many times slower than usual it works, as it last said."""
+    slowdown: float = 1.0
+    """How many times slower than usual it works, as it last said; 1 until it answers."""
 
-    pace_at: float = float("-inf")
-    """When it was last asked for its pace, on the monotonic clock."""
+    slowdown_at: float = float("-inf")
+    """When it was last asked for that, on the monotonic clock."""
 
     load: UpstreamLoad | None = None
     """Load that it told last."""
 
     load_at: float = 0.0
-    """When it told it."""
+    """When it told it, on the monotonic clock."""
 
     on_lost: set[Callable[[ForwardedUpstream], None]] = field(default_factory=set)
     """Called each time that it is found lost; one for each request that passes it."""
@@ -187,7 +192,10 @@
 
 
 def note_served(upstream: ForwardedUpstream) -> None:
-    """Note that an upstream did its work; it is avoided no longer, also if it was full."""
+    """Note that an upstream did its work.
+
+    It is avoided no longer, whether it had failed, was full or was found dead.
+    """
     upstream.failures = 0
     upstream.avoid_until = 0.0
     upstream.lost_at = float("-inf")
@@ -336,5 +344,5 @@
 
 def slow_factor(upstream: ForwardedUpstream, now: float) -> float:
     """Return how many times slower than usual an engine is likely to work; at least 1."""
-    believed = now - upstream.pace_at < PACE_BELIEVED_SECONDS
-    return max(1.0, upstream.pace) if believed else 1.0
+    is_believed = now - upstream.slowdown_at < SLOWDOWN_BELIEVED_SECONDS
+    return max(1.0, upstream.slowdown) if is_believed else 1.0
--- a/tests/daemons/gateway/test_asking.py
+++ b/tests/daemons/gateway/test_asking.py
@@ -1,4 +1,4 @@
-"""Asking the engines of a late path for their pace."""
+"""Asking the engines of a late path how slowly they work."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from ledgeladder.daemons.gateway import asking
-from ledgeladder.daemons.gateway.asking import ask_paces
+from ledgeladder.daemons.gateway.asking import ask_slowdowns
 from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, slow_factor
@@ -41,7 +41,7 @@
             state = GatewayState(settings=settings())
             path = ChosenPath(parts=(), engines=(engine,), cost=1.0)
             for _ in range(times):
-                await ask_paces(state, path)
+                await ask_slowdowns(state, path)
             factor = slow_factor(engine, anyio.current_time())
             tasks.cancel_scope.cancel()
 
@@ -66,7 +66,7 @@
 
 
 @pytest.mark.parametrize("answer", [http(b"oops"), b"", http(b'{"pace":0.5}')])
-def test_other_answers_leave_the_engine_as_it_is(answer: bytes) -> None:
+def test_engine_with_another_answer_counts_as_working_as_usual(answer: bytes) -> None:
     assert asked(answer)[2] == 1.0
 
 
@@ -74,7 +74,7 @@
     assert len(asked(http(b'{"pace":4.0}'), times=3)[1]) == 1
 
 
-def test_engine_that_does_not_tell_in_time_is_left_as_it_is(
+def test_engine_that_does_not_tell_in_time_counts_as_working_as_usual(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(asking, "ASK_SECONDS", 0.05)
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -11,7 +11,7 @@
 
 from ledgeladder.model.registration import Holding, Registration, UpstreamState
 from ledgeladder.routing.forwarding_table import (
-    PACE_BELIEVED_SECONDS,
+    SLOWDOWN_BELIEVED_SECONDS,
     ForwardedUpstream,
     ForwardingTable,
     note_failed,
@@ -270,12 +270,12 @@
     before = choose_path(PROFILE, pool, wanted("a"), 1.0)
     assert before is not None
     slow = before.engines[1]
-    slow.pace, slow.pace_at = 8.0, 1.0
+    slow.slowdown, slow.slowdown_at = 8.0, 1.0
     after = choose_path(PROFILE, pool, wanted("a"), 1.1)
     assert after is not None
     assert slow not in after.engines
     # It is tried again later.
-    again = choose_path(PROFILE, pool, wanted("a"), 1.0 + PACE_BELIEVED_SECONDS)
+    again = choose_path(PROFILE, pool, wanted("a"), 1.0 + SLOWDOWN_BELIEVED_SECONDS)
     assert again is not None
     assert slow in again.engines
 
