Placement: docstrings say what is summed, what is returned, and in which order

What was unclear: what coverage sums up, what the figures of POWER compare, the order of a plan, 'None' for an empty list, variables called pace that hold step factors; the delay of an unknown hop was a bare number.

--- a/src/ledgeladder/routing/layer_coverage.py
+++ b/src/ledgeladder/routing/layer_coverage.py
@@ -1,4 +1,4 @@
-"""What each layer of a model can carry: requests in the KV caches of its holders, by speed."""
+"""What each layer of a model carries, by the KV caches and step times of its holders."""
 
 from __future__ import annotations
 
@@ -21,16 +21,17 @@
 """Added to what a layer carries, so that one without any holder has a finite need."""
 
 POWER: Final = 2
-"""How steeply the need of a layer falls with what it carries. Requests alone, not divided by the
-step time, with a power of 3 carry 172 requests at the narrowest layer of the citaverde site against
-143; three days with trouble were worth 0.68 that way and 0.72 this way (see placement.md)."""
+"""How steeply the need of a layer falls with what it carries. Weighed by requests alone, not over
+step factors, and with a power of 3, the narrowest layer of the citaverde-ledge site carries 172
+requests; weighed as here it carries 143. Three played days were worth 0.68 in the mean that way and
+0.72 this way, so the narrowest layer alone does not decide (see docs/design/placement.md)."""
 
 CAPACITY_LIMIT: Final = 1e6
-"""Requests that an engine of unknown memory counts for."""
+"""Requests that an engine counts for where the size of a token's KV cache is not known."""
 
 
 def slowness(profile: EngineProfile, card: str) -> float:
-    """Return the step factor of a kind of card; an unknown kind is the slowest."""
+    """Return the step factor of a kind of card, or infinity for an unknown kind."""
     kind = profile.cards.get(card)
     return kind.step_factor if kind is not None else float("inf")
 
@@ -55,31 +56,35 @@
 
 @dataclass(kw_only=True)
 class LayerCoverage:
-    """Requests over step factors that each layer carries, in each failure domain and in all."""
+    """Sums over the engines that hold each layer, in each failure domain and in all of them.
+
+    An engine counts with the requests of the usual size for which it has KV cache, divided by the
+    step factor of its card.
+    """
 
     profile: EngineProfile
     """Figures of the engines."""
 
     everywhere: list[float] = field(init=False)
-    """Requests over step factors, by layer."""
+    """Sum over all failure domains, by layer."""
 
     by_domain: dict[str, list[float]] = field(default_factory=dict)
-    """The same within each failure domain."""
+    """Sum within each failure domain, by layer."""
 
     def __post_init__(self) -> None:
         self.everywhere = [0.0] * self.profile.layers
 
     def domain(self, name: str) -> list[float]:
-        """Return what the layers carry in one failure domain."""
+        """Return the sums within one failure domain, by layer; the list itself, not a copy."""
         return self.by_domain.setdefault(name, [0.0] * self.profile.layers)
 
     def capacity(self, engine: PlacedEngine, holding: Holding) -> float:
-        """Return what an engine carries: requests that fit on it, over the factor of its steps."""
+        """Return what an engine would count for if it held a range of layers."""
         count = max(1, holding.end - holding.first)
         tokens = kv_capacity(self.profile, engine.card, count) / count
         usual = max(1.0, self.profile.usual_prompt + self.profile.usual_answer)
-        pace = max(1e-9, slowness(self.profile, engine.card))
-        return min(tokens / usual, CAPACITY_LIMIT) / pace
+        step_factor = max(1e-9, slowness(self.profile, engine.card))
+        return min(tokens / usual, CAPACITY_LIMIT) / step_factor
 
     def add(self, engine: PlacedEngine, holding: Holding, sign: float = 1.0) -> None:
         """Count an engine; with a sign of -1, take it back."""
@@ -90,7 +95,15 @@
             self.everywhere[layer] += capacity
 
     def best_range(self, engine: PlacedEngine, count: int) -> Holding:
-        """Return the range of that many layers whose need is greatest; the first of equal ones."""
+        """Return the range whose layers need another holder most.
+
+        Args:
+            engine: The engine that is to hold it.
+            count: Length of the range, in layers; at least one, and at most all.
+
+        Returns:
+            The range with the greatest sum of needs; the first of equal ones.
+        """
         domain = self.domain(engine.failure_domain)
         need = [
             DOMAIN_WEIGHT / (OFFSET + max(0.0, own)) ** POWER
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -17,6 +17,9 @@
 LOCAL_HOP_SECONDS: Final = 0.0002
 """One-way delay inside a failure domain, as the platform's sheet gives it for its own links."""
 
+UNKNOWN_HOP_SECONDS: Final = 0.001
+"""One-way delay between two failure domains for which the document gives none."""
+
 SILENT_PENALTY_SECONDS: Final = 5.0
 """Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
 
@@ -79,7 +82,7 @@
     """One past its last layer."""
 
     most_layers: int
-    """Layers of the request for which its KV cache has room; at least one."""
+    """Most layers of the range that it has room for in its KV cache; at least one."""
 
     seconds_per_layer: float
     """Predicted time for each layer that it runs."""
@@ -174,5 +177,7 @@
 
 
 def hop(profile: EngineProfile, one: str, other: str) -> float:
-    """Return the one-way delay between two failure domains, in seconds; 1 ms if none is given."""
-    return LOCAL_HOP_SECONDS if one == other else profile.delays.get((one, other), 0.001)
+    """Return the one-way delay between two failure domains, in seconds."""
+    if one == other:
+        return LOCAL_HOP_SECONDS
+    return profile.delays.get((one, other), UNKNOWN_HOP_SECONDS)
--- a/src/ledgeladder/routing/placed_engine.py
+++ b/src/ledgeladder/routing/placed_engine.py
@@ -23,7 +23,7 @@
     """Kind of its accelerator."""
 
     holding: Holding | None
-    """Layers that it holds or was ordered to hold."""
+    """Layers that it holds or was ordered to hold; None if it has none."""
 
     settled: bool = True
     """False while it has not reported the layers that it was ordered to hold."""
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -3,8 +3,9 @@
 Engines come with cards of different memory and speed in several failure domains. Each engine gets
 one range of layers and keeps the rest of its memory for the KV cache of requests. Ranges are chosen
 one engine after the other, fast cards first, where the engine's failure domain has the least
-capacity; so each failure domain first gets a whole copy of the model on its fastest cards, then a
-second one, and goes on serving when it is cut off.
+capacity (`layer_coverage`); so each failure domain first gets a whole copy of the model on its
+fastest cards, then a second one, and goes on serving when it is cut off. What is moved after a loss
+is in `placement_repair`.
 """
 
 from __future__ import annotations
@@ -21,8 +22,8 @@
     from ..model.traffic import EngineProfile
 
 LEAST_KV_SHARE: Final = 0.2
-"""Least share of a card's memory that is kept for requests, and what the slowest cards keep: with
-less, an engine holds fewer requests than one burst brings."""
+"""Least share of a card's memory that is kept for the KV cache of requests, and what the slowest
+cards keep: with less, an engine holds fewer requests than one burst brings."""
 
 MOST_KV_SHARE: Final = 0.4
 """Most that is kept. With 0.4 everywhere failure domains held some layers once only, on fast cards
@@ -42,7 +43,7 @@
         kv_share: Share of its memory that is kept for requests.
 
     Returns:
-        Layers, 0 if the kind is not known or not one layer fits; at least one if one fits.
+        Number of layers; 0 if the kind is not known or not even one layer fits on it.
     """
     kind = profile.cards.get(card)
     if kind is None or profile.layer_mb <= 0:
@@ -57,7 +58,7 @@
 
     Args:
         profile: Figures of the engines.
-        layers: Layers to load.
+        layers: Number of layers to load.
         loads: Loads that run at a time; beyond `loads_at_once` they slow each other down.
     """
     sharing = max(1.0, loads / max(1, profile.loads_at_once))
@@ -103,7 +104,8 @@
             nothing is likely the replacement, and takes over the layers.
 
     Returns:
-        Layers by engine, for those that held none, those that are needed most first.
+        Layers by engine, for those that held none and get some: replacements first, then by card,
+        the fast ones first.
     """
     coverage = LayerCoverage(profile=profile)
     for engine in engines:
@@ -174,7 +176,7 @@
 
 
 def missing_layers(profile: EngineProfile, holdings: Iterable[Holding]) -> list[int]:
-    """Return the layers that nobody holds."""
+    """Return the layers of the model that no holding covers, in order."""
     held = [False] * profile.layers
     for holding in holdings:
         for layer in range(holding.first, min(holding.end, profile.layers)):
--- a/src/ledgeladder/routing/placement_repair.py
+++ b/src/ledgeladder/routing/placement_repair.py
@@ -20,7 +20,6 @@
 it. Without that, moves that filled the gaps of one failure domain left layers 63 to 71 of a whole
 site to two full engines."""
 
-
 THIN_SHARE: Final = 0.4
 """Share of the mean over all layers below which a layer counts as lacking everywhere."""
 
@@ -36,8 +35,8 @@
     A failure domain lacks layers that none of its engines holds; the whole system lacks those that
     carry much less than the others. Only engines of the slowest kind of a failure domain are moved,
     since the fast ones carry more requests, and only if their layers are held elsewhere too, in
-    their own failure domain and in all. A lost fast engine takes several slow ones. What nobody can
-    be spared for is left to the other failure domains.
+    their own failure domain and in all. A lost fast engine takes several of them. Layers for which
+    nobody can be spared are left to the other failure domains.
 
     Args:
         profile: Figures of the engines.
@@ -60,10 +59,10 @@
 
 
 def _lacked_by(profile: EngineProfile, members: Iterable[PlacedEngine]) -> list[int]:
-    """Return the layers that a failure domain lacks.
+    """Return the layers that a failure domain lacks and that moves may bring back.
 
-    None if it lacks over half of them: then it never held a whole copy, or lost too much for moves
-    to help.
+    If it lacks over half of all layers, it never held a whole copy or lost too much for moves to
+    help, and the list is empty.
     """
     lacking = missing_layers(profile, _holdings(members))
     return lacking if len(lacking) <= profile.layers // 2 else []
@@ -81,7 +80,18 @@
     coverage: LayerCoverage,
     find_lacking: Callable[[Sequence[PlacedEngine]], list[int]],
 ) -> list[tuple[PlacedEngine, Holding]]:
-    """Choose moves among some engines until they lack nothing or nobody can be spared."""
+    """Choose moves among some engines until they lack nothing or nobody can be spared.
+
+    Args:
+        profile: Figures of the engines.
+        members: The engines, with what they hold or were ordered to hold.
+        coverage: What all layers carry; brought up to date with each move.
+        find_lacking: Returns the layers that are lacking, given the engines as they are after the
+            moves that were chosen so far.
+
+    Returns:
+        Engines with their new layers, in the order in which they were chosen.
+    """
     moves: list[tuple[PlacedEngine, Holding]] = []
     present = list(members)
     moved: set[str] = set()
@@ -114,12 +124,19 @@
     coverage: LayerCoverage,
     moved: Collection[str],
 ) -> PlacedEngine | None:
-    """Return the engine of the slowest kind that is missed least; None if nobody can be spared."""
+    """Return the engine that is missed least where it is; None if nobody can be spared.
+
+    Args:
+        profile: Figures of the engines.
+        members: Engines among which it is chosen.
+        coverage: What all layers carry.
+        moved: Runs of engines that have been moved already.
+    """
     copies: dict[str, list[int]] = {}
     slowest: dict[str, float] = {}
     for item in members:
-        pace = slowness(profile, item.card)
-        slowest[item.failure_domain] = max(slowest.get(item.failure_domain, 0.0), pace)
+        factor = slowness(profile, item.card)
+        slowest[item.failure_domain] = max(slowest.get(item.failure_domain, 0.0), factor)
         held = copies.setdefault(item.failure_domain, [0] * profile.layers)
         if item.holding is not None:
             for layer in range(item.holding.first, min(item.holding.end, profile.layers)):
