Orders, losses, links of control boxes: what is kept while who leads; unread term of an order dropped

What was unclear: OrderLedger said it is empty while this box does not lead, but it keeps what the leader told; FORGET_SECONDS is not the time alone; _within_limit also notes the orders that it returns (now _begin_orders); when silence counts; what primary_of is for; who keeps few links. SentOrder.fence was set and never read (the term of an answer comes with note_outcome), so it and the argument of note_sent are gone. Behaviour is the same.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -1,4 +1,8 @@
-"""Orders to engines that registered: what is wanted, what was sent, and what came of it."""
+"""Orders to engines that registered: what was sent, by which leader, and what came of it.
+
+An order stays open until the engine reports the layers. Planning counts the layers of open orders
+as held, so that nothing is ordered twice.
+"""
 
 from __future__ import annotations
 
@@ -19,10 +23,9 @@
 """How many times as long as predicted a load may take before it is ordered again: an order that is
 repeated while the engine loads begins the load anew, and loads of other orders slow it down."""
 
-
 FORGET_SECONDS: Final = 12.0
-"""After this time an order to move that was not carried out is forgotten, and planned anew: three
-times the time that it may take."""
+"""After this time, or after the order's own patience if that is longer, an order to move that was
+not carried out is forgotten, and planned anew. Three times `CONFIRM_SECONDS`."""
 
 
 class OrderOutcome(StrEnum):
@@ -93,31 +96,28 @@
     sent_at: float
     """When it was last sent, on the monotonic clock."""
 
-    fence: int
-    """Term under which it was last sent."""
-
     load_seconds: float = 0.0
-    """Time that the load is predicted to take."""
+    """Time that the load is predicted to take, in seconds."""
 
     begun: bool = False
     """True once the engine said that it loads the layers."""
 
     @property
     def patience(self) -> float:
-        """Time from its sending after which it is sent once more, in seconds."""
+        """Time from its last sending after which it is sent once more, in seconds."""
         return CONFIRM_SECONDS + (self.load_seconds * LOAD_ROOM if self.begun else 0.0)
 
 
 @dataclass(kw_only=True)
 class OrderLedger:
-    """Orders of one leader, by run of the engine; emptied while this box does not lead."""
+    """Open orders by run of the engine: the own ones while this box leads, else the leader's."""
 
     sent: dict[str, SentOrder] = field(default_factory=dict)
     """Newest order to each engine that has not reported the layers yet: to one that came without
-    any, or to one that was moved."""
+    any, or to one that was moved. Empty while this box does not lead."""
 
     heard: dict[str, SentOrder] = field(default_factory=dict)
-    """Newest order to each engine that another leader told of, while this box does not lead."""
+    """Newest order to each engine that another leader told of. Empty while this box leads."""
 
     repaired_at: float = float("-inf")
     """When engines were last moved to layers that a failure domain lacked."""
@@ -135,21 +135,20 @@
         ledger: The orders of this box.
         instance: Run of the engine.
         holding: Layers that it is to hold.
-        load_seconds: Time that the load is predicted to take.
+        load_seconds: Time that the load is predicted to take, in seconds.
         now: Monotonic time.
     """
     ledger.heard[instance] = SentOrder(
         holding=holding,
         first_sent_at=now,
         sent_at=now,
-        fence=0,
         load_seconds=load_seconds,
         begun=True,
     )
 
 
 def follow(ledger: OrderLedger, now: float) -> None:
-    """Drop the own orders, and what was heard too long ago, while another box leads."""
+    """Drop the own orders, and those that were heard of too long ago, while another box leads."""
     ledger.sent.clear()
     ledger.heard = {
         instance: order
@@ -159,14 +158,14 @@
 
 
 def take_over(ledger: OrderLedger) -> None:
-    """Go on with the orders of the last leader, as far as they were told."""
+    """Go on, as the leader, with the orders that the last one told of."""
     for instance, order in ledger.heard.items():
         ledger.sent.setdefault(instance, order)
     ledger.heard = {}
 
 
 def due(ledger: OrderLedger, instance: str, now: float) -> bool:
-    """Tell whether an engine that has not reported its layers is to be ordered now."""
+    """Tell whether an engine that has not reported its layers is to be ordered now, or again."""
     order = ledger.sent.get(instance)
     return order is None or now - order.sent_at >= order.patience
 
@@ -175,7 +174,6 @@
     ledger: OrderLedger,
     instance: str,
     holding: Holding,
-    fence: int,
     now: float,
     load_seconds: float = 0.0,
 ) -> None:
@@ -185,9 +183,8 @@
         ledger: The orders.
         instance: Run of the engine.
         holding: Layers that it is to hold.
-        fence: Term under which the order is sent.
         now: Monotonic time.
-        load_seconds: Time that the load is predicted to take.
+        load_seconds: Time that the load is predicted to take, in seconds.
     """
     held = ledger.sent.get(instance)
     first = held.first_sent_at if held is not None and held.holding == holding else now
@@ -195,7 +192,6 @@
         holding=holding,
         first_sent_at=first,
         sent_at=now,
-        fence=fence,
         load_seconds=load_seconds,
     )
 
@@ -206,8 +202,8 @@
     Args:
         ledger: The orders.
         instance: Run of the engine.
-        outcome: What it said. An order that does not fit the engine's state is forgotten, since the
-            engine may be carrying out another one.
+        outcome: What it said. An order that reached another run is forgotten, and so is one that
+            does not fit the engine's state, since the engine may be carrying out another one.
         fence: Term under which the order was sent.
     """
     if outcome is OrderOutcome.FENCED:
@@ -229,7 +225,7 @@
         now: Monotonic time.
 
     Returns:
-        Engines whose orders were confirmed.
+        Runs of the engines that report the layers.
     """
     confirmed = []
     for instance, order in list(ledger.sent.items()):
--- a/src/ledgeladder/coordination/link_choice.py
+++ b/src/ledgeladder/coordination/link_choice.py
@@ -1,4 +1,6 @@
-"""Which control boxes an entry box keeps links to.
+"""Which control boxes a process keeps links to.
+
+A control box keeps one to each other; an entry box keeps a few.
 
 With links to all of them, every entry box would hear the same news from each: at 84 entry boxes and
 6 control boxes that was a third of the processor time of an entry box at rest and most of what
@@ -29,7 +31,10 @@
         domains: Failure domain of each, as far as it is known.
         own: Address of the entry box.
         own_domain: Its failure domain.
-        limit: Links that it wants.
+        limit: Links that it wants; with one, no box of another domain is among the first.
+
+    Returns:
+        All addresses, the preferred ones first.
     """
     ranked = sorted(known, key=lambda address: _weight(own, address))
     near = [address for address in ranked if domains.get(address) == own_domain]
--- a/src/ledgeladder/coordination/loss_evidence.py
+++ b/src/ledgeladder/coordination/loss_evidence.py
@@ -1,7 +1,8 @@
 """Whether an engine counts as lost, from heartbeats and from what entry boxes found.
 
 One entry box may be slow or cut off itself and call every engine dead. Its word alone counts only
-together with a heartbeat that is overdue; two boxes that say the same are believed at once.
+together with a heartbeat that is overdue; two boxes that say the same are believed at once, and an
+engine that is silent for several heartbeats needs no witness.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 @dataclass(kw_only=True)
 class LossEvidence:
-    """What entry boxes found."""
+    """Engines that entry boxes found dead."""
 
     reports: dict[str, dict[str, float]] = field(default_factory=dict)
     """When each entry box last found an engine dead, by run of the engine and box, on the monotonic
@@ -34,7 +35,7 @@
 
 
 def forget_engines(evidence: LossEvidence, known: set[str]) -> None:
-    """Forget engines that are not registered any more."""
+    """Forget all engines but the known ones, given as runs."""
     for instance in [item for item in evidence.reports if item not in known]:
         del evidence.reports[instance]
 
@@ -57,11 +58,11 @@
         now: Monotonic time.
         heartbeat: Time between two heartbeats, in seconds.
         silence_counts: False while some control boxes are out of reach: they may hear what this one
-            does not.
+            does not. Then only witnesses count, and it takes `WITNESSES` of them.
 
     Returns:
-        True if several boxes found it dead, if one did and its next heartbeat is overdue, or if it
-        is silent for long.
+        True if `WITNESSES` boxes found it dead since its last heartbeat, if one did and the next
+        heartbeat is overdue, or if it is silent for long.
     """
     silence = now - heard_at if silence_counts else 0.0
     if silence > SILENT_HEARTBEATS * heartbeat:
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -1,4 +1,9 @@
-"""Links to control boxes of which only a few seeds are known at the start."""
+"""Links to control boxes, of which only a few seeds are known at the start.
+
+Control boxes tell of each other. Which of them a process keeps links to is decided in
+`coordination/link_choice.py`: a control box all, an entry box a few, or all while those few do not
+keep it up to date.
+"""
 
 from __future__ import annotations
 
@@ -68,14 +73,14 @@
     """Links that are up, by IP number."""
 
     limit: int | None = None
-    """Links that are wanted, or None for one to each known control box."""
+    """How many links are wanted; None for one to each known control box."""
 
     is_stale: Callable[[], bool] = lambda: False
     """Tells whether the links that are up do not keep this process up to date, so that all known
     control boxes are to be tried."""
 
     domains: dict[str, str] = field(default_factory=dict)
-    """Failure domains of control boxes, as far as they were told."""
+    """Failure domains of control boxes by IP number, as far as they were told."""
 
     scopes: dict[str, anyio.CancelScope] = field(default_factory=dict)
     """Ends the task that keeps a link, by IP number."""
@@ -84,7 +89,7 @@
     """When each of those tasks was started, on the monotonic clock."""
 
     ranked: list[str] = field(default_factory=list)
-    """Known control boxes, the preferred ones first."""
+    """IP numbers of known control boxes, the preferred ones first."""
 
     tasks: TaskGroup | None = None
     """Runs one task for each link; None before the links are run."""
@@ -107,8 +112,8 @@
     Args:
         peers: The links.
         addresses: IP numbers of control boxes. The own one is passed over, and so are those beyond
-            `PEERS_LIMIT`.
-        domains: Failure domains of control boxes, as far as they are known.
+            `PEERS_LIMIT`. Before the links are run, all are.
+        domains: Failure domains of control boxes by IP number, as far as they are known.
     """
     peers.domains.update(domains or {})
     if peers.tasks is None:
@@ -153,12 +158,19 @@
 
 
 def primary_of(peers: Peers) -> str | None:
-    """Return the control box that what concerns all of them together is told to, if any is up."""
+    """Return the IP number of the control box that is told what only one of them needs to be told.
+
+    It is the preferred one of those whose links are up; None if none is.
+    """
     return next((address for address in peers.ranked if address in peers.links), None)
 
 
 async def _keep(peers: Peers, address: str) -> None:
-    """Keep the link to one control box up until it has been out of reach for too long."""
+    """Keep the link to one control box up until it is not wanted any more.
+
+    Its scope is cancelled when enough preferred links are up, or when the box has been out of reach
+    for too long.
+    """
 
     async def serve(link: Link) -> None:
         peers.links[address] = link
@@ -189,6 +201,7 @@
 
 
 async def _forget_when_silent(peers: Peers, address: str) -> None:
+    """Forget a control box that has had no link for `FORGET_SECONDS`, and end its task."""
     while True:
         await anyio.sleep(FORGET_SECONDS / 4)
         if address in peers.links:
@@ -200,11 +213,11 @@
 
 
 async def run_peers(peers: Peers, seeds: SeedList) -> None:
-    """Keep links up until cancelled; without any, the seeds are looked at again.
+    """Keep the wanted links up until cancelled.
 
     Args:
         peers: The links.
-        seeds: Seeds that are in the settings now.
+        seeds: Seeds that are in the settings now; tried for as long as no link is up.
     """
     # A restart of this task begins anew: the tasks that kept the links ended with the one before.
     peers.known.clear()
--- a/src/ledgeladder/daemons/registry/load_sums.py
+++ b/src/ledgeladder/daemons/registry/load_sums.py
@@ -12,25 +12,19 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .state import RegistryState
+    from .state import RegistryState, ReportedLoad, ReportedShare
 
 
 def drop_old_reports(state: RegistryState, now: float) -> None:
     """Forget entry boxes that report to another control box by now, or do not report at all."""
-    for number in [
-        item for item, report in state.loads.items() if now - report.at > LOAD_BELIEVED_SECONDS
-    ]:
+    for number in [item for item, report in state.loads.items() if not _is_recent(report, now)]:
         del state.loads[number]
 
 
 def known_entries(state: RegistryState) -> int:
-    """Return how many entry boxes report to any control box, as far as this one was told."""
+    """Return how many entry boxes report to any control box, as far as is known; at least 1."""
     now = anyio.current_time()
-    others = sum(
-        item.share.entries
-        for item in state.shares.values()
-        if now - item.at <= LOAD_BELIEVED_SECONDS
-    )
+    others = sum(item.share.entries for item in state.shares.values() if _is_recent(item, now))
     return max(1, len(state.loads) + others)
 
 
@@ -44,17 +38,17 @@
     Returns:
         Load by run of the upstream; upstreams without any are left out.
     """
-    shares = [
-        item.share.loads for item in state.shares.values() if now - item.at <= LOAD_BELIEVED_SECONDS
-    ]
+    shares = [item.share.loads for item in state.shares.values() if _is_recent(item, now)]
     return _add_up([own_loads(state, now), *shares])
 
 
 def own_loads(state: RegistryState, now: float) -> dict[str, Load]:
     """Add up what the entry boxes that report here said lately."""
-    return _add_up(
-        report.loads for report in state.loads.values() if now - report.at <= LOAD_BELIEVED_SECONDS
-    )
+    return _add_up(report.loads for report in state.loads.values() if _is_recent(report, now))
+
+
+def _is_recent(report: ReportedLoad | ReportedShare, now: float) -> bool:
+    return now - report.at <= LOAD_BELIEVED_SECONDS
 
 
 def _add_up(parts: Iterable[dict[str, Load]]) -> dict[str, Load]:
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -68,7 +68,7 @@
 
 @dataclass(kw_only=True)
 class _Gathering:
-    """When engines came, before the first plan."""
+    """How many engines have come and when, before the first plan."""
 
     seen: int = 0
     """Most engines that were registered at once."""
@@ -77,10 +77,13 @@
     """When the first came, on the monotonic clock; 0 before that."""
 
     last_at: float = 0.0
-    """When `seen` last rose."""
+    """When `seen` last rose, on the monotonic clock."""
 
     def is_over(self, count: int, now: float) -> bool:
-        """Tell whether enough engines have come, or enough time has passed, to plan."""
+        """Take in how many are registered now, and tell whether it is time to plan.
+
+        It is once no more have come for a while, or the first came long ago.
+        """
         if count > self.seen:
             self.first_at = self.first_at or now
             self.seen, self.last_at = count, now
@@ -91,7 +94,7 @@
 async def run_placing(state: RegistryState) -> None:
     """Order layers for engines that have none, and move some where layers were lost, for ever.
 
-    A box that does not lead forgets its orders. The next leader plans from what engines report and
+    A box that does not lead forgets its own orders. A new leader plans from what engines report and
     from the orders that the last one told it.
     """
     gathering = _Gathering()
@@ -112,20 +115,30 @@
                 empty = [item for item in members if not item.holdings]
                 orders = _plan(state, pool, members) if empty else []
                 orders = orders or _repair(state, pool, members)
-                for engine, holding in _within_limit(state, pool, members, orders):
+                for engine, holding in _begin_orders(state, pool, members, orders):
                     tasks.start_soon(_order, state, engine, holding)
 
 
-def _within_limit(
+def _begin_orders(
     state: RegistryState,
     pool: UpstreamPool,
     engines: list[Registration],
     orders: list[tuple[Registration, Holding]],
 ) -> list[tuple[Registration, Holding]]:
-    """Note the orders that are sent now, no more than loads run at full speed, and return them.
+    """Note the orders that are sent now, and return them.
+
+    The first plan is ordered at once: nothing is served before all of it is loaded. Once half of
+    the engines hold layers, no more loads are open than run at full speed: a few engines that are
+    back soon are worth more than many that load slowly.
+
+    Args:
+        state: The process's state.
+        pool: The pool.
+        engines: Its engines.
+        orders: Orders that are wanted, the most urgent first.
 
-    The first plan is ordered at once: nothing is served before all of it is loaded. Later on, a few
-    engines that are back soon are worth more than many that load slowly.
+    Returns:
+        The first of them, as many as may be open.
     """
     profile = pool.engine
     assert profile is not None
@@ -140,8 +153,7 @@
     loads = min(len(orders), profile.loads_at_once) if serving else len(orders)
     for engine, holding in orders:
         seconds = load_seconds(profile, holding.end - holding.first, loads)
-        term = state.node.replica.term
-        note_sent(state.ledger, engine.instance, holding, term, now, seconds)
+        note_sent(state.ledger, engine.instance, holding, now, seconds)
     return orders
 
 
@@ -189,7 +201,10 @@
 def _plan(
     state: RegistryState, pool: UpstreamPool, engines: list[Registration]
 ) -> list[tuple[Registration, Holding]]:
-    """Return the engines that are to be ordered now, with their layers."""
+    """Return the engines without layers that are to be ordered now, with their layers.
+
+    Also those whose order was not answered, or not carried out in time.
+    """
     assert pool.engine is not None
     ready = [item for item in engines if item.state is UpstreamState.READY]
     placed = _placed(state, [item for item in ready if not _waits(state, item, engines)])
@@ -241,9 +256,9 @@
 def _repair(
     state: RegistryState, pool: UpstreamPool, engines: list[Registration]
 ) -> list[tuple[Registration, Holding]]:
-    """Return the engines that are to be moved to layers that a failure domain lacks.
+    """Return the engines that are to be moved to layers that are lacking, with these layers.
 
-    Also those that were to move before, did not answer, and still report other layers.
+    Also those that were ordered to move, and neither answered nor reported the layers in time.
     """
     assert pool.engine is not None
     now = anyio.current_time()
@@ -274,7 +289,10 @@
 
 
 def _is_up(state: RegistryState, engine: Registration, now: float) -> bool:
-    """Tell whether an engine is ready and does not seem lost."""
+    """Tell whether an engine is ready and does not seem lost.
+
+    Its silence counts only while this box has a link to every control box that it knows of.
+    """
     known = state.table.known.get(engine.instance)
     if known is None or engine.state is not UpstreamState.READY:
         return False
@@ -294,7 +312,7 @@
 
 
 async def _order(state: RegistryState, engine: Registration, holding: Holding) -> None:
-    """Send one order and note what came of it."""
+    """Tell the other control boxes of an order, send it, and note what came of it."""
     fence = state.node.replica.term
     order = state.ledger.sent.get(engine.instance)
     seconds = order.load_seconds if order is not None else 0.0
@@ -318,7 +336,11 @@
 async def _send(
     state: RegistryState, engine: Registration, holding: Holding, fence: int
 ) -> OrderOutcome:
-    """Send one order; the lease is checked once more right before the bytes leave."""
+    """Send one order; the lease is checked once more right before the bytes leave.
+
+    Returns:
+        What the engine said; `NO_ANSWER` also if the order was not sent.
+    """
     source = state.settings.box.address
     try:
         connection = await connect(engine.address, source=source, seconds=CALL_SECONDS)
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -92,7 +92,7 @@
     """Number of the next command that is passed on."""
 
     ledger: OrderLedger = field(default_factory=OrderLedger)
-    """Orders to engines, while this box leads."""
+    """Open orders to engines, of this box or of the one that leads."""
 
     configuration: TrafficConfiguration | None = None
     """The published document, decoded."""
@@ -101,7 +101,7 @@
     """Set once a newer document was applied."""
 
     losses: LossEvidence = field(default_factory=LossEvidence)
-    """Engines that entry boxes found dead."""
+    """Reports of entry boxes on engines that they found dead."""
 
     stopping: bool = False
     """True once a planned stop has begun."""
--- a/tests/coordination/test_engine_orders.py
+++ b/tests/coordination/test_engine_orders.py
@@ -27,7 +27,7 @@
     """Also the answer to an order that is not kept any more."""
     ledger = OrderLedger()
     if is_kept:
-        note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+        note_sent(ledger, "i-1", LAYERS, 0.0)
     note_outcome(ledger, "i-1", OrderOutcome.FENCED, 4)
     assert ledger.fenced_terms == {4}
 
@@ -35,7 +35,7 @@
 def test_order_without_a_report_is_sent_again_and_a_confirmed_one_is_not() -> None:
     ledger = OrderLedger()
     assert due(ledger, "i-1", 0.0)
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0)
     assert not due(ledger, "i-1", CONFIRM_SECONDS - 0.1)
     assert due(ledger, "i-1", CONFIRM_SECONDS)
     assert settle(ledger, {"i-1": ()}, 1.0) == []
@@ -45,8 +45,8 @@
 
 def test_order_to_another_run_or_to_one_that_ended_is_forgotten() -> None:
     ledger = OrderLedger()
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
-    note_sent(ledger, "i-2", LAYERS, 4, 0.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0)
+    note_sent(ledger, "i-2", LAYERS, 0.0)
     note_outcome(ledger, "i-1", OrderOutcome.WRONG_UPSTREAM, 4)
     assert set(ledger.sent) == {"i-2"}
     assert settle(ledger, {"i-1": ()}, 1.0) == []
@@ -57,7 +57,7 @@
     """It reports its old layers first, then none: planning must count the layers it is to hold."""
     ledger = OrderLedger()
     old = Holding(first=40, end=49)
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0)
     assert settle(ledger, {"i-1": (old,)}, 1.0) == []
     assert settle(ledger, {"i-1": ()}, 2.0) == []
     assert ledger.sent["i-1"].holding == LAYERS
@@ -67,8 +67,8 @@
 def test_move_that_is_not_carried_out_is_planned_anew() -> None:
     ledger = OrderLedger()
     old = Holding(first=40, end=49)
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
-    note_sent(ledger, "i-1", LAYERS, 4, CONFIRM_SECONDS)
+    note_sent(ledger, "i-1", LAYERS, 0.0)
+    note_sent(ledger, "i-1", LAYERS, CONFIRM_SECONDS)
     assert settle(ledger, {"i-1": (old,)}, FORGET_SECONDS - 0.1) == []
     assert "i-1" in ledger.sent
     assert settle(ledger, {"i-1": (old,)}, FORGET_SECONDS + 0.1) == []
@@ -77,7 +77,7 @@
 
 def test_order_that_does_not_fit_the_engine_is_forgotten() -> None:
     ledger = OrderLedger()
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0)
     note_outcome(ledger, "i-1", OrderOutcome.CONFLICT, 4)
     assert not ledger.sent
 
@@ -85,7 +85,7 @@
 def test_load_that_has_begun_is_not_ordered_again_while_it_may_still_run() -> None:
     """Ordered again it begins anew: one engine took 11 s for a load of 2 s."""
     ledger = OrderLedger()
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0, load_seconds=3.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0, load_seconds=3.0)
     assert due(ledger, "i-1", CONFIRM_SECONDS)
     note_outcome(ledger, "i-1", OrderOutcome.BEGUN, 4)
     assert not due(ledger, "i-1", CONFIRM_SECONDS + 5.9)
@@ -94,7 +94,7 @@
 
 def test_order_without_an_answer_is_due_sooner_than_one_that_has_begun() -> None:
     ledger = OrderLedger()
-    note_sent(ledger, "i-1", LAYERS, 4, 0.0, load_seconds=3.0)
+    note_sent(ledger, "i-1", LAYERS, 0.0, load_seconds=3.0)
     note_outcome(ledger, "i-1", OrderOutcome.NO_ANSWER, 4)
     assert due(ledger, "i-1", CONFIRM_SECONDS)
 
@@ -113,7 +113,7 @@
 def test_what_an_old_leader_ordered_long_ago_is_forgotten() -> None:
     ledger = OrderLedger()
     hear(ledger, "i-1", LAYERS, 3.0, 10.0)
-    note_sent(ledger, "i-2", LAYERS, 4, 10.0)
+    note_sent(ledger, "i-2", LAYERS, 10.0)
     follow(ledger, 10.0 + CONFIRM_SECONDS + 6.0)
     take_over(ledger)
     assert not ledger.sent
