Tests: one sample site, one set of gateway builders, one builder of Peers

What was unclear: test_paths and test_placement_repair took the site from test_placement, and test_asking and test_checks took settings from test_probing; engines, states and paths were built in four files, the identity of Peers in two functions. They stand in tests/routing/sample_site.py, tests/daemons/gateway/builders.py and make_peers. No check changed.

--- /dev/null
+++ b/tests/daemons/gateway/builders.py
@@ -0,0 +1,38 @@
+"""Settings, engines and paths for tests of parts of a gateway without processes."""
+
+from __future__ import annotations
+
+from ledgeladder.daemons.gateway.state import GatewayState
+from ledgeladder.model.registration import Registration
+from ledgeladder.routing.forwarding_table import ForwardedUpstream
+from ledgeladder.routing.paths import ChosenPath
+from ledgeladder.settings.discovered import GatewaySettings
+
+
+def settings() -> GatewaySettings:
+    return GatewaySettings.model_validate(
+        {
+            "box": {"name": "n", "failure_domain": "a", "address": "127.0.0.1"},
+            "cluster": {
+                "secret": "loopback-and-private-network",
+                "link_port": 1,
+                "metrics_port": 4,
+                "seeds": ["127.0.0.1:9"],
+            },
+            "gateway": {"caller_address": "127.0.0.1:2", "ready_address": "127.0.0.1:3"},
+        }
+    )
+
+
+def gateway_state() -> GatewayState:
+    return GatewayState(settings=settings())
+
+
+def engine(instance: str = "i-1", address: str = "127.0.0.1:1") -> ForwardedUpstream:
+    registration = Registration(instance=instance, sequence=1, address=address)
+    return ForwardedUpstream(registration=registration, heard_at=0.0)
+
+
+def path_over(*engines: ForwardedUpstream) -> ChosenPath:
+    """Return a path over engines whose layers do not matter."""
+    return ChosenPath(parts=(), engines=engines, cost=1.0)
--- a/tests/daemons/gateway/test_asking.py
+++ b/tests/daemons/gateway/test_asking.py
@@ -8,18 +8,18 @@
 
 from ledgeladder.daemons.gateway import asking
 from ledgeladder.daemons.gateway.asking import ask_slowdowns
-from ledgeladder.daemons.gateway.state import GatewayState
-from ledgeladder.model.registration import Registration
-from ledgeladder.routing.forwarding_table import ForwardedUpstream, slow_factor
-from ledgeladder.routing.paths import ChosenPath
+from ledgeladder.routing.forwarding_table import slow_factor
 
-from .test_probing import settings
+from .builders import engine, gateway_state, path_over
 
 
-def asked(answer: bytes | None, times: int = 1) -> tuple[ForwardedUpstream, list[bytes], float]:
-    """Ask one engine that answers with some bytes, or not at all; returns also what it was sent."""
+def asked(answer: bytes | None, times: int = 1) -> tuple[list[bytes], float]:
+    """Ask one engine that answers with some bytes, or not at all.
+
+    Returns:
+        What it was sent, and how many times slower than usual it counts as then.
+    """
     sent: list[bytes] = []
-    engine = ForwardedUpstream(registration=Registration(instance="i-1", sequence=1), heard_at=0.0)
     factor = 0.0
 
     async def serve(stream: SocketStream) -> None:
@@ -34,19 +34,16 @@
         async with anyio.create_task_group() as tasks:
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = listener.extra(SocketAttribute.local_port)
-            engine.registration = Registration(
-                instance="i-1", sequence=1, address=f"127.0.0.1:{port}"
-            )
+            asked_engine = engine(address=f"127.0.0.1:{port}")
             tasks.start_soon(listener.serve, serve)
-            state = GatewayState(settings=settings())
-            path = ChosenPath(parts=(), engines=(engine,), cost=1.0)
+            state, path = gateway_state(), path_over(asked_engine)
             for _ in range(times):
                 await ask_slowdowns(state, path)
-            factor = slow_factor(engine, anyio.current_time())
+            factor = slow_factor(asked_engine, anyio.current_time())
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
-    return engine, sent, factor
+    return sent, factor
 
 
 def http(body: bytes) -> bytes:
@@ -60,22 +57,22 @@
 
 
 def test_slow_engine_says_so() -> None:
-    _engine, sent, factor = asked(http(b'{"pace":4.0,"running":3}'))
+    sent, factor = asked(http(b'{"pace":4.0,"running":3}'))
     assert sent[0].startswith(b"GET /api/report HTTP/1.1\r\n")
     assert factor == 4.0
 
 
 @pytest.mark.parametrize("answer", [http(b"oops"), b"", http(b'{"pace":0.5}')])
 def test_engine_with_another_answer_counts_as_working_as_usual(answer: bytes) -> None:
-    assert asked(answer)[2] == 1.0
+    assert asked(answer)[1] == 1.0
 
 
 def test_engine_is_not_asked_again_at_once() -> None:
-    assert len(asked(http(b'{"pace":4.0}'), times=3)[1]) == 1
+    assert len(asked(http(b'{"pace":4.0}'), times=3)[0]) == 1
 
 
 def test_engine_that_does_not_tell_in_time_counts_as_working_as_usual(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(asking, "ASK_SECONDS", 0.05)
-    assert asked(None)[2] == 1.0
+    assert asked(None)[1] == 1.0
--- a/tests/daemons/gateway/test_checks.py
+++ b/tests/daemons/gateway/test_checks.py
@@ -10,10 +10,9 @@
     START_SECONDS,
     permit_request,
 )
-from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.model import ProblemError, ResultCode
 
-from .test_probing import settings
+from .builders import gateway_state
 
 
 @pytest.mark.parametrize(
@@ -22,7 +21,7 @@
 )
 def test_starting_box_names_the_time_at_which_it_will_be_up(uptime: float, expected: float) -> None:
     """Callers that were told half a second each time were refused once more and gave up."""
-    state = GatewayState(settings=settings())
+    state = gateway_state()
 
     async def ask() -> ProblemError:
         state.started_at = anyio.current_time() - uptime
--- a/tests/daemons/gateway/test_probing.py
+++ b/tests/daemons/gateway/test_probing.py
@@ -9,12 +9,9 @@
 
 from ledgeladder.daemons.gateway import probing
 from ledgeladder.daemons.gateway.probing import find_lost
-from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.http1 import ConnectError
-from ledgeladder.model.registration import Registration
-from ledgeladder.routing.forwarding_table import ForwardedUpstream
-from ledgeladder.routing.paths import ChosenPath
-from ledgeladder.settings.discovered import GatewaySettings
+
+from .builders import engine, gateway_state, path_over
 
 
 class Connected:
@@ -22,34 +19,14 @@
         pass
 
 
-def engine() -> ForwardedUpstream:
-    registration = Registration(instance="i-1", sequence=1, address="127.0.0.1:1")
-    return ForwardedUpstream(registration=registration, heard_at=0.0)
-
-
-def settings() -> GatewaySettings:
-    return GatewaySettings.model_validate(
-        {
-            "box": {"name": "n", "failure_domain": "a", "address": "127.0.0.1"},
-            "cluster": {
-                "secret": "loopback-and-private-network",
-                "link_port": 1,
-                "metrics_port": 4,
-                "seeds": ["127.0.0.1:9"],
-            },
-            "gateway": {"caller_address": "127.0.0.1:2", "ready_address": "127.0.0.1:3"},
-        }
-    )
-
-
 def test_refused_connection_is_evidence_however_late(monkeypatch: pytest.MonkeyPatch) -> None:
     async def connect(address: str, *, source: str | None, seconds: float) -> Connected:
         time.sleep(seconds + probing.LATE_SECONDS * 2)
         raise ConnectError(f"{address}: OSError") from OSError()
 
     monkeypatch.setattr(probing, "connect", connect)
-    state = GatewayState(settings=settings())
-    path = ChosenPath(parts=(), engines=(engine(),), cost=1.0)
+    state = gateway_state()
+    path = path_over(engine())
 
     async def run() -> bool:
         return await find_lost(state, path, set())
@@ -80,8 +57,8 @@
         raise AssertionError("unreachable")
 
     monkeypatch.setattr(probing, "connect", connect)
-    state = GatewayState(settings=settings())
-    path = ChosenPath(parts=(), engines=(engine(),), cost=1.0)
+    state = gateway_state()
+    path = path_over(engine())
     dead: set[str] = set()
 
     async def run() -> bool:
@@ -104,8 +81,8 @@
         raise ConnectError(f"{address}: TimeoutError") from TimeoutError()
 
     monkeypatch.setattr(probing, "connect", connect)
-    state = GatewayState(settings=settings())
-    path = ChosenPath(parts=(), engines=(engine(),), cost=1.0)
+    state = gateway_state()
+    path = path_over(engine())
 
     async def run() -> bool:
         return await find_lost(state, path, set())
@@ -124,10 +101,9 @@
         raise ConnectError(f"{address}: OSError") from OSError()
 
     monkeypatch.setattr(probing, "connect", connect)
-    state = GatewayState(settings=settings())
-    working, silent = engine(), engine()
-    silent.registration = Registration(instance="i-2", sequence=1, address="127.0.0.1:2")
-    path = ChosenPath(parts=(), engines=(working, silent), cost=1.0)
+    state = gateway_state()
+    working, silent = engine(), engine("i-2", "127.0.0.1:2")
+    path = path_over(working, silent)
     dead: set[str] = set()
 
     async def run() -> bool:
--- a/tests/daemons/gateway/test_probing_sockets.py
+++ b/tests/daemons/gateway/test_probing_sockets.py
@@ -10,12 +10,8 @@
 
 from ledgeladder.daemons.gateway import probing
 from ledgeladder.daemons.gateway.probing import find_lost
-from ledgeladder.daemons.gateway.state import GatewayState
-from ledgeladder.model.registration import Registration
-from ledgeladder.routing.forwarding_table import ForwardedUpstream
-from ledgeladder.routing.paths import ChosenPath
 
-from .test_probing import settings
+from .builders import engine, gateway_state, path_over
 
 
 @pytest.mark.parametrize("factor", [1.1, 1.3, 2.0, 5.0])
@@ -28,16 +24,14 @@
         async with anyio.create_task_group() as tasks:
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
-            registration = Registration(instance="i-1", sequence=1, address=address)
-            engine = ForwardedUpstream(registration=registration, heard_at=0.0)
-            path = ChosenPath(parts=(), engines=(engine,), cost=1.0)
+            path = path_over(engine(address=address))
 
             async def stand_still() -> None:
                 await anyio.sleep(0)
                 time.sleep(probing.PROBE_FLOOR_SECONDS * factor)
 
             tasks.start_soon(stand_still)
-            lost = await find_lost(GatewayState(settings=settings()), path, set())
+            lost = await find_lost(gateway_state(), path, set())
             tasks.cancel_scope.cancel()
         await listener.aclose()
         return lost
--- a/tests/daemons/gateway/test_stream_run.py
+++ b/tests/daemons/gateway/test_stream_run.py
@@ -10,25 +10,20 @@
 import pytest
 
 from ledgeladder.daemons.gateway import stream_run
-from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.daemons.gateway.stream_run import _told_of_losses
 from ledgeladder.daemons.gateway.stream_session import StreamSession
 from ledgeladder.daemons.gateway.upstream_call import AnswerLostError
-from ledgeladder.model.registration import Registration
 from ledgeladder.routing.event_stream import EventOrder
-from ledgeladder.routing.forwarding_table import ForwardedUpstream, note_lost
-from ledgeladder.routing.paths import ChosenPath
+from ledgeladder.routing.forwarding_table import note_lost
 
-
-def engine() -> ForwardedUpstream:
-    return ForwardedUpstream(registration=Registration(instance="i-1", sequence=1), heard_at=0.0)
+from .builders import engine, gateway_state, path_over
 
 
 def interrupted(*, emitting: bool) -> tuple[bool, StreamSession]:
     """Report an engine dead in the middle of a run; tells whether the run went on."""
     session = StreamSession(order=EventOrder(last_id=None), tokens=10, emitting=emitting)
     lost = engine()
-    path = ChosenPath(parts=(), engines=(lost,), cost=1.0)
+    path = path_over(lost)
     went_on = False
 
     async def run() -> None:
@@ -75,9 +70,9 @@
     and the next run would start after events that never reached the caller."""
     session = StreamSession(order=EventOrder(last_id=None), tokens=10)
     lost = engine()
-    path = ChosenPath(parts=(), engines=(lost,), cost=1.0)
+    path = path_over(lost)
     exchange = RecordingExchange()
-    state = GatewayState(settings=None)  # type: ignore[arg-type]
+    state = gateway_state()
     head = h11.Response(status_code=200, headers=[])
     answer = SimpleNamespace(head=head)
 
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -1,8 +1,9 @@
-"""Links to control boxes after the task that keeps them was restarted."""
+"""Which links to control boxes are kept, and that they come back after a restart of their task."""
 
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import anyio
 
@@ -12,6 +13,30 @@
 from ledgeladder.links import Link, LinkIdentity
 from ledgeladder.links.messages import PeerRole
 
+IDENTITY = LinkIdentity(
+    cluster="c",
+    role=PeerRole.ENTRY,
+    box="10.0.0.1",
+    failure_domain="d",
+    instance="i",
+    secret="a-secret-of-the-cluster",
+)
+
+
+async def keep_serving(address: str, link: Link) -> None:
+    await anyio.sleep_forever()
+
+
+def make_peers(**options: Any) -> Peers:
+    """Links of the box of `IDENTITY`, each served for ever."""
+    return Peers(
+        identity=IDENTITY,
+        own_address=IDENTITY.box,
+        link_port=7,
+        serve=keep_serving,
+        **options,
+    )
+
 
 def test_restart_of_the_task_opens_the_links_again(monkeypatch) -> None:  # type: ignore[no-untyped-def]
     """After any failure inside a link handler the process once never linked to anybody again."""
@@ -21,19 +46,8 @@
         opened.append(address)
         await anyio.sleep_forever()
 
-    async def serve(address: str, link: Link) -> None:
-        await anyio.sleep_forever()
-
     monkeypatch.setattr(peers_module, "keep_link", keep_link)
-    identity = LinkIdentity(
-        cluster="c",
-        role=PeerRole.ENTRY,
-        box="10.0.0.1",
-        failure_domain="d",
-        instance="i",
-        secret="a-secret-of-the-cluster",
-    )
-    peers = Peers(identity=identity, own_address="10.0.0.1", link_port=7, serve=serve)
+    peers = make_peers()
     seeds = SeedList(path=Path("unused"), seeds=("10.0.0.2:80", "10.0.0.1:80"))
 
     async def run() -> None:
@@ -53,28 +67,10 @@
             await handler(None)
         await anyio.sleep_forever()
 
-    async def serve(address: str, link: Link) -> None:
-        await anyio.sleep_forever()
-
     monkeypatch.setattr(peers_module, "keep_link", keep_link)
     monkeypatch.setattr(peers_module, "LOOK_SECONDS", 0.01)
     monkeypatch.setattr(peers_module, "START_SECONDS", 0.02)
-    identity = LinkIdentity(
-        cluster="c",
-        role=PeerRole.ENTRY,
-        box="10.0.0.1",
-        failure_domain="d",
-        instance="i",
-        secret="a-secret-of-the-cluster",
-    )
-    return Peers(
-        identity=identity,
-        own_address="10.0.0.1",
-        link_port=7,
-        serve=serve,
-        limit=3,
-        is_stale=lambda: stale,
-    )
+    return make_peers(limit=3, is_stale=lambda: stale)
 
 
 CONTROLS = [f"10.0.1.{number}" for number in range(8)]
--- /dev/null
+++ b/tests/routing/sample_site.py
@@ -0,0 +1,77 @@
+"""A site with cards of three kinds in three failure domains, for tests of layers and paths."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from ledgeladder.model.registration import Holding
+from ledgeladder.model.traffic import CardKind, EngineProfile
+from ledgeladder.routing.layer_coverage import kv_capacity
+from ledgeladder.routing.placed_engine import PlacedEngine
+from ledgeladder.routing.placement import plan_placement
+
+CARDS = {
+    "fast": CardKind(name="fast", memory_mb=72_000, step_factor=2.4, read_factor=3.2),
+    "middle": CardKind(name="middle", memory_mb=43_200, step_factor=5.6, read_factor=2.7),
+    "slow": CardKind(name="slow", memory_mb=21_600, step_factor=16.0, read_factor=8.2),
+}
+PROFILE = EngineProfile(
+    model="m",
+    layers=80,
+    layer_mb=1750.0,
+    kv_token_bytes=1_836_000,
+    step_ms=1.02,
+    sequence_ms=0.014,
+    read_per_s=105_000,
+    stride=3,
+    load_seconds=14.0,
+    loads_at_once=5,
+    usual_prompt=774,
+    usual_answer=200,
+    cards=CARDS,
+)
+DOMAINS = {"a": (1, 3, 8), "b": (1, 6, 5), "c": (2, 2, 5)}
+"""Engines with each kind of card, in the order of `CARDS`, by failure domain."""
+
+
+def fleet() -> list[PlacedEngine]:
+    """Return the engines of the site, all without layers."""
+    engines = []
+    for domain, counts in DOMAINS.items():
+        for card, count in zip(CARDS, counts, strict=True):
+            engines += [
+                PlacedEngine(
+                    instance=f"{domain}-{card}-{number}",
+                    failure_domain=domain,
+                    card=card,
+                    holding=None,
+                )
+                for number in range(count)
+            ]
+    return engines
+
+
+def placed(engines: list[PlacedEngine], chosen: dict[str, Holding]) -> list[PlacedEngine]:
+    """Return the engines with the layers that they hold or that were chosen for them."""
+    return [
+        dataclasses.replace(item, holding=item.holding or chosen.get(item.instance))
+        for item in engines
+    ]
+
+
+def settled_fleet() -> list[PlacedEngine]:
+    """Return the engines of the site with the layers of the first plan."""
+    engines = fleet()
+    return placed(engines, plan_placement(PROFILE, engines))
+
+
+def requests_by_layer(engines: list[PlacedEngine], chosen: dict[str, Holding]) -> list[float]:
+    """Return how many requests of the usual size each layer carries."""
+    carried = [0.0] * PROFILE.layers
+    for item in engines:
+        holding = chosen[item.instance]
+        count = holding.end - holding.first
+        tokens = kv_capacity(PROFILE, item.card, count) / count
+        for layer in range(holding.first, holding.end):
+            carried[layer] += tokens / (PROFILE.usual_prompt + PROFILE.usual_answer)
+    return carried
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -38,13 +38,13 @@
     reserve,
 )
 
-from .test_placement import CARDS, DOMAINS, PROFILE, fleet, placed, plan_placement
+from .sample_site import CARDS, DOMAINS, PROFILE, settled_fleet
 
 
 def engines(now: float = 0.0) -> list[ForwardedUpstream]:
+    """Return the engines of the site with the layers of the first plan, last heard at a time."""
     made = []
-    empty = fleet()
-    for item in placed(empty, plan_placement(PROFILE, empty)):
+    for item in settled_fleet():
         assert item.holding is not None
         registration = Registration(
             instance=item.instance,
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -2,63 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
-from ledgeladder.model.registration import Holding
-from ledgeladder.model.traffic import CardKind, EngineProfile
-from ledgeladder.routing.layer_coverage import kv_capacity
+from ledgeladder.model.traffic import CardKind
 from ledgeladder.routing.placed_engine import PlacedEngine
 from ledgeladder.routing.placement import layers_for, missing_layers, plan_placement
 
-CARDS = {
-    "fast": CardKind(name="fast", memory_mb=72_000, step_factor=2.4, read_factor=3.2),
-    "middle": CardKind(name="middle", memory_mb=43_200, step_factor=5.6, read_factor=2.7),
-    "slow": CardKind(name="slow", memory_mb=21_600, step_factor=16.0, read_factor=8.2),
-}
-PROFILE = EngineProfile(
-    model="m",
-    layers=80,
-    layer_mb=1750.0,
-    kv_token_bytes=1_836_000,
-    step_ms=1.02,
-    sequence_ms=0.014,
-    read_per_s=105_000,
-    stride=3,
-    load_seconds=14.0,
-    loads_at_once=5,
-    usual_prompt=774,
-    usual_answer=200,
-    cards=CARDS,
-)
-DOMAINS = {"a": (1, 3, 8), "b": (1, 6, 5), "c": (2, 2, 5)}
-
-
-def fleet() -> list[PlacedEngine]:
-    engines = []
-    for domain, counts in DOMAINS.items():
-        for card, count in zip(CARDS, counts, strict=True):
-            engines += [
-                PlacedEngine(
-                    instance=f"{domain}-{card}-{number}",
-                    failure_domain=domain,
-                    card=card,
-                    holding=None,
-                )
-                for number in range(count)
-            ]
-    return engines
-
-
-def placed(engines: list[PlacedEngine], chosen: dict[str, Holding]) -> list[PlacedEngine]:
-    return [
-        PlacedEngine(
-            instance=item.instance,
-            failure_domain=item.failure_domain,
-            card=item.card,
-            holding=item.holding or chosen.get(item.instance),
-        )
-        for item in engines
-    ]
+from .sample_site import CARDS, DOMAINS, PROFILE, fleet, requests_by_layer, settled_fleet
 
 
 def test_every_failure_domain_holds_a_whole_copy() -> None:
@@ -79,8 +30,7 @@
 
 
 def test_engines_that_hold_layers_keep_them_and_a_newcomer_is_placed() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     lost, rest = settled[3], settled[:3] + settled[4:]
     newcomer = PlacedEngine(
         instance="new", failure_domain=lost.failure_domain, card=lost.card, holding=None
@@ -92,26 +42,11 @@
 def test_unknown_card_and_too_small_card_get_nothing() -> None:
     assert layers_for(PROFILE, "unknown") == 0
     tiny = CardKind(name="tiny", memory_mb=1000, step_factor=1, read_factor=1)
-    profile = EngineProfile(
-        **{name: getattr(PROFILE, name) for name in PROFILE.__dataclass_fields__}
-        | {"cards": {"tiny": tiny}}
-    )
+    profile = dataclasses.replace(PROFILE, cards={"tiny": tiny})
     engine = PlacedEngine(instance="x", failure_domain="a", card="tiny", holding=None)
     assert plan_placement(profile, [engine]) == {}
 
 
-def requests_by_layer(engines: list[PlacedEngine], chosen: dict[str, Holding]) -> list[float]:
-    """Return how many requests of the usual size each layer carries."""
-    carried = [0.0] * PROFILE.layers
-    for item in engines:
-        holding = chosen[item.instance]
-        count = holding.end - holding.first
-        tokens = kv_capacity(PROFILE, item.card, count) / count
-        for layer in range(holding.first, holding.end):
-            carried[layer] += tokens / (PROFILE.usual_prompt + PROFILE.usual_answer)
-    return carried
-
-
 def test_no_layer_carries_much_less_than_the_others() -> None:
     """A path is as wide as its narrowest layer."""
     engines = fleet()
@@ -120,8 +55,7 @@
 
 
 def test_replacement_takes_over_the_layers_of_the_engine_that_leaves() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     old = next(item for item in settled if item.card == "middle" and item.failure_domain == "b")
     rest = [item for item in settled if item is not old]
     new = PlacedEngine(instance="new", failure_domain="b", card="middle", holding=None)
--- a/tests/routing/test_placement_repair.py
+++ b/tests/routing/test_placement_repair.py
@@ -4,15 +4,14 @@
 
 import dataclasses
 
-from ledgeladder.routing.placement import missing_layers, plan_placement
+from ledgeladder.routing.placement import missing_layers
 from ledgeladder.routing.placement_repair import KEPT_SHARE, plan_repairs
 
-from .test_placement import PROFILE, fleet, placed, requests_by_layer
+from .sample_site import PROFILE, requests_by_layer, settled_fleet
 
 
 def test_repair_moves_spare_engines_of_the_same_failure_domain() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     assert plan_repairs(PROFILE, settled) == []
     moves = 0
     whole = 0
@@ -45,8 +44,7 @@
 
 
 def test_lost_fast_engine_is_replaced_by_several_slow_ones_at_once() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     most = 0
     for lost in [item for item in settled if item.card == "fast"]:
         rest = [item for item in settled if item is not lost]
@@ -55,8 +53,7 @@
 
 
 def test_layers_that_few_carry_are_not_given_up_for_gaps_of_a_failure_domain() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     for lost in settled:
         rest = [item for item in settled if item is not lost]
         before = {item.instance: item.holding for item in rest if item.holding}
@@ -69,8 +66,7 @@
 
 def test_engine_that_has_not_reported_its_layers_is_not_moved() -> None:
     """It loads; another order to it is a conflict, and forgetting the first one begins it anew."""
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     for lost in settled:
         rest = [item for item in settled if item is not lost]
         loading = [dataclasses.replace(item, settled=False) for item in rest]
@@ -78,16 +74,14 @@
 
 
 def test_fast_engines_are_not_moved() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     for lost in settled:
         rest = [item for item in settled if item is not lost]
         assert {spare.card for spare, _holding in plan_repairs(PROFILE, rest)} <= {"slow"}
 
 
 def test_layers_that_lost_most_of_their_holders_everywhere_get_some_back() -> None:
-    engines = fleet()
-    settled = placed(engines, plan_placement(PROFILE, engines))
+    settled = settled_fleet()
     layer = 40
     holders = [
         item for item in settled if item.holding and item.holding.first <= layer < item.holding.end
