--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -120,7 +120,7 @@
     """Newest order to each engine that another leader told of. Empty while this box leads."""
 
     repaired_at: float = float("-inf")
-    """When engines were last moved to layers that a failure domain lacked."""
+    """When moves were last planned or ordered again, on the monotonic clock."""
 
     fenced_terms: set[int] = field(default_factory=set)
     """Terms under which an engine refused an order; this box orders nothing more under them."""
--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -16,8 +16,10 @@
     from ..model.registration import Holding
 
 ORDER_TARGET: Final = b"/api/order"
+"""Path at which engines take orders."""
 
 REPORT_TARGET: Final = b"/api/report"
+"""Path at which engines report how they do."""
 
 
 class _Report(msgspec.Struct):
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from ..model.traffic import EngineProfile
+    from ..model.traffic import CardKind, EngineProfile
     from .forwarding_table import ForwardedUpstream
 
 LOCAL_HOP_SECONDS: Final = 0.0002
@@ -118,11 +118,7 @@
     if card is None:
         return []
     tokens = float(max(1, request.prompt_tokens + request.answer_tokens))
-    running = total_in_flight(engine, now, request.sharers) + 1
-    step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
-    read = request.prompt_tokens / profile.read_per_s * card.read_factor
-    seconds = (step * request.answer_tokens + read) / profile.layers
-    seconds *= slow_factor(engine, now) * factor
+    seconds = _seconds_per_layer(profile, engine, card, request, now) * factor
     held = sum(item.end - item.first for item in engine.registration.holdings)
     capacity = kv_capacity(profile, engine.registration.card, held)
     taken = total_kv(engine, now, request.sharers)
@@ -147,6 +143,20 @@
     return offers
 
 
+def _seconds_per_layer(
+    profile: EngineProfile,
+    engine: ForwardedUpstream,
+    card: CardKind,
+    request: PathRequest,
+    now: float,
+) -> float:
+    """Return the predicted time for each layer of a request, without crowding of the KV cache."""
+    running = total_in_flight(engine, now, request.sharers) + 1
+    step = (profile.step_ms + profile.sequence_ms * running) * card.step_factor / 1000.0
+    read = request.prompt_tokens / profile.read_per_s * card.read_factor
+    return (step * request.answer_tokens + read) / profile.layers * slow_factor(engine, now)
+
+
 def _layers_with_room(profile: EngineProfile, free: float, tokens: float) -> int:
     """Return for how many layers of a request free KV cache is enough.
 
