--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -16,11 +16,14 @@
     from ..model.registration import Holding
 
 ORDER_TARGET: Final = b"/api/order"
+"""Path at which engines take orders."""
 
 REPORT_TARGET: Final = b"/api/report"
+"""Path at which engines report how they do."""
 
 
 class _Report(msgspec.Struct):
+    # How many times slower than usual the engine works, and not how fast.
     pace: float = 1.0
 
 
@@ -86,7 +89,7 @@
 
 
 def report_call() -> EngineCall:
-    """Build the question how an engine does."""
+    """Build the call that asks an engine for its report."""
     return EngineCall(method=b"GET", target=REPORT_TARGET, headers=[], body=b"")
 
 
@@ -94,7 +97,7 @@
     """Decode an engine's report; None if it cannot be read.
 
     >>> read_report(b'{"pace":4.0,"busy":false}')
-    EngineReport(pace=4.0)
+    EngineReport(slowdown=4.0)
     >>> read_report(b"oops") is None
     True
     """
@@ -102,4 +105,4 @@
         report = _REPORT_DECODER.decode(body)
     except msgspec.DecodeError:
         return None
-    return EngineReport(pace=report.pace)
+    return EngineReport(slowdown=report.pace)
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -11,7 +11,7 @@
 
 from ledgeladder.model.registration import Holding, Registration, UpstreamState
 from ledgeladder.routing.forwarding_table import (
-    PACE_BELIEVED_SECONDS,
+    SLOWDOWN_BELIEVED_SECONDS,
     ForwardedUpstream,
     ForwardingTable,
     note_failed,
@@ -29,23 +29,22 @@
     doubt_links,
     link_penalties,
 )
-from ledgeladder.routing.path_costs import OVERFULL_AT
+from ledgeladder.routing.path_costs import OVERFULL_AT, PathRequest
 from ledgeladder.routing.paths import (
     ChosenPath,
-    PathRequest,
     choose_path,
     explain_no_path,
     release,
     reserve,
 )
 
-from .test_placement import CARDS, DOMAINS, PROFILE, fleet, placed, plan_placement
+from .sample_site import CARDS, DOMAINS, PROFILE, settled_fleet
 
 
 def engines(now: float = 0.0) -> list[ForwardedUpstream]:
+    """Return the engines of the site with the layers of the first plan, last heard at a time."""
     made = []
-    empty = fleet()
-    for item in placed(empty, plan_placement(PROFILE, empty)):
+    for item in settled_fleet():
         assert item.holding is not None
         registration = Registration(
             instance=item.instance,
@@ -271,12 +270,12 @@
     before = choose_path(PROFILE, pool, wanted("a"), 1.0)
     assert before is not None
     slow = before.engines[1]
-    slow.pace, slow.pace_at = 8.0, 1.0
+    slow.slowdown, slow.slowdown_at = 8.0, 1.0
     after = choose_path(PROFILE, pool, wanted("a"), 1.1)
     assert after is not None
     assert slow not in after.engines
     # It is tried again later.
-    again = choose_path(PROFILE, pool, wanted("a"), 1.0 + PACE_BELIEVED_SECONDS)
+    again = choose_path(PROFILE, pool, wanted("a"), 1.0 + SLOWDOWN_BELIEVED_SECONDS)
     assert again is not None
     assert slow in again.engines
 
