--- a/src/ledgeladder/cli/change_file.py
+++ b/src/ledgeladder/cli/change_file.py
@@ -6,16 +6,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
-from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
 from ..model import ChangeDocument, Problem, ResultCode
+from ..model.validation import check_model
 from ..settings import read_toml
 
 if TYPE_CHECKING:
-    from pydantic_core import ErrorDetails
-
-_CHANGE: Final = TypeAdapter(ChangeDocument)
+    from ..model.validation import Fault
 
 OBJECT_KEYS: Final = ("upstreams", "pipelines", "priorities", "accounts", "policies")
 
@@ -55,17 +53,17 @@
             _resolve_key(account)
         for policy in document["put"].get("policies", ()):
             _resolve_source(path, policy)
-        return Success(_CHANGE.validate_python(document))
-    except ValidationError as error:
-        lines = [_describe(path, item) for item in error.errors()]
-        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(lines)))
     except (OSError, AttributeError, TypeError) as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"{path}: {error}"))
+    checked = check_model(document, ChangeDocument)
+    if isinstance(checked, Success):
+        return Success(checked.unwrap())
+    lines = [_describe(path, fault) for fault in checked.failure()]
+    return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(lines)))
 
 
-def _describe(path: Path, item: ErrorDetails) -> str:
-    key = ".".join(str(part) for part in item["loc"])
-    return f"{path}: {key} = {item['input']!r}: {item['msg']}"
+def _describe(path: Path, fault: Fault) -> str:
+    return f"{path}: {fault.key} = {fault.value!r}: {fault.message}"
 
 
 def _resolve_key(account: dict[str, Any]) -> None:
--- a/src/ledgeladder/cli/operator_client.py
+++ b/src/ledgeladder/cli/operator_client.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
 from typing import Any, Final
 
 import httpx
+import msgspec
 from returns.result import Failure, Result, Success
 
 from ..model import Problem, ResultCode
@@ -22,8 +22,7 @@
 """Codes after which the same call is sent again, perhaps to another box."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class OperatorClient:
+class OperatorClient(msgspec.Struct, frozen=True, kw_only=True):
     """Where the control boxes are and who asks."""
 
     addresses: tuple[str, ...]
--- a/src/ledgeladder/coordination/claims.py
+++ b/src/ledgeladder/coordination/claims.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from .commands import ClaimCommand, ClaimResult, ClaimVerdict, CompleteCommand, ReleaseCommand
 
 CLAIM_WINDOW_MS: Final = 3_600_000
@@ -34,8 +35,7 @@
 UUID_VERSION: Final = 7
 
 
-@dataclass(kw_only=True)
-class Claim:
+class Claim(msgspec.Struct, kw_only=True):
     """One claimed request."""
 
     body_digest: bytes
@@ -60,14 +60,13 @@
     """The recorded answer."""
 
 
-@dataclass(kw_only=True)
-class ClaimTable:
+class ClaimTable(msgspec.Struct, kw_only=True):
     """All claims, by client account and key."""
 
-    claims: dict[str, dict[str, Claim]] = field(default_factory=dict)
+    claims: dict[str, dict[str, Claim]] = msgspec.field(default_factory=dict)
     """Claims by client account, then by key."""
 
-    buckets: dict[int, list[tuple[str, str]]] = field(default_factory=dict)
+    buckets: dict[int, list[tuple[str, str]]] = msgspec.field(default_factory=dict)
     """Account and key of the claims, by the minute that the key carries."""
 
     count: int = 0
--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
@@ -57,8 +58,7 @@
     ended. It may have been taken, or may be carried out late."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineCall:
+class EngineCall(msgspec.Struct, frozen=True, kw_only=True):
     """An encoded call to an engine."""
 
     method: bytes
@@ -74,8 +74,7 @@
     """The body."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineReport:
+class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
     """What an engine says of itself when it is asked."""
 
     slowdown: float
@@ -89,8 +88,7 @@
     """True while it carries out an order."""
 
 
-@dataclass(kw_only=True, slots=True)
-class SentOrder:
+class SentOrder(msgspec.Struct, kw_only=True):
     """The newest order to one run of an engine."""
 
     holding: Holding
@@ -115,21 +113,20 @@
         return CONFIRM_SECONDS + (self.load_seconds * LOAD_ROOM if self.begun else 0.0)
 
 
-@dataclass(kw_only=True)
-class OrderLedger:
+class OrderLedger(msgspec.Struct, kw_only=True):
     """Open orders by run of the engine: the own ones while this box leads, else the leader's."""
 
-    sent: dict[str, SentOrder] = field(default_factory=dict)
+    sent: dict[str, SentOrder] = msgspec.field(default_factory=dict)
     """Newest order to each engine that has not reported the layers yet: to one that came without
     any, or to one that was moved. Empty while this box does not lead."""
 
-    heard: dict[str, SentOrder] = field(default_factory=dict)
+    heard: dict[str, SentOrder] = msgspec.field(default_factory=dict)
     """Newest order to each engine that another leader told of. Empty while this box leads."""
 
     repaired_at: float = float("-inf")
     """When moves were last planned or ordered again, on the monotonic clock."""
 
-    fenced_terms: set[int] = field(default_factory=set)
+    fenced_terms: set[int] = msgspec.field(default_factory=set)
     """Terms under which an engine refused an order; this box orders nothing more under them."""
 
 
--- a/src/ledgeladder/coordination/freshness.py
+++ b/src/ledgeladder/coordination/freshness.py
@@ -8,16 +8,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 QUESTIONS_KEPT: Final = 32
 """Unanswered questions that are remembered, over all links. An entry box asks each control box
 twice a second: with three of them, those of the last 5 seconds, and with eight, of the last 2."""
 
 
-@dataclass(kw_only=True)
-class Freshness:
+class Freshness(msgspec.Struct, kw_only=True):
     """What a box knows of the newest version, and since when."""
 
     version: int = 0
@@ -26,7 +26,7 @@
     as_of: float = float("-inf")
     """Own monotonic time at which no newer version was committed."""
 
-    asked_at: dict[int, float] = field(default_factory=dict)
+    asked_at: dict[int, float] = msgspec.field(default_factory=dict)
     """When each open question was asked, by its number."""
 
     next_question: int = 1
--- a/src/ledgeladder/coordination/loss_evidence.py
+++ b/src/ledgeladder/coordination/loss_evidence.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 WITNESSES: Final = 2
 """Entry boxes that must find an engine dead while its heartbeats are not overdue."""
 
@@ -20,11 +21,10 @@
 """Heartbeats that an engine may miss before it counts as lost although nobody found it dead."""
 
 
-@dataclass(kw_only=True)
-class LossEvidence:
+class LossEvidence(msgspec.Struct, kw_only=True):
     """Engines that entry boxes found dead."""
 
-    reports: dict[str, dict[str, float]] = field(default_factory=dict)
+    reports: dict[str, dict[str, float]] = msgspec.field(default_factory=dict)
     """When each entry box last found an engine dead, by run of the engine and box, on the monotonic
     clock."""
 
--- a/src/ledgeladder/coordination/membership/state.py
+++ b/src/ledgeladder/coordination/membership/state.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 from .messages import MemberStatus, MemberUpdate, UpstreamReport
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MembershipTiming:
+class MembershipTiming(msgspec.Struct, frozen=True, kw_only=True):
     """Intervals, in seconds."""
 
     probe: float = 0.5
@@ -27,8 +26,7 @@
     """How long a dead box is remembered."""
 
 
-@dataclass(kw_only=True)
-class MemberView:
+class MemberView(msgspec.Struct, kw_only=True):
     """What is believed of one box."""
 
     update: MemberUpdate
@@ -38,8 +36,7 @@
     """When it was taken over, on the monotonic clock."""
 
 
-@dataclass(kw_only=True)
-class Probe:
+class Probe(msgspec.Struct, kw_only=True):
     """A probe that has not been answered."""
 
     target: str
@@ -55,8 +52,7 @@
     """True once others were asked."""
 
 
-@dataclass(kw_only=True)
-class Membership:
+class Membership(msgspec.Struct, kw_only=True):
     """Beliefs of one box about all boxes and upstreams."""
 
     name: str
@@ -71,25 +67,25 @@
     seeds: tuple[str, ...]
     """Addresses of boxes to ask at the start."""
 
-    timing: MembershipTiming = field(default_factory=MembershipTiming)
+    timing: MembershipTiming = msgspec.field(default_factory=MembershipTiming)
     """Intervals."""
 
     incarnation: int = 0
     """Own incarnation; starts at the wall clock so that a restart wins over old claims."""
 
-    members: dict[str, MemberView] = field(default_factory=dict)
+    members: dict[str, MemberView] = msgspec.field(default_factory=dict)
     """Beliefs by name, without the own box."""
 
-    reports: dict[str, UpstreamReport] = field(default_factory=dict)
+    reports: dict[str, UpstreamReport] = msgspec.field(default_factory=dict)
     """Newest report of each upstream."""
 
-    pending_members: dict[str, int] = field(default_factory=dict)
+    pending_members: dict[str, int] = msgspec.field(default_factory=dict)
     """How often a claim must still be passed on, by name."""
 
-    pending_reports: dict[str, int] = field(default_factory=dict)
+    pending_reports: dict[str, int] = msgspec.field(default_factory=dict)
     """How often a report must still be passed on, by upstream."""
 
-    order: list[str] = field(default_factory=list)
+    order: list[str] = msgspec.field(default_factory=list)
     """Boxes still to be probed in this round."""
 
     probe: Probe | None = None
--- a/src/ledgeladder/coordination/orders.py
+++ b/src/ledgeladder/coordination/orders.py
@@ -9,17 +9,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from ..model import Configuration, LayerSpan, Upstream, UpstreamKind
 
 LOADS_AT_A_TIME: Final = 1
 """Engines that load at a time, which keeps the weight store's rate for one of them."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True, kw_only=True):
     """What an engine is to hold."""
 
     model: str
@@ -32,8 +32,7 @@
     """Layers."""
 
 
-@dataclass(kw_only=True)
-class Order:
+class Order(msgspec.Struct, kw_only=True):
     """The newest order to one engine."""
 
     assignment: Assignment
@@ -46,11 +45,10 @@
     """True once the engine confirmed it."""
 
 
-@dataclass(kw_only=True)
-class OrderBook:
+class OrderBook(msgspec.Struct, kw_only=True):
     """The newest order to each engine."""
 
-    orders: dict[str, Order] = field(default_factory=dict)
+    orders: dict[str, Order] = msgspec.field(default_factory=dict)
     """Orders by upstream."""
 
     last_index: int = 0
--- a/src/ledgeladder/coordination/raft/log.py
+++ b/src/ledgeladder/coordination/raft/log.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from .messages import EntryKind, LogEntry, Members
 
 
-@dataclass(kw_only=True)
-class RaftLog:
+class RaftLog(msgspec.Struct, kw_only=True):
     """Entries after the last snapshot, with the members that each prefix implies."""
 
     base_index: int = 0
@@ -19,13 +16,13 @@
     base_term: int = 0
     """Term of that entry."""
 
-    base_members: Members = field(default_factory=lambda: Members(voters=()))
+    base_members: Members = msgspec.field(default_factory=lambda: Members(voters=()))
     """Members in force at `base_index`."""
 
-    entries: list[LogEntry] = field(default_factory=list)
+    entries: list[LogEntry] = msgspec.field(default_factory=list)
     """Entries after `base_index`, without gaps."""
 
-    member_changes: list[tuple[int, Members]] = field(default_factory=list)
+    member_changes: list[tuple[int, Members]] = msgspec.field(default_factory=list)
     """Index and members of each members entry in `entries`."""
 
     def __post_init__(self) -> None:
--- a/src/ledgeladder/coordination/raft/replica.py
+++ b/src/ledgeladder/coordination/raft/replica.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 from .log import RaftLog
 from .messages import Envelope, HardState, LogEntry, Snapshot
 
@@ -18,8 +19,7 @@
     LEADER = "leader"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Timing:
+class Timing(msgspec.Struct, frozen=True, kw_only=True):
     """Intervals of the protocol, in seconds on the monotonic clock."""
 
     heartbeat: float = 0.1
@@ -32,8 +32,7 @@
     """How long a leader may act after a quorum answered; below `election` by the clock drift."""
 
 
-@dataclass(kw_only=True, slots=True)
-class Progress:
+class Progress(msgspec.Struct, kw_only=True):
     """What a leader knows of one other member."""
 
     next_index: int
@@ -55,20 +54,19 @@
     """When the snapshot was last asked for."""
 
 
-@dataclass(kw_only=True)
-class Replica:
+class Replica(msgspec.Struct, kw_only=True):
     """One member: its durable state, its volatile state, and its pending output."""
 
     member_id: str
     """Own member id; a box whose disk was lost returns under a new one."""
 
-    timing: Timing = field(default_factory=Timing)
+    timing: Timing = msgspec.field(default_factory=Timing)
     """Intervals."""
 
-    hard_state: HardState = field(default_factory=HardState)
+    hard_state: HardState = msgspec.field(default_factory=HardState)
     """Term and vote."""
 
-    log: RaftLog = field(default_factory=RaftLog)
+    log: RaftLog = msgspec.field(default_factory=RaftLog)
     """The log after the last snapshot."""
 
     role: Role = Role.FOLLOWER
@@ -86,16 +84,16 @@
     synced_index: int = 0
     """Last entry that the own disk holds for certain."""
 
-    votes: dict[str, bool] = field(default_factory=dict)
+    votes: dict[str, bool] = msgspec.field(default_factory=dict)
     """Votes received in the current election."""
 
-    progress: dict[str, Progress] = field(default_factory=dict)
+    progress: dict[str, Progress] = msgspec.field(default_factory=dict)
     """Other members, while leading."""
 
     fresh: bool = True
     """True until it leads or hears a leader for the first time since its process started."""
 
-    fresh_voters: set[str] = field(default_factory=set)
+    fresh_voters: set[str] = msgspec.field(default_factory=set)
     """Voters that said in the current trial that they are fresh."""
 
     needs_all_votes: bool = False
@@ -113,7 +111,7 @@
     round: int = 0
     """Newest heartbeat round."""
 
-    round_sent_at: dict[int, float] = field(default_factory=dict)
+    round_sent_at: dict[int, float] = msgspec.field(default_factory=dict)
     """When recent rounds were sent."""
 
     handover_target: str = ""
@@ -125,10 +123,10 @@
     lease_forfeited: bool = False
     """True once a hand-over was asked for in this term: no lease until the next term."""
 
-    outbox: list[Envelope] = field(default_factory=list)
+    outbox: list[Envelope] = msgspec.field(default_factory=list)
     """Messages to send once everything below is synced."""
 
-    unsynced_entries: list[LogEntry] = field(default_factory=list)
+    unsynced_entries: list[LogEntry] = msgspec.field(default_factory=list)
     """Entries to write; one with an index already written replaces it and all after it."""
 
     hard_state_dirty: bool = False
@@ -137,7 +135,7 @@
     incoming_snapshot: Snapshot | None = None
     """Snapshot to write and to restore the state machine from."""
 
-    snapshots_wanted: list[str] = field(default_factory=list)
+    snapshots_wanted: list[str] = msgspec.field(default_factory=list)
     """Members that need the newest snapshot from this leader."""
 
     @property
@@ -156,8 +154,7 @@
         return self.member_id in self.log.members.voters
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ready:
+class Ready(msgspec.Struct, frozen=True, kw_only=True):
     """Work for the driver, to be done in the order of the fields.
 
     Everything up to `entries` is written and synced before any of `messages` is sent.
--- a/src/ledgeladder/coordination/registrations.py
+++ b/src/ledgeladder/coordination/registrations.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -21,8 +20,7 @@
 A day of 600 upstreams with 110 restarts needs a few hundred."""
 
 
-@dataclass(kw_only=True, slots=True)
-class KnownUpstream:
+class KnownUpstream(msgspec.Struct, kw_only=True):
     """An upstream that registered."""
 
     registration: Registration
@@ -38,14 +36,13 @@
     """When the upstream was last heard by anybody, on the own monotonic clock."""
 
 
-@dataclass(kw_only=True)
-class RegistrationTable:
+class RegistrationTable(msgspec.Struct, kw_only=True):
     """All upstreams that are known."""
 
-    known: dict[str, KnownUpstream] = field(default_factory=dict)
+    known: dict[str, KnownUpstream] = msgspec.field(default_factory=dict)
     """Upstreams that have not ended, by id."""
 
-    gone: dict[str, None] = field(default_factory=dict)
+    gone: dict[str, None] = msgspec.field(default_factory=dict)
     """Ids of upstreams that have ended, oldest first."""
 
     heartbeat: float = 1.0
--- a/src/ledgeladder/coordination/state_machine.py
+++ b/src/ledgeladder/coordination/state_machine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field
 from typing import Final
 
 import msgspec
@@ -44,8 +43,7 @@
 """Accepted changes that are kept to send to boxes that lag by a few versions."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AuditEntry:
+class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
     """One decided change, accepted or refused."""
 
     time_ms: int
@@ -67,8 +65,7 @@
     """What was changed, or why it was refused."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DecidedChange:
+class DecidedChange(msgspec.Struct, frozen=True, kw_only=True):
     """The first answer to a change id."""
 
     content_digest: bytes
@@ -78,8 +75,7 @@
     """The answer."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Delta:
+class Delta(msgspec.Struct, frozen=True, kw_only=True):
     """An accepted change as it is sent to the boxes."""
 
     version: int
@@ -89,8 +85,7 @@
     """The objects put and removed."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PublishedDocument:
+class PublishedDocument(msgspec.Struct, frozen=True, kw_only=True):
     """The whole document of the highest version, for boxes that are configured that way."""
 
     version: int = 0
@@ -100,32 +95,31 @@
     """The document as the operator sent it, compressed with zlib."""
 
 
-@dataclass(kw_only=True)
-class ClusterState:
+class ClusterState(msgspec.Struct, kw_only=True):
     """Everything that survives."""
 
-    configuration: Configuration = field(default_factory=Configuration)
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
     """The newest accepted configuration."""
 
-    decided: dict[str, DecidedChange] = field(default_factory=dict)
+    decided: dict[str, DecidedChange] = msgspec.field(default_factory=dict)
     """First answers by change id, oldest first."""
 
-    deltas: list[Delta] = field(default_factory=list)
+    deltas: list[Delta] = msgspec.field(default_factory=list)
     """Recent accepted changes, oldest first."""
 
-    audit: list[AuditEntry] = field(default_factory=list)
+    audit: list[AuditEntry] = msgspec.field(default_factory=list)
     """Recent audit entries, oldest first."""
 
-    claims: ClaimTable = field(default_factory=ClaimTable)
+    claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
     """Claims of requests that may run at most once."""
 
-    orders: OrderBook = field(default_factory=OrderBook)
+    orders: OrderBook = msgspec.field(default_factory=OrderBook)
     """Newest order to each engine."""
 
     clock_ms: int = 0
     """Highest wall-clock time of any command so far."""
 
-    published: PublishedDocument = field(default_factory=PublishedDocument)
+    published: PublishedDocument = msgspec.field(default_factory=PublishedDocument)
     """The document in force, if whole documents are published."""
 
 
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -54,8 +53,7 @@
 """How long a box counts as connected after it last reported."""
 
 
-@dataclass(kw_only=True)
-class KnownBox:
+class KnownBox(msgspec.Struct, kw_only=True):
     """What is known of one entry box."""
 
     in_force: InForce
@@ -65,23 +63,22 @@
     """When it was received, on the monotonic clock."""
 
 
-@dataclass(kw_only=True)
-class Hub:
+class Hub(msgspec.Struct, kw_only=True):
     """All links of one control box."""
 
-    peers: dict[str, Link] = field(default_factory=dict)
+    peers: dict[str, Link] = msgspec.field(default_factory=dict)
     """Outgoing links to other control boxes, by box; messages are only sent on these."""
 
-    follower_links: dict[int, Link] = field(default_factory=dict)
+    follower_links: dict[int, Link] = msgspec.field(default_factory=dict)
     """Links of entry boxes that follow this box's configuration, by identity."""
 
-    order_outcomes: list[OrderOutcome] = field(default_factory=list)
+    order_outcomes: list[OrderOutcome] = msgspec.field(default_factory=list)
     """What gates said of orders and nobody has looked at yet."""
 
-    boxes: dict[str, KnownBox] = field(default_factory=dict)
+    boxes: dict[str, KnownBox] = msgspec.field(default_factory=dict)
     """Entry boxes by name, connected here or reported by another control box."""
 
-    own_boxes: dict[str, InForce] = field(default_factory=dict)
+    own_boxes: dict[str, InForce] = msgspec.field(default_factory=dict)
     """Entry boxes connected here."""
 
 
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -5,10 +5,10 @@
 import logging
 import random
 import time
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 from returns.result import Failure, Result, Success
 
 from ...coordination import raft
@@ -57,22 +57,20 @@
 """When to come back after a refusal for want of a leader."""
 
 
-@dataclass(kw_only=True)
-class Waiter:
+class Waiter(msgspec.Struct, kw_only=True):
     """Somebody who waits for a command at one index."""
 
     term: int
     """Term in which it was proposed; another term at the index means that it was replaced."""
 
-    done: anyio.Event = field(default_factory=anyio.Event)
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once the outcome is known."""
 
     result: CommandResult | None = None
     """The result, or None if it is not known whether the command was committed."""
 
 
-@dataclass(kw_only=True)
-class ControlNode:
+class ControlNode(msgspec.Struct, kw_only=True):
     """One control box's share of the cluster's state."""
 
     identity: Identity
@@ -105,13 +103,13 @@
     choose_members: Callable[[raft.Replica, set[str], float], raft.Members | None] = next_members
     """Chooses the next change of members from the log, the applicants and the time."""
 
-    waiters: dict[int, Waiter] = field(default_factory=dict)
+    waiters: dict[int, Waiter] = msgspec.field(default_factory=dict)
     """Who waits for which index."""
 
-    applicants: set[str] = field(default_factory=set)
+    applicants: set[str] = msgspec.field(default_factory=set)
     """Members that asked to join since this box last began to lead."""
 
-    wake: anyio.Event = field(default_factory=anyio.Event)
+    wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when there is work."""
 
     told_leader: tuple[int, str] = (0, "")
--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
 import anyio
 import msgspec
-from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse, Response
@@ -24,6 +22,7 @@
     apply_objects,
     find_problems,
 )
+from ...model.validation import check_model
 from ...routing.policy import try_policies
 from ..clock import wall_clock_ms
 from ..http import not_found, problem_response
@@ -41,8 +40,6 @@
 CHANGE_LIMIT_BYTES: Final = 4 * 1024 * 1024
 """Longest change document."""
 
-_CHANGE: Final = TypeAdapter(ChangeDocument)
-
 
 def build_operator_app(settings: ControlSettings, node: ControlNode, hub: Hub) -> Starlette:
     """Build the ASGI application.
@@ -96,7 +93,9 @@
         return JSONResponse(msgspec.to_builtins(node.state.configuration))
 
     async def audit(request: Request, operator: str) -> Response:
-        entries = [asdict(entry) | {"name": entry.code.name} for entry in node.state.audit]
+        entries = [
+            msgspec.structs.asdict(entry) | {"name": entry.code.name} for entry in node.state.audit
+        ]
         return JSONResponse({"entries": entries})
 
     async def status(request: Request, operator: str) -> Response:
@@ -142,13 +141,14 @@
         if len(body) > CHANGE_LIMIT_BYTES:
             return Failure(Problem(code=ResultCode.BODY_TOO_LARGE))
     try:
-        return Success(_CHANGE.validate_json(bytes(body)))
-    except ValidationError as error:
-        lines = [
-            f"{'.'.join(str(part) for part in detail['loc']) or 'body'}: {detail['msg']}"
-            for detail in error.errors()
-        ]
-        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="; ".join(lines[:10])))
+        content = msgspec.json.decode(bytes(body))
+    except msgspec.DecodeError as error:
+        return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"body: {error}"))
+    checked = check_model(content, ChangeDocument)
+    if isinstance(checked, Success):
+        return Success(checked.unwrap())
+    lines = [f"{fault.key or 'body'}: {fault.message}" for fault in checked.failure()]
+    return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="; ".join(lines[:10])))
 
 
 async def decide_change(
--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import anyio
@@ -29,8 +28,7 @@
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 
 
-@dataclass(kw_only=True)
-class AnswerWriter:
+class AnswerWriter(msgspec.Struct, kw_only=True):
     """Writes one answer to a caller."""
 
     context: EntryContext
--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -5,11 +5,11 @@
 import logging
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
 from ...routing.session import Session, TokenFrame, Verdict, accept_token
@@ -38,8 +38,7 @@
 """Passes texts of accepted tokens on to the caller."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Generation:
+class Generation(msgspec.Struct, frozen=True, kw_only=True):
     """A generation request after all checks."""
 
     pipeline: Pipeline
@@ -77,8 +76,7 @@
     """A stage refused the work."""
 
 
-@dataclass(kw_only=True)
-class AttemptOutcome:
+class AttemptOutcome(msgspec.Struct, kw_only=True):
     """How an attempt ended, and on whose account."""
 
     end: AttemptEnd
@@ -91,8 +89,7 @@
     """True if an upstream refused because it is leaving."""
 
 
-@dataclass(kw_only=True)
-class Attempt:
+class Attempt(msgspec.Struct, kw_only=True):
     """One attempt while it runs."""
 
     outcome: AttemptOutcome
@@ -105,11 +102,10 @@
     """True while the caller does not take what is sent."""
 
 
-@dataclass(kw_only=True)
-class Progress:
+class Progress(msgspec.Struct, kw_only=True):
     """Timing of one request over all its attempts."""
 
-    pace: Pace = field(default_factory=Pace)
+    pace: Pace = msgspec.field(default_factory=Pace)
     """Gaps between tokens."""
 
     last_token_at: float = 0.0
--- a/src/ledgeladder/daemons/entry/caller_models.py
+++ b/src/ledgeladder/daemons/entry/caller_models.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Annotated, Any
 
+import msgspec
 from pydantic import BaseModel, ConfigDict, Field
 
 MODEL_LENGTH_LIMIT = 63
@@ -55,8 +55,7 @@
     return "\n".join(f"{message.role}: {message.content}" for message in body.messages)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AnswerLabel:
+class AnswerLabel(msgspec.Struct, frozen=True, kw_only=True):
     """What every object of one answer repeats."""
 
     request_id: str
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -5,10 +5,10 @@
 import hashlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 from returns.result import Failure
 from starlette.requests import ClientDisconnect
 
@@ -29,8 +29,7 @@
 """How long the body of a request may take to arrive."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Permit:
+class Permit(msgspec.Struct, frozen=True, kw_only=True):
     """What a request may do."""
 
     account: ClientAccount
--- a/src/ledgeladder/daemons/entry/command_client.py
+++ b/src/ledgeladder/daemons/entry/command_client.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 from returns.result import Failure, Result, Success
 
 from ...links import keep_link
@@ -26,11 +26,10 @@
 """How long the boxes asked may take to answer before all are asked again."""
 
 
-@dataclass(kw_only=True)
-class PendingCall:
+class PendingCall(msgspec.Struct, kw_only=True):
     """A command that was sent and not answered."""
 
-    done: anyio.Event = field(default_factory=anyio.Event)
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once the reply is there."""
 
     waiting_for: int = 0
@@ -40,20 +39,19 @@
     """The reply with a result, or else the newest refusal."""
 
 
-@dataclass(kw_only=True)
-class CommandClient:
+class CommandClient(msgspec.Struct, kw_only=True):
     """Links to all control boxes, of which one leads."""
 
-    links: dict[str, Link] = field(default_factory=dict)
+    links: dict[str, Link] = msgspec.field(default_factory=dict)
     """Links that are up, by box."""
 
     leader: str = ""
     """Box that led when last heard of."""
 
-    calls: dict[int, PendingCall] = field(default_factory=dict)
+    calls: dict[int, PendingCall] = msgspec.field(default_factory=dict)
     """Calls that wait for a reply."""
 
-    term_checks: dict[int, TermCheck] = field(default_factory=dict)
+    term_checks: dict[int, TermCheck] = msgspec.field(default_factory=dict)
     """Questions for terms that wait for replies."""
 
     last_call: int = 0
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -5,11 +5,11 @@
 import logging
 import random
 import secrets
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 import httpx
+import msgspec
 from returns.result import Success
 
 from ...model import Configuration, digest
@@ -36,8 +36,7 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(kw_only=True)
-class EntryContext:
+class EntryContext(msgspec.Struct, kw_only=True):
     """State of one entry process."""
 
     settings: EntrySettings
@@ -61,46 +60,46 @@
     rng: random.Random
     """Source of jitter and choices."""
 
-    instance: str = field(default_factory=lambda: secrets.token_hex(8))
+    instance: str = msgspec.field(default_factory=lambda: secrets.token_hex(8))
     """Random name of this run of the process."""
 
-    configuration: Configuration = field(default_factory=Configuration)
+    configuration: Configuration = msgspec.field(default_factory=Configuration)
     """The configuration in force."""
 
     digest: bytes = b""
     """Digest of the configuration in force."""
 
-    policies: dict[str, CompiledPolicy] = field(default_factory=dict)
+    policies: dict[str, CompiledPolicy] = msgspec.field(default_factory=dict)
     """Compiled policies."""
 
-    accounts_by_key: dict[str, ClientAccount] = field(default_factory=dict)
+    accounts_by_key: dict[str, ClientAccount] = msgspec.field(default_factory=dict)
     """Client accounts by the SHA-256 of their key."""
 
-    upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    upstreams: UpstreamTable = msgspec.field(default_factory=UpstreamTable)
     """What is known of each upstream."""
 
-    first_pace: Pace = field(default_factory=Pace)
+    first_pace: Pace = msgspec.field(default_factory=Pace)
     """Times to the first token, over all requests."""
 
-    probe_pace: Pace = field(default_factory=Pace)
+    probe_pace: Pace = msgspec.field(default_factory=Pace)
     """Times of answered probes."""
 
-    budget: RetryBudget = field(default_factory=RetryBudget)
+    budget: RetryBudget = msgspec.field(default_factory=RetryBudget)
     """Retries that may be made."""
 
-    metrics: EntryMetrics = field(default_factory=EntryMetrics)
+    metrics: EntryMetrics = msgspec.field(default_factory=EntryMetrics)
     """Counters and histograms."""
 
-    tickets: dict[Ticket, anyio.Event] = field(default_factory=dict)
+    tickets: dict[Ticket, anyio.Event] = msgspec.field(default_factory=dict)
     """Waiting requests and what wakes them."""
 
-    synced: anyio.Event = field(default_factory=anyio.Event)
+    synced: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once the newest configuration known to this side is in force."""
 
     stopping: bool = False
     """True once a planned stop has begun."""
 
-    gate: Gate = field(default_factory=Gate)
+    gate: Gate = msgspec.field(default_factory=Gate)
     """Fences of orders that passed here."""
 
     in_progress: int = 0
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -4,10 +4,10 @@
 
 import logging
 import random
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...coordination.state_machine import advance
 from ...links import keep_link
@@ -37,14 +37,13 @@
 """How often a box tells its neighbours and control boxes its version."""
 
 
-@dataclass(kw_only=True)
-class Follower:
+class Follower(msgspec.Struct, kw_only=True):
     """Links over which versions are learnt."""
 
-    links: dict[str, Link] = field(default_factory=dict)
+    links: dict[str, Link] = msgspec.field(default_factory=dict)
     """Links that are up, by box at the other end."""
 
-    answered: set[str] = field(default_factory=set)
+    answered: set[str] = msgspec.field(default_factory=set)
     """Boxes that have told their newest version since this process started."""
 
 
--- a/src/ledgeladder/daemons/entry/gate.py
+++ b/src/ledgeladder/daemons/entry/gate.py
@@ -12,10 +12,10 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...coordination.raft import quorum
 from ...links.messages import FencedOrder, OrderOutcome, TermQuery, TermReply
@@ -32,25 +32,23 @@
 """How long a majority of control boxes may take to tell its terms."""
 
 
-@dataclass(kw_only=True)
-class TermCheck:
+class TermCheck(msgspec.Struct, kw_only=True):
     """Answers to one question for terms."""
 
-    replies: dict[str, TermReply] = field(default_factory=dict)
+    replies: dict[str, TermReply] = msgspec.field(default_factory=dict)
     """Replies by box."""
 
-    changed: anyio.Event = field(default_factory=anyio.Event)
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set with each reply."""
 
 
-@dataclass(kw_only=True)
-class Gate:
+class Gate(msgspec.Struct, kw_only=True):
     """Fences that passed here."""
 
-    highest: dict[str, tuple[int, int]] = field(default_factory=dict)
+    highest: dict[str, tuple[int, int]] = msgspec.field(default_factory=dict)
     """Highest fence by upstream."""
 
-    locks: dict[str, anyio.Lock] = field(default_factory=dict)
+    locks: dict[str, anyio.Lock] = msgspec.field(default_factory=dict)
     """One order at a time goes to each upstream."""
 
 
--- a/src/ledgeladder/daemons/entry/metrics.py
+++ b/src/ledgeladder/daemons/entry/metrics.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any, Final
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 LOWEST_MICROSECONDS: Final = 10
@@ -18,26 +18,25 @@
     return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
 
 
-@dataclass(kw_only=True)
-class EntryMetrics:
+class EntryMetrics(msgspec.Struct, kw_only=True):
     """What an entry box counts and times."""
 
-    first_token: HdrHistogram = field(default_factory=_histogram)
+    first_token: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time from arrival to the first token."""
 
-    token_gap: HdrHistogram = field(default_factory=_histogram)
+    token_gap: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time between arrivals of tokens from the engines."""
 
-    recovery: HdrHistogram = field(default_factory=_histogram)
+    recovery: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Gap in a stream in which a stage was replaced."""
 
-    queue: HdrHistogram = field(default_factory=_histogram)
+    queue: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time in the admission queue."""
 
-    codes: Counter[str] = field(default_factory=Counter)
+    codes: Counter[str] = msgspec.field(default_factory=Counter)
     """Answers by result code."""
 
-    events: Counter[str] = field(default_factory=Counter)
+    events: Counter[str] = msgspec.field(default_factory=Counter)
     """Retries, replaced stages, dropped frames, false alarms and the like."""
 
     tokens: int = 0
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -4,10 +4,10 @@
 
 import hashlib
 import secrets
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 from returns.result import Failure
 
 from ...coordination.claims import key_time_ms
@@ -44,8 +44,7 @@
 """Least HTTP status that counts as a failure of the service."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class ClaimedCall:
+class ClaimedCall(msgspec.Struct, frozen=True, kw_only=True):
     """A call that may run at most once, with its claim."""
 
     call: ServiceCall
--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...model import Problem, ProblemError, ResultCode
 from ...routing.route_index import choose_pool, find_route
@@ -35,8 +35,7 @@
 """Taken off a caller's patience, so that the final answer reaches it in time."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Permit:
+class Permit(msgspec.Struct, frozen=True, kw_only=True):
     """A request after all checks."""
 
     facts: CallerFacts
--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 
-@dataclass(kw_only=True)
-class RequestNotes:
+
+class RequestNotes(msgspec.Struct, kw_only=True):
     """Course of one request."""
 
     first_event: float | None = None
@@ -19,7 +19,7 @@
     runs: int = 0
     """Times it was sent to an upstream, refused ones included."""
 
-    path: list[str] = field(default_factory=list)
+    path: list[str] = msgspec.field(default_factory=list)
     """Upstreams of the newest run; engines with their layers."""
 
     crossings: int | None = None
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...model.exchange import Dispatch
@@ -60,11 +60,10 @@
 """Upstreams that may refuse one request before the caller is told to come back."""
 
 
-@dataclass(kw_only=True)
-class _Tries:
+class _Tries(msgspec.Struct, kw_only=True):
     """What came of a request so far."""
 
-    tried: set[str] = field(default_factory=set)
+    tried: set[str] = msgspec.field(default_factory=set)
     """Upstreams that it was sent to or could not be sent to."""
 
     sent: int = 0
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -5,9 +5,9 @@
 import random
 import time
 from collections import Counter, deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from ...coordination.freshness import Freshness, is_fresh
@@ -47,20 +47,19 @@
     return HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
 
 
-@dataclass(kw_only=True)
-class GatewayMetrics:
+class GatewayMetrics(msgspec.Struct, kw_only=True):
     """What a gateway counts and times."""
 
-    counters: Counter[str] = field(default_factory=Counter)
+    counters: Counter[str] = msgspec.field(default_factory=Counter)
     """Answers by code, repeats, lost engines and the like."""
 
-    answer: HdrHistogram = field(default_factory=_histogram)
+    answer: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time to whole answers of plain services."""
 
-    first_event: HdrHistogram = field(default_factory=_histogram)
+    first_event: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time to the first event of streams."""
 
-    gap: HdrHistogram = field(default_factory=_histogram)
+    gap: HdrHistogram = msgspec.field(default_factory=_histogram)
     """Time between events of streams."""
 
 
@@ -70,23 +69,22 @@
     histogram.record_value(min(max(value, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS))
 
 
-@dataclass(kw_only=True)
-class GatewayState:
+class GatewayState(msgspec.Struct, kw_only=True):
     """State of one gateway process."""
 
     settings: GatewaySettings
     """Its settings."""
 
-    started_at: float = field(default_factory=time.monotonic)
+    started_at: float = msgspec.field(default_factory=time.monotonic)
     """When the process was built, on the monotonic clock."""
 
     configuration: TrafficConfiguration | None = None
     """The document in force, decoded; None before the first."""
 
-    index: RouteIndex = field(default_factory=RouteIndex)
+    index: RouteIndex = msgspec.field(default_factory=RouteIndex)
     """Look-up tables of the document in force."""
 
-    freshness: Freshness = field(default_factory=Freshness)
+    freshness: Freshness = msgspec.field(default_factory=Freshness)
     """Since when the document is known to be the newest."""
 
     confirmed: bool = False
@@ -97,46 +95,46 @@
     """Entry boxes among which shared budgets are split: the most that control boxes told of within
     `ENTRIES_SECONDS` before the newest answer."""
 
-    entries_told: deque[tuple[float, int]] = field(default_factory=deque)
+    entries_told: deque[tuple[float, int]] = msgspec.field(default_factory=deque)
     """Those answers: when each came, on the monotonic clock, and how many it told of."""
 
-    table: ForwardingTable = field(default_factory=ForwardingTable)
+    table: ForwardingTable = msgspec.field(default_factory=ForwardingTable)
     """Upstreams that registered."""
 
-    doubts: DomainDoubts = field(default_factory=DomainDoubts)
+    doubts: DomainDoubts = msgspec.field(default_factory=DomainDoubts)
     """Failure domains that may be cut off."""
 
-    link_doubts: LinkDoubts = field(default_factory=LinkDoubts)
+    link_doubts: LinkDoubts = msgspec.field(default_factory=LinkDoubts)
     """Links between failure domains that are avoided."""
 
-    link_load: LinkLoad = field(default_factory=LinkLoad)
+    link_load: LinkLoad = msgspec.field(default_factory=LinkLoad)
     """What this box sends over links between failure domains."""
 
-    gone: dict[str, None] = field(default_factory=dict)
+    gone: dict[str, None] = msgspec.field(default_factory=dict)
     """Ids of runs of upstreams that have ended, oldest first."""
 
-    connections: ConnectionPool = field(default_factory=ConnectionPool)
+    connections: ConnectionPool = msgspec.field(default_factory=ConnectionPool)
     """Idle connections to upstreams."""
 
-    repeats: dict[str, RepeatWindow] = field(default_factory=dict)
+    repeats: dict[str, RepeatWindow] = msgspec.field(default_factory=dict)
     """Budget of repeats by pool."""
 
-    answer_paces: dict[str, Pace] = field(default_factory=dict)
+    answer_paces: dict[str, Pace] = msgspec.field(default_factory=dict)
     """Times that plain services took to answer, in seconds, by pool."""
 
-    first_pace: Pace = field(default_factory=Pace)
+    first_pace: Pace = msgspec.field(default_factory=Pace)
     """Times from the sending of a run to its first event, in seconds."""
 
-    stream_pace: Pace = field(default_factory=Pace)
+    stream_pace: Pace = msgspec.field(default_factory=Pace)
     """Times that whole streams took, in seconds."""
 
-    probe_pace: Pace = field(default_factory=Pace)
+    probe_pace: Pace = msgspec.field(default_factory=Pace)
     """Times that engines took to accept a connection when they were probed, in seconds."""
 
-    rng: random.Random = field(default_factory=random.Random)
+    rng: random.Random = msgspec.field(default_factory=random.Random)
     """Source of choices and jitter."""
 
-    metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
+    metrics: GatewayMetrics = msgspec.field(default_factory=GatewayMetrics)
     """Counters and histograms."""
 
     peers: Peers | None = None
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...routing.forwarding_table import is_doubtful
 from ...routing.link_doubts import link_penalties
@@ -64,7 +64,7 @@
     if path is None and excluded != session.dead:
         path = choose_path(profile, engines, wanted, now, excluded=session.dead, rng=state.rng)
     if path is None:
-        wanted = replace(wanted, full_at=OVERFULL_AT)
+        wanted = msgspec.structs.replace(wanted, full_at=OVERFULL_AT)
         path = choose_path(profile, engines, wanted, now, excluded=excluded, rng=state.rng)
     return path
 
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ...routing.pace import Pace
 from .notes import RequestNotes
 
@@ -33,8 +34,7 @@
     failure of its own, which is kept for the case that no other run succeeds."""
 
 
-@dataclass(kw_only=True)
-class StreamSession:
+class StreamSession(msgspec.Struct, kw_only=True):
     """One caller's stream over all of its runs."""
 
     order: EventOrder
@@ -47,14 +47,14 @@
     """Tokens of prompt and answer that the request is likely to have; each takes KV cache for each
     layer."""
 
-    excluded: set[str] = field(default_factory=set)
+    excluded: set[str] = msgspec.field(default_factory=set)
     """Runs of engines that failed or refused this request; used again only if no path is left
     without them."""
 
-    failed_domains: set[str] = field(default_factory=set)
+    failed_domains: set[str] = msgspec.field(default_factory=set)
     """Other failure domains whose engines failed or refused this request."""
 
-    dead: set[str] = field(default_factory=set)
+    dead: set[str] = msgspec.field(default_factory=set)
     """Runs of engines that were found dead while they carried this request; never used again."""
 
     sent: int = 0
@@ -66,7 +66,7 @@
     refusals: int = 0
     """Times that a path refused it."""
 
-    notes: RequestNotes = field(default_factory=RequestNotes)
+    notes: RequestNotes = msgspec.field(default_factory=RequestNotes)
     """Takes what is learnt, for the log line at the end."""
 
     started: bool = False
@@ -81,8 +81,8 @@
     failure_body: bytes = b""
     """Its body."""
 
-    pace: Pace = field(init=False)
-    """Gaps between events, in seconds."""
+    pace: Pace = msgspec.field(default_factory=Pace)
+    """Gaps between events, in seconds; its floor is the shortest gap of `patience`."""
 
     moved_at: float = 0.0
     """When the newest event was passed on, or when the request arrived, on the monotonic clock."""
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...http1 import (
     AnswerBrokenError,
@@ -44,8 +44,7 @@
     """The request may have run, and there is no whole answer."""
 
 
-@dataclass(kw_only=True)
-class OpenAnswer:
+class OpenAnswer(msgspec.Struct, kw_only=True):
     """An answer whose head has been read."""
 
     connection: UpstreamConnection
--- a/src/ledgeladder/daemons/log_queue.py
+++ b/src/ledgeladder/daemons/log_queue.py
@@ -7,10 +7,10 @@
 import select
 import time
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
+import msgspec
 
 QUEUE_LINES: Final = 2000
 """Lines that wait for the output at most: about 1 MB, a second of the busiest box."""
@@ -28,14 +28,13 @@
 """How long a process that ends waits for its output."""
 
 
-@dataclass(kw_only=True)
-class LogQueue:
+class LogQueue(msgspec.Struct, kw_only=True):
     """Lines that wait for one output."""
 
     descriptor: int
     """File descriptor of the output."""
 
-    lines: deque[bytes] = field(default_factory=deque)
+    lines: deque[bytes] = msgspec.field(default_factory=deque)
     """Lines in order, each with its line end; the first may be what is left of one."""
 
     dropped: int = 0
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -10,10 +10,10 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ..coordination.link_choice import choose_controls, rank_controls
 from ..links import keep_link, split_address
@@ -49,8 +49,7 @@
 """Serves the link to one control box until it ends."""
 
 
-@dataclass(kw_only=True)
-class Peers:
+class Peers(msgspec.Struct, kw_only=True):
     """Control boxes that are known, and the links to them."""
 
     identity: LinkIdentity
@@ -65,11 +64,11 @@
     serve: ServeLink
     """Serves each link."""
 
-    known: dict[str, float] = field(default_factory=dict)
+    known: dict[str, float] = msgspec.field(default_factory=dict)
     """IP numbers of control boxes, with the time at which each was last up, or first named if it
     has not been up yet, on the monotonic clock."""
 
-    links: dict[str, Link] = field(default_factory=dict)
+    links: dict[str, Link] = msgspec.field(default_factory=dict)
     """Links that are up, by IP number."""
 
     limit: int | None = None
@@ -79,16 +78,16 @@
     """Tells whether the links that are up do not keep this process up to date, so that all known
     control boxes are to be tried."""
 
-    domains: dict[str, str] = field(default_factory=dict)
+    domains: dict[str, str] = msgspec.field(default_factory=dict)
     """Failure domains of control boxes by IP number, as far as they were told."""
 
-    scopes: dict[str, anyio.CancelScope] = field(default_factory=dict)
+    scopes: dict[str, anyio.CancelScope] = msgspec.field(default_factory=dict)
     """Ends the task that keeps a link, by IP number."""
 
-    started: dict[str, float] = field(default_factory=dict)
+    started: dict[str, float] = msgspec.field(default_factory=dict)
     """When each of those tasks was started, on the monotonic clock."""
 
-    ranked: list[str] = field(default_factory=list)
+    ranked: list[str] = msgspec.field(default_factory=list)
     """IP numbers of known control boxes, the preferred ones first."""
 
     tasks: TaskGroup | None = None
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -56,8 +55,7 @@
 come within half a second. A look over 99 engines that finds one takes some milliseconds."""
 
 
-@dataclass(kw_only=True)
-class _Gathering:
+class _Gathering(msgspec.Struct, kw_only=True):
     """How many engines have come and when, before the first plan."""
 
     seen: int = 0
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
@@ -21,19 +21,17 @@
     from ..peers import Peers
 
 
-@dataclass(kw_only=True)
-class CommandWaiter:
+class CommandWaiter(msgspec.Struct, kw_only=True):
     """Somebody who waits for the leader's answer to a command that was passed on."""
 
-    done: anyio.Event = field(default_factory=anyio.Event)
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once the answer is here."""
 
     reply: CommandReply | None = None
     """The answer; None if none came in time. The end of the link does not wake who waits."""
 
 
-@dataclass(kw_only=True)
-class ReportedLoad:
+class ReportedLoad(msgspec.Struct, kw_only=True):
     """What one entry box said of its requests."""
 
     loads: dict[str, Load]
@@ -43,8 +41,7 @@
     """When it said so, on the monotonic clock."""
 
 
-@dataclass(kw_only=True)
-class ReportedShare:
+class ReportedShare(msgspec.Struct, kw_only=True):
     """What another control box said of the entry boxes that report to it."""
 
     share: LoadShare
@@ -54,8 +51,7 @@
     """When it said so, on the monotonic clock."""
 
 
-@dataclass(kw_only=True)
-class RegistryState:
+class RegistryState(msgspec.Struct, kw_only=True):
     """State of one registry process."""
 
     settings: RegistrySettings
@@ -67,40 +63,40 @@
     peers: Peers
     """Links to the other control boxes."""
 
-    table: RegistrationTable = field(default_factory=RegistrationTable)
+    table: RegistrationTable = msgspec.field(default_factory=RegistrationTable)
     """Upstreams that registered."""
 
-    accepted: dict[int, Link] = field(default_factory=dict)
+    accepted: dict[int, Link] = msgspec.field(default_factory=dict)
     """Links that entry boxes opened, by `id` of the link."""
 
-    accepted_peers: dict[int, Link] = field(default_factory=dict)
+    accepted_peers: dict[int, Link] = msgspec.field(default_factory=dict)
     """Links that other control boxes opened, by `id` of the link."""
 
-    loads: dict[int, ReportedLoad] = field(default_factory=dict)
+    loads: dict[int, ReportedLoad] = msgspec.field(default_factory=dict)
     """Newest load report of each entry box that reports here, by `id` of its link."""
 
-    shares: dict[int, ReportedShare] = field(default_factory=dict)
+    shares: dict[int, ReportedShare] = msgspec.field(default_factory=dict)
     """Newest share of each other control box, by `id` of its link."""
 
-    freshness: Freshness = field(default_factory=Freshness)
+    freshness: Freshness = msgspec.field(default_factory=Freshness)
     """What the leader said of the newest version; not used while this box is sure itself."""
 
-    waiters: dict[int, CommandWaiter] = field(default_factory=dict)
+    waiters: dict[int, CommandWaiter] = msgspec.field(default_factory=dict)
     """Commands that were passed on to the leader."""
 
     next_call: int = 1
     """Number of the next command that is passed on."""
 
-    ledger: OrderLedger = field(default_factory=OrderLedger)
+    ledger: OrderLedger = msgspec.field(default_factory=OrderLedger)
     """Open orders to engines, of this box or of the one that leads."""
 
     configuration: TrafficConfiguration | None = None
     """The published document, decoded."""
 
-    published_changed: anyio.Event = field(default_factory=anyio.Event)
+    published_changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once a newer document was applied."""
 
-    losses: LossEvidence = field(default_factory=LossEvidence)
+    losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes on engines that they found dead."""
 
     stopping: bool = False
--- a/src/ledgeladder/daemons/reloading.py
+++ b/src/ledgeladder/daemons/reloading.py
@@ -5,11 +5,11 @@
 import logging
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 from returns.result import Failure, Result
 
 from ..model import Problem
@@ -28,8 +28,7 @@
 """Reads and checks a settings file."""
 
 
-@dataclass(kw_only=True)
-class SeedList:
+class SeedList(msgspec.Struct, kw_only=True):
     """Seeds that are in force, and the file that they come from."""
 
     path: Path
--- a/src/ledgeladder/daemons/supervisor.py
+++ b/src/ledgeladder/daemons/supervisor.py
@@ -4,11 +4,11 @@
 
 import logging
 from collections import deque
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ..model import ProblemError
 
@@ -33,8 +33,7 @@
     """Never; its error ends the whole tree."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RestartLimit:
+class RestartLimit(msgspec.Struct, frozen=True, kw_only=True):
     """How many restarts within a time are borne before the supervisor gives up."""
 
     count: int = 5
@@ -44,8 +43,7 @@
     """Period in which they are counted."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Child:
+class Child(msgspec.Struct, frozen=True, kw_only=True):
     """One supervised task, or a whole supervisor as a task."""
 
     name: str
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import select
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
 import h11
+import msgspec
 from anyio.abc import SocketAttribute
 
 from ..links import split_address
@@ -42,8 +42,7 @@
     """The connection ended or carried no valid answer after the request may have arrived."""
 
 
-@dataclass(kw_only=True)
-class UpstreamConnection:
+class UpstreamConnection(msgspec.Struct, kw_only=True):
     """One connection to an upstream; it serves one request at a time."""
 
     address: str
@@ -178,15 +177,14 @@
     return bool(poller.poll(0))
 
 
-@dataclass(kw_only=True)
-class ConnectionPool:
+class ConnectionPool(msgspec.Struct, kw_only=True):
     """Connections that wait for another request.
 
     The loss of such a connection cannot be told from the loss of the answer; who sends a request
     chooses whether that matters.
     """
 
-    idle: dict[str, list[UpstreamConnection]] = field(default_factory=dict)
+    idle: dict[str, list[UpstreamConnection]] = msgspec.field(default_factory=dict)
     """Idle connections by address, the most recently used one last."""
 
     async def take(self, address: str) -> UpstreamConnection | None:
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -4,11 +4,11 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
 import h11
+import msgspec
 
 from ..links import split_address
 from ..model import Problem, ResultCode
@@ -47,8 +47,7 @@
 _CODES: Final = {413: ResultCode.BODY_TOO_LARGE, 431: ResultCode.HEAD_TOO_LARGE}
 
 
-@dataclass(kw_only=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, kw_only=True):
     """A request that was read in full."""
 
     method: bytes
@@ -78,8 +77,7 @@
 """Answers with a problem."""
 
 
-@dataclass(kw_only=True)
-class HttpSite:
+class HttpSite(msgspec.Struct, kw_only=True):
     """What a listener serves."""
 
     handler: Handler
@@ -95,10 +93,10 @@
     """True once a planned stop has begun: each answer that starts from then on ends its
     connection."""
 
-    idle_scopes: set[anyio.CancelScope] = field(default_factory=set)
+    idle_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
     """Connections on which nothing has arrived since their last answer."""
 
-    listening: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    listening: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Cancelled to refuse new connections; those that are up go on."""
 
     open_connections: int = 0
@@ -113,8 +111,7 @@
             scope.cancel()
 
 
-@dataclass(kw_only=True)
-class Exchange:
+class Exchange(msgspec.Struct, kw_only=True):
     """The answering side of one request.
 
     Every method that sends raises one of `STREAM_ENDED` if the caller's connection is gone. The
@@ -180,8 +177,7 @@
         return self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
 
 
-@dataclass(kw_only=True)
-class _Connection:
+class _Connection(msgspec.Struct, kw_only=True):
     """A caller's connection, which carries one request after the other."""
 
     stream: SocketStream
--- a/src/ledgeladder/links/frames.py
+++ b/src/ledgeladder/links/frames.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass, field
 from typing import Final
 
 import msgspec
@@ -29,14 +28,13 @@
     return LENGTH.pack(len(payload)) + payload
 
 
-@dataclass(kw_only=True)
-class FrameBuffer:
+class FrameBuffer(msgspec.Struct, kw_only=True):
     """Bytes received and not yet decoded."""
 
     limit: int = HANDSHAKE_LIMIT
     """Longest frame that is accepted, in bytes."""
 
-    pending: bytearray = field(default_factory=bytearray)
+    pending: bytearray = msgspec.field(default_factory=bytearray)
     """Bytes of frames that are not complete."""
 
     def feed(self, data: bytes) -> list[LinkMessage]:
--- a/src/ledgeladder/links/link.py
+++ b/src/ledgeladder/links/link.py
@@ -6,10 +6,10 @@
 import hmac
 import secrets
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ..model import Problem, ProblemError, ResultCode
 from .frames import FRAME_LIMIT, FrameBuffer, encode_frame
@@ -27,8 +27,7 @@
 """Unsent bytes after which a peer that does not read is given up."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LinkIdentity:
+class LinkIdentity(msgspec.Struct, frozen=True, kw_only=True):
     """How a process presents itself on its links."""
 
     cluster: str
@@ -46,15 +45,18 @@
     instance: str
     """Random name of this run."""
 
-    secret: str = field(repr=False)
+    secret: str
     """Secret shared by all processes of the cluster."""
 
     source_address: str | None = None
     """IP number that outgoing links come from, or None for the system's choice."""
 
+    def __repr__(self) -> str:
+        """Leave the secret out, so that no log line shows it."""
+        return f"LinkIdentity(role={self.role}, box={self.box}, instance={self.instance})"
 
-@dataclass(kw_only=True)
-class Link:
+
+class Link(msgspec.Struct, kw_only=True):
     """A connection after the handshake.
 
     Sending never waits: messages are queued and `run_writer` writes whatever has gathered in one
@@ -73,16 +75,16 @@
     peer_box: str = ""
     """Box at the other end."""
 
-    received: deque[LinkMessage] = field(default_factory=deque)
+    received: deque[LinkMessage] = msgspec.field(default_factory=deque)
     """Messages decoded and not yet taken."""
 
-    outbox: list[bytes] = field(default_factory=list)
+    outbox: list[bytes] = msgspec.field(default_factory=list)
     """Frames to write."""
 
     outbox_bytes: int = 0
     """Length of those frames."""
 
-    wake: anyio.Event = field(default_factory=anyio.Event)
+    wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when there is something to write or the link was closed."""
 
     closed: bool = False
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 from typing import Final
 
+import msgspec
+
 
 class Execution(StrEnum):
     """Whether the work of a request was done."""
@@ -77,8 +78,7 @@
     PEER_UNTRUSTED = 3102
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CodeEntry:
+class CodeEntry(msgspec.Struct, frozen=True, kw_only=True):
     """What one result code means to whoever receives it."""
 
     status: int
--- a/src/ledgeladder/model/configuration.py
+++ b/src/ledgeladder/model/configuration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -16,26 +15,25 @@
     from .documents import ObjectReference, ObjectSet
 
 
-@dataclass(frozen=True, kw_only=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """An immutable set of objects with its version."""
 
     version: int = 0
     """Ascends by one with each accepted change."""
 
-    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    upstreams: dict[str, Upstream] = msgspec.field(default_factory=dict)
     """Upstreams by name."""
 
-    pipelines: dict[str, Pipeline] = field(default_factory=dict)
+    pipelines: dict[str, Pipeline] = msgspec.field(default_factory=dict)
     """Pipelines by name."""
 
-    priorities: dict[str, Priority] = field(default_factory=dict)
+    priorities: dict[str, Priority] = msgspec.field(default_factory=dict)
     """Priorities by name."""
 
-    accounts: dict[str, ClientAccount] = field(default_factory=dict)
+    accounts: dict[str, ClientAccount] = msgspec.field(default_factory=dict)
     """Client accounts by name."""
 
-    policies: dict[str, Policy] = field(default_factory=dict)
+    policies: dict[str, Policy] = msgspec.field(default_factory=dict)
     """Policies by name."""
 
 
@@ -64,7 +62,7 @@
     removed: dict[Kind, set[str]] = {kind: set() for kind in Kind}
     for reference in remove:
         removed[reference.kind].add(reference.name)
-    return replace(
+    return msgspec.structs.replace(
         configuration,
         version=configuration.version + 1,
         upstreams=_merged(configuration.upstreams, put.upstreams, removed[Kind.UPSTREAM]),
--- a/src/ledgeladder/model/documents.py
+++ b/src/ledgeladder/model/documents.py
@@ -1,26 +1,23 @@
 """The objects that operators create: pipelines, upstreams, client accounts, priorities, policies.
 
-They are plain data classes. At the border they are checked with pydantic type adapters, inside they
-travel as they are, and the log and the links encode them with msgspec.
+They are checked where they enter the system (see `validation`) and wherever they are decoded from
+the log or a link.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Annotated, ClassVar, Final
+from typing import Annotated, Final
 
-from pydantic import ConfigDict, Field
+import msgspec
 
 NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9_.-]{0,62}$"
 ADDRESS_PATTERN: Final = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
 POLICY_SOURCE_LIMIT: Final = 16 * 1024
 """Longest policy program, in characters."""
 
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
-
-_STRICT: Final = ConfigDict(extra="forbid")
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Address = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
 
 
 class Kind(StrEnum):
@@ -40,12 +37,9 @@
     SERVICE = "service"
 
 
-@dataclass(frozen=True, kw_only=True)
-class Upstream:
+class Upstream(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A model engine that holds a range of layers, or a plain service."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     name: Name
     """Unique name."""
 
@@ -61,35 +55,32 @@
     model: str = ""
     """Model whose layers an engine holds; empty for a service."""
 
-    first_layer: Annotated[int, Field(ge=0, le=10_000)] = 0
+    first_layer: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
     """First layer that an engine holds."""
 
-    end_layer: Annotated[int, Field(ge=0, le=10_000)] = 0
+    end_layer: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
     """One past the last layer that an engine holds."""
 
-    version: Annotated[str, Field(max_length=64)] = ""
+    version: Annotated[str, msgspec.Meta(max_length=64)] = ""
     """Version of the weights that the engine is ordered to load; empty if it is not ordered."""
 
-    layers_per_second: Annotated[float, Field(gt=0, le=1e9)] = 1.0
+    layers_per_second: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 1.0
     """Declared speed in layer steps a second over all requests; measurements correct it."""
 
     checks_fences: bool = True
     """Whether the upstream refuses orders that carry an old fence."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Pipeline:
+class Pipeline(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """What callers name in a request: a model over engines, or a set of plain services."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     name: Name
     """Unique name; callers use it as the model name."""
 
     model: str = ""
     """Model that the pipeline runs; empty if it leads to plain services."""
 
-    layers: Annotated[int, Field(ge=0, le=10_000)] = 0
+    layers: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
     """Number of layers of the model."""
 
     services: tuple[Name, ...] = ()
@@ -98,36 +89,30 @@
     policy: Name | None = None
     """Policy that is asked about each request."""
 
-    deadline_seconds: Annotated[float, Field(gt=0, le=3600)] = 60.0
+    deadline_seconds: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 60.0
     """Longest time from acceptance to the last byte of the answer."""
 
-    max_tokens: Annotated[int, Field(ge=1, le=100_000)] = 1024
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1024
     """Most tokens that one request may ask for."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Priority:
+class Priority(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A class of requests; lower ranks go first."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     name: Name
     """Unique name."""
 
-    rank: Annotated[int, Field(ge=0, le=100)]
+    rank: Annotated[int, msgspec.Meta(ge=0, le=100)]
     """Order among priorities, 0 first."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class ClientAccount:
+class ClientAccount(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A caller's account with its key and limits."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     name: Name
     """Unique name."""
 
-    key_sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    key_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
     """SHA-256 of the bearer key, in hexadecimal; the key itself is never stored."""
 
     pipelines: tuple[Name, ...] = ()
@@ -136,32 +121,26 @@
     priority: Name | None = None
     """Priority of its requests unless a policy says otherwise."""
 
-    rate: Annotated[float, Field(gt=0, le=1e6)] = 1000.0
+    rate: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 1000.0
     """Requests a second over all boxes."""
 
-    concurrency: Annotated[int, Field(ge=1, le=1_000_000)] = 1000
+    concurrency: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1000
     """Requests in progress over all boxes."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Policy:
+class Policy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A short Starlark program that decides what may flow where."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     name: Name
     """Unique name."""
 
-    source: Annotated[str, Field(max_length=POLICY_SOURCE_LIMIT)]
+    source: Annotated[str, msgspec.Meta(max_length=POLICY_SOURCE_LIMIT)]
     """Program text; it defines `decide(request)`."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class ObjectReference:
+class ObjectReference(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Names one object of a configuration."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     kind: Kind
     """Kind of the object."""
 
@@ -169,12 +148,9 @@
     """Name of the object."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class ObjectSet:
+class ObjectSet(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Objects of every kind, as a change file lists them."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
     upstreams: tuple[Upstream, ...] = ()
     """Upstreams to create or replace."""
 
@@ -191,19 +167,18 @@
     """Policies to create or replace."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class ChangeDocument:
+class ChangeDocument(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """A change as an operator submits it."""
 
-    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-
-    change_id: Annotated[str, Field(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
+    change_id: Annotated[
+        str, msgspec.Meta(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+    ]
     """Identifies the change; resending it under the same id is safe."""
 
-    base_version: Annotated[int, Field(ge=0)]
+    base_version: Annotated[int, msgspec.Meta(ge=0)]
     """Version that the change was made against."""
 
-    put: ObjectSet = field(default_factory=ObjectSet)
+    put: ObjectSet = msgspec.field(default_factory=ObjectSet)
     """Objects to create or replace."""
 
     remove: tuple[ObjectReference, ...] = ()
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerFacts:
+class CallerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller's request says beside its method, path and body."""
 
     attempt_id: str
@@ -34,8 +33,7 @@
     """Most tokens of the answer."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class UpstreamLoad:
+class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True):
     """What an upstream says of its load in an answer."""
 
     running: int
@@ -48,8 +46,7 @@
     """Requests that it works on at once."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AnswerFacts:
+class AnswerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What the head of an upstream's answer says beside its status."""
 
     attempt_id: str
@@ -74,8 +71,7 @@
     """How long the upstream keeps an idle connection, if told; 0 if it closes it."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """What the system adds to a request before it sends it to an upstream."""
 
     instance: str
@@ -97,8 +93,7 @@
     """Id of the last event that the caller has."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PathPart:
+class PathPart(msgspec.Struct, frozen=True, kw_only=True):
     """Layers that one engine runs for a request."""
 
     instance: str
--- a/src/ledgeladder/model/problem.py
+++ b/src/ledgeladder/model/problem.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from .codes import CODE_TABLE, Execution, ResultCode
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """Why something was refused or given up on."""
 
     code: ResultCode
--- a/src/ledgeladder/model/route.py
+++ b/src/ledgeladder/model/route.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LayerSpan:
+class LayerSpan(msgspec.Struct, frozen=True, kw_only=True):
     """A half-open range of layers, `first` included and `end` excluded."""
 
     first: int
@@ -20,8 +20,7 @@
     """Index one past the last layer."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Stage:
+class Stage(msgspec.Struct, frozen=True, kw_only=True):
     """One upstream of a route and the layers it is to run."""
 
     upstream: str
@@ -34,8 +33,7 @@
     """The layers that this upstream runs, which may be fewer than it holds."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True, kw_only=True):
     """A chain of stages that covers every layer of a model exactly once, in order."""
 
     stages: tuple[Stage, ...]
--- a/src/ledgeladder/model/traffic.py
+++ b/src/ledgeladder/model/traffic.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 
 class RequestKind(StrEnum):
     """What may be done with a request whose outcome is not known."""
@@ -22,8 +23,7 @@
     """It is answered by a series of events."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PoolWeight:
+class PoolWeight(msgspec.Struct, frozen=True, kw_only=True):
     """Share of a route's requests that goes to one pool."""
 
     pool: str
@@ -33,8 +33,7 @@
     """Share, relative to the other weights of the route."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RouteRule:
+class RouteRule(msgspec.Struct, frozen=True, kw_only=True):
     """Which requests go where, and under which limits."""
 
     name: str
@@ -81,8 +80,7 @@
         )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CardKind:
+class CardKind(msgspec.Struct, frozen=True, kw_only=True):
     """A kind of accelerator."""
 
     name: str
@@ -98,8 +96,7 @@
     """How many times longer reading a prompt takes than the engine's figures say."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineProfile:
+class EngineProfile(msgspec.Struct, frozen=True, kw_only=True):
     """Speed and memory of the engines of one pool."""
 
     model: str
@@ -145,15 +142,14 @@
     """Bytes a second that pass between two failure domains, shared by all requests; 0 if the
     document does not say."""
 
-    cards: dict[str, CardKind] = field(default_factory=dict)
+    cards: dict[str, CardKind] = msgspec.field(default_factory=dict)
     """Kinds of accelerators by name."""
 
-    delays: dict[tuple[str, str], float] = field(default_factory=dict)
+    delays: dict[tuple[str, str], float] = msgspec.field(default_factory=dict)
     """One-way delay between failure domains, in seconds; both directions are held."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class UpstreamPool:
+class UpstreamPool(msgspec.Struct, frozen=True, kw_only=True):
     """Upstreams that stand in for each other."""
 
     name: str
@@ -166,8 +162,7 @@
     """Figures of the engines, or None for a plain service."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller may send, and how long it may take or rest."""
 
     header_bytes: int = 16384
@@ -183,8 +178,7 @@
     """How long a connection may rest between requests."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AccountKeys:
+class AccountKeys(msgspec.Struct, frozen=True, kw_only=True):
     """A client account and the keys that prove it."""
 
     name: str
@@ -197,8 +191,7 @@
     """Rank that goes before the rank of the route, or None."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class TrafficConfiguration:
+class TrafficConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """One published document, decoded."""
 
     version: int
--- a/src/ledgeladder/platform/control_calls.py
+++ b/src/ledgeladder/platform/control_calls.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 from returns.result import Failure
 
 from ..coordination.registrations import end_of
@@ -23,22 +23,19 @@
 """Body that acknowledges a call."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Register:
+class Register(msgspec.Struct, frozen=True, kw_only=True):
     """An upstream tells its state, or its end."""
 
     registration: Registration
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Publish:
+class Publish(msgspec.Struct, frozen=True, kw_only=True):
     """An operator publishes a whole document."""
 
     body: bytes
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ReadDocument:
+class ReadDocument(msgspec.Struct, frozen=True, kw_only=True):
     """An operator reads the newest document."""
 
 
--- a/src/ledgeladder/reports/log_lines.py
+++ b/src/ledgeladder/reports/log_lines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any, Final
 
@@ -24,8 +23,7 @@
 """How processes write the time."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LogLine:
+class LogLine(msgspec.Struct, frozen=True, kw_only=True):
     """One line, with what every line has."""
 
     at: float
@@ -41,8 +39,7 @@
     """Everything else that stands in it."""
 
 
-@dataclass(kw_only=True)
-class ReadCounts:
+class ReadCounts(msgspec.Struct, kw_only=True):
     """What was read and what was left out."""
 
     lines: int = 0
@@ -60,10 +57,10 @@
     dropped: int = 0
     """Lines that the processes said they left out themselves."""
 
-    jumps: dict[str, int] = field(default_factory=dict)
+    jumps: dict[str, int] = msgspec.field(default_factory=dict)
     """How often the clock of each box stepped back."""
 
-    newest: dict[str, float] = field(default_factory=dict)
+    newest: dict[str, float] = msgspec.field(default_factory=dict)
     """Time of the newest line of each box."""
 
 
--- a/src/ledgeladder/reports/log_report.py
+++ b/src/ledgeladder/reports/log_report.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from .tables import table
@@ -43,8 +43,7 @@
     return HdrHistogram(100, LONGEST_MICROSECONDS, 2)
 
 
-@dataclass(kw_only=True)
-class PathKind:
+class PathKind(msgspec.Struct, kw_only=True):
     """Streams whose paths cross the same number of times between failure domains."""
 
     streams: int = 0
@@ -56,15 +55,14 @@
     engines: int = 0
     """Sum of the engines on their paths."""
 
-    first_events: HdrHistogram = field(default_factory=_pauses)
+    first_events: HdrHistogram = msgspec.field(default_factory=_pauses)
     """Times to the first event, in microseconds."""
 
-    pauses: HdrHistogram = field(default_factory=_pauses)
+    pauses: HdrHistogram = msgspec.field(default_factory=_pauses)
     """Longest pause of each, in microseconds."""
 
 
-@dataclass(kw_only=True)
-class LogReport:
+class LogReport(msgspec.Struct, kw_only=True):
     """Sums over the lines read so far."""
 
     bucket_seconds: float = 2.0
@@ -73,19 +71,19 @@
     began: float | None = None
     """Start of the first span, in seconds since 1970."""
 
-    outcomes: dict[int, Counter[str]] = field(default_factory=dict)
+    outcomes: dict[int, Counter[str]] = msgspec.field(default_factory=dict)
     """Requests by span and outcome."""
 
-    beliefs: dict[int, Counter[str]] = field(default_factory=dict)
+    beliefs: dict[int, Counter[str]] = msgspec.field(default_factory=dict)
     """Changes of belief by span and kind."""
 
-    paths: dict[int, PathKind] = field(default_factory=dict)
+    paths: dict[int, PathKind] = msgspec.field(default_factory=dict)
     """Streams by the crossings of their last path."""
 
-    refusals: Counter[str] = field(default_factory=Counter)
+    refusals: Counter[str] = msgspec.field(default_factory=Counter)
     """Refused runs by the upstream that refused."""
 
-    run_ends: Counter[str] = field(default_factory=Counter)
+    run_ends: Counter[str] = msgspec.field(default_factory=Counter)
     """Runs of streams that did not complete, by how they ended."""
 
     overflow: int = 0
--- a/src/ledgeladder/reports/request_course.py
+++ b/src/ledgeladder/reports/request_course.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 if TYPE_CHECKING:
     from .log_lines import LogLine
 
@@ -17,14 +18,13 @@
 """Fields that are the same in all lines of a request, or say nothing of its course."""
 
 
-@dataclass(kw_only=True)
-class RequestCourse:
+class RequestCourse(msgspec.Struct, kw_only=True):
     """Lines of one request."""
 
     request: str
     """Its id."""
 
-    lines: list[LogLine] = field(default_factory=list)
+    lines: list[LogLine] = msgspec.field(default_factory=list)
     """The lines found so far."""
 
     left_out: int = 0
--- a/src/ledgeladder/routing/admission.py
+++ b/src/ledgeladder/routing/admission.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from ..model import Problem, ResultCode
 
 if TYPE_CHECKING:
@@ -29,8 +30,7 @@
 """Rank of a request without a priority."""
 
 
-@dataclass(kw_only=True)
-class AccountUse:
+class AccountUse(msgspec.Struct, kw_only=True):
     """What one account uses on this box."""
 
     in_flight: int = 0
@@ -43,8 +43,7 @@
     """When `tokens` was last brought up to date."""
 
 
-@dataclass(kw_only=True, eq=False)
-class Ticket:
+class Ticket(msgspec.Struct, kw_only=True, eq=False):
     """One request that waits or is in progress."""
 
     account: str
@@ -66,8 +65,7 @@
     """When it was admitted."""
 
 
-@dataclass(kw_only=True)
-class Admission:
+class Admission(msgspec.Struct, kw_only=True):
     """Admission state of one box."""
 
     in_flight_limit: int
@@ -82,10 +80,10 @@
     in_flight: int = 0
     """Requests in progress."""
 
-    waiting: list[Ticket] = field(default_factory=list)
+    waiting: list[Ticket] = msgspec.field(default_factory=list)
     """Requests that wait, in order of arrival."""
 
-    accounts: dict[str, AccountUse] = field(default_factory=dict)
+    accounts: dict[str, AccountUse] = msgspec.field(default_factory=dict)
     """Use by account."""
 
     mean_seconds: float = 0.5
--- a/src/ledgeladder/routing/event_stream.py
+++ b/src/ledgeladder/routing/event_stream.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 EVENT_LIMIT_BYTES: Final = 1024 * 1024
 """Longest event that is waited for; a longer one ends its run."""
 
@@ -13,8 +14,7 @@
 _ID: Final = re.compile(rb"(?:^|\n|\r)id: ?(\d+)")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True, kw_only=True):
     """One whole event."""
 
     event_id: int | None
@@ -24,8 +24,7 @@
     """The event as it was received, with the empty line that ends it."""
 
 
-@dataclass(kw_only=True)
-class EventBuffer:
+class EventBuffer(msgspec.Struct, kw_only=True):
     """Cuts the bytes of one run into whole events."""
 
     pending: bytes = b""
@@ -64,8 +63,7 @@
         return events
 
 
-@dataclass(kw_only=True)
-class EventOrder:
+class EventOrder(msgspec.Struct, kw_only=True):
     """Position of the caller in a stream, over all of its runs."""
 
     last_id: int | None
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from ..model.registration import Registration, UpstreamState, run_began
 from .load_sharing import LOAD_BELIEVED_SECONDS
 
@@ -49,8 +50,7 @@
 """How long the load that an upstream told is believed."""
 
 
-@dataclass(kw_only=True, eq=False)
-class ForwardedUpstream:
+class ForwardedUpstream(msgspec.Struct, kw_only=True, eq=False):
     """One run of an upstream, as this box sees it."""
 
     registration: Registration
@@ -109,7 +109,7 @@
     load_at: float = 0.0
     """When it told it, on the monotonic clock."""
 
-    on_lost: set[Callable[[ForwardedUpstream], None]] = field(default_factory=set)
+    on_lost: set[Callable[[ForwardedUpstream], None]] = msgspec.field(default_factory=set)
     """Called each time that it is found lost; one for each request that passes it."""
 
     @property
@@ -118,25 +118,23 @@
         return self.registration.state is not UpstreamState.READY
 
 
-@dataclass(kw_only=True)
-class ForwardingTable:
+class ForwardingTable(msgspec.Struct, kw_only=True):
     """All upstreams that are registered."""
 
-    upstreams: dict[str, ForwardedUpstream] = field(default_factory=dict)
+    upstreams: dict[str, ForwardedUpstream] = msgspec.field(default_factory=dict)
     """Upstreams by run."""
 
-    pools: dict[str, list[ForwardedUpstream]] = field(default_factory=dict)
+    pools: dict[str, list[ForwardedUpstream]] = msgspec.field(default_factory=dict)
     """The same by pool."""
 
     heartbeat: float = 1.0
     """Time between two heartbeats of an upstream, in seconds."""
 
 
-@dataclass(kw_only=True)
-class DomainDoubts:
+class DomainDoubts(msgspec.Struct, kw_only=True):
     """Failure domains that may be cut off from this one or from its engines."""
 
-    failures: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    failures: dict[str, list[tuple[float, str]]] = msgspec.field(default_factory=dict)
     """Recent failures by failure domain: when, and at which upstream."""
 
 
--- a/src/ledgeladder/routing/layer_coverage.py
+++ b/src/ledgeladder/routing/layer_coverage.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from ..model.registration import Holding
 
 if TYPE_CHECKING:
@@ -69,8 +70,7 @@
     return kv_capacity(profile, card, layers) / (layers * usual_tokens(profile))
 
 
-@dataclass(kw_only=True)
-class LayerCoverage:
+class LayerCoverage(msgspec.Struct, kw_only=True):
     """Sums over the engines that hold each layer, in each failure domain and in all of them.
 
     An engine counts with the requests of the usual size for which it has KV cache.
@@ -83,10 +83,10 @@
     """True to divide what an engine counts for by the step factor of its card: slow cards then
     gather at layers that fast ones do not hold."""
 
-    everywhere: list[float] = field(init=False)
-    """Sum over all failure domains, by layer."""
+    everywhere: list[float] = msgspec.field(default_factory=list)
+    """Sum over all failure domains, by layer; of the right length from the start."""
 
-    by_domain: dict[str, list[float]] = field(default_factory=dict)
+    by_domain: dict[str, list[float]] = msgspec.field(default_factory=dict)
     """Sum within each failure domain, by layer."""
 
     def __post_init__(self) -> None:
--- a/src/ledgeladder/routing/link_doubts.py
+++ b/src/ledgeladder/routing/link_doubts.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from .link_load import crossings
 
 if TYPE_CHECKING:
@@ -24,11 +25,10 @@
 """Cost of passing such a link: as long as requests stand still there before they are moved."""
 
 
-@dataclass(kw_only=True)
-class LinkDoubts:
+class LinkDoubts(msgspec.Struct, kw_only=True):
     """Links that are avoided."""
 
-    until: dict[Link, float] = field(default_factory=dict)
+    until: dict[Link, float] = msgspec.field(default_factory=dict)
     """Until when each is avoided, on the monotonic clock."""
 
 
--- a/src/ledgeladder/routing/link_load.py
+++ b/src/ledgeladder/routing/link_load.py
@@ -10,9 +10,10 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -34,11 +35,10 @@
 find no other path."""
 
 
-@dataclass(kw_only=True)
-class LinkLoad:
+class LinkLoad(msgspec.Struct, kw_only=True):
     """What this box lately sent over links between failure domains."""
 
-    seconds: dict[Link, float] = field(default_factory=dict)
+    seconds: dict[Link, float] = msgspec.field(default_factory=dict)
     """Time that it takes on each link, in seconds; older parts count less and less."""
 
     at: float = 0.0
--- a/src/ledgeladder/routing/pace.py
+++ b/src/ledgeladder/routing/pace.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 GAIN: Final = 0.125
 """Weight of a new gap in the mean, as in TCP's round-trip estimate (RFC 6298)."""
 
@@ -39,8 +40,7 @@
 """Longer gaps are always called a stall."""
 
 
-@dataclass(kw_only=True)
-class Pace:
+class Pace(msgspec.Struct, kw_only=True):
     """Mean gap between tokens and its mean deviation, in seconds."""
 
     mean: float = 0.0
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from .forwarding_table import is_silent, slow_factor, total_in_flight, total_kv
 from .layer_coverage import kv_capacity
 from .link_load import FIRST_LIMIT, link_between, transfer_seconds
@@ -39,8 +40,7 @@
 grows with the square of the fullness. Spreads requests before any engine is full."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PathRequest:
+class PathRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What a path is wanted for."""
 
     prompt_tokens: int
@@ -52,10 +52,10 @@
     failure_domain: str
     """Failure domain of the entry box."""
 
-    link_penalties: Mapping[Link, float] = field(default_factory=dict)
+    link_penalties: Mapping[Link, float] = msgspec.field(default_factory=dict)
     """Extra cost of links between failure domains that are avoided, in seconds."""
 
-    link_use: Mapping[Link, float] = field(default_factory=dict)
+    link_use: Mapping[Link, float] = msgspec.field(default_factory=dict)
     """Share of each link between failure domains that is in use."""
 
     link_limit: float = FIRST_LIMIT
@@ -68,8 +68,7 @@
     """How many times the own requests an engine is likely to hold of all boxes."""
 
 
-@dataclass(kw_only=True, slots=True, eq=False)
-class EngineOffer:
+class EngineOffer(msgspec.Struct, kw_only=True, eq=False):
     """What one engine would do for a request with one of the ranges that it holds."""
 
     engine: ForwardedUpstream
--- a/src/ledgeladder/routing/path_search.py
+++ b/src/ledgeladder/routing/path_search.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from .path_costs import handover, hop
 
 if TYPE_CHECKING:
@@ -22,8 +23,7 @@
 """Most engines on one path."""
 
 
-@dataclass(slots=True, eq=False)
-class SearchStep:
+class SearchStep(msgspec.Struct, eq=False):
     """The cheapest way found so far to run the layers up to `end`, with its last engine."""
 
     cost: float
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from ..model.exchange import PathPart
 from .forwarding_table import is_silent, is_usable
 from .path_costs import SILENT_PENALTY_SECONDS, engine_offers
@@ -42,8 +43,7 @@
 """Why an engine cannot be used that has no room for one layer of a request."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ChosenPath:
+class ChosenPath(msgspec.Struct, frozen=True, kw_only=True):
     """A path with the engines that it passes."""
 
     parts: tuple[PathPart, ...]
@@ -210,8 +210,7 @@
     return newest.values()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MissingPath:
+class MissingPath(msgspec.Struct, frozen=True, kw_only=True):
     """Why there is no path."""
 
     engines: Mapping[str, int]
--- a/src/ledgeladder/routing/placed_engine.py
+++ b/src/ledgeladder/routing/placed_engine.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from ..model.registration import Holding
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlacedEngine:
+class PlacedEngine(msgspec.Struct, frozen=True, kw_only=True):
     """An engine that registered, with what it holds."""
 
     instance: str
--- a/src/ledgeladder/routing/policy.py
+++ b/src/ledgeladder/routing/policy.py
@@ -9,9 +9,10 @@
 
 import re
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from typing import Annotated, Any, ClassVar, Final
 
+import msgspec
 import starlark
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
@@ -30,8 +31,7 @@
 _POSITION: Final = re.compile(r":(\d+):(\d+)")
 
 
-@dataclass(frozen=True, kw_only=True)
-class RequestFacts:
+class RequestFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What a policy is told about a request."""
 
     pipeline: str
@@ -75,8 +75,7 @@
     """Upper bound on tokens."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class CompiledPolicy:
+class CompiledPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """A policy that is ready to be asked."""
 
     name: str
@@ -161,7 +160,7 @@
         Its decision, or a problem if it failed, ran too long or returned something else.
     """
     try:
-        answer = policy.module.call_with(_options(), "decide", asdict(facts)).value
+        answer = policy.module.call_with(_options(), "decide", msgspec.structs.asdict(facts)).value
     except starlark.StarlarkError as error:
         return Failure(_problem(policy.name, str(error), policy.decide_line))
     try:
--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 SHARE_USED: Final = 0.8
 """Part of the allowed share of repeats that a box uses: requests that never arrived here still
 count for the budget, but those of others may be fewer than they seem."""
@@ -14,8 +15,7 @@
 """Entry boxes that are assumed at least, until control boxes have told how many there are."""
 
 
-@dataclass(kw_only=True)
-class RepeatWindow:
+class RepeatWindow(msgspec.Struct, kw_only=True):
     """Arrivals at one pool's upstreams that this box caused, in a sliding window."""
 
     ratio: float
@@ -27,10 +27,10 @@
     seconds: float
     """Length of the window, in seconds."""
 
-    firsts: deque[float] = field(default_factory=deque)
+    firsts: deque[float] = msgspec.field(default_factory=deque)
     """When requests were first sent, on the monotonic clock, oldest first."""
 
-    repeats: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = msgspec.field(default_factory=deque)
     """When they were sent again, likewise."""
 
 
--- a/src/ledgeladder/routing/retry_budget.py
+++ b/src/ledgeladder/routing/retry_budget.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(kw_only=True)
-class RetryBudget:
+class RetryBudget(msgspec.Struct, kw_only=True):
     """Retries that may still be made."""
 
     share: float = 0.1
--- a/src/ledgeladder/routing/route_index.py
+++ b/src/ledgeladder/routing/route_index.py
@@ -2,23 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     import random
 
     from ..model.traffic import AccountKeys, RouteRule, TrafficConfiguration
 
 
-@dataclass(kw_only=True)
-class RouteIndex:
+class RouteIndex(msgspec.Struct, kw_only=True):
     """A configuration, arranged for look-ups."""
 
-    routes: dict[str, dict[str, RouteRule]] = field(default_factory=dict)
+    routes: dict[str, dict[str, RouteRule]] = msgspec.field(default_factory=dict)
     """Routes by host and prefix."""
 
-    accounts: dict[str, AccountKeys] = field(default_factory=dict)
+    accounts: dict[str, AccountKeys] = msgspec.field(default_factory=dict)
     """Client accounts by key."""
 
     needs_keys: bool = False
--- a/src/ledgeladder/routing/session.py
+++ b/src/ledgeladder/routing/session.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Annotated
 
@@ -51,8 +50,7 @@
     AFTER_END = "after-end"
 
 
-@dataclass(kw_only=True)
-class Session:
+class Session(msgspec.Struct, kw_only=True):
     """State of one request."""
 
     session_id: str
@@ -70,10 +68,10 @@
     route: Route | None = None
     """Route of the current attempt."""
 
-    tokens: list[int] = field(default_factory=list)
+    tokens: list[int] = msgspec.field(default_factory=list)
     """Accepted tokens, which a new attempt continues from."""
 
-    text: list[str] = field(default_factory=list)
+    text: list[str] = msgspec.field(default_factory=list)
     """Texts of the accepted tokens."""
 
     ended: bool = False
@@ -82,7 +80,7 @@
     finish_reason: str = ""
     """`stop` or `length` once ended."""
 
-    dropped: Counter[Verdict] = field(default_factory=Counter)
+    dropped: Counter[Verdict] = msgspec.field(default_factory=Counter)
     """Frames that were dropped, by verdict."""
 
 
--- a/src/ledgeladder/routing/stream_patience.py
+++ b/src/ledgeladder/routing/stream_patience.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 FIRST_LOOK_SHARE: Final = 0.7
 """Part of the time to the first event that callers expect, after which the engines of a path are
 probed: the rest is for the probe and for another path."""
@@ -39,8 +40,7 @@
 event that callers expect."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StreamPatience:
+class StreamPatience(msgspec.Struct, frozen=True, kw_only=True):
     """Times of silence, in seconds, after which something is done."""
 
     first_look: float
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from ..model import Configuration, Upstream, UpstreamKind
 
 SUSPECT_SECONDS: Final = 1.0
@@ -14,8 +15,7 @@
 SUSPECT_LIMIT_SECONDS: Final = 8.0
 
 
-@dataclass(kw_only=True)
-class UpstreamView:
+class UpstreamView(msgspec.Struct, kw_only=True):
     """One upstream as this box sees it."""
 
     upstream: Upstream
@@ -43,11 +43,10 @@
     """Failures in a row."""
 
 
-@dataclass(kw_only=True)
-class UpstreamTable:
+class UpstreamTable(msgspec.Struct, kw_only=True):
     """All upstreams of the configuration in force."""
 
-    views: dict[str, UpstreamView] = field(default_factory=dict)
+    views: dict[str, UpstreamView] = msgspec.field(default_factory=dict)
     """Views by name."""
 
 
--- a/src/ledgeladder/settings/discovered.py
+++ b/src/ledgeladder/settings/discovered.py
@@ -3,30 +3,18 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+import msgspec
 
 from .models import Address, LogSection, Name
 
 
-class _Section(BaseModel):
-    """A section whose unknown keys are ignored and whose empty values count as left out.
+class _Section(msgspec.Struct, frozen=True, kw_only=True):
+    """A section whose unknown keys are ignored: a platform adds keys meant for others."""
 
-    The file is filled in by a template, which writes an empty text where it has no value.
-    """
 
-    model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
-
-    @model_validator(mode="before")
-    @classmethod
-    def _drop_empty(cls, values: Any) -> Any:
-        if not isinstance(values, dict):
-            return values
-        return {key: value for key, value in values.items() if value not in ("", None)}
-
-
-class DiscoveredBox(_Section):
+class DiscoveredBox(_Section, frozen=True, kw_only=True):
     """Where the process runs."""
 
     name: Name
@@ -35,23 +23,23 @@
     failure_domain: Name
     """Failure domain of the box."""
 
-    address: Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")]
+    address: Annotated[str, msgspec.Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")]
     """IP number of the box, from which its connections come and by which others know it."""
 
 
-class DiscoveredCluster(_Section):
+class DiscoveredCluster(_Section, frozen=True, kw_only=True):
     """How the processes find each other."""
 
     name: Name = "ledgeladder"
     """Name of the cluster."""
 
-    secret: Annotated[str, Field(min_length=16, repr=False)]
+    secret: Annotated[str, msgspec.Meta(min_length=16)]
     """Secret by which the processes recognise each other."""
 
-    link_port: Annotated[int, Field(ge=1, le=65535)]
+    link_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     """Port on every box for links between the system's processes."""
 
-    metrics_port: Annotated[int, Field(ge=1, le=65535)]
+    metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     """Port on every box for metrics."""
 
     seeds: tuple[Address, ...]
@@ -60,42 +48,42 @@
     bootstrap: bool = False
     """True only when the whole system starts for the first time."""
 
-    tolerated_losses: Annotated[int, Field(ge=0, le=3)] = 1
+    tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 1
     """Boxes with a disk that may be lost at once; twice that and one vote."""
 
 
-class Bounds(_Section):
+class Bounds(_Section, frozen=True, kw_only=True):
     """What callers, operators and upstreams were promised."""
 
     strict_revocation: bool = True
     """True if a key that was taken away must not work after `revocation_ms`."""
 
-    revocation_ms: Annotated[float, Field(gt=0)] = 5000.0
+    revocation_ms: Annotated[float, msgspec.Meta(gt=0)] = 5000.0
     """How long a key may still work after a document without it was accepted."""
 
-    apply_ms: Annotated[float, Field(gt=0)] = 2000.0
+    apply_ms: Annotated[float, msgspec.Meta(gt=0)] = 2000.0
     """How long an accepted document may take to be in force, and a read may be out of date."""
 
-    stop_seconds: Annotated[float, Field(gt=0)] = 8.0
+    stop_seconds: Annotated[float, msgspec.Meta(gt=0)] = 8.0
     """How long a planned stop may take before the process is killed."""
 
-    heartbeat_ms: Annotated[float, Field(gt=0)] = 1200.0
+    heartbeat_ms: Annotated[float, msgspec.Meta(gt=0)] = 1200.0
     """Time between heartbeats of an upstream."""
 
-    stall_ms: Annotated[float, Field(gt=0)] = 3000.0
+    stall_ms: Annotated[float, msgspec.Meta(gt=0)] = 3000.0
     """How long an engine waits for another one that is lost before it ends a request."""
 
-    repeat_ratio: Annotated[float, Field(ge=0)] = 0.2
+    repeat_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
     """Repeats that all boxes may make for each request."""
 
-    repeat_reserve: Annotated[float, Field(ge=0)] = 0.0
+    repeat_reserve: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     """Repeats that all boxes may make besides, within `repeat_window_seconds`."""
 
-    repeat_window_seconds: Annotated[float, Field(gt=0)] = 10.0
+    repeat_window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     """Window of the two above."""
 
 
-class GatewaySection(_Section):
+class GatewaySection(_Section, frozen=True, kw_only=True):
     """An entry process that forwards HTTP."""
 
     caller_address: Address
@@ -105,7 +93,7 @@
     """Where it is asked whether it is ready."""
 
 
-class RegistrySection(_Section):
+class RegistrySection(_Section, frozen=True, kw_only=True):
     """A control process that upstreams register with."""
 
     address: Address
@@ -114,17 +102,17 @@
     data_folder: Path
     """Folder on the disk that lasts."""
 
-    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 200
+    snapshot_entries: Annotated[int, msgspec.Meta(ge=10, le=1_000_000)] = 200
     """Log entries after which a snapshot is taken; a document is a few kilobytes."""
 
-    heartbeat_seconds: Annotated[float, Field(ge=0.01, le=5)] = 0.1
+    heartbeat_seconds: Annotated[float, msgspec.Meta(ge=0.01, le=5)] = 0.1
     """Time between heartbeats of the leader."""
 
-    election_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.6
+    election_seconds: Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 0.6
     """Least silence after which another leader is elected."""
 
 
-class GatewaySettings(_Section):
+class GatewaySettings(_Section, frozen=True, kw_only=True):
     """Settings file of an entry process that forwards HTTP."""
 
     box: DiscoveredBox
@@ -143,7 +131,7 @@
     """Structured logging."""
 
 
-class RegistrySettings(_Section):
+class RegistrySettings(_Section, frozen=True, kw_only=True):
     """Settings file of a control process that upstreams register with."""
 
     box: DiscoveredBox
--- a/src/ledgeladder/settings/loading.py
+++ b/src/ledgeladder/settings/loading.py
@@ -5,33 +5,31 @@
 import tomllib
 from typing import TYPE_CHECKING, Any, TypeVar
 
-from pydantic import BaseModel, ValidationError
+import msgspec
 from returns.result import Failure, Result, Success
 
 from ..model import Problem, ResultCode
+from ..model.validation import MISSING, check_model
 from .discovered import GatewaySettings, RegistrySettings
 from .models import ControlSettings, EntrySettings
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from pydantic_core import ErrorDetails
+    from ..model.validation import Fault
 
-_Settings = TypeVar("_Settings", bound=BaseModel)
+_Settings = TypeVar("_Settings", bound=msgspec.Struct)
 
 
 def _problem(detail: str) -> Problem:
     return Problem(code=ResultCode.SETTINGS_INVALID, detail=detail)
 
 
-def _describe(path: Path, error: ErrorDetails) -> str:
-    key = ".".join(str(part) for part in error["loc"])
-    value = error["input"]
-    if error["type"] == "missing":
-        return f"{path}: {key}: missing"
-    if "secret" in key:
-        value = "(not shown)"
-    return f"{path}: {key} = {value!r}: {error['msg']}"
+def _describe(path: Path, fault: Fault) -> str:
+    if fault.message == MISSING:
+        return f"{path}: {fault.key}: {MISSING}"
+    value = "(not shown)" if "secret" in fault.key else fault.value
+    return f"{path}: {fault.key} = {value!r}: {fault.message}"
 
 
 def read_toml(path: Path) -> Result[dict[str, Any], Problem]:
@@ -62,11 +60,24 @@
     Returns:
         The settings, or a problem that names each wrong key, its value and what is allowed.
     """
-    try:
-        return Success(model.model_validate(content))
-    except ValidationError as error:
-        lines = [_describe(path, detail) for detail in error.errors()]
-        return Failure(_problem("\n".join(lines)))
+    checked = check_model(content, model)
+    if isinstance(checked, Success):
+        return Success(checked.unwrap())
+    lines = [_describe(path, fault) for fault in checked.failure()]
+    return Failure(_problem("\n".join(lines)))
+
+
+def drop_empty(content: Any) -> Any:
+    """Leave out empty values, at any depth.
+
+    A template writes an empty text where it has no value, which counts as a key that is not there.
+
+    >>> drop_empty({"a": "", "b": {"c": None, "d": 0}})
+    {'b': {'d': 0}}
+    """
+    if not isinstance(content, dict):
+        return content
+    return {key: drop_empty(value) for key, value in content.items() if value not in ("", None)}
 
 
 def load_entry_settings(path: Path) -> Result[EntrySettings, Problem]:
@@ -81,9 +92,13 @@
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, Problem]:
     """Load the settings of a gateway process."""
-    return read_toml(path).bind(lambda content: check_settings(path, content, GatewaySettings))
+    return read_toml(path).bind(
+        lambda content: check_settings(path, drop_empty(content), GatewaySettings)
+    )
 
 
 def load_registry_settings(path: Path) -> Result[RegistrySettings, Problem]:
     """Load the settings of a registry process."""
-    return read_toml(path).bind(lambda content: check_settings(path, content, RegistrySettings))
+    return read_toml(path).bind(
+        lambda content: check_settings(path, drop_empty(content), RegistrySettings)
+    )
--- a/src/ledgeladder/settings/models.py
+++ b/src/ledgeladder/settings/models.py
@@ -5,20 +5,20 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+import msgspec
 
 from ..model.documents import ADDRESS_PATTERN, NAME_PATTERN
 
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
-Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Address = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
+Sha256 = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
+class _Section(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A section whose unknown keys are refused, as an operator's spelling mistake is one."""
 
 
-class BoxSection(_Section):
+class BoxSection(_Section, frozen=True, kw_only=True):
     """Where the process runs."""
 
     name: Name
@@ -27,28 +27,28 @@
     failure_domain: Name
     """Failure domain of the box."""
 
-    source_address: Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")] | None = None
+    source_address: Annotated[str, msgspec.Meta(pattern=r"^(\d{1,3}\.){3}\d{1,3}$")] | None = None
     """IP number that outgoing connections come from, for a box that has several."""
 
 
-class ClusterSection(_Section):
+class ClusterSection(_Section, frozen=True, kw_only=True):
     """What all processes of the cluster share."""
 
     name: Name
     """Name of the cluster."""
 
-    secret: Annotated[str, Field(min_length=16, repr=False)]
+    secret: Annotated[str, msgspec.Meta(min_length=16)]
     """Secret by which the processes recognise each other."""
 
 
-class LogSection(_Section):
+class LogSection(_Section, frozen=True, kw_only=True):
     """Structured logging."""
 
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     """Least level that is written."""
 
 
-class ControlPeer(_Section):
+class ControlPeer(_Section, frozen=True, kw_only=True):
     """One control box of the cluster."""
 
     name: Name
@@ -64,7 +64,7 @@
     """Where it accepts operators."""
 
 
-class EntryPeer(_Section):
+class EntryPeer(_Section, frozen=True, kw_only=True):
     """An entry box."""
 
     name: Name
@@ -77,7 +77,7 @@
     """Where it accepts links over TCP and membership datagrams over UDP."""
 
 
-class Operator(_Section):
+class Operator(_Section, frozen=True, kw_only=True):
     """Somebody who may change the configuration."""
 
     name: Name
@@ -87,7 +87,7 @@
     """SHA-256 of the operator's token, in hexadecimal."""
 
 
-class ControlSection(_Section):
+class ControlSection(_Section, frozen=True, kw_only=True):
     """A control process."""
 
     data_folder: Path
@@ -99,17 +99,17 @@
     listen_operator_address: Address | None = None
     """Where to accept operators, if not at the address that others know."""
 
-    snapshot_entries: Annotated[int, Field(ge=10, le=1_000_000)] = 1000
+    snapshot_entries: Annotated[int, msgspec.Meta(ge=10, le=1_000_000)] = 1000
     """Log entries after which a snapshot is taken."""
 
-    heartbeat_seconds: Annotated[float, Field(ge=0.01, le=5)] = 0.1
+    heartbeat_seconds: Annotated[float, msgspec.Meta(ge=0.01, le=5)] = 0.1
     """Time between heartbeats of the leader."""
 
-    election_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.6
+    election_seconds: Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 0.6
     """Least silence after which another leader is elected."""
 
 
-class EntrySection(_Section):
+class EntrySection(_Section, frozen=True, kw_only=True):
     """An entry process."""
 
     caller_address: Address
@@ -118,42 +118,42 @@
     link_address: Address
     """Where it accepts links over TCP and membership datagrams over UDP."""
 
-    body_limit_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
+    body_limit_bytes: Annotated[int, msgspec.Meta(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
     """Longest request body."""
 
-    queue_limit: Annotated[int, Field(ge=0, le=100_000)] = 256
+    queue_limit: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 256
     """Most requests that wait for an upstream."""
 
-    in_flight_limit: Annotated[int, Field(ge=1, le=100_000)] = 400
+    in_flight_limit: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 400
     """Most requests in progress."""
 
     route_choice: Literal["better-of-two", "least-loaded", "round-robin"] = "better-of-two"
     """How an engine is chosen among those that hold a layer; the others are baselines."""
 
-    stall_seconds: Annotated[float, Field(gt=0, le=60)] | None = None
+    stall_seconds: Annotated[float, msgspec.Meta(gt=0, le=60)] | None = None
     """Fixed gap between tokens after which stages are probed; if left out, each stream's pace."""
 
-    entry_boxes: Annotated[int, Field(ge=1, le=10_000)] | None = None
+    entry_boxes: Annotated[int, msgspec.Meta(ge=1, le=10_000)] | None = None
     """Entry boxes of the cluster, among which limits are split; those listed if left out."""
 
-    stop_notice_seconds: Annotated[float, Field(ge=0, le=600)] = 1.0
+    stop_notice_seconds: Annotated[float, msgspec.Meta(ge=0, le=600)] = 1.0
     """How long a stopping process still serves what the balancer sends."""
 
-    stop_limit_seconds: Annotated[float, Field(ge=1, le=3600)] = 90.0
+    stop_limit_seconds: Annotated[float, msgspec.Meta(ge=1, le=3600)] = 90.0
     """How long a stopping process waits for requests in progress."""
 
 
-class PlatformSection(_Section):
+class PlatformSection(_Section, frozen=True, kw_only=True):
     """What the platform offers."""
 
-    box_list_url: Annotated[str, Field(pattern=r"^http://")] | None = None
+    box_list_url: Annotated[str, msgspec.Meta(pattern=r"^http://")] | None = None
     """Page with the live and leaving upstreams, which lags."""
 
-    poll_seconds: Annotated[float, Field(ge=0.1, le=60)] = 0.5
+    poll_seconds: Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 0.5
     """How often it is read."""
 
 
-class ControlSettings(_Section):
+class ControlSettings(_Section, frozen=True, kw_only=True):
     """Settings file of a control process."""
 
     box: BoxSection
@@ -165,7 +165,7 @@
     control: ControlSection
     """The control process."""
 
-    controls: Annotated[tuple[ControlPeer, ...], Field(min_length=1, max_length=8)]
+    controls: Annotated[tuple[ControlPeer, ...], msgspec.Meta(min_length=1, max_length=8)]
     """All control boxes, this one included."""
 
     operators: tuple[Operator, ...] = ()
@@ -175,7 +175,7 @@
     """Structured logging."""
 
 
-class EntrySettings(_Section):
+class EntrySettings(_Section, frozen=True, kw_only=True):
     """Settings file of an entry process."""
 
     box: BoxSection
@@ -187,7 +187,7 @@
     entry: EntrySection
     """The entry process."""
 
-    controls: Annotated[tuple[ControlPeer, ...], Field(min_length=1, max_length=8)]
+    controls: Annotated[tuple[ControlPeer, ...], msgspec.Meta(min_length=1, max_length=8)]
     """All control boxes."""
 
     entries: tuple[EntryPeer, ...] = ()
--- a/src/ledgeladder/settings/reference.py
+++ b/src/ledgeladder/settings/reference.py
@@ -5,17 +5,19 @@
 import ast
 import inspect
 import textwrap
-from typing import TYPE_CHECKING, Any, Final, get_args
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
 
-from pydantic import BaseModel
+import msgspec
 
+from ..model.validation import section_of
 from .discovered import GatewaySettings, RegistrySettings
 from .models import ControlSettings, EntrySettings
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from pydantic.fields import FieldInfo
+    from msgspec.structs import FieldInfo
 
 PAGE_HEAD: Final = """# Settings
 
@@ -25,7 +27,7 @@
 """
 
 
-PROCESSES: Final[tuple[tuple[str, type[BaseModel]], ...]] = (
+PROCESSES: Final[tuple[tuple[str, type[msgspec.Struct]], ...]] = (
     ("Entry", EntrySettings),
     ("Control", ControlSettings),
     ("Gateway", GatewaySettings),
@@ -46,20 +48,21 @@
     return "\n".join(lines)
 
 
-def _rows(model: type[BaseModel], prefix: str) -> Iterator[str]:
-    schema = model.model_json_schema()
+def _rows(model: type[msgspec.Struct], prefix: str) -> Iterator[str]:
+    _schemas, parts = msgspec.json.schema_components([model], schema_hook=_path_schema)
+    properties = parts[model.__name__]["properties"]
     meanings = _meanings(model)
-    for name, field in model.model_fields.items():
-        section = _section_of(field.annotation)
+    for field in msgspec.structs.fields(model):
+        section = section_of(field.type)
         if section is not None:
-            yield from _rows(section, f"{prefix}{name}.")
+            yield from _rows(section, f"{prefix}{field.name}.")
             continue
-        allowed = _allowed(schema["properties"][name])
-        default = "required" if field.is_required() else f"`{_default(field)}`"
-        yield f"| `{prefix}{name}` | {allowed} | {default} | {meanings[name]} |"
+        allowed = _allowed(properties[field.name])
+        default = "required" if field.required else f"`{_default(field)}`"
+        yield f"| `{prefix}{field.name}` | {allowed} | {default} | {meanings[field.name]} |"
 
 
-def _meanings(model: type[BaseModel]) -> dict[str, str]:
+def _meanings(model: type[msgspec.Struct]) -> dict[str, str]:
     """Return the documentation below each key of a section.
 
     It is read from the source here and not by the models, which processes build at their start:
@@ -67,7 +70,7 @@
     """
     meanings = {}
     for base in reversed(model.__mro__):
-        if not issubclass(base, BaseModel) or base is BaseModel:
+        if not issubclass(base, msgspec.Struct) or base is msgspec.Struct:
             continue
         body = ast.parse(textwrap.dedent(inspect.getsource(base))).body[0]
         assert isinstance(body, ast.ClassDef)
@@ -81,12 +84,9 @@
     return meanings
 
 
-def _section_of(annotation: Any) -> type[BaseModel] | None:
-    """Return the section that a key holds, itself or in a list."""
-    for candidate in (annotation, *get_args(annotation)):
-        if isinstance(candidate, type) and issubclass(candidate, BaseModel):
-            return candidate
-    return None
+def _path_schema(annotation: type) -> dict[str, Any]:
+    assert annotation is Path
+    return {"type": "string"}
 
 
 def _default(field: FieldInfo) -> str:
--- a/src/ledgeladder/storage/journal.py
+++ b/src/ledgeladder/storage/journal.py
@@ -4,7 +4,6 @@
 
 import logging
 import os
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
@@ -50,8 +49,7 @@
 _SNAPSHOT_DECODER: Final = msgspec.msgpack.Decoder(Snapshot)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Recovered:
+class Recovered(msgspec.Struct, frozen=True, kw_only=True):
     """What a data folder held when it was opened."""
 
     hard_state: HardState
@@ -67,8 +65,7 @@
     """Length of a torn tail that was removed."""
 
 
-@dataclass(kw_only=True)
-class Journal:
+class Journal(msgspec.Struct, kw_only=True):
     """An open journal; every write is synced before it returns."""
 
     folder: Path
--- a/src/ledgeladder/storage/records.py
+++ b/src/ledgeladder/storage/records.py
@@ -4,10 +4,11 @@
 
 import struct
 import zlib
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
 
+import msgspec
+
 HEADER: Final = struct.Struct(">II")
 """Length of the payload and its CRC-32."""
 
@@ -28,8 +29,7 @@
     """With a bad record that others follow, or with an absurd length."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RecordScan:
+class RecordScan(msgspec.Struct, frozen=True, kw_only=True):
     """What was found in a run of records."""
 
     payloads: list[bytes]
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 import httpx
+import msgspec
 
 from ..model import EXECUTION_HEADER, Execution
 
@@ -13,8 +13,7 @@
 """Longest answer of a service, in bytes."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServiceCall:
+class ServiceCall(msgspec.Struct, frozen=True, kw_only=True):
     """One call of a plain service."""
 
     method: str
@@ -33,8 +32,7 @@
     """Idempotency key, or empty."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServiceAnswer:
+class ServiceAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The answer of a plain service."""
 
     status: int
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -37,12 +37,12 @@
     ("old", "new", "parts"),
     [
         ('failure_domain = "domain-a"', "failure_domain = 7", ["box.failure_domain = 7"]),
-        ("queue_limit = 256", "queue_limit = -1", ["entry.queue_limit = -1", "greater than"]),
-        ("queue_limit = 256", "queue_limits = 256", ["entry.queue_limits = 256", "Extra"]),
+        ("queue_limit = 256", "queue_limit = -1", ["entry.queue_limit = -1", "`int` >= 0"]),
+        ("queue_limit = 256", "queue_limits = 256", ["entry.queue_limits = 256", "unknown key"]),
         (
             'secret = "change-this-to-a-long-random-text"',
             'secret = "too-short"',
-            ["cluster.secret = '(not shown)'", "16 characters"],
+            ["cluster.secret = '(not shown)'", "length >= 16"],
         ),
         ("[box]", "[box", ["line"]),
     ],
--- a/tests/coordination/raft/test_schedules.py
+++ b/tests/coordination/raft/test_schedules.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import os
-from dataclasses import replace
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from ledgeladder.coordination import raft
 from ledgeladder.coordination.raft import core, election, replication
--- a/tests/daemons/gateway/builders.py
+++ b/tests/daemons/gateway/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream
@@ -10,7 +12,7 @@
 
 
 def settings() -> GatewaySettings:
-    return GatewaySettings.model_validate(
+    return msgspec.convert(
         {
             "box": {"name": "n", "failure_domain": "a", "address": "127.0.0.1"},
             "cluster": {
@@ -20,7 +22,8 @@
                 "seeds": ["127.0.0.1:9"],
             },
             "gateway": {"caller_address": "127.0.0.1:2", "ready_address": "127.0.0.1:3"},
-        }
+        },
+        GatewaySettings,
     )
 
 
--- a/tests/routing/sample_site.py
+++ b/tests/routing/sample_site.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from ledgeladder.model.registration import Holding
 from ledgeladder.model.traffic import CardKind, EngineProfile
@@ -54,7 +54,7 @@
 def placed(engines: list[PlacedEngine], chosen: dict[str, Holding]) -> list[PlacedEngine]:
     """Return the engines with the layers that they hold or that were chosen for them."""
     return [
-        dataclasses.replace(item, holding=item.holding or chosen.get(item.instance))
+        msgspec.structs.replace(item, holding=item.holding or chosen.get(item.instance))
         for item in engines
     ]
 
--- a/tests/routing/test_group_plan.py
+++ b/tests/routing/test_group_plan.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from ledgeladder.model.traffic import CardKind
@@ -25,7 +25,7 @@
     "middle": CardKind(name="middle", memory_mb=21_600, step_factor=16.0, read_factor=8.2),
     "slow": CardKind(name="slow", memory_mb=14_400, step_factor=15.0, read_factor=15.0),
 }
-SMALL = dataclasses.replace(
+SMALL = msgspec.structs.replace(
     PROFILE,
     cards=CARDS,
     kv_token_bytes=656_000,
@@ -89,7 +89,7 @@
 def test_failure_domains_with_next_to_no_room_are_one_group() -> None:
     """Together they carry what the links do, which is more, and lose no copy with one engine."""
     site = engines("a", fast=4) + engines("b", fast=4) + engines("c", fast=4)
-    crowded = dataclasses.replace(SMALL, layer_mb=1785.0)
+    crowded = msgspec.structs.replace(SMALL, layer_mb=1785.0)
     alone = requests_per_second(crowded, site[:4])
     assert 0 < 3 * alone < 22
     assert [len(group) for group in group_engines(crowded, site)] == [12]
@@ -97,5 +97,5 @@
 
 def test_nothing_is_built_on_links_of_unknown_width() -> None:
     site = engines("a", fast=4) + engines("b", fast=4) + engines("c", fast=4)
-    unknown = dataclasses.replace(SMALL, layer_mb=1785.0, pipe_bytes_per_s=0.0)
+    unknown = msgspec.structs.replace(SMALL, layer_mb=1785.0, pipe_bytes_per_s=0.0)
     assert [len(group) for group in group_engines(unknown, site)] == [4, 4, 4]
--- a/tests/routing/test_link_load.py
+++ b/tests/routing/test_link_load.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from ledgeladder.model.registration import Holding, Registration
@@ -22,7 +21,7 @@
 from .sample_site import PROFILE
 
 TRANSFER_SECONDS = 0.05
-CROWDED = dataclasses.replace(
+CROWDED = msgspec.structs.replace(
     PROFILE, layer_mb=250.0, activation_bytes=50_000, pipe_bytes_per_s=774 * 1e6
 )
 """A prompt of 774 tokens takes 0.05 s on a link."""
@@ -89,7 +88,7 @@
 
 
 def test_links_of_unknown_width_take_everything() -> None:
-    unknown = dataclasses.replace(CROWDED, pipe_bytes_per_s=0.0)
+    unknown = msgspec.structs.replace(CROWDED, pipe_bytes_per_s=0.0)
     load = LinkLoad()
     for _ in range(1000):
         note_crossings(load, unknown, ["a", "b"], 774, 1.0)
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections import Counter
 
@@ -248,7 +247,7 @@
     doubts = LinkDoubts()
     doubt_links(doubts, [used[0][0], used[0][1]], 2.5)
     penalties = link_penalties(doubts, 2.6)
-    request = dataclasses.replace(wanted("a"), link_penalties=penalties)
+    request = msgspec.structs.replace(wanted("a"), link_penalties=penalties)
     other = choose_path(PROFILE, pool, request, 2.6)
     assert other is not None
     assert used[0] not in crossings(other)
@@ -263,7 +262,7 @@
         slow.registration, instance="slow", address="slow:1", card="slow"
     )
     pool = [half("a", Holding(first=0, end=40)), half("b", Holding(first=40, end=80)), slow]
-    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
     path = choose_path(small, pool, wanted("a"), 2.5)
     assert path is not None
     assert crossings(path) == []
@@ -279,7 +278,7 @@
 
 def test_crowded_failure_domain_sends_its_requests_to_another() -> None:
     pool = [half("a", Holding(first=0, end=80)), half("b", Holding(first=0, end=80))]
-    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
     pool[0].kv_reserved = 0.3 * kv_capacity(small, "fast", 80)
     path = choose_path(small, pool, wanted("a"), 2.5)
     assert path is not None
@@ -311,9 +310,9 @@
     last.registration = msgspec.structs.replace(last.registration, address="last:1")
     middle = half("b", Holding(first=40, end=60))
     pool = [half("a", Holding(first=0, end=40)), middle, slow, last]
-    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
     free = choose_path(small, pool, wanted("a"), 2.5)
-    narrow = dataclasses.replace(small, activation_bytes=91_800, pipe_bytes_per_s=1e8)
+    narrow = msgspec.structs.replace(small, activation_bytes=91_800, pipe_bytes_per_s=1e8)
     kept = choose_path(narrow, pool, wanted("a"), 2.5)
     assert free is not None
     assert kept is not None
@@ -338,11 +337,11 @@
 
 def test_engines_that_seem_full_are_a_last_resort() -> None:
     pool = [half("a", Holding(first=0, end=40)), half("b", Holding(first=40, end=80))]
-    small = dataclasses.replace(PROFILE, layer_mb=250.0)
+    small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
     capacity = kv_capacity(small, "fast", 40)
     pool[1].kv_reserved = capacity
     assert choose_path(small, pool, wanted("a"), 1.0) is None
-    anyway = dataclasses.replace(wanted("a"), full_at=OVERFULL_AT)
+    anyway = msgspec.structs.replace(wanted("a"), full_at=OVERFULL_AT)
     assert choose_path(small, pool, anyway, 1.0) is not None
     pool[1].kv_reserved = capacity * 2
     assert choose_path(small, pool, anyway, 1.0) is None
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
+
 from ledgeladder.model.traffic import CardKind
 from ledgeladder.routing.group_plan import most_layers
 from ledgeladder.routing.placed_engine import PlacedEngine
@@ -43,7 +44,7 @@
 def test_unknown_card_and_too_small_card_get_nothing() -> None:
     assert most_layers(PROFILE, "unknown") == 0
     tiny = CardKind(name="tiny", memory_mb=1000, step_factor=1, read_factor=1)
-    profile = dataclasses.replace(PROFILE, cards={"tiny": tiny})
+    profile = msgspec.structs.replace(PROFILE, cards={"tiny": tiny})
     engine = PlacedEngine(instance="x", failure_domain="a", card="tiny", holding=None)
     assert plan_placement(profile, [engine]) == {}
 
--- a/tests/routing/test_placement_repair.py
+++ b/tests/routing/test_placement_repair.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import random
 
+import msgspec
 import pytest
 
 from ledgeladder.model.registration import Holding
@@ -63,7 +63,7 @@
     """Return the engines as they are once the moves of one round are carried out."""
     moves = {spare.instance: holding for spare, holding in plan_repairs(PROFILE, engines)}
     return [
-        dataclasses.replace(item, holding=moves.get(item.instance, item.holding))
+        msgspec.structs.replace(item, holding=moves.get(item.instance, item.holding))
         for item in engines
     ]
 
@@ -123,7 +123,7 @@
     count = layers_by_memory(PROFILE, "slow", PROFILE.layers / (10 * CARDS["slow"].memory_mb))
     assert count == 8
     held = [
-        dataclasses.replace(item, holding=Holding(first=8 * number, end=8 * number + 8))
+        msgspec.structs.replace(item, holding=Holding(first=8 * number, end=8 * number + 8))
         for number, item in enumerate(engines)
     ]
     rest = held[:4] + held[5:]
@@ -139,7 +139,7 @@
     settled = settled_fleet()
     for lost in settled:
         rest = [item for item in settled if item is not lost]
-        loading = [dataclasses.replace(item, settled=False) for item in rest]
+        loading = [msgspec.structs.replace(item, settled=False) for item in rest]
         assert plan_repairs(PROFILE, loading) == []
 
 
