Start daemons without the flags library, and open connections without name look-ups

Cause: a daemon had four threads beside its loop, since the library looks up every address in a pool of threads, also IP numbers; and the command line's flags library took 16 ms of 0.21 s at each start.

--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -6,19 +6,25 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final
 
 import anyio
 from absl import flags
-from returns.result import Failure, Result, Success
-
-from ..daemons.logs import set_up_logging
-from ..model import Problem, ProblemError, ResultCode
+from returns.result import Failure, Result
+
+from ..daemons.launch import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    LAUNCHERS,
+    LOOP_OPTIONS,
+    end_with_problem,
+    fail,
+    load_settings,
+    settings_path,
+)
+from ..model import Problem, ResultCode
 from ..settings import (
-    ControlSettings,
-    EntrySettings,
-    GatewaySettings,
-    RegistrySettings,
     load_control_settings,
     load_entry_settings,
     load_gateway_settings,
@@ -30,16 +36,8 @@
 if TYPE_CHECKING:
     from .operator_client import OperatorClient
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
-EXIT_STORAGE: Final = 3
-
 TOKEN_VARIABLE: Final = "LEDGELADDER_TOKEN"
 
-SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
-"""Path of the settings file where a platform lays it."""
-
 USAGE: Final = """\
 usage: ledgeladder COMMAND [flags]
 
@@ -78,13 +76,6 @@
 
 Command = Callable[[list[str]], int]
 
-_Settings = TypeVar("_Settings", ControlSettings, EntrySettings, GatewaySettings, RegistrySettings)
-
-
-def _fail(problem: Problem, status: int) -> int:
-    print(f"error {int(problem.code)} {problem.code.name}: {problem.detail}", file=sys.stderr)
-    return status
-
 
 def _usage(message: str = "") -> int:
     if message:
@@ -97,7 +88,7 @@
     from . import config_commands
 
     if isinstance(outcome, Failure):
-        return _fail(outcome.failure(), EXIT_FAILED)
+        return fail(outcome.failure(), EXIT_FAILED)
     config_commands.print_json(outcome.unwrap())
     return EXIT_OK
 
@@ -114,106 +105,49 @@
     return OperatorClient(addresses=tuple(FLAGS.controls), token=token)
 
 
-def _load(
-    loader: Callable[[Path], Result[_Settings, Problem]],
-) -> Result[_Settings, Problem]:
-    """Load the settings file that the command line names, and set up logging as it says."""
-    if FLAGS.settings is None:
-        return Failure(Problem(code=ResultCode.SETTINGS_INVALID, detail="--settings is missing"))
-    loaded = loader(Path(FLAGS.settings))
-    if isinstance(loaded, Success):
-        settings = loaded.unwrap()
-        set_up_logging(
-            level=settings.log.level,
-            box=settings.box.name,
-            failure_domain=settings.box.failure_domain,
-        )
-    return loaded
+def _named_settings() -> Path | None:
+    return None if FLAGS.settings is None else Path(FLAGS.settings)
 
 
 def _run_entry(arguments: list[str]) -> int:
     # Imported late: operator commands need no server.
     from ..daemons.entry import run_entry
 
-    loaded = _load(load_entry_settings)
+    loaded = load_settings(load_entry_settings, _named_settings())
     if isinstance(loaded, Failure) or arguments:
         return _bad_settings(loaded)
-    anyio.run(run_entry, loaded.unwrap(), backend_options={"use_uvloop": True})
+    anyio.run(run_entry, loaded.unwrap(), backend_options=LOOP_OPTIONS)
     return EXIT_OK
 
 
 def _run_control(arguments: list[str]) -> int:
     from ..daemons.control.main import format_folder, run_control
 
-    loaded = _load(load_control_settings)
+    loaded = load_settings(load_control_settings, _named_settings())
     if isinstance(loaded, Failure) or arguments not in ([], ["format"]):
         return _bad_settings(loaded)
     settings = loaded.unwrap()
-    try:
-        if arguments == ["format"]:
-            format_folder(settings)
-        else:
-            anyio.run(run_control, settings, backend_options={"use_uvloop": True})
-    except (ProblemError, ExceptionGroup) as error:
-        problem = _find_problem(error)
-        if problem is None:
-            raise
-        return _fail(problem, EXIT_STORAGE)
-    return EXIT_OK
-
-
-def _run_gateway(arguments: list[str]) -> int:
-    from ..daemons.gateway import run_gateway
-
-    _use_settings_variable()
-    loaded = _load(load_gateway_settings)
-    if isinstance(loaded, Failure) or arguments:
-        return _bad_settings(loaded)
-    path = Path(FLAGS.settings)
-    anyio.run(run_gateway, loaded.unwrap(), path, backend_options={"use_uvloop": True})
-    return EXIT_OK
-
+    if arguments == ["format"]:
+        return end_with_problem(lambda: format_folder(settings))
+    return end_with_problem(lambda: anyio.run(run_control, settings, backend_options=LOOP_OPTIONS))
 
-def _run_registry(arguments: list[str]) -> int:
-    from ..daemons.registry import run_registry
-
-    _use_settings_variable()
-    loaded = _load(load_registry_settings)
-    if isinstance(loaded, Failure) or arguments:
-        return _bad_settings(loaded)
-    try:
-        path = Path(FLAGS.settings)
-        anyio.run(run_registry, loaded.unwrap(), path, backend_options={"use_uvloop": True})
-    except (ProblemError, ExceptionGroup) as error:
-        problem = _find_problem(error)
-        if problem is None:
-            raise
-        return _fail(problem, EXIT_STORAGE)
-    return EXIT_OK
 
+def _launch(role: str) -> Command:
+    def command(arguments: list[str]) -> int:
+        path = settings_path(FLAGS.settings)
+        if arguments or path is None:
+            return _usage("unknown words" if arguments else "--settings is missing")
+        return LAUNCHERS[role](path)
 
-def _use_settings_variable() -> None:
-    """Take the settings file from the environment if the command line names none."""
-    if FLAGS.settings is None and SETTINGS_VARIABLE in os.environ:
-        FLAGS["settings"].value = os.environ[SETTINGS_VARIABLE]
+    return command
 
 
 def _bad_settings(loaded: Result[Any, Problem]) -> int:
     if isinstance(loaded, Failure) and FLAGS.settings is not None:
-        return _fail(loaded.failure(), EXIT_USAGE)
+        return fail(loaded.failure(), EXIT_USAGE)
     return _usage("--settings is missing" if FLAGS.settings is None else "unknown words")
 
 
-def _find_problem(error: BaseException) -> Problem | None:
-    """Find the numbered problem in an error or in a group of errors."""
-    if isinstance(error, ProblemError):
-        return error.problem
-    if isinstance(error, BaseExceptionGroup):
-        found = (_find_problem(inner) for inner in error.exceptions)
-        return next((problem for problem in found if problem is not None), None)
-    return None
-
-
 SETTINGS_LOADERS: Final[dict[str, Callable[[Path], Result[Any, Problem]]]] = {
     "control": load_control_settings,
     "gateway": load_gateway_settings,
@@ -232,11 +166,11 @@
     path = Path(arguments[1])
     content = read_toml(path)
     if isinstance(content, Failure):
-        return _fail(content.failure(), EXIT_USAGE)
+        return fail(content.failure(), EXIT_USAGE)
     role = next((name for name in SETTINGS_LOADERS if name in content.unwrap()), "entry")
     loaded = SETTINGS_LOADERS[role](path)
     if isinstance(loaded, Failure):
-        return _fail(loaded.failure(), EXIT_USAGE)
+        return fail(loaded.failure(), EXIT_USAGE)
     article = "an" if role == "entry" else "a"
     print(f"{path}: good settings of {article} {role} process")
     return EXIT_OK
@@ -295,8 +229,8 @@
 COMMANDS: Final[dict[str, Command]] = {
     "entry": _run_entry,
     "control": _run_control,
-    "gateway": _run_gateway,
-    "registry": _run_registry,
+    "gateway": _launch("gateway"),
+    "registry": _launch("registry"),
     "settings": _settings,
     "config": _config,
     "status": _operator_call("GET", "/v1/status"),
@@ -328,7 +262,7 @@
         return EXIT_OK
     except OSError as error:
         detail = f"{error.filename or ''}: {error.strerror}"
-        return _fail(Problem(code=ResultCode.SETTINGS_INVALID, detail=detail), EXIT_USAGE)
+        return fail(Problem(code=ResultCode.SETTINGS_INVALID, detail=detail), EXIT_USAGE)
 
 
 def run() -> None:
--- /dev/null
+++ b/src/ledgeladder/daemons/launch.py
@@ -0,0 +1,153 @@
+"""Starting a daemon from its settings file, without the command line's libraries."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from ..model import Problem, ProblemError, ResultCode
+from ..settings import load_gateway_settings, load_registry_settings
+from .logs import set_up_logging
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..settings import ControlSettings, EntrySettings, GatewaySettings, RegistrySettings
+
+    _Settings = TypeVar(
+        "_Settings", ControlSettings, EntrySettings, GatewaySettings, RegistrySettings
+    )
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_STORAGE: Final = 3
+
+SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
+"""Path of the settings file where a platform lays it."""
+
+LOOP_OPTIONS: Final = {"use_uvloop": True}
+"""Options of the event loop of every daemon."""
+
+
+def settings_path(named: str | None) -> Path | None:
+    """Return the settings file to read.
+
+    Args:
+        named: Path that the command line names, or None.
+
+    Returns:
+        That path, else the one that the environment names, else None.
+    """
+    path = named or os.environ.get(SETTINGS_VARIABLE)
+    return Path(path) if path else None
+
+
+def load_settings(
+    loader: Callable[[Path], Result[_Settings, Problem]], path: Path | None
+) -> Result[_Settings, Problem]:
+    """Load a settings file and set up logging as it says."""
+    if path is None:
+        return Failure(Problem(code=ResultCode.SETTINGS_INVALID, detail="--settings is missing"))
+    loaded = loader(path)
+    if isinstance(loaded, Success):
+        settings = loaded.unwrap()
+        set_up_logging(
+            level=settings.log.level,
+            box=settings.box.name,
+            failure_domain=settings.box.failure_domain,
+        )
+    return loaded
+
+
+def launch_gateway(path: Path | None) -> int:
+    """Run a gateway process until it is told to stop.
+
+    Args:
+        path: Its settings file.
+
+    Returns:
+        The exit code.
+    """
+    loaded = load_settings(load_gateway_settings, path)
+    if path is None or isinstance(loaded, Failure):
+        return fail(loaded.failure(), EXIT_USAGE)
+    # Imported here: a process loads what its own role needs and nothing else.
+    from .gateway import run_gateway
+
+    anyio.run(run_gateway, loaded.unwrap(), path, backend_options=LOOP_OPTIONS)
+    return EXIT_OK
+
+
+def launch_registry(path: Path | None) -> int:
+    """Run a registry process until it is told to stop.
+
+    Args:
+        path: Its settings file.
+
+    Returns:
+        The exit code.
+    """
+    loaded = load_settings(load_registry_settings, path)
+    if path is None or isinstance(loaded, Failure):
+        return fail(loaded.failure(), EXIT_USAGE)
+    from .registry import run_registry
+
+    return end_with_problem(
+        lambda: anyio.run(run_registry, loaded.unwrap(), path, backend_options=LOOP_OPTIONS)
+    )
+
+
+LAUNCHERS: Final[dict[str, Callable[[Path | None], int]]] = {
+    "gateway": launch_gateway,
+    "registry": launch_registry,
+}
+"""Daemons that need no flags where the environment names their settings file."""
+
+
+def end_with_problem(run: Callable[[], Any]) -> int:
+    """Run something to its end; a numbered problem, as with a data folder, becomes an exit code.
+
+    Args:
+        run: What to run.
+
+    Returns:
+        The exit code.
+    """
+    try:
+        run()
+    except (ProblemError, ExceptionGroup) as error:
+        problem = find_problem(error)
+        if problem is None:
+            raise
+        return fail(problem, EXIT_STORAGE)
+    return EXIT_OK
+
+
+def find_problem(error: BaseException) -> Problem | None:
+    """Find the numbered problem in an error or in a group of errors."""
+    if isinstance(error, ProblemError):
+        return error.problem
+    if isinstance(error, BaseExceptionGroup):
+        found = (find_problem(inner) for inner in error.exceptions)
+        return next((problem for problem in found if problem is not None), None)
+    return None
+
+
+def fail(problem: Problem, status: int) -> int:
+    """Write a problem to standard error.
+
+    Args:
+        problem: The problem.
+        status: Exit code to end with.
+
+    Returns:
+        That exit code.
+    """
+    print(f"error {int(problem.code)} {problem.code.name}: {problem.detail}", file=sys.stderr)
+    return status
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -10,7 +10,7 @@
 import msgspec
 from anyio.abc import SocketAttribute
 
-from ..links import split_address
+from ..links import connect_tcp
 from .sockets import tune_socket
 
 if TYPE_CHECKING:
@@ -80,10 +80,9 @@
     Raises:
         ConnectError: If it does not come up; nothing was sent.
     """
-    host, port = split_address(address)
     try:
         with anyio.fail_after(seconds):
-            stream = await anyio.connect_tcp(host, port, local_host=source)
+            stream = await connect_tcp(address, source)
     except (OSError, TimeoutError) as error:
         raise ConnectError(f"{address}: {type(error).__name__}") from error
     try:
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -10,7 +10,7 @@
 import h11
 import msgspec
 
-from ..links import split_address
+from ..links import listen_tcp
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
 from .sockets import tune_socket
@@ -334,8 +334,7 @@
     Raises:
         OSError: If the address cannot be listened on.
     """
-    host, port = split_address(address)
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    listener = await listen_tcp(address)
     async with listener, anyio.create_task_group() as connections:
         with anyio.CancelScope() as site.listening:
             await listener.serve(lambda stream: _serve_connection(stream, site), connections)
--- a/src/ledgeladder/links/__init__.py
+++ b/src/ledgeladder/links/__init__.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from .endpoint import keep_link, open_link, serve_links, split_address
+from .endpoint import keep_link, open_link, serve_links
 from .link import Link, LinkIdentity
+from .tcp import connect_tcp, listen_tcp, split_address
 
-__all__ = ["Link", "LinkIdentity", "keep_link", "open_link", "serve_links", "split_address"]
+__all__ = [
+    "Link",
+    "LinkIdentity",
+    "connect_tcp",
+    "keep_link",
+    "listen_tcp",
+    "open_link",
+    "serve_links",
+    "split_address",
+]
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -11,6 +11,7 @@
 
 from ..model import ProblemError
 from .link import accept, greet
+from .tcp import connect_tcp, listen_tcp
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -49,16 +50,6 @@
 """What may end a link without being a fault of this process."""
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split `host:port`.
-
-    >>> split_address("127.0.0.1:7000")
-    ('127.0.0.1', 7000)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 async def serve_links(address: str, identity: LinkIdentity, handler: LinkHandler) -> None:
     """Accept links until cancelled.
 
@@ -67,8 +58,7 @@
         identity: Who accepts.
         handler: Serves each link.
     """
-    host, port = split_address(address)
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port, reuse_port=False)
+    listener = await listen_tcp(address)
 
     async def serve_one(stream: SocketStream) -> None:
         remote = stream.extra(SocketAttribute.remote_address, None)
@@ -138,9 +128,8 @@
         handler: Serves the link.
         seconds: How long the connection may take to come up.
     """
-    host, port = split_address(address)
     with anyio.fail_after(seconds):
-        stream = await anyio.connect_tcp(host, port, local_host=identity.source_address)
+        stream = await connect_tcp(address, identity.source_address)
     async with stream:
         link = await greet(stream, identity)
         await _run_link(link, handler)
--- /dev/null
+++ b/tests/links/test_tcp.py
@@ -0,0 +1,83 @@
+"""Connections and listeners by IP number."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from ledgeladder.links import connect_tcp, listen_tcp
+
+
+def run(test) -> None:  # type: ignore[no-untyped-def]
+    anyio.run(test, backend_options={"use_uvloop": True})
+
+
+async def _echo(stream: SocketStream) -> None:
+    async with stream:
+        await stream.send(await stream.receive())
+
+
+def test_connection_comes_from_the_source_address_and_carries_bytes() -> None:
+    async def exchange() -> None:
+        listener = await listen_tcp("127.0.0.1:0")
+        port = listener.extra(SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, _echo)
+            stream = await connect_tcp(f"127.0.0.1:{port}", "127.0.0.7")
+            async with stream:
+                assert stream.extra(SocketAttribute.local_address)[0] == "127.0.0.7"
+                await stream.send(b"once")
+                assert await stream.receive() == b"once"
+            tasks.cancel_scope.cancel()
+
+    run(exchange)
+
+
+def test_refused_connection_and_taken_address_raise() -> None:
+    async def refused() -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            with pytest.raises(ConnectionRefusedError):
+                await connect_tcp(address)
+            taken.listen()
+            with pytest.raises(OSError, match="in use"):
+                await listen_tcp(address)
+
+    run(refused)
+
+
+def test_cancelled_connection_closes_its_socket() -> None:
+    async def given_up() -> None:
+        # A listener whose queue is full drops further connections in silence.
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = f"127.0.0.1:{full.getsockname()[1]}"
+            held = [socket.socket() for _ in range(4)]
+            for each in held:
+                each.setblocking(False)
+                each.connect_ex(full.getsockname())
+            before = len(os.listdir("/proc/self/fd"))
+            with pytest.raises(TimeoutError), anyio.fail_after(0.05):
+                await connect_tcp(address)
+            assert len(os.listdir("/proc/self/fd")) == before
+            for each in held:
+                each.close()
+
+    run(given_up)
+
+
+def test_no_thread_is_started() -> None:
+    async def exchange() -> None:
+        before = len(os.listdir("/proc/self/task"))
+        listener = await listen_tcp("127.0.0.1:0")
+        port = listener.extra(SocketAttribute.local_port)
+        async with listener, await connect_tcp(f"127.0.0.1:{port}", "127.0.0.1"):
+            assert len(os.listdir("/proc/self/task")) == before
+
+    run(exchange)
