Give repeats back that could not be sent

Cause: each further try of a request spent the budget of repeats before it was sent, also where the engine refused the connection. The users' rule counts arrivals at upstreams. Ruled out: shares that are uneven over boxes (each box had spent 1 to 4 of its part, evenly).

--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -60,6 +60,16 @@
     return True
 
 
+def give_back(window: RepeatWindow) -> None:
+    """Take back the newest repeat, which could not be sent: only what arrives at upstreams counts.
+
+    After a loss, half of the tries of a box end at engines that refuse connections. Counting them
+    spent half of the budget in the seconds in which it is needed.
+    """
+    if window.repeats:
+        window.repeats.pop()
+
+
 def _forget(window: RepeatWindow, now: float) -> None:
     for times in (window.firsts, window.repeats):
         while times and times[0] <= now - window.seconds:
--- /dev/null
+++ b/tests/routing/test_repeat_window.py
@@ -0,0 +1,48 @@
+"""The budget of repeats counts what arrives at upstreams, and nothing else."""
+
+from __future__ import annotations
+
+from ledgeladder.routing.repeat_window import (
+    SHARE_USED,
+    RepeatWindow,
+    give_back,
+    note_first,
+    take_repeat,
+)
+
+BOXES = 10
+
+
+def window() -> RepeatWindow:
+    return RepeatWindow(ratio=0.2, reserve=50.0, seconds=10.0)
+
+
+def taken(budget: RepeatWindow, now: float) -> int:
+    count = 0
+    while take_repeat(budget, now, BOXES):
+        count += 1
+    return count
+
+
+def test_a_box_spends_its_part_of_the_reserve_and_its_requests_share() -> None:
+    budget = window()
+    for _ in range(20):
+        note_first(budget, 0.0)
+    assert taken(budget, 1.0) == int((20 * 0.2 + 5.0) * SHARE_USED)
+    assert taken(budget, 9.0) == 0
+    assert taken(budget, 11.1) == int(5.0 * SHARE_USED)
+
+
+def test_tries_that_arrive_nowhere_leave_the_budget_for_those_that_do() -> None:
+    """The load after a loss: engines that are gone refuse connections, and others take the work."""
+    budget = window()
+    for _ in range(30):
+        assert take_repeat(budget, 1.0, BOXES)
+        give_back(budget)
+    assert taken(budget, 1.0) == int(5.0 * SHARE_USED)
+
+
+def test_nothing_is_given_back_that_was_not_taken() -> None:
+    budget = window()
+    give_back(budget)
+    assert taken(budget, 1.0) == int(5.0 * SHARE_USED)
