Tell all gateways of an engine that several found dead

Cause: each gateway finds a dead engine by a lost try of its own, and goes on sending it runs until then. Now: two witnesses, one in the engine's failure domain or in two others, make the control boxes tell all gateways. A gateway sends the engine nothing new until it is heard, and probes it if streams of its own pass it. Ruled out: interrupting streams on the word of others (wrong behind a cut that is not one's own).

--- a/src/ledgeladder/coordination/loss_evidence.py
+++ b/src/ledgeladder/coordination/loss_evidence.py
@@ -21,23 +21,76 @@
 """Heartbeats that an engine may miss before it counts as lost although nobody found it dead."""
 
 
+class Witness(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry box that found an engine dead."""
+
+    failure_domain: str
+    """Its failure domain."""
+
+    at: float
+    """When it last said so, on the monotonic clock."""
+
+
 class LossEvidence(msgspec.Struct, kw_only=True):
     """Engines that entry boxes found dead."""
 
-    reports: dict[str, dict[str, float]] = msgspec.field(default_factory=dict)
-    """When each entry box last found an engine dead, by run of the engine and box, on the monotonic
-    clock."""
+    reports: dict[str, dict[str, Witness]] = msgspec.field(default_factory=dict)
+    """Who found an engine dead, by run of the engine and box."""
 
+    told: dict[str, float] = msgspec.field(default_factory=dict)
+    """When entry boxes were last told of a loss, by run of the engine, on the monotonic clock."""
 
-def note_report(evidence: LossEvidence, instance: str, box: str, now: float) -> None:
-    """Note that an entry box found an engine dead."""
-    evidence.reports.setdefault(instance, {})[box] = now
+
+def note_report(
+    evidence: LossEvidence, instance: str, box: str, failure_domain: str, now: float
+) -> None:
+    """Note that an entry box found an engine dead.
+
+    Args:
+        evidence: What entry boxes found.
+        instance: Run of the engine.
+        box: The entry box.
+        failure_domain: Its failure domain.
+        now: Monotonic time.
+    """
+    witness = Witness(failure_domain=failure_domain, at=now)
+    evidence.reports.setdefault(instance, {})[box] = witness
 
 
 def forget_engines(evidence: LossEvidence, known: set[str]) -> None:
     """Forget all engines but the known ones, given as runs."""
-    for instance in [item for item in evidence.reports if item not in known]:
-        del evidence.reports[instance]
+    for kept in (evidence.reports, evidence.told):
+        for instance in [item for item in kept if item not in known]:
+            del kept[instance]
+
+
+def is_worth_telling(
+    evidence: LossEvidence, instance: str, failure_domain: str, heard_at: float, now: float
+) -> bool:
+    """Tell whether all entry boxes are to be told of a loss now; True once for each silence.
+
+    Boxes that learn it need no lost try of their own to find out. With hundreds of boxes each of
+    which finds the dead engines by itself, that would be hundreds of lost tries a loss.
+
+    Args:
+        evidence: What entry boxes found.
+        instance: Run of the engine.
+        failure_domain: Its failure domain.
+        heard_at: When its last heartbeat came, on the monotonic clock.
+        now: Monotonic time.
+
+    Returns:
+        True if `WITNESSES` boxes found it dead since then, one of them in its own failure domain or
+        in two others: a failure domain that is cut off finds all engines of the others dead.
+    """
+    if evidence.told.get(instance, float("-inf")) > heard_at:
+        return False
+    recent = [item for item in evidence.reports.get(instance, {}).values() if item.at > heard_at]
+    domains = {item.failure_domain for item in recent}
+    if len(recent) < WITNESSES or (failure_domain not in domains and len(domains) < WITNESSES):
+        return False
+    evidence.told[instance] = now
+    return True
 
 
 def seems_lost(
@@ -68,7 +121,7 @@
     if silence > SILENT_HEARTBEATS * heartbeat:
         return True
     reports = evidence.reports.get(instance, {})
-    witnesses = sum(1 for at in reports.values() if at > heard_at)
+    witnesses = sum(1 for witness in reports.values() if witness.at > heard_at)
     if witnesses >= WITNESSES:
         return True
     return witnesses > 0 and silence > OVERDUE_HEARTBEATS * heartbeat
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -16,6 +16,7 @@
     Load,
     LoadReport,
     LoadTotals,
+    LossNews,
     PeerHint,
     RegistrationAges,
     RegistrationNews,
@@ -28,6 +29,7 @@
 from ...routing.load_sharing import load_interval
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
+from .loss_news import confirm_loss, take_loss_news
 from .state import note_entries
 
 if TYPE_CHECKING:
@@ -71,6 +73,10 @@
                     take_news(state, message.told)
                 case RegistrationAges():
                     _take_ages(state, message.ages)
+                case LossNews():
+                    engine = take_loss_news(state, message.instance)
+                    if engine is not None:
+                        tasks.start_soon(confirm_loss, state, engine)
                 case LoadTotals():
                     _take_loads(state, message)
                 case PeerHint():
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -9,7 +9,7 @@
 import anyio
 
 from ...coordination.engine_orders import hear
-from ...coordination.loss_evidence import forget_engines, note_report
+from ...coordination.loss_evidence import forget_engines, is_worth_telling, note_report
 from ...coordination.registrations import (
     ages,
     forget_silent,
@@ -27,6 +27,7 @@
     LoadShare,
     LoadTotals,
     LogMessage,
+    LossNews,
     LostReport,
     OrderNews,
     PeerHint,
@@ -199,7 +200,7 @@
                 anyio.current_time(),
             )
         case LostReport():
-            note_report(state.losses, message.instance, link.peer_box, anyio.current_time())
+            _take_lost_report(state, link, message.instance)
         case VersionQuery():
             answer_version(state, link, message)
         case DocumentPull():
@@ -210,6 +211,28 @@
             logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
 
 
+def _take_lost_report(state: RegistryState, link: Link, instance: str) -> None:
+    """Take in that an entry box found an engine dead, and tell the others once that is sure."""
+    known = state.table.known.get(instance)
+    if known is None or link.peer is None:
+        return
+    now = anyio.current_time()
+    note_report(state.losses, instance, link.peer_box, link.peer.failure_domain, now)
+    domain = known.registration.failure_domain
+    if not is_worth_telling(state.losses, instance, domain, known.heard_at, now):
+        return
+    logger.warning(
+        "engine lost",
+        extra={
+            "upstream": instance,
+            "witnesses": len(state.losses.reports[instance]),
+            "heard_before": round(now - known.heard_at, 3),
+        },
+    )
+    for entry_link in state.accepted.values():
+        entry_link.post(LossNews(instance=instance))
+
+
 def _known_controls(state: RegistryState) -> tuple[str, ...]:
     """Return the IP numbers of the log's members, of the boxes with a link up, and of this one."""
     members = {box_of(member) for member in state.node.replica.log.members.everyone}
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -197,6 +197,12 @@
     instance: str
 
 
+class LossNews(msgspec.Struct, frozen=True, kw_only=True, tag="gone", array_like=True):
+    """Several entry boxes found an engine dead."""
+
+    instance: str
+
+
 class OrderNews(msgspec.Struct, frozen=True, kw_only=True, tag="ordered", array_like=True):
     """The leader has ordered an engine to hold layers, which it has not reported yet."""
 
@@ -281,6 +287,7 @@
     | RegistrationNews
     | RegistrationAges
     | LostReport
+    | LossNews
     | OrderNews
     | LoadReport
     | LoadShare
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -225,6 +225,23 @@
         callback(upstream)
 
 
+def note_told_lost(upstream: ForwardedUpstream, now: float) -> bool:
+    """Note that other boxes found an upstream dead; it gets no new work until it is heard.
+
+    Returns:
+        False if that was known already.
+    """
+    if upstream.lost_at > upstream.heard_at:
+        return False
+    upstream.lost_at = now
+    return True
+
+
+def note_reachable(upstream: ForwardedUpstream) -> None:
+    """Note that an upstream which other boxes found dead answers this one."""
+    upstream.lost_at = float("-inf")
+
+
 def note_full(upstream: ForwardedUpstream, now: float) -> None:
     """Note that an upstream had no room."""
     upstream.avoid_until = max(upstream.avoid_until, now + FULL_SECONDS)
--- a/tests/coordination/test_loss_evidence.py
+++ b/tests/coordination/test_loss_evidence.py
@@ -7,6 +7,7 @@
 from ledgeladder.coordination.loss_evidence import (
     LossEvidence,
     forget_engines,
+    is_worth_telling,
     note_report,
     seems_lost,
 )
@@ -30,21 +31,21 @@
 ) -> None:
     evidence = LossEvidence()
     for box in boxes:
-        note_report(evidence, "i-1", box, 9.5)
+        note_report(evidence, "i-1", box, "here", 9.5)
     assert seems_lost(evidence, "i-1", heard_at, 10.0, HEARTBEAT, silence_counts=True) is expected
 
 
 def test_heartbeat_outweighs_earlier_reports() -> None:
     evidence = LossEvidence()
     for box in ("a", "b", "c"):
-        note_report(evidence, "i-1", box, 9.5)
+        note_report(evidence, "i-1", box, "here", 9.5)
     assert not seems_lost(evidence, "i-1", 9.6, 10.0, HEARTBEAT, silence_counts=True)
 
 
 def test_engines_that_are_gone_are_forgotten() -> None:
     evidence = LossEvidence()
-    note_report(evidence, "i-1", "a", 9.5)
-    note_report(evidence, "i-2", "a", 9.5)
+    note_report(evidence, "i-1", "a", "here", 9.5)
+    note_report(evidence, "i-2", "a", "here", 9.5)
     forget_engines(evidence, {"i-2"})
     assert set(evidence.reports) == {"i-2"}
 
@@ -53,7 +54,38 @@
     """A leader that is cut off from the others hears a third of the heartbeats."""
     evidence = LossEvidence()
     assert not seems_lost(evidence, "i-1", 1.0, 10.0, HEARTBEAT, silence_counts=False)
-    note_report(evidence, "i-1", "a", 9.5)
+    note_report(evidence, "i-1", "a", "here", 9.5)
     assert not seems_lost(evidence, "i-1", 1.0, 10.0, HEARTBEAT, silence_counts=False)
-    note_report(evidence, "i-1", "b", 9.5)
+    note_report(evidence, "i-1", "b", "here", 9.5)
     assert seems_lost(evidence, "i-1", 1.0, 10.0, HEARTBEAT, silence_counts=False)
+
+
+@pytest.mark.parametrize(
+    ("domains", "expected"),
+    [
+        (["a"], False),  # One box may be slow itself.
+        (["a", "a"], True),  # Two boxes beside it.
+        (["b", "b", "b"], False),  # Their failure domain may be cut off.
+        (["b", "c"], True),
+        (["b", "a"], True),
+    ],
+)
+def test_all_boxes_are_told_what_a_cut_cannot_explain(domains: list[str], expected: bool) -> None:
+    evidence = LossEvidence()
+    for number, domain in enumerate(domains):
+        note_report(evidence, "i-1", f"box-{number}", domain, 9.5)
+    assert is_worth_telling(evidence, "i-1", "a", 9.0, 9.6) is expected
+
+
+def test_a_loss_is_told_once_until_the_engine_is_heard() -> None:
+    """At hundreds of boxes each report would else be passed on to all others."""
+    evidence = LossEvidence()
+    for box in ("x", "y"):
+        note_report(evidence, "i-1", box, "a", 9.5)
+    assert is_worth_telling(evidence, "i-1", "a", 9.0, 9.5)
+    note_report(evidence, "i-1", "z", "a", 9.6)
+    assert not is_worth_telling(evidence, "i-1", "a", 9.0, 9.6)
+    assert not is_worth_telling(evidence, "i-1", "a", 9.7, 9.8)
+    for box in ("x", "y"):
+        note_report(evidence, "i-1", box, "a", 9.9)
+    assert is_worth_telling(evidence, "i-1", "a", 9.7, 9.9)
