--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import anyio
 
@@ -24,6 +24,12 @@
 
 logger = logging.getLogger(__name__)
 
+CALLER_LEFT: Final = "caller-left"
+"""Outcome of a request whose caller closed its connection."""
+
+STOPPED: Final = "broken-off: the planned stop ran out of time"
+"""Outcome of a request that was still in progress when a planned stop had to end."""
+
 
 def build_caller_site(state: GatewayState) -> HttpSite:
     """Build what callers are served.
@@ -36,7 +42,7 @@
         facts = read_caller_facts(request)
         permit: Permit | None = None
         notes = RequestNotes()
-        outcome = "caller-left"
+        outcome = CALLER_LEFT
         try:
             permit = permit_request(state, request, facts)
             await _forward(state, permit, request, exchange, notes)
@@ -48,6 +54,8 @@
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
             await write_problem(exchange, error.problem)
         finally:
+            if outcome == CALLER_LEFT and state.out_of_time:
+                outcome = STOPPED
             _note_request(state, request, facts, permit, notes, outcome)
 
     return HttpSite(handler=handle, write_problem=write_problem, limits=lambda: state.limits)
@@ -89,7 +97,7 @@
         extra["route"] = permit.route.name
         extra["pool"] = permit.pool.name
         extra["account"] = permit.account
-    level = logging.INFO if outcome in ("answered", "caller-left") else logging.WARNING
+    level = logging.INFO if outcome in ("answered", CALLER_LEFT) else logging.WARNING
     logger.log(level, "request", extra=extra)
 
 
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -149,6 +149,7 @@
             await anyio.sleep(POLL_SECONDS)
             callers.close_idle()
     if scope.cancelled_caught:
+        state.out_of_time = True
         logger.warning(
             "stopped with requests in progress", extra={"in_progress": callers.in_progress}
         )
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -146,6 +146,9 @@
     refusing: bool = False
     """True once a planned stop takes no further requests."""
 
+    out_of_time: bool = False
+    """True once a planned stop cuts what is still in progress."""
+
     @property
     def version(self) -> int:
         """Version of the document in force; 0 before the first."""
