--- /dev/null
+++ b/tests/routing/fleet_bed.py
@@ -0,0 +1,286 @@
+"""A fleet in virtual time: many boxes that choose paths with the real code, and engines that fill up.
+
+There is no network and no clock. Each box sees what it does itself at once, and what all boxes do
+when the sums of loads reach it, as often as `load_interval` says. An engine refuses a run for which
+its KV cache has no room, as real ones do. Streams last as long as the cards of their path take with
+what runs on them when the stream begins.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ledgeladder.model.registration import Registration
+from ledgeladder.routing.forwarding_table import ForwardedUpstream, note_full, take_others
+from ledgeladder.routing.layer_coverage import kv_capacity
+from ledgeladder.routing.load_sharing import load_interval
+from ledgeladder.routing.path_costs import PathRequest
+from ledgeladder.routing.paths import ChosenPath, choose_path, release, reserve
+from ledgeladder.routing.placed_engine import PlacedEngine
+from ledgeladder.routing.placement import group_engines, plan_placement
+
+from .sample_site import CARDS, PROFILE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from ledgeladder.model.traffic import EngineProfile
+
+CONTROLS = 5
+"""Control boxes that add up loads."""
+
+PROMPT = 774
+ANSWER = 214
+"""Tokens of the streams, which all have the same size."""
+
+LARGE_CARDS = {
+    "a": (4, 11, 28),
+    "b": (2, 18, 16),
+    "c": (6, 8, 19),
+    "d": (4, 11, 28),
+    "e": (2, 18, 15),
+}
+"""Engines with each kind of card by failure domain: 190 of them, as on the users' largest site."""
+
+LARGE_BOXES = 195
+LARGE_STREAMS_PER_SECOND = 244.0
+"""Boxes of that site and the streams that begin there."""
+
+LARGE_PROFILE = msgspec.structs.replace(
+    PROFILE,
+    kv_token_bytes=1_508_000,
+    sequence_ms=0.01172,
+    read_per_s=128_000,
+    stride=6,
+    usual_answer=ANSWER,
+    loads_at_once=31,
+    activation_bytes=75_400,
+    pipe_bytes_per_s=18e9 / 8,
+)
+
+
+@dataclass(kw_only=True)
+class Engine:
+    """The truth about one engine."""
+
+    registration: Registration
+    capacity: float
+    kv_used: float = 0.0
+    running: int = 0
+    most_running: int = 0
+    refused: int = 0
+    arrivals: int = 0
+
+
+@dataclass(kw_only=True)
+class Box:
+    """What one box believes."""
+
+    failure_domain: str
+    engines: dict[str, ForwardedUpstream]
+    rng: random.Random
+    told: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """What became of the streams of a run."""
+
+    streams: int = 0
+    refusals: int = 0
+    gave_up: int = 0
+    far: int = 0
+    crossings: int = 0
+    seconds: list[float] = field(default_factory=list)
+
+    @property
+    def refused_share(self) -> float:
+        """Runs that an engine refused, as a part of all that arrived."""
+        arrivals = self.refusals + self.streams - self.gave_up
+        return self.refusals / max(1, arrivals)
+
+    def quantile(self, share: float) -> float:
+        """Return how long streams take, in seconds."""
+        return sorted(self.seconds)[int(share * (len(self.seconds) - 1))]
+
+
+def place_engines(
+    profile: EngineProfile, cards: Mapping[str, tuple[int, ...]]
+) -> dict[str, Engine]:
+    """Lay the model out over engines as a leader does at the first start."""
+    empty = [
+        PlacedEngine(
+            instance=f"{domain}-{card}-{number}", failure_domain=domain, card=card, holding=None
+        )
+        for domain, counts in cards.items()
+        for card, count in zip(CARDS, counts, strict=True)
+        for number in range(count)
+    ]
+    engines = {}
+    for group in group_engines(profile, empty):
+        chosen = plan_placement(profile, group)
+        for item in group:
+            holding = chosen[item.instance]
+            registration = Registration(
+                instance=item.instance,
+                sequence=1,
+                address=f"{item.instance}:1",
+                failure_domain=item.failure_domain,
+                card=item.card,
+                holdings=(holding,),
+            )
+            capacity = kv_capacity(profile, item.card, holding.end - holding.first)
+            engines[item.instance] = Engine(registration=registration, capacity=capacity)
+    return engines
+
+
+class FleetBed:
+    """Plays arrivals, reports and ends of streams in order."""
+
+    def __init__(
+        self,
+        *,
+        profile: EngineProfile = LARGE_PROFILE,
+        cards: Mapping[str, tuple[int, ...]] = LARGE_CARDS,
+        boxes: int = LARGE_BOXES,
+        streams_per_second: float = LARGE_STREAMS_PER_SECOND,
+        seed: int = 1,
+    ) -> None:
+        self.profile = profile
+        self.engines = place_engines(profile, cards)
+        self.rng = random.Random(seed)
+        self.rate = streams_per_second
+        self.domains = list(cards)
+        self.now = 0.0
+        self.numbers = itertools.count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.outcome = Outcome()
+        self.sums: dict[str, list[float]] = {name: [0, 0.0] for name in self.engines}
+        self.boxes = [
+            Box(
+                failure_domain=self.domains[number % len(self.domains)],
+                engines={
+                    name: ForwardedUpstream(registration=engine.registration, heard_at=1e9)
+                    for name, engine in self.engines.items()
+                },
+                rng=random.Random(seed * 1000 + number),
+            )
+            for number in range(boxes)
+        ]
+        self.interval = load_interval(boxes, CONTROLS)
+        for box in self.boxes:
+            self.at(self.rng.random() * self.interval, lambda box=box: self.report(box))
+        self.at(0.0, self.arrive)
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a moment, in seconds."""
+        heapq.heappush(self.events, (when, next(self.numbers), action))
+
+    def play(self, seconds: float) -> Outcome:
+        """Play until a moment and return what became of the streams so far."""
+        while self.events and self.events[0][0] <= seconds:
+            self.now, _number, action = heapq.heappop(self.events)
+            action()
+        self.now = seconds
+        return self.outcome
+
+    def lose(self, names: list[str]) -> None:
+        """Take engines away; all boxes know at once, and streams on them are not followed."""
+        for name in names:
+            del self.engines[name]
+            for box in self.boxes:
+                del box.engines[name]
+
+    def report(self, box: Box) -> None:
+        """Let a box tell its loads and take in the sums of all."""
+        for name, view in box.engines.items():
+            view.reported_in_flight, view.reported_kv = view.in_flight, view.kv_reserved
+            sums = self.sums[name]
+            before = box.told.get(name, (0, 0.0))
+            told = (view.in_flight, view.kv_reserved)
+            if told != before:
+                sums[0] += told[0] - before[0]
+                sums[1] += told[1] - before[1]
+                box.told[name] = told
+            take_others(view, int(sums[0]), sums[1], self.now)
+        self.at(self.now + self.interval, lambda: self.report(box))
+
+    def arrive(self) -> None:
+        """Begin a stream at a box drawn at random."""
+        self.at(self.now + self.rng.expovariate(self.rate), self.arrive)
+        box = self.rng.choice(self.boxes)
+        self.outcome.streams += 1
+        excluded: set[str] = set()
+        for _ in range(4):
+            path = self.choose(box, excluded)
+            if path is None:
+                break
+            culprit = self.try_path(box, path)
+            if culprit is None:
+                return
+            self.outcome.refusals += 1
+            excluded.add(culprit)
+            note_full(box.engines[culprit], self.now)
+        self.outcome.gave_up += 1
+
+    def choose(self, box: Box, excluded: set[str]) -> ChosenPath | None:
+        """Choose a path as a gateway does."""
+        wanted = PathRequest(
+            prompt_tokens=PROMPT,
+            answer_tokens=ANSWER,
+            failure_domain=box.failure_domain,
+            sharers=max(1.0, len(self.boxes) / len(self.domains)),
+        )
+        return choose_path(
+            self.profile,
+            list(box.engines.values()),
+            wanted,
+            self.now,
+            excluded=excluded,
+            rng=box.rng,
+        )
+
+    def try_path(self, box: Box, path: ChosenPath) -> str | None:
+        """Run a stream over a path; returns the engine that refuses it, if one does."""
+        tokens = PROMPT + ANSWER
+        parts = [(self.engines[part.instance], part.end - part.first) for part in path.parts]
+        for engine, layers in parts:
+            engine.arrivals += 1
+            if engine.kv_used + tokens * layers > engine.capacity:
+                engine.refused += 1
+                return engine.registration.instance
+        seconds = 0.0
+        for engine, layers in parts:
+            engine.kv_used += tokens * layers
+            engine.running += 1
+            engine.most_running = max(engine.most_running, engine.running)
+            seconds += self.run_seconds(engine, layers)
+        reserve(path, tokens)
+        self.outcome.seconds.append(seconds)
+        domains = path.domains
+        self.outcome.far += domains[0] != box.failure_domain
+        pairs = zip(domains, domains[1:], strict=False)
+        self.outcome.crossings += sum(one != other for one, other in pairs)
+        self.at(self.now + seconds, lambda: self.end(path, parts, tokens))
+        return None
+
+    def run_seconds(self, engine: Engine, layers: int) -> float:
+        """Return how long a stream works on one engine, with what runs there now."""
+        card = self.profile.cards[engine.registration.card]
+        step = (self.profile.step_ms + self.profile.sequence_ms * engine.running) / 1000.0
+        read = PROMPT / self.profile.read_per_s * card.read_factor
+        share = layers / self.profile.layers
+        return share * (step * card.step_factor * ANSWER + read)
+
+    def end(self, path: ChosenPath, parts: list[tuple[Engine, int]], tokens: int) -> None:
+        """End a stream."""
+        release(path, tokens)
+        for engine, layers in parts:
+            engine.running -= 1
+            engine.kv_used -= tokens * layers
