--- a/tests/routing/fleet_bed.py
+++ b/tests/routing/fleet_bed.py
@@ -1,4 +1,4 @@
-"""A fleet in virtual time: many boxes that choose paths with the real code, and engines that fill up.
+"""A fleet in virtual time: boxes that choose paths with the real code, and engines that fill up.
 
 There is no network and no clock. Each box sees what it does itself at once, and what all boxes do
 when the sums of loads reach it, as often as `load_interval` says. An engine refuses a run for which
