Fewer messages at rest: loads that say the same once a second, hints when they change, questions once a second

Cause: a gateway at rest handled 27 messages a second (6 questions, 6 answers, 3 lists of ages, 3 hints, 4 reports and 4 sums of loads, 250 microseconds each with the wake-up). Ruled out: heartbeats of the log (not sent to gateways). The bound of revocation still leaves four answers of each of three control boxes.

--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -32,7 +32,7 @@
 from ...model.registration import UpstreamState
 from ...platform.configuration import decode_configuration
 from ...routing.forwarding_table import drop_upstream, put_registration, take_others
-from ...routing.load_sharing import load_interval
+from ...routing.load_sharing import is_report_due, load_interval
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
 from .loss_news import confirm_loss, take_loss_news
@@ -47,9 +47,9 @@
 
 logger = logging.getLogger(__name__)
 
-ASK_SECONDS: Final = 0.5
-"""How often each linked control box is asked for the newest version: ten times within the bound
-after which a key that was taken away must not work."""
+ASK_SECONDS: Final = 1.0
+"""How often each linked control box is asked for the newest version: three of them answer a dozen
+times within the bound after which a key that was taken away must not work."""
 
 FORGET_SECONDS: Final = 15.0
 """An upstream that no control box has heard for this long is dropped here too."""
@@ -112,9 +112,16 @@
     """
     peers = state.peers
     assert peers is not None
+    told: LoadReport | None = None
+    told_at = 0.0
     while True:
-        if primary_of(peers) == address:
-            link.post(_load_report(state))
+        report = _load_report(state)
+        now = anyio.current_time()
+        if primary_of(peers) != address:
+            told = None
+        elif is_report_due(report != told, now - told_at):
+            link.post(report)
+            told, told_at = report, now
         await anyio.sleep(load_interval(state.entries, len(peers.known)))
 
 
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -47,7 +47,8 @@
 none is left out."""
 
 STALE_SECONDS: Final = 2.0
-"""Without a confirmed document for this long, four questions, all known control boxes are tried."""
+"""Without a confirmed document for this long, two questions to each linked control box, all known
+ones are tried."""
 
 EXPIRE_SECONDS: Final = 2.0
 """How often idle connections to upstreams are looked through."""
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -49,7 +49,7 @@
 )
 from ...model import Problem, ProblemError, ResultCode
 from ...model.registration import Liveness
-from ...routing.load_sharing import load_interval
+from ...routing.load_sharing import is_report_due, load_interval
 from ...storage import box_of
 from ..peers import SILENCE_SECONDS, add_peers
 from .load_sums import drop_old_reports, known_entries, own_loads, sum_loads
@@ -75,6 +75,10 @@
 AGES_SECONDS: Final = 1.0
 """How often other boxes are told when each upstream was last heard, about one heartbeat."""
 
+HINT_SECONDS: Final = 5.0
+"""How often others are told who serves control while that does not change. A box that has just
+connected is told at once."""
+
 JOIN_SECONDS: Final = 0.3
 """How often a box that is no member of the log asks to become one."""
 
@@ -284,6 +288,8 @@
 
 async def tell_ages(state: RegistryState) -> None:
     """Tell others when upstreams were last heard and who serves control, for ever."""
+    hinted: PeerHint | None = None
+    hinted_at = 0.0
     while True:
         await anyio.sleep(AGES_SECONDS)
         now = anyio.current_time()
@@ -296,7 +302,10 @@
         order = _renew_order(state)
         told = RegistrationAges(order=order.number, ages=pack_ages(order, ages(state.table, now)))
         post_to_all([*state.peers.links.values(), *state.accepted.values()], told)
-        post_to_all([*state.accepted.values(), *state.accepted_peers.values()], _hint(state))
+        hint = _hint(state)
+        if hint != hinted or now - hinted_at >= HINT_SECONDS:
+            post_to_all([*state.accepted.values(), *state.accepted_peers.values()], hint)
+            hinted, hinted_at = hint, now
 
 
 def _hint(state: RegistryState) -> PeerHint:
@@ -313,6 +322,8 @@
 
     The other control boxes are told the share of those that report here.
     """
+    told: tuple[bytes, bytes] = (b"", b"")
+    told_at = 0.0
     while True:
         await anyio.sleep(load_interval(known_entries(state), len(state.peers.known) + 1))
         now = anyio.current_time()
@@ -321,7 +332,11 @@
             continue
         order = _renew_order(state)
         own = pack_loads(order, own_loads(state, now))
+        sums = pack_loads(order, sum_loads(state, now))
+        if not is_report_due((own, sums) != told, now - told_at):
+            continue
+        told, told_at = (own, sums), now
         share = LoadShare(order=order.number, loads=own, entries=len(state.loads))
         post_to_all(state.peers.links.values(), share)
-        totals = LoadTotals(order=order.number, loads=pack_loads(order, sum_loads(state, now)))
+        totals = LoadTotals(order=order.number, loads=sums)
         post_to_all((state.accepted[number] for number in state.loads), totals)
--- a/src/ledgeladder/routing/load_sharing.py
+++ b/src/ledgeladder/routing/load_sharing.py
@@ -19,6 +19,24 @@
 with 84 entry boxes and one control box left."""
 
 
+REST_SECONDS: Final = 1.0
+"""Longest time between two reports that say the same: three are then believed at any moment. Boxes
+at rest send a quarter of the messages that way."""
+
+
+def is_report_due(changed: bool, seconds: float) -> bool:
+    """Tell whether loads are to be told now.
+
+    Args:
+        changed: True if they differ from those told last.
+        seconds: Time since then.
+
+    >>> is_report_due(True, 0.25), is_report_due(False, 0.25), is_report_due(False, 1.0)
+    (True, False, True)
+    """
+    return changed or seconds >= REST_SECONDS
+
+
 def load_interval(entries: int, controls: int) -> float:
     """Return the time between two reports, in seconds.
 
