Keep links between control boxes from falling silent; one launch and one identity

Cause: with hints told on change only, a control box that hears neither ages nor answers on a link that it opened gave it up after 3 s. The two launch functions and the two places that built a link identity are one each.

--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import logging
-import secrets
 from typing import TYPE_CHECKING, Final
 
 import anyio
 
 from ...http1 import HttpSite, serve_http1
-from ...links import LinkIdentity
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
 from ..log_child import log_child
 from ..metrics_page import metrics_child
-from ..peers import Peers, run_peers
+from ..peers import Peers, own_identity, run_peers
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
@@ -68,15 +66,7 @@
         return anyio.current_time() - confirmed_at > STALE_SECONDS
 
     state.peers = Peers(
-        identity=LinkIdentity(
-            cluster=settings.cluster.name,
-            role=PeerRole.ENTRY,
-            box=own,
-            failure_domain=settings.box.failure_domain,
-            instance=secrets.token_hex(8),
-            secret=settings.cluster.secret,
-            source_address=own,
-        ),
+        identity=own_identity(settings.box, settings.cluster, PeerRole.ENTRY),
         own_address=own,
         link_port=settings.cluster.link_port,
         serve=serve,
--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -15,7 +15,7 @@
 from .logs import set_up_logging
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ..settings import ControlSettings, EntrySettings, GatewaySettings, RegistrySettings
 
@@ -23,6 +23,9 @@
         "_Settings", ControlSettings, EntrySettings, GatewaySettings, RegistrySettings
     )
 
+    DaemonRun = Callable[[Any, Path], Awaitable[None]]
+    """Runs a daemon with its settings and the file that they came from."""
+
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
@@ -74,14 +77,13 @@
     Returns:
         The exit code.
     """
-    loaded = load_settings(load_gateway_settings, path)
-    if path is None or isinstance(loaded, Failure):
-        return fail(loaded.failure(), EXIT_USAGE)
-    # Imported here: a process loads what its own role needs and nothing else.
-    from .gateway import run_gateway
 
-    anyio.run(run_gateway, loaded.unwrap(), path, backend_options=LOOP_OPTIONS)
-    return EXIT_OK
+    def find() -> DaemonRun:
+        from .gateway import run_gateway
+
+        return run_gateway
+
+    return _launch(load_gateway_settings, find, path)
 
 
 def launch_registry(path: Path | None) -> int:
@@ -93,14 +95,37 @@
     Returns:
         The exit code.
     """
-    loaded = load_settings(load_registry_settings, path)
+
+    def find() -> DaemonRun:
+        from .registry import run_registry
+
+        return run_registry
+
+    return _launch(load_registry_settings, find, path)
+
+
+def _launch(
+    loader: Callable[[Path], Result[Any, Problem]],
+    find: Callable[[], DaemonRun],
+    path: Path | None,
+) -> int:
+    """Load settings and run a daemon with them.
+
+    Args:
+        loader: Loads the settings.
+        find: Returns what runs the daemon. It imports that: a process loads what its own role needs
+            and nothing else.
+        path: The settings file.
+
+    Returns:
+        The exit code.
+    """
+    loaded = load_settings(loader, path)
     if path is None or isinstance(loaded, Failure):
         return fail(loaded.failure(), EXIT_USAGE)
-    from .registry import run_registry
-
-    return end_with_problem(
-        lambda: anyio.run(run_registry, loaded.unwrap(), path, backend_options=LOOP_OPTIONS)
-    )
+    run = find()
+    settings = loaded.unwrap()
+    return end_with_problem(lambda: anyio.run(run, settings, path, backend_options=LOOP_OPTIONS))
 
 
 LAUNCHERS: Final[dict[str, Callable[[Path | None], int]]] = {
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -9,6 +9,7 @@
 
 import logging
 import random
+import secrets
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
@@ -16,14 +17,16 @@
 import msgspec
 
 from ..coordination.link_choice import choose_controls, rank_controls
-from ..links import keep_link, split_address
+from ..links import LinkIdentity, keep_link, split_address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from anyio.abc import TaskGroup
 
-    from ..links import Link, LinkIdentity
+    from ..links import Link
+    from ..links.messages import PeerRole
+    from ..settings import DiscoveredBox, DiscoveredCluster
     from .reloading import SeedList
 
 logger = logging.getLogger(__name__)
@@ -36,7 +39,7 @@
 
 SILENCE_SECONDS: Final = 3.0
 """A link on which nothing arrives for this long is given up. Entry boxes ask, and are answered,
-twice a second; control boxes tell each other ages or hints once a second."""
+once a second; control boxes tell each other ages or hints once a second."""
 
 LOOK_SECONDS: Final = 0.5
 """How often the choice of links is looked at again."""
@@ -49,6 +52,25 @@
 """Serves the link to one control box until it ends."""
 
 
+def own_identity(box: DiscoveredBox, cluster: DiscoveredCluster, role: PeerRole) -> LinkIdentity:
+    """Return how a process presents itself on its links; each run has a random name.
+
+    Args:
+        box: Where it runs.
+        cluster: What it belongs to.
+        role: What it is.
+    """
+    return LinkIdentity(
+        cluster=cluster.name,
+        role=role,
+        box=box.address,
+        failure_domain=box.failure_domain,
+        instance=secrets.token_hex(8),
+        secret=cluster.secret,
+        source_address=box.address,
+    )
+
+
 class Peers(msgspec.Struct, kw_only=True):
     """Control boxes that are known, and the links to them."""
 
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import secrets
 import zlib
 from collections import Counter
 from typing import TYPE_CHECKING, Final
@@ -15,7 +14,7 @@
 from ...coordination import raft
 from ...coordination.voters import next_voters
 from ...http1 import serve_http1
-from ...links import Link, LinkIdentity, serve_links
+from ...links import Link, serve_links
 from ...links.messages import PeerRole
 from ...model import ResultCode
 from ...platform.configuration import decode_configuration
@@ -25,7 +24,7 @@
 from ..control.node import ControlNode, open_node, run_log
 from ..log_child import log_child
 from ..metrics_page import metrics_child
-from ..peers import Peers, run_peers, seed_addresses
+from ..peers import Peers, own_identity, run_peers, seed_addresses
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
@@ -87,15 +86,7 @@
 
     own = settings.box.address
     peers = Peers(
-        identity=LinkIdentity(
-            cluster=settings.cluster.name,
-            role=PeerRole.CONTROL,
-            box=own,
-            failure_domain=settings.box.failure_domain,
-            instance=secrets.token_hex(8),
-            secret=settings.cluster.secret,
-            source_address=own,
-        ),
+        identity=own_identity(settings.box, settings.cluster, PeerRole.CONTROL),
         own_address=own,
         link_port=settings.cluster.link_port,
         serve=serve,
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -76,7 +76,7 @@
 """How often other boxes are told when each upstream was last heard, about one heartbeat."""
 
 HINT_SECONDS: Final = 5.0
-"""How often others are told who serves control while that does not change. A box that has just
+"""How often entry boxes are told who serves control while that does not change. One that has just
 connected is told at once."""
 
 JOIN_SECONDS: Final = 0.3
@@ -303,8 +303,10 @@
         told = RegistrationAges(order=order.number, ages=pack_ages(order, ages(state.table, now)))
         post_to_all([*state.peers.links.values(), *state.accepted.values()], told)
         hint = _hint(state)
+        # Other control boxes may hear nothing else on the links that they opened.
+        post_to_all(state.accepted_peers.values(), hint)
         if hint != hinted or now - hinted_at >= HINT_SECONDS:
-            post_to_all([*state.accepted.values(), *state.accepted_peers.values()], hint)
+            post_to_all(state.accepted.values(), hint)
             hinted, hinted_at = hint, now
 
 
--- a/src/ledgeladder/settings/__init__.py
+++ b/src/ledgeladder/settings/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .discovered import GatewaySettings, RegistrySettings
+from .discovered import DiscoveredBox, DiscoveredCluster, GatewaySettings, RegistrySettings
 from .loading import (
     load_control_settings,
     load_entry_settings,
@@ -16,6 +16,8 @@
 __all__ = [
     "ControlPeer",
     "ControlSettings",
+    "DiscoveredBox",
+    "DiscoveredCluster",
     "EntryPeer",
     "EntrySettings",
     "GatewaySettings",
