--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -97,10 +97,17 @@
 
 
 def push_document(state: RegistryState) -> None:
-    """Send the published document to every entry box that follows this one."""
+    """Send the published document to the entry boxes that report their load here.
+
+    Each of them has links to two further control boxes, and learns there within a second that there
+    is a newer one if this push does not arrive. Pushed over all links, documents were three fifths
+    of the bytes between failure domains where two dozen came in half a minute. Before anybody has
+    reported, as after a start, all are sent it.
+    """
     published = state.node.state.published
     push = DocumentPush(version=published.version, body=published.body)
-    post_to_all(state.accepted.values(), push)
+    numbers = state.loads or state.accepted
+    post_to_all([state.accepted[number] for number in numbers if number in state.accepted], push)
 
 
 def tell_registration(state: RegistryState, registration: Registration, *, to_peers: bool) -> None:
--- a/tests/daemons/registry/test_mesh.py
+++ b/tests/daemons/registry/test_mesh.py
@@ -14,7 +14,7 @@
 from ledgeladder.daemons.peers import SILENCE_SECONDS
 from ledgeladder.daemons.registry import mesh
 from ledgeladder.links.frames import LENGTH, decode_payload
-from ledgeladder.links.messages import PeerHint, RegistrationAges
+from ledgeladder.links.messages import DocumentPush, PeerHint, RegistrationAges
 
 ROUNDS = 20
 
@@ -73,3 +73,21 @@
     assert longest_pause(accepted.times(PeerHint), end) < SILENCE_SECONDS / 2
     assert longest_pause(entry.times(RegistrationAges), end) < SILENCE_SECONDS / 2
     assert len(entry.times(PeerHint)) == 1 + int((end - mesh.AGES_SECONDS) / mesh.HINT_SECONDS)
+
+
+def test_documents_go_to_the_entry_boxes_that_report_here() -> None:
+    """The pattern: documents in quick succession, each to hundreds of boxes with three links."""
+    clock = [0.0]
+    links = {number: Recorder(clock) for number in (1, 2, 3)}
+    published = SimpleNamespace(version=7, body=b"body")
+    state: Any = SimpleNamespace(
+        node=SimpleNamespace(state=SimpleNamespace(published=published)),
+        accepted=dict(links),
+        loads={},
+    )
+    mesh.push_document(state)
+    assert all(len(link.times(DocumentPush)) == 1 for link in links.values())
+    # One of those that report has lost its link since.
+    state.loads = {2: None, 9: None}
+    mesh.push_document(state)
+    assert [len(link.times(DocumentPush)) for link in links.values()] == [1, 2, 1]
