End a link on which figures come in an unknown order; no cancellation after a whole stream

Found by reading: an array of the wrong length raised an error that restarted all links of a box, and a gateway passed over figures of another order with a warning. Both end that link now. A loss that is found while the connection of a whole stream is given back could have had the stream sent again.

--- a/src/ledgeladder/coordination/upstream_order.py
+++ b/src/ledgeladder/coordination/upstream_order.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ..model import Problem, ProblemError, ResultCode
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator, Mapping
 
@@ -25,6 +27,7 @@
 COUNT_LIMIT: Final = 0xFFFF
 """Most requests in progress that can be told of one upstream."""
 
+_AGE_BYTES: Final = 2
 _LOAD: Final = struct.Struct("<Hf")
 
 
@@ -68,14 +71,18 @@
     return struct.pack(f"<{len(units)}H", *units)
 
 
-def unpack_ages(order: UpstreamOrder, data: bytes) -> Iterator[tuple[str, float]]:
+def unpack_ages(order: UpstreamOrder, number: int, data: bytes) -> Iterator[tuple[str, float]]:
     """Yield runs with their ages in seconds.
 
+    Args:
+        order: The order that the sender told last.
+        number: Number of the order in which the ages stand.
+        data: The ages, as `pack_ages` returns them.
+
     Raises:
-        ValueError: If the data has another length than the order.
+        ProblemError: With code FRAME_INVALID if they stand in another order.
     """
-    if len(data) != 2 * len(order.instances):
-        raise ValueError(f"{len(data)} bytes of ages for {len(order.instances)} upstreams")
+    _check(order, number, len(data), _AGE_BYTES)
     units = struct.unpack(f"<{len(order.instances)}H", data)
     for instance, unit in zip(order.instances, units, strict=True):
         yield instance, unit * AGE_UNIT_SECONDS
@@ -89,13 +96,28 @@
     )
 
 
-def unpack_loads(order: UpstreamOrder, data: bytes) -> Iterator[tuple[str, LoadFigures]]:
+def unpack_loads(
+    order: UpstreamOrder, number: int, data: bytes
+) -> Iterator[tuple[str, LoadFigures]]:
     """Yield runs with their loads.
 
+    Args:
+        order: The order that the sender told last.
+        number: Number of the order in which the loads stand.
+        data: The loads, as `pack_loads` returns them.
+
     Raises:
-        ValueError: If the data has another length than the order.
+        ProblemError: With code FRAME_INVALID if they stand in another order.
     """
-    if len(data) != _LOAD.size * len(order.instances):
-        raise ValueError(f"{len(data)} bytes of loads for {len(order.instances)} upstreams")
+    _check(order, number, len(data), _LOAD.size)
     for instance, values in zip(order.instances, _LOAD.iter_unpack(data), strict=True):
         yield instance, LoadFigures(*values)
+
+
+def _check(order: UpstreamOrder, number: int, length: int, size: int) -> None:
+    if order.number == number and length == size * len(order.instances):
+        return
+    detail = (
+        f"{length} bytes in order {number}; {order.number} has {len(order.instances)} upstreams"
+    )
+    raise ProblemError(Problem(code=ResultCode.FRAME_INVALID, detail=detail))
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -82,14 +82,14 @@
                     take_news(state, message.told)
                 case OrderOfUpstreams():
                     order = message.order
-                case RegistrationAges() if message.order == order.number:
-                    _take_ages(state, unpack_ages(order, message.ages))
+                case RegistrationAges():
+                    _take_ages(state, unpack_ages(order, message.order, message.ages))
                 case LossNews():
                     engine = take_loss_news(state, message.instance)
                     if engine is not None:
                         tasks.start_soon(confirm_loss, state, engine)
-                case LoadTotals() if message.order == order.number:
-                    _take_loads(state, unpack_loads(order, message.loads))
+                case LoadTotals():
+                    _take_loads(state, unpack_loads(order, message.order, message.loads))
                 case PeerHint():
                     if state.peers is not None:
                         add_peers(state.peers, message.addresses, message.domains)
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -208,8 +208,10 @@
             await answer.connection.close()
     if end is RunEnd.COMPLETE:
         # Half of the streams of a box then need no new connection, which costs a round trip, 0.3 ms
-        # here and a millisecond of the engine's time.
-        await state.connections.give_back(answer.connection, answer.facts.keep_seconds)
+        # here and a millisecond of the engine's time. A loss that is found now changes nothing any
+        # more: the caller has all of the stream.
+        with anyio.CancelScope(shield=True):
+            await state.connections.give_back(answer.connection, answer.facts.keep_seconds)
     return end, detail
 
 
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -47,7 +47,6 @@
     VersionQuery,
     VersionReply,
 )
-from ...model import Problem, ProblemError, ResultCode
 from ...model.registration import Liveness
 from ...routing.load_sharing import is_report_due, load_interval
 from ...storage import box_of
@@ -210,16 +209,16 @@
         case OrderOfUpstreams() if is_control:
             state.peer_orders[id(link)] = message.order
         case RegistrationAges() if is_control:
-            told = unpack_ages(_peer_order(state, link, message.order), message.ages)
+            told = unpack_ages(_peer_order(state, link), message.order, message.ages)
             take_ages(state.table, told, anyio.current_time())
         case PeerHint() if is_control:
             add_peers(state.peers, message.addresses, message.domains)
         case LoadReport():
             state.loads[id(link)] = ReportedLoad(loads=message.loads, at=anyio.current_time())
         case LoadShare() if is_control:
-            order = _peer_order(state, link, message.order)
+            loads = unpack_loads(_peer_order(state, link), message.order, message.loads)
             state.shares[id(link)] = ReportedShare(
-                loads=dict(unpack_loads(order, message.loads)),
+                loads=dict(loads),
                 entries=message.entries,
                 at=anyio.current_time(),
             )
@@ -243,17 +242,9 @@
             logger.warning("message of the wrong kind", extra={"peer": link.peer_box})
 
 
-def _peer_order(state: RegistryState, link: Link, number: int) -> UpstreamOrder:
-    """Return the order in which a control box tells figures.
-
-    Raises:
-        ProblemError: If it did not tell that order; its link is ended then, and opened again.
-    """
-    order = state.peer_orders.get(id(link), UpstreamOrder())
-    if order.number != number:
-        detail = f"figures in order {number}, told was {order.number}"
-        raise ProblemError(Problem(code=ResultCode.FRAME_INVALID, detail=detail))
-    return order
+def _peer_order(state: RegistryState, link: Link) -> UpstreamOrder:
+    """Return the order in which a control box tells figures."""
+    return state.peer_orders.get(id(link), UpstreamOrder())
 
 
 def _renew_order(state: RegistryState) -> UpstreamOrder:
--- a/tests/coordination/test_upstream_order.py
+++ b/tests/coordination/test_upstream_order.py
@@ -19,6 +19,7 @@
     unpack_ages,
     unpack_loads,
 )
+from ledgeladder.model import ProblemError
 
 UPSTREAMS = 600
 """The upstreams of the size that decides."""
@@ -37,7 +38,7 @@
 
 def test_ages_keep_their_precision_and_have_a_bound() -> None:
     told = {ORDER.instances[0]: 0.013, ORDER.instances[1]: 12.345, ORDER.instances[2]: 1e6}
-    ages = dict(unpack_ages(ORDER, pack_ages(ORDER, told)))
+    ages = dict(unpack_ages(ORDER, ORDER.number, pack_ages(ORDER, told)))
     assert ages[ORDER.instances[0]] == pytest.approx(0.01)
     assert ages[ORDER.instances[1]] == pytest.approx(12.34, abs=0.006)
     assert ages[ORDER.instances[2]] == ages[ORDER.instances[3]] > 600.0
@@ -49,7 +50,7 @@
         ORDER.instances[6]: LoadFigures(COUNT_LIMIT + 9, 0.0),
         "i-unknown": LoadFigures(1, 1.0),
     }
-    loads = dict(unpack_loads(ORDER, pack_loads(ORDER, told)))
+    loads = dict(unpack_loads(ORDER, ORDER.number, pack_loads(ORDER, told)))
     assert loads[ORDER.instances[5]] == LoadFigures(3, 2400.0)
     assert loads[ORDER.instances[6]] == LoadFigures(COUNT_LIMIT, 0.0)
     assert loads[ORDER.instances[7]] == NO_LOAD
@@ -57,11 +58,13 @@
 
 
 def test_figures_of_another_order_are_refused() -> None:
-    other = renew_order(ORDER, ORDER.instances[1:])
-    with pytest.raises(ValueError, match="bytes of ages"):
-        list(unpack_ages(other, pack_ages(ORDER, {})))
-    with pytest.raises(ValueError, match="bytes of loads"):
-        list(unpack_loads(other, pack_loads(ORDER, {})))
+    """The link that carried them is ended then, and opened anew with the order told first."""
+    fewer = renew_order(ORDER, ORDER.instances[1:])
+    for number in (ORDER.number, fewer.number):
+        with pytest.raises(ProblemError, match="FRAME_INVALID"):
+            list(unpack_ages(fewer, number, pack_ages(ORDER, {})))
+        with pytest.raises(ProblemError, match="FRAME_INVALID"):
+            list(unpack_loads(fewer, number, pack_loads(ORDER, {})))
 
 
 def test_bytes_at_the_size_that_decides() -> None:
