--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -190,29 +190,20 @@
         _doubt(state, session, path.head)
         return RunEnd.NOT_SENT, str(error)
     except AnswerLostError as error:
-        # Connections may fall silent for good while new ones work, and the idle ones with them.
-        await state.connections.close_idle(path.head.registration.address)
         await _blame(state, session, path)
         return RunEnd.LOST, str(error)
     if not answer.succeeded or not answer.facts.signed:
         return await _take_refusal(state, session, path, answer)
-    end = RunEnd.LOST
     try:
-        end, detail = await pass_events(state, exchange, session, path, answer, started_at)
+        return await pass_events(state, exchange, session, path, answer, started_at)
     except (AnswerBrokenError, AnswerLostError, ValueError) as error:
         # ValueError: an event that never ends.
         await _blame(state, session, path)
-        detail = str(error)
+        return RunEnd.LOST, str(error)
     finally:
-        if end is not RunEnd.COMPLETE:
-            await answer.connection.close()
-    if end is RunEnd.COMPLETE:
-        # Half of the streams of a box then need no new connection, which costs a round trip, 0.3 ms
-        # here and a millisecond of the engine's time. A loss that is found now changes nothing any
-        # more: the caller has all of the stream.
-        with anyio.CancelScope(shield=True):
-            await state.connections.give_back(answer.connection, answer.facts.keep_seconds)
-    return end, detail
+        # Not kept for the next stream: once an engine is lost, a connection to it that is refused
+        # costs nothing, and a kept one that is reset costs a run.
+        await answer.connection.close()
 
 
 async def _take_refusal(
