Take for reported only what was sent: loads of others were seen too small

Cause: since loads that say the same are told once a second, each of the three loops of a gateway worked its report out at every interval, and that marked the own load as reported, although two of the three send nothing. The sums that came back did not contain it, so the others' load came out too small and growth was not seen: engines of a crowded failure domain went on being chosen.

--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -121,17 +121,25 @@
             told = None
         elif is_report_due(report != told, now - told_at):
             link.post(report)
+            _note_reported(state)
             told, told_at = report, now
         await anyio.sleep(load_interval(state.entries, len(peers.known)))
 
 
 def _load_report(state: GatewayState) -> LoadReport:
-    loads = {}
-    for instance, item in state.table.upstreams.items():
+    return LoadReport(
+        loads={
+            instance: LoadFigures(item.in_flight, item.kv_reserved)
+            for instance, item in state.table.upstreams.items()
+            if item.in_flight
+        }
+    )
+
+
+def _note_reported(state: GatewayState) -> None:
+    """Note that a report has been sent: the sums that come back contain these own loads."""
+    for item in state.table.upstreams.values():
         item.reported_in_flight, item.reported_kv = item.in_flight, item.kv_reserved
-        if item.in_flight:
-            loads[instance] = LoadFigures(item.in_flight, item.kv_reserved)
-    return LoadReport(loads=loads)
 
 
 def _take_loads(state: GatewayState, told: Iterable[tuple[str, LoadFigures]]) -> None:
