Work a load report out only where it is told, and map faults of settings in one step

Each of a gateway's three links worked the report over all upstreams out at every interval, and two of them dropped it: only the link that is told does now. What is sent and what counts as reported stay as they are (tests/daemons/gateway/test_following.py). The check of settings maps its faults where it unpacked and packed the result again. No change of behaviour; no figure was measured.

--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -115,14 +115,15 @@
     told: LoadReport | None = None
     told_at = 0.0
     while True:
-        report = _load_report(state)
-        now = anyio.current_time()
         if primary_of(peers) != address:
             told = None
-        elif is_report_due(report != told, now - told_at):
-            link.post(report)
-            _note_reported(state)
-            told, told_at = report, now
+        else:
+            report = _load_report(state)
+            now = anyio.current_time()
+            if is_report_due(report != told, now - told_at):
+                link.post(report)
+                _note_reported(state)
+                told, told_at = report, now
         await anyio.sleep(load_interval(state.entries, len(peers.known)))
 
 
--- a/src/ledgeladder/settings/loading.py
+++ b/src/ledgeladder/settings/loading.py
@@ -60,11 +60,9 @@
     Returns:
         The settings, or a problem that names each wrong key, its value and what is allowed.
     """
-    checked = check_model(content, model)
-    if isinstance(checked, Success):
-        return Success(checked.unwrap())
-    lines = [_describe(path, fault) for fault in checked.failure()]
-    return Failure(_problem("\n".join(lines)))
+    return check_model(content, model).alt(
+        lambda faults: _problem("\n".join(_describe(path, fault) for fault in faults))
+    )
 
 
 def drop_empty(content: Any) -> Any:
