Map faults of changes in one step, and encode news of an order once for all links

Twins of the check of settings in the change file and the operators' interface; post_to_all in place of a loop over links. No change of behaviour; tests of the command line, bad input and the gateway with real processes passed.

--- a/src/ledgeladder/cli/change_file.py
+++ b/src/ledgeladder/cli/change_file.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from ..model import ChangeDocument, Problem, ResultCode
 from ..model.validation import check_model
@@ -55,11 +55,12 @@
             _resolve_source(path, policy)
     except (OSError, AttributeError, TypeError) as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"{path}: {error}"))
-    checked = check_model(document, ChangeDocument)
-    if isinstance(checked, Success):
-        return Success(checked.unwrap())
-    lines = [_describe(path, fault) for fault in checked.failure()]
-    return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(lines)))
+    return check_model(document, ChangeDocument).alt(lambda faults: _problem(path, faults))
+
+
+def _problem(path: Path, faults: list[Fault]) -> Problem:
+    lines = [_describe(path, fault) for fault in faults]
+    return Problem(code=ResultCode.CHANGE_INVALID, detail="\n".join(lines))
 
 
 def _describe(path: Path, fault: Fault) -> str:
--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from starlette.requests import Request
 
+    from ...model.validation import Fault
     from ...settings import ControlSettings
     from .hub import Hub
     from .node import ControlNode
@@ -144,11 +145,12 @@
         content = msgspec.json.decode(bytes(body))
     except msgspec.DecodeError as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"body: {error}"))
-    checked = check_model(content, ChangeDocument)
-    if isinstance(checked, Success):
-        return Success(checked.unwrap())
-    lines = [f"{fault.key or 'body'}: {fault.message}" for fault in checked.failure()]
-    return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail="; ".join(lines[:10])))
+    return check_model(content, ChangeDocument).alt(_change_problem)
+
+
+def _change_problem(faults: list[Fault]) -> Problem:
+    lines = [f"{fault.key or 'body'}: {fault.message}" for fault in faults[:10]]
+    return Problem(code=ResultCode.CHANGE_INVALID, detail="; ".join(lines))
 
 
 async def decide_change(
--- a/src/ledgeladder/daemons/registry/order_sending.py
+++ b/src/ledgeladder/daemons/registry/order_sending.py
@@ -11,6 +11,7 @@
 from ...coordination import raft
 from ...coordination.engine_orders import OrderOutcome, note_outcome
 from ...http1 import AnswerBrokenError, ConnectError, connect
+from ...links import post_to_all
 from ...links.messages import OrderNews
 from ...platform.engine_calls import place_call, read_outcome
 from ..engine_call import fetch_report, send_call
@@ -44,8 +45,7 @@
     order = state.ledger.sent.get(engine.instance)
     seconds = order.load_seconds if order is not None else 0.0
     news = OrderNews(instance=engine.instance, holding=holding, load_seconds=seconds)
-    for link in state.peers.links.values():
-        link.post(news)
+    post_to_all(state.peers.links.values(), news)
     outcome = await send_order(state, engine, holding, fence)
     note_outcome(state.ledger, engine.instance, outcome, fence)
     logger.info(
