Plan large failure domains in parts that share plans, and plan only for newcomers

Cause: a failure domain of 1,110 engines was planned at one go, 12.3 s of a core (12.6 and 8.4 s for those of 1,050 and 810), in which the leader sends no heartbeats and is replaced; the next one begins anew. Whether newcomers wait was worked out in the square of the engines, and a look that had nothing to plan went over all of them five times a second. Failure domains of up to 48 engines are planned as before. Ruled out: the repair (4 ms at 2,970 engines). Orders are sent 64 at a time, since thousands would take two descriptors each of 4,096.

--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -24,6 +24,7 @@
     load_seconds,
     missing_layers,
     plan_placement,
+    split_group,
 )
 from ...routing.placement_repair import plan_repairs
 from .order_sending import may_order, order_layers, written_range
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from ...model.registration import Holding, Registration
     from ...model.traffic import UpstreamPool
+    from ...routing.group_plan import PlanShapes
     from .state import RegistryState
 
 logger = logging.getLogger(__name__)
@@ -50,6 +52,10 @@
 replaced one after the other, the old one announces its end a second after the new one came, and the
 new one then takes over its layers."""
 
+ORDERS_AT_ONCE: Final = 64
+"""Orders that are under way at once. Each takes two connections; thousands together would take the
+descriptors of the process and let calls time out that wait for its processor."""
+
 REPAIR_SECONDS: Final = 0.6
 """Time between two looks for gaps: losses come together, and the reports of several entry boxes
 come within half a second. A look over 99 engines that finds one takes some milliseconds."""
@@ -95,6 +101,7 @@
         pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
         engines = {pool.name: _engines(state, pool) for pool in pools}
         _settle(state, [item for members in engines.values() for item in members])
+        limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
         async with anyio.create_task_group() as tasks:
             for pool in pools:
                 members = engines[pool.name]
@@ -106,7 +113,14 @@
                 orders = orders or _repair(state, pool, members)
                 _note_sent(state, pool, members, orders)
                 for engine, holding in orders:
-                    tasks.start_soon(order_layers, state, engine, holding)
+                    tasks.start_soon(_order_in_turn, limiter, state, engine, holding)
+
+
+async def _order_in_turn(
+    limiter: anyio.CapacityLimiter, state: RegistryState, engine: Registration, holding: Holding
+) -> None:
+    async with limiter:
+        await order_layers(state, engine, holding)
 
 
 def _as_many_as_load_well(
@@ -205,19 +219,53 @@
 ) -> list[tuple[Registration, Holding]]:
     """Return the engines without layers that are to be ordered now, with their layers.
 
-    Also those whose order was not answered, or not carried out in time. A plan for a group of 100
-    engines takes 0.4 s, so other tasks run between two groups: a leader must send heartbeats.
+    Also those whose order was not answered, or not carried out in time.
+    """
+    chosen = await _plan_newcomers(state, pool, engines)
+    now = anyio.current_time()
+    by_instance = {item.instance: item for item in engines}
+    # In the order of the plan, so that what is needed most is loaded first.
+    wanted = chosen | {
+        instance: order.holding
+        for instance, order in state.ledger.sent.items()
+        if instance in by_instance
+    }
+    return [
+        (by_instance[instance], holding)
+        for instance, holding in wanted.items()
+        if not by_instance[instance].holdings and due(state.ledger, instance, now)
+    ]
+
+
+async def _plan_newcomers(
+    state: RegistryState, pool: UpstreamPool, engines: list[Registration]
+) -> dict[str, Holding]:
+    """Choose layers for the engines that have none and were ordered none.
+
+    Nothing is worked out while there are none: a look over 3,000 engines takes a third of the time
+    between two looks. Other tasks run between two parts of a plan: a leader must send heartbeats.
     """
     assert pool.engine is not None
     ready = [item for item in engines if item.state is UpstreamState.READY]
-    placed = _placed(state, [item for item in ready if not _waits(state, item, engines)])
+    waiting = _waiting_newcomers(state, engines)
+    newcomers = [item for item in ready if _is_newcomer(state, item)]
+    if all(item.instance in waiting for item in newcomers):
+        return {}
+    placed = _placed(state, [item for item in ready if item.instance not in waiting])
     leaving = _placed(state, [item for item in engines if item.state is UpstreamState.LEAVING])
     chosen: dict[str, Holding] = {}
+    shapes: PlanShapes = {}
     for group in group_engines(pool.engine, placed):
-        chosen |= plan_placement(pool.engine, group, leaving)
-        await anyio.sleep(0)
-    held = [item.holding for item in placed if item.holding is not None]
-    lacking = missing_layers(pool.engine, [*held, *chosen.values()])
+        for part in split_group(group):
+            chosen |= plan_placement(pool.engine, part, leaving, shapes)
+            await anyio.sleep(0)
+    _warn_of_gaps(pool, [*(item.holding for item in placed if item.holding), *chosen.values()])
+    return chosen
+
+
+def _warn_of_gaps(pool: UpstreamPool, holdings: list[Holding]) -> None:
+    assert pool.engine is not None
+    lacking = missing_layers(pool.engine, holdings)
     if lacking:
         logger.warning(
             "layers without an engine",
@@ -228,35 +276,33 @@
                 "short_mb": len(lacking) * pool.engine.layer_mb,
             },
         )
-    now = anyio.current_time()
-    by_instance = {item.instance: item for item in engines}
-    # In the order of the plan, so that what is needed most is loaded first.
-    wanted = chosen | {
-        instance: order.holding
-        for instance, order in state.ledger.sent.items()
-        if instance in by_instance
-    }
-    return [
-        (by_instance[instance], holding)
-        for instance, holding in wanted.items()
-        if not by_instance[instance].holdings and due(state.ledger, instance, now)
-    ]
 
 
-def _waits(state: RegistryState, engine: Registration, engines: list[Registration]) -> bool:
-    """Tell whether an engine that has just come is to wait for the end of another to be told."""
-    if engine.holdings or engine.instance in state.ledger.sent:
-        return False
+def _is_newcomer(state: RegistryState, engine: Registration) -> bool:
+    """Tell whether an engine holds no layers and was ordered none."""
+    return not engine.holdings and engine.instance not in state.ledger.sent
+
+
+def _waiting_newcomers(state: RegistryState, engines: list[Registration]) -> set[str]:
+    """Return the engines that have just come and wait for the end of another to be told.
+
+    One waits for a moment while the pool serves, unless an engine of its kind in its failure domain
+    has already said that it leaves.
+    """
     if not any(item.holdings for item in engines):
-        return False
-    if any(
-        item.state is UpstreamState.LEAVING
-        and (item.card, item.failure_domain) == (engine.card, engine.failure_domain)
+        return set()
+    leaving = {
+        (item.card, item.failure_domain) for item in engines if item.state is UpstreamState.LEAVING
+    }
+    now = anyio.current_time()
+    return {
+        item.instance
         for item in engines
-    ):
-        return False
-    known = state.table.known.get(engine.instance)
-    return known is not None and anyio.current_time() - known.first_heard_at < NEWCOMER_SECONDS
+        if _is_newcomer(state, item)
+        and (item.card, item.failure_domain) not in leaving
+        and (known := state.table.known.get(item.instance)) is not None
+        and now - known.first_heard_at < NEWCOMER_SECONDS
+    }
 
 
 def _repair(
--- a/src/ledgeladder/routing/group_plan.py
+++ b/src/ledgeladder/routing/group_plan.py
@@ -115,20 +115,43 @@
     return room * sum(counts) / max(seconds * profile.layers, 1e-9)
 
 
-def plan_group(profile: EngineProfile, engines: Sequence[PlacedEngine]) -> dict[str, Holding]:
-    """Choose layers for a group of engines none of which holds any.
+PlanShapes = dict[tuple[str, ...], tuple["Holding", ...]]
+"""Plans that were made, by the cards of the group: the layers of each engine in the order of the
+cards. Groups with the same cards get the same plan, and it is worked out once."""
 
-    Layers are divided evenly by the room that is left, and in proportion to memory: the first
-    leaves more room where parts are few layers each, the second more overlap between engines.
+
+def plan_group(
+    profile: EngineProfile,
+    engines: Sequence[PlacedEngine],
+    shapes: PlanShapes | None = None,
+) -> dict[str, Holding]:
+    """Choose layers for a group of engines none of which holds any.
 
     Args:
         profile: Figures of the engines.
         engines: Engines that can hold at least one layer each.
+        shapes: Plans that were made for the same profile; takes this one.
 
     Returns:
         Layers by engine, the fast cards first.
     """
-    ordered = sorted(engines, key=lambda item: (slowness(profile, item.card), item.instance))
+    ordered = sorted(
+        engines, key=lambda item: (slowness(profile, item.card), item.card, item.instance)
+    )
+    cards = tuple(item.card for item in ordered)
+    shapes = {} if shapes is None else shapes
+    if cards not in shapes:
+        plan = _best_plan(profile, ordered)
+        shapes[cards] = tuple(plan[item.instance] for item in ordered)
+    return {item.instance: held for item, held in zip(ordered, shapes[cards], strict=True)}
+
+
+def _best_plan(profile: EngineProfile, ordered: Sequence[PlacedEngine]) -> dict[str, Holding]:
+    """Choose the best of several plans for engines in the order in which they are placed.
+
+    Layers are divided evenly by the room that is left, and in proportion to memory: the first
+    leaves more room where parts are few layers each, the second more overlap between engines.
+    """
     cards = [item.card for item in ordered]
     most = sum(most_layers(profile, card) for card in cards)
     best: dict[str, Holding] = {}
@@ -143,7 +166,7 @@
         for counts, by_speed in itertools.product(shares, (True, False)):
             coverage = LayerCoverage(profile=profile, by_speed=by_speed)
             chosen = lay_out(ordered, counts, coverage)
-            worth = plan_worth(profile, engines, chosen)
+            worth = plan_worth(profile, ordered, chosen)
             if worth > best_worth:
                 best, best_worth = chosen, worth
         wanted *= COPIES_FACTOR
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -26,8 +26,13 @@
 
     from ..model.registration import Holding
     from ..model.traffic import EngineProfile
+    from .group_plan import PlanShapes
 
 
+PART_ENGINES: Final = 48
+"""Most engines that are planned together: 0.2 s of a core, a third of the silence after which a
+leader is replaced."""
+
 CROSSINGS_EXPECTED: Final = 2.0
 """Links that a path passes in a group of several failure domains: to another one and back."""
 
@@ -48,6 +53,7 @@
     profile: EngineProfile,
     engines: Sequence[PlacedEngine],
     leaving: Sequence[PlacedEngine] = (),
+    shapes: PlanShapes | None = None,
 ) -> dict[str, Holding]:
     """Choose layers for the engines that hold none; the others keep theirs.
 
@@ -56,6 +62,7 @@
         engines: Engines of the pool that take new work.
         leaving: Engines that leave. One with the same card in the same failure domain that holds
             nothing is likely the replacement, and takes over the layers.
+        shapes: Plans that were made for the same profile.
 
     Returns:
         Layers by engine, for those that held none and get some: replacements first, then by card,
@@ -70,10 +77,28 @@
         if engine.instance in chosen:
             coverage.add(engine, chosen[engine.instance])
     for members in group_engines(profile, engines):
-        chosen |= _plan_members(profile, members, chosen, coverage)
+        chosen |= _plan_members(profile, members, chosen, coverage, shapes)
     return chosen
 
 
+def split_group(engines: Sequence[PlacedEngine]) -> list[list[PlacedEngine]]:
+    """Divide a group none of whose engines holds layers into parts that are planned one by one.
+
+    The work for a plan grows faster than the engines: 1,110 of them took 12 s at one go, in which a
+    leader sends no heartbeats and is replaced. Each kind of card is dealt out evenly, so that most
+    parts have the same cards and share a plan. A part holds several copies of the model, and is
+    planned like a failure domain of its size.
+
+    Returns:
+        The parts; the group alone if it is small or serves already: newcomers fill its gaps then.
+    """
+    count = -(-len(engines) // PART_ENGINES)
+    if count <= 1 or any(item.holding is not None for item in engines):
+        return [list(engines)]
+    ordered = sorted(engines, key=lambda item: (item.card, item.instance))
+    return [ordered[start::count] for start in range(count)]
+
+
 def group_engines(
     profile: EngineProfile, engines: Sequence[PlacedEngine]
 ) -> list[list[PlacedEngine]]:
@@ -121,6 +146,7 @@
     members: Sequence[PlacedEngine],
     chosen: Mapping[str, Holding],
     coverage: LayerCoverage,
+    shapes: PlanShapes | None,
 ) -> dict[str, Holding]:
     """Choose layers for the members of a group that hold none.
 
@@ -131,6 +157,7 @@
         members: Engines of the group.
         chosen: Layers that were chosen already.
         coverage: What all layers carry; brought up to date with newcomers to a group that serves.
+        shapes: Plans that were made for the same profile.
 
     Returns:
         Layers by engine.
@@ -138,7 +165,7 @@
     holdings = [item.holding or chosen.get(item.instance) for item in members]
     empty = [item for item, held in zip(members, holdings, strict=True) if held is None]
     if len(empty) == len(members):
-        return plan_group(profile, empty)
+        return plan_group(profile, empty, shapes)
     held_layers = sum(item.end - item.first for item in holdings if item is not None)
     memory = sum(
         profile.cards[item.card].memory_mb
--- a/tests/routing/test_group_plan.py
+++ b/tests/routing/test_group_plan.py
@@ -7,7 +7,9 @@
 import msgspec
 import pytest
 
+from ledgeladder.model.registration import Holding
 from ledgeladder.model.traffic import CardKind
+from ledgeladder.routing import group_plan
 from ledgeladder.routing.group_plan import (
     most_layers,
     plan_group,
@@ -16,7 +18,13 @@
 )
 from ledgeladder.routing.layer_coverage import requests_beside
 from ledgeladder.routing.placed_engine import PlacedEngine
-from ledgeladder.routing.placement import group_engines, missing_layers
+from ledgeladder.routing.placement import (
+    PART_ENGINES,
+    group_engines,
+    missing_layers,
+    plan_placement,
+    split_group,
+)
 
 from .sample_site import PROFILE
 
@@ -99,3 +107,40 @@
     site = engines("a", fast=4) + engines("b", fast=4) + engines("c", fast=4)
     unknown = msgspec.structs.replace(SMALL, layer_mb=1785.0, pipe_bytes_per_s=0.0)
     assert [len(group) for group in group_engines(unknown, site)] == [4, 4, 4]
+
+
+def test_thousands_of_engines_are_planned_in_parts_that_share_plans(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The load of a start of 300 boxes: 1,110 engines in a failure domain.
+
+    A plan at one go took 12 s, in which the leader sent no heartbeats. Counted is how often engines
+    are laid out, since a plan tries several numbers of copies: once for each mix of cards.
+    """
+    laid_out: list[int] = []
+    plan = group_plan._best_plan
+    monkeypatch.setattr(
+        group_plan, "_best_plan", lambda *args: laid_out.append(len(args[1])) or plan(*args)
+    )
+    fleet = engines("a", fast=60, middle=390, slow=660)
+    parts = split_group(fleet)
+    assert sorted(item.instance for part in parts for item in part) == sorted(
+        item.instance for item in fleet
+    )
+    assert max(map(len, parts)) <= PART_ENGINES
+    shapes: group_plan.PlanShapes = {}
+    for part in parts:
+        chosen = plan_placement(SMALL, part, (), shapes)
+        assert not missing_layers(SMALL, chosen.values())
+    # Each of three kinds of cards may be dealt out with one more or one less.
+    assert len(laid_out) <= 4
+    assert max(laid_out) <= PART_ENGINES
+
+
+def test_small_groups_and_groups_that_serve_are_planned_whole() -> None:
+    small = engines("a", fast=2, middle=13, slow=22)
+    assert split_group(small) == [small]
+    large = engines("a", slow=PART_ENGINES + 1)
+    assert len(split_group(large)) == 2
+    served = msgspec.structs.replace(large[0], holding=Holding(first=0, end=8))
+    assert split_group([served, *large[1:]]) == [[served, *large[1:]]]
