Lend repeats to the boxes that need them; tell ages and loads less often beyond 1,000 upstreams

A leader that lends alone was thought through and left: it may lend nothing for a window after each change of leader, just when it is needed. Up to 1,000 upstreams nothing changes.

--- a/src/ledgeladder/coordination/upstream_order.py
+++ b/src/ledgeladder/coordination/upstream_order.py
@@ -36,9 +36,14 @@
 KV_LIMIT: Final = 65504.0
 """Largest half-precision float."""
 
-_AGE_BYTES: Final = 2
+AGE_BYTES: Final = 2
+"""Length of an age."""
+
 _LOAD: Final = struct.Struct("<He")
 
+LOAD_BYTES: Final = _LOAD.size
+"""Length of a load."""
+
 
 class LoadFigures(NamedTuple):
     """What requests take on one upstream."""
@@ -128,7 +133,7 @@
     Raises:
         ProblemError: With code FRAME_INVALID if they stand in another order.
     """
-    _check(order, number, len(data), _AGE_BYTES)
+    _check(order, number, len(data), AGE_BYTES)
     units = struct.unpack(f"<{len(order.instances)}H", data)
     for instance, unit in zip(order.instances, units, strict=True):
         yield instance, unit * AGE_UNIT_SECONDS
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -23,6 +23,7 @@
     DocumentPush,
     LoadReport,
     LoadTotals,
+    LoanReply,
     LossNews,
     OrderOfUpstreams,
     PeerHint,
@@ -37,6 +38,7 @@
 from ...routing.load_sharing import is_report_due, load_interval
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
+from .borrowing import take_loan_reply
 from .loss_news import confirm_loss, take_loss_news
 from .state import note_entries
 
@@ -92,6 +94,8 @@
                     engine = take_loss_news(state, message.instance)
                     if engine is not None:
                         tasks.start_soon(confirm_loss, state, engine)
+                case LoanReply():
+                    take_loan_reply(state, message)
                 case LoadTotals():
                     _take_loads(state, unpack_loads(order, message.order, message.loads))
                 case PeerHint():
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -23,7 +23,8 @@
     pressure,
 )
 from ...routing.pace import note_gap, stall_after
-from ...routing.repeat_window import give_back, note_first, take_repeat
+from ...routing.repeat_window import give_back, note_first
+from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
@@ -107,15 +108,15 @@
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
         while (upstream := _next_upstream(state, permit, tries)) is not None:
             sent_before = tries.sent
-            if sent_before and not take_repeat(budget, anyio.current_time(), state.entries):
-                state.metrics.counters["repeat-refused"] += 1
+            repeat = await spend_repeat(state, permit.pool.name) if sent_before else None
+            if sent_before and repeat is None:
                 break
             notes.runs += 1
             notes.path = [upstream.registration.instance]
             if await _try_once(state, permit, request, tries, upstream):
                 break
-            if sent_before and tries.sent == sent_before:
-                give_back(budget)
+            if repeat is not None and tries.sent == sent_before:
+                give_back(budget, repeat)
     await _finish(state, permit, request, exchange, tries)
 
 
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -71,6 +71,31 @@
     histogram.record_value(min(max(value, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS))
 
 
+class OpenLoan(msgspec.Struct, kw_only=True):
+    """A question for repeats that is under way."""
+
+    pool: str
+    """Pool that they are for."""
+
+    asked_at: float
+    """When it was first asked, on the monotonic clock."""
+
+    lenders: list[str]
+    """IP numbers of the control boxes that are to be asked yet, in this order."""
+
+    wanted: int = 0
+    """Repeats that are wanted."""
+
+    call: int = 0
+    """Number of the newest question; 0 before the first was sent."""
+
+    count: int = 0
+    """Repeats that were lent."""
+
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set once it is answered for good."""
+
+
 class StartWaits(msgspec.Struct, kw_only=True):
     """Requests that wait until the box can serve."""
 
@@ -134,6 +159,18 @@
     repeats: dict[str, RepeatWindow] = msgspec.field(default_factory=dict)
     """Budget of repeats by pool."""
 
+    gathered_loans: dict[str, OpenLoan] = msgspec.field(default_factory=dict)
+    """Questions for repeats that are about to be sent, by pool."""
+
+    open_loans: dict[int, OpenLoan] = msgspec.field(default_factory=dict)
+    """Those that were sent, by the number of their newest question."""
+
+    denied_until: dict[str, float] = msgspec.field(default_factory=dict)
+    """Until when no more is asked for after nothing was lent, by pool, on the monotonic clock."""
+
+    next_call: int = 1
+    """Number of the next question for repeats."""
+
     answer_paces: dict[str, Pace] = msgspec.field(default_factory=dict)
     """Times that plain services took to answer, in seconds, by pool."""
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -10,8 +10,9 @@
 from ...platform.exchange import caller_headers
 from ...routing.event_stream import EventOrder
 from ...routing.pace import note_gap
-from ...routing.repeat_window import give_back, note_first, take_repeat
+from ...routing.repeat_window import give_back, note_first
 from ...routing.stream_patience import stream_patience
+from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .come_back import when_there_is_a_path, when_there_is_room
 from .probing import probe_seconds
@@ -72,17 +73,16 @@
                 session.missing = explain_missing_path(state, permit, profile, session, expected)
                 reason = str(session.missing)
                 break
-            is_repeat = session.sent > 0
-            if is_repeat and not take_repeat(budget, anyio.current_time(), state.entries):
-                state.metrics.counters["repeat-refused"] += 1
+            repeat = await spend_repeat(state, permit.pool.name) if session.sent else None
+            if session.sent and repeat is None:
                 reason = "budget of repeats is spent"
                 break
             end = await run_stream(state, permit, request, exchange, session, path)
             if end is RunEnd.COMPLETE:
                 note_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
                 return
-            if is_repeat and end is RunEnd.NOT_SENT:
-                give_back(budget)
+            if repeat is not None and end is RunEnd.NOT_SENT:
+                give_back(budget, repeat)
         notes.given_up = reason
     await _finish(state, permit, exchange, session, late=scope.cancelled_caught)
 
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/lending.py
@@ -0,0 +1,64 @@
+"""Lending repeats to entry boxes."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...links.messages import LoanReply
+from ...routing.repeat_loans import FLOOR_SHARE, LoanBook, lend
+from ...routing.repeat_window import SHARE_USED
+from .newest import current_knowledge
+
+if TYPE_CHECKING:
+    from ...links import Link
+    from ...links.messages import LoanRequest
+    from .state import RegistryState
+
+logger = logging.getLogger(__name__)
+
+SURE_SECONDS: Final = 1.0
+"""Age of the last word of the leader up to which a voter lends. One that is cut off stops long
+before another one takes its place, which then waits for a whole window."""
+
+
+def follow_votes(state: RegistryState) -> None:
+    """Note since when this box is a voter; what it lent under an earlier vote is forgotten."""
+    is_voter = state.node.replica.is_voter
+    if is_voter and state.voter_since is None:
+        state.voter_since = anyio.current_time()
+        state.loan_books.clear()
+    elif not is_voter:
+        state.voter_since = None
+
+
+def answer_loan(state: RegistryState, link: Link, request: LoanRequest) -> None:
+    """Lend repeats to an entry box out of the part of this voter, or say that there are none."""
+    age = current_knowledge(state)
+    count = 0
+    if state.voter_since is not None and age is not None and age <= SURE_SECONDS:
+        book = _book(state, request.pool, state.voter_since)
+        count = lend(book, request.count, anyio.current_time())
+    if count < request.count:
+        logger.info(
+            "repeats not lent",
+            extra={"peer": link.peer_box, "pool": request.pool, "lent": count, "age": age},
+        )
+    link.post(LoanReply(call=request.call, count=count))
+
+
+def _book(state: RegistryState, pool: str, opened_at: float) -> LoanBook:
+    """Return what was lent for a pool; each voter lends the same part of what may be lent."""
+    book = state.loan_books.get(pool)
+    if book is None:
+        bounds = state.settings.bounds
+        voters = 2 * state.settings.cluster.tolerated_losses + 1
+        lendable = bounds.repeat_reserve * (1.0 - FLOOR_SHARE) * SHARE_USED
+        book = state.loan_books[pool] = LoanBook(
+            lendable=lendable / max(voters, len(state.node.replica.log.members.voters)),
+            window=bounds.repeat_window_seconds,
+            opened_at=opened_at,
+        )
+    return book
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -25,6 +25,7 @@
     JoinRequest,
     LoadReport,
     LoadShare,
+    LoanRequest,
     LogMessage,
     LossNews,
     LostReport,
@@ -39,6 +40,7 @@
 )
 from ...storage import box_of
 from ..peers import SILENCE_SECONDS, add_peers
+from .lending import answer_loan
 from .newest import answer_command, answer_version, take_command_reply, take_version_reply
 from .state import ReportedLoad, ReportedShare
 from .telling import hint_of, tell_registration
@@ -176,6 +178,8 @@
                 message.load_seconds,
                 anyio.current_time(),
             )
+        case LoanRequest():
+            answer_loan(state, link, message)
         case LostReport():
             _take_lost_report(state, link, message.instance)
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -20,6 +20,7 @@
     from ...links.messages import CommandReply, VersionQuery
     from ...model.registration import Registration
     from ...model.traffic import TrafficConfiguration
+    from ...routing.repeat_loans import LoanBook
     from ...settings import RegistrySettings
     from ..control.node import ControlNode
     from ..peers import Peers
@@ -153,6 +154,12 @@
     next_call: int = 1
     """Number of the next command that is passed on."""
 
+    loan_books: dict[str, LoanBook] = msgspec.field(default_factory=dict)
+    """Repeats that this box has lent, by pool."""
+
+    voter_since: float | None = None
+    """Since when it is a voter, on the monotonic clock; None while it is none."""
+
     ledger: OrderLedger = msgspec.field(default_factory=OrderLedger)
     """Open orders to engines, of this box or of the one that leads."""
 
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -9,7 +9,14 @@
 
 from ...coordination.loss_evidence import forget_engines
 from ...coordination.registrations import ages, forget_silent
-from ...coordination.upstream_order import apply_change, change_order, pack_ages, pack_loads
+from ...coordination.upstream_order import (
+    AGE_BYTES,
+    LOAD_BYTES,
+    apply_change,
+    change_order,
+    pack_ages,
+    pack_loads,
+)
 from ...links import post_to_all
 from ...links.messages import (
     ChangedOrder,
@@ -23,6 +30,7 @@
 from ...routing.load_sharing import is_report_due, load_interval
 from ...storage import box_of
 from ..peers import add_peers
+from .lending import follow_votes
 from .load_sums import drop_old_reports, known_entries, own_loads, sum_loads
 
 if TYPE_CHECKING:
@@ -35,6 +43,10 @@
 AGES_SECONDS: Final = 1.0
 """How often other boxes are told when each upstream was last heard, about one heartbeat."""
 
+AGES_BYTES_PER_SECOND: Final = 2000.0
+"""Bytes of ages on one link of an entry box a second at most: an eighth of what control may take,
+on each of three links. 3,000 upstreams are told every 3 s by each of three control boxes."""
+
 HINT_SECONDS: Final = 5.0
 """How often entry boxes are told who serves control while that does not change. One that has just
 connected is told at once."""
@@ -116,6 +128,7 @@
     """Tell others when upstreams were last heard and who serves control, for ever."""
     hinted: PeerHint | None = None
     hinted_at = 0.0
+    entries_told_at = float("-inf")
     while True:
         await anyio.sleep(AGES_SECONDS)
         now = anyio.current_time()
@@ -125,9 +138,13 @@
             )
         forget_engines(state.losses, set(state.table.known))
         add_peers(state.peers, _known_controls(state))
+        follow_votes(state)
         order = _renew_order(state)
         told = RegistrationAges(order=order.number, ages=pack_ages(order, ages(state.table, now)))
-        post_to_all([*state.peers.links.values(), *state.accepted.values()], told)
+        post_to_all(state.peers.links.values(), told)
+        if now - entries_told_at >= _ages_interval(len(order.instances)):
+            post_to_all(state.accepted.values(), told)
+            entries_told_at = now
         hint = hint_of(state)
         # Other control boxes may hear nothing else on the links that they opened.
         post_to_all(state.accepted_peers.values(), hint)
@@ -136,6 +153,14 @@
             hinted, hinted_at = hint, now
 
 
+def _ages_interval(upstreams: int) -> float:
+    """Return how often an entry box is told ages, in seconds.
+
+    A tenth less than it takes, so that a round that begins late is not left out.
+    """
+    return 0.9 * max(AGES_SECONDS, upstreams * AGE_BYTES / AGES_BYTES_PER_SECOND)
+
+
 def hint_of(state: RegistryState) -> PeerHint:
     """Return the control boxes that are known, with their failure domains."""
     domains = {state.peers.own_address: state.peers.identity.failure_domain}
@@ -153,7 +178,9 @@
     told: tuple[bytes, bytes] = (b"", b"")
     told_at = 0.0
     while True:
-        await anyio.sleep(load_interval(known_entries(state), len(state.peers.known) + 1))
+        told_bytes = LOAD_BYTES * len(state.order.instances)
+        controls = len(state.peers.known) + 1
+        await anyio.sleep(load_interval(known_entries(state), controls, told_bytes))
         now = anyio.current_time()
         drop_old_reports(state, now)
         if not state.loads:
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -248,6 +248,21 @@
     """Loads as `pack_loads` writes them."""
 
 
+class LoanRequest(msgspec.Struct, frozen=True, kw_only=True, tag="lend?", array_like=True):
+    """An entry box asks for repeats out of the shared reserve."""
+
+    call: int
+    pool: str
+    count: int
+
+
+class LoanReply(msgspec.Struct, frozen=True, kw_only=True, tag="lend", array_like=True):
+    """Repeats that a voter lends; they may be spent for `LOAN_SECONDS` from the asking on."""
+
+    call: int
+    count: int
+
+
 class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="newest?", array_like=True):
     """Ask which published version is the newest."""
 
@@ -309,6 +324,8 @@
     | LoadReport
     | LoadShare
     | LoadTotals
+    | LoanRequest
+    | LoanReply
     | VersionQuery
     | VersionReply
     | DocumentPull
--- a/src/ledgeladder/routing/load_sharing.py
+++ b/src/ledgeladder/routing/load_sharing.py
@@ -14,6 +14,10 @@
 SECONDS_PER_ENTRY: Final = 0.01
 """Added for each entry box, so that a control box takes 100 reports a second at most."""
 
+LOAD_BYTES_PER_SECOND: Final = 8000.0
+"""Bytes of loads that an entry box is told a second at most, half of the 16 KB that control may
+take. Up to 1,000 upstreams the other bounds hold; 3,000 are told every 1.5 s."""
+
 LOAD_BELIEVED_SECONDS: Final = 3.0
 """How long a report counts: over three of the longest intervals of today's sizes, which is 0.84 s
 with 84 entry boxes and one control box left."""
@@ -37,14 +41,16 @@
     return changed or seconds >= REST_SECONDS
 
 
-def load_interval(entries: int, controls: int) -> float:
+def load_interval(entries: int, controls: int, told_bytes: int = 0) -> float:
     """Return the time between two reports, in seconds.
 
     Args:
         entries: Entry boxes of the whole system.
         controls: Control boxes that they report to, each to one of them.
+        told_bytes: Length of the loads of all upstreams, for whoever tells them.
 
-    >>> load_interval(8, 3), load_interval(410, 8)
-    (0.25, 0.5125)
+    >>> load_interval(8, 3), load_interval(410, 8), load_interval(300, 6, 12_000)
+    (0.25, 0.5125, 1.5)
     """
-    return max(LEAST_SECONDS, SECONDS_PER_ENTRY * entries / max(1, controls))
+    by_entries = SECONDS_PER_ENTRY * entries / max(1, controls)
+    return max(LEAST_SECONDS, by_entries, told_bytes / LOAD_BYTES_PER_SECOND)
--- a/tests/daemons/registry/test_telling.py
+++ b/tests/daemons/registry/test_telling.py
@@ -58,6 +58,8 @@
         peers=SimpleNamespace(links={"10.0.0.2": opened}),
         accepted={1: entry},
         accepted_peers={2: accepted},
+        node=SimpleNamespace(replica=SimpleNamespace(is_voter=False)),
+        voter_since=None,
     )
     hint = PeerHint(addresses=("10.0.0.1", "10.0.0.2"))
     monkeypatch.setattr(telling, "hint_of", lambda _state: hint)
--- a/tests/routing/test_repeat_window.py
+++ b/tests/routing/test_repeat_window.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from ledgeladder.routing.repeat_loans import FLOOR_SHARE
 from ledgeladder.routing.repeat_window import (
     SHARE_USED,
+    Repeat,
     RepeatWindow,
     give_back,
     note_first,
@@ -11,6 +13,8 @@
 )
 
 BOXES = 10
+FLOOR = 5.0 * FLOOR_SHARE
+"""What each box has of a reserve of 50; the rest is lent."""
 
 
 def window() -> RepeatWindow:
@@ -28,21 +32,22 @@
     budget = window()
     for _ in range(20):
         note_first(budget, 0.0)
-    assert taken(budget, 1.0) == int((20 * 0.2 + 5.0) * SHARE_USED)
+    assert taken(budget, 1.0) == int((20 * 0.2 + FLOOR) * SHARE_USED)
     assert taken(budget, 9.0) == 0
-    assert taken(budget, 11.1) == int(5.0 * SHARE_USED)
+    assert taken(budget, 11.1) == int(FLOOR * SHARE_USED)
 
 
 def test_tries_that_arrive_nowhere_leave_the_budget_for_those_that_do() -> None:
     """The load after a loss: engines that are gone refuse connections, and others take the work."""
     budget = window()
     for _ in range(30):
-        assert take_repeat(budget, 1.0, BOXES)
-        give_back(budget)
-    assert taken(budget, 1.0) == int(5.0 * SHARE_USED)
+        repeat = take_repeat(budget, 1.0, BOXES)
+        assert repeat is not None
+        give_back(budget, repeat)
+    assert taken(budget, 1.0) == int(FLOOR * SHARE_USED)
 
 
 def test_nothing_is_given_back_that_was_not_taken() -> None:
     budget = window()
-    give_back(budget)
-    assert taken(budget, 1.0) == int(5.0 * SHARE_USED)
+    give_back(budget, Repeat(lent_until=None))
+    assert taken(budget, 1.0) == int(FLOOR * SHARE_USED)
