Count the slots of engines in the choice of paths and in placement; pass by engines that stand still after a loss

All streams of a failure domain passed the same holder of layers 0 to 10; from 96 requests on it, its slots, they queued, while its KV cache was half empty and other holders of the layers had room. Costs knew the KV cache only. Cause 2: placement counted room for requests without end, so that memory which slots make useless was left beside the layers. Cause 3: of runs that ended in the tenth of a second of a joint loss 21 to 40 were refused since their new path led over another of the lost engines. Looking sooner at silent paths does nothing for cause 1: all engines answer.

--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -84,6 +85,8 @@
         failure_domain=state.settings.box.failure_domain,
         link_penalties=link_penalties(state.link_doubts, now),
         link_use=link_use(state.link_load, state.entries, now),
+        passed=session.passed,
+        stalled_after=session.patience.gap_look if session.dead else math.inf,
         link_limit=RESUME_LIMIT if session.started else FIRST_LIMIT,
         sharers=max(1.0, state.entries / _domain_count(state, permit)),
     )
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -62,6 +62,7 @@
     session.interrupted = False
     session.notes.runs += 1
     session.notes.path = _describe(path)
+    session.passed.update(part.instance for part in path.parts)
     reserve(path, session.tokens)
     _note_crossings(state, permit, session, path)
     detail = ""
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -57,6 +57,9 @@
     dead: set[str] = msgspec.field(default_factory=set)
     """Runs of engines that were found dead while they carried this request; never used again."""
 
+    passed: set[str] = msgspec.field(default_factory=set)
+    """Runs of engines on the paths that it was sent over."""
+
     sent: int = 0
     """Times it was sent, refused ones included."""
 
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -100,6 +100,7 @@
         take_over(state.ledger)
         pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
         engines = {pool.name: _engines(state, pool) for pool in pools}
+        pools = [_with_slots(pool, engines[pool.name]) for pool in pools]
         _settle(state, [item for members in engines.values() for item in members])
         limiter = anyio.CapacityLimiter(ORDERS_AT_ONCE)
         async with anyio.create_task_group() as tasks:
@@ -116,6 +117,13 @@
                     tasks.start_soon(_order_in_turn, limiter, state, engine, holding)
 
 
+def _with_slots(pool: UpstreamPool, engines: list[Registration]) -> UpstreamPool:
+    """Return a pool whose profile says how many requests its engines run at once, if they told."""
+    assert pool.engine is not None
+    slots = min((item.slots for item in engines if item.slots > 1), default=0)
+    return msgspec.structs.replace(pool, engine=msgspec.structs.replace(pool.engine, slots=slots))
+
+
 async def _order_in_turn(
     limiter: anyio.CapacityLimiter, state: RegistryState, engine: Registration, holding: Holding
 ) -> None:
--- a/src/ledgeladder/model/traffic.py
+++ b/src/ledgeladder/model/traffic.py
@@ -142,6 +142,10 @@
     """Bytes a second that pass between two failure domains, shared by all requests; 0 if the
     document does not say."""
 
+    slots: int = 0
+    """Requests that an engine runs at once; 0 if its KV cache alone bounds them. The document does
+    not say: engines tell when they register."""
+
     cards: dict[str, CardKind] = msgspec.field(default_factory=dict)
     """Kinds of accelerators by name."""
 
--- a/src/ledgeladder/routing/layer_coverage.py
+++ b/src/ledgeladder/routing/layer_coverage.py
@@ -60,14 +60,17 @@
 
 
 def requests_beside(profile: EngineProfile, card: str, layers: int) -> float:
-    """Return how many requests of the usual size fit beside the layers of an engine.
+    """Return how many requests of the usual size an engine runs beside its layers.
+
+    Room in the KV cache beyond the slots is worth nothing, and is better used for more layers.
 
     Args:
         profile: Figures of the engines.
         card: Kind of the accelerator.
         layers: Layers that it holds; at least one.
     """
-    return kv_capacity(profile, card, layers) / (layers * usual_tokens(profile))
+    room = kv_capacity(profile, card, layers) / (layers * usual_tokens(profile))
+    return min(room, float(profile.slots)) if profile.slots else room
 
 
 class LayerCoverage(msgspec.Struct, kw_only=True):
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -12,7 +12,7 @@
 from .link_load import FIRST_LIMIT, link_between, transfer_seconds
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from ..model.traffic import CardKind, EngineProfile
     from .forwarding_table import ForwardedUpstream
@@ -28,16 +28,24 @@
 """Cost of an engine that nobody has heard lately: a stalled request would cost about as much."""
 
 FULL_AT: Final = 0.92
-"""Share of the KV cache up to which this box fills an engine. The rest is kept free: answers are
-often longer than hinted, and the other boxes' requests are only estimated."""
+"""Share of the KV cache and of the slots up to which this box fills an engine. The rest is kept
+free: answers are often longer than hinted, and the other boxes' requests are only estimated."""
 
 OVERFULL_AT: Final = 1.2
 """The same where no path is found otherwise: the load of other boxes is an estimate, and an engine
 without room says so within milliseconds or lets the request wait for what ends next."""
 
 CROWDING: Final = 2.0
-"""What a full KV cache adds to the cost of an engine, as a multiple of the cost of an empty one; it
-grows with the square of the fullness. Spreads requests before any engine is full."""
+"""What a full engine adds to its cost, as a multiple of the cost of an empty one; it grows with the
+square of the fullness of its KV cache or its slots, whichever is fuller. Spreads requests before
+any engine is full."""
+
+
+STALLED_FACTOR: Final = 6.0
+"""How many times more an engine costs that has shown no progress since a loss: more than lies
+between the fastest and the slowest cards, so that another holder of its layers goes first. Engines
+are lost together; while 118 streams were sent again after one of four was found dead, 33 of them
+ran into another of the four, and spent a repeat each."""
 
 
 class PathRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,6 +72,13 @@
     full_at: float = FULL_AT
     """Share of the KV cache at which an engine counts as full."""
 
+    stalled_after: float = math.inf
+    """Time without progress after which an engine with requests of this box is likely lost, in
+    seconds. Named after a loss only."""
+
+    passed: Collection[str] = ()
+    """Runs of engines on earlier paths of the request: it was on them when it stood still."""
+
     sharers: float = 1.0
     """How many times the own requests an engine is likely to hold of all boxes."""
 
@@ -119,7 +134,8 @@
         silence_counts: True if an engine that nobody has heard lately is likely lost.
 
     Returns:
-        Offers; none if its card is not known, or if its KV cache has no room for one layer.
+        Offers; none if its card is not known, if its KV cache has no room for one layer, or if all
+        its slots are taken.
     """
     card = profile.cards.get(engine.registration.card)
     if card is None:
@@ -129,6 +145,12 @@
     idle_seconds = _seconds_per_layer(profile, card, request, 1.0) * factor
     seconds = _seconds_per_layer(profile, card, request, running) * factor
     seconds *= slow_factor(engine, now)
+    is_used = engine.in_flight > 0 or engine.registration.instance in request.passed
+    if is_used and now - engine.proven_at > request.stalled_after:
+        seconds *= STALLED_FACTOR
+    slots = slot_limit(engine)
+    if running > slots * request.full_at:
+        return []
     held = sum(item.end - item.first for item in engine.registration.holdings)
     capacity = kv_capacity(profile, engine.registration.card, held)
     taken = total_kv(engine, now, request.sharers)
@@ -139,7 +161,7 @@
     offers = []
     for holding in engine.registration.holdings:
         used = min(holding.end - holding.first, room)
-        fullness = (taken + tokens * used) / capacity
+        fullness = max((taken + tokens * used) / capacity, running / slots)
         offers.append(
             EngineOffer(
                 engine=engine,
@@ -155,6 +177,17 @@
     return offers
 
 
+def slot_limit(engine: ForwardedUpstream) -> float:
+    """Return how many requests an engine runs at once; infinity if it tells no more than one.
+
+    Requests beyond that wait for a slot. Where small answers leave the KV cache half empty, slots
+    are what fills: with 96 of them under 37 streams a second that last 2.5 s, first events came
+    after 0.3 to 0.7 s in place of 0.05 while other engines with the same layers had slots free.
+    """
+    slots = engine.registration.slots
+    return float(slots) if slots > 1 else math.inf
+
+
 def _seconds_per_layer(
     profile: EngineProfile, card: CardKind, request: PathRequest, running: float
 ) -> float:
--- a/tests/routing/fleet_bed.py
+++ b/tests/routing/fleet_bed.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from ledgeladder.model.registration import Registration
+from ledgeladder.model.traffic import CardKind
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, note_full, take_others
 from ledgeladder.routing.layer_coverage import kv_capacity
 from ledgeladder.routing.load_sharing import load_interval
@@ -65,6 +66,36 @@
 )
 
 
+SLOTS = 96
+"""Requests that an engine runs at once."""
+
+SMALL_CARDS = {"a": (2, 13, 22), "b": (1, 22, 12), "c": (4, 9, 14)}
+"""99 engines whose cards are smaller; their kinds are those of `SMALL_PROFILE`."""
+
+SMALL_BOXES = 63
+SMALL_STREAMS_PER_SECOND = 103.0
+"""Boxes of that site and the streams that begin there in a burst, a quarter above 82 a second."""
+
+SMALL_PROFILE = msgspec.structs.replace(
+    PROFILE,
+    cards={
+        "fast": CardKind(name="fast", memory_mb=36_000, step_factor=3.1, read_factor=3.2),
+        "middle": CardKind(name="middle", memory_mb=21_600, step_factor=16.0, read_factor=8.2),
+        "slow": CardKind(name="slow", memory_mb=14_400, step_factor=15.0, read_factor=15.0),
+    },
+    kv_token_bytes=328_000,
+    sequence_ms=0.00212,
+    step_ms=0.85,
+    read_per_s=353_000,
+    stride=2,
+    usual_prompt=726,
+    usual_answer=138,
+    activation_bytes=16_400,
+    pipe_bytes_per_s=4.3e9 / 8,
+)
+"""Answers are short there, so that slots fill before the KV cache does."""
+
+
 @dataclass(kw_only=True)
 class Engine:
     """The truth about one engine."""
@@ -76,6 +107,7 @@
     most_running: int = 0
     refused: int = 0
     arrivals: int = 0
+    waited: int = 0
 
 
 @dataclass(kw_only=True)
@@ -97,6 +129,8 @@
     gave_up: int = 0
     far: int = 0
     crossings: int = 0
+    """Links between failure domains that were passed."""
+
     seconds: list[float] = field(default_factory=list)
 
     @property
@@ -131,6 +165,7 @@
                 instance=item.instance,
                 sequence=1,
                 address=f"{item.instance}:1",
+                slots=SLOTS,
                 failure_domain=item.failure_domain,
                 card=item.card,
                 holdings=(holding,),
@@ -252,6 +287,7 @@
         parts = [(self.engines[part.instance], part.end - part.first) for part in path.parts]
         for engine, layers in parts:
             engine.arrivals += 1
+            engine.waited += engine.running >= SLOTS
             if engine.kv_used + tokens * layers > engine.capacity:
                 engine.refused += 1
                 return engine.registration.instance
--- a/tests/routing/test_fleet_bed.py
+++ b/tests/routing/test_fleet_bed.py
@@ -7,7 +7,15 @@
 
 from __future__ import annotations
 
-from .fleet_bed import FleetBed, Outcome
+from .fleet_bed import (
+    SLOTS,
+    SMALL_BOXES,
+    SMALL_CARDS,
+    SMALL_PROFILE,
+    SMALL_STREAMS_PER_SECOND,
+    FleetBed,
+    Outcome,
+)
 
 SECONDS = 4.0
 """Several times what a stream lasts and what a sum of loads is old."""
@@ -34,3 +42,25 @@
     assert after.gave_up == 0
     assert after.refused_share < REFUSED_LIMIT
     assert after.crossings == 0
+
+
+def test_burst_of_short_answers_spreads_over_slots() -> None:
+    """The pattern: a burst of a quarter, of streams that fill slots before KV caches.
+
+    All streams of a failure domain took the one engine that looked cheapest by its KV cache; beyond
+    96 of them each waited for a slot, for 0.3 to 0.7 s, while engines with the same layers had
+    slots free.
+    """
+    bed = FleetBed(
+        profile=SMALL_PROFILE,
+        cards=SMALL_CARDS,
+        boxes=SMALL_BOXES,
+        streams_per_second=SMALL_STREAMS_PER_SECOND,
+    )
+    outcome = bed.play(2.0 * SECONDS)
+    assert outcome.gave_up == 0
+    assert outcome.refused_share < REFUSED_LIMIT
+    arrivals = sum(engine.arrivals for engine in bed.engines.values())
+    waited = sum(engine.waited for engine in bed.engines.values())
+    assert waited / arrivals < REFUSED_LIMIT
+    assert max(engine.most_running for engine in bed.engines.values()) <= 1.1 * SLOTS
--- a/tests/routing/test_group_plan.py
+++ b/tests/routing/test_group_plan.py
@@ -144,3 +144,26 @@
     assert len(split_group(large)) == 2
     served = msgspec.structs.replace(large[0], holding=Holding(first=0, end=8))
     assert split_group([served, *large[1:]]) == [[served, *large[1:]]]
+
+
+def test_memory_beyond_the_slots_holds_more_copies() -> None:
+    """Small answers fill the slots of an engine before its KV cache.
+
+    The grounds: 37 engines of which 22 have room for seven layers and 96 requests beside them. With
+    room for requests counted without end they held 2.4 copies; the fast cards held 11 layers each.
+    """
+    small = msgspec.structs.replace(
+        SMALL, kv_token_bytes=328_000, sequence_ms=0.002, usual_prompt=726, usual_answer=138
+    )
+    fleet = engines("a", fast=2, middle=13, slow=22)
+    plans = {}
+    for slots in (0, 96):
+        profile = msgspec.structs.replace(small, slots=slots)
+        plans[slots] = plan_group(profile, fleet)
+    held = {slots: sum(h.end - h.first for h in plan.values()) for slots, plan in plans.items()}
+    assert held[96] > 1.5 * held[0]
+    for item in fleet:
+        holding = plans[96][item.instance]
+        assert requests_beside(small, item.card, holding.end - holding.first) >= 80
+    fast = plans[96]["a-fast-0"]
+    assert fast.end - fast.first >= 16
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -345,3 +345,33 @@
     assert choose_path(small, pool, anyway, 1.0) is not None
     pool[1].kv_reserved = capacity * 2
     assert choose_path(small, pool, anyway, 1.0) is None
+
+
+def test_streams_sent_again_pass_by_engines_that_stand_still() -> None:
+    """The pattern: four engines of a failure domain are lost together, and one is found first.
+
+    Streams on it are sent again at once; the others of the four have shown no progress since, and
+    each run into one of them costs a repeat of the few that there are.
+    """
+    found = engines(9.9)
+    for item in found:
+        item.proven_at = 9.99
+    silent = [item for item in found if item.registration.failure_domain == "a"][:3]
+    for item in silent:
+        item.proven_at, item.in_flight = 9.8, 2
+    request = msgspec.structs.replace(wanted(), stalled_after=0.1)
+    path = choose_path(PROFILE, found, request, 10.0)
+    assert path is not None
+    assert not {part.instance for part in path.parts} & {
+        item.registration.instance for item in silent
+    }
+    for item in silent:
+        item.in_flight = 0
+    again = choose_path(PROFILE, found, request, 10.0)
+    assert again is not None
+    names = {item.registration.instance for item in silent}
+    assert {part.instance for part in again.parts} & names
+    request = msgspec.structs.replace(request, passed=names)
+    passed = choose_path(PROFILE, found, request, 10.0)
+    assert passed is not None
+    assert not {part.instance for part in passed.parts} & names
