--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ...http1 import HttpSite
-from ...model import ProblemError, ResultCode
+from ...model import ProblemError
 from ...model.traffic import RequestKind
 from ...platform.exchange import read_caller_facts
 from ..plain_problems import write_problem
@@ -28,10 +28,6 @@
 CALLER_LEFT: Final = "caller-left"
 """Outcome of a request whose caller closed its connection."""
 
-ELSEWHERE: Final = frozenset({ResultCode.BELIEF_STALE, ResultCode.STOPPING})
-"""Refusals that say nothing of other boxes: the connection ends, so that the caller's next one goes
-to a box that is ready."""
-
 STOPPED: Final = "broken-off: the planned stop ran out of time"
 """Outcome of a request that was still in progress when a planned stop had to end."""
 
@@ -59,7 +55,6 @@
         except ProblemError as error:
             outcome = f"{error.problem.code.name}: {error.problem.detail}"
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
-            exchange.last = error.problem.code in ELSEWHERE
             await write_problem(exchange, error.problem)
         finally:
             if outcome == CALLER_LEFT and state.out_of_time:
--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -18,10 +18,8 @@
     from ...model.traffic import AccountKeys, RouteRule, UpstreamPool
     from .state import GatewayState
 
-STALE_RETRY_SECONDS: Final = 0.05
-"""When to come back after a box that lost touch with the control boxes: at once, to another one.
-The connection is closed, so that the balancer chooses it; told half a second, 160 callers of 12
-boxes that were cut off were served elsewhere, but later than they expect."""
+STALE_RETRY_SECONDS: Final = 0.5
+"""When to come back to a box that lost touch with the control boxes: one question to them."""
 
 START_SECONDS: Final = 1.2
 """Time from the start of a process to a confirmed document when all boxes start at once: the
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -38,13 +38,6 @@
 """How many times less crowded a path in another failure domain must be: a cut would end it. The own
 one is kept until its KV caches are a third full where others are empty (`path_costs.CROWDING`)."""
 
-QUICKER_FACTOR: Final = 1.75
-"""How many times quicker a path in another failure domain must be, however crowded the own one is.
-On fleets in virtual time: with 99 engines and 103 streams a second, a quarter of the streams runs
-in another failure domain, and a stream takes 1.0 s in the median in place of 2.4; with 190 engines
-and 244 streams a second none is refused, and the busiest KV cache is 0.73 full. With 1.6, 2 in 100
-runs are refused there after a loss of 7 engines, and with 1.25, 7 in 100 without one: 195 boxes
-choose the same quick engines by the same late news."""
 
 FULL: Final = "full"
 """Why an engine cannot be used that has no room for one layer of a request."""
@@ -141,9 +134,10 @@
 ) -> ChosenPath | None:
     """Find the cheapest path that hands no activations on between failure domains.
 
-    The own failure domain is left for one that is much quicker, or that is less crowded and not
-    slower. Much quicker is the one with the most fast cards, until it has filled up: a stream that
-    takes half as long is half as likely to meet a loss, and holds its slots for half as long.
+    Failure domains are compared by how crowded they are and not by their speed: all of them are
+    quick enough for callers while they have room, and the fastest would fill up alone. The own one
+    is taken without a look at the others while none could be less crowded by `FAR_FACTOR`, which
+    leaves a choice among the engines of one failure domain for most requests.
 
     Args:
         profile: Figures of the engines.
@@ -155,22 +149,17 @@
         The path, or None if no failure domain covers all layers by itself.
     """
     own = _search(profile, offers_in(request.failure_domain), request)
+    if own is not None and own.crowding <= FAR_FACTOR:
+        return own
     others = [
-        path
+        _search(profile, offers_in(domain), request)
         for domain in domains
         if domain != request.failure_domain
-        and (path := _search(profile, offers_in(domain), request)) is not None
     ]
-    if not others:
-        return own
-    emptiest = min(others, key=lambda path: path.crowding)
-    if own is None:
-        return emptiest
-    quickest = min(others, key=lambda path: path.cost)
-    if quickest.cost * QUICKER_FACTOR < own.cost:
-        return quickest
-    is_relief = emptiest.crowding * FAR_FACTOR < own.crowding and emptiest.cost <= own.cost
-    return emptiest if is_relief else own
+    far = min((path for path in others if path), key=lambda path: path.crowding, default=None)
+    if own is None or far is None:
+        return own or far
+    return far if far.crowding * FAR_FACTOR < own.crowding else own
 
 
 def _spread(rng: random.Random | None) -> float:
