--- a/src/ledgeladder/daemons/gateway/starting.py
+++ b/src/ledgeladder/daemons/gateway/starting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -18,8 +17,6 @@
     from ...model.traffic import UpstreamPool
     from .state import GatewayState
 
-logger = logging.getLogger(__name__)
-
 LOOK_SECONDS: Final = 0.01
 """How often a box with waiting requests looks whether it can serve: a fiftieth of the time in which
 callers expect a first event."""
