Log a mark of what a request asks

Lines of runs that failed now carry a mark of client account, method, path and body. No decision is changed.

--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from ...routing.request_content import mark_content
+
+if TYPE_CHECKING:
+    from ...http1 import HttpRequest
+    from ...model.exchange import CallerFacts
+
 
 class RequestNotes(msgspec.Struct, kw_only=True):
     """Course of one request."""
@@ -31,6 +37,26 @@
     given_up: str = ""
     """Why a stream was not sent once more; empty if it was whole, or if its time was over."""
 
+    mark: bytes | None = None
+    """Mark of its content; None while nothing needed it."""
+
+
+def content_mark(
+    notes: RequestNotes, request: HttpRequest, facts: CallerFacts, account: str | None
+) -> bytes:
+    """Return the mark of a request's content, which is made once.
+
+    Args:
+        notes: What is learnt of the request; keeps the mark.
+        request: The request.
+        facts: What it says.
+        account: Client account that its key belongs to, if any.
+    """
+    if notes.mark is None:
+        caller = account or facts.key or ""
+        notes.mark = mark_content(caller, request.method, request.target, request.body)
+    return notes.mark
+
 
 def log_fields(notes: RequestNotes) -> dict[str, Any]:
     """Return the fields of a log line; those that do not apply are left out.
@@ -39,6 +65,8 @@
     {'runs': 1, 'path': ['i-1=0-80']}
     """
     fields: dict[str, Any] = {"runs": notes.runs}
+    if notes.mark is not None:
+        fields["content"] = notes.mark.hex()
     if notes.waited:
         fields["waited"] = round(notes.waited, 3)
     if notes.path:
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -26,6 +26,7 @@
 from ...routing.repeat_window import give_back, note_first
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
+from .notes import content_mark
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
     FAILED_STATUS,
@@ -113,7 +114,7 @@
                 break
             notes.runs += 1
             notes.path = [upstream.registration.instance]
-            if await _try_once(state, permit, request, tries, upstream):
+            if await _try_once(state, permit, request, tries, upstream, notes):
                 break
             if repeat is not None and tries.sent == sent_before:
                 give_back(budget, repeat)
@@ -152,6 +153,7 @@
     request: HttpRequest,
     tries: _Tries,
     upstream: ForwardedUpstream,
+    notes: RequestNotes,
 ) -> bool:
     """Send a request to one upstream; returns True if its answer is final.
 
@@ -208,6 +210,7 @@
                 "try failed",
                 extra={
                     "request": permit.facts.attempt_id,
+                    "content": content_mark(notes, request, permit.facts, permit.account).hex(),
                     "upstream": instance,
                     "outcome": outcome,
                     "tries": tries.sent,
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -19,6 +19,7 @@
 )
 from ...routing.link_load import note_crossings
 from ...routing.paths import ChosenPath, release, reserve
+from .notes import content_mark
 from .probing import find_lost, report_lost
 from .silence import open_watched
 from .stream_events import pass_events
@@ -74,7 +75,7 @@
             detail = "an engine of the path was found dead by another request"
     finally:
         release(path, session.tokens)
-        _note_end(state, permit, session, path, end, detail)
+        _note_end(state, permit, request, session, path, end, detail)
     return end
 
 
@@ -114,6 +115,7 @@
 def _note_end(
     state: GatewayState,
     permit: Permit,
+    request: HttpRequest,
     session: StreamSession,
     path: ChosenPath,
     end: RunEnd,
@@ -143,6 +145,7 @@
         "run ended early",
         extra={
             "request": permit.facts.attempt_id,
+            "content": content_mark(session.notes, request, permit.facts, permit.account).hex(),
             "end": end.value,
             "detail": detail,
             "path": _describe(path),
--- a/tests/daemons/gateway/test_plain.py
+++ b/tests/daemons/gateway/test_plain.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from ledgeladder.daemons.gateway.notes import RequestNotes
 from ledgeladder.daemons.gateway.plain import _Tries, _try_once
 from ledgeladder.http1 import connect
 from ledgeladder.model.traffic import RequestKind
@@ -22,7 +23,7 @@
     return SimpleNamespace(
         route=SimpleNamespace(kind=RequestKind.REPEATABLE, max_attempts=2, target_latency=0.01),
         pool=SimpleNamespace(name="p", engine=None),
-        facts=SimpleNamespace(attempt_id="a1"),
+        facts=SimpleNamespace(attempt_id="a1", key="k"),
         account=None,
         priority=5,
         deadline=now + 5.0,
@@ -54,7 +55,7 @@
                 method=b"GET", target=b"/", body=b"", headers=[(b"Host", b"x")], fields={}
             )
             final = await _try_once(
-                state, permit(anyio.current_time()), request, _Tries(), upstream
+                state, permit(anyio.current_time()), request, _Tries(), upstream, RequestNotes()
             )
             assert not final
             tasks.cancel_scope.cancel()
