--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -379,7 +379,8 @@
 
     Args:
         options: Fields of `DiscoveredFleet`, and besides `engines` (6) and `services` (3), how many
-            upstreams to start, and `fail_share`, what share of plain requests services fail.
+            upstreams to start, `fail_share`, what share of plain requests services fail, and
+            `crash_word`, a word in a request's body that ends the upstream that runs it.
 
     Yields:
         The system, once every gateway is ready. Engines may not hold their layers yet.
@@ -387,6 +388,7 @@
     engines = options.pop("engines", 6)
     services = options.pop("services", 3)
     fail_share = options.pop("fail_share", 0.0)
+    crash_word = options.pop("crash_word", "")
     with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
         fleet = DiscoveredFleet(folder=Path(folder), **options)
         try:
@@ -395,9 +397,10 @@
             for number in range(fleet.gateways):
                 fleet.add_gateway(number)
             for number in range(engines):
-                fleet.add_upstream(number, "engines", "big")
+                fleet.add_upstream(number, "engines", "big", crash_word=crash_word)
             for number in range(services):
-                fleet.add_upstream(number, "services", fail_share=fail_share)
+                options = {"fail_share": fail_share, "crash_word": crash_word}
+                fleet.add_upstream(number, "services", **options)
             fleet.publish_next()
             numbers = range(fleet.gateways)
             wait_until(lambda: all(fleet.ready(item) for item in numbers), 30, "gateways ready")
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import secrets
 import signal
 import time
@@ -37,6 +38,9 @@
 BEAT_SECONDS = 0.3
 """Time between heartbeats; the fleet's settings name the same."""
 
+CRASH_SECONDS = 0.05
+"""Time from the beginning of a run to the crash that it causes."""
+
 LEAVE_SECONDS = 2.5
 """Time between the announcement of an end and the end."""
 
@@ -72,6 +76,10 @@
     fail_share: float = 0.0
     """Share of plain requests that are run and answered with 500."""
 
+    crash_word: str = ""
+    """Word in the body of a request that ends this process soon after it begins to run it; empty
+    for none."""
+
     instance: str = field(default_factory=lambda: f"i-{secrets.token_hex(5)}")
     """Id of this run of it."""
 
@@ -154,9 +162,18 @@
     ]
 
 
+async def crash_if_told(upstream: StandIn, request: HttpRequest) -> None:
+    """End this process, without a word to anybody, if a request is one that does so."""
+    if upstream.crash_word and upstream.crash_word.encode() in request.body:
+        await anyio.sleep(CRASH_SECONDS)
+        upstream.note("crash")
+        os._exit(1)
+
+
 async def answer_plain(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
     """Run a plain request."""
     note_run(upstream, request)
+    await crash_if_told(upstream, request)
     upstream.runs += 1
     try:
         await anyio.sleep(upstream.seconds)
@@ -200,6 +217,7 @@
     count = int(request.fields.get(b"token-count", b"10,10").partition(b",")[2])
     resume = int(request.fields.get(b"last-event-id", b"-1"))
     head = [*echo(upstream, request), (b"Content-Type", b"text/event-stream")]
+    await crash_if_told(upstream, request)
     async with anyio.create_task_group() as tasks:
         broken = anyio.Event()
         for address, _, _ in parts:
@@ -331,6 +349,7 @@
     parser.add_argument("--ledger", required=True, type=Path)
     parser.add_argument("--seconds", type=float, default=0.02)
     parser.add_argument("--fail-share", type=float, default=0.0)
+    parser.add_argument("--crash-word", default="")
     values = vars(parser.parse_args())
     values["listen"] = values["listen"] or values["address"]
     values["controls"] = values["controls"].split(",")
