Put contents under which three upstreams ended in quarantine

A run whose engine had died did not count, so that one attempt was sent on until the budget of repeats was spent, and each further attempt began anew at another box. A content is now known by client account, method, path and body. Boxes note which upstreams ended under it (a refused connection after a run that broke off), control boxes add that up, and after three ends the leader commits that it is sent nowhere for an hour; all boxes are told, also after a restart. Before the commit they send it nowhere for 10 s at most. An answered content is forgotten.

--- a/src/ledgeladder/coordination/commands.py
+++ b/src/ledgeladder/coordination/commands.py
@@ -95,6 +95,15 @@
     time_ms: int
 
 
+class QuarantineCommand(msgspec.Struct, frozen=True, kw_only=True, tag="hold", array_like=True):
+    """Send requests with a content to no upstream for a while."""
+
+    content: bytes
+    """Mark of the content."""
+
+    time_ms: int
+
+
 Command = (
     ChangeCommand
     | RefusalCommand
@@ -104,6 +113,7 @@
     | OrderCommand
     | OrderDoneCommand
     | PublishCommand
+    | QuarantineCommand
 )
 
 
--- a/src/ledgeladder/coordination/state_machine.py
+++ b/src/ledgeladder/coordination/state_machine.py
@@ -24,11 +24,13 @@
     OrderDoneCommand,
     PublishCommand,
     PublishResult,
+    QuarantineCommand,
     RefusalCommand,
     ReleaseCommand,
     Result,
 )
 from .orders import OrderBook, confirm_order, place_order
+from .quarantine import Quarantine, add_content
 
 CHANGES_REMEMBERED: Final = 4096
 """Decided change ids that are kept. A resend of an older one fails by its base version."""
@@ -122,6 +124,9 @@
     published: PublishedDocument = msgspec.field(default_factory=PublishedDocument)
     """The document in force, if whole documents are published."""
 
+    quarantine: Quarantine = msgspec.field(default_factory=Quarantine)
+    """Contents of requests that are sent to no upstream."""
+
 
 COMMAND_DECODER: Final = msgspec.msgpack.Decoder(Command)
 _STATE_DECODER: Final = msgspec.msgpack.Decoder(ClusterState)
@@ -173,6 +178,9 @@
             return Noted(accepted=confirm_order(state.orders, command.upstream, command.index))
         case PublishCommand():
             return _publish(state, command)
+        case QuarantineCommand():
+            is_new = add_content(state.quarantine, command.content, state.clock_ms)
+            return Noted(accepted=is_new)
 
 
 def _publish(state: ClusterState, command: PublishCommand) -> PublishResult:
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -98,7 +98,7 @@
     """Sends a message to another member, or drops it."""
 
     changed: Callable[[], None]
-    """Called when a new configuration was applied."""
+    """Called when a new configuration or a new content in quarantine was applied."""
 
     choose_members: Callable[[raft.Replica, set[str], float], raft.Members | None] = next_members
     """Chooses the next change of members from the log, the applicants and the time."""
@@ -329,13 +329,18 @@
     node.changed()
 
 
+def _told_state(state: ClusterState) -> tuple[int, int, int]:
+    """Return what changes when other boxes must be told of a change of the state."""
+    return state.configuration.version, state.published.version, state.quarantine.changes
+
+
 def _apply(node: ControlNode, entry: LogEntry) -> None:
     node.applied_index = entry.index
     result = None
     if entry.kind is raft.EntryKind.COMMAND:
-        before = (node.state.configuration.version, node.state.published.version)
+        before = _told_state(node.state)
         result = apply_command(node.state, COMMAND_DECODER.decode(entry.data))
-        if before != (node.state.configuration.version, node.state.published.version):
+        if before != _told_state(node.state):
             node.changed()
     waiter = node.waiters.pop(entry.index, None)
     if waiter is not None:
--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -13,6 +13,7 @@
 from ...platform.exchange import read_caller_facts
 from ..plain_problems import write_problem
 from .checks import Permit, permit_request
+from .crashes import refuse_if_held
 from .notes import RequestNotes, log_fields
 from .plain import forward_plain
 from .starting import is_starting, wait_for_turn
@@ -48,6 +49,7 @@
             if is_starting(state, facts, anyio.current_time()):
                 notes.waited = await wait_for_turn(state, request, facts)
             permit = permit_request(state, request, facts)
+            refuse_if_held(state, permit, request, notes)
             await _forward(state, permit, request, exchange, notes)
             outcome = "answered"
             if not exchange.complete:
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -27,8 +27,10 @@
     LossNews,
     OrderOfUpstreams,
     PeerHint,
+    QuarantineNews,
     RegistrationAges,
     RegistrationNews,
+    SuspectNews,
     VersionQuery,
     VersionReply,
 )
@@ -39,6 +41,7 @@
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
 from .borrowing import take_loan_reply
+from .crashes import take_quarantine, take_suspect
 from .loss_news import confirm_loss, take_loss_news
 from .state import note_entries
 
@@ -94,6 +97,10 @@
                     engine = take_loss_news(state, message.instance)
                     if engine is not None:
                         tasks.start_soon(confirm_loss, state, engine)
+                case SuspectNews():
+                    take_suspect(state, message)
+                case QuarantineNews():
+                    take_quarantine(state, message)
                 case LoanReply():
                     take_loan_reply(state, message)
                 case LoadTotals():
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from ...coordination.crash_book import CRASH_LIMIT
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...model.exchange import Dispatch
 from ...model.traffic import RequestKind
@@ -26,7 +27,9 @@
 from ...routing.repeat_window import give_back, note_first
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
+from .crashes import note_answered, note_run_end, suspicion
 from .notes import content_mark
+from .probing import find_lost
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
     FAILED_STATUS,
@@ -108,6 +111,9 @@
     note_first(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
         while (upstream := _next_upstream(state, permit, tries)) is not None:
+            ends = suspicion(state, permit, request, notes)
+            if ends >= CRASH_LIMIT:
+                break
             sent_before = tries.sent
             repeat = await spend_repeat(state, permit.pool.name) if sent_before else None
             if sent_before and repeat is None:
@@ -118,6 +124,8 @@
                 break
             if repeat is not None and tries.sent == sent_before:
                 give_back(budget, repeat)
+    if tries.answer is not None:
+        note_answered(state, permit, request, notes)
     await _finish(state, permit, request, exchange, tries)
 
 
@@ -195,6 +203,8 @@
     except AnswerLostError as error:
         outcome = f"lost: {error}"
         note_failed(upstream, anyio.current_time())
+        if await find_lost(state, [upstream], set(), proof_seconds=0.0):
+            note_run_end(state, permit, request, notes, [upstream], now)
         return False
     except TimeoutError:
         outcome = f"no answer within {seconds:.2f} s"
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -9,7 +9,7 @@
 
 from ...http1 import ConnectError, connect
 from ...links.messages import LostReport
-from ...routing.forwarding_table import note_lost
+from ...routing.forwarding_table import note_ended, note_lost
 from ...routing.pace import note_gap, probe_patience
 
 if TYPE_CHECKING:
@@ -134,6 +134,8 @@
             took = await _connect_twice(state, engine, patience)
         except ConnectError as error:
             reason = str(error)
+            if error.is_refusal:
+                note_ended(engine, anyio.current_time())
             if not isinstance(error.__cause__, TimeoutError):
                 return reason
         else:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ...coordination.crash_book import CRASH_LIMIT
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...platform.exchange import caller_headers
 from ...routing.event_stream import EventOrder
@@ -15,6 +16,7 @@
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .come_back import when_there_is_a_path, when_there_is_room
+from .crashes import note_answered, suspicion
 from .probing import probe_seconds
 from .state import budget_of
 from .stream_paths import choose_run_path, expected_answer, explain_missing_path
@@ -68,6 +70,10 @@
     note_first(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())) as scope:
         while not (reason := _why_no_further_run(permit, session)):
+            ends = suspicion(state, permit, request, notes)
+            if ends >= CRASH_LIMIT:
+                reason = f"{ends} upstreams ended under it"
+                break
             path = choose_run_path(state, permit, profile, session, expected)
             if path is None:
                 session.missing = explain_missing_path(state, permit, profile, session, expected)
@@ -79,6 +85,7 @@
                 break
             end = await run_stream(state, permit, request, exchange, session, path)
             if end is RunEnd.COMPLETE:
+                note_answered(state, permit, request, notes)
                 note_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
                 return
             if repeat is not None and end is RunEnd.NOT_SENT:
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -13,12 +13,14 @@
 from ...routing.forwarding_table import (
     FULL_SECONDS,
     doubt_domain,
+    note_ended,
     note_failed,
     note_full,
     note_served,
 )
 from ...routing.link_load import note_crossings
 from ...routing.paths import ChosenPath, release, reserve
+from .crashes import note_run_end
 from .notes import content_mark
 from .probing import find_lost, report_lost
 from .silence import open_watched
@@ -64,6 +66,7 @@
     session.notes.runs += 1
     session.notes.path = _describe(path)
     session.passed.update(part.instance for part in path.parts)
+    started_at = anyio.current_time()
     reserve(path, session.tokens)
     _note_crossings(state, permit, session, path)
     detail = ""
@@ -75,6 +78,8 @@
             detail = "an engine of the path was found dead by another request"
     finally:
         release(path, session.tokens)
+        if end is RunEnd.LOST:
+            note_run_end(state, permit, request, session.notes, path.engines, started_at)
         _note_end(state, permit, request, session, path, end, detail)
     return end
 
@@ -188,6 +193,7 @@
         answer = await open_watched(state, permit, request, session, path, dispatch)
     except NotSentError as error:
         if error.is_refusal:
+            note_ended(path.head, anyio.current_time())
             report_lost(state, path.head, session.dead)
         else:
             note_failed(path.head, anyio.current_time())
@@ -267,6 +273,12 @@
 
 
 async def _blame(state: GatewayState, session: StreamSession, path: ChosenPath) -> None:
-    """Find out which engines of a broken run are dead, and avoid those."""
-    if not await find_lost(state, path.engines, session.dead):
-        session.excluded.add(path.head.registration.instance)
+    """Find out which engines of a broken run are dead, and avoid those.
+
+    The first engine is asked even if it has just worked for another request: its connection broke.
+    """
+    head = path.head.registration.instance
+    if await find_lost(state, path.engines, session.dead) or head in session.dead:
+        return
+    if not await find_lost(state, [path.head], session.dead, proof_seconds=0.0):
+        session.excluded.add(head)
--- a/src/ledgeladder/daemons/plain_problems.py
+++ b/src/ledgeladder/daemons/plain_problems.py
@@ -39,7 +39,7 @@
     if problem.status in NOT_RUN_STATUSES:
         assert problem.known_execution is Execution.NOT_RUN
         seconds = problem.retry_after or DEFAULT_RETRY_SECONDS
-        headers.append((b"Retry-After", f"{seconds:.3g}".encode()))
+        headers.append((b"Retry-After", f"{seconds:.3f}".encode()))
     body = {
         "error": {
             "code": int(problem.code),
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -28,6 +28,7 @@
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
+from .crashes import keep_judging, tell_quarantine
 from .http_api import build_site
 from .mesh import send_to_member, serve_accepted, serve_peer
 from .metrics import metrics_lines
@@ -142,10 +143,11 @@
 
 
 def take_published(state: RegistryState) -> None:
-    """Decode the published document for the placement and send it to the entry boxes."""
+    """Decode a newly published document for the placement and send it to the entry boxes."""
     published = state.node.state.published
-    if published.version == 0:
+    if published.version == state.told_version:
         return
+    state.told_version = published.version
     decoded = decode_configuration(zlib.decompress(published.body))
     if isinstance(decoded, Success):
         state.configuration = decoded.unwrap()
@@ -155,7 +157,7 @@
 
 
 async def keep_publishing(state: RegistryState) -> None:
-    """Send each newly published document out, for ever.
+    """Send each newly published document and each new content in quarantine out, for ever.
 
     A restart applies the whole log in one go: only the last of its documents is sent, since an
     entry box that has none yet must not put an old one in force.
@@ -163,6 +165,7 @@
     while True:
         await state.published_changed.wait()
         state.published_changed = anyio.Event()
+        tell_quarantine(state)
         take_published(state)
 
 
@@ -224,6 +227,7 @@
         Child(name="loads", run=lambda: tell_loads(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
+        Child(name="quarantine", run=lambda: keep_judging(state), restart=Restart.ALWAYS),
         Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -20,6 +20,8 @@
     ChangedOrder,
     CommandReply,
     CommandRequest,
+    ContentServed,
+    CrashReport,
     DocumentPull,
     DocumentPush,
     JoinRequest,
@@ -40,6 +42,7 @@
 )
 from ...storage import box_of
 from ..peers import SILENCE_SECONDS, add_peers
+from .crashes import quarantine_news, take_crash_report, take_served
 from .lending import answer_loan
 from .newest import answer_command, answer_version, take_command_reply, take_version_reply
 from .state import ReportedLoad, ReportedShare
@@ -122,6 +125,7 @@
         state.accepted[id(link)] = link
         link.post(RegistrationNews(told=tell_all(state.table, anyio.current_time())))
         link.post(OrderOfUpstreams(order=state.order))
+        link.post(quarantine_news(state))
     link.post(hint_of(state))
     async with anyio.create_task_group() as tasks:
         try:
@@ -180,6 +184,10 @@
             )
         case LoanRequest():
             answer_loan(state, link, message)
+        case CrashReport():
+            take_crash_report(state, message, to_peers=not is_control)
+        case ContentServed():
+            take_served(state, message, to_peers=not is_control)
         case LostReport():
             _take_lost_report(state, link, message.instance)
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from ...coordination.crash_book import CrashBook
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
 from ...coordination.loss_evidence import LossEvidence
@@ -172,5 +173,14 @@
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes on engines that they found dead."""
 
+    crashes: CrashBook = msgspec.field(default_factory=CrashBook)
+    """Upstreams that ended under requests, by content, as entry boxes told."""
+
+    told_version: int = 0
+    """Version of the document that was last sent to entry boxes."""
+
+    told_quarantine: int = 0
+    """Contents that had been put in quarantine when entry boxes were last told of them."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -210,6 +210,40 @@
     instance: str
 
 
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True, tag="ended", array_like=True):
+    """An upstream ended while a request was on it."""
+
+    content: bytes
+    """Mark of the request's content."""
+
+    instance: str
+    """Run of the upstream."""
+
+
+class ContentServed(msgspec.Struct, frozen=True, kw_only=True, tag="served", array_like=True):
+    """A request was answered under whose content upstreams had ended."""
+
+    content: bytes
+    """Mark of its content."""
+
+
+class SuspectNews(msgspec.Struct, frozen=True, kw_only=True, tag="suspect", array_like=True):
+    """Several upstreams have ended under a content."""
+
+    content: bytes
+    """Mark of the content."""
+
+    ends: int
+    """Their number, under requests of all entry boxes."""
+
+
+class QuarantineNews(msgspec.Struct, frozen=True, kw_only=True, tag="held", array_like=True):
+    """All contents that are to be sent to no upstream."""
+
+    seconds_left: dict[bytes, float]
+    """For how many more seconds, by mark of the content."""
+
+
 class OrderNews(msgspec.Struct, frozen=True, kw_only=True, tag="ordered", array_like=True):
     """The leader has ordered an engine to hold layers, which it has not reported yet."""
 
@@ -320,6 +354,10 @@
     | RegistrationAges
     | LostReport
     | LossNews
+    | CrashReport
+    | ContentServed
+    | SuspectNews
+    | QuarantineNews
     | OrderNews
     | LoadReport
     | LoadShare
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -52,6 +52,7 @@
     UPSTREAM_LOST = 1203
     DEADLINE_EXCEEDED = 1204
     UPSTREAM_FAILED = 1205
+    QUARANTINED = 1206
     NO_QUORUM = 1301
     CLAIM_RUNNING = 1302
     CLAIM_UNKNOWN = 1303
@@ -148,6 +149,9 @@
         504, _UNKNOWN, "The deadline passed while the request was in progress."
     ),
     ResultCode.UPSTREAM_FAILED: _entry(502, _RAN, "The upstream ran the request and failed."),
+    ResultCode.QUARANTINED: _entry(
+        503, _NOT_RUN, "Upstreams ended under earlier requests with the same content."
+    ),
     ResultCode.NO_QUORUM: _entry(
         503, _NOT_RUN, "No majority of control boxes is reachable to record the request or change."
     ),
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -93,6 +93,10 @@
     """When it was found dead, on the monotonic clock; it gets no new work until somebody has heard
     it since."""
 
+    ended_at: float = float("-inf")
+    """When its address refused a connection, on the monotonic clock: its process has ended, or a
+    cut refuses connections. A machine without power or behind a silent cut refuses none."""
+
     proven_at: float = float("-inf")
     """When it last showed that it works: an event came over a path through it, or it accepted a
     probe. On the monotonic clock."""
@@ -225,6 +229,11 @@
         callback(upstream)
 
 
+def note_ended(upstream: ForwardedUpstream, now: float) -> None:
+    """Note that nobody listens at an upstream's address."""
+    upstream.ended_at = now
+
+
 def note_told_lost(upstream: ForwardedUpstream, now: float) -> bool:
     """Note that other boxes found an upstream dead; it gets no new work until it is heard.
 
--- a/tests/daemons/gateway/test_stream_run.py
+++ b/tests/daemons/gateway/test_stream_run.py
@@ -11,7 +11,7 @@
 
 from ledgeladder.daemons.gateway import probing, stream_events
 from ledgeladder.daemons.gateway.probing import report_lost
-from ledgeladder.daemons.gateway.stream_run import _judge_refusal, _told_of_losses
+from ledgeladder.daemons.gateway.stream_run import _blame, _judge_refusal, _told_of_losses
 from ledgeladder.daemons.gateway.stream_session import StreamSession
 from ledgeladder.daemons.gateway.upstream_call import AnswerLostError, NotSentError
 from ledgeladder.http1 import ConnectError
@@ -141,6 +141,29 @@
     assert path.engines[1 - at_fault].avoid_until == 0.0
 
 
+def test_engine_whose_connection_broke_is_asked_even_if_it_has_just_worked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An event for another request, some milliseconds before, hid that the process had ended."""
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Accepted:
+        raise ConnectError(address) from ConnectionRefusedError()
+
+    monkeypatch.setattr(probing, "connect", connect)
+    session = StreamSession(order=EventOrder(last_id=None), patience=PATIENCE, tokens=10)
+    path = path_over(engine("i-1"), engine("i-2", "127.0.0.1:2"))
+
+    async def run() -> None:
+        now = anyio.current_time()
+        for item in path.engines:
+            item.proven_at = now
+        await _blame(gateway_state(), session, path)
+        assert path.head.ended_at >= now
+
+    anyio.run(run)
+    assert session.dead == {"i-1"}
+
+
 def test_engine_that_refuses_connections_is_told_to_the_control_boxes() -> None:
     """Each box would else find out by itself, with a lost try."""
     told = []
