Keep time by a clock that counts the suspension of a machine

Cause: the monotonic clock stands still while a machine is suspended, so that leases and the age of documents did not run out. To keep the count of modules that a gateway loads, the page of settings is loaded only by the command that prints it.

--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -30,8 +30,8 @@
     load_gateway_settings,
     load_registry_settings,
     read_toml,
-    reference_page,
 )
+from ..settings.reference import reference_page
 
 if TYPE_CHECKING:
     from .operator_client import OperatorClient
--- a/src/ledgeladder/daemons/control/handover.py
+++ b/src/ledgeladder/daemons/control/handover.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from ...coordination import raft
+from .. import clock
 
 if TYPE_CHECKING:
     from .node import ControlNode
@@ -18,6 +18,6 @@
     if not voters:
         return False
     best = max(voters, key=lambda voter: replica.progress[voter].match_index)
-    started = raft.start_handover(replica, best, time.monotonic())
+    started = raft.start_handover(replica, best, clock.now())
     node.poke()
     return started
--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import time
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -29,6 +28,7 @@
     load_snapshot,
     open_journal,
 )
+from .. import clock
 from .members import next_members
 
 if TYPE_CHECKING:
@@ -134,7 +134,7 @@
         """Take in a message of another member; a node whose disk is full loses it."""
         if self.disk_is_full:
             return
-        raft.receive(self.replica, envelope, time.monotonic(), self.rng)
+        raft.receive(self.replica, envelope, clock.now(), self.rng)
         self.poke()
 
     def poke(self) -> None:
@@ -198,7 +198,7 @@
         snapshot=snapshot,
         entries=recovered.entries,
         initial_members=initial_members,
-        now=time.monotonic(),
+        now=clock.now(),
         rng=rng,
     )
     return ControlNode(
@@ -224,14 +224,14 @@
         node: The node.
     """
     while True:
-        wait = raft.next_due(node.replica) - time.monotonic()
+        wait = raft.next_due(node.replica) - clock.now()
         with anyio.move_on_after(min(max(wait, 0.0), TICK_LIMIT_SECONDS)):
             await node.wake.wait()
         node.wake = anyio.Event()
         while node.disk_is_full:
             await anyio.sleep(DISK_RETRY_SECONDS)
             drain(node)
-        now = time.monotonic()
+        now = clock.now()
         raft.tick(node.replica, now, node.rng)
         _change_members(node, now)
         raft.flush(node.replica, now)
@@ -252,7 +252,7 @@
             snapshot = load_snapshot(node.journal.folder)
             if snapshot is not None:
                 raft.offer_snapshot(node.replica, target, snapshot)
-        raft.synced(node.replica, ready, time.monotonic(), node.rng)
+        raft.synced(node.replica, ready, clock.now(), node.rng)
     _tell_leader(node)
     if not node.replica.is_leader:
         _give_up_waiters(node)
@@ -277,7 +277,7 @@
             raise
         if not node.disk_is_full:
             logger.error("disk is full", extra={"detail": error.problem.detail})
-            request = raft.give_up_lead(node.replica, time.monotonic(), node.rng)
+            request = raft.give_up_lead(node.replica, clock.now(), node.rng)
             if request is not None:
                 node.send(request)
         node.unwritten = ready
@@ -358,7 +358,7 @@
     log = node.replica.log
     if node.applied_index - log.base_index < node.snapshot_entries:
         return
-    if time.monotonic() < node.no_snapshot_until:
+    if clock.now() < node.no_snapshot_until:
         return
     term = log.term_at(node.applied_index)
     if term is None:
@@ -376,7 +376,7 @@
         if error.problem.code is not ResultCode.DISK_FULL:
             raise
         logger.error("no room for a snapshot", extra={"detail": error.problem.detail})
-        node.no_snapshot_until = time.monotonic() + SNAPSHOT_RETRY_SECONDS
+        node.no_snapshot_until = clock.now() + SNAPSHOT_RETRY_SECONDS
         return
     log.compact(node.applied_index)
     logger.info("snapshot taken", extra={"index": snapshot.index, "bytes": len(snapshot.data)})
--- a/src/ledgeladder/daemons/control/ordering.py
+++ b/src/ledgeladder/daemons/control/ordering.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import logging
-import time
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -15,6 +14,7 @@
 from ...coordination.orders import next_order, pending_orders, wanted_assignment
 from ...links.messages import FencedOrder
 from ...upstreams.engine import is_live, make_order_request, send_order
+from .. import clock
 from ..clock import wall_clock_ms
 from .node import submit
 
@@ -54,7 +54,7 @@
 
 def may_act(node: ControlNode) -> bool:
     """Tell whether this box leads under a lease right now."""
-    return raft.holds_lease(node.replica, time.monotonic())
+    return raft.holds_lease(node.replica, clock.now())
 
 
 async def _place_next(node: ControlNode, client: httpx.AsyncClient) -> None:
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Final
 
@@ -22,6 +21,7 @@
 from ...routing.repeat_window import RepeatWindow
 from ...routing.route_index import RouteIndex
 from ...routing.start_queue import StartQueue
+from .. import clock
 
 if TYPE_CHECKING:
     from ...model.traffic import TrafficConfiguration
@@ -116,7 +116,7 @@
     settings: GatewaySettings
     """Its settings."""
 
-    started_at: float = msgspec.field(default_factory=time.monotonic)
+    started_at: float = msgspec.field(default_factory=clock.now)
     """When the process was built, on the monotonic clock."""
 
     configuration: TrafficConfiguration | None = None
--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -12,6 +12,7 @@
 
 from ..model import Problem, ProblemError, ResultCode
 from ..settings import load_gateway_settings, load_registry_settings
+from .clock import new_event_loop
 from .logs import set_up_logging
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
 SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
 """Path of the settings file where a platform lays it."""
 
-LOOP_OPTIONS: Final = {"use_uvloop": True}
+LOOP_OPTIONS: Final = {"loop_factory": new_event_loop}
 """Options of the event loop of every daemon."""
 
 
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -41,6 +40,7 @@
     VersionReply,
 )
 from ...storage import box_of
+from .. import clock
 from ..peers import SILENCE_SECONDS, add_peers
 from .crashes import quarantine_news, take_crash_report, take_served
 from .lending import answer_loan
@@ -103,7 +103,7 @@
     """Ask to become a member of the log while this box is none or hears no leader, for ever."""
     replica = state.node.replica
     while True:
-        heard = time.monotonic() - replica.leader_heard_at < LEADER_SILENT_SECONDS
+        heard = clock.now() - replica.leader_heard_at < LEADER_SILENT_SECONDS
         is_member = replica.member_id in replica.log.members.everyone
         if not replica.is_leader and not (is_member and heard):
             link.post(JoinRequest(member_id=replica.member_id))
--- a/src/ledgeladder/daemons/registry/newest.py
+++ b/src/ledgeladder/daemons/registry/newest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 import zlib
 from typing import TYPE_CHECKING, Final
 
@@ -15,6 +14,7 @@
 from ...coordination.freshness import ask, take_answer
 from ...links.messages import CommandReply, CommandRequest, VersionQuery, VersionReply
 from ...model import Problem, ResultCode
+from .. import clock
 from ..clock import wall_clock_ms
 from ..control.node import submit
 from .load_sums import known_entries
@@ -50,7 +50,7 @@
 def leader_is_sure(state: RegistryState) -> bool:
     """Tell whether this box leads, holds its lease and has applied everything committed."""
     replica = state.node.replica
-    if not replica.is_leader or not raft.holds_lease(replica, time.monotonic()):
+    if not replica.is_leader or not raft.holds_lease(replica, clock.now()):
         return False
     own_term = replica.log.term_at(replica.commit_index) == replica.term
     return own_term and state.node.applied_index >= replica.commit_index
--- a/src/ledgeladder/daemons/registry/order_sending.py
+++ b/src/ledgeladder/daemons/registry/order_sending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -14,6 +13,7 @@
 from ...links import post_to_all
 from ...links.messages import OrderNews
 from ...platform.engine_calls import place_call, read_outcome
+from .. import clock
 from ..engine_call import fetch_report, send_call
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
     replica = state.node.replica
     if replica.term in state.ledger.fenced_terms or state.stopping:
         return False
-    return raft.holds_lease(replica, time.monotonic())
+    return raft.holds_lease(replica, clock.now())
 
 
 def written_range(holding: Holding | None) -> str:
--- a/src/ledgeladder/settings/__init__.py
+++ b/src/ledgeladder/settings/__init__.py
@@ -11,7 +11,6 @@
     read_toml,
 )
 from .models import ControlPeer, ControlSettings, EntryPeer, EntrySettings, Operator
-from .reference import reference_page
 
 __all__ = [
     "ControlPeer",
@@ -28,5 +27,4 @@
     "load_gateway_settings",
     "load_registry_settings",
     "read_toml",
-    "reference_page",
 ]
--- /dev/null
+++ b/tests/daemons/test_clock.py
@@ -0,0 +1,110 @@
+"""A machine that is suspended for seconds: the monotonic clock does not count that time."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+
+from ledgeladder.coordination import raft
+from ledgeladder.coordination.freshness import ask, take_answer
+from ledgeladder.daemons import clock
+from ledgeladder.daemons.gateway.state import belief_holds
+from ledgeladder.daemons.launch import LOOP_OPTIONS
+from ledgeladder.daemons.registry.newest import current_knowledge, leader_is_sure
+from ledgeladder.model.traffic import CallerLimits, TrafficConfiguration
+
+from .gateway.builders import gateway_state
+
+SUSPENDED_SECONDS = 8.0
+"""Longer than a lease, and than a key may work after it was taken away."""
+
+
+class Machine:
+    """A machine whose clocks go on as they do when it is suspended."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.suspended = 0.0
+        read = clock.time.clock_gettime
+
+        def clock_gettime(number: int) -> float:
+            counts = number != clock.time.CLOCK_MONOTONIC
+            return read(number) + (self.suspended if counts else 0.0)
+
+        monkeypatch.setattr(clock.time, "clock_gettime", clock_gettime)
+
+    def suspend(self) -> None:
+        """Let time pass during which nothing runs."""
+        self.suspended += SUSPENDED_SECONDS
+
+
+@pytest.fixture
+def machine(monkeypatch: pytest.MonkeyPatch) -> Machine:
+    return Machine(monkeypatch)
+
+
+def test_time_and_deadlines_of_daemons_count_the_suspension(machine: Machine) -> None:
+    async def play() -> None:
+        began = anyio.current_time()
+        assert abs(began - clock.now()) < 1.0
+        with anyio.move_on_after(1.0) as scope:
+            machine.suspend()
+            await anyio.sleep(0.01)
+            assert anyio.current_time() - began > SUSPENDED_SECONDS
+        assert scope.deadline < anyio.current_time()
+
+    anyio.run(play, backend_options=LOOP_OPTIONS)
+
+
+def test_gateway_that_was_suspended_serves_by_no_old_document(machine: Machine) -> None:
+    """A key may have been taken away meanwhile."""
+
+    async def play() -> None:
+        state = gateway_state()
+        state.configuration = TrafficConfiguration(
+            version=3, routes=(), pools={}, limits=CallerLimits(), accounts=()
+        )
+        call = ask(state.freshness, anyio.current_time())
+        take_answer(state.freshness, call, 3, 0.0)
+        assert belief_holds(state, anyio.current_time())
+        machine.suspend()
+        assert not belief_holds(state, anyio.current_time())
+
+    anyio.run(play, backend_options=LOOP_OPTIONS)
+
+
+def test_leader_that_was_suspended_holds_no_lease(machine: Machine) -> None:
+    """Another may lead since, and have taken newer documents."""
+    replica: Any = SimpleNamespace(
+        is_leader=True,
+        term=2,
+        commit_index=5,
+        lease_until=clock.now() + 1.0,
+        log=SimpleNamespace(term_at=lambda _index: 2),
+    )
+
+    def holds_lease(held: Any, now: float) -> bool:
+        return now < held.lease_until
+
+    state: Any = SimpleNamespace(
+        node=SimpleNamespace(
+            replica=replica,
+            applied_index=5,
+            state=SimpleNamespace(published=SimpleNamespace(version=3)),
+        ),
+        freshness=SimpleNamespace(version=3, as_of=clock.now()),
+    )
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(raft, "holds_lease", holds_lease)
+        assert leader_is_sure(state)
+        machine.suspend()
+        assert not leader_is_sure(state)
+
+        async def play() -> float | None:
+            return current_knowledge(state)
+
+        age = anyio.run(play, backend_options=LOOP_OPTIONS)
+    assert age is not None
+    assert age >= SUSPENDED_SECONDS
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from ledgeladder.settings import reference_page
+from ledgeladder.settings.reference import reference_page
 
 PAGE = Path(__file__).resolve().parent.parent.parent / "docs" / "reference" / "settings.md"
 
