Tell runs of an upstream apart that keep its id, and pass over heartbeats of other writers

Cause: a restart under the same id began its counts anew, so that its heartbeats counted as late ones of the run before and its streams, layers and ends as those of one run. The adapter now names a run by id and start; everything inside is kept by run as before. A later run of an id ends the earlier one; a farewell without a run ends the newest. A heartbeat with a field that is missing or of another type, a state or service that is not named, or another address than its run has, is refused or changes nothing.

--- a/src/ledgeladder/coordination/registrations.py
+++ b/src/ledgeladder/coordination/registrations.py
@@ -36,6 +36,16 @@
     """When the upstream was last heard by anybody, on the own monotonic clock."""
 
 
+class NewestRun(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest run of an upstream that keeps its id over restarts."""
+
+    instance: str
+    """Name of the run."""
+
+    born_ms: int
+    """When it started, in milliseconds since 1970."""
+
+
 class RegistrationTable(msgspec.Struct, kw_only=True):
     """All upstreams that are known."""
 
@@ -45,6 +55,9 @@
     gone: dict[str, None] = msgspec.field(default_factory=dict)
     """Ids of upstreams that have ended, oldest first."""
 
+    newest: dict[str, NewestRun] = msgspec.field(default_factory=dict)
+    """Newest run of each upstream by the id that it keeps, the one heard of last at the end."""
+
     heartbeat: float = 1.0
     """Time between two heartbeats of an upstream, in seconds."""
 
@@ -70,8 +83,13 @@
         _remember_gone(table, instance)
         return True
     held = table.known.get(instance)
+    if held is None and has_newer_run(table, registration):
+        return False
+    if held is not None and not _is_same_place(held.registration, registration):
+        return False
     began_at = run_began(registration, heard_at, table.heartbeat)
     if held is None:
+        _note_newest(table, registration)
         table.known[instance] = KnownUpstream(
             registration=registration,
             first_heard_at=heard_at,
@@ -89,6 +107,43 @@
     return changed
 
 
+def has_newer_run(table: RegistrationTable, registration: Registration) -> bool:
+    """Tell whether a later run of an upstream is known, so that this one has ended."""
+    newest = table.newest.get(registration.upstream_id)
+    if newest is None or newest.instance == registration.instance:
+        return False
+    return newest.born_ms > registration.born_ms
+
+
+def name_run(table: RegistrationTable, registration: Registration) -> Registration:
+    """Name the run that ends where only the id of its upstream was told: the newest one.
+
+    Done once, where the upstream was heard: another box may know of a later run by the time that it
+    is told.
+    """
+    newest = table.newest.get(registration.upstream_id)
+    is_named = registration.instance != registration.upstream_id
+    if registration.state is not UpstreamState.GONE or newest is None or is_named:
+        return registration
+    return msgspec.structs.replace(registration, instance=newest.instance)
+
+
+def _note_newest(table: RegistrationTable, registration: Registration) -> None:
+    newest = NewestRun(instance=registration.instance, born_ms=registration.born_ms)
+    table.newest.pop(registration.upstream_id, None)
+    table.newest[registration.upstream_id] = newest
+    while len(table.newest) > GONE_REMEMBERED:
+        del table.newest[next(iter(table.newest))]
+
+
+def _is_same_place(held: Registration, new: Registration) -> bool:
+    """Tell whether two messages of one run name the same pool and address: a run changes neither.
+
+    Those of another writer under its id might, and would take it away from where it serves.
+    """
+    return (held.pool, held.address) == (new.pool, new.address)
+
+
 def _remember_gone(table: RegistrationTable, instance: str) -> None:
     table.gone[instance] = None
     while len(table.gone) > GONE_REMEMBERED:
@@ -106,9 +161,14 @@
     return msgspec.structs.replace(one, sequence=other.sequence) == other
 
 
-def end_of(instance: str) -> Registration:
-    """Return the registration that says that an upstream has ended."""
-    return Registration(instance=instance, sequence=0, state=UpstreamState.GONE)
+def end_of(instance: str, upstream: str = "") -> Registration:
+    """Return the registration that says that an upstream has ended.
+
+    Args:
+        instance: Name of the run, or only the id of the upstream.
+        upstream: Id that it keeps over restarts, if it does.
+    """
+    return Registration(instance=instance, sequence=0, state=UpstreamState.GONE, upstream=upstream)
 
 
 def tell_all(table: RegistrationTable, now: float) -> tuple[Liveness, ...]:
@@ -151,15 +211,20 @@
 
 
 def superseded(table: RegistrationTable) -> set[str]:
-    """Return the ids of upstreams at whose address a newer one has registered.
+    """Return the runs after which a newer one has registered, at their address or under their id.
 
-    An upstream that crashed says nothing; its next run registers under another id.
+    An upstream that crashed says nothing of it.
     """
     newest: dict[str, tuple[float, str]] = {}
     for instance, item in table.known.items():
         address, run = item.registration.address, (item.began_at, instance)
         newest[address] = max(newest.get(address, run), run)
-    return set(table.known) - {instance for _began_at, instance in newest.values()}
+    at_old_address = set(table.known) - {instance for _began_at, instance in newest.values()}
+    return at_old_address | {
+        instance
+        for instance, item in table.known.items()
+        if has_newer_run(table, item.registration)
+    }
 
 
 def forget_silent(table: RegistrationTable, now: float, silence: float) -> list[str]:
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -36,7 +36,14 @@
 )
 from ...model.registration import UpstreamState
 from ...platform.configuration import decode_configuration
-from ...routing.forwarding_table import drop_upstream, put_registration, take_others
+from ...routing.forwarding_table import (
+    drop_upstream,
+    note_ended,
+    note_lost,
+    other_run,
+    put_registration,
+    take_others,
+)
 from ...routing.load_sharing import is_report_due, load_interval
 from ...routing.route_index import build_index
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
@@ -50,6 +57,7 @@
 
     from ...links import Link
     from ...model.registration import Liveness
+    from ...routing.forwarding_table import ForwardedUpstream
     from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -214,6 +222,12 @@
         instance = registration.instance
         if instance in state.gone:
             continue
+        other = other_run(state.table, registration)
+        if other is not None and registration.state is not UpstreamState.GONE:
+            if other.registration.born_ms >= registration.born_ms:
+                # A late word of an earlier run.
+                continue
+            _end_run(state, other, now)
         held = state.table.upstreams.get(instance)
         if registration.state is UpstreamState.GONE:
             _remember_gone(state, instance)
@@ -231,6 +245,16 @@
             )
 
 
+def _end_run(state: GatewayState, upstream: ForwardedUpstream, now: float) -> None:
+    """Take in that an upstream runs anew: the run before has ended, with all that was on it."""
+    instance = upstream.registration.instance
+    _remember_gone(state, instance)
+    note_ended(upstream, now)
+    note_lost(upstream, now)
+    drop_upstream(state.table, instance)
+    logger.info("upstream runs anew", extra={"upstream": instance})
+
+
 def _remember_gone(state: GatewayState, instance: str) -> None:
     state.gone[instance] = None
     while len(state.gone) > GONE_REMEMBERED:
--- a/src/ledgeladder/daemons/registry/crashes.py
+++ b/src/ledgeladder/daemons/registry/crashes.py
@@ -12,6 +12,7 @@
 from ...coordination.crash_book import blamed_contents, count_ends, forget_content, note_end
 from ...coordination.loss_evidence import seems_lost
 from ...coordination.quarantine import seconds_left
+from ...coordination.registrations import has_newer_run
 from ...links import post_to_all
 from ...links.messages import QuarantineNews, SuspectNews
 from ..clock import wall_clock_ms
@@ -66,7 +67,7 @@
     A box behind a cut that refuses connections says so of upstreams that go on sending heartbeats.
     """
     known = state.table.known.get(instance)
-    if known is None:
+    if known is None or has_newer_run(state.table, known.registration):
         return True
     return seems_lost(
         state.losses,
--- a/src/ledgeladder/daemons/registry/http_api.py
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -10,7 +10,7 @@
 import anyio
 from returns.result import Failure
 
-from ...coordination.registrations import take_registration
+from ...coordination.registrations import name_run, take_registration
 from ...http1 import HttpSite
 from ...model import Problem, ResultCode
 from ...model.registration import UpstreamState
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
+    from ...model.registration import Registration
     from .state import RegistryState
 
 logger = logging.getLogger(__name__)
@@ -81,6 +82,11 @@
     """Take a registration, tell everybody, then acknowledge."""
     registration = call.registration
     counters["registrations"] += 1
+    if not _names_a_pool(state, registration):
+        detail = f"{registration.instance}: no pool {registration.pool!r}"
+        await write_problem(exchange, Problem(code=ResultCode.REGISTRATION_INVALID, detail=detail))
+        return
+    registration = name_run(state.table, registration)
     if take_registration(state.table, registration, anyio.current_time()):
         tell_registration(state, registration, to_peers=True)
         if registration.state is not UpstreamState.READY or registration.sequence <= 1:
@@ -97,6 +103,19 @@
     await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
 
 
+def _names_a_pool(state: RegistryState, registration: Registration) -> bool:
+    """Tell whether a registration names a pool that the document has.
+
+    An upstream that was known under a pool before the document dropped it is still acknowledged,
+    and so is everybody while there is no document, and whoever leaves.
+    """
+    if state.configuration is None or registration.state is not UpstreamState.READY:
+        return True
+    held = state.table.known.get(registration.instance)
+    known_before = held is not None and held.registration.pool == registration.pool
+    return known_before or registration.pool in state.configuration.pools
+
+
 async def _publish(
     state: RegistryState, counters: Counter[str], call: Publish, exchange: Exchange
 ) -> None:
--- a/src/ledgeladder/model/registration.py
+++ b/src/ledgeladder/model/registration.py
@@ -15,7 +15,7 @@
     """It ends soon and must get no new work."""
 
     GONE = "gone"
-    """It has ended, or is about to; its id never returns."""
+    """It has ended, or is about to; this run of it never returns."""
 
 
 class Holding(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -32,7 +32,7 @@
     """The newest that one run of an upstream said of itself."""
 
     instance: str
-    """Id of this run of the upstream; a restart has another."""
+    """Name of this run of the upstream; a restart has another."""
 
     sequence: int
     """Rises with every message of this run, so that a late one is recognised."""
@@ -58,6 +58,18 @@
     holdings: tuple[Holding, ...] = ()
     """Layers that it holds."""
 
+    upstream: str = ""
+    """Id that it keeps over restarts; empty where each run has another, and `instance` is all."""
+
+    born_ms: int = 0
+    """When this run started, in milliseconds since 1970, by its own clock; 0 if it does not say. Of
+    two runs with one id the later one is the one that lives."""
+
+    @property
+    def upstream_id(self) -> str:
+        """Id that is the same for all of its runs."""
+        return self.upstream or self.instance
+
 
 def run_began(registration: Registration, heard_at: float, heartbeat: float) -> float:
     """Estimate when a run of an upstream began, to tell which of two runs at an address is newer.
--- a/src/ledgeladder/platform/control_calls.py
+++ b/src/ledgeladder/platform/control_calls.py
@@ -7,9 +7,8 @@
 import msgspec
 from returns.result import Failure
 
-from ..coordination.registrations import end_of
 from ..model import Problem, ResultCode
-from .registrations import UPSTREAMS_PATH, decode_heartbeat
+from .registrations import UPSTREAMS_PATH, decode_farewell, decode_heartbeat
 
 if TYPE_CHECKING:
     from ..http1 import HttpRequest
@@ -65,5 +64,5 @@
                 return decoded.failure()
             return Register(registration=decoded.unwrap())
         if request.method == b"DELETE":
-            return Register(registration=end_of(instance))
+            return Register(registration=decode_farewell(instance, request.body))
     return Problem(code=ResultCode.NOT_FOUND)
--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -8,6 +8,7 @@
 
 from ..coordination.engine_orders import EngineCall, EngineReport, OrderOutcome
 from .exchange import encode_path
+from .registrations import upstream_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -85,7 +86,7 @@
         headers=[
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(encoded)).encode()),
-            (b"Expect-Replica", instance.encode()),
+            (b"Expect-Replica", upstream_of(instance).encode()),
         ],
         body=encoded,
     )
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..model.exchange import AnswerFacts, CallerFacts, Dispatch, PathPart, UpstreamLoad
+from .registrations import upstream_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -122,7 +123,7 @@
         dropped |= {b"last-event-id"}
     headers = [item for item in request.headers if item[0].lower() not in dropped]
     headers.append((b"Deadline-Ms", str(max(1, int(dispatch.patience * MILLISECONDS))).encode()))
-    headers.append((b"Expect-Replica", dispatch.instance.encode()))
+    headers.append((b"Expect-Replica", upstream_of(dispatch.instance).encode()))
     if dispatch.account is not None:
         headers.append((b"Tenant-Name", dispatch.account.encode()))
     if dispatch.priority is not None:
--- a/src/ledgeladder/platform/registrations.py
+++ b/src/ledgeladder/platform/registrations.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Final
+import contextlib
+from typing import Annotated, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from ..coordination.registrations import end_of
 from ..model import Problem, ResultCode
 from ..model.registration import Holding, Registration, UpstreamState
 
@@ -16,6 +18,10 @@
 UPSTREAMS_PATH: Final = "/api/replicas/"
 """Path under which an upstream registers, followed by its id."""
 
+RUN_SEPARATOR: Final = "#"
+"""Stands between an id and the start of a run in the name of the run. No id holds it: paths end
+before it."""
+
 _STATES: Final = {"ready": UpstreamState.READY, "draining": UpstreamState.LEAVING}
 
 
@@ -26,18 +32,68 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
+    # Of its software, which nothing here depends on; a heartbeat without it is of another writer.
+    version: str
     state: str
-    sequence: int
-    slots: int = 1
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    slots: int
+    # Unix time of its start in milliseconds; upstreams whose every run has an id of its own have
+    # none.
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    # Of no use here; one of another type says that the heartbeat is of another writer.
+    coldRemainingMs: float = 0.0  # noqa: N815
+    stage: str = ""
+    models: list[dict[str, object]] = []
     layers: _Layers | None = None
     # The kind of accelerator, in spite of its name on the wire.
     card: str = msgspec.field(default="", name="routeType")
 
 
+class _Farewell(msgspec.Struct):
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 _DECODER: Final = msgspec.json.Decoder(_Heartbeat)
+_FAREWELL_DECODER: Final = msgspec.json.Decoder(_Farewell)
+
+
+def run_name(upstream: str, born_ms: int) -> str:
+    """Return the name of a run of an upstream.
+
+    >>> run_name("i-1", 1700000000000), run_name("i-1", 0)
+    ('i-1#1700000000000', 'i-1')
+    """
+    return f"{upstream}{RUN_SEPARATOR}{born_ms}" if born_ms else upstream
+
+
+def upstream_of(instance: str) -> str:
+    """Return the id by which a run of an upstream is called.
+
+    >>> upstream_of("i-1#1700000000000")
+    'i-1'
+    """
+    return instance.partition(RUN_SEPARATOR)[0]
+
+
+def decode_farewell(instance: str, body: bytes) -> Registration:
+    """Decode the call by which an upstream says that it ends.
+
+    Args:
+        instance: Id from the path.
+        body: The body, in which it may say which run of it ends; one that cannot be read says
+            nothing.
+
+    Returns:
+        The end of that run, or of the newest one if none is named.
+    """
+    born_ms = 0
+    if body:
+        with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            born_ms = _FAREWELL_DECODER.decode(body).born
+    return end_of(run_name(instance, born_ms), instance)
 
 
 def decode_heartbeat(instance: str, body: bytes) -> Result[Registration, Problem]:
@@ -56,13 +112,17 @@
         beat = _DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return _invalid(str(error))
+    if RUN_SEPARATOR in instance:
+        return _invalid(f"id {instance!r}")
     state = _STATES.get(beat.state)
     host, separator, port = beat.address.rpartition(":")
     if state is None or not (separator and host and port.isdigit()):
         return _invalid(f"state {beat.state!r}, address {beat.address!r}")
     return Success(
         Registration(
-            instance=instance,
+            instance=run_name(instance, beat.born),
+            upstream=instance,
+            born_ms=beat.born,
             sequence=beat.sequence,
             pool=beat.service,
             address=beat.address,
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -131,6 +131,9 @@
     pools: dict[str, list[ForwardedUpstream]] = msgspec.field(default_factory=dict)
     """The same by pool."""
 
+    newest: dict[str, str] = msgspec.field(default_factory=dict)
+    """Newest run of each upstream by the id that it keeps over restarts."""
+
     heartbeat: float = 1.0
     """Time between two heartbeats of an upstream, in seconds."""
 
@@ -177,6 +180,7 @@
     if held is None:
         held = ForwardedUpstream(registration=registration, heard_at=heard_at, began_at=began_at)
         table.upstreams[registration.instance] = held
+        table.newest[registration.upstream_id] = registration.instance
         table.pools.setdefault(registration.pool, []).append(held)
         return held
     if registration.pool != held.registration.pool:
@@ -191,8 +195,18 @@
 def drop_upstream(table: ForwardingTable, instance: str) -> None:
     """Forget an upstream; requests in progress on it go on."""
     held = table.upstreams.pop(instance, None)
-    if held is not None:
-        _leave_pool(table, held)
+    if held is None:
+        return
+    _leave_pool(table, held)
+    upstream = held.registration.upstream_id
+    if table.newest.get(upstream) == instance:
+        del table.newest[upstream]
+
+
+def other_run(table: ForwardingTable, registration: Registration) -> ForwardedUpstream | None:
+    """Return the known run of an upstream if a registration names another one; else None."""
+    newest = table.newest.get(registration.upstream_id, registration.instance)
+    return None if newest == registration.instance else table.upstreams.get(newest)
 
 
 def _leave_pool(table: ForwardingTable, held: ForwardedUpstream) -> None:
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -380,7 +380,8 @@
     Args:
         options: Fields of `DiscoveredFleet`, and besides `engines` (6) and `services` (3), how many
             upstreams to start, `fail_share`, what share of plain requests services fail, and
-            `crash_word`, a word in a request's body that ends the upstream that runs it.
+            `crash_word`, a word in a request's body that ends the upstream that runs it, and
+            `keep_ids`, True if upstreams keep their ids over restarts.
 
     Yields:
         The system, once every gateway is ready. Engines may not hold their layers yet.
@@ -389,6 +390,7 @@
     services = options.pop("services", 3)
     fail_share = options.pop("fail_share", 0.0)
     crash_word = options.pop("crash_word", "")
+    keep_ids = options.pop("keep_ids", False)
     with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
         fleet = DiscoveredFleet(folder=Path(folder), **options)
         try:
@@ -397,10 +399,11 @@
             for number in range(fleet.gateways):
                 fleet.add_gateway(number)
             for number in range(engines):
-                fleet.add_upstream(number, "engines", "big", crash_word=crash_word)
+                options = {"crash_word": crash_word, "instance": f"e-{number}" if keep_ids else ""}
+                fleet.add_upstream(number, "engines", "big", **options)
             for number in range(services):
-                options = {"fail_share": fail_share, "crash_word": crash_word}
-                fleet.add_upstream(number, "services", **options)
+                options = {"crash_word": crash_word, "instance": f"s-{number}" if keep_ids else ""}
+                fleet.add_upstream(number, "services", fail_share=fail_share, **options)
             fleet.publish_next()
             numbers = range(fleet.gateways)
             wait_until(lambda: all(fleet.ready(item) for item in numbers), 30, "gateways ready")
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -12,7 +12,7 @@
 import secrets
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -80,8 +80,11 @@
     """Word in the body of a request that ends this process soon after it begins to run it; empty
     for none."""
 
-    instance: str = field(default_factory=lambda: f"i-{secrets.token_hex(5)}")
-    """Id of this run of it."""
+    instance: str = ""
+    """Id; drawn for each run unless it keeps one over restarts."""
+
+    born: int = 0
+    """When this run started, in milliseconds since 1970; 0 if it does not say."""
 
     sequence: int = 0
     """Number of the newest heartbeat."""
@@ -124,6 +127,8 @@
         "coldRemainingMs": 0,
         "sequence": upstream.sequence,
     }
+    if upstream.born:
+        body["born"] = upstream.born
     if upstream.card:
         layers = upstream.layers
         body["routeType"] = upstream.card
@@ -350,7 +355,12 @@
     parser.add_argument("--seconds", type=float, default=0.02)
     parser.add_argument("--fail-share", type=float, default=0.0)
     parser.add_argument("--crash-word", default="")
+    parser.add_argument("--instance", default="")
     values = vars(parser.parse_args())
+    if values["instance"]:
+        values["born"] = time.time_ns() // 1_000_000
+    else:
+        values["instance"] = f"i-{secrets.token_hex(5)}"
     values["listen"] = values["listen"] or values["address"]
     values["controls"] = values["controls"].split(",")
     return StandIn(**values)
--- a/tests/coordination/test_registrations.py
+++ b/tests/coordination/test_registrations.py
@@ -10,6 +10,7 @@
     RegistrationTable,
     end_of,
     forget_silent,
+    name_run,
     superseded,
     take_ages,
     take_all,
@@ -98,3 +99,56 @@
         for index in order:
             take_registration(table, *messages[index])
         assert superseded(table) == {"old"}
+
+
+def run(born_ms: int, sequence: int = 1, **changes: object) -> Registration:
+    """Return what a run said of an upstream that keeps its id over restarts."""
+    registration = said(sequence)
+    fields: dict[str, object] = {
+        "instance": f"i-1#{born_ms}",
+        "upstream": "i-1",
+        "born_ms": born_ms,
+    }
+    return msgspec.structs.replace(registration, **(fields | changes))
+
+
+def test_upstream_that_starts_again_under_its_id_is_a_new_run() -> None:
+    """Its counts start anew, and what was known of the run before says nothing of it."""
+    table = RegistrationTable()
+    take_registration(table, run(1000, sequence=50), 0.0)
+    assert take_registration(table, run(2000, holdings=()), 5.0)
+    assert table.known["i-1#2000"].registration.holdings == ()
+    assert superseded(table) == {"i-1#1000"}
+    # A late heartbeat of the run before changes nothing, nor does one that names no run.
+    take_registration(table, run(1000, sequence=51), 6.0)
+    assert not take_registration(table, said(99), 6.0)
+    assert superseded(table) == {"i-1#1000"}
+
+
+def test_late_heartbeat_of_a_run_that_nobody_knows_any_more_is_passed_over() -> None:
+    table = RegistrationTable()
+    take_registration(table, run(2000), 0.0)
+    assert not take_registration(table, run(1000, sequence=9), 1.0)
+    assert list(table.known) == ["i-1#2000"]
+
+
+def test_farewell_without_a_run_ends_the_newest_one_only() -> None:
+    table = RegistrationTable()
+    take_registration(table, run(1000), 0.0)
+    ended = name_run(table, end_of("i-1", "i-1"))
+    assert ended.instance == "i-1#1000"
+    assert take_registration(table, ended, 1.0)
+    # It may start again under its id, also at another box that hears of the end afterwards.
+    assert take_registration(table, run(2000), 5.0)
+    assert not take_registration(table, run(1000, sequence=2), 5.0)
+    take_registration(table, ended, 6.0)
+    assert list(table.known) == ["i-1#2000"]
+
+
+def test_message_of_another_writer_moves_no_run_elsewhere() -> None:
+    table = RegistrationTable()
+    take_registration(table, run(1000), 0.0)
+    for change in ({"pool": "nowhere"}, {"address": "10.0.0.66:80"}):
+        assert not take_registration(table, run(1000, sequence=9, **change), 1.0)
+    held = table.known["i-1#1000"].registration
+    assert (held.pool, held.address) == ("engines", "10.0.0.1:80")
--- a/tests/daemons/gateway/test_following.py
+++ b/tests/daemons/gateway/test_following.py
@@ -10,6 +10,7 @@
 
 from ledgeladder.daemons.gateway import following
 from ledgeladder.links.messages import LoadReport
+from ledgeladder.model.registration import Liveness, Registration
 
 from .builders import engine, gateway_state
 
@@ -58,3 +59,38 @@
     told = [message.loads["i-1"].in_flight for message in posted if message.loads]
     assert told == sorted(set(told)), "the same load is not told again within a second"
     assert held.reported_in_flight == told[-1]
+
+
+def said(born_ms: int, sequence: int = 1) -> Liveness:
+    registration = Registration(
+        instance=f"i-1#{born_ms}",
+        upstream="i-1",
+        born_ms=born_ms,
+        sequence=sequence,
+        pool="p",
+        address="127.0.0.1:1",
+    )
+    return Liveness(registration=registration, age=0.0)
+
+
+def test_run_that_starts_under_the_same_id_ends_the_one_before() -> None:
+    """Streams on the run before are cut at once; nothing that was noted of it counts any more."""
+
+    async def play() -> None:
+        state = gateway_state()
+        cut: list[str] = []
+        following.take_news(state, (said(1000, sequence=40),))
+        before = state.table.upstreams["i-1#1000"]
+        before.in_flight = 7
+        before.on_lost.add(lambda engine: cut.append(engine.registration.instance))
+        following.take_news(state, (said(2000),))
+        assert cut == ["i-1#1000"]
+        assert before.ended_at > 0.0
+        (held,) = state.table.pools["p"]
+        assert held.registration.instance == "i-1#2000"
+        assert held.in_flight == 0
+        # A late word of the run before, in the table of another control box for example.
+        following.take_news(state, (said(1000, sequence=41),))
+        assert list(state.table.upstreams) == ["i-1#2000"]
+
+    anyio.run(play)
--- a/tests/daemons/test_crashing_request.py
+++ b/tests/daemons/test_crashing_request.py
@@ -37,9 +37,10 @@
 """Times that the caller comes again, to all boxes in turn."""
 
 
-@pytest.fixture(scope="module")
-def fleet() -> Iterator[DiscoveredFleet]:
-    with running_discovered_fleet(crash_word=CRASH_WORD) as running:
+@pytest.fixture(scope="module", params=[False, True], ids=["new-ids", "same-ids"])
+def fleet(request: pytest.FixtureRequest) -> Iterator[DiscoveredFleet]:
+    """A system whose upstreams start again under new ids, or under those that they had."""
+    with running_discovered_fleet(crash_word=CRASH_WORD, keep_ids=request.param) as running:
         yield running
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -13,7 +13,7 @@
 from ledgeladder.model.registration import Holding, UpstreamState
 from ledgeladder.model.traffic import RequestKind
 from ledgeladder.platform.configuration import decode_configuration
-from ledgeladder.platform.registrations import decode_heartbeat
+from ledgeladder.platform.registrations import decode_farewell, decode_heartbeat, upstream_of
 from standins.discovered_fleet import example_document
 
 BEAT = {
@@ -113,6 +113,48 @@
         assert isinstance(decode_configuration(whole[:length]), Failure)
 
 
+def test_run_that_keeps_the_id_of_its_upstream_has_a_name_of_its_own() -> None:
+    decoded = decode_heartbeat("i-1", json.dumps(BEAT | {"born": 1_700_000_000_000}).encode())
+    registration = decoded.unwrap()
+    assert registration.upstream == "i-1"
+    assert registration.born_ms == 1_700_000_000_000
+    assert registration.instance != "i-1"
+    assert upstream_of(registration.instance) == "i-1"
+    without = decode_heartbeat("i-1", json.dumps(BEAT).encode()).unwrap()
+    assert (without.instance, without.born_ms) == ("i-1", 0)
+
+
+@pytest.mark.parametrize(
+    ("body", "instance"),
+    [(b"", "i-1"), (b"oops", "i-1"), (b'{"born":"x"}', "i-1"), (b'{"born":7}', "i-1#7")],
+)
+def test_farewell_names_a_run_where_it_says_which(body: bytes, instance: str) -> None:
+    ended = decode_farewell("i-1", body)
+    assert (ended.instance, ended.upstream) == (instance, "i-1")
+    assert ended.state is UpstreamState.GONE
+
+
+OTHER_WRITERS = [
+    *({name: None} for name in ("service", "address", "zone", "version", "state", "sequence")),
+    *({name: 7} for name in ("service", "address", "zone", "version", "state", "stage")),
+    *({name: "7"} for name in ("sequence", "slots", "born", "coldRemainingMs", "models", "layers")),
+    {"born": 1.5},
+    {"born": -1},
+    {"born": True},
+    {"sequence": -1},
+    {"state": "resting"},
+    {"service": ""},
+]
+"""Changes of a heartbeat that another writer might have made; None takes a field away."""
+
+
+@pytest.mark.parametrize("change", OTHER_WRITERS)
+def test_heartbeat_of_another_writer_names_no_upstream(change: dict[str, Any]) -> None:
+    beat = {name: value for name, value in (BEAT | change).items() if value is not None}
+    refused = decode_heartbeat("i-1", json.dumps(beat).encode())
+    assert refused.failure().code is ResultCode.REGISTRATION_INVALID
+
+
 def test_heartbeat_is_decoded_with_layers_and_without() -> None:
     decoded = decode_heartbeat("i-1", json.dumps(BEAT).encode())
     assert isinstance(decoded, Success)
