--- a/tests/coordination/raft/test_schedules.py
+++ b/tests/coordination/raft/test_schedules.py
@@ -11,7 +11,7 @@
 from ledgeladder.coordination import raft
 from ledgeladder.coordination.raft import core, election, replication
 
-from .schedule import InvariantError, run
+from .schedule import InvariantError, Schedule, run
 
 SCHEDULES = int(os.environ.get("LEDGELADDER_SCHEDULES", "300"))
 
@@ -25,6 +25,36 @@
             raise AssertionError(f"seed {seed}, {voters} voters: {error}") from error
 
 
+@pytest.mark.parametrize("voters", [3, 5])
+@pytest.mark.parametrize("leader_is_wiped", [False, True])
+def test_disks_are_lost_while_all_others_lose_power(voters: int, leader_is_wiped: bool) -> None:
+    """The pattern: a command was just acknowledged; as many disks as may be lost are, the leader's
+    among them or not, and at the same moment all other boxes lose power."""
+    for seed in range(SCHEDULES // 6):
+        schedule = Schedule(seed=seed, voters=voters, disturbance=0.0)
+        schedule.settle()
+        for _ in range(60):
+            schedule.step()
+        acknowledged = next(
+            list(member.applied) for member in schedule.members.values() if member.replica.is_leader
+        )
+        ranked = sorted(
+            schedule.members.values(),
+            key=lambda member: member.replica.is_leader is not leader_is_wiped,
+        )
+        before = set(schedule.members)
+        for member in ranked[: (voters - 1) // 2]:
+            schedule.lose_disk(member)
+        for member in schedule.members.values():
+            if member.replica.member_id in before:
+                schedule.crash(member)
+        assert len(before - set(schedule.members)) == (voters - 1) // 2
+        schedule.bag.clear()
+        schedule.settle()
+        for member in schedule.members.values():
+            assert set(acknowledged) <= set(member.applied), f"seed {seed}"
+
+
 def caught(seeds: int = 400, **options: Any) -> bool:
     """Tell whether some schedule breaks an invariant; to make no progress does not count."""
     for seed in range(seeds):
