Ask an engine whose connection broke whether it has ended, and count only a refusal

Cause: since the quarantine, a run that broke off had its first engine probed in any case. Ruled out: quarantine itself (nothing was held, no request was refused for it).

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -29,7 +29,7 @@
 from .checks import Permit, refusal
 from .crashes import note_answered, note_run_end, suspicion
 from .notes import content_mark
-from .probing import find_lost
+from .probing import find_ended
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
     FAILED_STATUS,
@@ -203,7 +203,7 @@
     except AnswerLostError as error:
         outcome = f"lost: {error}"
         note_failed(upstream, anyio.current_time())
-        if await find_lost(state, [upstream], set(), proof_seconds=0.0):
+        if await find_ended(state, upstream, set()):
             note_run_end(state, permit, request, notes, [upstream], now)
         return False
     except TimeoutError:
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -71,10 +71,7 @@
         reason = await _probe(state, engine)
         if reason:
             found.append(engine)
-            logger.warning(
-                "engine does not answer",
-                extra={"upstream": engine.registration.instance, "reason": reason},
-            )
+            _log_loss(engine, reason)
 
     async with anyio.create_task_group() as tasks:
         for engine in engines:
@@ -85,6 +82,44 @@
     return bool(found)
 
 
+async def find_ended(state: GatewayState, upstream: ForwardedUpstream, dead: set[str]) -> bool:
+    """Find out whether the process of an upstream has ended whose connection broke.
+
+    It is asked even if it has just worked for another request. Only a refused connection counts: a
+    probe that is lost, beside a connection that broke for another reason, is what a link that loses
+    packets looks like. Counting those, two boxes took a living engine for lost, and three engines
+    were moved for it.
+
+    Args:
+        state: The process's state.
+        upstream: The upstream.
+        dead: Runs of upstreams that are known to be dead; it is added if it has ended.
+
+    Returns:
+        True if nobody listens at its address.
+    """
+    address, source = upstream.registration.address, state.settings.box.address
+    seconds = probe_seconds(state, upstream.registration.pool)
+    try:
+        connection = await connect(address, source=source, seconds=seconds)
+    except ConnectError as error:
+        if not error.is_refusal:
+            return False
+        note_ended(upstream, anyio.current_time())
+        _log_loss(upstream, str(error))
+        report_lost(state, upstream, dead)
+        return True
+    await connection.close()
+    return False
+
+
+def _log_loss(upstream: ForwardedUpstream, reason: str) -> None:
+    logger.warning(
+        "engine does not answer",
+        extra={"upstream": upstream.registration.instance, "reason": reason},
+    )
+
+
 def report_lost(state: GatewayState, engine: ForwardedUpstream, dead: set[str]) -> None:
     """Take in that an engine is dead.
 
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -22,7 +22,7 @@
 from ...routing.paths import ChosenPath, release, reserve
 from .crashes import note_run_end
 from .notes import content_mark
-from .probing import find_lost, report_lost
+from .probing import find_ended, find_lost, report_lost
 from .silence import open_watched
 from .stream_events import pass_events
 from .stream_session import RunEnd, StreamSession
@@ -273,12 +273,9 @@
 
 
 async def _blame(state: GatewayState, session: StreamSession, path: ChosenPath) -> None:
-    """Find out which engines of a broken run are dead, and avoid those.
-
-    The first engine is asked even if it has just worked for another request: its connection broke.
-    """
+    """Find out which engines of a broken run are dead, and avoid those."""
     head = path.head.registration.instance
     if await find_lost(state, path.engines, session.dead) or head in session.dead:
         return
-    if not await find_lost(state, [path.head], session.dead, proof_seconds=0.0):
+    if not await find_ended(state, path.head, session.dead):
         session.excluded.add(head)
