Keep crashing contents from the engines and services of the product's own interface too

Cause: the same as on the users' platform: up to eight stages of one request were replaced, and each attempt of a caller began anew at another box. Entry boxes note ends under contents, control boxes add them up and put a content aside, with the same code as gateways and registries: what one box knows is in coordination/content_watch.py, what control boxes do in daemons/content_judge.py.

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -11,9 +11,12 @@
 
 from ...coordination.commands import ClaimCommand, CompleteCommand, ReleaseCommand
 from ...coordination.state_machine import deltas_after
+from ...links import post_to_all
 from ...links.messages import (
     CommandReply,
     CommandRequest,
+    ContentServed,
+    CrashReport,
     DeltaPush,
     FullPush,
     InForce,
@@ -30,6 +33,13 @@
 from ...model import ResultCode, digest
 from ...storage import box_of
 from ..clock import wall_clock_ms
+from ..content_judge import (
+    ContentJudge,
+    quarantine_news,
+    take_crash_report,
+    take_served,
+    tell_quarantine,
+)
 from .node import submit
 
 if TYPE_CHECKING:
@@ -78,6 +88,9 @@
     boxes: dict[str, KnownBox] = msgspec.field(default_factory=dict)
     """Entry boxes by name, connected here or reported by another control box."""
 
+    judge: ContentJudge | None = None
+    """What this box knows of contents under which upstreams end; None before the node is built."""
+
     own_boxes: dict[str, InForce] = msgspec.field(default_factory=dict)
     """Entry boxes connected here."""
 
@@ -89,8 +102,29 @@
         link.post(LogMessage(envelope=envelope))
 
 
+def judge_of(hub: Hub) -> ContentJudge:
+    """Return what a control box knows of contents under which upstreams end."""
+    assert hub.judge is not None
+    return hub.judge
+
+
+def build_judge(hub: Hub, node: ControlNode) -> ContentJudge:
+    """Return what judges contents with the links of a control box.
+
+    Entry boxes tell each end under a name of its own, and only where nobody listened any more.
+    """
+    return ContentJudge(
+        node=node,
+        tell_entries=lambda message: post_to_all(hub.follower_links.values(), message),
+        tell_peers=lambda message: post_to_all(hub.peers.values(), message),
+        has_ended=lambda _instance: True,
+    )
+
+
 def push_configuration(hub: Hub, node: ControlNode) -> None:
-    """Send the newest change to every follower."""
+    """Send the newest change to every follower, and which contents are sent nowhere."""
+    if hub.judge is not None:
+        tell_quarantine(hub.judge)
     for link in hub.follower_links.values():
         link.post(DeltaPush(deltas=tuple(node.state.deltas[-1:])))
 
@@ -164,6 +198,10 @@
                 node.note_applicant(message.member_id)
         case InForceReport() if from_control:
             _note_boxes(hub, message.boxes)
+        case CrashReport():
+            take_crash_report(judge_of(hub), message, to_peers=not from_control)
+        case ContentServed():
+            take_served(judge_of(hub), message, to_peers=not from_control)
         case Pull():
             _answer_pull(hub, node, link, message)
         case TermQuery():
@@ -198,6 +236,8 @@
 
 
 def _answer_pull(hub: Hub, node: ControlNode, link: Link, pull: Pull) -> None:
+    if id(link) not in hub.follower_links:
+        link.post(quarantine_news(judge_of(hub)))
     hub.follower_links[id(link)] = link
     deltas = None if pull.full else deltas_after(node.state, pull.version)
     if deltas is None:
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -13,12 +13,20 @@
 from ...links import LinkIdentity, keep_link, serve_links
 from ...links.messages import PeerRole
 from ...storage import INITIAL_INCARNATION, create_identity, member_id, read_identity
+from ..content_judge import keep_judging
 from ..http import serve_http, upstream_client
 from ..log_child import log_child
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .handover import start_any_handover
-from .hub import Hub, push_configuration, send_heads, send_to_member, serve_accepted_link
+from .hub import (
+    Hub,
+    build_judge,
+    push_configuration,
+    send_heads,
+    send_to_member,
+    serve_accepted_link,
+)
 from .hub import serve_peer_link as serve_peer
 from .node import ControlNode, open_node, run_log
 from .operator_api import build_operator_app
@@ -105,6 +113,7 @@
     """
     hub = Hub()
     node = build_node(settings, hub)
+    judge = hub.judge = build_judge(hub, node)
     stop = anyio.Event()
     identity = LinkIdentity(
         cluster=settings.cluster.name,
@@ -147,6 +156,7 @@
         Child(name="operators", run=lambda: serve_http(app, operator_address, stop)),
         log_child(),
         Child(name="orders", run=lambda: run_orders(node, hub, client), restart=Restart.ALWAYS),
+        Child(name="quarantine", run=lambda: keep_judging(judge), restart=Restart.ALWAYS),
         Child(name="heads", run=lambda: send_heads(hub, node), restart=Restart.ALWAYS),
         *(link_child(peer) for peer in others),
     ]
--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -151,6 +151,7 @@
             deadline=permit.deadline,
             arrived_at=permit.arrived_at,
             allowed=permit.allowed,
+            content=permit.content,
         )
         return await generate(context, request, emit)
 
--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -62,6 +62,9 @@
     allowed: Callable[[UpstreamView], bool]
     """Which upstreams its policy allows."""
 
+    content: bytes = b""
+    """Mark of its content."""
+
 
 class AttemptEnd(StrEnum):
     """How an attempt ended."""
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from ...coordination.content_watch import mark_content
 from ...model import EXECUTION_HEADER, ProblemError, ResultCode
 from ...upstreams.service import ServiceAnswer, ServiceCall
 from ..http import CODE_HEADER, not_found, problem_response
@@ -139,7 +140,8 @@
             else:
                 body = parse_body(CompletionBody, content)
                 prompt = body.prompt
-            permit = make_permit(context, account, body.model, body.max_tokens)
+            mark = mark_content(account.name, b"POST", scope["path"].encode(), content)
+            permit = make_permit(context, account, body.model, body.max_tokens, mark)
             if not permit.pipeline.model:
                 raise refuse(ResultCode.UNKNOWN_PIPELINE, f"{body.model} leads to services")
             writer = AnswerWriter(
@@ -196,7 +198,9 @@
         context, request = self.context, self.request
         check_open(context)
         account = find_account(context, request)
-        permit = make_permit(context, account, request.path_params["pipeline"], 0)
+        target = f"{request.url.path}?{request.url.query}".encode()
+        mark = mark_content(account.name, request.method.encode(), target, content)
+        permit = make_permit(context, account, request.path_params["pipeline"], 0, mark)
         if not permit.pipeline.services:
             detail = f"{permit.pipeline.name} leads to no service"
             raise refuse(ResultCode.UNKNOWN_PIPELINE, detail)
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -16,6 +16,7 @@
 from ...routing.admission import DEFAULT_RANK, Ticket, arrive, expected_wait, finish
 from ...routing.policy import Decision, RequestFacts, ask_policy
 from ..clock import now
+from .crashes import refuse_if_held
 from .metrics import record
 
 if TYPE_CHECKING:
@@ -47,6 +48,9 @@
     arrived_at: float
     """When it arrived, on the monotonic clock."""
 
+    content: bytes = b""
+    """Mark of its content."""
+
     @property
     def deadline(self) -> float:
         """When it must be answered, on the monotonic clock."""
@@ -122,15 +126,20 @@
 
 
 def make_permit(
-    context: EntryContext, account: ClientAccount, pipeline_name: str, max_tokens: int
+    context: EntryContext,
+    account: ClientAccount,
+    pipeline_name: str,
+    max_tokens: int,
+    content: bytes,
 ) -> Permit:
-    """Check pipeline and policy.
+    """Check pipeline and policy, and whether upstreams ended under the same content.
 
     Args:
         context: The entry's state.
         account: Client account.
         pipeline_name: Pipeline that the caller named.
         max_tokens: Most tokens asked for; 0 for a plain service.
+        content: Mark of the request's content.
 
     Returns:
         The permit.
@@ -150,6 +159,7 @@
     decision = _decide(context, account, pipeline, max_tokens)
     if not decision.allow:
         raise refuse(ResultCode.POLICY_DENIED, decision.reason or "denied by the policy")
+    refuse_if_held(context, content)
     priority = configuration.priorities.get(decision.priority or account.priority or "")
     return Permit(
         account=account,
@@ -157,6 +167,7 @@
         decision=decision,
         rank=priority.rank if priority else DEFAULT_RANK,
         arrived_at=now(),
+        content=content,
     )
 
 
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Success
 
+from ...coordination.content_watch import ContentWatch
 from ...model import Configuration, digest
 from ...routing.admission import Admission
 from ...routing.pace import Pace
@@ -27,6 +28,7 @@
 
     from anyio.abc import TaskGroup
 
+    from ...links.messages import LinkMessage
     from ...model import ClientAccount
     from ...routing.admission import Ticket
     from ...routing.chain import Pick
@@ -84,6 +86,12 @@
     probe_pace: Pace = msgspec.field(default_factory=Pace)
     """Times of answered probes."""
 
+    contents: ContentWatch = msgspec.field(default_factory=ContentWatch)
+    """Contents under which upstreams end."""
+
+    tell_controls: Callable[[LinkMessage], None] = lambda _message: None
+    """Tells the control boxes that are linked."""
+
     budget: RetryBudget = msgspec.field(default_factory=RetryBudget)
     """Retries that may be made."""
 
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ...coordination.state_machine import advance
-from ...links import keep_link
+from ...links import keep_link, post_to_all
 from ...links.messages import (
     DeltaPush,
     FencedOrder,
@@ -22,6 +22,7 @@
     VersionHead,
 )
 from .context import in_background, put_in_force
+from .crashes import take_content_news
 from .gate import pass_order
 
 if TYPE_CHECKING:
@@ -43,6 +44,9 @@
     links: dict[str, Link] = msgspec.field(default_factory=dict)
     """Links that are up, by box at the other end."""
 
+    controls: set[str] = msgspec.field(default_factory=set)
+    """Control boxes among them, whether their links are up or not."""
+
     answered: set[str] = msgspec.field(default_factory=set)
     """Boxes that have told their newest version since this process started."""
 
@@ -69,6 +73,8 @@
 
     async def serve(link: Link) -> None:
         follower.links[box] = link
+        if control:
+            follower.controls.add(box)
         link.post(Pull(version=context.configuration.version))
         link.post(own_version(context))
         try:
@@ -77,6 +83,8 @@
                 if isinstance(message, FencedOrder) and control:
                     in_background(context, pass_order, context, context.gate, link, message)
                     continue
+                if control and take_content_news(context, message):
+                    continue
                 take_version_message(context, link, message)
                 follower.answered.add(box)
         finally:
@@ -86,6 +94,12 @@
     await keep_link(address, identity, serve, rng=random.Random())
 
 
+def tell_controls(follower: Follower, message: LinkMessage) -> None:
+    """Tell all control boxes that are linked."""
+    linked = [link for box, link in follower.links.items() if box in follower.controls]
+    post_to_all(linked, message)
+
+
 def own_version(context: EntryContext) -> InForce:
     """Return the message that tells which version this box has in force."""
     box = context.settings.box
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -18,6 +18,7 @@
 from ..clock import now
 from .attempt import AttemptEnd, AttemptOutcome, Emit, Generation, Progress, run_attempt
 from .context import in_background
+from .crashes import may_be_sent, note_answered, note_lost_run
 from .watching import probe_failure_domain
 
 if TYPE_CHECKING:
@@ -77,8 +78,12 @@
         attempt = begin_attempt(session, route)
         outcome = await run_attempt(context, request, session, progress, emit)
         if outcome.end is AttemptEnd.COMPLETE:
+            note_answered(context, request.content)
             return
         recoveries += 1
+        await _note_ends(context, request, session, outcome)
+        if not may_be_sent(context, request.content):
+            raise _given_up(session, ResultCode.UPSTREAM_LOST, "its upstreams ended")
         _blame(context, outcome)
         if recoveries > RECOVERY_LIMIT:
             raise _given_up(session, ResultCode.UPSTREAM_LOST, "too many stages were lost")
@@ -99,6 +104,20 @@
         _cancel_leftovers(context, session, keep=route.upstreams)
 
 
+async def _note_ends(
+    context: EntryContext, request: Generation, session: Session, outcome: AttemptOutcome
+) -> None:
+    """Note which of the stages that were lost have ended under a request."""
+    if outcome.end is not AttemptEnd.LOST or session.route is None:
+        return
+    async with anyio.create_task_group() as tasks:
+        for stage in session.route.stages:
+            if stage.upstream in outcome.blamed:
+                tasks.start_soon(
+                    note_lost_run, context, request.content, stage.upstream, stage.address
+                )
+
+
 def _first_route(context: EntryContext, request: Generation) -> Route:
     engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
     chosen = choose_route(engines, request.pipeline.layers, context.pick)
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -21,7 +21,7 @@
 from .caller_api import build_caller_app
 from .command_client import CommandClient, keep_command_link
 from .context import EntryContext
-from .follower import Follower, announce, first_sync, follow, serve_neighbour
+from .follower import Follower, announce, first_sync, follow, serve_neighbour, tell_controls
 from .neighbourhood import build_membership, run_membership
 from .watching import probe_suspects, watch_upstreams
 
@@ -106,6 +106,7 @@
         source_address=settings.box.source_address,
     )
     follower = Follower()
+    context.tell_controls = lambda message: tell_controls(follower, message)
     membership = build_membership(context)
     own_domain = settings.box.failure_domain
     neighbours = [
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -26,6 +26,7 @@
 from .checks import Permit, refuse
 from .command_client import commit
 from .context import in_background
+from .crashes import may_be_sent, note_answered, note_lost_run
 
 if TYPE_CHECKING:
 
@@ -106,12 +107,16 @@
     except TimeoutError as error:
         note_failure(view, now())
         raise ServiceCallError(Execution.UNKNOWN, "the deadline passed") from error
-    except ServiceCallError:
+    except ServiceCallError as error:
         note_failure(view, now())
+        if error.execution is Execution.UNKNOWN:
+            upstream = view.upstream
+            await note_lost_run(context, permit.content, upstream.name, upstream.address)
         raise
     finally:
         view.in_flight -= 1
     note_success(view)
+    note_answered(context, permit.content)
     return answer
 
 
@@ -132,6 +137,8 @@
             if now() >= permit.deadline:
                 raise refuse(ResultCode.DEADLINE_EXCEEDED, str(error), 1.0) from error
             answer = None
+        if not may_be_sent(context, permit.content):
+            raise refuse(ResultCode.UPSTREAM_LOST, "its upstreams ended", 1.0)
         if _choose_service(context, permit, tried) is None or not take_retry(context.budget):
             if answer is not None:
                 return answer
--- a/src/ledgeladder/daemons/gateway/crashes.py
+++ b/src/ledgeladder/daemons/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Requests under which upstreams end: what is told, what is refused, how suspects are sent on."""
+"""Requests of this box under which upstreams end: what is told, and what is refused."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ...coordination.crash_book import CRASH_LIMIT, count_ends, forget_content, note_end
+from ...coordination import content_watch
 from ...links.messages import ContentServed, CrashReport
 from ...model import ResultCode
 from .checks import refusal
@@ -25,14 +25,6 @@
 
 logger = logging.getLogger(__name__)
 
-UNCONFIRMED_SECONDS: Final = 10.0
-"""How long a content is sent nowhere after `CRASH_LIMIT` ends that are not confirmed yet. Control
-boxes confirm them within 5 s, three missed heartbeats and a look; what they do not confirm was a
-cut that refuses connections, and is let go."""
-
-SUSPECTS_REMEMBERED: Final = 1024
-"""Suspects of other boxes that are remembered, the newest."""
-
 REPORT_LINKS: Final = 2
 """Control boxes that are told of an end, which tell the others: one of them may be lost itself."""
 
@@ -45,40 +37,23 @@
     Raises:
         ProblemError: If it is refused; it has not run.
     """
-    if not state.quarantine:
+    watch = state.contents
+    if not watch.held_until:
         return
     content = content_mark(notes, request, permit.facts, permit.account)
-    left = hold_left(state, content)
+    left = content_watch.seconds_held(watch, content, anyio.current_time())
     if left > 0.0:
         raise refusal(ResultCode.QUARANTINED, f"content {content.hex()}", left)
 
 
-def hold_left(state: GatewayState, content: bytes) -> float:
-    """Return for how many more seconds a content is sent nowhere; 0 if it may be sent."""
-    until = state.quarantine.get(content)
-    if until is None:
-        return 0.0
-    left = until - anyio.current_time()
-    if left <= 0.0:
-        del state.quarantine[content]
-        return 0.0
-    return left
-
-
 def suspicion(
     state: GatewayState, permit: Permit, request: HttpRequest, notes: RequestNotes
 ) -> int:
-    """Return how many upstreams ended under a request's content, as far as this box knows.
-
-    Nothing is computed while nothing is suspected.
-    """
-    book = state.crashes
-    if not (book.singles or book.suspects or state.told_suspects or state.quarantine):
+    """Return how many upstreams ended under a request's content, as far as this box knows."""
+    if state.contents.is_calm:
         return 0
     content = content_mark(notes, request, permit.facts, permit.account)
-    if hold_left(state, content) > 0.0:
-        return CRASH_LIMIT
-    return max(state.told_suspects.get(content, 0), count_ends(book, content))
+    return content_watch.ends_under(state.contents, content, anyio.current_time())
 
 
 def note_run_end(
@@ -106,60 +81,41 @@
         return
     content = content_mark(notes, request, permit.facts, permit.account)
     instance = ended.registration.instance
-    if not note_end(state.crashes, content, instance, anyio.current_time()):
+    ends = content_watch.note_own_end(state.contents, content, instance, anyio.current_time())
+    if ends == 0:
         return
     _post(state, CrashReport(content=content, instance=instance))
     state.metrics.counters["ended-under-request"] += 1
-    count = count_ends(state.crashes, content)
     logger.warning(
         "upstream ended under a request",
         extra={
             "request": permit.facts.attempt_id,
             "content": content.hex(),
             "upstream": instance,
-            "ends": count,
+            "ends": ends,
         },
     )
-    if count >= CRASH_LIMIT:
-        _hold(state, content)
-
-
-def _hold(state: GatewayState, content: bytes) -> None:
-    """Send a content nowhere until the control boxes have confirmed that it is to blame."""
-    forget_content(state.crashes, content)
-    state.told_suspects.pop(content, None)
-    until = anyio.current_time() + UNCONFIRMED_SECONDS
-    state.quarantine[content] = max(until, state.quarantine.get(content, until))
 
 
 def note_answered(
     state: GatewayState, permit: Permit, request: HttpRequest, notes: RequestNotes
 ) -> None:
-    """Note that a request was answered in full: the ends under its content had other causes."""
-    if suspicion(state, permit, request, notes) == 0:
+    """Note that a request was answered in full."""
+    if state.contents.is_calm:
         return
     content = content_mark(notes, request, permit.facts, permit.account)
-    forget_content(state.crashes, content)
-    state.told_suspects.pop(content, None)
-    _post(state, ContentServed(content=content))
+    if content_watch.note_answered(state.contents, content):
+        _post(state, ContentServed(content=content))
 
 
 def take_suspect(state: GatewayState, news: SuspectNews) -> None:
     """Take in that several upstreams have ended under a content, at this box or others."""
-    if news.ends >= CRASH_LIMIT:
-        _hold(state, news.content)
-        return
-    state.told_suspects[news.content] = news.ends
-    while len(state.told_suspects) > SUSPECTS_REMEMBERED:
-        del state.told_suspects[next(iter(state.told_suspects))]
+    content_watch.take_suspect(state.contents, news.content, news.ends, anyio.current_time())
 
 
 def take_quarantine(state: GatewayState, news: QuarantineNews) -> None:
-    """Take in which contents are sent nowhere, and for how long."""
-    now = anyio.current_time()
-    added = [content for content in news.seconds_left if content not in state.quarantine]
-    for content, seconds in news.seconds_left.items():
-        state.quarantine[content] = now + seconds
+    """Take in which contents are sent nowhere."""
+    added = content_watch.take_held(state.contents, news.seconds_left, anyio.current_time())
     if added:
         logger.warning("content held", extra={"contents": [content.hex() for content in added]})
 
--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ...routing.request_content import mark_content
+from ...coordination.content_watch import mark_content
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -10,7 +10,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from ...coordination.crash_book import CrashBook
+from ...coordination.content_watch import ContentWatch
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
@@ -172,14 +172,8 @@
     next_call: int = 1
     """Number of the next question for repeats."""
 
-    crashes: CrashBook = msgspec.field(default_factory=CrashBook)
-    """Upstreams that ended under requests of this box."""
-
-    told_suspects: dict[bytes, int] = msgspec.field(default_factory=dict)
-    """How many upstreams ended under a content at all boxes together, as control boxes told."""
-
-    quarantine: dict[bytes, float] = msgspec.field(default_factory=dict)
-    """Until when a content is sent to no upstream, on the monotonic clock."""
+    contents: ContentWatch = msgspec.field(default_factory=ContentWatch)
+    """Contents under which upstreams end."""
 
     answer_paces: dict[str, Pace] = msgspec.field(default_factory=dict)
     """Times that plain services took to answer, in seconds, by pool."""
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -20,6 +20,7 @@
 from ...platform.configuration import decode_configuration
 from ...settings import load_registry_settings
 from ...storage import StorageError, box_of, create_identity, member_id, read_identity
+from ..content_judge import keep_judging, tell_quarantine
 from ..control.handover import start_any_handover
 from ..control.node import ControlNode, open_node, run_log
 from ..log_child import log_child
@@ -28,14 +29,14 @@
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
-from .crashes import keep_judging, tell_quarantine
 from .http_api import build_site
 from .mesh import send_to_member, serve_accepted, serve_peer
 from .metrics import metrics_lines
 from .newest import keep_asking
 from .placing import run_placing
-from .state import RegistryState
+from .state import RegistryState, judge_of
 from .telling import push_document, tell_ages, tell_loads, tell_news
+from .upstream_ends import build_judge
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,6 +96,7 @@
     )
     node = _open(settings, send, changed)
     state = RegistryState(settings=settings, node=node, peers=peers)
+    state.judge = build_judge(state)
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     links.append(state)
     take_published(state)
@@ -165,7 +167,7 @@
     while True:
         await state.published_changed.wait()
         state.published_changed = anyio.Event()
-        tell_quarantine(state)
+        tell_quarantine(judge_of(state))
         take_published(state)
 
 
@@ -227,7 +229,7 @@
         Child(name="loads", run=lambda: tell_loads(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
-        Child(name="quarantine", run=lambda: keep_judging(state), restart=Restart.ALWAYS),
+        Child(name="quarantine", run=lambda: keep_judging(judge_of(state)), restart=Restart.ALWAYS),
         Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -41,11 +41,11 @@
 )
 from ...storage import box_of
 from .. import clock
+from ..content_judge import quarantine_news, take_crash_report, take_served
 from ..peers import SILENCE_SECONDS, add_peers
-from .crashes import quarantine_news, take_crash_report, take_served
 from .lending import answer_loan
 from .newest import answer_command, answer_version, take_command_reply, take_version_reply
-from .state import ReportedLoad, ReportedShare
+from .state import ReportedLoad, ReportedShare, judge_of
 from .telling import hint_of, tell_registration
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
         state.accepted[id(link)] = link
         link.post(RegistrationNews(told=tell_all(state.table, anyio.current_time())))
         link.post(OrderOfUpstreams(order=state.order))
-        link.post(quarantine_news(state))
+        link.post(quarantine_news(judge_of(state)))
     link.post(hint_of(state))
     async with anyio.create_task_group() as tasks:
         try:
@@ -185,9 +185,9 @@
         case LoanRequest():
             answer_loan(state, link, message)
         case CrashReport():
-            take_crash_report(state, message, to_peers=not is_control)
+            take_crash_report(judge_of(state), message, to_peers=not is_control)
         case ContentServed():
-            take_served(state, message, to_peers=not is_control)
+            take_served(judge_of(state), message, to_peers=not is_control)
         case LostReport():
             _take_lost_report(state, link, message.instance)
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -7,13 +7,13 @@
 import anyio
 import msgspec
 
-from ...coordination.crash_book import CrashBook
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
 from ...coordination.loss_evidence import LossEvidence
 from ...coordination.registrations import RegistrationTable
 from ...coordination.upstream_order import UpstreamOrder
 from ...model.registration import Liveness
+from ..content_judge import ContentJudge
 
 if TYPE_CHECKING:
     from ...coordination.upstream_order import LoadFigures
@@ -173,14 +173,17 @@
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes on engines that they found dead."""
 
-    crashes: CrashBook = msgspec.field(default_factory=CrashBook)
-    """Upstreams that ended under requests, by content, as entry boxes told."""
-
     told_version: int = 0
     """Version of the document that was last sent to entry boxes."""
 
-    told_quarantine: int = 0
-    """Contents that had been put in quarantine when entry boxes were last told of them."""
+    judge: ContentJudge | None = None
+    """What it knows of contents under which upstreams end; None before the state is built."""
 
     stopping: bool = False
     """True once a planned stop has begun."""
+
+
+def judge_of(state: RegistryState) -> ContentJudge:
+    """Return what a process knows of contents under which upstreams end."""
+    assert state.judge is not None
+    return state.judge
--- /dev/null
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -0,0 +1,43 @@
+"""Whether runs of upstreams that registered have ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ...coordination.loss_evidence import seems_lost
+from ...coordination.registrations import has_newer_run
+from ...links import post_to_all
+from ..content_judge import ContentJudge
+
+if TYPE_CHECKING:
+    from .state import RegistryState
+
+
+def build_judge(state: RegistryState) -> ContentJudge:
+    """Return what judges contents with the links of a registry process."""
+    return ContentJudge(
+        node=state.node,
+        tell_entries=lambda message: post_to_all(state.accepted.values(), message),
+        tell_peers=lambda message: post_to_all(state.peers.links.values(), message),
+        has_ended=lambda instance: has_ended(state, instance),
+    )
+
+
+def has_ended(state: RegistryState, instance: str) -> bool:
+    """Tell whether a run of an upstream has ended for certain.
+
+    A box behind a cut that refuses connections says so of upstreams that go on sending heartbeats.
+    """
+    known = state.table.known.get(instance)
+    if known is None or has_newer_run(state.table, known.registration):
+        return True
+    return seems_lost(
+        state.losses,
+        instance,
+        known.heard_at,
+        anyio.current_time(),
+        state.table.heartbeat,
+        silence_counts=len(state.peers.links) >= len(state.peers.known),
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,6 +7,7 @@
 
 import argparse
 import contextlib
+import os
 import signal
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -46,6 +47,9 @@
     stage_address,
 )
 
+CRASH_WORD = "ends-its-engine"
+"""Prompt that ends the first engine that runs it."""
+
 SESSION_IDLE_SECONDS = 30.0
 LOAD_LAG_SECONDS = 0.5
 
@@ -417,6 +421,8 @@
         if body.attempt < engine.fenced.get(body.session, 0):
             refusal = RefusalBody(reason="old attempt")
             return Response(msgspec.json.encode(refusal), status_code=409)
+        if body.prompt == CRASH_WORD:
+            os._exit(1)
         engine.counts["runs"] += 1
         return StreamingResponse(engine.run_as_head(body), media_type="application/x-ndjson")
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import signal
 from collections import Counter
 
@@ -18,6 +19,9 @@
 
 from ledgeladder.daemons.http import serve_http
 
+CRASH_WORD = "ends-its-service"
+"""What a request asks for that ends the process that runs it."""
+
 
 def build_app() -> Starlette:
     """Build the service: `POST /work` runs once per call and says how often the key was run."""
@@ -25,6 +29,8 @@
 
     async def work(request: Request) -> Response:
         body = await request.json()
+        if body.get("what", "").strip() == CRASH_WORD:
+            os._exit(1)
         await anyio.sleep(float(body.get("seconds", 0.0)))
         key = request.headers.get("idempotency-key", "")
         executions[key] += 1
--- a/tests/daemons/gateway/test_crashes.py
+++ b/tests/daemons/gateway/test_crashes.py
@@ -8,9 +8,9 @@
 import anyio
 import pytest
 
+from ledgeladder.coordination.content_watch import UNCONFIRMED_SECONDS
 from ledgeladder.coordination.crash_book import CRASH_LIMIT, count_ends
 from ledgeladder.daemons.gateway.crashes import (
-    UNCONFIRMED_SECONDS,
     note_answered,
     note_run_end,
     refuse_if_held,
@@ -94,7 +94,7 @@
         upstream.ended_at = anyio.current_time()
         started_at = upstream.ended_at + 1.0
         note_run_end(state, PERMIT, request(), RequestNotes(), [upstream], started_at)
-        assert count_ends(state.crashes, mark()) == 0
+        assert count_ends(state.contents.book, mark()) == 0
 
     anyio.run(play)
 
@@ -123,7 +123,7 @@
                 refuse_if_held(state, PERMIT, request(body), RequestNotes())
             assert caught.value.problem.retry_after == pytest.approx(seconds, abs=1.0)
         refuse_if_held(state, PERMIT, request(b"3"), RequestNotes())
-        assert mark(b"3") not in state.quarantine
+        assert mark(b"3") not in state.contents.held_until
 
     anyio.run(play)
 
