Take a run for ended once a newer one has registered at its address

Cause: found by reading. While a control box was gone for good, silence counted for nothing for a minute, and an engine that one gateway alone had streams on had one witness: three ends under a content were not confirmed until then. Upstreams are back after some seconds, and their registration says that the run before has ended.

--- a/src/ledgeladder/daemons/registry/upstream_ends.py
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ...coordination.loss_evidence import seems_lost
-from ...coordination.registrations import has_newer_run
+from ...coordination.registrations import superseded
 from ...links import post_to_all
 from ..content_judge import ContentJudge
 
@@ -28,10 +28,12 @@
 def has_ended(state: RegistryState, instance: str) -> bool:
     """Tell whether a run of an upstream has ended for certain.
 
-    A box behind a cut that refuses connections says so of upstreams that go on sending heartbeats.
+    It has once a newer run has registered in its place, if its heartbeats stay away, or if several
+    entry boxes found it dead since the last one. A box behind a cut that refuses connections says
+    so of upstreams that go on sending heartbeats.
     """
     known = state.table.known.get(instance)
-    if known is None or has_newer_run(state.table, known.registration):
+    if known is None or instance in superseded(state.table):
         return True
     return seems_lost(
         state.losses,
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -133,7 +133,11 @@
         take_registration(state.table, alive, now)
         assert not has_ended(state, "i-0")
         assert has_ended(state, "i-unknown")
-        state.table.known["i-0"].heard_at = now - 10.0
+        later = Registration(instance="i-1", sequence=1, address="10.0.0.9:1")
+        take_registration(state.table, later, now + 0.1)
         assert has_ended(state, "i-0")
+        assert not has_ended(state, "i-1")
+        state.table.known["i-1"].heard_at = now - 10.0
+        assert has_ended(state, "i-1")
 
     anyio.run(play)
