Count only ends of upstreams that lived when the request came to them

On the product's own interface a connection that was refused counted as an end under the request, although nothing had been sent, so that an innocent content that met dead engines three times was put aside. The gateway told unsent runs apart, but took a later engine that had ended before the run for one that ended under it; that one must have worked since the run was sent now.

--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -18,6 +18,7 @@
     EngineFrame,
     EngineLostError,
     EngineRefusedError,
+    EngineUnreachableError,
     make_run_request,
     run_on_engine,
 )
@@ -91,6 +92,10 @@
     leaving: bool = False
     """True if an upstream refused because it is leaving."""
 
+    reached: frozenset[str] = frozenset()
+    """Upstreams that lived when the attempt came to them: the head if it took the request, and all
+    once there was a token. One that had ended before is no evidence against the request."""
+
 
 class Attempt(msgspec.Struct, kw_only=True):
     """One attempt while it runs."""
@@ -104,6 +109,9 @@
     blocked: bool = False
     """True while the caller does not take what is sent."""
 
+    reached: frozenset[str] = frozenset()
+    """Upstreams that lived when the attempt came to them."""
+
 
 class Progress(msgspec.Struct, kw_only=True):
     """Timing of one request over all its attempts."""
@@ -137,6 +145,7 @@
     finally:
         for view in held:
             view.in_flight -= 1
+    attempt.outcome.reached = attempt.reached
     if attempt.outcome.end is AttemptEnd.COMPLETE:
         for view in held:
             note_success(view)
@@ -168,6 +177,7 @@
             async for frames in batches:
                 texts, lost = _take_in(context, session, progress, frames)
                 if texts:
+                    attempt.reached = session.route.upstreams
                     attempt.blocked = True
                     await emit(texts)
                     attempt.blocked = False
@@ -182,6 +192,8 @@
         attempt.outcome.end = AttemptEnd.REFUSED
         attempt.outcome.leaving = error.body.leaving
     except EngineLostError as error:
+        if not isinstance(error, EngineUnreachableError):
+            attempt.reached |= attempt.outcome.blamed
         extra = {"upstream": sorted(attempt.outcome.blamed), "reason": str(error)}
         logger.info("head lost", extra=extra)
 
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -112,7 +112,7 @@
         return
     async with anyio.create_task_group() as tasks:
         for stage in session.route.stages:
-            if stage.upstream in outcome.blamed:
+            if stage.upstream in outcome.blamed & outcome.reached:
                 tasks.start_soon(
                     note_lost_run, context, request.content, stage.upstream, stage.address
                 )
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -79,11 +79,22 @@
     finally:
         release(path, session.tokens)
         if end is RunEnd.LOST:
-            note_run_end(state, permit, request, session.notes, path.engines, started_at)
+            reached = _reached(path, started_at)
+            note_run_end(state, permit, request, session.notes, reached, started_at)
         _note_end(state, permit, request, session, path, end, detail)
     return end
 
 
+def _reached(path: ChosenPath, started_at: float) -> list[ForwardedUpstream]:
+    """Return the engines of a run that lived when it came to them.
+
+    The first one took the request. A later one may have ended before without this box knowing,
+    which is no evidence against the request; it lived if it has worked since the run was sent.
+    """
+    later = [engine for engine in path.engines[1:] if engine.proven_at >= started_at]
+    return [path.head, *later]
+
+
 def _note_crossings(
     state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
 ) -> None:
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -113,6 +113,10 @@
     """The connection to the head failed or ended early."""
 
 
+class EngineUnreachableError(EngineLostError):
+    """No connection to the head came up, so that nothing was sent."""
+
+
 class OrderRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Order an engine to hold layers of a model version; the fence is (term, index)."""
 
@@ -211,7 +215,8 @@
 
     Raises:
         EngineRefusedError: If the head refused before it started.
-        EngineLostError: If the connection failed, ended early, or brought something malformed.
+        EngineUnreachableError: If no connection came up.
+        EngineLostError: If the connection ended early, or brought something malformed.
     """
     url = f"http://{request.route[0].address}{RUN_PATH}"
     try:
@@ -227,6 +232,8 @@
                 frames = [_FRAME_DECODER.decode(line) for line in lines if line]
                 if frames:
                     yield frames
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise EngineUnreachableError(f"{type(error).__name__}: {error}") from error
     except httpx.HTTPError as error:
         raise EngineLostError(f"{type(error).__name__}: {error}") from error
     except msgspec.DecodeError as error:
@@ -298,6 +305,7 @@
     "EngineFrame",
     "EngineLoad",
     "EngineLostError",
+    "EngineUnreachableError",
     "EngineRefusedError",
     "LostFrame",
     "OrderRequest",
--- a/tests/daemons/gateway/test_stream_run.py
+++ b/tests/daemons/gateway/test_stream_run.py
@@ -12,7 +12,12 @@
 
 from ledgeladder.daemons.gateway import probing, stream_events
 from ledgeladder.daemons.gateway.probing import report_lost
-from ledgeladder.daemons.gateway.stream_run import _blame, _judge_refusal, _told_of_losses
+from ledgeladder.daemons.gateway.stream_run import (
+    _blame,
+    _judge_refusal,
+    _reached,
+    _told_of_losses,
+)
 from ledgeladder.daemons.gateway.stream_session import StreamSession
 from ledgeladder.daemons.gateway.upstream_call import AnswerLostError, NotSentError
 from ledgeladder.http1 import ConnectError
@@ -171,6 +176,15 @@
     assert session.excluded == (set() if has_ended else {"i-1"})
 
 
+def test_engine_that_had_ended_before_a_run_is_no_evidence_against_it() -> None:
+    """The load after a loss: each box finds a later engine of its paths gone by its own runs."""
+    path = path_over(engine("i-1"), engine("i-2"), engine("i-3"))
+    path.engines[1].proven_at = 4.9
+    path.engines[2].proven_at = 5.1
+    reached = _reached(path, 5.0)
+    assert [item.registration.instance for item in reached] == ["i-1", "i-3"]
+
+
 def test_engine_that_refuses_connections_is_told_to_the_control_boxes() -> None:
     """Each box would else find out by itself, with a lost try."""
     told = []
--- a/tests/daemons/test_crashing_generation.py
+++ b/tests/daemons/test_crashing_generation.py
@@ -121,3 +121,21 @@
         again = call(fleet, entry, word, repeatable=False, key=key)
         assert again.status_code == 409
         assert again.headers["ledgeladder-execution"] == "unknown"
+
+
+def test_engines_that_had_ended_put_no_content_aside(fleet: Fleet) -> None:
+    """The pattern: an innocent request finds one dead engine after the other, and comes again."""
+    entry = fleet.entry_names[0]
+
+    def is_served() -> bool:
+        return generate(fleet, entry, "innocent").status_code == 200
+
+    wait_until(is_served, 30, "generation served")
+    for _ in range(2 * CRASH_LIMIT):
+        for spec in fleet.engines:
+            fleet.kill(spec.name)
+        refused = generate(fleet, entry, "innocent")
+        assert refused.headers.get("ledgeladder-code") != "1206"
+        for name in ended(fleet):
+            fleet.launch(name)
+    wait_until(is_served, 30, "generation served again")
