Keep no times of ends that nobody reads, and hold a content that comes again after its hour

The book of ends kept the moment of each end and no code read it: runs of upstreams are enough. The two beds in virtual time had the same queue of events; it is one class now. A content whose hour was over still counted as held by the leader until another one was put aside, so that it was not put aside again: a fault, with a test that fails with the old comparison. A new leader forgets contents that are held, in place of asking about their upstreams 5 times a second for an hour.

--- a/src/ledgeladder/coordination/content_watch.py
+++ b/src/ledgeladder/coordination/content_watch.py
@@ -98,7 +98,7 @@
         Ends under the content at this box, of which the control boxes must be told; 0 if this one
         was known.
     """
-    if not note_end(watch.book, content, instance, now):
+    if not note_end(watch.book, content, instance):
         return 0
     ends = count_ends(watch.book, content)
     if ends >= CRASH_LIMIT:
--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -28,35 +28,23 @@
 """Contents with several ends that are kept, the newest. Losses by chance make a handful a day."""
 
 
-class SingleEnd(msgspec.Struct, frozen=True, kw_only=True):
-    """The only end under a content."""
-
-    instance: str
-    """Run of the upstream that ended."""
-
-    at: float
-    """When it was noted, on the monotonic clock."""
-
-
 class CrashBook(msgspec.Struct, kw_only=True):
     """Ends of upstreams by the content of the requests that were on them."""
 
-    singles: dict[bytes, SingleEnd] = msgspec.field(default_factory=dict)
-    """Contents with one end, oldest first."""
+    singles: dict[bytes, str] = msgspec.field(default_factory=dict)
+    """The run of an upstream that ended, by content, where there is only one; oldest first."""
 
-    suspects: dict[bytes, dict[str, float]] = msgspec.field(default_factory=dict)
-    """Contents with several, oldest first: when each run of an upstream ended, on the monotonic
-    clock."""
+    suspects: dict[bytes, set[str]] = msgspec.field(default_factory=dict)
+    """The runs of upstreams that ended, by content, where there are several; oldest first."""
 
 
-def note_end(book: CrashBook, content: bytes, instance: str, now: float) -> bool:
+def note_end(book: CrashBook, content: bytes, instance: str) -> bool:
     """Note that an upstream ended while a request was on it.
 
     Args:
         book: The book.
         content: Mark of the request's content.
         instance: Run of the upstream; one that ends under several attempts counts once.
-        now: Monotonic time.
 
     Returns:
         True if it was not known.
@@ -65,22 +53,22 @@
     if ends is not None:
         if instance in ends:
             return False
-        ends[instance] = now
+        ends.add(instance)
         return True
     single = book.singles.get(content)
     if single is None:
-        book.singles[content] = SingleEnd(instance=instance, at=now)
+        book.singles[content] = instance
         _forget_oldest(book.singles, SINGLES_REMEMBERED)
         return True
-    if single.instance == instance:
+    if single == instance:
         return False
     del book.singles[content]
-    book.suspects[content] = {single.instance: single.at, instance: now}
+    book.suspects[content] = {single, instance}
     _forget_oldest(book.suspects, SUSPECTS_REMEMBERED)
     return True
 
 
-def _forget_oldest(kept: dict[bytes, SingleEnd] | dict[bytes, dict[str, float]], most: int) -> None:
+def _forget_oldest(kept: dict[bytes, str] | dict[bytes, set[str]], most: int) -> None:
     while len(kept) > most:
         del kept[next(iter(kept))]
 
--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -73,7 +73,7 @@
         report: What an entry box saw.
         to_peers: True if it told this box, so that the other control boxes must be told.
     """
-    if not note_end(judge.book, report.content, report.instance, anyio.current_time()):
+    if not note_end(judge.book, report.content, report.instance):
         return
     if to_peers:
         judge.tell_peers(report)
@@ -102,10 +102,11 @@
 
 
 async def judge_contents(judge: ContentJudge) -> None:
-    """Put the contents that are to blame in quarantine."""
-    held = judge.node.state.quarantine.until_ms
-    blamed = [item for item in blamed_contents(judge.book, judge.has_ended) if item not in held]
-    for content in blamed:
+    """Put the contents that are to blame in quarantine; those that are there are forgotten here."""
+    held = seconds_left(judge.node.state.quarantine, wall_clock_ms())
+    for content in held.keys() & judge.book.suspects.keys():
+        forget_content(judge.book, content)
+    for content in list(blamed_contents(judge.book, judge.has_ended)):
         ends = sorted(judge.book.suspects.get(content, ()))
         command = QuarantineCommand(content=content, time_ms=wall_clock_ms())
         outcome = await submit(judge.node, command)
--- a/tests/coordination/test_crash_book.py
+++ b/tests/coordination/test_crash_book.py
@@ -19,7 +19,7 @@
 def book_with(ends: int) -> CrashBook:
     book = CrashBook()
     for number in range(ends):
-        assert note_end(book, CONTENT, f"i-{number}", float(number))
+        assert note_end(book, CONTENT, f"i-{number}")
     return book
 
 
@@ -38,9 +38,9 @@
 
 def test_one_upstream_counts_once_for_a_content() -> None:
     book = book_with(1)
-    assert not note_end(book, CONTENT, "i-0", 5.0)
-    assert note_end(book, CONTENT, "i-1", 5.0)
-    assert not note_end(book, CONTENT, "i-1", 6.0)
+    assert not note_end(book, CONTENT, "i-0")
+    assert note_end(book, CONTENT, "i-1")
+    assert not note_end(book, CONTENT, "i-1")
     assert count_ends(book, CONTENT) == 2
 
 
@@ -56,9 +56,9 @@
     """The load: thousands of requests that are cut at once, each a content with one end."""
     book = book_with(2)
     for number in range(3 * SINGLES_REMEMBERED):
-        note_end(book, number.to_bytes(8, "big"), "i-domain", 9.0)
+        note_end(book, number.to_bytes(8, "big"), "i-domain")
     assert len(book.singles) == SINGLES_REMEMBERED
     assert count_ends(book, CONTENT) == 2
     for number in range(2 * SINGLES_REMEMBERED, 3 * SINGLES_REMEMBERED):
-        note_end(book, number.to_bytes(8, "big"), "i-second", 9.0)
+        note_end(book, number.to_bytes(8, "big"), "i-second")
     assert len(book.suspects) == SUSPECTS_REMEMBERED
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -12,7 +12,7 @@
 from ledgeladder.coordination.commands import Noted, QuarantineCommand
 from ledgeladder.coordination.crash_book import CRASH_LIMIT
 from ledgeladder.coordination.loss_evidence import LossEvidence
-from ledgeladder.coordination.quarantine import Quarantine, add_content
+from ledgeladder.coordination.quarantine import QUARANTINE_MS, Quarantine, add_content
 from ledgeladder.coordination.registrations import RegistrationTable, take_registration
 from ledgeladder.daemons import content_judge
 from ledgeladder.daemons.content_judge import ContentJudge
@@ -106,6 +106,19 @@
     assert judge_now(judge, monkeypatch) == []
 
 
+def test_only_a_content_whose_time_is_not_over_counts_as_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One that comes again after its hour is put aside again, and one that another leader put aside
+    is looked at no more."""
+    for age_ms, expected in ((QUARANTINE_MS + 1000, [CONTENT]), (1000, [])):
+        judge = judge_of(Recorder(), Recorder(), alive=set())
+        add_content(judge.node.state.quarantine, CONTENT, content_judge.wall_clock_ms() - age_ms)
+        take_ends(judge, CRASH_LIMIT)
+        assert judge_now(judge, monkeypatch) == expected
+        assert CONTENT not in judge.book.suspects
+
+
 def test_entry_boxes_are_told_of_each_new_content_once() -> None:
     entries = Recorder()
     judge = judge_of(entries, Recorder(), alive=set())
--- a/tests/routing/crash_bed.py
+++ b/tests/routing/crash_bed.py
@@ -9,16 +9,16 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ledgeladder.coordination.crash_book import CrashBook, count_ends, forget_content, note_end
 
+from .virtual_time import VirtualTime
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    pass
 
 BEGIN_SECONDS = (0.03, 0.15)
 """Time from the sending of a run to its first token, least and most."""
@@ -42,7 +42,6 @@
 
     content: bytes
     guilty: bool = False
-    runs: int = 0
 
 
 @dataclass(kw_only=True)
@@ -65,7 +64,7 @@
     """Streams for which no engine was left."""
 
 
-class CrashBed:
+class CrashBed(VirtualTime):
     """Plays streams, crashes and what follows from them."""
 
     def __init__(
@@ -78,11 +77,9 @@
         guilty: bool = True,
         chance_crash_seconds: float = 0.0,
     ) -> None:
+        super().__init__()
         self.limit = limit
         self.rng = random.Random(seed)
-        self.now = 0.0
-        self.numbers = itertools.count()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.running: dict[int, list[Stream]] = {number: [] for number in range(engines)}
         self.life: dict[int, int] = dict.fromkeys(range(engines), 0)
         self.book = CrashBook()
@@ -96,15 +93,9 @@
         if chance_crash_seconds:
             self.at(3.0, self.crash_by_chance)
 
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        """Do something at a moment, in seconds."""
-        heapq.heappush(self.events, (when, next(self.numbers), action))
-
     def play(self, seconds: float) -> Outcome:
         """Play until a moment."""
-        while self.events and self.events[0][0] <= seconds:
-            self.now, _number, action = heapq.heappop(self.events)
-            action()
+        self.run_until(seconds)
         return self.outcome
 
     def arrive(self) -> None:
@@ -143,7 +134,6 @@
                 len(self.running[name]) / (5.0 if name % 5 == 0 else 1.0) + self.rng.random() * 0.3
             ),
         )
-        stream.runs += 1
         self.running[best].append(stream)
         begin = self.rng.uniform(*BEGIN_SECONDS)
         life = self.life[best]
@@ -176,7 +166,7 @@
         instance = f"{name}-{life}"
         for stream in cut:
             self.outcome.cut += not stream.guilty
-            note_end(self.book, stream.content, instance, self.now)
+            note_end(self.book, stream.content, instance)
             if count_ends(self.book, stream.content) >= self.limit:
                 self.held.add(stream.content)
         for stream in cut:
--- a/tests/routing/fleet_bed.py
+++ b/tests/routing/fleet_bed.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -27,9 +25,10 @@
 from ledgeladder.routing.placement import group_engines, plan_placement
 
 from .sample_site import CARDS, PROFILE
+from .virtual_time import VirtualTime
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
     from ledgeladder.model.traffic import EngineProfile
 
@@ -175,7 +174,7 @@
     return engines
 
 
-class FleetBed:
+class FleetBed(VirtualTime):
     """Plays arrivals, reports and ends of streams in order."""
 
     def __init__(
@@ -187,14 +186,12 @@
         streams_per_second: float = LARGE_STREAMS_PER_SECOND,
         seed: int = 1,
     ) -> None:
+        super().__init__()
         self.profile = profile
         self.engines = place_engines(profile, cards)
         self.rng = random.Random(seed)
         self.rate = streams_per_second
         self.domains = list(cards)
-        self.now = 0.0
-        self.numbers = itertools.count()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.outcome = Outcome()
         self.sums: dict[str, list[float]] = {name: [0, 0.0] for name in self.engines}
         self.boxes = [
@@ -213,16 +210,9 @@
             self.at(self.rng.random() * self.interval, lambda box=box: self.report(box))
         self.at(0.0, self.arrive)
 
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        """Do something at a moment, in seconds."""
-        heapq.heappush(self.events, (when, next(self.numbers), action))
-
     def play(self, seconds: float) -> Outcome:
         """Play until a moment and return what became of the streams so far."""
-        while self.events and self.events[0][0] <= seconds:
-            self.now, _number, action = heapq.heappop(self.events)
-            action()
-        self.now = seconds
+        self.run_until(seconds)
         return self.outcome
 
     def lose(self, names: list[str]) -> None:
