Mark contents by request and permit, and ask the costly question last

Six callers spelled out the same two fields of the permit. Whether a newer run has the place of an upstream looks at every upstream, and was asked before two look-ups that answer in most cases. The fleet of stand-ins named a local after its argument. Behaviour stays as it is; the assertions of the tests are untouched.

--- a/src/ledgeladder/daemons/gateway/crashes.py
+++ b/src/ledgeladder/daemons/gateway/crashes.py
@@ -40,7 +40,7 @@
     watch = state.contents
     if not watch.held_until:
         return
-    content = content_mark(notes, request, permit.facts, permit.account)
+    content = content_mark(notes, request, permit)
     left = content_watch.seconds_held(watch, content, anyio.current_time())
     if left > 0.0:
         raise refusal(ResultCode.QUARANTINED, f"content {content.hex()}", left)
@@ -52,7 +52,7 @@
     """Return how many upstreams ended under a request's content, as far as this box knows."""
     if state.contents.is_calm:
         return 0
-    content = content_mark(notes, request, permit.facts, permit.account)
+    content = content_mark(notes, request, permit)
     return content_watch.ends_under(state.contents, content, anyio.current_time())
 
 
@@ -79,7 +79,7 @@
     ended = next((item for item in upstreams if item.ended_at >= started_at), None)
     if ended is None:
         return
-    content = content_mark(notes, request, permit.facts, permit.account)
+    content = content_mark(notes, request, permit)
     instance = ended.registration.instance
     ends = content_watch.note_own_end(state.contents, content, instance, anyio.current_time())
     if ends == 0:
@@ -103,7 +103,7 @@
     """Note that a request was answered in full."""
     if state.contents.is_calm:
         return
-    content = content_mark(notes, request, permit.facts, permit.account)
+    content = content_mark(notes, request, permit)
     if content_watch.note_answered(state.contents, content):
         _post(state, ContentServed(content=content))
 
--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
-    from ...model.exchange import CallerFacts
+    from .checks import Permit
 
 
 class RequestNotes(msgspec.Struct, kw_only=True):
@@ -41,19 +41,16 @@
     """Mark of its content; None while nothing needed it."""
 
 
-def content_mark(
-    notes: RequestNotes, request: HttpRequest, facts: CallerFacts, account: str | None
-) -> bytes:
+def content_mark(notes: RequestNotes, request: HttpRequest, permit: Permit) -> bytes:
     """Return the mark of a request's content, which is made once.
 
     Args:
         notes: What is learnt of the request; keeps the mark.
         request: The request.
-        facts: What it says.
-        account: Client account that its key belongs to, if any.
+        permit: What it may do, with its client account or else its key.
     """
     if notes.mark is None:
-        caller = account or facts.key or ""
+        caller = permit.account or permit.facts.key or ""
         notes.mark = mark_content(caller, request.method, request.target, request.body)
     return notes.mark
 
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -220,7 +220,7 @@
                 "try failed",
                 extra={
                     "request": permit.facts.attempt_id,
-                    "content": content_mark(notes, request, permit.facts, permit.account).hex(),
+                    "content": content_mark(notes, request, permit).hex(),
                     "upstream": instance,
                     "outcome": outcome,
                     "tries": tries.sent,
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -161,7 +161,7 @@
         "run ended early",
         extra={
             "request": permit.facts.attempt_id,
-            "content": content_mark(session.notes, request, permit.facts, permit.account).hex(),
+            "content": content_mark(session.notes, request, permit).hex(),
             "end": end.value,
             "detail": detail,
             "path": _describe(path),
--- a/src/ledgeladder/daemons/registry/upstream_ends.py
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -33,9 +33,9 @@
     so of upstreams that go on sending heartbeats.
     """
     known = state.table.known.get(instance)
-    if known is None or instance in superseded(state.table):
+    if known is None:
         return True
-    return seems_lost(
+    is_lost = seems_lost(
         state.losses,
         instance,
         known.heard_at,
@@ -43,3 +43,5 @@
         state.table.heartbeat,
         silence_counts=len(state.peers.links) >= len(state.peers.known),
     )
+    # Last, since it looks at every upstream.
+    return is_lost or instance in superseded(state.table)
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -399,11 +399,19 @@
             for number in range(fleet.gateways):
                 fleet.add_gateway(number)
             for number in range(engines):
-                options = {"crash_word": crash_word, "instance": f"e-{number}" if keep_ids else ""}
-                fleet.add_upstream(number, "engines", "big", **options)
+                instance = f"e-{number}" if keep_ids else ""
+                fleet.add_upstream(
+                    number, "engines", "big", crash_word=crash_word, instance=instance
+                )
             for number in range(services):
-                options = {"crash_word": crash_word, "instance": f"s-{number}" if keep_ids else ""}
-                fleet.add_upstream(number, "services", fail_share=fail_share, **options)
+                instance = f"s-{number}" if keep_ids else ""
+                fleet.add_upstream(
+                    number,
+                    "services",
+                    fail_share=fail_share,
+                    crash_word=crash_word,
+                    instance=instance,
+                )
             fleet.publish_next()
             numbers = range(fleet.gateways)
             wait_until(lambda: all(fleet.ready(item) for item in numbers), 30, "gateways ready")
--- a/tests/daemons/gateway/test_crashes.py
+++ b/tests/daemons/gateway/test_crashes.py
@@ -33,7 +33,7 @@
 
 
 def mark(body: bytes = b"body") -> bytes:
-    return content_mark(RequestNotes(), request(body), PERMIT.facts, PERMIT.account)
+    return content_mark(RequestNotes(), request(body), PERMIT)
 
 
 def told_by(state: GatewayState) -> list[Any]:
