--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -22,7 +22,7 @@
 
 SINGLES_REMEMBERED: Final = 4096
 """Contents with one end that are kept, the newest: all requests of a failure domain that is lost at
-6,500 requests a second, of which each lasts two seconds, twice over. They take 0.9 MB."""
+6,500 requests a second, of which each lasts two seconds, twice over. They take 0.56 MB."""
 
 SUSPECTS_REMEMBERED: Final = 1024
 """Contents with several ends that are kept, the newest. Losses by chance make a handful a day."""
