Time of a load in a module of its own, so that gateways load no placement

Cause: a gateway names how long a load takes and imported placement, its groups and their coverage for that one function. No behaviour changed.

--- a/src/ledgeladder/daemons/gateway/come_back.py
+++ b/src/ledgeladder/daemons/gateway/come_back.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from ...routing.placement import load_seconds
+from ...routing.load_time import load_seconds
 
 if TYPE_CHECKING:
     from ...routing.paths import MissingPath
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -18,10 +18,10 @@
 from ...coordination.loss_evidence import seems_lost
 from ...coordination.registrations import superseded
 from ...model.registration import UpstreamState
+from ...routing.load_time import load_seconds
 from ...routing.placed_engine import PlacedEngine
 from ...routing.placement import (
     group_engines,
-    load_seconds,
     missing_layers,
     plan_placement,
     split_group,
--- /dev/null
+++ b/src/ledgeladder/routing/load_time.py
@@ -0,0 +1,23 @@
+"""How long an engine takes to load layers.
+
+Gateways name such times to callers and know nothing else of placement.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..model.traffic import EngineProfile
+
+
+def load_seconds(profile: EngineProfile, layers: int, loads: int) -> float:
+    """Predict how long a load takes, in seconds.
+
+    Args:
+        profile: Figures of the engines.
+        layers: Number of layers to load.
+        loads: Loads that run at a time; beyond `loads_at_once` they slow each other down.
+    """
+    sharing = max(1.0, loads / max(1, profile.loads_at_once))
+    return profile.load_seconds * layers / profile.layers * sharing
--- a/src/ledgeladder/routing/placement.py
+++ b/src/ledgeladder/routing/placement.py
@@ -37,18 +37,6 @@
 """Links that a path passes in a group of several failure domains: to another one and back."""
 
 
-def load_seconds(profile: EngineProfile, layers: int, loads: int) -> float:
-    """Predict how long a load takes, in seconds.
-
-    Args:
-        profile: Figures of the engines.
-        layers: Number of layers to load.
-        loads: Loads that run at a time; beyond `loads_at_once` they slow each other down.
-    """
-    sharing = max(1.0, loads / max(1, profile.loads_at_once))
-    return profile.load_seconds * layers / profile.layers * sharing
-
-
 def plan_placement(
     profile: EngineProfile,
     engines: Sequence[PlacedEngine],
