Log which upstream refused a plain request, what rest it asked for, and that it leaves

It is read now (seconds, a fraction, or a point in time against the answer's own date; 429 and 503 only) and logged; no choice follows from it yet.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -193,6 +193,8 @@
             )
             body = await read_whole(state, answer)
         note_gap(answer_pace(state, permit.pool.name), anyio.current_time() - now)
+        if answer.facts.not_run:
+            outcome = f"refused with status {answer.head.status_code}"
         return _judge(tries, upstream, answer, body)
     except NotSentError as error:
         outcome = f"not sent: {error}"
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -18,6 +18,7 @@
 )
 from ...platform.exchange import dispatch_headers, read_answer_facts
 from ...routing.forwarding_table import note_load
+from .upstream_wishes import note_wishes
 
 if TYPE_CHECKING:
     import h11
@@ -102,6 +103,7 @@
         await send_request(connection, request.method, request.target, headers, request.body)
         head = await read_head(connection)
         facts = read_answer_facts(head.status_code, head.headers)
+        note_wishes(permit, upstream, facts, head.status_code)
         if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
             raise AnswerBrokenError("the answer belongs to another request")
     except AnswerBrokenError as error:
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -12,6 +12,7 @@
     read_part,
     send_request,
 )
+from .retry_after import read_retry_after
 from .server import Exchange, HttpRequest, HttpSite, serve_http1
 from .sockets import tune_socket
 
@@ -26,6 +27,7 @@
     "connect",
     "read_head",
     "read_part",
+    "read_retry_after",
     "send_request",
     "serve_http1",
     "tune_socket",
--- /dev/null
+++ b/src/ledgeladder/http1/retry_after.py
@@ -0,0 +1,63 @@
+"""Reading when the sender of an answer wants to be called again (RFC 9110, section 10.2.3)."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LONGEST_SECONDS: Final = 3600.0
+"""Longest time that is believed: an upstream that names days by mistake gets work again within an
+hour. Longer than any overload or restart that is waited out by asking for time."""
+
+
+def read_retry_after(headers: Iterable[tuple[bytes, bytes]]) -> float | None:
+    """Read how long the sender of an answer wants nothing from the receiver.
+
+    A point in time is taken against the answer's own `Date`, since the clocks of two boxes may
+    differ; without one it says nothing. Of several fields the longest time counts.
+
+    Args:
+        headers: Header fields with lower-case names.
+
+    Returns:
+        Seconds from the arrival of the answer, at most `LONGEST_SECONDS`; None if it names no time,
+        or none that can be read.
+
+    >>> read_retry_after([(b"retry-after", b"2.5")])
+    2.5
+    >>> read_retry_after([(b"retry-after", b"-1")]) is None
+    True
+    """
+    fields = list(headers)
+    date = next((value for name, value in fields if name == b"date"), None)
+    named = [_seconds(value, date) for name, value in fields if name == b"retry-after"]
+    return max((seconds for seconds in named if seconds is not None), default=None)
+
+
+def _seconds(value: bytes, date: bytes | None) -> float | None:
+    """Read one field; None if it cannot be read."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = _seconds_until(value, date)
+    if math.isnan(seconds) or seconds < 0:
+        return None
+    return min(seconds, LONGEST_SECONDS)
+
+
+def _seconds_until(value: bytes, date: bytes | None) -> float:
+    """Read a point in time as seconds after another; not a number if either cannot be read."""
+    if date is None:
+        return math.nan
+    # Loaded here, as no other module of a gateway needs the two dozen modules behind it.
+    from email.utils import parsedate_to_datetime
+
+    try:
+        until = parsedate_to_datetime(value.decode("latin-1"))
+        since = parsedate_to_datetime(date.decode("latin-1"))
+        return (until - since).total_seconds()
+    except (TypeError, ValueError):
+        return math.nan
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -70,6 +70,12 @@
     keep_seconds: float | None
     """How long the upstream keeps an idle connection, if told; 0 if it closes it."""
 
+    rest_seconds: float | None = None
+    """How long the upstream wants nothing more from this box, if it refused and said so."""
+
+    leaving: bool = False
+    """True if the upstream says that it ends soon and must get no new work."""
+
 
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """What the system adds to a request before it sends it to an upstream."""
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -5,6 +5,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final
 
+from ..http1.retry_after import read_retry_after
 from ..model.exchange import AnswerFacts, CallerFacts, Dispatch, PathPart, UpstreamLoad
 from .registrations import upstream_of
 
@@ -23,6 +24,10 @@
 """Status by which an upstream refuses a request meant for another, or a path that names layers
 that it does not hold."""
 
+REST_STATUSES: Final = frozenset({429, 503})
+"""Statuses with which an upstream may ask for rest; in others the field means something else (RFC
+9110 has it in redirections, too)."""
+
 KEY_SCHEME: Final = "token"
 """Scheme of the authorization field that carries a key, in lower case."""
 
@@ -155,7 +160,8 @@
     Returns:
         Its facts; what cannot be read counts as not said.
     """
-    fields = dict(headers)
+    told = list(headers)
+    fields = dict(told)
     return AnswerFacts(
         attempt_id=fields.get(b"attempt-id", b"").decode("latin-1"),
         signed=b"replica-seal" in fields,
@@ -164,6 +170,8 @@
         culprit=fields.get(b"at-server", b"").decode("latin-1"),
         load=_load(fields.get(b"replica-load")),
         keep_seconds=_keep_seconds(fields),
+        rest_seconds=read_retry_after(told) if status in REST_STATUSES else None,
+        leaving=fields.get(b"server-leaving", b"0").strip() not in (b"", b"0"),
     )
 
 
--- /dev/null
+++ b/tests/http1/test_retry_after.py
@@ -0,0 +1,48 @@
+"""Times that upstreams name for coming back."""
+
+from __future__ import annotations
+
+import pytest
+
+from ledgeladder.http1 import read_retry_after
+from ledgeladder.http1.retry_after import LONGEST_SECONDS
+
+DATE = (b"date", b"Sun, 06 Nov 1994 08:49:37 GMT")
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        (b"3", 3.0),
+        (b" 2.5 ", 2.5),
+        (b"0", 0.0),
+        (b"0.004", 0.004),
+        (b"1e12", LONGEST_SECONDS),
+        (b"inf", LONGEST_SECONDS),
+        (b"-1", None),
+        (b"nan", None),
+        (b"", None),
+        (b"soon", None),
+        (b"3 s", None),
+        (b"\xff\x00", None),
+        (b"Sun, 06 Nov 1994 08:49:41 GMT", 4.0),
+        (b"Sun, 06 Nov 1994 08:49:31 GMT", None),
+        (b"Sun, 06 Nov 1994 08:49:41", None),
+        (b"Sun, 99 Nov 1994 08:49:41 GMT", None),
+    ],
+)
+def test_value_is_read_or_counts_as_not_said(value: bytes, seconds: float | None) -> None:
+    assert read_retry_after([DATE, (b"retry-after", value)]) == seconds
+
+
+def test_answer_without_the_field_names_no_time() -> None:
+    assert read_retry_after([DATE, (b"x-retry-after", b"3")]) is None
+
+
+def test_point_in_time_says_nothing_without_the_date_of_the_answer() -> None:
+    assert read_retry_after([(b"retry-after", DATE[1])]) is None
+
+
+def test_longest_of_several_fields_counts() -> None:
+    fields = [(b"retry-after", b"1"), (b"retry-after", b"4"), (b"retry-after", b"x")]
+    assert read_retry_after(fields) == 4.0
--- a/tests/platform/test_exchange.py
+++ b/tests/platform/test_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ledgeladder.http1 import HttpRequest
 from ledgeladder.model.exchange import Dispatch, PathPart
 from ledgeladder.model.registration import Holding
@@ -143,3 +145,18 @@
         "fenced",
         "refused",
     ]
+
+
+@pytest.mark.parametrize(
+    ("status", "seconds"), [(503, 3.0), (429, 3.0), (200, None), (301, None), (421, None)]
+)
+def test_rest_is_asked_for_only_by_a_refusal(status: int, seconds: float | None) -> None:
+    facts = read_answer_facts(status, [(b"retry-after", b"3")])
+    assert facts.rest_seconds == seconds
+
+
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
+def test_any_answer_may_say_that_its_upstream_leaves(value: bytes, leaving: bool) -> None:
+    for status in (200, 404, 500, 503):
+        assert read_answer_facts(status, [(b"server-leaving", value)]).leaving is leaving
+    assert not read_answer_facts(200, []).leaving
