Test: upstreams that ask for rest or say that they leave, over real processes; fails on the code as it is

Cause: reproduced. The stand-in refuses with 503 and names 3 s; one box sends it 8 more requests between half a second and 3 s after its first refusal, on repeatable requests, on those that may run once and on streams alike. While all upstreams of a pool ask for rest, callers are refused as if these were full. An upstream whose answers say that it leaves, while its heartbeats do not, gets 38 requests in 3 s (30 streams).

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -219,10 +219,24 @@
             f"--card={card}",
             f"--controls={','.join(self.control_addresses)}",
             f"--ledger={self.folder / (name + '.ledger')}",
+            f"--mood={self.folder / (name + '.mood')}",
         ]
         command += [f"--{option.replace('_', '-')}={value}" for option, value in options.items()]
         return self.start(name, ip, command)
 
+    def set_mood(self, name: str, **mood: Any) -> None:
+        """Say how an upstream answers from now on; without arguments it serves as usual.
+
+        Args:
+            name: The upstream.
+            mood: `rest`, the time that each refusal names, as text, or empty for refusals that
+                name none; `leaving`, True if answers say that it leaves.
+        """
+        path = self.folder / f"{name}.mood"
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(mood))
+        written.replace(path)
+
     def start(self, name: str, ip: str, command: list[str]) -> str:
         """Start a process, or start it again."""
         box = self.boxes.setdefault(
@@ -292,6 +306,11 @@
         """Return how often a registry has started."""
         return sum(line["message"] == "registry starts" for line in self.log(name))
 
+    def upstream_ids(self, name: str) -> set[str]:
+        """Return the ids under which an upstream has noted anything."""
+        lines = (self.folder / f"{name}.ledger").read_text().splitlines()
+        return {json.loads(line)["upstream"] for line in lines if line.endswith("}")}
+
     def ledger(self, event: str = "run") -> list[dict[str, Any]]:
         """Return what the upstreams noted of one kind of event, in no order over upstreams."""
         lines = []
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -80,6 +80,11 @@
     """Word in the body of a request that ends this process soon after it begins to run it; empty
     for none."""
 
+    mood: Path | None = None
+    """File that says how it answers: a JSON object with `rest`, the time that a refusal names,
+    while all requests are to be refused, and `leaving`, true if answers are to say that it leaves.
+    Read for each request; without the file it serves."""
+
     instance: str = ""
     """Id; drawn for each run unless it keeps one over restarts."""
 
@@ -114,6 +119,14 @@
             file.write(json.dumps(line) + "\n")
 
 
+def read_mood(upstream: StandIn) -> dict[str, Any]:
+    """Return how the upstream is to answer now."""
+    if upstream.mood is None or not upstream.mood.exists():
+        return {}
+    mood: dict[str, Any] = json.loads(upstream.mood.read_text())
+    return mood
+
+
 def beat(upstream: StandIn) -> dict[str, Any]:
     """Return the next heartbeat."""
     upstream.sequence += 1
@@ -160,13 +173,28 @@
 def echo(upstream: StandIn, request: HttpRequest) -> list[tuple[bytes, bytes]]:
     """Return the header fields of an answer to a request that ran."""
     attempt = request.fields.get(b"attempt-id", b"")
+    leaving = [(b"Server-Leaving", b"1")] if read_mood(upstream).get("leaving") else []
     return [
         (b"Attempt-Id", attempt),
         (b"Replica-Seal", f"{upstream.instance}.{attempt.decode()}".encode()),
         (b"Replica-Load", f"{upstream.runs},0,8".encode()),
+        *leaving,
     ]
 
 
+async def refuse_for_rest(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> bool:
+    """Refuse a request if all are to be refused; returns True then."""
+    rest = read_mood(upstream).get("rest")
+    if rest is None:
+        return False
+    attempt = request.fields.get(b"attempt-id", b"")
+    upstream.note("refused", id=attempt.decode(), pool=upstream.pool)
+    headers = [(b"Attempt-Id", attempt), (b"Not-Executed", b"1")]
+    headers += [(b"Retry-After", rest.encode())] if rest else []
+    await exchange.answer(503, headers, b"")
+    return True
+
+
 async def crash_if_told(upstream: StandIn, request: HttpRequest) -> None:
     """End this process, without a word to anybody, if a request is one that does so."""
     if upstream.crash_word and upstream.crash_word.encode() in request.body:
@@ -315,6 +343,8 @@
             await exchange.answer(200, [content_type], report.encode())
         elif request.target == b"/api/order":
             await take_order(upstream, request, exchange)
+        elif await refuse_for_rest(upstream, request, exchange):
+            return
         elif b"token-count" in request.fields:
             await answer_stream(upstream, request, exchange)
         else:
@@ -355,6 +385,7 @@
     parser.add_argument("--seconds", type=float, default=0.02)
     parser.add_argument("--fail-share", type=float, default=0.0)
     parser.add_argument("--crash-word", default="")
+    parser.add_argument("--mood", type=Path)
     parser.add_argument("--instance", default="")
     values = vars(parser.parse_args())
     if values["instance"]:
