Send nothing to an upstream that asked for rest, nor to one whose answers say that it leaves

Cause: the time that a refusal names was not read, and a refusal kept an upstream from new work for a quarter of a second; nor was read that an answer says that its upstream leaves. Both are now beliefs of their own kind: an earlier request's answer does not end them, the last resort of a pool does not override them, and they outlive the registration of the run that asked. They are checked when an upstream or a path is chosen and once more right before bytes leave. Where all that could run a request rest, it is refused at once with a code of its own, not run, and what is left of the first rest.

--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -22,6 +22,7 @@
 from .readiness import build_ready_site
 from .starting import run_start_queue
 from .state import GatewayState, start_waits
+from .upstream_wishes import watch_rests
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -99,6 +100,7 @@
             restart=Restart.ALWAYS,
         ),
         Child(name="start-queue", run=lambda: run_start_queue(state), restart=Restart.ALWAYS),
+        Child(name="rests", run=lambda: watch_rests(state), restart=Restart.ALWAYS),
         log_child(),
         metrics_child(
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: metrics_lines(state)
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -15,16 +15,15 @@
 from ...platform.exchange import caller_headers
 from ...routing.forwarding_table import (
     has_alternative,
-    is_silent,
-    is_usable,
     note_failed,
     note_full,
     note_lost,
     note_served,
-    pressure,
+    rest_left,
 )
 from ...routing.pace import note_gap, stall_after
 from ...routing.repeat_window import give_back, note_first
+from ...routing.service_choice import choose_service
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .crashes import note_answered, note_run_end, suspicion
@@ -36,6 +35,7 @@
     AnswerLostError,
     NotSentError,
     OpenAnswer,
+    WithheldError,
     open_answer,
     read_whole,
 )
@@ -48,15 +48,6 @@
 
 logger = logging.getLogger(__name__)
 
-FAR_PRESSURE: Final = 0.15
-"""How much emptier an upstream of another failure domain must be, in requests per slot."""
-
-JITTER: Final = 0.05
-"""Random part of the choice, so that boxes that know the same do not choose the same."""
-
-SILENT_PRESSURE: Final = 2.0
-"""Added for an upstream that nobody has heard lately."""
-
 TRY_SHARE: Final = 0.6
 """Part of the time that callers expect after which a repeatable request is tried elsewhere, if the
 service's own answers take no longer: the rest is for the second try."""
@@ -136,23 +127,14 @@
         return None
     if tries.refusals >= REFUSALS_LIMIT:
         return None
-    now = anyio.current_time()
-    candidates = [
-        item
-        for item in state.table.pools.get(permit.pool.name, [])
-        if not item.leaving and item.registration.instance not in tries.tried
-    ]
-    usable = [item for item in candidates if is_usable(item, now)] or candidates
-    if not usable:
-        return None
-    own = state.settings.box.failure_domain
-
-    def weight(item: ForwardedUpstream) -> float:
-        far = FAR_PRESSURE if item.registration.failure_domain != own else 0.0
-        silent = SILENT_PRESSURE if is_silent(item, now) else 0.0
-        return pressure(item, now, state.entries) + far + silent + state.rng.random() * JITTER
-
-    return min(usable, key=weight)
+    return choose_service(
+        state.table.pools.get(permit.pool.name, []),
+        anyio.current_time(),
+        tried=tries.tried,
+        failure_domain=state.settings.box.failure_domain,
+        sharers=state.entries,
+        rng=state.rng,
+    )
 
 
 async def _try_once(
@@ -202,6 +184,11 @@
         tries.runs -= 1
         note_lost(upstream, anyio.current_time())
         return False
+    except WithheldError as error:
+        outcome = f"withheld: {error}"
+        tries.sent -= 1
+        tries.runs -= 1
+        return False
     except AnswerLostError as error:
         outcome = f"lost: {error}"
         note_failed(upstream, anyio.current_time())
@@ -286,6 +273,9 @@
         await exchange.answer(head.status_code, headers, tries.body)
         return
     if tries.runs == 0:
+        rest = rest_left(state.table.pools.get(permit.pool.name, []), anyio.current_time())
+        if rest is not None:
+            raise refusal(ResultCode.UPSTREAMS_RESTING, f"all of {permit.pool.name}", rest)
         if tries.refusals:
             raise refusal(ResultCode.UPSTREAM_REFUSED, f"{tries.refusals} upstreams refused")
         raise refusal(ResultCode.NO_ROUTE, f"no upstream of {permit.pool.name}", 0.5)
--- a/src/ledgeladder/daemons/gateway/silence.py
+++ b/src/ledgeladder/daemons/gateway/silence.py
@@ -12,7 +12,13 @@
 from ...routing.pace import note_false_alarm, stall_after
 from .asking import ask_slowdowns
 from .probing import find_lost
-from .upstream_call import AnswerLostError, NotSentError, OpenAnswer, open_answer
+from .upstream_call import (
+    AnswerLostError,
+    NotSentError,
+    OpenAnswer,
+    WithheldError,
+    open_answer,
+)
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
@@ -48,6 +54,7 @@
 
     Raises:
         NotSentError: If nothing was sent.
+        WithheldError: If the first engine wants it no more.
         AnswerLostError: If the request may have run and no head came, or came too late.
     """
     answer: OpenAnswer | None = None
@@ -63,7 +70,7 @@
                 path.head,
                 fresh_connection=not permit.route.repeatable,
             )
-        except (NotSentError, AnswerLostError) as error:
+        except (NotSentError, WithheldError, AnswerLostError) as error:
             # Raised below: a task group would wrap it.
             failure = error
         tasks.cancel_scope.cancel()
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -14,7 +14,7 @@
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
-from ...routing.forwarding_table import DomainDoubts, ForwardingTable
+from ...routing.forwarding_table import DomainDoubts, ForwardedUpstream, ForwardingTable
 from ...routing.link_doubts import LinkDoubts
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
@@ -110,6 +110,16 @@
     """Set while somebody waits."""
 
 
+class RestingUpstreams(msgspec.Struct, kw_only=True):
+    """Upstreams whose rest is yet to be logged as over."""
+
+    upstreams: dict[str, ForwardedUpstream] = msgspec.field(default_factory=dict)
+    """The upstreams, by run."""
+
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when one was added or asked for longer."""
+
+
 class GatewayState(msgspec.Struct, kw_only=True):
     """State of one gateway process."""
 
@@ -142,6 +152,9 @@
     table: ForwardingTable = msgspec.field(default_factory=ForwardingTable)
     """Upstreams that registered."""
 
+    resting: RestingUpstreams = msgspec.field(default_factory=RestingUpstreams)
+    """Upstreams that asked for rest."""
+
     doubts: DomainDoubts = msgspec.field(default_factory=DomainDoubts)
     """Failure domains that may be cut off."""
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -130,6 +130,9 @@
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
     if session.runs <= 0 and session.sent == session.refusals:
+        rest = session.missing.rest_seconds if session.missing is not None else None
+        if rest is not None:
+            raise refusal(ResultCode.UPSTREAMS_RESTING, session.notes.given_up, rest)
         if session.refusals:
             detail = f"{session.refusals} paths refused; {session.notes.given_up}"
             raise refusal(ResultCode.UPSTREAM_REFUSED, detail, when_there_is_room(state))
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -26,7 +26,13 @@
 from .silence import open_watched
 from .stream_events import pass_events
 from .stream_session import RunEnd, StreamSession
-from .upstream_call import AnswerLostError, NotSentError, OpenAnswer, read_whole
+from .upstream_call import (
+    AnswerLostError,
+    NotSentError,
+    OpenAnswer,
+    WithheldError,
+    read_whole,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -210,6 +216,8 @@
             note_failed(path.head, anyio.current_time())
         _doubt(state, session, path.head)
         return RunEnd.NOT_SENT, str(error)
+    except WithheldError as error:
+        return RunEnd.NOT_SENT, str(error)
     except AnswerLostError as error:
         await _blame(state, session, path)
         return RunEnd.LOST, str(error)
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -17,7 +17,7 @@
     send_request,
 )
 from ...platform.exchange import dispatch_headers, read_answer_facts
-from ...routing.forwarding_table import note_load
+from ...routing.forwarding_table import note_load, takes_work
 from .upstream_wishes import note_wishes
 
 if TYPE_CHECKING:
@@ -46,6 +46,10 @@
         return isinstance(self.__cause__, ConnectError) and self.__cause__.is_refusal
 
 
+class WithheldError(Exception):
+    """The upstream has asked for rest, or leaves, since it was chosen; nothing was sent."""
+
+
 class AnswerLostError(Exception):
     """The request may have run, and there is no whole answer."""
 
@@ -94,16 +98,21 @@
 
     Raises:
         NotSentError: If nothing was sent.
+        WithheldError: If the upstream wants it no more, which others' answers may say while a
+            connection comes up.
         AnswerLostError: If the request may have run and no answer that belongs to it came.
     """
     connection = await _connection(state, upstream, fresh_connection=fresh_connection)
+    if not takes_work(upstream, anyio.current_time()):
+        await connection.close()
+        raise WithheldError("the upstream leaves" if upstream.leaving else "the upstream rests")
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
     try:
         await send_request(connection, request.method, request.target, headers, request.body)
         head = await read_head(connection)
         facts = read_answer_facts(head.status_code, head.headers)
-        note_wishes(permit, upstream, facts, head.status_code)
+        note_wishes(state, permit, upstream, facts, head.status_code)
         if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
             raise AnswerBrokenError("the answer belongs to another request")
     except AnswerBrokenError as error:
--- a/src/ledgeladder/daemons/gateway/upstream_wishes.py
+++ b/src/ledgeladder/daemons/gateway/upstream_wishes.py
@@ -1,24 +1,37 @@
-"""What upstreams ask of this box in their answers: rest for a time, or no new work for good."""
+"""Taking in what upstreams ask of this box in their answers: rest for a time, or no new work."""
 
 from __future__ import annotations
 
 import logging
 from typing import TYPE_CHECKING
 
+import anyio
+
+from ...routing.upstream_wishes import ask_rest, say_leaving
+
 if TYPE_CHECKING:
     from ...model.exchange import AnswerFacts
     from ...routing.forwarding_table import ForwardedUpstream
     from .checks import Permit
+    from .state import GatewayState
 
 logger = logging.getLogger(__name__)
 
 
 def note_wishes(
-    permit: Permit, upstream: ForwardedUpstream, facts: AnswerFacts, status: int
+    state: GatewayState,
+    permit: Permit,
+    upstream: ForwardedUpstream,
+    facts: AnswerFacts,
+    status: int,
 ) -> None:
     """Take in what an upstream asks for in the head of an answer.
 
+    Where it names a later engine as the one at fault, both are left alone: it speaks for itself,
+    and what it says came from the other.
+
     Args:
+        state: The process's state.
         permit: The request that was answered.
         upstream: The upstream that answered.
         facts: What the head says.
@@ -27,24 +40,76 @@
     if facts.wrong_upstream:
         # Another run of an upstream has the address, and speaks for itself alone.
         return
-    if facts.rest_seconds is not None:
-        logger.warning(
-            "upstream asks for rest",
-            extra={
-                "request": permit.facts.attempt_id,
-                "upstream": upstream.registration.instance,
-                "seconds": facts.rest_seconds,
-                "status": status,
-                "at_fault": facts.culprit,
-                "in_flight": upstream.in_flight,
-            },
-        )
-    if facts.leaving:
+    if facts.leaving and say_leaving(state.table.book, upstream.registration, upstream.wishes):
+        state.metrics.counters["upstream-said-leaving"] += 1
         logger.info(
             "upstream says that it leaves",
             extra={
                 "request": permit.facts.attempt_id,
                 "upstream": upstream.registration.instance,
-                "known": upstream.leaving,
+                "registered": upstream.registration.state.value,
             },
         )
+    if facts.rest_seconds is None:
+        return
+    asking = [upstream]
+    if facts.culprit:
+        pool = state.table.pools.get(permit.pool.name, [])
+        asking += [item for item in pool if item.registration.address == facts.culprit]
+    for item in asking:
+        note_rest(state, item, facts.rest_seconds, request=permit.facts.attempt_id, status=status)
+
+
+def note_rest(
+    state: GatewayState,
+    upstream: ForwardedUpstream,
+    seconds: float,
+    *,
+    request: str = "",
+    status: int,
+) -> None:
+    """Leave an upstream alone for a time that it named.
+
+    Args:
+        state: The process's state.
+        upstream: The upstream.
+        seconds: How long, from now on.
+        request: Attempt that it refused; empty for a call of this box's own.
+        status: HTTP status of the refusal.
+    """
+    now = anyio.current_time()
+    if not ask_rest(state.table.book, upstream.registration, upstream.wishes, seconds, now):
+        return
+    state.metrics.counters["upstream-asked-rest"] += 1
+    state.resting.upstreams[upstream.registration.instance] = upstream
+    state.resting.changed.set()
+    logger.warning(
+        "upstream asks for rest",
+        extra={
+            "request": request,
+            "upstream": upstream.registration.instance,
+            "seconds": round(seconds, 3),
+            "status": status,
+            "in_flight": upstream.in_flight,
+        },
+    )
+
+
+async def watch_rests(state: GatewayState) -> None:
+    """Log when upstreams have rested for as long as they asked, for ever."""
+    resting = state.resting
+    while True:
+        now = anyio.current_time()
+        for instance, upstream in list(resting.upstreams.items()):
+            if upstream.wishes.rest_until <= now:
+                del resting.upstreams[instance]
+                logger.info(
+                    "upstream has rested",
+                    extra={"upstream": instance, "registered": instance in state.table.upstreams},
+                )
+        resting.changed = anyio.Event()
+        until = min(
+            (item.wishes.rest_until for item in resting.upstreams.values()), default=float("inf")
+        )
+        with anyio.move_on_after(until - now):
+            await resting.changed.wait()
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -53,6 +53,7 @@
     DEADLINE_EXCEEDED = 1204
     UPSTREAM_FAILED = 1205
     QUARANTINED = 1206
+    UPSTREAMS_RESTING = 1207
     NO_QUORUM = 1301
     CLAIM_RUNNING = 1302
     CLAIM_UNKNOWN = 1303
@@ -152,6 +153,9 @@
     ResultCode.QUARANTINED: _entry(
         503, _NOT_RUN, "Upstreams ended under earlier requests with the same content."
     ),
+    ResultCode.UPSTREAMS_RESTING: _entry(
+        503, _NOT_RUN, "Every upstream that could run it has asked this box for rest."
+    ),
     ResultCode.NO_QUORUM: _entry(
         503, _NOT_RUN, "No majority of control boxes is reachable to record the request or change."
     ),
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -12,9 +12,10 @@
 
 from ..model.registration import Registration, UpstreamState, run_began
 from .load_sharing import LOAD_BELIEVED_SECONDS
+from .upstream_wishes import WishBook, Wishes, wishes_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..model.exchange import UpstreamLoad
 
@@ -113,13 +114,16 @@
     load_at: float = 0.0
     """When it told it, on the monotonic clock."""
 
+    wishes: Wishes = msgspec.field(default_factory=Wishes)
+    """What it asked of this box in answers."""
+
     on_lost: set[Callable[[ForwardedUpstream], None]] = msgspec.field(default_factory=set)
     """Called each time that it is found lost; one for each request that passes it."""
 
     @property
     def leaving(self) -> bool:
-        """True if it must get no new work."""
-        return self.registration.state is not UpstreamState.READY
+        """True if it must get no new work for good."""
+        return self.wishes.leaving or self.registration.state is not UpstreamState.READY
 
 
 class ForwardingTable(msgspec.Struct, kw_only=True):
@@ -134,6 +138,9 @@
     newest: dict[str, str] = msgspec.field(default_factory=dict)
     """Newest run of each upstream by the id that it keeps over restarts."""
 
+    book: WishBook = msgspec.field(default_factory=WishBook)
+    """What they asked of this box, kept while they are not registered."""
+
     heartbeat: float = 1.0
     """Time between two heartbeats of an upstream, in seconds."""
 
@@ -178,7 +185,11 @@
         return None
     began_at = run_began(registration, heard_at, table.heartbeat)
     if held is None:
-        held = ForwardedUpstream(registration=registration, heard_at=heard_at, began_at=began_at)
+        # The first message is sent at the beginning: one interval less than for comparing runs.
+        wishes = wishes_of(table.book, registration, began_at + table.heartbeat)
+        held = ForwardedUpstream(
+            registration=registration, heard_at=heard_at, began_at=began_at, wishes=wishes
+        )
         table.upstreams[registration.instance] = held
         table.newest[registration.upstream_id] = registration.instance
         table.pools.setdefault(registration.pool, []).append(held)
@@ -353,9 +364,29 @@
     return estimate / slots
 
 
+def is_resting(upstream: ForwardedUpstream, now: float) -> bool:
+    """Tell whether an upstream wants nothing from this box right now."""
+    return now < upstream.wishes.rest_until
+
+
+def takes_work(upstream: ForwardedUpstream, now: float) -> bool:
+    """Tell whether an upstream has not said that it wants no new work, now or for good."""
+    return not upstream.leaving and not is_resting(upstream, now)
+
+
+def rest_left(upstreams: Iterable[ForwardedUpstream], now: float) -> float | None:
+    """Return when the first of some upstreams wants work again, in seconds.
+
+    Returns:
+        None if one of them does not rest, or there are none. Those that leave count for nothing.
+    """
+    left = [item.wishes.rest_until - now for item in upstreams if not item.leaving]
+    return min(left) if left and min(left) > 0 else None
+
+
 def is_usable(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether an upstream may get new work right now."""
-    if upstream.leaving or now < upstream.avoid_until:
+    if not takes_work(upstream, now) or now < upstream.avoid_until:
         return False
     return upstream.heard_at > upstream.lost_at + HEARD_MARGIN_SECONDS
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -10,13 +10,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_silent, is_usable
+from .forwarding_table import is_resting, is_silent, is_usable
 from .path_costs import SILENT_PENALTY_SECONDS, engine_offers
 from .path_search import cheapest_steps
 
@@ -42,6 +43,9 @@
 FULL: Final = "full"
 """Why an engine cannot be used that has no room for one layer of a request."""
 
+RESTING: Final = "resting"
+"""Why an engine cannot be used that asked this box for rest."""
+
 
 class ChosenPath(msgspec.Struct, frozen=True, kw_only=True):
     """A path with the engines that it passes."""
@@ -223,6 +227,10 @@
     full_links: tuple[Link, ...]
     """Links between failure domains that take no more."""
 
+    rest_seconds: float | None = None
+    """When engines that asked for rest take all layers again that lack a taker, in seconds; None if
+    a layer lacks one for another reason."""
+
     @property
     def for_want_of_room(self) -> bool:
         """True if engines or links are full, so that there is a path once requests on them end."""
@@ -253,19 +261,22 @@
         excluded: Runs of engines that this request does not use any more.
     """
     reasons: Counter[str] = Counter()
-    open_layers = [False] * profile.layers
+    taken_from = [math.inf] * profile.layers
     for engine in _newest_runs(engines):
         reason = _why_unusable(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
-        if reason:
+        if reason not in ("", RESTING):
             continue
+        waits = max(0.0, engine.wishes.rest_until - now)
         for item in engine.registration.holdings:
             for layer in range(item.first, min(item.end, profile.layers)):
-                open_layers[layer] = True
-    closed = [layer for layer, is_open in enumerate(open_layers) if not is_open]
+                taken_from[layer] = min(taken_from[layer], waits)
+    closed = [layer for layer, seconds in enumerate(taken_from) if seconds > 0]
     full = tuple(link for link, used in request.link_use.items() if used >= request.link_limit)
     layers = (closed[0], closed[-1] + 1) if closed else None
-    return MissingPath(engines=reasons, layers=layers, full_links=full)
+    longest = max(taken_from)
+    rest_seconds = longest if 0 < longest < math.inf else None
+    return MissingPath(engines=reasons, layers=layers, full_links=full, rest_seconds=rest_seconds)
 
 
 def _why_unusable(
@@ -278,10 +289,12 @@
     registration = engine.registration
     if not registration.holdings:
         return "without layers"
-    if registration.instance in excluded:
-        return "failed this request"
     if engine.leaving:
         return "leaving"
+    if is_resting(engine, now):
+        return RESTING
+    if registration.instance in excluded:
+        return "failed this request"
     if not is_usable(engine, now):
         return "lost" if engine.lost_at > engine.heard_at else "avoided"
     return "" if engine_offers(profile, engine, request, now) else FULL
--- /dev/null
+++ b/tests/daemons/gateway/test_upstream_wishes.py
@@ -0,0 +1,125 @@
+"""What a gateway takes in of an answer's head, and what it sends to an upstream that asked."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+
+from ledgeladder.daemons.gateway import upstream_call
+from ledgeladder.daemons.gateway.state import GatewayState
+from ledgeladder.daemons.gateway.upstream_call import WithheldError, open_answer
+from ledgeladder.daemons.gateway.upstream_wishes import note_rest, note_wishes, watch_rests
+from ledgeladder.model.exchange import AnswerFacts
+from ledgeladder.platform.exchange import read_answer_facts
+from ledgeladder.routing.forwarding_table import ForwardedUpstream, is_resting
+
+from .builders import engine, gateway_state
+
+PERMIT: Any = SimpleNamespace(
+    facts=SimpleNamespace(attempt_id="a1"), pool=SimpleNamespace(name="p")
+)
+
+
+def two_upstreams() -> tuple[GatewayState, ForwardedUpstream, ForwardedUpstream]:
+    state = gateway_state()
+    head, later = engine("i-1", "10.0.0.1:80"), engine("i-2", "10.0.0.2:80")
+    state.table.pools["p"] = [head, later]
+    return state, head, later
+
+
+def facts(status: int, **fields: str) -> AnswerFacts:
+    named = [(name.replace("_", "-").encode(), text.encode()) for name, text in fields.items()]
+    return read_answer_facts(status, named)
+
+
+def take(status: int, **fields: str) -> list[tuple[bool, bool]]:
+    """Return whether each of two upstreams rests and leaves after the first one answered."""
+
+    async def play() -> list[tuple[bool, bool]]:
+        state, head, later = two_upstreams()
+        note_wishes(state, PERMIT, head, facts(status, **fields), status)
+        now = anyio.current_time()
+        return [(is_resting(item, now), item.leaving) for item in (head, later)]
+
+    return anyio.run(play)
+
+
+SERVES = (False, False)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "head", "later"),
+    [
+        (503, {"not_executed": "1", "retry_after": "3"}, (True, False), SERVES),
+        (429, {"not_executed": "1", "retry_after": "3"}, (True, False), SERVES),
+        (503, {"not_executed": "1"}, SERVES, SERVES),
+        (503, {"not_executed": "1", "retry_after": "-3"}, SERVES, SERVES),
+        (200, {"retry_after": "3"}, SERVES, SERVES),
+        (
+            503,
+            {"not_executed": "1", "retry_after": "3", "at_server": "10.0.0.2:80"},
+            (True, False),
+            (True, False),
+        ),
+        (200, {"server_leaving": "1"}, (False, True), SERVES),
+        (503, {"not_executed": "1", "server_leaving": "1"}, (False, True), SERVES),
+        (421, {"server_leaving": "1", "retry_after": "3"}, SERVES, SERVES),
+    ],
+)
+def test_upstream_that_answers_speaks_for_itself(
+    status: int, fields: dict[str, str], head: tuple[bool, bool], later: tuple[bool, bool]
+) -> None:
+    assert take(status, **fields) == [head, later]
+
+
+@pytest.mark.parametrize("wish", ["rest", "leaving"])
+def test_nothing_is_sent_to_an_upstream_that_asked_while_the_connection_came_up(
+    monkeypatch: pytest.MonkeyPatch, wish: str
+) -> None:
+    closed: list[bool] = []
+
+    class Connection:
+        async def close(self) -> None:
+            closed.append(True)
+
+    async def play() -> None:
+        state, head, _later = two_upstreams()
+
+        async def connect_late(*_args: Any, **_options: Any) -> Connection:
+            said = {"retry_after": "3"} if wish == "rest" else {"server_leaving": "1"}
+            note_wishes(state, PERMIT, head, facts(503, **said), 503)
+            return Connection()
+
+        monkeypatch.setattr(upstream_call, "_connection", connect_late)
+        request: Any = None
+        with pytest.raises(WithheldError):
+            await open_answer(state, PERMIT, request, request, head, fresh_connection=False)
+
+    anyio.run(play)
+    assert closed == [True]
+
+
+def test_each_rest_is_logged_once_at_its_beginning_and_once_at_its_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+
+    async def play() -> None:
+        state, head, later = two_upstreams()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_rests, state)
+            for seconds in (0.05, 0.04, 0.03):
+                note_rest(state, head, seconds, status=503)
+            note_rest(state, later, 0.02, status=503)
+            while state.resting.upstreams:
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert state.metrics.counters["upstream-asked-rest"] == 2
+
+    anyio.run(play)
+    messages = [record.message for record in caplog.records]
+    assert messages.count("upstream asks for rest") == 2
+    assert messages.count("upstream has rested") == 2
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -13,6 +13,7 @@
     SLOWDOWN_BELIEVED_SECONDS,
     ForwardedUpstream,
     ForwardingTable,
+    is_resting,
     note_failed,
     note_full,
     note_lost,
@@ -36,6 +37,7 @@
     release,
     reserve,
 )
+from ledgeladder.routing.upstream_wishes import ask_rest
 
 from .sample_site import CARDS, DOMAINS, PROFILE, settled_fleet
 
@@ -375,3 +377,39 @@
     passed = choose_path(PROFILE, found, request, 10.0)
     assert passed is not None
     assert not {part.instance for part in passed.parts} & names
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_engine_that_rests_is_on_no_path_and_the_time_named_is_the_first_with_one(
+    seed: int,
+) -> None:
+    """The pattern: engines ask for rest of several seconds, of one kind, of one failure domain or
+    of all, as first or later ones of paths; other engines failed or were lost."""
+    rng = random.Random(seed)
+    pool = engines()
+    table = ForwardingTable()
+    whole = rng.choice([0.3, 0.9, 1.0])
+    for engine in pool:
+        if rng.random() < whole:
+            seconds = rng.uniform(1.0, 5.0)
+            ask_rest(table.book, engine.registration, engine.wishes, seconds, 0.0)
+    path = choose_path(PROFILE, pool, wanted(rng.choice("abc")), 0.5)
+    if path is not None:
+        assert not any(is_resting(engine, 0.5) for engine in path.engines)
+        return
+    why = explain_no_path(PROFILE, pool, wanted(), 0.5)
+    assert "resting" in str(why)
+    assert why.rest_seconds is not None
+    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.rest_seconds - 0.001) is None
+    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.rest_seconds + 0.001) is not None
+
+
+def test_rest_is_no_reason_where_layers_lack_an_engine_for_another_one() -> None:
+    pool = engines()
+    table = ForwardingTable()
+    for engine in pool:
+        if engine.registration.holdings[0].first == 0:
+            note_lost(engine, 0.0)
+        else:
+            ask_rest(table.book, engine.registration, engine.wishes, 3.0, 0.0)
+    assert explain_no_path(PROFILE, pool, wanted(), 0.5).rest_seconds is None
--- /dev/null
+++ b/tests/routing/test_upstream_wishes.py
@@ -0,0 +1,179 @@
+"""Upstreams that ask for rest or say that they leave: what a box believes, and for how long."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ledgeladder.model.registration import Registration, UpstreamState
+from ledgeladder.routing.forwarding_table import (
+    ForwardedUpstream,
+    ForwardingTable,
+    drop_upstream,
+    has_alternative,
+    is_resting,
+    is_usable,
+    note_served,
+    put_registration,
+    rest_left,
+    takes_work,
+)
+from ledgeladder.routing.service_choice import choose_service
+from ledgeladder.routing.upstream_wishes import KEPT, WishBook, Wishes, ask_rest, say_leaving
+
+HEARTBEAT = 1.0
+
+
+def registration(name: str = "s-1", *, start: int = 0, sequence: int = 1) -> Registration:
+    return Registration(
+        instance=f"{name}#{start}" if start else name,
+        sequence=sequence,
+        pool="p",
+        address=f"{name}:80",
+        failure_domain="a",
+        slots=6,
+        upstream=name if start else "",
+        born_ms=start,
+    )
+
+
+def known(table: ForwardingTable, said: Registration, at: float = 0.0) -> ForwardedUpstream:
+    upstream = put_registration(table, said, at)
+    assert upstream is not None
+    return upstream
+
+
+def rest(table: ForwardingTable, upstream: ForwardedUpstream, seconds: float, now: float) -> bool:
+    return ask_rest(table.book, upstream.registration, upstream.wishes, seconds, now)
+
+
+def test_upstream_rests_until_the_end_of_the_time_and_not_longer() -> None:
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    assert rest(table, upstream, 3.0, 10.0)
+    assert is_resting(upstream, 12.999)
+    assert not is_usable(upstream, 12.999)
+    assert is_usable(upstream, 13.0)
+
+
+@pytest.mark.parametrize(("second", "until"), [(0.5, 13.0), (2.0, 13.0), (4.0, 15.0)])
+def test_of_two_answers_the_one_that_asks_for_longer_counts(second: float, until: float) -> None:
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    rest(table, upstream, 3.0, 10.0)
+    assert rest(table, upstream, second, 11.0) is (until > 13.0)
+    assert upstream.wishes.rest_until == until
+
+
+def test_no_time_is_no_rest() -> None:
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    assert not rest(table, upstream, 0.0, 10.0)
+    assert is_usable(upstream, 10.0)
+
+
+def test_answer_to_an_earlier_request_ends_no_rest() -> None:
+    """It was on its way when the upstream asked; a time of avoidance ends with it."""
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    rest(table, upstream, 3.0, 10.0)
+    note_served(upstream)
+    assert not is_usable(upstream, 11.0)
+
+
+def test_wishes_outlive_the_registration_of_the_same_run() -> None:
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    rest(table, upstream, 30.0, 10.0)
+    say_leaving(table.book, upstream.registration, upstream.wishes)
+    drop_upstream(table, upstream.registration.instance)
+    again = known(table, registration(sequence=20), 20.0)
+    assert is_resting(again, 20.0)
+    assert again.leaving
+    assert again.registration.state is UpstreamState.READY
+
+
+def test_heartbeat_that_says_ready_ends_no_leaving() -> None:
+    table = ForwardingTable()
+    upstream = known(table, registration())
+    assert say_leaving(table.book, upstream.registration, upstream.wishes)
+    assert not say_leaving(table.book, upstream.registration, upstream.wishes)
+    assert known(table, registration(sequence=2), 1.0).leaving
+    assert not takes_work(upstream, 1.0)
+
+
+def test_run_that_starts_anew_has_asked_for_nothing() -> None:
+    table = ForwardingTable(heartbeat=HEARTBEAT)
+    first = known(table, registration(start=1), 0.0)
+    rest(table, first, 60.0, 10.0)
+    say_leaving(table.book, first.registration, first.wishes)
+    drop_upstream(table, first.registration.instance)
+    second = known(table, registration(start=2), 10.5)
+    assert takes_work(second, 10.5)
+
+
+def test_rest_that_a_new_run_asked_for_before_it_was_known_counts_for_it() -> None:
+    """A new run answers at the address, under the id, before its first heartbeat arrives."""
+    table = ForwardingTable(heartbeat=HEARTBEAT)
+    first = known(table, registration(start=1), 0.0)
+    say_leaving(table.book, first.registration, first.wishes)
+    rest(table, first, 5.0, 10.0)
+    drop_upstream(table, first.registration.instance)
+    # Its third message came at 11.5, so that it began about two intervals before.
+    second = known(table, registration(start=2, sequence=3), 11.5)
+    assert is_resting(second, 14.9)
+    assert not second.leaving
+
+
+def test_remembered_wishes_are_bounded() -> None:
+    book = WishBook()
+    for number in range(KEPT + 10):
+        ask_rest(book, registration(f"s-{number}"), Wishes(), 3.0, 0.0)
+    assert len(book.wishes) == KEPT
+    assert "s-9" not in book.wishes
+    assert f"s-{KEPT + 9}" in book.wishes
+
+
+def test_time_that_is_left_is_that_of_the_first_upstream_to_return() -> None:
+    table = ForwardingTable()
+    upstreams = [known(table, registration(f"s-{number}")) for number in range(3)]
+    rest(table, upstreams[0], 3.0, 10.0)
+    rest(table, upstreams[1], 2.0, 10.0)
+    assert rest_left(upstreams, 11.0) is None
+    rest(table, upstreams[2], 4.0, 10.0)
+    assert rest_left(upstreams, 11.0) == 1.0
+    say_leaving(table.book, upstreams[1].registration, upstreams[1].wishes)
+    assert rest_left(upstreams, 11.0) == 2.0
+    assert rest_left([], 11.0) is None
+
+
+def choose(upstreams: list[ForwardedUpstream], now: float) -> str | None:
+    chosen = choose_service(
+        upstreams, now, tried=(), failure_domain="a", sharers=1, rng=random.Random(1)
+    )
+    return None if chosen is None else chosen.registration.instance
+
+
+def test_avoided_service_is_a_last_resort_and_one_that_rests_or_leaves_is_none() -> None:
+    table = ForwardingTable()
+    resting, leaving, avoided = (known(table, registration(name), 10.0) for name in "rla")
+    rest(table, resting, 3.0, 10.0)
+    say_leaving(table.book, leaving.registration, leaving.wishes)
+    avoided.avoid_until = 20.0
+    pool = [resting, leaving, avoided]
+    assert choose(pool, 11.0) == "a"
+    assert choose(pool[:2], 11.0) is None
+    assert choose(pool[:2], 13.0) == "r"
+    assert not has_alternative(pool, avoided, set(), 11.0)
+
+
+def test_service_that_rests_is_chosen_by_nobody_while_a_far_one_serves() -> None:
+    table = ForwardingTable()
+    near, far = known(table, registration("n"), 10.0), known(table, registration("f"), 10.0)
+    far.registration = Registration(
+        instance="f", sequence=1, pool="p", address="f:80", failure_domain="b", slots=6
+    )
+    assert {choose([near, far], 11.0) for _ in range(20)} == {"n"}
+    rest(table, near, 3.0, 10.0)
+    assert {choose([near, far], 11.0) for _ in range(20)} == {"f"}
