Test: reports and orders to engines that asked for rest; fails on the code as it is

The same cause on another way to an upstream: calls of this box's own (the question how slowly an engine works, and orders of control boxes with the report before each) read no time either. Two tests in tests/daemons/test_resting_engines.py, both fail: the outcome is not known, and the engine is asked three times in its rest.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -230,7 +230,8 @@
         Args:
             name: The upstream.
             mood: `rest`, the time that each refusal names, as text, or empty for refusals that
-                name none; `leaving`, True if answers say that it leaves.
+                name none; `rest_of_calls`, the same for reports and orders; `leaving`, True if
+                answers say that it leaves.
         """
         path = self.folder / f"{name}.mood"
         written = path.with_suffix(".new")
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -82,8 +82,9 @@
 
     mood: Path | None = None
     """File that says how it answers: a JSON object with `rest`, the time that a refusal names,
-    while all requests are to be refused, and `leaving`, true if answers are to say that it leaves.
-    Read for each request; without the file it serves."""
+    while all requests are to be refused, `rest_of_calls`, the same for reports and orders, and
+    `leaving`, true if answers are to say that it leaves. Read for each request; without the file it
+    serves."""
 
     instance: str = ""
     """Id; drawn for each run unless it keeps one over restarts."""
@@ -182,9 +183,11 @@
     ]
 
 
-async def refuse_for_rest(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> bool:
-    """Refuse a request if all are to be refused; returns True then."""
-    rest = read_mood(upstream).get("rest")
+async def refuse_for_rest(
+    upstream: StandIn, request: HttpRequest, exchange: Exchange, *, to_control: bool = False
+) -> bool:
+    """Refuse a request, or a call beside requests, if all are to be; returns True then."""
+    rest = read_mood(upstream).get("rest_of_calls" if to_control else "rest")
     if rest is None:
         return False
     attempt = request.fields.get(b"attempt-id", b"")
@@ -337,6 +340,10 @@
             await exchange.answer(421, [(b"Replica-Id", upstream.instance.encode())], b"")
         elif request.target == b"/hold":
             await anyio.sleep_forever()
+        elif request.target.startswith(b"/api/") and await refuse_for_rest(
+            upstream, request, exchange, to_control=True
+        ):
+            return
         elif request.target == b"/api/report":
             report = json.dumps({"pace": 1.0, "sequence": upstream.taken, "busy": False})
             content_type = (b"Content-Type", b"application/json")
--- /dev/null
+++ b/tests/daemons/test_resting_engines.py
@@ -0,0 +1,92 @@
+"""Calls beside requests, reports and orders, to engines that asked for rest."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+
+from ledgeladder.coordination.engine_orders import OrderOutcome
+from ledgeladder.daemons.gateway import asking
+from ledgeladder.daemons.gateway.asking import ask_slowdowns
+from ledgeladder.daemons.registry import order_sending
+from ledgeladder.http1 import serve_http1
+from ledgeladder.model.registration import Holding, Registration
+from ledgeladder.routing.forwarding_table import is_resting
+from standins.registered_upstream import StandIn, build_site
+
+from .gateway import builders
+from .test_late_orders import LOCAL, engine
+
+REST = "30"
+
+
+def set_mood(upstream: StandIn, **mood: str) -> None:
+    upstream.mood = upstream.ledger.with_name("mood")
+    upstream.mood.write_text(json.dumps(mood))
+
+
+def refused(upstream: StandIn) -> int:
+    return upstream.ledger.read_text().count('"refused"') if upstream.ledger.exists() else 0
+
+
+def test_engine_that_asked_for_rest_gets_no_order_until_it_is_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The pattern: an engine without layers, which the leader orders again and again."""
+    monkeypatch.setattr(order_sending, "may_order", lambda state: True)
+    upstream = engine(tmp_path)
+    registered = Registration(instance=upstream.instance, sequence=1, address=upstream.address)
+    state: Any = SimpleNamespace(
+        settings=SimpleNamespace(box=SimpleNamespace(address=LOCAL)),
+        node=SimpleNamespace(replica=SimpleNamespace(term=1)),
+        rests={},
+    )
+    holding = Holding(first=0, end=8)
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_http1, upstream.listen, build_site(upstream))
+            await anyio.sleep(0.1)
+            set_mood(upstream, rest_of_calls=REST)
+            for _ in range(4):
+                outcome = await order_sending.send_order(state, registered, holding, 1)
+                assert outcome is OrderOutcome.RESTING
+            assert refused(upstream) == 1
+            set_mood(upstream)
+            state.rests[upstream.instance] = anyio.current_time()
+            outcome = await order_sending.send_order(state, registered, holding, 1)
+            assert outcome is OrderOutcome.BEGUN
+            assert not state.rests
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert upstream.layers == (0, 8)
+
+
+def test_engine_that_rests_is_not_asked_how_slowly_it_works(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Beside a load an answer may take longer than a stream would wait for it.
+    monkeypatch.setattr(asking, "ASK_SECONDS", 5.0)
+    upstream = engine(tmp_path)
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_http1, upstream.listen, build_site(upstream))
+            await anyio.sleep(0.1)
+            set_mood(upstream, rest_of_calls=REST)
+            state = builders.gateway_state()
+            asked = builders.engine(address=upstream.address)
+            for _ in range(3):
+                asked.slowdown_at = float("-inf")
+                await ask_slowdowns(state, builders.path_over(asked))
+            assert is_resting(asked, anyio.current_time())
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert refused(upstream) == 1
