Hold back reports and orders from engines that asked for rest

Cause: as for requests, on the calls of this box's own: no time that an engine names was read. A gateway asks no resting engine how slowly it works, and a control box that leads sends no order to one, nor asks for the report before it; the order is due again as any that was not answered. What a control box was asked counts for it alone, as rest is asked of one box. Not covered: probes that only connect, which carry no request and watch streams that run.

--- a/src/ledgeladder/coordination/engine_orders.py
+++ b/src/ledgeladder/coordination/engine_orders.py
@@ -53,6 +53,9 @@
     REFUSED = "refused"
     """Any other answer."""
 
+    RESTING = "resting"
+    """It has asked for rest; the order was not sent, or was refused with that."""
+
     NO_ANSWER = "no-answer"
     """None came, or the order was not sent since the engine could not be reached or the lease had
     ended. It may have been taken, or may be carried out late."""
--- a/src/ledgeladder/daemons/gateway/asking.py
+++ b/src/ledgeladder/daemons/gateway/asking.py
@@ -8,7 +8,9 @@
 import anyio
 
 from ...http1 import AnswerBrokenError, ConnectError
-from ..engine_call import fetch_report
+from ...routing.forwarding_table import is_resting
+from ..engine_call import EngineRestsError, fetch_report
+from .upstream_wishes import note_rest
 
 if TYPE_CHECKING:
     from ...routing.forwarding_table import ForwardedUpstream
@@ -29,14 +31,19 @@
     """Ask the engines of a path how slowly they work, side by side.
 
     What they say counts for the choice of the next paths. For one that does not tell in time, what
-    it said last counts on: one that is slow may be late with its report, too.
+    it said last counts on: one that is slow may be late with its report, too. One that asked for
+    rest is not asked.
 
     Args:
         state: The process's state.
         path: The path.
     """
     now = anyio.current_time()
-    asked = [item for item in path.engines if now - item.slowdown_at >= ASK_AGAIN_SECONDS]
+    asked = [
+        item
+        for item in path.engines
+        if now - item.slowdown_at >= ASK_AGAIN_SECONDS and not is_resting(item, now)
+    ]
     with anyio.move_on_after(ASK_SECONDS):
         async with anyio.create_task_group() as tasks:
             for engine in asked:
@@ -51,6 +58,9 @@
             source=state.settings.box.address,
             seconds=ASK_SECONDS,
         )
+    except EngineRestsError as error:
+        note_rest(state, engine, error.seconds)
+        return
     except (AnswerBrokenError, ConnectError) as error:
         logger.debug(
             "no report", extra={"upstream": engine.registration.instance, "why": str(error)}
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -112,7 +112,7 @@
         await send_request(connection, request.method, request.target, headers, request.body)
         head = await read_head(connection)
         facts = read_answer_facts(head.status_code, head.headers)
-        note_wishes(state, permit, upstream, facts, head.status_code)
+        note_wishes(state, permit, upstream, facts)
         if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
             raise AnswerBrokenError("the answer belongs to another request")
     except AnswerBrokenError as error:
--- a/src/ledgeladder/daemons/gateway/upstream_wishes.py
+++ b/src/ledgeladder/daemons/gateway/upstream_wishes.py
@@ -23,7 +23,6 @@
     permit: Permit,
     upstream: ForwardedUpstream,
     facts: AnswerFacts,
-    status: int,
 ) -> None:
     """Take in what an upstream asks for in the head of an answer.
 
@@ -35,7 +34,6 @@
         permit: The request that was answered.
         upstream: The upstream that answered.
         facts: What the head says.
-        status: HTTP status.
     """
     if facts.wrong_upstream:
         # Another run of an upstream has the address, and speaks for itself alone.
@@ -57,7 +55,7 @@
         pool = state.table.pools.get(permit.pool.name, [])
         asking += [item for item in pool if item.registration.address == facts.culprit]
     for item in asking:
-        note_rest(state, item, facts.rest_seconds, request=permit.facts.attempt_id, status=status)
+        note_rest(state, item, facts.rest_seconds, request=permit.facts.attempt_id)
 
 
 def note_rest(
@@ -66,7 +64,6 @@
     seconds: float,
     *,
     request: str = "",
-    status: int,
 ) -> None:
     """Leave an upstream alone for a time that it named.
 
@@ -75,7 +72,6 @@
         upstream: The upstream.
         seconds: How long, from now on.
         request: Attempt that it refused; empty for a call of this box's own.
-        status: HTTP status of the refusal.
     """
     now = anyio.current_time()
     if not ask_rest(state.table.book, upstream.registration, upstream.wishes, seconds, now):
@@ -89,7 +85,6 @@
             "request": request,
             "upstream": upstream.registration.instance,
             "seconds": round(seconds, 3),
-            "status": status,
             "in_flight": upstream.in_flight,
         },
     )
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -170,6 +170,10 @@
     published_changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once a newer document was applied."""
 
+    rests: dict[str, float] = msgspec.field(default_factory=dict)
+    """Until when engines want nothing from this box, by run, on the monotonic clock; only those
+    that asked for it."""
+
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes on engines that they found dead."""
 
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -170,11 +170,16 @@
         culprit=fields.get(b"at-server", b"").decode("latin-1"),
         load=_load(fields.get(b"replica-load")),
         keep_seconds=_keep_seconds(fields),
-        rest_seconds=read_retry_after(told) if status in REST_STATUSES else None,
+        rest_seconds=read_rest(status, told),
         leaving=fields.get(b"server-leaving", b"0").strip() not in (b"", b"0"),
     )
 
 
+def read_rest(status: int, headers: Iterable[tuple[bytes, bytes]]) -> float | None:
+    """Read how long an upstream that refused wants nothing more, in seconds; None if not said."""
+    return read_retry_after(headers) if status in REST_STATUSES else None
+
+
 def _load(value: bytes | None) -> UpstreamLoad | None:
     parts = [_number(part) for part in (value or b"").split(b",")]
     if len(parts) != 3 or None in parts:
--- a/tests/daemons/gateway/test_upstream_wishes.py
+++ b/tests/daemons/gateway/test_upstream_wishes.py
@@ -40,7 +40,7 @@
 
     async def play() -> list[tuple[bool, bool]]:
         state, head, later = two_upstreams()
-        note_wishes(state, PERMIT, head, facts(status, **fields), status)
+        note_wishes(state, PERMIT, head, facts(status, **fields))
         now = anyio.current_time()
         return [(is_resting(item, now), item.leaving) for item in (head, later)]
 
@@ -90,7 +90,7 @@
 
         async def connect_late(*_args: Any, **_options: Any) -> Connection:
             said = {"retry_after": "3"} if wish == "rest" else {"server_leaving": "1"}
-            note_wishes(state, PERMIT, head, facts(503, **said), 503)
+            note_wishes(state, PERMIT, head, facts(503, **said))
             return Connection()
 
         monkeypatch.setattr(upstream_call, "_connection", connect_late)
@@ -112,8 +112,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_rests, state)
             for seconds in (0.05, 0.04, 0.03):
-                note_rest(state, head, seconds, status=503)
-            note_rest(state, later, 0.02, status=503)
+                note_rest(state, head, seconds)
+            note_rest(state, later, 0.02)
             while state.resting.upstreams:
                 await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
--- a/tests/daemons/test_late_orders.py
+++ b/tests/daemons/test_late_orders.py
@@ -46,6 +46,7 @@
     return SimpleNamespace(
         settings=SimpleNamespace(box=SimpleNamespace(address=LOCAL)),
         node=SimpleNamespace(replica=SimpleNamespace(term=term)),
+        rests={},
     )
 
 
--- a/tests/daemons/test_resting_engines.py
+++ b/tests/daemons/test_resting_engines.py
@@ -4,8 +4,6 @@
 
 import json
 from pathlib import Path
-from types import SimpleNamespace
-from typing import Any
 
 import anyio
 import pytest
@@ -20,7 +18,8 @@
 from standins.registered_upstream import StandIn, build_site
 
 from .gateway import builders
-from .test_late_orders import LOCAL, engine
+from .test_late_orders import engine
+from .test_late_orders import state as leader
 
 REST = "30"
 
@@ -41,11 +40,7 @@
     monkeypatch.setattr(order_sending, "may_order", lambda state: True)
     upstream = engine(tmp_path)
     registered = Registration(instance=upstream.instance, sequence=1, address=upstream.address)
-    state: Any = SimpleNamespace(
-        settings=SimpleNamespace(box=SimpleNamespace(address=LOCAL)),
-        node=SimpleNamespace(replica=SimpleNamespace(term=1)),
-        rests={},
-    )
+    state = leader(1)
     holding = Holding(first=0, end=8)
 
     async def play() -> None:
