--- a/standins/engine.py
+++ b/standins/engine.py
@@ -91,6 +91,8 @@
     link_locks: dict[str, anyio.Lock] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
     leaving: bool = False
+    rest: str = ""
+    """Time that it names while it refuses new requests and looks at its load, or empty."""
     lagged_running: int = 0
     highest_fence: tuple[int, int] = (0, 0)
     wanted: tuple[str, str, int, int] | None = None
@@ -407,10 +409,16 @@
 def build_app(engine: Engine) -> Starlette:
     """Build the engine's HTTP interface."""
 
+    def refuse_for_rest() -> Response:
+        return Response(status_code=503, headers={"retry-after": engine.rest})
+
     async def run(request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=RunRequest)
         stage = body.route[0]
         known = body.session in engine.held
+        if engine.rest and not known:
+            engine.counts["refused"] += 1
+            return refuse_for_rest()
         if (engine.leaving or engine.loading) and not known:
             refusal = RefusalBody(reason="leaving or loading", leaving=True)
             return Response(msgspec.json.encode(refusal), status_code=503)
@@ -436,6 +444,9 @@
         return Response("live")
 
     async def load(request: Request) -> Response:
+        if engine.rest:
+            engine.counts["looks-refused"] += 1
+            return refuse_for_rest()
         return JSONResponse(
             {"running": engine.lagged_running, "leaving": engine.leaving or engine.loading}
         )
@@ -448,6 +459,7 @@
     async def control(request: Request) -> Response:
         body = await request.json()
         engine.leaving = body.get("leaving", engine.leaving)
+        engine.rest = body.get("rest", engine.rest)
         speed = engine.batcher.speed
         speed.slow_factor = body.get("slow_factor", speed.slow_factor)
         return Response()
--- a/standins/service.py
+++ b/standins/service.py
@@ -22,13 +22,21 @@
 CRASH_WORD = "ends-its-service"
 """What a request asks for that ends the process that runs it."""
 
+REFUSED = "refused"
+"""Under what the requests are counted that were refused for want of rest."""
+
 
 def build_app() -> Starlette:
     """Build the service: `POST /work` runs once per call and says how often the key was run."""
     executions: Counter[str] = Counter()
+    rest: list[str] = []
 
     async def work(request: Request) -> Response:
         body = await request.json()
+        if rest:
+            executions[REFUSED] += 1
+            headers = {"ledgeladder-execution": "not-run", "retry-after": rest[0]}
+            return Response(status_code=503, headers=headers)
         if body.get("what", "").strip() == CRASH_WORD:
             os._exit(1)
         await anyio.sleep(float(body.get("seconds", 0.0)))
@@ -39,6 +47,10 @@
     async def refuse(request: Request) -> Response:
         return Response(status_code=503, headers={"ledgeladder-execution": "not-run"})
 
+    async def control(request: Request) -> Response:
+        rest[:] = (await request.json()).get("rest", [])
+        return Response()
+
     async def stats(request: Request) -> Response:
         return JSONResponse(dict(executions))
 
@@ -46,6 +58,7 @@
         routes=[
             Route("/work", work, methods=["POST"]),
             Route("/refuse", refuse, methods=["POST"]),
+            Route("/standin/control", control, methods=["POST"]),
             Route("/standin/stats", stats),
         ]
     )
