Product's own interface: send nothing to an upstream that asked for rest

Repeatable and claimed calls, generations, load reports, probes of suspects and orders (by control boxes and gates) now keep off until the time is over. Where only that keeps a request from being run, it is refused at once as UPSTREAMS_RESTING, also where a lost stage would be waited for; a claim is given back as not run.

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -85,6 +85,10 @@
     order_outcomes: list[OrderOutcome] = msgspec.field(default_factory=list)
     """What gates said of orders and nobody has looked at yet."""
 
+    rests: dict[str, float] = msgspec.field(default_factory=dict)
+    """Until when engines want nothing from this box, by name, on the monotonic clock; only those
+    that asked for it."""
+
     boxes: dict[str, KnownBox] = msgspec.field(default_factory=dict)
     """Entry boxes by name, connected here or reported by another control box."""
 
--- a/src/ledgeladder/daemons/control/ordering.py
+++ b/src/ledgeladder/daemons/control/ordering.py
@@ -13,7 +13,7 @@
 from ...coordination.commands import OrderCommand, OrderDoneCommand
 from ...coordination.orders import next_order, pending_orders, wanted_assignment
 from ...links.messages import FencedOrder
-from ...upstreams.engine import is_live, make_order_request, send_order
+from ...upstreams.engine import EngineRestsError, is_live, make_order_request, send_order
 from .. import clock
 from ..clock import wall_clock_ms
 from .node import submit
@@ -22,6 +22,7 @@
     from ...coordination.orders import Order
     from ...links import Link
     from ...model import Upstream
+    from ...upstreams.engine import OrderRequest
     from .hub import Hub
     from .node import ControlNode
 
@@ -45,7 +46,7 @@
             hub.order_outcomes.clear()
             continue
         await _take_outcomes(node, hub)
-        await _place_next(node, client)
+        await _place_next(node, hub, client)
         for name, order in pending_orders(node.state.orders).items():
             upstream = node.state.configuration.upstreams.get(name)
             if upstream is not None:
@@ -57,12 +58,13 @@
     return raft.holds_lease(node.replica, clock.now())
 
 
-async def _place_next(node: ControlNode, client: httpx.AsyncClient) -> None:
+async def _place_next(node: ControlNode, hub: Hub, client: httpx.AsyncClient) -> None:
     upstreams = node.state.configuration.upstreams
     managed = [item for item in upstreams.values() if wanted_assignment(item) is not None]
     if not managed or pending_orders(node.state.orders):
         return
     live: set[str] = set()
+    managed = [item for item in managed if clock.now() >= hub.rests.get(item.name, 0.0)]
 
     async def check(upstream: Upstream) -> None:
         if await is_live(client, upstream.address):
@@ -79,6 +81,24 @@
         logger.info("order placed", extra={"upstream": name, "version": assignment.version})
 
 
+async def _held_by(
+    hub: Hub, client: httpx.AsyncClient, upstream: Upstream, request: OrderRequest
+) -> bool:
+    """Send an order, unless the engine rests; True if it holds what was ordered."""
+    if clock.now() < hub.rests.get(upstream.name, 0.0):
+        return False
+    try:
+        return await send_order(client, upstream.address, request) is True
+    except EngineRestsError as error:
+        until = clock.now() + error.seconds
+        hub.rests[upstream.name] = max(until, hub.rests.get(upstream.name, until))
+        logger.warning(
+            "upstream asks for rest",
+            extra={"upstream": upstream.name, "seconds": round(error.seconds, 3)},
+        )
+        return False
+
+
 async def _send(
     node: ControlNode, hub: Hub, client: httpx.AsyncClient, upstream: Upstream, order: Order
 ) -> None:
@@ -88,7 +108,7 @@
     term = node.replica.term
     if upstream.checks_fences:
         request = make_order_request(term, order.index, order.assignment)
-        if await send_order(client, upstream.address, request):
+        if await _held_by(hub, client, upstream, request):
             await _confirm(node, upstream.name, order.index)
         return
     gate = choose_gate(hub, upstream)
--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -92,6 +92,9 @@
     leaving: bool = False
     """True if an upstream refused because it is leaving."""
 
+    rest_seconds: float | None = None
+    """How long the upstream that refused wants nothing more from this box, if it said so."""
+
     reached: frozenset[str] = frozenset()
     """Upstreams that lived when the attempt came to them: the head if it took the request, and all
     once there was a token. One that had ended before is no evidence against the request."""
@@ -191,6 +194,7 @@
     except EngineRefusedError as error:
         attempt.outcome.end = AttemptEnd.REFUSED
         attempt.outcome.leaving = error.body.leaving
+        attempt.outcome.rest_seconds = error.rest_seconds
     except EngineLostError as error:
         if not isinstance(error, EngineUnreachableError):
             attempt.reached |= attempt.outcome.blamed
--- a/src/ledgeladder/daemons/entry/gate.py
+++ b/src/ledgeladder/daemons/entry/gate.py
@@ -19,10 +19,13 @@
 
 from ...coordination.raft import quorum
 from ...links.messages import FencedOrder, OrderOutcome, TermQuery, TermReply
-from ...upstreams.engine import make_order_request, send_order
+from ...routing.upstream_table import is_resting, note_rest
+from ...upstreams.engine import EngineRestsError, make_order_request, send_order
+from ..clock import now
 
 if TYPE_CHECKING:
     from ...links import Link
+    from ...upstreams.engine import OrderRequest
     from .command_client import CommandClient
     from .context import EntryContext
 
@@ -72,10 +75,23 @@
         else:
             gate.highest[order.upstream] = fence
             request = make_order_request(order.term, order.index, order.assignment)
-            done = await send_order(context.client, order.address, request) is True
+            done = await _send(context, order, request)
     link.post(OrderOutcome(upstream=order.upstream, term=order.term, index=order.index, done=done))
 
 
+async def _send(context: EntryContext, order: FencedOrder, request: OrderRequest) -> bool:
+    """Send an order, unless the engine rests; True if it holds what was ordered."""
+    view = context.upstreams.views.get(order.upstream)
+    if view is not None and is_resting(view, now()):
+        return False
+    try:
+        return await send_order(context.client, order.address, request) is True
+    except EngineRestsError as error:
+        if view is not None:
+            note_rest(view, error.seconds, now())
+        return False
+
+
 async def no_later_term(commands: CommandClient, term: int) -> bool:
     """Tell whether a majority of voters is in no later term than the given one.
 
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -13,7 +13,7 @@
 from ...routing.chain import choose_route, engines_for, replace_stages
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.session import Session, begin_attempt
-from ...routing.upstream_table import note_failure
+from ...routing.upstream_table import is_resting, note_failure, note_rest
 from ...upstreams.engine import CancelRequest, cancel_on_engine
 from ..clock import now
 from .attempt import AttemptEnd, AttemptOutcome, Emit, Generation, Progress, run_attempt
@@ -74,6 +74,7 @@
 ) -> None:
     route = _first_route(context, request)
     recoveries = 0
+    may_have_run = False
     while True:
         attempt = begin_attempt(session, route)
         outcome = await run_attempt(context, request, session, progress, emit)
@@ -87,6 +88,9 @@
         _blame(context, outcome)
         if recoveries > RECOVERY_LIMIT:
             raise _given_up(session, ResultCode.UPSTREAM_LOST, "too many stages were lost")
+        may_have_run = may_have_run or outcome.end is not AttemptEnd.REFUSED
+        if not may_have_run:
+            _refuse_if_resting(context, request)
         if not session.tokens and not take_retry(context.budget):
             raise _spent(session, outcome)
         progress.recovering = True
@@ -119,13 +123,50 @@
 
 
 def _first_route(context: EntryContext, request: Generation) -> Route:
+    """Choose the first route.
+
+    Raises:
+        ProblemError: If there is none; nothing has run.
+    """
     engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
     chosen = choose_route(engines, request.pipeline.layers, context.pick)
     if isinstance(chosen, Failure):
+        _refuse_if_resting(context, request)
         raise ProblemError(chosen.failure())
     return chosen.unwrap()
 
 
+def _refuse_if_resting(context: EntryContext, request: Generation) -> None:
+    """Refuse a request that did not run if only the rest of engines keeps it from a route.
+
+    Other gaps are waited for, since a lost stage is replaced within moments.
+
+    Raises:
+        ProblemError: If so, with the time until there is a route.
+    """
+    seconds = _rest_before_route(context, request)
+    if seconds is None:
+        return
+    detail = "the engines that do not rest leave layers out"
+    problem = Problem(code=ResultCode.UPSTREAMS_RESTING, detail=detail, retry_after=seconds)
+    raise ProblemError(problem)
+
+
+def _rest_before_route(context: EntryContext, request: Generation) -> float | None:
+    """Return when there is a route since engines have rested, in seconds.
+
+    Returns:
+        None if there is one now, or if their rest is not what it lacks.
+    """
+    at = now()
+    ends = {view.rest_until for view in context.upstreams.views.values() if is_resting(view, at)}
+    for when in (at, *sorted(ends)):
+        engines = engines_for(context.upstreams, request.pipeline, when, allowed=request.allowed)
+        if not isinstance(choose_route(engines, request.pipeline.layers, context.pick), Failure):
+            return when - at if when > at else None
+    return None
+
+
 async def _next_route(
     context: EntryContext, request: Generation, session: Session, outcome: AttemptOutcome
 ) -> Route:
@@ -157,6 +198,10 @@
         if outcome.leaving:
             view.said_leaving = True
             continue
+        if outcome.rest_seconds is not None:
+            # No suspicion besides: that would have it probed until it answers.
+            note_rest(view, outcome.rest_seconds, now())
+            continue
         note_failure(view, now())
         if outcome.end is AttemptEnd.LOST:
             domain = view.upstream.failure_domain
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -20,7 +20,14 @@
 )
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...routing.retry_budget import note_first_try, take_retry
-from ...routing.upstream_table import UpstreamView, note_failure, note_success, usable
+from ...routing.upstream_table import (
+    UpstreamView,
+    note_failure,
+    note_rest,
+    note_success,
+    rest_left,
+    usable,
+)
 from ...upstreams.service import ServiceAnswer, ServiceCall, ServiceCallError, call_service
 from ..clock import now, wall_clock_ms
 from .checks import Permit, refuse
@@ -82,15 +89,30 @@
     return await _run_once(context, permit, call)
 
 
-def _choose_service(context: EntryContext, permit: Permit, tried: set[str]) -> UpstreamView | None:
+def _services(context: EntryContext, permit: Permit) -> list[UpstreamView]:
+    """Return the services that a call may be sent to, whatever their state."""
     views = [context.upstreams.views.get(name) for name in permit.pipeline.services]
+    return [view for view in views if view is not None and permit.allowed(view)]
+
+
+def _rest_left(context: EntryContext, permit: Permit) -> float | None:
+    """Return when the first service wants work again, in seconds; None unless all of them rest."""
+    return rest_left(_services(context, permit), now())
+
+
+def _no_service(context: EntryContext, permit: Permit) -> ProblemError:
+    """Say why a call that was sent to no service was refused."""
+    rest = _rest_left(context, permit)
+    if rest is not None:
+        return refuse(ResultCode.UPSTREAMS_RESTING, "all services of the pipeline", rest)
+    return refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
+
+
+def _choose_service(context: EntryContext, permit: Permit, tried: set[str]) -> UpstreamView | None:
     candidates = [
         view
-        for view in views
-        if view is not None
-        and view.upstream.name not in tried
-        and usable(view, now())
-        and permit.allowed(view)
+        for view in _services(context, permit)
+        if view.upstream.name not in tried and usable(view, now())
     ]
     if not candidates:
         return None
@@ -109,13 +131,19 @@
         note_failure(view, now())
         raise ServiceCallError(Execution.UNKNOWN, "the deadline passed") from error
     except ServiceCallError as error:
-        note_failure(view, now())
+        if error.rest_seconds is None:
+            note_failure(view, now())
+        else:
+            # It works, and has said when it wants work again.
+            note_rest(view, error.rest_seconds, now())
         if error.execution is Execution.UNKNOWN:
             upstream = view.upstream
             await note_lost_run(context, permit.content, upstream.name, upstream.address)
         raise
     finally:
         view.in_flight -= 1
+    if answer.rest_seconds is not None:
+        note_rest(view, answer.rest_seconds, now())
     note_success(view)
     note_answered(context, permit.content)
     return answer
@@ -125,19 +153,24 @@
     context: EntryContext, permit: Permit, call: ServiceCall
 ) -> ServiceAnswer:
     tried: set[str] = set()
+    may_have_run = False
     while True:
         view = _choose_service(context, permit, tried)
         if view is None:
-            raise refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
+            raise _no_service(context, permit)
         tried.add(view.upstream.name)
         try:
             answer = await _dispatch(context, permit, view, call)
             if answer.status < SERVER_ERROR:
                 return answer
+            may_have_run = True
         except ServiceCallError as error:
             if now() >= permit.deadline:
                 raise refuse(ResultCode.DEADLINE_EXCEEDED, str(error), 1.0) from error
+            may_have_run = may_have_run or error.execution is not Execution.NOT_RUN
             answer = None
+        if not may_have_run and _rest_left(context, permit) is not None:
+            raise _no_service(context, permit)
         if not may_be_sent(context, permit.content):
             raise refuse(ResultCode.UPSTREAM_LOST, "its upstreams ended", 1.0)
         if _choose_service(context, permit, tried) is None or not take_retry(context.budget):
@@ -271,7 +304,7 @@
         refuse_if_held(context, permit.content)
         view = _choose_service(context, permit, tried)
         if view is None or now() >= permit.deadline:
-            raise refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
+            raise _no_service(context, permit)
         tried.add(view.upstream.name)
         try:
             return await _dispatch(context, permit, view, claimed.call)
--- a/src/ledgeladder/daemons/entry/watching.py
+++ b/src/ledgeladder/daemons/entry/watching.py
@@ -10,8 +10,15 @@
 from ...coordination.membership import UpstreamReport, merge_report, watchers
 from ...model import UpstreamKind
 from ...routing.pace import note_gap, probe_patience
-from ...routing.upstream_table import note_failure, note_success, suspects, take_report
-from ...upstreams.engine import is_live, read_load
+from ...routing.upstream_table import (
+    is_resting,
+    note_failure,
+    note_rest,
+    note_success,
+    suspects,
+    take_report,
+)
+from ...upstreams.engine import EngineRestsError, is_live, read_load
 from ..clock import now, wall_clock_ms
 
 if TYPE_CHECKING:
@@ -45,7 +52,7 @@
         await anyio.sleep(WATCH_SECONDS * random.uniform(0.8, 1.2))
         async with anyio.create_task_group() as tasks:
             for view in list(context.upstreams.views.values()):
-                if _is_watched_here(membership, view):
+                if _is_watched_here(membership, view) and not is_resting(view, now()):
                     tasks.start_soon(_look, context, membership, view, misses)
 
 
@@ -62,7 +69,11 @@
     context: EntryContext, membership: Membership, view: UpstreamView, misses: dict[str, int]
 ) -> None:
     name = view.upstream.name
-    load = await read_load(context.client, view.upstream.address)
+    try:
+        load = await read_load(context.client, view.upstream.address)
+    except EngineRestsError as error:
+        note_rest(view, error.seconds, now())
+        return
     misses[name] = 0 if load is not None else misses.get(name, 0) + 1
     if load is None and misses[name] < MISSES:
         return
@@ -151,5 +162,6 @@
     async with anyio.create_task_group() as tasks:
         for view in list(context.upstreams.views.values()):
             engine = view.upstream.kind is UpstreamKind.ENGINE
-            if engine and view.upstream.failure_domain == failure_domain:
+            asked = engine and not is_resting(view, now())
+            if asked and view.upstream.failure_domain == failure_domain:
                 tasks.start_soon(check, view)
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import logging
 import math
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from ..model import Configuration, Upstream, UpstreamKind
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+logger = logging.getLogger(__name__)
+
 SUSPECT_SECONDS: Final = 1.0
 """How long a service is passed over after a failure; doubles with each failure in a row."""
 
@@ -36,6 +42,9 @@
     reported_down: bool = False
     """True if the boxes that watch it get no answer."""
 
+    rest_until: float = -math.inf
+    """Until when it wants nothing from this box, as it said, on the monotonic clock."""
+
     suspect_until: float = 0.0
     """Until when it is passed over because of failures, on the monotonic clock."""
 
@@ -91,8 +100,48 @@
     view.suspect_until = 0.0
 
 
+def note_rest(view: UpstreamView, seconds: float, now: float) -> None:
+    """Take in that an upstream wants nothing for some time; a shorter one shortens no earlier one.
+
+    Unlike a time of suspicion it is no guess of this box, and no answer to an earlier request ends
+    it.
+
+    Args:
+        view: The upstream.
+        seconds: How long.
+        now: Monotonic time in seconds.
+    """
+    until = now + seconds
+    if until <= max(now, view.rest_until):
+        return
+    view.rest_until = until
+    logger.warning(
+        "upstream asks for rest",
+        extra={"upstream": view.upstream.name, "seconds": round(seconds, 3)},
+    )
+
+
+def is_resting(view: UpstreamView, now: float) -> bool:
+    """Tell whether an upstream wants nothing from this box right now."""
+    return now < view.rest_until
+
+
+def rest_left(views: Iterable[UpstreamView], now: float) -> float | None:
+    """Return when the first of some upstreams wants work again, in seconds.
+
+    Returns:
+        None if one of them does not rest, or there are none. Those that leave count for nothing.
+    """
+    left = [
+        view.rest_until - now for view in views if not (view.listed_leaving or view.said_leaving)
+    ]
+    return min(left) if left and min(left) > 0 else None
+
+
 def usable(view: UpstreamView, now: float) -> bool:
     """Tell whether new work may go to an upstream."""
+    if is_resting(view, now):
+        return False
     if view.listed_leaving or view.said_leaving or view.reported_down:
         return False
     return now >= view.suspect_until
@@ -125,9 +174,11 @@
 
 
 def suspects(table: UpstreamTable, now: float) -> list[UpstreamView]:
-    """Return the engines that are passed over until they answer a probe."""
+    """Return the engines that are passed over until they answer a probe, and want to be asked."""
     return [
         view
         for view in table.views.values()
-        if view.upstream.kind is UpstreamKind.ENGINE and now < view.suspect_until
+        if view.upstream.kind is UpstreamKind.ENGINE
+        and now < view.suspect_until
+        and not is_resting(view, now)
     ]
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..routing.session import ReceiptStage, TokenFrame
+from .rest import read_rest
 
 if TYPE_CHECKING:
     from ..coordination.orders import Assignment
@@ -103,10 +104,21 @@
 class EngineRefusedError(Exception):
     """The head refused before it started."""
 
-    def __init__(self, body: RefusalBody) -> None:
+    def __init__(self, body: RefusalBody, *, rest_seconds: float | None = None) -> None:
         super().__init__(body.reason)
         self.body = body
         """What the engine said."""
+        self.rest_seconds = rest_seconds
+        """How long it wants nothing more from this box, if it said so."""
+
+
+class EngineRestsError(Exception):
+    """The engine refused a call beside requests and asked for rest."""
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"wants nothing for {seconds:.3f} s")
+        self.seconds = seconds
+        """How long it wants nothing from this box."""
 
 
 class EngineLostError(Exception):
@@ -151,6 +163,9 @@
     Returns:
         True if the engine holds what was ordered, False if it refused the fence or is at it, None
         if it did not answer.
+
+    Raises:
+        EngineRestsError: If it asks for rest.
     """
     url = f"http://{address}{ORDER_PATH}"
     try:
@@ -158,9 +173,16 @@
             response = await client.post(url, content=msgspec.json.encode(order))
     except (httpx.HTTPError, TimeoutError):
         return None
+    _raise_for_rest(response)
     return response.status_code == OK_STATUS
 
 
+def _raise_for_rest(response: httpx.Response) -> None:
+    rest = read_rest(response)
+    if rest is not None:
+        raise EngineRestsError(rest)
+
+
 class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load as an engine reports it, with a lag."""
 
@@ -248,7 +270,7 @@
         body = msgspec.json.decode(content, type=RefusalBody)
     except msgspec.DecodeError:
         body = RefusalBody(reason=f"status {response.status_code}")
-    raise EngineRefusedError(body)
+    raise EngineRefusedError(body, rest_seconds=read_rest(response))
 
 
 async def cancel_on_engine(client: httpx.AsyncClient, address: str, request: CancelRequest) -> None:
@@ -291,10 +313,14 @@
 
     Returns:
         The report, or None if there is none or it is absurd.
+
+    Raises:
+        EngineRestsError: If it asks for rest.
     """
     try:
         with anyio.fail_after(PROBE_SECONDS):
             response = await client.get(f"http://{address}{LOAD_PATH}")
+        _raise_for_rest(response)
         return msgspec.json.decode(response.content, type=EngineLoad)
     except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
         return None
@@ -307,6 +333,7 @@
     "EngineLostError",
     "EngineUnreachableError",
     "EngineRefusedError",
+    "EngineRestsError",
     "LostFrame",
     "OrderRequest",
     "ReceiptStage",
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..model import EXECUTION_HEADER, Execution
+from .rest import read_rest
 
 ANSWER_LIMIT: Final = 16 * 1024 * 1024
 """Longest answer of a service, in bytes."""
@@ -44,14 +45,21 @@
     body: bytes
     """Answer body."""
 
+    rest_seconds: float | None = None
+    """How long the service wants nothing more from this box, if it said so."""
+
 
 class ServiceCallError(Exception):
     """A call that brought no answer."""
 
-    def __init__(self, execution: Execution, detail: str) -> None:
+    def __init__(
+        self, execution: Execution, detail: str, *, rest_seconds: float | None = None
+    ) -> None:
         super().__init__(detail)
         self.execution = execution
         """Whether the service may have run the call."""
+        self.rest_seconds = rest_seconds
+        """How long the service wants nothing more from this box, if it said so."""
 
 
 async def call_service(client: httpx.AsyncClient, address: str, call: ServiceCall) -> ServiceAnswer:
@@ -83,7 +91,14 @@
         raise ServiceCallError(Execution.NOT_RUN, str(error)) from error
     except httpx.HTTPError as error:
         raise ServiceCallError(Execution.UNKNOWN, f"{type(error).__name__}: {error}") from error
+    rest = read_rest(response)
     if response.headers.get(EXECUTION_HEADER) == Execution.NOT_RUN.value:
-        raise ServiceCallError(Execution.NOT_RUN, f"refused with status {response.status_code}")
+        detail = f"refused with status {response.status_code}"
+        raise ServiceCallError(Execution.NOT_RUN, detail, rest_seconds=rest)
     content_type = response.headers.get("content-type", "application/octet-stream")
-    return ServiceAnswer(status=response.status_code, content_type=content_type, body=bytes(body))
+    return ServiceAnswer(
+        status=response.status_code,
+        content_type=content_type,
+        body=bytes(body),
+        rest_seconds=rest,
+    )
