--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from ...coordination.commands import ClaimCommand, CompleteCommand, ReleaseCommand
+from ...coordination.rests import Rests
 from ...coordination.state_machine import deltas_after
 from ...links import post_to_all
 from ...links.messages import (
@@ -85,9 +86,8 @@
     order_outcomes: list[OrderOutcome] = msgspec.field(default_factory=list)
     """What gates said of orders and nobody has looked at yet."""
 
-    rests: dict[str, float] = msgspec.field(default_factory=dict)
-    """Until when engines want nothing from this box, by name, on the monotonic clock; only those
-    that asked for it."""
+    rests: Rests = msgspec.field(default_factory=Rests)
+    """Engines that asked this box for rest, by name."""
 
     boxes: dict[str, KnownBox] = msgspec.field(default_factory=dict)
     """Entry boxes by name, connected here or reported by another control box."""
--- a/src/ledgeladder/daemons/engine_call.py
+++ b/src/ledgeladder/daemons/engine_call.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from ..http1 import connect, read_head, read_part, send_request
+from ..http1 import connect, raise_for_rest, read_head, read_part, send_request
 from ..platform.engine_calls import read_report, report_call
-from ..platform.exchange import read_rest
 
 if TYPE_CHECKING:
     import h11
@@ -18,15 +17,6 @@
 """Longest report that is read."""
 
 
-class EngineRestsError(Exception):
-    """The engine refused a call and asked for rest."""
-
-    def __init__(self, seconds: float) -> None:
-        super().__init__(f"wants nothing for {seconds:.3f} s")
-        self.seconds = seconds
-        """How long it wants nothing from this box."""
-
-
 async def send_call(connection: UpstreamConnection, call: EngineCall) -> h11.Response:
     """Send a call and return the head of the answer.
 
@@ -36,14 +26,12 @@
 
     Raises:
         AnswerBrokenError: If no whole head comes.
-        EngineRestsError: If the engine asks for rest.
+        RestAskedError: If the engine asks for rest.
     """
     headers = [(b"Host", connection.address.encode()), *call.headers]
     await send_request(connection, call.method, call.target, headers, call.body)
     head = await read_head(connection)
-    rest = read_rest(head.status_code, head.headers)
-    if rest is not None:
-        raise EngineRestsError(rest)
+    raise_for_rest(head.status_code, head.headers)
     return head
 
 
@@ -61,7 +49,7 @@
     Raises:
         ConnectError: If the engine does not accept a connection.
         AnswerBrokenError: If the answer ends early.
-        EngineRestsError: If the engine asks for rest.
+        RestAskedError: If the engine asks for rest.
     """
     connection = await connect(address, source=source, seconds=seconds)
     try:
--- a/src/ledgeladder/daemons/entry/gate.py
+++ b/src/ledgeladder/daemons/entry/gate.py
@@ -18,9 +18,10 @@
 import msgspec
 
 from ...coordination.raft import quorum
+from ...http1 import RestAskedError
 from ...links.messages import FencedOrder, OrderOutcome, TermQuery, TermReply
 from ...routing.upstream_table import is_resting, note_rest
-from ...upstreams.engine import EngineRestsError, make_order_request, send_order
+from ...upstreams.engine import make_order_request, send_order
 from ..clock import now
 
 if TYPE_CHECKING:
@@ -86,7 +87,7 @@
         return False
     try:
         return await send_order(context.client, order.address, request) is True
-    except EngineRestsError as error:
+    except RestAskedError as error:
         if view is not None:
             note_rest(view, error.seconds, now())
         return False
--- a/src/ledgeladder/daemons/entry/watching.py
+++ b/src/ledgeladder/daemons/entry/watching.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ...coordination.membership import UpstreamReport, merge_report, watchers
+from ...http1 import RestAskedError
 from ...model import UpstreamKind
 from ...routing.pace import note_gap, probe_patience
 from ...routing.upstream_table import (
@@ -18,7 +19,7 @@
     suspects,
     take_report,
 )
-from ...upstreams.engine import EngineRestsError, is_live, read_load
+from ...upstreams.engine import is_live, read_load
 from ..clock import now, wall_clock_ms
 
 if TYPE_CHECKING:
@@ -71,7 +72,7 @@
     name = view.upstream.name
     try:
         load = await read_load(context.client, view.upstream.address)
-    except EngineRestsError as error:
+    except RestAskedError as error:
         note_rest(view, error.seconds, now())
         return
     misses[name] = 0 if load is not None else misses.get(name, 0) + 1
--- a/src/ledgeladder/daemons/gateway/asking.py
+++ b/src/ledgeladder/daemons/gateway/asking.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from ...http1 import AnswerBrokenError, ConnectError
+from ...http1 import AnswerBrokenError, ConnectError, RestAskedError
 from ...routing.forwarding_table import is_resting
-from ..engine_call import EngineRestsError, fetch_report
+from ..engine_call import fetch_report
 from .upstream_wishes import note_rest
 
 if TYPE_CHECKING:
@@ -58,7 +58,7 @@
             source=state.settings.box.address,
             seconds=ASK_SECONDS,
         )
-    except EngineRestsError as error:
+    except RestAskedError as error:
         note_rest(state, engine, error.seconds)
         return
     except (AnswerBrokenError, ConnectError) as error:
--- a/src/ledgeladder/daemons/registry/order_sending.py
+++ b/src/ledgeladder/daemons/registry/order_sending.py
@@ -9,12 +9,13 @@
 
 from ...coordination import raft
 from ...coordination.engine_orders import OrderOutcome, note_outcome
-from ...http1 import AnswerBrokenError, ConnectError, connect
+from ...coordination.rests import is_resting, note_rest
+from ...http1 import AnswerBrokenError, ConnectError, RestAskedError, connect
 from ...links import post_to_all
 from ...links.messages import OrderNews
 from ...platform.engine_calls import place_call, read_outcome
 from .. import clock
-from ..engine_call import EngineRestsError, fetch_report, send_call
+from ..engine_call import fetch_report, send_call
 
 if TYPE_CHECKING:
     from ...model.registration import Holding, Registration
@@ -74,14 +75,12 @@
         reached, carries out another one, or this box leads no more. `RESTING` if it wants nothing;
         the order is due again later, as any that was not answered.
     """
-    if _rests(state, engine.instance):
+    if is_resting(state.rests, engine.instance, clock.now()):
         return OrderOutcome.RESTING
     try:
         return await _send_order(state, engine, holding, fence)
-    except EngineRestsError as error:
-        now = clock.now()
-        until = now + error.seconds
-        state.rests[engine.instance] = max(until, state.rests.get(engine.instance, until))
+    except RestAskedError as error:
+        note_rest(state.rests, engine.instance, error.seconds, clock.now())
         logger.warning(
             "engine asks for rest",
             extra={"upstream": engine.instance, "seconds": round(error.seconds, 3)},
@@ -89,20 +88,13 @@
         return OrderOutcome.RESTING
 
 
-def _rests(state: RegistryState, instance: str) -> bool:
-    """Tell whether an engine wants nothing from this box; rests that are over are forgotten."""
-    now = clock.now()
-    state.rests = {name: until for name, until in state.rests.items() if until > now}
-    return instance in state.rests
-
-
 async def _send_order(
     state: RegistryState, engine: Registration, holding: Holding, fence: int
 ) -> OrderOutcome:
     """Ask an engine how many orders it has taken, and send it the next one.
 
     Raises:
-        EngineRestsError: If it asks for rest.
+        RestAskedError: If it asks for rest.
     """
     source = state.settings.box.address
     try:
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -11,6 +11,7 @@
 from ...coordination.freshness import Freshness
 from ...coordination.loss_evidence import LossEvidence
 from ...coordination.registrations import RegistrationTable
+from ...coordination.rests import Rests
 from ...coordination.upstream_order import UpstreamOrder
 from ...model.registration import Liveness
 from ..content_judge import ContentJudge
@@ -170,9 +171,8 @@
     published_changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once a newer document was applied."""
 
-    rests: dict[str, float] = msgspec.field(default_factory=dict)
-    """Until when engines want nothing from this box, by run, on the monotonic clock; only those
-    that asked for it."""
+    rests: Rests = msgspec.field(default_factory=Rests)
+    """Engines that asked this box for rest, by run."""
 
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes on engines that they found dead."""
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -12,7 +12,7 @@
     read_part,
     send_request,
 )
-from .retry_after import read_retry_after
+from .retry_after import RestAskedError, raise_for_rest, read_rest
 from .server import Exchange, HttpRequest, HttpSite, serve_http1
 from .sockets import tune_socket
 
@@ -23,11 +23,13 @@
     "Exchange",
     "HttpRequest",
     "HttpSite",
+    "RestAskedError",
     "UpstreamConnection",
     "connect",
+    "raise_for_rest",
     "read_head",
     "read_part",
-    "read_retry_after",
+    "read_rest",
     "send_request",
     "serve_http1",
     "tune_socket",
--- a/src/ledgeladder/http1/retry_after.py
+++ b/src/ledgeladder/http1/retry_after.py
@@ -1,4 +1,4 @@
-"""Reading when the sender of an answer wants to be called again (RFC 9110, section 10.2.3)."""
+"""Reading when an upstream that refused wants to be called again (RFC 9110, section 10.2.3)."""
 
 from __future__ import annotations
 
@@ -13,6 +13,44 @@
 hour. Longer than any overload or restart that is waited out by asking for time."""
 
 
+REST_STATUSES: Final = frozenset({429, 503})
+"""Statuses with which an upstream may ask for rest; in others the field means something else, as in
+redirections."""
+
+
+class RestAskedError(Exception):
+    """An upstream refused a call beside requests and asked for rest."""
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(f"wants nothing for {seconds:.3f} s")
+        self.seconds = seconds
+        """How long it wants nothing from this box."""
+
+
+def read_rest(status: int, headers: Iterable[tuple[bytes, bytes]]) -> float | None:
+    """Read how long an upstream that refused wants nothing more from this box.
+
+    Args:
+        status: HTTP status.
+        headers: Header fields with lower-case names.
+
+    Returns:
+        Seconds from the arrival of the answer; None if it asks for nothing.
+    """
+    return read_retry_after(headers) if status in REST_STATUSES else None
+
+
+def raise_for_rest(status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
+    """Raise if the answer to a call beside requests asks for rest.
+
+    Raises:
+        RestAskedError: If so.
+    """
+    seconds = read_rest(status, headers)
+    if seconds is not None:
+        raise RestAskedError(seconds)
+
+
 def read_retry_after(headers: Iterable[tuple[bytes, bytes]]) -> float | None:
     """Read how long the sender of an answer wants nothing from the receiver.
 
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -5,7 +5,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final
 
-from ..http1.retry_after import read_retry_after
+from ..http1.retry_after import read_rest
 from ..model.exchange import AnswerFacts, CallerFacts, Dispatch, PathPart, UpstreamLoad
 from .registrations import upstream_of
 
@@ -24,10 +24,6 @@
 """Status by which an upstream refuses a request meant for another, or a path that names layers
 that it does not hold."""
 
-REST_STATUSES: Final = frozenset({429, 503})
-"""Statuses with which an upstream may ask for rest; in others the field means something else (RFC
-9110 has it in redirections, too)."""
-
 KEY_SCHEME: Final = "token"
 """Scheme of the authorization field that carries a key, in lower case."""
 
@@ -175,11 +171,6 @@
     )
 
 
-def read_rest(status: int, headers: Iterable[tuple[bytes, bytes]]) -> float | None:
-    """Read how long an upstream that refused wants nothing more, in seconds; None if not said."""
-    return read_retry_after(headers) if status in REST_STATUSES else None
-
-
 def _load(value: bytes | None) -> UpstreamLoad | None:
     parts = [_number(part) for part in (value or b"").split(b",")]
     if len(parts) != 3 or None in parts:
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -14,8 +14,9 @@
 import httpx
 import msgspec
 
+from ..http1.retry_after import raise_for_rest, read_rest
 from ..routing.session import ReceiptStage, TokenFrame
-from .rest import read_rest
+from .fields import raw_fields
 
 if TYPE_CHECKING:
     from ..coordination.orders import Assignment
@@ -112,15 +113,6 @@
         """How long it wants nothing more from this box, if it said so."""
 
 
-class EngineRestsError(Exception):
-    """The engine refused a call beside requests and asked for rest."""
-
-    def __init__(self, seconds: float) -> None:
-        super().__init__(f"wants nothing for {seconds:.3f} s")
-        self.seconds = seconds
-        """How long it wants nothing from this box."""
-
-
 class EngineLostError(Exception):
     """The connection to the head failed or ended early."""
 
@@ -165,7 +157,7 @@
         if it did not answer.
 
     Raises:
-        EngineRestsError: If it asks for rest.
+        RestAskedError: If it asks for rest.
     """
     url = f"http://{address}{ORDER_PATH}"
     try:
@@ -173,16 +165,10 @@
             response = await client.post(url, content=msgspec.json.encode(order))
     except (httpx.HTTPError, TimeoutError):
         return None
-    _raise_for_rest(response)
+    raise_for_rest(response.status_code, raw_fields(response))
     return response.status_code == OK_STATUS
 
 
-def _raise_for_rest(response: httpx.Response) -> None:
-    rest = read_rest(response)
-    if rest is not None:
-        raise EngineRestsError(rest)
-
-
 class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load as an engine reports it, with a lag."""
 
@@ -270,7 +256,9 @@
         body = msgspec.json.decode(content, type=RefusalBody)
     except msgspec.DecodeError:
         body = RefusalBody(reason=f"status {response.status_code}")
-    raise EngineRefusedError(body, rest_seconds=read_rest(response))
+    raise EngineRefusedError(
+        body, rest_seconds=read_rest(response.status_code, raw_fields(response))
+    )
 
 
 async def cancel_on_engine(client: httpx.AsyncClient, address: str, request: CancelRequest) -> None:
@@ -315,12 +303,12 @@
         The report, or None if there is none or it is absurd.
 
     Raises:
-        EngineRestsError: If it asks for rest.
+        RestAskedError: If it asks for rest.
     """
     try:
         with anyio.fail_after(PROBE_SECONDS):
             response = await client.get(f"http://{address}{LOAD_PATH}")
-        _raise_for_rest(response)
+        raise_for_rest(response.status_code, raw_fields(response))
         return msgspec.json.decode(response.content, type=EngineLoad)
     except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
         return None
@@ -333,7 +321,6 @@
     "EngineLostError",
     "EngineUnreachableError",
     "EngineRefusedError",
-    "EngineRestsError",
     "LostFrame",
     "OrderRequest",
     "ReceiptStage",
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -7,8 +7,9 @@
 import httpx
 import msgspec
 
+from ..http1.retry_after import read_rest
 from ..model import EXECUTION_HEADER, Execution
-from .rest import read_rest
+from .fields import raw_fields
 
 ANSWER_LIMIT: Final = 16 * 1024 * 1024
 """Longest answer of a service, in bytes."""
@@ -91,7 +92,7 @@
         raise ServiceCallError(Execution.NOT_RUN, str(error)) from error
     except httpx.HTTPError as error:
         raise ServiceCallError(Execution.UNKNOWN, f"{type(error).__name__}: {error}") from error
-    rest = read_rest(response)
+    rest = read_rest(response.status_code, raw_fields(response))
     if response.headers.get(EXECUTION_HEADER) == Execution.NOT_RUN.value:
         detail = f"refused with status {response.status_code}"
         raise ServiceCallError(Execution.NOT_RUN, detail, rest_seconds=rest)
--- a/tests/daemons/test_late_orders.py
+++ b/tests/daemons/test_late_orders.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ledgeladder.coordination.engine_orders import OrderOutcome
+from ledgeladder.coordination.rests import Rests
 from ledgeladder.daemons.engine_call import fetch_report, send_call
 from ledgeladder.daemons.registry import order_sending
 from ledgeladder.http1 import connect, serve_http1
@@ -46,7 +47,7 @@
     return SimpleNamespace(
         settings=SimpleNamespace(box=SimpleNamespace(address=LOCAL)),
         node=SimpleNamespace(replica=SimpleNamespace(term=term)),
-        rests={},
+        rests=Rests(),
     )
 
 
--- a/tests/http1/test_retry_after.py
+++ b/tests/http1/test_retry_after.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from ledgeladder.http1 import read_retry_after
-from ledgeladder.http1.retry_after import LONGEST_SECONDS
+from ledgeladder.http1.retry_after import LONGEST_SECONDS, read_retry_after
 
 DATE = (b"date", b"Sun, 06 Nov 1994 08:49:37 GMT")
 
