--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -15,9 +15,11 @@
     settle,
     take_over,
 )
+from ...coordination.gathering import Gathering
 from ...coordination.loss_evidence import seems_lost
 from ...coordination.registrations import superseded
 from ...model.registration import UpstreamState
+from ...routing.group_plan import most_layers
 from ...routing.load_time import load_seconds
 from ...routing.placed_engine import PlacedEngine
 from ...routing.placement import (
@@ -40,13 +42,6 @@
 LOOK_SECONDS: Final = 0.2
 """How often the leader looks for engines without layers."""
 
-GATHER_SECONDS: Final = 0.6
-"""How long no new engine must have come before the first plan is made: engines register within
-a few seconds of each other, and a plan over all of them covers every failure domain."""
-
-GATHER_LIMIT_SECONDS: Final = 3.0
-"""Longest time that the first plan waits for further engines; traffic starts some seconds later."""
-
 NEWCOMER_SECONDS: Final = 1.2
 """How long an engine that comes while the system serves waits for its layers. Where engines are
 replaced one after the other, the old one announces its end a second after the new one came, and the
@@ -61,37 +56,14 @@
 come within half a second. A look over 99 engines that finds one takes some milliseconds."""
 
 
-class _Gathering(msgspec.Struct, kw_only=True):
-    """How many engines have come and when, before the first plan."""
-
-    seen: int = 0
-    """Most engines that were registered at once."""
-
-    first_at: float = 0.0
-    """When the first came, on the monotonic clock; 0 before that."""
-
-    last_at: float = 0.0
-    """When `seen` last rose, on the monotonic clock."""
-
-    def is_over(self, count: int, now: float) -> bool:
-        """Take in how many are registered now, and tell whether it is time to plan.
-
-        It is once no more have come for a while, or the first came long ago.
-        """
-        if count > self.seen:
-            self.first_at = self.first_at or now
-            self.seen, self.last_at = count, now
-        quiet = now - self.last_at >= GATHER_SECONDS
-        return quiet or now - self.first_at >= GATHER_LIMIT_SECONDS
-
-
 async def run_placing(state: RegistryState) -> None:
     """Order layers for engines that have none, and move some where layers were lost, for ever.
 
     A box that does not lead forgets its own orders. A new leader plans from what engines report and
     from the orders that the last one told it.
     """
-    gathering = _Gathering()
+    gatherings: dict[str, Gathering] = {}
+    heartbeat = state.settings.bounds.heartbeat_ms / 1000.0
     while True:
         await anyio.sleep(LOOK_SECONDS)
         if not may_order(state) or state.configuration is None:
@@ -106,7 +78,8 @@
         async with anyio.create_task_group() as tasks:
             for pool in pools:
                 members = engines[pool.name]
-                if not gathering.is_over(len(members), anyio.current_time()):
+                gathering = gatherings.setdefault(pool.name, Gathering(heartbeat=heartbeat))
+                if not _is_gathered(gathering, pool, members):
                     continue
                 empty = [item for item in members if not item.holdings]
                 orders = await _plan(state, pool, members) if empty else []
@@ -117,6 +90,19 @@
                     tasks.start_soon(_order_in_turn, limiter, state, engine, holding)
 
 
+def _is_gathered(gathering: Gathering, pool: UpstreamPool, engines: list[Registration]) -> bool:
+    """Tell whether enough engines of a pool have come to plan over them."""
+    assert pool.engine is not None
+    profile = pool.engine
+    most = sum(most_layers(profile, item.card) for item in engines)
+    return gathering.is_over(
+        len(engines),
+        anyio.current_time(),
+        serves=any(item.holdings for item in engines),
+        is_enough=most >= profile.layers,
+    )
+
+
 def _with_slots(pool: UpstreamPool, engines: list[Registration]) -> UpstreamPool:
     """Return a pool whose profile says how many requests its engines run at once, if they told."""
     assert pool.engine is not None
--- /dev/null
+++ b/tests/coordination/test_gathering.py
@@ -0,0 +1,73 @@
+"""When the first plan is made: engines register over some seconds, and all must be in it."""
+
+from __future__ import annotations
+
+import pytest
+
+from ledgeladder.coordination.gathering import Gathering
+from ledgeladder.daemons.registry.placing import LOOK_SECONDS
+
+HEARTBEAT = 1.2
+"""Time between two heartbeats of an engine, in seconds."""
+
+STRAGGLING = [
+    *(0.0, 0.038, 0.79, 0.79, 0.79, 0.87, 0.91, 0.93, 1.0, 1.13, 1.17, 1.2, 1.3, 1.31, 1.45, 1.45),
+    *(1.68, 1.69, 1.71, 1.79, 1.82, 1.87, 1.89, 2.1, 2.1, 2.26, 2.28, 2.42, 2.42, 2.42, 2.47, 2.52),
+    2.61,
+]
+"""When 33 engines registered, in seconds after the first: two, and 0.75 s later the others. A plan
+over the first two left every failure domain without a copy, so that all paths crossed between them
+and a third of the callers of a quiet day were served."""
+
+
+def planned_with(
+    times: list[float], *, enough: int, serving: bool = False, first_look: float = 0.0
+) -> tuple[int, float]:
+    """Return how many engines were registered when the first plan was made, and when.
+
+    Args:
+        times: When engines register, in seconds.
+        enough: Engines that can hold the model together.
+        serving: True if some hold layers already.
+        first_look: When the first look is, in seconds.
+    """
+    gathering = Gathering(heartbeat=HEARTBEAT)
+    # The monotonic clock does not begin with 0.
+    began = 100.0
+    now = began + first_look
+    while True:
+        count = sum(at <= now - began for at in times)
+        if gathering.is_over(count, now, serves=serving, is_enough=count >= enough):
+            return count, now - began
+        now += LOOK_SECONDS
+
+
+@pytest.mark.parametrize("first_look", [0.02, 0.06, 0.1, 0.14, 0.18])
+def test_engines_that_straggle_are_in_the_first_plan(first_look: float) -> None:
+    count, at = planned_with(STRAGGLING, enough=5, first_look=first_look)
+    assert count == len(STRAGGLING)
+    assert at < 4.0
+
+
+def test_engines_that_come_together_are_planned_a_heartbeat_later() -> None:
+    count, at = planned_with([0.0] * 20, enough=5)
+    assert count == 20
+    assert at == pytest.approx(HEARTBEAT, abs=LOOK_SECONDS)
+
+
+def test_plan_waits_for_engines_that_hold_the_model_together() -> None:
+    """Nothing can be served before, and layers that were ordered are not divided anew."""
+    count, _ = planned_with([0.0, 0.1, 5.0, 5.1], enough=3)
+    assert count == 4
+
+
+def test_engines_that_never_suffice_are_planned_in_the_end() -> None:
+    count, at = planned_with([0.0, 0.1], enough=3)
+    assert count == 2
+    assert at < 20.0
+
+
+def test_box_that_takes_over_from_a_leader_does_not_wait_for_a_heartbeat() -> None:
+    """Engines that hold layers serve, and a gap among them is to be closed soon."""
+    _, at = planned_with([0.0] * 20, enough=5, serving=True)
+    assert at < HEARTBEAT / 1.5
