Make the first plan once every engine that is up has been heard, and together they can hold the model

Cause: the wait was 0.6 s without a new engine, half of the time between two heartbeats, whatever had come by then. Kept: a heartbeat without a new one, 3 s at most from when there are enough to hold the model, 10 s where there never are; where engines hold layers already, 0.6 s as before.

--- a/src/ledgeladder/coordination/gathering.py
+++ b/src/ledgeladder/coordination/gathering.py
@@ -6,12 +6,18 @@
 
 import msgspec
 
-GATHER_SECONDS: Final = 0.6
-"""How long no new engine must have come before the first plan is made: engines register within
-a few seconds of each other, and a plan over all of them covers every failure domain."""
+SERVING_SECONDS: Final = 0.6
+"""How long no new engine must have come where some hold layers already: a box that has just taken
+over from a leader has a whole picture after half a heartbeat, and gaps are to be closed soon."""
 
-GATHER_LIMIT_SECONDS: Final = 3.0
-"""Longest time that the first plan waits for further engines; traffic starts some seconds later."""
+LIMIT_SECONDS: Final = 3.0
+"""Longest time that a plan waits for further engines once there are enough to hold the model. They
+were seen to register over 2.8 s; a system serves some seconds after its boxes start."""
+
+LIMIT_WITHOUT_MODEL_SECONDS: Final = 10.0
+"""Longest time that it waits for engines that can hold the model. Nothing can be served before, and
+layers that were ordered are not divided anew. Then it is made all the same, so that it is logged
+which layers are lacking."""
 
 
 class Gathering(msgspec.Struct, kw_only=True):
@@ -26,13 +32,19 @@
     first_at: float = 0.0
     """When the first came, on the monotonic clock; 0 before that."""
 
+    enough_at: float = 0.0
+    """When they first were enough to hold the model, on the monotonic clock; 0 before that."""
+
     last_at: float = 0.0
     """When `seen` last rose, on the monotonic clock."""
 
     def is_over(self, count: int, now: float, *, serves: bool, is_enough: bool) -> bool:
         """Take in how many are registered now, and tell whether it is time to plan.
 
-        It is once no more have come for a while, or the first came long ago.
+        Each engine that is up is heard within a heartbeat, so that the first plan is made once no
+        other came for so long. One that was made half a heartbeat after the second engine of 33
+        left every failure domain without a copy of the model, and two thirds of all callers
+        unserved for as long as the system ran.
 
         Args:
             count: Engines that are registered.
@@ -43,5 +55,8 @@
         if count > self.seen:
             self.first_at = self.first_at or now
             self.seen, self.last_at = count, now
-        quiet = now - self.last_at >= GATHER_SECONDS
-        return quiet or now - self.first_at >= GATHER_LIMIT_SECONDS
+        if not serves and not is_enough:
+            return now - self.first_at >= LIMIT_WITHOUT_MODEL_SECONDS
+        self.enough_at = self.enough_at or now
+        quiet = SERVING_SECONDS if serves else self.heartbeat
+        return now - self.last_at >= quiet or now - self.enough_at >= LIMIT_SECONDS
