--- a/tests/daemons/conftest.py
+++ b/tests/daemons/conftest.py
@@ -47,4 +47,7 @@
     fleet.wait_upstreams()
     for name in fleet.entry_names:
         # Until the boxes that watch it have looked again, an engine that was down gets no work.
-        wait_until(partial(serves, fleet, name), 20, f"{name} serving again")
+        try:
+            wait_until(partial(serves, fleet, name), 20, f"{name} serving again")
+        except TimeoutError as error:
+            raise AssertionError(complete(fleet, name, "again", 2).text) from error
