--- a/src/ledgeladder/coordination/gathering.py
+++ b/src/ledgeladder/coordination/gathering.py
@@ -58,5 +58,5 @@
         if not serves and not is_enough:
             return now - self.first_at >= LIMIT_WITHOUT_MODEL_SECONDS
         self.enough_at = self.enough_at or now
-        quiet = SERVING_SECONDS if serves else self.heartbeat
+        quiet = SERVING_SECONDS if serves else max(SERVING_SECONDS, self.heartbeat)
         return now - self.last_at >= quiet or now - self.enough_at >= LIMIT_SECONDS
--- a/tests/coordination/test_gathering.py
+++ b/tests/coordination/test_gathering.py
@@ -21,7 +21,12 @@
 
 
 def planned_with(
-    times: list[float], *, enough: int, serving: bool = False, first_look: float = 0.0
+    times: list[float],
+    *,
+    enough: int,
+    serving: bool = False,
+    first_look: float = 0.0,
+    heartbeat: float = HEARTBEAT,
 ) -> tuple[int, float]:
     """Return how many engines were registered when the first plan was made, and when.
 
@@ -30,8 +35,9 @@
         enough: Engines that can hold the model together.
         serving: True if some hold layers already.
         first_look: When the first look is, in seconds.
+        heartbeat: Time between two heartbeats, in seconds.
     """
-    gathering = Gathering(heartbeat=HEARTBEAT)
+    gathering = Gathering(heartbeat=heartbeat)
     # The monotonic clock does not begin with 0.
     began = 100.0
     now = began + first_look
@@ -71,3 +77,8 @@
     """Engines that hold layers serve, and a gap among them is to be closed soon."""
     _, at = planned_with([0.0] * 20, enough=5, serving=True)
     assert at < HEARTBEAT / 1.5
+
+
+def test_engines_with_quick_heartbeats_start_no_closer_together() -> None:
+    count, _ = planned_with([0.0, 0.0, 0.5, 0.5], enough=2, heartbeat=0.3)
+    assert count == 4
