Add up what engines can hold before the first plan only, and ask once a look up to when all boxes were heard

Cause, found in a last read of the change: the wait for engines added up the layers of all of them in each look, five times a second for as long as the system runs, though engines that hold layers are enough whatever the sum is; and the moment up to which other control boxes were heard was worked out for each engine of a look. Behaviour is the same: the sum was not used while any engine held layers. A constant that is also the least wait before the first plan is named for that.

--- a/src/ledgeladder/coordination/gathering.py
+++ b/src/ledgeladder/coordination/gathering.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-SERVING_SECONDS: Final = 0.6
-"""How long no new engine must have come where some hold layers already: a box that has just taken
-over from a leader has a whole picture after half a heartbeat, and gaps are to be closed soon."""
+LEAST_QUIET_SECONDS: Final = 0.6
+"""How long no new engine must have come at least. It is enough where some hold layers already: a
+box that has just taken over from a leader has a whole picture after half a heartbeat, and gaps are
+to be closed soon. Before the first plan a heartbeat is waited for if that is longer."""
 
 LIMIT_SECONDS: Final = 3.0
 """Longest time that a plan waits for further engines once there are enough to hold the model. They
@@ -58,5 +59,5 @@
         if not serves and not is_enough:
             return now - self.first_at >= LIMIT_WITHOUT_MODEL_SECONDS
         self.enough_at = self.enough_at or now
-        quiet = SERVING_SECONDS if serves else max(SERVING_SECONDS, self.heartbeat)
+        quiet = LEAST_QUIET_SECONDS if serves else max(LEAST_QUIET_SECONDS, self.heartbeat)
         return now - self.last_at >= quiet or now - self.enough_at >= LIMIT_SECONDS
--- a/src/ledgeladder/daemons/registry/placing.py
+++ b/src/ledgeladder/daemons/registry/placing.py
@@ -95,13 +95,10 @@
     """Tell whether enough engines of a pool have come to plan over them."""
     assert pool.engine is not None
     profile = pool.engine
-    most = sum(most_layers(profile, item.card) for item in engines)
-    return gathering.is_over(
-        len(engines),
-        anyio.current_time(),
-        serves=any(item.holdings for item in engines),
-        is_enough=most >= profile.layers,
-    )
+    serves = any(item.holdings for item in engines)
+    # Engines that serve are enough. Adding up all of them in each look is work for the start only.
+    is_enough = serves or profile.layers <= sum(most_layers(profile, item.card) for item in engines)
+    return gathering.is_over(len(engines), anyio.current_time(), serves=serves, is_enough=is_enough)
 
 
 def _with_slots(pool: UpstreamPool, engines: list[Registration]) -> UpstreamPool:
@@ -311,7 +308,8 @@
     now = anyio.current_time()
     if now - state.ledger.repaired_at < REPAIR_SECONDS:
         return []
-    up = {item.instance: item for item in engines if _is_up(state, item, now)}
+    until = heard_until(state)
+    up = {item.instance: item for item in engines if _is_up(state, item, now, until)}
     orders = [
         (up[instance], order.holding)
         for instance, order in state.ledger.sent.items()
@@ -335,7 +333,7 @@
     return orders
 
 
-def _is_up(state: RegistryState, engine: Registration, now: float) -> bool:
+def _is_up(state: RegistryState, engine: Registration, now: float, until: float | None) -> bool:
     """Tell whether an engine is ready and does not seem lost.
 
     Its silence counts only while this box hears every control box that it knows of.
@@ -350,7 +348,7 @@
         known.heard_at,
         now,
         heartbeat,
-        heard_until=heard_until(state),
+        heard_until=until,
     )
 
 
