Log which upstreams name a limit of requests a second, and what each box sends to them

Sight for the incident of the rate limit: no line told that an answer names one, when that ends, nor how many requests a box sends meanwhile. The field is read in the adapter; nothing is decided by it yet.

--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -18,6 +18,7 @@
 )
 from ...platform.exchange import dispatch_headers, read_answer_facts
 from ...routing.forwarding_table import note_load, takes_work
+from .rate_limits import note_rate
 from .upstream_wishes import note_wishes
 
 if TYPE_CHECKING:
@@ -106,6 +107,9 @@
     if not takes_work(upstream, anyio.current_time()):
         await connection.close()
         raise WithheldError("the upstream leaves" if upstream.leaving else "the upstream rests")
+    if upstream.limit is not None and upstream.limit.limit.is_named:
+        upstream.limit.sent += 1
+    sent_at = anyio.current_time()
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
     try:
@@ -114,6 +118,7 @@
         facts = read_answer_facts(head.status_code, head.headers)
         note_load(upstream, facts.load, anyio.current_time())
         note_wishes(state, permit, upstream, facts)
+        note_rate(state, upstream, facts, sent_at)
         if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
             raise AnswerBrokenError("the answer belongs to another request")
     except AnswerBrokenError as error:
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -12,6 +12,7 @@
     read_part,
     send_request,
 )
+from .rate_limit import read_rate
 from .retry_after import RestAskedError, raise_for_rest, read_rest
 from .server import Exchange, HttpRequest, HttpSite, serve_http1
 from .sockets import tune_socket
@@ -29,6 +30,7 @@
     "raise_for_rest",
     "read_head",
     "read_part",
+    "read_rate",
     "read_rest",
     "send_request",
     "serve_http1",
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -46,6 +46,13 @@
     """Requests that it works on at once."""
 
 
+class NamedRate(msgspec.Struct, frozen=True, kw_only=True):
+    """How many requests a second an upstream says in an answer that it takes from all boxes."""
+
+    rate: float | None
+    """Requests a second; infinite if it names no bound, None if the figure cannot be read."""
+
+
 class AnswerFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What the head of an upstream's answer says beside its status."""
 
@@ -76,6 +83,9 @@
     leaving: bool = False
     """True if the upstream says that it ends soon and must get no new work."""
 
+    named_rate: NamedRate | None = None
+    """Requests a second that the upstream takes from all boxes together, if it names any."""
+
 
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """What the system adds to a request before it sends it to an upstream."""
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -5,6 +5,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final
 
+from ..http1.rate_limit import read_rate
 from ..http1.retry_after import read_rest
 from ..model.exchange import AnswerFacts, CallerFacts, Dispatch, PathPart, UpstreamLoad
 from .registrations import upstream_of
@@ -168,6 +169,7 @@
         keep_seconds=_keep_seconds(fields),
         rest_seconds=read_rest(status, told),
         leaving=fields.get(b"server-leaving", b"0").strip() not in (b"", b"0"),
+        named_rate=read_rate(b"server-limit", told),
     )
 
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -12,6 +12,7 @@
 
 from ..model.registration import Registration, UpstreamState, run_began
 from .load_sharing import LOAD_BELIEVED_SECONDS
+from .rate_grants import HeldLimit, LimitTable
 from .upstream_wishes import WishBook, Wishes, wishes_of
 
 if TYPE_CHECKING:
@@ -117,6 +118,9 @@
     wishes: Wishes = msgspec.field(default_factory=Wishes)
     """What it asked of this box in answers."""
 
+    limit: HeldLimit | None = None
+    """Requests a second that it takes from all boxes together; None if it has named none."""
+
     on_lost: set[Callable[[ForwardedUpstream], None]] = msgspec.field(default_factory=set)
     """Called each time that it is found lost; one for each request that passes it."""
 
@@ -141,6 +145,9 @@
     book: WishBook = msgspec.field(default_factory=WishBook)
     """What they asked of this box, kept while they are not registered."""
 
+    limits: LimitTable = msgspec.field(default_factory=LimitTable)
+    """Requests a second that they take from all boxes together, likewise."""
+
     heartbeat: float = 1.0
     """Time between two heartbeats of an upstream, in seconds."""
 
@@ -188,7 +195,11 @@
         # The first message is sent at the beginning: one interval less than for comparing runs.
         wishes = wishes_of(table.book, registration, began_at + table.heartbeat)
         held = ForwardedUpstream(
-            registration=registration, heard_at=heard_at, began_at=began_at, wishes=wishes
+            registration=registration,
+            heard_at=heard_at,
+            began_at=began_at,
+            wishes=wishes,
+            limit=table.limits.limits.get(registration.instance),
         )
         table.upstreams[registration.instance] = held
         table.newest[registration.upstream_id] = registration.instance
