--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -82,9 +82,9 @@
 
     mood: Path | None = None
     """File that says how it answers: a JSON object with `rest`, the time that a refusal names,
-    while all requests are to be refused, `rest_of_calls`, the same for reports and orders, and
-    `leaving`, true if answers are to say that it leaves. Read for each request; without the file it
-    serves."""
+    while all requests are to be refused, `rest_of_calls`, the same for reports and orders,
+    `leaving`, true if answers are to say that it leaves, and `limit`, the requests a second that
+    they name. Read for each request; without the file it serves."""
 
     instance: str = ""
     """Id; drawn for each run unless it keeps one over restarts."""
@@ -174,12 +174,15 @@
 def echo(upstream: StandIn, request: HttpRequest) -> list[tuple[bytes, bytes]]:
     """Return the header fields of an answer to a request that ran."""
     attempt = request.fields.get(b"attempt-id", b"")
-    leaving = [(b"Server-Leaving", b"1")] if read_mood(upstream).get("leaving") else []
+    mood = read_mood(upstream)
+    leaving = [(b"Server-Leaving", b"1")] if mood.get("leaving") else []
+    limit = [(b"Server-Limit", mood["limit"].encode())] if "limit" in mood else []
     return [
         (b"Attempt-Id", attempt),
         (b"Replica-Seal", f"{upstream.instance}.{attempt.decode()}".encode()),
         (b"Replica-Load", f"{upstream.runs},0,8".encode()),
         *leaving,
+        *limit,
     ]
 
 
