--- a/src/ledgeladder/coordination/rate_limit.py
+++ b/src/ledgeladder/coordination/rate_limit.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import msgspec
@@ -13,6 +14,27 @@
 MOST_RATE: Final = 1e6
 """Requests a second from which on a limit is none: hundreds of times what all boxes send."""
 
+FIND_OUT_RATE: Final = 0.1
+"""Requests a second that go to an upstream that takes none. Only an answer tells that this has
+ended."""
+
+BELIEVED_SECONDS: Final = 30.0
+"""How long a limit counts after an answer last named it. An engine that no path begins with any
+more gives no answers that could end it."""
+
+RETURN_RATE: Final = 1.0
+"""Least requests a second from which on the bound rises once a limit has ended."""
+
+DOUBLING_SECONDS: Final = 0.5
+"""Time in which the bound doubles then. Answers that name a limit again come sooner."""
+
+RETURN_SECONDS: Final = 4.0
+"""How long the bound rises before there is none."""
+
+GRANT_SECONDS: Final = 1.0
+"""How long a request that was lent may be sent, from the moment of asking. Boxes ask once a second,
+and what one of them does not use is lost to the others for as long."""
+
 
 class RateLimit(msgspec.Struct, kw_only=True):
     """What is known of the limit of one run of an upstream."""
@@ -61,3 +83,69 @@
         return False
     limit.ended_at = now
     return True
+
+
+def bound(limit: RateLimit, now: float) -> float:
+    """Return how many requests a second all boxes together may send; infinite for any number.
+
+    Once a limit has ended the bound doubles again and again, so that an upstream which was in need
+    does not get everything back in the moment in which all boxes hear of it.
+
+    Args:
+        limit: The limit.
+        now: Monotonic time.
+    """
+    if limit.is_named and now - limit.named_at < BELIEVED_SECONDS:
+        return max(limit.rate, FIND_OUT_RATE)
+    returns_for = now - _ended_at(limit)
+    if returns_for >= RETURN_SECONDS:
+        return math.inf
+    return max(limit.rate, RETURN_RATE) * 2.0 ** (returns_for / DOUBLING_SECONDS)
+
+
+def _ended_at(limit: RateLimit) -> float:
+    return limit.named_at + BELIEVED_SECONDS if limit.is_named else limit.ended_at
+
+
+def is_over(limit: RateLimit, now: float) -> bool:
+    """Tell whether a limit bounds nothing any more, so that it may be forgotten."""
+    return math.isinf(bound(limit, now))
+
+
+class ToldLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A limit as one box tells another, whose clock is another one."""
+
+    rate: float
+    """Requests a second."""
+
+    named_age: float
+    """How many seconds ago an answer last named it."""
+
+    ended_age: float | None
+    """How many seconds ago an answer named none; None if none did."""
+
+
+def tell(limit: RateLimit, now: float) -> ToldLimit:
+    """Return a limit as another box is told of it."""
+    ended_age = None if math.isinf(limit.ended_at) else now - limit.ended_at
+    return ToldLimit(rate=limit.rate, named_age=now - limit.named_at, ended_age=ended_age)
+
+
+def from_told(told: ToldLimit, now: float) -> RateLimit:
+    """Return a limit that another box tells, on the own clock."""
+    ended_at = -math.inf if told.ended_age is None else now - told.ended_age
+    return RateLimit(rate=told.rate, named_at=now - told.named_age, ended_at=ended_at)
+
+
+def take_told(limit: RateLimit, told: ToldLimit, now: float) -> bool:
+    """Take over what another box knows if that is newer.
+
+    Returns:
+        True if it names another rate, or none where one was named, or the other way round.
+    """
+    other = from_told(told, now)
+    if max(other.named_at, other.ended_at) <= max(limit.named_at, limit.ended_at):
+        return False
+    before = (limit.is_named, limit.rate)
+    limit.rate, limit.named_at, limit.ended_at = other.rate, other.named_at, other.ended_at
+    return before != (limit.is_named, limit.rate)
--- a/src/ledgeladder/daemons/gateway/asking.py
+++ b/src/ledgeladder/daemons/gateway/asking.py
@@ -9,6 +9,7 @@
 
 from ...http1 import AnswerBrokenError, ConnectError, RestAskedError
 from ...routing.forwarding_table import is_resting
+from ...routing.rate_grants import is_limited
 from ..engine_call import fetch_report
 from .upstream_wishes import note_rest
 
@@ -32,7 +33,7 @@
 
     What they say counts for the choice of the next paths. For one that does not tell in time, what
     it said last counts on: one that is slow may be late with its report, too. One that asked for
-    rest is not asked.
+    rest or named a limit is not asked.
 
     Args:
         state: The process's state.
@@ -42,7 +43,9 @@
     asked = [
         item
         for item in path.engines
-        if now - item.slowdown_at >= ASK_AGAIN_SECONDS and not is_resting(item, now)
+        if now - item.slowdown_at >= ASK_AGAIN_SECONDS
+        and not is_resting(item, now)
+        and not is_limited(item.limit, now)
     ]
     with anyio.move_on_after(ASK_SECONDS):
         async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -21,6 +21,7 @@
     ChangedOrder,
     DocumentPull,
     DocumentPush,
+    GrantReply,
     LoadReport,
     LoadTotals,
     LoanReply,
@@ -28,6 +29,7 @@
     OrderOfUpstreams,
     PeerHint,
     QuarantineNews,
+    RateLimitNews,
     RegistrationAges,
     RegistrationNews,
     SuspectNews,
@@ -50,6 +52,7 @@
 from .borrowing import take_loan_reply
 from .crashes import take_quarantine, take_suspect
 from .loss_news import confirm_loss, take_loss_news
+from .rate_limits import take_grant_reply, take_limits
 from .state import note_entries
 
 if TYPE_CHECKING:
@@ -111,6 +114,10 @@
                     take_quarantine(state, message)
                 case LoanReply():
                     take_loan_reply(state, message)
+                case RateLimitNews():
+                    take_limits(state, message.limits)
+                case GrantReply():
+                    take_grant_reply(state, message)
                 case LoadTotals():
                     _take_loads(state, unpack_loads(order, message.order, message.loads))
                 case PeerHint():
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -19,7 +19,7 @@
 from .app import build_caller_site
 from .following import serve_control
 from .metrics import metrics_lines
-from .rate_limits import watch_limits
+from .rate_limits import keep_limits
 from .readiness import build_ready_site
 from .starting import run_start_queue
 from .state import GatewayState, start_waits
@@ -102,7 +102,7 @@
         ),
         Child(name="start-queue", run=lambda: run_start_queue(state), restart=Restart.ALWAYS),
         Child(name="rests", run=lambda: watch_rests(state), restart=Restart.ALWAYS),
-        Child(name="limits", run=lambda: watch_limits(state), restart=Restart.ALWAYS),
+        Child(name="limits", run=lambda: keep_limits(state), restart=Restart.ALWAYS),
         log_child(),
         metrics_child(
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: metrics_lines(state)
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -14,13 +14,13 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
 from ...routing.forwarding_table import (
+    first_wait,
     has_alternative,
     is_at_most,
     note_failed,
     note_full,
     note_lost,
     note_served,
-    rest_left,
     takes_work,
 )
 from ...routing.pace import note_gap, stall_after
@@ -31,6 +31,7 @@
 from .crashes import note_answered, note_run_end, suspicion
 from .notes import content_mark
 from .probing import find_ended
+from .rate_limits import any_limited, want_grants
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
     FAILED_STATUS,
@@ -129,6 +130,7 @@
         return None
     if tries.refusals >= REFUSALS_LIMIT:
         return None
+    want_grants(state, permit.pool.name)
     return choose_service(
         state.table.pools.get(permit.pool.name, []),
         anyio.current_time(),
@@ -282,9 +284,11 @@
         await exchange.answer(head.status_code, headers, tries.body)
         return
     if tries.runs == 0:
-        rest = rest_left(state.table.pools.get(permit.pool.name, []), anyio.current_time())
-        if rest is not None:
-            raise refusal(ResultCode.UPSTREAMS_RESTING, f"all of {permit.pool.name}", rest)
+        wait = first_wait(state.table.pools.get(permit.pool.name, []), anyio.current_time())
+        if wait is not None:
+            is_limited = any_limited(state, permit.pool.name)
+            code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
+            raise refusal(code, f"all of {permit.pool.name}", wait)
         if _are_at_most(state, permit):
             raise refusal(ResultCode.QUEUE_FULL, f"as much on {permit.pool.name} as it takes")
         if tries.refusals:
--- a/src/ledgeladder/daemons/gateway/silence.py
+++ b/src/ledgeladder/daemons/gateway/silence.py
@@ -54,7 +54,7 @@
 
     Raises:
         NotSentError: If nothing was sent.
-        WithheldError: If the first engine wants it no more.
+        WithheldError: If an engine of the path wants it no more.
         AnswerLostError: If the request may have run and no head came, or came too late.
     """
     answer: OpenAnswer | None = None
@@ -69,6 +69,7 @@
                 dispatch,
                 path.head,
                 fresh_connection=not permit.route.repeatable,
+                later=path.engines[1:],
             )
         except (NotSentError, WithheldError, AnswerLostError) as error:
             # Raised below: a task group would wrap it.
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -120,6 +120,22 @@
     """Set when one was added or asked for longer."""
 
 
+class LimitNews(msgspec.Struct, kw_only=True):
+    """Limits of upstreams that other boxes are to be told of, and questions under way."""
+
+    changed: dict[str, None] = msgspec.field(default_factory=dict)
+    """Runs of upstreams whose answers here said something new, oldest first."""
+
+    wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when there is something to tell or to ask for."""
+
+    calls: int = 0
+    """Questions that were asked; the number of the newest."""
+
+    asked_at: dict[int, float] = msgspec.field(default_factory=dict)
+    """When each question that may yet be answered was asked, on the monotonic clock."""
+
+
 class GatewayState(msgspec.Struct, kw_only=True):
     """State of one gateway process."""
 
@@ -155,6 +171,9 @@
     resting: RestingUpstreams = msgspec.field(default_factory=RestingUpstreams)
     """Upstreams that asked for rest."""
 
+    limit_news: LimitNews = msgspec.field(default_factory=LimitNews)
+    """Upstreams that name how many requests a second they take."""
+
     doubts: DomainDoubts = msgspec.field(default_factory=DomainDoubts)
     """Failure domains that may be cut off."""
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -130,9 +130,11 @@
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
     if session.runs <= 0 and session.sent == session.refusals:
-        rest = session.missing.rest_seconds if session.missing is not None else None
-        if rest is not None:
-            raise refusal(ResultCode.UPSTREAMS_RESTING, session.notes.given_up, rest)
+        missing = session.missing
+        if missing is not None and missing.wait_seconds is not None:
+            is_limited = missing.for_limits
+            code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
+            raise refusal(code, session.notes.given_up, missing.wait_seconds)
         if session.refusals:
             detail = f"{session.refusals} paths refused; {session.notes.given_up}"
             raise refusal(ResultCode.UPSTREAM_REFUSED, detail, when_there_is_room(state))
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -17,11 +17,14 @@
     send_request,
 )
 from ...platform.exchange import dispatch_headers, read_answer_facts
-from ...routing.forwarding_table import note_load, takes_work
+from ...routing.forwarding_table import is_resting, note_load, takes_work
+from ...routing.rate_grants import take_grants
 from .rate_limits import note_rate
 from .upstream_wishes import note_wishes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
     import h11
 
     from ...http1 import HttpRequest
@@ -48,7 +51,10 @@
 
 
 class WithheldError(Exception):
-    """The upstream has asked for rest, or leaves, since it was chosen; nothing was sent."""
+    """An upstream wants nothing more since it was chosen; nothing was sent.
+
+    It has asked for rest, leaves, or has a limit that leaves nothing to this box.
+    """
 
 
 class AnswerLostError(Exception):
@@ -81,6 +87,7 @@
     upstream: ForwardedUpstream,
     *,
     fresh_connection: bool,
+    later: Sequence[ForwardedUpstream] = (),
 ) -> OpenAnswer:
     """Send a request to an upstream and wait for the head of its answer.
 
@@ -92,6 +99,7 @@
         upstream: Where to send it.
         fresh_connection: True if a connection that was used before must not carry it: its loss
             could not be told from the loss of the answer.
+        later: Engines that the request passes after the upstream.
 
     Returns:
         The answer, of which only the head was read. The caller closes or gives back its
@@ -100,16 +108,16 @@
     Raises:
         NotSentError: If nothing was sent.
         WithheldError: If the upstream wants it no more, which others' answers may say while a
-            connection comes up.
+            connection comes up, or others took what it was lent.
         AnswerLostError: If the request may have run and no answer that belongs to it came.
     """
     connection = await _connection(state, upstream, fresh_connection=fresh_connection)
-    if not takes_work(upstream, anyio.current_time()):
-        await connection.close()
-        raise WithheldError("the upstream leaves" if upstream.leaving else "the upstream rests")
-    if upstream.limit is not None and upstream.limit.limit.is_named:
-        upstream.limit.sent += 1
     sent_at = anyio.current_time()
+    passed = (upstream, *later)
+    reason = _why_withheld(passed, sent_at)
+    if reason or not take_grants([item.limit for item in passed], sent_at):
+        await connection.close()
+        raise WithheldError(reason)
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
     try:
@@ -130,6 +138,18 @@
     return OpenAnswer(connection=connection, head=head, facts=facts)
 
 
+def _why_withheld(passed: Iterable[ForwardedUpstream], now: float) -> str:
+    """Return why a request must not be sent after all; empty if it may be."""
+    for item in passed:
+        if takes_work(item, now):
+            continue
+        instance = item.registration.instance
+        if item.leaving:
+            return f"{instance} leaves"
+        return f"{instance} rests" if is_resting(item, now) else f"{instance} has a limit"
+    return ""
+
+
 async def _connection(
     state: GatewayState, upstream: ForwardedUpstream, *, fresh_connection: bool
 ) -> UpstreamConnection:
--- /dev/null
+++ b/src/ledgeladder/daemons/rate_lender.py
@@ -0,0 +1,139 @@
+"""A control box's part in limits of upstreams: telling of them, and lending requests.
+
+Both kinds of control processes use this, each with its own links.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import msgspec
+
+from ..coordination.rate_lending import RateBook, lend, mean_wait, note_asker, spend
+from ..coordination.rate_limit import from_told, is_over, take_told, tell
+from ..links.messages import Grant, GrantReply, RateLimitNews
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from ..coordination.rate_limit import ToldLimit
+    from ..links import Link
+    from ..links.messages import GrantRequest, LinkMessage
+
+logger = logging.getLogger(__name__)
+
+TELL_SECONDS: Final = 1.0
+"""How often entry boxes are told of all limits, so that lost news and boxes that have just started
+cost no more than that."""
+
+
+class RateLender(msgspec.Struct, kw_only=True):
+    """What one control box knows of limits, and what it lends."""
+
+    parts: Callable[[], int]
+    """Returns how many control boxes lend at most, this one included."""
+
+    may_lend: Callable[[], bool]
+    """Tells whether this box is one of them for certain."""
+
+    tell_entries: Callable[[LinkMessage], None]
+    """Tells the entry boxes that follow this box."""
+
+    tell_peers: Callable[[LinkMessage], None]
+    """Tells the other control boxes."""
+
+    books: dict[str, RateBook] = msgspec.field(default_factory=dict)
+    """What it lends, by run of the upstream."""
+
+
+def take_limits(lender: RateLender, limits: Mapping[str, ToldLimit], *, to_peers: bool) -> None:
+    """Take in what another box knows of limits, and tell others what is news.
+
+    Args:
+        lender: What this box knows.
+        limits: What it was told, by run of the upstream.
+        to_peers: True if an entry box told it, so that the other control boxes must be told.
+    """
+    now = anyio.current_time()
+    news = [instance for instance, told in limits.items() if _take(lender, instance, told, now)]
+    if not news:
+        return
+    message = _news(lender, news, now)
+    lender.tell_entries(message)
+    if to_peers:
+        lender.tell_peers(message)
+
+
+def _take(lender: RateLender, instance: str, told: ToldLimit, now: float) -> bool:
+    """Take in one limit; returns True if it says something new."""
+    book = lender.books.get(instance)
+    if book is not None:
+        changed = take_told(book.limit, told, now)
+        limit = book.limit
+    else:
+        limit = from_told(told, now)
+        if is_over(limit, now):
+            return False
+        lender.books[instance] = RateBook(limit=limit, saved_at=now)
+        changed = True
+    if changed:
+        logger.info(
+            "limit of an upstream",
+            extra={"upstream": instance, "rate": limit.rate, "named": limit.is_named},
+        )
+    return changed
+
+
+def _news(lender: RateLender, instances: list[str], now: float) -> RateLimitNews:
+    return RateLimitNews(
+        limits={instance: tell(lender.books[instance].limit, now) for instance in instances}
+    )
+
+
+def answer_grants(lender: RateLender, link: Link, request: GrantRequest) -> None:
+    """Lend requests to an entry box out of the part of this box."""
+    take_limits(lender, request.limits, to_peers=True)
+    now = anyio.current_time()
+    grants: dict[str, Grant] = {}
+    if lender.may_lend():
+        for instance, wanted in request.counts.items():
+            book = lender.books.get(instance)
+            if book is None:
+                continue
+            note_asker(book, link.peer_box, now)
+            count = lend(book, wanted, lender.parts(), now)
+            wait = mean_wait(book, now)
+            grants[instance] = Grant(count=count, wait=wait, limit=tell(book.limit, now))
+    link.post(GrantReply(call=request.call, grants=grants))
+
+
+def note_own_calls(lender: RateLender, instance: str, count: int) -> None:
+    """Count calls of this box to an upstream, which take the place of requests of others."""
+    book = lender.books.get(instance)
+    if book is not None:
+        spend(book, count, lender.parts(), anyio.current_time())
+
+
+def forget_books(lender: RateLender) -> None:
+    """Forget what was lent under another vote: it counts from now on, with nothing saved."""
+    now = anyio.current_time()
+    for book in lender.books.values():
+        book.saved, book.saved_at = min(book.saved, 0.0), now
+
+
+async def keep_telling_limits(lender: RateLender) -> None:
+    """Tell entry boxes all limits once a second while there are any, for ever."""
+    while True:
+        await anyio.sleep(TELL_SECONDS)
+        now = anyio.current_time()
+        for instance in [name for name, book in lender.books.items() if is_over(book.limit, now)]:
+            del lender.books[instance]
+        if lender.books:
+            lender.tell_entries(limit_news(lender))
+
+
+def limit_news(lender: RateLender) -> RateLimitNews:
+    """Return the news of all limits, for a box that has just connected."""
+    return _news(lender, list(lender.books), anyio.current_time())
--- a/src/ledgeladder/daemons/registry/lending.py
+++ b/src/ledgeladder/daemons/registry/lending.py
@@ -1,4 +1,4 @@
-"""Lending repeats to entry boxes."""
+"""Lending entry boxes repeats, and requests to upstreams that name how many they take."""
 
 from __future__ import annotations
 
@@ -7,10 +7,13 @@
 
 import anyio
 
+from ...links import post_to_all
 from ...links.messages import LoanReply
 from ...routing.repeat_loans import FLOOR_SHARE, LoanBook, lend
 from ...routing.repeat_window import SHARE_USED
+from ..rate_lender import RateLender, forget_books
 from .newest import current_knowledge
+from .state import lender_of
 
 if TYPE_CHECKING:
     from ...links import Link
@@ -30,15 +33,38 @@
     if is_voter and state.voter_since is None:
         state.voter_since = anyio.current_time()
         state.loan_books.clear()
+        forget_books(lender_of(state))
     elif not is_voter:
         state.voter_since = None
 
 
+def may_lend(state: RegistryState) -> bool:
+    """Tell whether this box is a voter and has heard so lately."""
+    age = current_knowledge(state)
+    return state.voter_since is not None and age is not None and age <= SURE_SECONDS
+
+
+def lending_voters(state: RegistryState) -> int:
+    """Return into how many parts what is lent is divided: one for each voter there may be."""
+    voters = 2 * state.settings.cluster.tolerated_losses + 1
+    return max(voters, len(state.node.replica.log.members.voters))
+
+
+def build_lender(state: RegistryState) -> RateLender:
+    """Return what lends requests with the links of a registry."""
+    return RateLender(
+        parts=lambda: lending_voters(state),
+        may_lend=lambda: may_lend(state),
+        tell_entries=lambda message: post_to_all(state.accepted.values(), message),
+        tell_peers=lambda message: post_to_all(state.peers.links.values(), message),
+    )
+
+
 def answer_loan(state: RegistryState, link: Link, request: LoanRequest) -> None:
     """Lend repeats to an entry box out of the part of this voter, or say that there are none."""
     age = current_knowledge(state)
     count = 0
-    if state.voter_since is not None and age is not None and age <= SURE_SECONDS:
+    if state.voter_since is not None and may_lend(state):
         book = _book(state, request.pool, state.voter_since)
         count = lend(book, request.count, anyio.current_time())
     if count < request.count:
@@ -54,10 +80,9 @@
     book = state.loan_books.get(pool)
     if book is None:
         bounds = state.settings.bounds
-        voters = 2 * state.settings.cluster.tolerated_losses + 1
         lendable = bounds.repeat_reserve * (1.0 - FLOOR_SHARE) * SHARE_USED
         book = state.loan_books[pool] = LoanBook(
-            lendable=lendable / max(voters, len(state.node.replica.log.members.voters)),
+            lendable=lendable / lending_voters(state),
             window=bounds.repeat_window_seconds,
             opened_at=opened_at,
         )
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -26,15 +26,17 @@
 from ..log_child import log_child
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers, seed_addresses
+from ..rate_lender import keep_telling_limits
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .http_api import build_site
+from .lending import build_lender
 from .mesh import send_to_member, serve_accepted, serve_peer
 from .metrics import metrics_lines
 from .newest import keep_asking
 from .placing import run_placing
-from .state import RegistryState, judge_of
+from .state import RegistryState, judge_of, lender_of
 from .telling import push_document, tell_ages, tell_loads, tell_news
 from .upstream_ends import build_judge
 
@@ -97,6 +99,7 @@
     node = _open(settings, send, changed)
     state = RegistryState(settings=settings, node=node, peers=peers)
     state.judge = build_judge(state)
+    state.lender = build_lender(state)
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     links.append(state)
     take_published(state)
@@ -230,6 +233,11 @@
         Child(name="newest", run=lambda: keep_asking(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: keep_publishing(state), restart=Restart.ALWAYS),
         Child(name="quarantine", run=lambda: keep_judging(judge_of(state)), restart=Restart.ALWAYS),
+        Child(
+            name="limits",
+            run=lambda: keep_telling_limits(lender_of(state)),
+            restart=Restart.ALWAYS,
+        ),
         Child(name="placing", run=lambda: run_placing(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/registry/mesh.py
+++ b/src/ledgeladder/daemons/registry/mesh.py
@@ -23,6 +23,7 @@
     CrashReport,
     DocumentPull,
     DocumentPush,
+    GrantRequest,
     JoinRequest,
     LoadReport,
     LoadShare,
@@ -34,6 +35,7 @@
     OrderOfUpstreams,
     PeerHint,
     PeerRole,
+    RateLimitNews,
     RegistrationAges,
     RegistrationNews,
     VersionQuery,
@@ -43,9 +45,10 @@
 from .. import clock
 from ..content_judge import quarantine_news, take_crash_report, take_served
 from ..peers import SILENCE_SECONDS, add_peers
+from ..rate_lender import answer_grants, limit_news, take_limits
 from .lending import answer_loan
 from .newest import answer_command, answer_version, take_command_reply, take_version_reply
-from .state import ReportedLoad, ReportedShare, judge_of
+from .state import ReportedLoad, ReportedShare, judge_of, lender_of
 from .telling import hint_of, tell_registration
 
 if TYPE_CHECKING:
@@ -126,6 +129,7 @@
         link.post(RegistrationNews(told=tell_all(state.table, anyio.current_time())))
         link.post(OrderOfUpstreams(order=state.order))
         link.post(quarantine_news(judge_of(state)))
+        link.post(limit_news(lender_of(state)))
     link.post(hint_of(state))
     async with anyio.create_task_group() as tasks:
         try:
@@ -184,6 +188,10 @@
             )
         case LoanRequest():
             answer_loan(state, link, message)
+        case RateLimitNews():
+            take_limits(lender_of(state), message.limits, to_peers=not is_control)
+        case GrantRequest():
+            answer_grants(lender_of(state), link, message)
         case CrashReport():
             take_crash_report(judge_of(state), message, to_peers=not is_control)
         case ContentServed():
--- a/src/ledgeladder/daemons/registry/order_sending.py
+++ b/src/ledgeladder/daemons/registry/order_sending.py
@@ -16,6 +16,8 @@
 from ...platform.engine_calls import place_call, read_outcome
 from .. import clock
 from ..engine_call import fetch_report, send_call
+from ..rate_lender import note_own_calls
+from .state import lender_of
 
 if TYPE_CHECKING:
     from ...model.registration import Holding, Registration
@@ -26,6 +28,10 @@
 CALL_SECONDS: Final = 1.5
 """How long an engine may take to answer an order."""
 
+CALLS_OF_AN_ORDER: Final = 2
+"""What an order takes of the requests a second that an engine names: a report is asked for first.
+It is not held back for that, since an engine without its layers serves nobody."""
+
 
 def may_order(state: RegistryState) -> bool:
     """Tell whether this box holds the lease under a term that no engine has refused."""
@@ -77,6 +83,7 @@
     """
     if is_resting(state.rests, engine.instance, clock.now()):
         return OrderOutcome.RESTING
+    note_own_calls(lender_of(state), engine.instance, CALLS_OF_AN_ORDER)
     try:
         return await _send_order(state, engine, holding, fence)
     except RestAskedError as error:
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -15,6 +15,7 @@
 from ...coordination.upstream_order import UpstreamOrder
 from ...model.registration import Liveness
 from ..content_judge import ContentJudge
+from ..rate_lender import RateLender
 
 if TYPE_CHECKING:
     from ...coordination.upstream_order import LoadFigures
@@ -183,6 +184,9 @@
     judge: ContentJudge | None = None
     """What it knows of contents under which upstreams end; None before the state is built."""
 
+    lender: RateLender | None = None
+    """Limits that upstreams name, and what it lends of them; None before the state is built."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
@@ -208,3 +212,9 @@
     """Return what a process knows of contents under which upstreams end."""
     assert state.judge is not None
     return state.judge
+
+
+def lender_of(state: RegistryState) -> RateLender:
+    """Return what a process knows of limits that upstreams name."""
+    assert state.lender is not None
+    return state.lender
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -12,10 +12,9 @@
     read_part,
     send_request,
 )
-from .rate_limit import read_rate
-from .retry_after import RestAskedError, raise_for_rest, read_rest
 from .server import Exchange, HttpRequest, HttpSite, serve_http1
 from .sockets import tune_socket
+from .wishes import RestAskedError, raise_for_rest, read_rate, read_rest
 
 __all__ = [
     "AnswerBrokenError",
--- a/src/ledgeladder/http1/retry_after.py
+++ b/src/ledgeladder/http1/wishes.py
@@ -1,10 +1,16 @@
-"""Reading when an upstream that refused wants to be called again (RFC 9110, section 10.2.3)."""
+"""Reading what upstreams ask for in header fields of their answers.
+
+That is when one that refused wants to be called again (RFC 9110, section 10.2.3), and how many
+requests a second one takes.
+"""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING, Final
 
+from ..model.exchange import NamedRate
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -99,3 +105,38 @@
         return (until - since).total_seconds()
     except (TypeError, ValueError):
         return math.nan
+
+
+def read_rate(name: bytes, headers: Iterable[tuple[bytes, bytes]]) -> NamedRate | None:
+    """Read the rate that an answer names.
+
+    Of several fields the lowest figure counts: more than that is not taken for certain.
+
+    Args:
+        name: Name of the header field, in lower case.
+        headers: Header fields with lower-case names.
+
+    Returns:
+        The rate, or None if there is no such field.
+
+    >>> read_rate(b"limit", [(b"limit", b"2.5"), (b"limit", b"4")])
+    NamedRate(rate=2.5)
+    >>> read_rate(b"limit", [(b"limit", b"-1")])
+    NamedRate(rate=None)
+    >>> read_rate(b"limit", []) is None
+    True
+    """
+    values = [value for field, value in headers if field == name]
+    if not values:
+        return None
+    rates = [rate for rate in map(_number, values) if rate is not None]
+    return NamedRate(rate=min(rates, default=None))
+
+
+def _number(value: bytes) -> float | None:
+    """Read a number that is not negative; None for anything else."""
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return None if math.isnan(number) or number < 0 else number
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -9,6 +9,7 @@
 from ..coordination.commands import Command, Result
 from ..coordination.orders import Assignment
 from ..coordination.raft import Envelope
+from ..coordination.rate_limit import ToldLimit
 from ..coordination.state_machine import Delta
 from ..coordination.upstream_order import LoadFigures, OrderChange, UpstreamOrder
 from ..model import Configuration, ResultCode
@@ -297,6 +298,45 @@
     count: int
 
 
+class RateLimitNews(msgspec.Struct, frozen=True, kw_only=True, tag="rates", array_like=True):
+    """Upstreams that name how many requests a second they take, or that name none any more."""
+
+    limits: dict[str, ToldLimit]
+    """What is known of their limits, by run of the upstream."""
+
+
+class GrantRequest(msgspec.Struct, frozen=True, kw_only=True, tag="grants?", array_like=True):
+    """An entry box asks for requests to upstreams that name a limit."""
+
+    call: int
+    counts: dict[str, int]
+    """Requests that it wants to send, by run of the upstream."""
+
+    limits: dict[str, ToldLimit]
+    """What it knows of their limits."""
+
+
+class Grant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Requests to one upstream that a voter lends."""
+
+    count: int
+    """Requests that may be sent for `GRANT_SECONDS` from the asking on."""
+
+    wait: float
+    """How long a box waits for the next one in the mean, in seconds."""
+
+    limit: ToldLimit
+    """What the sender knows of the upstream's limit."""
+
+
+class GrantReply(msgspec.Struct, frozen=True, kw_only=True, tag="grants", array_like=True):
+    """Requests that a voter lends."""
+
+    call: int
+    grants: dict[str, Grant]
+    """By run of the upstream; empty if the sender is sure of nothing, and lends none."""
+
+
 class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="newest?", array_like=True):
     """Ask which published version is the newest."""
 
@@ -364,6 +404,9 @@
     | LoadTotals
     | LoanRequest
     | LoanReply
+    | RateLimitNews
+    | GrantRequest
+    | GrantReply
     | VersionQuery
     | VersionReply
     | DocumentPull
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -54,6 +54,7 @@
     UPSTREAM_FAILED = 1205
     QUARANTINED = 1206
     UPSTREAMS_RESTING = 1207
+    UPSTREAMS_LIMITED = 1208
     NO_QUORUM = 1301
     CLAIM_RUNNING = 1302
     CLAIM_UNKNOWN = 1303
@@ -156,6 +157,9 @@
     ResultCode.UPSTREAMS_RESTING: _entry(
         503, _NOT_RUN, "Every upstream that could run it has asked this box for rest."
     ),
+    ResultCode.UPSTREAMS_LIMITED: _entry(
+        503, _NOT_RUN, "The upstreams that could run it take no more requests in this second."
+    ),
     ResultCode.NO_QUORUM: _entry(
         503, _NOT_RUN, "No majority of control boxes is reachable to record the request or change."
     ),
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -5,8 +5,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final
 
-from ..http1.rate_limit import read_rate
-from ..http1.retry_after import read_rest
+from ..http1.wishes import read_rate, read_rest
 from ..model.exchange import AnswerFacts, CallerFacts, Dispatch, PathPart, UpstreamLoad
 from .registrations import upstream_of
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -12,7 +12,7 @@
 
 from ..model.registration import Registration, UpstreamState, run_began
 from .load_sharing import LOAD_BELIEVED_SECONDS
-from .rate_grants import HeldLimit, LimitTable
+from .rate_grants import HeldLimit, LimitTable, grant_wait, has_grant
 from .upstream_wishes import WishBook, Wishes, wishes_of
 
 if TYPE_CHECKING:
@@ -398,17 +398,25 @@
 
 def takes_work(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether an upstream has not said that it wants no new work, now or for good."""
-    return not upstream.leaving and not is_resting(upstream, now)
+    if upstream.leaving or is_resting(upstream, now):
+        return False
+    return has_grant(upstream.limit, now)
+
+
+def wait_left(upstream: ForwardedUpstream, now: float) -> float:
+    """Return when an upstream that does not leave wants work again, in seconds; 0 if it does."""
+    rest = upstream.wishes.rest_until - now
+    return max(0.0, rest, grant_wait(upstream.limit, now))
 
 
-def rest_left(upstreams: Iterable[ForwardedUpstream], now: float) -> float | None:
+def first_wait(upstreams: Iterable[ForwardedUpstream], now: float) -> float | None:
     """Return when the first of some upstreams wants work again, in seconds.
 
     Returns:
-        None if one of them does not rest, or there are none. Those that leave count for nothing.
+        None if one of them wants some, or there are none. Those that leave count for nothing.
     """
-    left = [item.wishes.rest_until - now for item in upstreams if not item.leaving]
-    return min(left) if left and min(left) > 0 else None
+    waits = [wait_left(item, now) for item in upstreams if not item.leaving]
+    return min(waits) if waits and min(waits) > 0 else None
 
 
 def is_usable(upstream: ForwardedUpstream, now: float) -> bool:
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -17,9 +17,10 @@
 import msgspec
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_resting, is_silent, is_usable
+from .forwarding_table import is_resting, is_silent, is_usable, wait_left
 from .path_costs import SILENT_PENALTY_SECONDS, engine_offers
 from .path_search import cheapest_steps
+from .rate_grants import has_grant
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +47,10 @@
 RESTING: Final = "resting"
 """Why an engine cannot be used that asked this box for rest."""
 
+LIMITED: Final = "limited"
+"""Why an engine cannot be used that takes a number of requests a second, of which none is left to
+this box."""
+
 
 class ChosenPath(msgspec.Struct, frozen=True, kw_only=True):
     """A path with the engines that it passes."""
@@ -227,9 +232,14 @@
     full_links: tuple[Link, ...]
     """Links between failure domains that take no more."""
 
-    rest_seconds: float | None = None
-    """When engines that asked for rest take all layers again that lack a taker, in seconds; None if
-    a layer lacks one for another reason."""
+    wait_seconds: float | None = None
+    """When engines that rest or are limited take all layers again that lack a taker, in seconds;
+    None if a layer lacks one for another reason."""
+
+    @property
+    def for_limits(self) -> bool:
+        """True if engines are left out since they take no more requests in this second."""
+        return self.engines.get(LIMITED, 0) > 0
 
     @property
     def for_want_of_room(self) -> bool:
@@ -265,9 +275,9 @@
     for engine in _newest_runs(engines):
         reason = _why_unusable(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
-        if reason not in ("", RESTING):
+        if reason not in ("", RESTING, LIMITED):
             continue
-        waits = max(0.0, engine.wishes.rest_until - now)
+        waits = wait_left(engine, now)
         for item in engine.registration.holdings:
             for layer in range(item.first, min(item.end, profile.layers)):
                 taken_from[layer] = min(taken_from[layer], waits)
@@ -275,8 +285,8 @@
     full = tuple(link for link, used in request.link_use.items() if used >= request.link_limit)
     layers = (closed[0], closed[-1] + 1) if closed else None
     longest = max(taken_from)
-    rest_seconds = longest if 0 < longest < math.inf else None
-    return MissingPath(engines=reasons, layers=layers, full_links=full, rest_seconds=rest_seconds)
+    wait_seconds = longest if 0 < longest < math.inf else None
+    return MissingPath(engines=reasons, layers=layers, full_links=full, wait_seconds=wait_seconds)
 
 
 def _why_unusable(
@@ -293,6 +303,8 @@
         return "leaving"
     if is_resting(engine, now):
         return RESTING
+    if not has_grant(engine.limit, now):
+        return LIMITED
     if registration.instance in excluded:
         return "failed this request"
     if not is_usable(engine, now):
--- a/src/ledgeladder/routing/service_choice.py
+++ b/src/ledgeladder/routing/service_choice.py
@@ -34,8 +34,8 @@
     """Choose the upstream for the next try of a request.
 
     Those that failed or were full lately are the last resort, since this box only guesses that they
-    cannot serve. Those that leave or asked for rest are none: they said what they want. Nor are
-    those that would ask for rest again.
+    cannot serve. Those that leave, asked for rest or take no more requests in this second are none:
+    they said what they want. Nor are those that would ask for rest again.
 
     Args:
         pool: Upstreams of the pool.
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -14,7 +14,7 @@
 import httpx
 import msgspec
 
-from ..http1.retry_after import raise_for_rest, read_rest
+from ..http1.wishes import raise_for_rest, read_rest
 from ..routing.session import ReceiptStage, TokenFrame
 from .fields import raw_fields
 
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -7,7 +7,7 @@
 import httpx
 import msgspec
 
-from ..http1.retry_after import read_rest
+from ..http1.wishes import read_rest
 from ..model import EXECUTION_HEADER, Execution
 from .fields import raw_fields
 
--- /dev/null
+++ b/tests/daemons/gateway/test_rate_limits.py
@@ -0,0 +1,239 @@
+"""What a gateway takes in of limits, whom it tells, and what it asks for."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+import pytest
+
+from ledgeladder.coordination.rate_limit import GRANT_SECONDS, ToldLimit
+from ledgeladder.daemons.gateway import rate_limits, upstream_call
+from ledgeladder.daemons.gateway.rate_limits import (
+    any_limited,
+    keep_limits,
+    note_rate,
+    take_grant_reply,
+    take_limits,
+    want_grants,
+)
+from ledgeladder.daemons.gateway.state import GatewayState
+from ledgeladder.daemons.gateway.upstream_call import WithheldError, open_answer
+from ledgeladder.links.frames import LENGTH, decode_payload
+from ledgeladder.links.messages import Grant, GrantReply, GrantRequest, RateLimitNews
+from ledgeladder.platform.exchange import read_answer_facts
+from ledgeladder.routing.forwarding_table import ForwardedUpstream, put_registration, takes_work
+
+from .builders import engine, gateway_state
+
+NAMED = ToldLimit(rate=2.0, named_age=0.0, ended_age=None)
+
+
+class ControlBox:
+    """A link that keeps what is sent over it."""
+
+    def __init__(self) -> None:
+        self.news: list[RateLimitNews] = []
+        self.asked: list[GrantRequest] = []
+
+    def post(self, message: Any) -> None:
+        (self.news if isinstance(message, RateLimitNews) else self.asked).append(message)
+
+    def post_frame(self, frame: bytes) -> None:
+        message = decode_payload(frame[LENGTH.size :])
+        assert isinstance(message, RateLimitNews)
+        self.news.append(message)
+
+
+def linked(count: int = 3) -> tuple[GatewayState, ForwardedUpstream, list[ControlBox]]:
+    """Return a box that knows one upstream, and its links to control boxes."""
+    state = gateway_state()
+    known = put_registration(state.table, engine().registration, 0.0)
+    assert known is not None
+    boxes = [ControlBox() for _ in range(count)]
+    peers: Any = SimpleNamespace(links={f"10.0.0.{item}": box for item, box in enumerate(boxes)})
+    state.peers = peers
+    return state, known, boxes
+
+
+def answer(
+    state: GatewayState, upstream: ForwardedUpstream, sent_at: float, status: int = 200, **more: str
+) -> None:
+    """Take in the head of an answer, which the upstream signed."""
+    fields = {"replica-seal": "x"} | {name.replace("_", "-"): text for name, text in more.items()}
+    told = [(name.encode(), text.encode()) for name, text in fields.items()]
+    note_rate(state, upstream, read_answer_facts(status, told), sent_at)
+
+
+@pytest.mark.parametrize(
+    ("limit", "rate"),
+    [
+        ("2", 2.0),
+        ("2.25", 2.25),
+        ("0", 0.0),
+        ("-1", None),
+        ("soon", None),
+        ("nan", None),
+        ("1e9", None),
+    ],
+)
+def test_rate_that_an_answer_names_is_kept(limit: str, rate: float | None) -> None:
+    async def play() -> None:
+        state, upstream, _boxes = linked()
+        answer(state, upstream, 0.0, server_limit=limit)
+        held = upstream.limit
+        assert (None if held is None else held.limit.rate) == rate
+        assert takes_work(upstream, anyio.current_time()) is (rate is None)
+        assert any_limited(state, "") is (rate is not None)
+
+    anyio.run(play)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "later", "ends"),
+    [
+        (200, {}, True, True),
+        (200, {"server_limit": "1e9"}, True, True),
+        (503, {"not_executed": "1"}, True, True),
+        # Sent before the limit was named: the answer may have been written before, too.
+        (200, {}, False, False),
+        (200, {"server_limit": "soon"}, True, False),
+        # Another run of an upstream has the address.
+        (421, {}, True, False),
+        # Not the upstream's own answer.
+        (502, {"replica_seal": ""}, True, False),
+    ],
+)
+def test_limit_ends_with_an_answer_that_names_none(
+    status: int, fields: dict[str, str], later: bool, ends: bool
+) -> None:
+    async def play() -> None:
+        state, upstream, _boxes = linked()
+        answer(state, upstream, 0.0, server_limit="2")
+        now = anyio.current_time()
+        if fields.get("replica_seal") == "":
+            facts = read_answer_facts(status, [])
+            note_rate(state, upstream, facts, now + 1.0)
+        else:
+            answer(state, upstream, now + 1.0 if later else 0.0, status, **fields)
+        assert upstream.limit is not None
+        assert upstream.limit.limit.is_named is not ends
+
+    anyio.run(play)
+
+
+def test_news_of_a_control_box_limits_an_upstream_that_is_not_known_yet() -> None:
+    async def play() -> None:
+        state, _upstream, _boxes = linked()
+        take_limits(state, {"i-9": NAMED})
+        known = put_registration(state.table, engine("i-9", "127.0.0.1:9").registration, 0.0)
+        assert known is not None
+        assert not takes_work(known, anyio.current_time())
+        take_limits(state, {"i-9": ToldLimit(rate=2.0, named_age=9.0, ended_age=0.0)})
+        assert known.limit is not None
+        assert not known.limit.limit.is_named
+
+    anyio.run(play)
+
+
+async def run_keeper(state: GatewayState, seconds: float) -> None:
+    with anyio.move_on_after(seconds):
+        await keep_limits(state)
+
+
+def test_box_tells_what_it_heard_and_asks_once_a_second(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(rate_limits, "NEWS_SECONDS", 0.001)
+
+    async def play() -> None:
+        state, upstream, boxes = linked()
+        answer(state, upstream, 0.0, server_limit="2")
+        for _ in range(5):
+            want_grants(state, "")
+        await run_keeper(state, 0.1)
+        assert [len(box.news) for box in boxes] == [1, 1, 1]
+        asked = [request for box in boxes for request in box.asked]
+        assert sum(request.counts["i-1"] for request in asked) == 1
+        want_grants(state, "")
+        await run_keeper(state, 0.1)
+        assert sum(len(box.asked) for box in boxes) == len(asked)
+
+    anyio.run(play)
+
+
+def test_what_is_lent_is_sent_within_its_time() -> None:
+    async def play() -> None:
+        state, upstream, boxes = linked()
+        answer(state, upstream, 0.0, server_limit="2")
+        want_grants(state, "")
+        await run_keeper(state, 0.05)
+        call = next(request.call for box in boxes for request in box.asked)
+        take_grant_reply(state, reply(call, 1))
+        assert takes_work(upstream, anyio.current_time())
+        assert not takes_work(upstream, state.table.limits.asked_at + GRANT_SECONDS)
+        # The same answer twice, or one to a question that nobody asked, lends nothing.
+        take_grant_reply(state, reply(call, 1))
+        take_grant_reply(state, reply(99, 1))
+        assert upstream.limit is not None
+        assert len(upstream.limit.grants) <= 1
+
+    anyio.run(play)
+
+
+def reply(call: int, count: int) -> GrantReply:
+    return GrantReply(call=call, grants={"i-1": Grant(count=count, wait=1.0, limit=NAMED)})
+
+
+def test_answer_that_comes_too_late_lends_nothing() -> None:
+    async def play() -> None:
+        state, upstream, boxes = linked(1)
+        answer(state, upstream, 0.0, server_limit="2")
+        want_grants(state, "")
+        await run_keeper(state, 0.05)
+        call = boxes[0].asked[0].call
+        state.limit_news.asked_at[call] -= GRANT_SECONDS
+        take_grant_reply(state, reply(call, 1))
+        assert not takes_work(upstream, anyio.current_time())
+
+    anyio.run(play)
+
+
+def test_box_without_links_sends_nothing_to_a_limited_upstream() -> None:
+    async def play() -> None:
+        state, upstream, _boxes = linked(0)
+        answer(state, upstream, 0.0, server_limit="2")
+        want_grants(state, "")
+        await run_keeper(state, 0.05)
+        assert not takes_work(upstream, anyio.current_time())
+
+    anyio.run(play)
+
+
+@pytest.mark.parametrize("position", ["first", "later"])
+def test_nothing_is_sent_over_an_engine_whose_limit_became_known_meanwhile(
+    monkeypatch: pytest.MonkeyPatch, position: str
+) -> None:
+    closed: list[bool] = []
+
+    class Connection:
+        async def close(self) -> None:
+            closed.append(True)
+
+    async def play() -> None:
+        state, first, _boxes = linked()
+        later = put_registration(state.table, engine("i-2", "127.0.0.1:2").registration, 0.0)
+        assert later is not None
+
+        async def connect_late(*_args: Any, **_options: Any) -> Connection:
+            answer(state, first if position == "first" else later, 0.0, server_limit="2")
+            return Connection()
+
+        monkeypatch.setattr(upstream_call, "_connection", connect_late)
+        request: Any = None
+        with pytest.raises(WithheldError):
+            await open_answer(
+                state, request, request, request, first, fresh_connection=False, later=[later]
+            )
+
+    anyio.run(play)
+    assert closed == [True]
--- a/tests/daemons/test_late_orders.py
+++ b/tests/daemons/test_late_orders.py
@@ -13,6 +13,7 @@
 from ledgeladder.coordination.engine_orders import OrderOutcome
 from ledgeladder.coordination.rests import Rests
 from ledgeladder.daemons.engine_call import fetch_report, send_call
+from ledgeladder.daemons.rate_lender import RateLender
 from ledgeladder.daemons.registry import order_sending
 from ledgeladder.http1 import connect, serve_http1
 from ledgeladder.model.registration import Holding, Registration
@@ -48,6 +49,12 @@
         settings=SimpleNamespace(box=SimpleNamespace(address=LOCAL)),
         node=SimpleNamespace(replica=SimpleNamespace(term=term)),
         rests=Rests(),
+        lender=RateLender(
+            parts=lambda: 1,
+            may_lend=lambda: True,
+            tell_entries=lambda _message: None,
+            tell_peers=lambda _message: None,
+        ),
     )
 
 
--- a/tests/daemons/test_rate_limit_named.py
+++ b/tests/daemons/test_rate_limit_named.py
@@ -1,7 +1,11 @@
 """Upstreams that name how many requests a second they take from all boxes together.
 
 What was seen: an engine that named 1.9 requests a second went on getting 6 a second, over eight
-boxes. It refused none and stayed quick, so that callers and alerts noticed nothing.
+boxes. It refused none and stayed quick, so that callers and alerts noticed nothing. How it came
+about: each box chose by load and speed, by which it was the best engine. Cause: no code read the
+figure that answers name, and what an upstream asks of all boxes together had no place in what a box
+knows; each box by itself could not keep to it either. Proof: boxes log that the limit is named, and
+go on sending; the sum of what the upstream sees, over all boxes, against the figure.
 """
 
 from __future__ import annotations
--- a/tests/http1/test_retry_after.py
+++ b/tests/http1/test_wishes.py
@@ -1,10 +1,12 @@
-"""Times that upstreams name for coming back."""
+"""Times that upstreams name for coming back, and rates that they name."""
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
-from ledgeladder.http1.retry_after import LONGEST_SECONDS, read_retry_after
+from ledgeladder.http1.wishes import LONGEST_SECONDS, read_rate, read_retry_after
 
 DATE = (b"date", b"Sun, 06 Nov 1994 08:49:37 GMT")
 
@@ -45,3 +47,32 @@
 def test_longest_of_several_fields_counts() -> None:
     fields = [(b"retry-after", b"1"), (b"retry-after", b"4"), (b"retry-after", b"x")]
     assert read_retry_after(fields) == 4.0
+
+
+NAME = b"limit"
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        (["2"], 2.0),
+        (["2.25"], 2.25),
+        ([" 0 "], 0.0),
+        (["1e9"], 1e9),
+        (["inf"], math.inf),
+        (["3", "1.5"], 1.5),
+        (["many", "1.5"], 1.5),
+        (["-2"], None),
+        (["nan"], None),
+        (["many"], None),
+        ([""], None),
+    ],
+)
+def test_lowest_figure_that_can_be_read_counts(values: list[str], rate: float | None) -> None:
+    named = read_rate(NAME, [(b"other", b"7"), *((NAME, value.encode()) for value in values)])
+    assert named is not None
+    assert named.rate == rate
+
+
+def test_answer_without_the_field_names_nothing() -> None:
+    assert read_rate(NAME, [(b"other", b"7")]) is None
--- a/tests/routing/rest_bed.py
+++ b/tests/routing/rest_bed.py
@@ -17,11 +17,11 @@
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import (
     ForwardedUpstream,
+    first_wait,
     held_requests,
     note_full,
     note_load,
     note_served,
-    rest_left,
     take_others,
 )
 from ledgeladder.routing.load_sharing import load_interval
@@ -184,7 +184,7 @@
             rng=self.rng,
         )
         if chosen is None:
-            self.refuse(request, rest_left(pool, self.now))
+            self.refuse(request, first_wait(pool, self.now))
             return
         request.tried.add(chosen.registration.instance)
         chosen.in_flight += 1
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -399,9 +399,9 @@
         return
     why = explain_no_path(PROFILE, pool, wanted(), 0.5)
     assert "resting" in str(why)
-    assert why.rest_seconds is not None
-    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.rest_seconds - 0.001) is None
-    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.rest_seconds + 0.001) is not None
+    assert why.wait_seconds is not None
+    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.wait_seconds - 0.001) is None
+    assert choose_path(PROFILE, pool, wanted(), 0.5 + why.wait_seconds + 0.001) is not None
 
 
 def test_rest_is_no_reason_where_layers_lack_an_engine_for_another_one() -> None:
@@ -412,4 +412,4 @@
             note_lost(engine, 0.0)
         else:
             ask_rest(table.book, engine.registration, engine.wishes, 3.0, 0.0)
-    assert explain_no_path(PROFILE, pool, wanted(), 0.5).rest_seconds is None
+    assert explain_no_path(PROFILE, pool, wanted(), 0.5).wait_seconds is None
--- /dev/null
+++ b/tests/routing/test_rate_grants.py
@@ -0,0 +1,140 @@
+"""What a box may send to upstreams that name how many requests a second they take."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ledgeladder.coordination.rate_limit import RETURN_SECONDS, RateLimit
+from ledgeladder.model.registration import Registration
+from ledgeladder.routing.forwarding_table import (
+    ForwardedUpstream,
+    ForwardingTable,
+    drop_upstream,
+    first_wait,
+    has_alternative,
+    put_registration,
+    takes_work,
+    wait_left,
+)
+from ledgeladder.routing.rate_grants import (
+    HeldLimit,
+    add_grants,
+    grant_wait,
+    grants_to_ask,
+    has_grant,
+    take_grants,
+)
+from ledgeladder.routing.service_choice import choose_service
+
+
+def held(rate: float = 2.0) -> HeldLimit:
+    return HeldLimit(limit=RateLimit(rate=rate, named_at=0.0))
+
+
+def upstream(name: str, limit: HeldLimit | None = None) -> ForwardedUpstream:
+    registration = Registration(instance=name, sequence=1, address=f"{name}:80", slots=6)
+    return ForwardedUpstream(registration=registration, heard_at=0.0, limit=limit)
+
+
+def test_limited_upstream_gets_only_what_was_lent() -> None:
+    limit = held()
+    assert not has_grant(limit, 1.0)
+    add_grants(limit, 2, 2.0)
+    assert take_grants([limit], 1.0)
+    assert has_grant(limit, 1.9)
+    assert not has_grant(limit, 2.0)
+    assert not take_grants([limit], 2.0)
+
+
+def test_upstream_without_a_limit_gets_anything() -> None:
+    assert has_grant(None, 1.0)
+    assert take_grants([None], 1.0)
+    ended = HeldLimit(limit=RateLimit(rate=2.0, named_at=0.0, ended_at=1.0))
+    assert not has_grant(ended, 1.5)
+    assert has_grant(ended, 1.0 + RETURN_SECONDS)
+
+
+def test_path_over_two_limited_engines_takes_a_request_of_each_or_none() -> None:
+    first, second = held(), held()
+    add_grants(first, 1, 5.0)
+    assert not take_grants([first, None, second], 1.0)
+    assert has_grant(first, 1.0)
+    add_grants(second, 1, 5.0)
+    assert take_grants([first, None, second], 1.0)
+    assert not has_grant(first, 1.0)
+
+
+def test_box_asks_for_what_it_uses_and_one_more() -> None:
+    limit = held(50.0)
+    limit.wanted = 100
+    assert grants_to_ask(limit) == 1
+    limit.wanted, limit.used = 100, 3
+    assert grants_to_ask(limit) == 7
+    limit.wanted = 0
+    assert grants_to_ask(limit) == 0
+
+
+def test_service_with_a_limit_is_chosen_only_while_it_was_lent_a_request() -> None:
+    limited, free = upstream("l", held()), upstream("f")
+    free.in_flight = 4
+
+    def choose(pool: list[ForwardedUpstream]) -> str | None:
+        chosen = choose_service(
+            pool, 1.0, tried=(), failure_domain="", sharers=1, rng=random.Random(1)
+        )
+        return None if chosen is None else chosen.registration.instance
+
+    assert choose([limited, free]) == "f"
+    assert choose([limited]) is None
+    assert not has_alternative([limited, free], free, set(), 1.0)
+    assert limited.limit is not None
+    add_grants(limited.limit, 1, 2.0)
+    assert choose([limited, free]) == "l"
+    assert has_alternative([limited, free], free, set(), 1.0)
+
+
+def test_time_until_work_is_wanted_again_is_that_of_rest_or_limit() -> None:
+    limited, free = upstream("l", held(0.5)), upstream("f")
+    assert grant_wait(limited.limit, 1.0) == 2.0
+    assert first_wait([limited, free], 1.0) is None
+    assert first_wait([limited], 1.0) == 2.0
+    limited.wishes.rest_until = 11.0
+    assert wait_left(limited, 1.0) == 10.0
+    limited.wishes.rest_until = 0.0
+    assert limited.limit is not None
+    limited.limit.wait_until = 6.0
+    assert wait_left(limited, 1.0) == 5.0
+    add_grants(limited.limit, 1, 2.0)
+    assert wait_left(limited, 1.0) == 0.0
+    limited.wishes.leaving = True
+    assert not takes_work(limited, 1.0)
+    assert first_wait([limited], 1.0) is None
+
+
+def registration(run: str, sequence: int = 1) -> Registration:
+    return Registration(
+        instance=f"s#{run}", sequence=sequence, upstream="s", born_ms=int(run), address="s:80"
+    )
+
+
+def test_limit_outlives_the_registration_of_its_run_and_not_the_run() -> None:
+    table = ForwardingTable()
+    limit = table.limits.limits["s#1"] = held()
+    first = put_registration(table, registration("1"), 0.0)
+    assert first is not None
+    assert first.limit is limit
+    drop_upstream(table, "s#1")
+    again = put_registration(table, registration("1", 2), 1.0)
+    assert again is not None
+    assert again.limit is limit
+    drop_upstream(table, "s#1")
+    anew = put_registration(table, registration("2"), 2.0)
+    assert anew is not None
+    assert anew.limit is None
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.2, 5.0])
+def test_wait_that_nobody_told_is_that_of_the_rate(rate: float) -> None:
+    assert grant_wait(held(rate), 1.0) == 1.0 / max(rate, 0.1)
--- a/tests/routing/test_upstream_wishes.py
+++ b/tests/routing/test_upstream_wishes.py
@@ -11,13 +11,13 @@
     ForwardedUpstream,
     ForwardingTable,
     drop_upstream,
+    first_wait,
     has_alternative,
     is_at_most,
     is_resting,
     is_usable,
     note_served,
     put_registration,
-    rest_left,
     takes_work,
 )
 from ledgeladder.routing.service_choice import choose_service
@@ -149,12 +149,12 @@
     upstreams = [known(table, registration(f"s-{number}")) for number in range(3)]
     rest(table, upstreams[0], 3.0, 10.0)
     rest(table, upstreams[1], 2.0, 10.0)
-    assert rest_left(upstreams, 11.0) is None
+    assert first_wait(upstreams, 11.0) is None
     rest(table, upstreams[2], 4.0, 10.0)
-    assert rest_left(upstreams, 11.0) == 1.0
+    assert first_wait(upstreams, 11.0) == 1.0
     say_leaving(table.book, upstreams[1].registration, upstreams[1].wishes)
-    assert rest_left(upstreams, 11.0) == 2.0
-    assert rest_left([], 11.0) is None
+    assert first_wait(upstreams, 11.0) == 2.0
+    assert first_wait([], 11.0) is None
 
 
 def choose(upstreams: list[ForwardedUpstream], now: float) -> str | None:
