--- a/standins/engine.py
+++ b/standins/engine.py
@@ -93,6 +93,8 @@
     leaving: bool = False
     rest: str = ""
     """Time that it names while it refuses new requests and looks at its load, or empty."""
+    limit: str = ""
+    """Requests a second that it names in its answers, or empty."""
     lagged_running: int = 0
     highest_fence: tuple[int, int] = (0, 0)
     wanted: tuple[str, str, int, int] | None = None
@@ -432,7 +434,10 @@
         if body.prompt == CRASH_WORD:
             os._exit(1)
         engine.counts["runs"] += 1
-        return StreamingResponse(engine.run_as_head(body), media_type="application/x-ndjson")
+        headers = {"ledgeladder-rate-limit": engine.limit} if engine.limit else {}
+        return StreamingResponse(
+            engine.run_as_head(body), headers=headers, media_type="application/x-ndjson"
+        )
 
     async def cancel(request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=CancelRequest)
@@ -460,6 +465,7 @@
         body = await request.json()
         engine.leaving = body.get("leaving", engine.leaving)
         engine.rest = body.get("rest", engine.rest)
+        engine.limit = body.get("limit", engine.limit)
         speed = engine.batcher.speed
         speed.slow_factor = body.get("slow_factor", speed.slow_factor)
         return Response()
--- a/standins/service.py
+++ b/standins/service.py
@@ -25,11 +25,15 @@
 REFUSED = "refused"
 """Under what the requests are counted that were refused for want of rest."""
 
+RUNS = "runs"
+"""Under what all requests are counted that were run."""
+
 
 def build_app() -> Starlette:
     """Build the service: `POST /work` runs once per call and says how often the key was run."""
     executions: Counter[str] = Counter()
     rest: list[str] = []
+    limit: list[str] = []
 
     async def work(request: Request) -> Response:
         body = await request.json()
@@ -42,13 +46,18 @@
         await anyio.sleep(float(body.get("seconds", 0.0)))
         key = request.headers.get("idempotency-key", "")
         executions[key] += 1
-        return JSONResponse({"done": body.get("what", ""), "executions": executions[key]})
+        executions[RUNS] += 1
+        headers = {"ledgeladder-rate-limit": limit[0]} if limit else {}
+        content = {"done": body.get("what", ""), "executions": executions[key]}
+        return JSONResponse(content, headers=headers)
 
     async def refuse(request: Request) -> Response:
         return Response(status_code=503, headers={"ledgeladder-execution": "not-run"})
 
     async def control(request: Request) -> Response:
-        rest[:] = (await request.json()).get("rest", [])
+        told = await request.json()
+        rest[:] = told.get("rest", rest)
+        limit[:] = told.get("limit", limit)
         return Response()
 
     async def stats(request: Request) -> Response:
