Own interface: keep to the requests a second that upstreams name

The box's part and the control box's part are one module each, used by both kinds of processes (daemons/limit_keeper, daemons/rate_lender); only how an upstream is given its limit differs. Runs of generations take a request of each limited engine of their route, calls of services one, claimed ones too; who is held back by limits alone is refused with UPSTREAMS_LIMITED at once.

Also: a limit that nobody has heard for 10 s comes back in steps, so that one of 0, which no answer can end, does not last for ever. Before, one request in 10 s was sent to find out, and small limits took up to 30 s to be lent anything, since each voter saves its part.

--- a/src/ledgeladder/coordination/rate_lending.py
+++ b/src/ledgeladder/coordination/rate_lending.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from .rate_limit import RateLimit, bound
+from .rate_limit import RateLimit, bound, mean_gap
 
 BURST_SECONDS: Final = 0.75
 """For how long a voter saves what nobody asks for. A box that asks alone comes back after a second;
@@ -91,5 +91,4 @@
 
 def mean_wait(book: RateBook, now: float) -> float:
     """Return how long a box that asks waits for a request in the mean, in seconds."""
-    rate = bound(book.limit, now)
-    return 0.0 if math.isinf(rate) else max(1, len(book.askers)) / rate
+    return max(1, len(book.askers)) * mean_gap(book.limit, now)
--- a/src/ledgeladder/coordination/rate_limit.py
+++ b/src/ledgeladder/coordination/rate_limit.py
@@ -14,13 +14,9 @@
 MOST_RATE: Final = 1e6
 """Requests a second from which on a limit is none: hundreds of times what all boxes send."""
 
-FIND_OUT_RATE: Final = 0.1
-"""Requests a second that go to an upstream that takes none. Only an answer tells that this has
-ended."""
-
-BELIEVED_SECONDS: Final = 30.0
-"""How long a limit counts after an answer last named it. An engine that no path begins with any
-more gives no answers that could end it."""
+BELIEVED_SECONDS: Final = 10.0
+"""How long a limit counts after an answer last named it. Only answers tell that it has ended. An
+upstream that takes none gives none, nor does an engine that no path begins with any more."""
 
 RETURN_RATE: Final = 1.0
 """Least requests a second from which on the bound rises once a limit has ended."""
@@ -35,6 +31,10 @@
 """How long a request that was lent may be sent, from the moment of asking. Boxes ask once a second,
 and what one of them does not use is lost to the others for as long."""
 
+SURE_SECONDS: Final = 1.0
+"""Age of the last word of the leader up to which a voter lends. One that is cut off stops long
+before another one takes its place."""
+
 
 class RateLimit(msgspec.Struct, kw_only=True):
     """What is known of the limit of one run of an upstream."""
@@ -96,13 +96,27 @@
         now: Monotonic time.
     """
     if limit.is_named and now - limit.named_at < BELIEVED_SECONDS:
-        return max(limit.rate, FIND_OUT_RATE)
+        return limit.rate
     returns_for = now - _ended_at(limit)
     if returns_for >= RETURN_SECONDS:
         return math.inf
     return max(limit.rate, RETURN_RATE) * 2.0 ** (returns_for / DOUBLING_SECONDS)
 
 
+def mean_gap(limit: RateLimit, now: float) -> float:
+    """Return how long it takes in the mean until all boxes together may send one more, in seconds.
+
+    Args:
+        limit: The limit.
+        now: Monotonic time.
+    """
+    rate = bound(limit, now)
+    if math.isinf(rate):
+        return 0.0
+    forgotten_in = max(0.0, _ended_at(limit) - now) + 1.0 / RETURN_RATE
+    return min(1.0 / rate, forgotten_in) if rate > 0 else forgotten_in
+
+
 def _ended_at(limit: RateLimit) -> float:
     return limit.named_at + BELIEVED_SECONDS if limit.is_named else limit.ended_at
 
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -10,6 +10,8 @@
 from returns.result import Success
 
 from ...coordination.commands import ClaimCommand, CompleteCommand, ReleaseCommand
+from ...coordination.raft import holds_lease
+from ...coordination.rate_limit import SURE_SECONDS
 from ...coordination.rests import Rests
 from ...coordination.state_machine import deltas_after
 from ...links import post_to_all
@@ -20,6 +22,7 @@
     CrashReport,
     DeltaPush,
     FullPush,
+    GrantRequest,
     InForce,
     InForceReport,
     JoinRequest,
@@ -27,12 +30,14 @@
     OrderOutcome,
     PeerRole,
     Pull,
+    RateLimitNews,
     TermQuery,
     TermReply,
     VersionHead,
 )
 from ...model import ResultCode, digest
 from ...storage import box_of
+from .. import clock
 from ..clock import wall_clock_ms
 from ..content_judge import (
     ContentJudge,
@@ -41,6 +46,7 @@
     take_served,
     tell_quarantine,
 )
+from ..rate_lender import RateLender, answer_grants, limit_news, take_limits
 from .node import submit
 
 if TYPE_CHECKING:
@@ -95,6 +101,9 @@
     judge: ContentJudge | None = None
     """What this box knows of contents under which upstreams end; None before the node is built."""
 
+    lender: RateLender | None = None
+    """Limits that upstreams name, and what it lends of them; None before the node is built."""
+
     own_boxes: dict[str, InForce] = msgspec.field(default_factory=dict)
     """Entry boxes connected here."""
 
@@ -125,6 +134,30 @@
     )
 
 
+def lender_of(hub: Hub) -> RateLender:
+    """Return what a control box knows of limits that upstreams name."""
+    assert hub.lender is not None
+    return hub.lender
+
+
+def build_lender(hub: Hub, node: ControlNode) -> RateLender:
+    """Return what lends requests with the links of a control box."""
+    return RateLender(
+        parts=lambda: len(node.replica.log.members.voters),
+        may_lend=lambda: _may_lend(node),
+        tell_entries=lambda message: post_to_all(hub.follower_links.values(), message),
+        tell_peers=lambda message: post_to_all(hub.peers.values(), message),
+    )
+
+
+def _may_lend(node: ControlNode) -> bool:
+    """Tell whether a box is a voter and has heard so lately."""
+    replica = node.replica
+    if replica.is_leader:
+        return holds_lease(replica, clock.now())
+    return replica.is_voter and clock.now() - replica.leader_heard_at <= SURE_SECONDS
+
+
 def push_configuration(hub: Hub, node: ControlNode) -> None:
     """Send the newest change to every follower, and which contents are sent nowhere."""
     if hub.judge is not None:
@@ -206,6 +239,10 @@
             take_crash_report(judge_of(hub), message, to_peers=not from_control)
         case ContentServed():
             take_served(judge_of(hub), message, to_peers=not from_control)
+        case RateLimitNews():
+            take_limits(lender_of(hub), message.limits, to_peers=not from_control)
+        case GrantRequest():
+            answer_grants(lender_of(hub), link, message)
         case Pull():
             _answer_pull(hub, node, link, message)
         case TermQuery():
@@ -242,6 +279,7 @@
 def _answer_pull(hub: Hub, node: ControlNode, link: Link, pull: Pull) -> None:
     if id(link) not in hub.follower_links:
         link.post(quarantine_news(judge_of(hub)))
+        link.post(limit_news(lender_of(hub)))
     hub.follower_links[id(link)] = link
     deltas = None if pull.full else deltas_after(node.state, pull.version)
     if deltas is None:
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -16,12 +16,14 @@
 from ..content_judge import keep_judging
 from ..http import serve_http, upstream_client
 from ..log_child import log_child
+from ..rate_lender import keep_telling_limits
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .handover import start_any_handover
 from .hub import (
     Hub,
     build_judge,
+    build_lender,
     push_configuration,
     send_heads,
     send_to_member,
@@ -114,6 +116,7 @@
     hub = Hub()
     node = build_node(settings, hub)
     judge = hub.judge = build_judge(hub, node)
+    lender = hub.lender = build_lender(hub, node)
     stop = anyio.Event()
     identity = LinkIdentity(
         cluster=settings.cluster.name,
@@ -157,6 +160,7 @@
         log_child(),
         Child(name="orders", run=lambda: run_orders(node, hub, client), restart=Restart.ALWAYS),
         Child(name="quarantine", run=lambda: keep_judging(judge), restart=Restart.ALWAYS),
+        Child(name="limits", run=lambda: keep_telling_limits(lender), restart=Restart.ALWAYS),
         Child(name="heads", run=lambda: send_heads(hub, node), restart=Restart.ALWAYS),
         *(link_child(peer) for peer in others),
     ]
--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...routing.pace import Pace, note_false_alarm, note_gap, stall_after
+from ...routing.rate_grants import has_grant, take_grants
 from ...routing.session import Session, TokenFrame, Verdict, accept_token
 from ...routing.upstream_table import note_success
 from ...upstreams.engine import (
@@ -23,6 +24,8 @@
     run_on_engine,
 )
 from ..clock import now
+from ..limit_keeper import note_rate
+from .context import limit_keeper_of
 from .metrics import record
 from .watching import answers
 
@@ -30,6 +33,7 @@
     from anyio.abc import TaskGroup
 
     from ...model import Pipeline
+    from ...model.exchange import NamedRate
     from ...routing.upstream_table import UpstreamView
     from .context import EntryContext
 
@@ -92,6 +96,9 @@
     leaving: bool = False
     """True if an upstream refused because it is leaving."""
 
+    limited: bool = False
+    """True if nothing was sent, since upstreams take no more requests in this second."""
+
     rest_seconds: float | None = None
     """How long the upstream that refused wants nothing more from this box, if it said so."""
 
@@ -136,10 +143,13 @@
     assert session.route is not None
     views = [context.upstreams.views.get(name) for name in session.route.upstreams]
     held = [view for view in views if view is not None]
-    for view in held:
-        view.in_flight += 1
     head = frozenset({session.route.head.upstream})
+    lacking = frozenset(view.upstream.name for view in held if not has_grant(view.limit, now()))
+    if not take_grants([view.limit for view in held], now()):
+        return AttemptOutcome(end=AttemptEnd.REFUSED, blamed=lacking, limited=True)
     attempt = Attempt(outcome=AttemptOutcome(end=AttemptEnd.LOST, blamed=head), moved_at=now())
+    for view in held:
+        view.in_flight += 1
     try:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_watch_progress, context, session, progress, attempt, tasks)
@@ -175,8 +185,13 @@
         rank=request.rank,
         route=session.route,
     )
+    head, sent_at = session.route.head.upstream, now()
+
+    def take_rate(named: NamedRate | None) -> None:
+        note_rate(limit_keeper_of(context), head, named, sent_at, is_own=True)
+
     try:
-        async with aclosing(run_on_engine(context.client, run)) as batches:
+        async with aclosing(run_on_engine(context.client, run, take_rate)) as batches:
             async for frames in batches:
                 texts, lost = _take_in(context, session, progress, frames)
                 if texts:
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -33,6 +33,7 @@
     from ...routing.admission import Ticket
     from ...routing.chain import Pick
     from ...settings import EntrySettings
+    from ..limit_keeper import LimitKeeper
     from .command_client import CommandClient
 
 logger = logging.getLogger(__name__)
@@ -92,6 +93,9 @@
     tell_controls: Callable[[LinkMessage], None] = lambda _message: None
     """Tells the control boxes that are linked."""
 
+    limit_keeper: LimitKeeper | None = None
+    """Keeps to the requests a second that upstreams name; None until the links are built."""
+
     budget: RetryBudget = msgspec.field(default_factory=RetryBudget)
     """Retries that may be made."""
 
@@ -114,6 +118,12 @@
     """Requests of callers that have not been answered in full."""
 
 
+def limit_keeper_of(context: EntryContext) -> LimitKeeper:
+    """Return what keeps to the requests a second that upstreams name."""
+    assert context.limit_keeper is not None
+    return context.limit_keeper
+
+
 def put_in_force(context: EntryContext, configuration: Configuration) -> bool:
     """Put a configuration into force if it is newer than the one that is.
 
--- a/src/ledgeladder/daemons/entry/follower.py
+++ b/src/ledgeladder/daemons/entry/follower.py
@@ -21,7 +21,8 @@
     Pull,
     VersionHead,
 )
-from .context import in_background, put_in_force
+from ..limit_keeper import take_limit_message
+from .context import in_background, limit_keeper_of, put_in_force
 from .crashes import take_content_news
 from .gate import pass_order
 
@@ -85,6 +86,8 @@
                     continue
                 if control and take_content_news(context, message):
                     continue
+                if control and take_limit_message(limit_keeper_of(context), message):
+                    continue
                 take_version_message(context, link, message)
                 follower.answered.add(box)
         finally:
@@ -96,8 +99,12 @@
 
 def tell_controls(follower: Follower, message: LinkMessage) -> None:
     """Tell all control boxes that are linked."""
-    linked = [link for box, link in follower.links.items() if box in follower.controls]
-    post_to_all(linked, message)
+    post_to_all(control_links(follower), message)
+
+
+def control_links(follower: Follower) -> list[Link]:
+    """Return the links to control boxes that are up."""
+    return [link for box, link in follower.links.items() if box in follower.controls]
 
 
 def own_version(context: EntryContext) -> InForce:
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -13,11 +13,17 @@
 from ...routing.chain import choose_route, engines_for, replace_stages
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.session import Session, begin_attempt
-from ...routing.upstream_table import is_resting, note_failure, note_rest
+from ...routing.upstream_table import (
+    any_limited,
+    note_failure,
+    note_rest,
+    view_wait,
+    want_grants,
+)
 from ...upstreams.engine import CancelRequest, cancel_on_engine
 from ..clock import now
 from .attempt import AttemptEnd, AttemptOutcome, Emit, Generation, Progress, run_attempt
-from .context import in_background
+from .context import in_background, limit_keeper_of
 from .crashes import may_be_sent, note_answered, note_lost_run
 from .watching import probe_failure_domain
 
@@ -90,7 +96,7 @@
             raise _given_up(session, ResultCode.UPSTREAM_LOST, "too many stages were lost")
         may_have_run = may_have_run or outcome.end is not AttemptEnd.REFUSED
         if not may_have_run:
-            _refuse_if_resting(context, request)
+            _refuse_if_unwanted(context, request)
         if not session.tokens and not take_retry(context.budget):
             raise _spent(session, outcome)
         progress.recovering = True
@@ -128,42 +134,56 @@
     Raises:
         ProblemError: If there is none; nothing has run.
     """
+    _want_grants(context, request)
     engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
     chosen = choose_route(engines, request.pipeline.layers, context.pick)
     if isinstance(chosen, Failure):
-        _refuse_if_resting(context, request)
+        _refuse_if_unwanted(context, request)
         raise ProblemError(chosen.failure())
     return chosen.unwrap()
 
 
-def _refuse_if_resting(context: EntryContext, request: Generation) -> None:
-    """Refuse a request that did not run if only the rest of engines keeps it from a route.
+def _want_grants(context: EntryContext, request: Generation) -> None:
+    """Ask for what limited engines of the pipeline lack."""
+    views = [
+        view
+        for view in context.upstreams.views.values()
+        if view.upstream.model == request.pipeline.model
+    ]
+    if want_grants(views, now()):
+        limit_keeper_of(context).wake.set()
+
+
+def _refuse_if_unwanted(context: EntryContext, request: Generation) -> None:
+    """Refuse a request that did not run if only rest or limits of engines keep it from a route.
 
     Other gaps are waited for, since a lost stage is replaced within moments.
 
     Raises:
         ProblemError: If so, with the time until there is a route.
     """
-    seconds = _rest_before_route(context, request)
+    seconds = _wait_before_route(context, request)
     if seconds is None:
         return
-    detail = "the engines that do not rest leave layers out"
-    problem = Problem(code=ResultCode.UPSTREAMS_RESTING, detail=detail, retry_after=seconds)
-    raise ProblemError(problem)
+    is_limited = any_limited(context.upstreams.views.values(), now())
+    code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
+    detail = "the engines that want work now leave layers out"
+    raise ProblemError(Problem(code=code, detail=detail, retry_after=seconds))
 
 
-def _rest_before_route(context: EntryContext, request: Generation) -> float | None:
-    """Return when there is a route since engines have rested, in seconds.
+def _wait_before_route(context: EntryContext, request: Generation) -> float | None:
+    """Return when there is a route since engines want work again, in seconds.
 
     Returns:
-        None if there is one now, or if their rest is not what it lacks.
+        None if there is one now, or if rest and limits are not what it lacks.
     """
     at = now()
-    ends = {view.rest_until for view in context.upstreams.views.values() if is_resting(view, at)}
-    for when in (at, *sorted(ends)):
-        engines = engines_for(context.upstreams, request.pipeline, when, allowed=request.allowed)
+    for wait in sorted({0.0} | {view_wait(view, at) for view in context.upstreams.views.values()}):
+        engines = engines_for(
+            context.upstreams, request.pipeline, at, allowed=request.allowed, within=wait
+        )
         if not isinstance(choose_route(engines, request.pipeline.layers, context.pick), Failure):
-            return when - at if when > at else None
+            return wait or None
     return None
 
 
@@ -177,6 +197,7 @@
     """
     patient_until = now() + ROUTE_PATIENCE_SECONDS
     while True:
+        _want_grants(context, request)
         engines = engines_for(context.upstreams, request.pipeline, now(), allowed=request.allowed)
         assert session.route is not None
         replaced = replace_stages(session.route, outcome.blamed, engines, context.pick)
@@ -195,6 +216,8 @@
         view = context.upstreams.views.get(name)
         if view is None:
             continue
+        if outcome.limited:
+            continue
         if outcome.leaving:
             view.said_leaving = True
             continue
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -12,16 +12,25 @@
 from ...links.messages import PeerRole
 from ...routing.admission import Admission
 from ...routing.chain import better_of_two, least_loaded, round_robin
-from ...routing.upstream_table import take_box_list
+from ...routing.upstream_table import attach_limit, take_box_list
 from ...upstreams.box_list import read_box_list
 from ..http import serve_http, upstream_client
+from ..limit_keeper import LimitKeeper, keep_limits
 from ..log_child import log_child
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .caller_api import build_caller_app
 from .command_client import CommandClient, keep_command_link
 from .context import EntryContext
-from .follower import Follower, announce, first_sync, follow, serve_neighbour, tell_controls
+from .follower import (
+    Follower,
+    announce,
+    control_links,
+    first_sync,
+    follow,
+    serve_neighbour,
+    tell_controls,
+)
 from .neighbourhood import build_membership, run_membership
 from .watching import probe_suspects, watch_upstreams
 
@@ -107,6 +116,11 @@
     )
     follower = Follower()
     context.tell_controls = lambda message: tell_controls(follower, message)
+    keeper = context.limit_keeper = LimitKeeper(
+        table=context.upstreams.limits,
+        attach=lambda name, held: attach_limit(context.upstreams, name, held),
+        controls=lambda: control_links(follower),
+    )
     membership = build_membership(context)
     own_domain = settings.box.failure_domain
     neighbours = [
@@ -165,6 +179,7 @@
             run=lambda: watch_upstreams(context, membership),
             restart=Restart.ALWAYS,
         ),
+        Child(name="limits", run=lambda: keep_limits(keeper), restart=Restart.ALWAYS),
         Child(name="probing", run=lambda: probe_suspects(context), restart=Restart.ALWAYS),
         *(follow_child(peer, control=True) for peer in settings.controls),
         *(follow_child(peer, control=False) for peer in neighbours),
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -19,20 +19,24 @@
     ReleaseCommand,
 )
 from ...model import Execution, Problem, ProblemError, ResultCode
+from ...routing.rate_grants import take_grants
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.upstream_table import (
     UpstreamView,
+    any_limited,
+    first_wait,
     note_failure,
     note_rest,
     note_success,
-    rest_left,
     usable,
+    want_grants,
 )
 from ...upstreams.service import ServiceAnswer, ServiceCall, ServiceCallError, call_service
 from ..clock import now, wall_clock_ms
+from ..limit_keeper import note_rate
 from .checks import Permit, refuse
 from .command_client import commit
-from .context import in_background
+from .context import in_background, limit_keeper_of
 from .crashes import may_be_sent, note_answered, note_lost_run, refuse_if_held
 
 if TYPE_CHECKING:
@@ -95,24 +99,27 @@
     return [view for view in views if view is not None and permit.allowed(view)]
 
 
-def _rest_left(context: EntryContext, permit: Permit) -> float | None:
-    """Return when the first service wants work again, in seconds; None unless all of them rest."""
-    return rest_left(_services(context, permit), now())
+def _first_wait(context: EntryContext, permit: Permit) -> float | None:
+    """Return when the first service wants work again, in seconds; None if one wants some."""
+    return first_wait(_services(context, permit), now())
 
 
 def _no_service(context: EntryContext, permit: Permit) -> ProblemError:
     """Say why a call that was sent to no service was refused."""
-    rest = _rest_left(context, permit)
-    if rest is not None:
-        return refuse(ResultCode.UPSTREAMS_RESTING, "all services of the pipeline", rest)
+    wait = _first_wait(context, permit)
+    if wait is not None:
+        is_limited = any_limited(_services(context, permit), now())
+        code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
+        return refuse(code, "all services of the pipeline", wait)
     return refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
 
 
 def _choose_service(context: EntryContext, permit: Permit, tried: set[str]) -> UpstreamView | None:
+    services = _services(context, permit)
+    if want_grants(services, now()):
+        limit_keeper_of(context).wake.set()
     candidates = [
-        view
-        for view in _services(context, permit)
-        if view.upstream.name not in tried and usable(view, now())
+        view for view in services if view.upstream.name not in tried and usable(view, now())
     ]
     if not candidates:
         return None
@@ -123,6 +130,10 @@
 async def _dispatch(
     context: EntryContext, permit: Permit, view: UpstreamView, call: ServiceCall
 ) -> ServiceAnswer:
+    sent_at = now()
+    if not take_grants([view.limit], sent_at):
+        raise ServiceCallError(Execution.NOT_RUN, "it takes no more requests in this second")
+    keeper, name = limit_keeper_of(context), view.upstream.name
     view.in_flight += 1
     try:
         with anyio.fail_after(max(0.0, permit.deadline - now())):
@@ -131,6 +142,7 @@
         note_failure(view, now())
         raise ServiceCallError(Execution.UNKNOWN, "the deadline passed") from error
     except ServiceCallError as error:
+        note_rate(keeper, name, error.named_rate, sent_at, is_own=error.rest_seconds is not None)
         if error.rest_seconds is None:
             note_failure(view, now())
         else:
@@ -142,6 +154,7 @@
         raise
     finally:
         view.in_flight -= 1
+    note_rate(keeper, name, answer.named_rate, sent_at, is_own=True)
     if answer.rest_seconds is not None:
         note_rest(view, answer.rest_seconds, now())
     note_success(view)
@@ -169,7 +182,7 @@
                 raise refuse(ResultCode.DEADLINE_EXCEEDED, str(error), 1.0) from error
             may_have_run = may_have_run or error.execution is not Execution.NOT_RUN
             answer = None
-        if not may_have_run and _rest_left(context, permit) is not None:
+        if not may_have_run and _first_wait(context, permit) is not None:
             raise _no_service(context, permit)
         if not may_be_sent(context, permit.content):
             raise refuse(ResultCode.UPSTREAM_LOST, "its upstreams ended", 1.0)
--- a/src/ledgeladder/daemons/gateway/following.py
+++ b/src/ledgeladder/daemons/gateway/following.py
@@ -48,12 +48,12 @@
 )
 from ...routing.load_sharing import is_report_due, load_interval
 from ...routing.route_index import build_index
+from ..limit_keeper import take_limit_message
 from ..peers import SILENCE_SECONDS, add_peers, primary_of
 from .borrowing import take_loan_reply
 from .crashes import take_quarantine, take_suspect
 from .loss_news import confirm_loss, take_loss_news
-from .rate_limits import take_grant_reply, take_limits
-from .state import note_entries
+from .state import limit_keeper_of, note_entries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -114,10 +114,8 @@
                     take_quarantine(state, message)
                 case LoanReply():
                     take_loan_reply(state, message)
-                case RateLimitNews():
-                    take_limits(state, message.limits)
-                case GrantReply():
-                    take_grant_reply(state, message)
+                case RateLimitNews() | GrantReply():
+                    take_limit_message(limit_keeper_of(state), message)
                 case LoadTotals():
                     _take_loads(state, unpack_loads(order, message.order, message.loads))
                 case PeerHint():
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -10,6 +10,7 @@
 from ...http1 import HttpSite, serve_http1
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
+from ..limit_keeper import keep_limits
 from ..log_child import log_child
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers
@@ -19,10 +20,9 @@
 from .app import build_caller_site
 from .following import serve_control
 from .metrics import metrics_lines
-from .rate_limits import keep_limits
 from .readiness import build_ready_site
 from .starting import run_start_queue
-from .state import GatewayState, start_waits
+from .state import GatewayState, limit_keeper_of, start_waits
 from .upstream_wishes import watch_rests
 
 if TYPE_CHECKING:
@@ -102,7 +102,9 @@
         ),
         Child(name="start-queue", run=lambda: run_start_queue(state), restart=Restart.ALWAYS),
         Child(name="rests", run=lambda: watch_rests(state), restart=Restart.ALWAYS),
-        Child(name="limits", run=lambda: keep_limits(state), restart=Restart.ALWAYS),
+        Child(
+            name="limits", run=lambda: keep_limits(limit_keeper_of(state)), restart=Restart.ALWAYS
+        ),
         log_child(),
         metrics_child(
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: metrics_lines(state)
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -14,6 +14,7 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
 from ...routing.forwarding_table import (
+    any_limited,
     first_wait,
     has_alternative,
     is_at_most,
@@ -31,7 +32,6 @@
 from .crashes import note_answered, note_run_end, suspicion
 from .notes import content_mark
 from .probing import find_ended
-from .rate_limits import any_limited, want_grants
 from .state import answer_pace, budget_of, record
 from .upstream_call import (
     FAILED_STATUS,
@@ -42,6 +42,7 @@
     open_answer,
     read_whole,
 )
+from .upstream_wishes import ask_for_grants
 
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
@@ -130,7 +131,7 @@
         return None
     if tries.refusals >= REFUSALS_LIMIT:
         return None
-    want_grants(state, permit.pool.name)
+    ask_for_grants(state, permit.pool.name)
     return choose_service(
         state.table.pools.get(permit.pool.name, []),
         anyio.current_time(),
@@ -284,9 +285,10 @@
         await exchange.answer(head.status_code, headers, tries.body)
         return
     if tries.runs == 0:
-        wait = first_wait(state.table.pools.get(permit.pool.name, []), anyio.current_time())
+        pool, now = state.table.pools.get(permit.pool.name, []), anyio.current_time()
+        wait = first_wait(pool, now)
         if wait is not None:
-            is_limited = any_limited(state, permit.pool.name)
+            is_limited = any_limited(pool, now)
             code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
             raise refusal(code, f"all of {permit.pool.name}", wait)
         if _are_at_most(state, permit):
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -14,7 +14,12 @@
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
-from ...routing.forwarding_table import DomainDoubts, ForwardedUpstream, ForwardingTable
+from ...routing.forwarding_table import (
+    DomainDoubts,
+    ForwardedUpstream,
+    ForwardingTable,
+    attach_limit,
+)
 from ...routing.link_doubts import LinkDoubts
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
@@ -22,6 +27,7 @@
 from ...routing.route_index import RouteIndex
 from ...routing.start_queue import StartQueue
 from .. import clock
+from ..limit_keeper import LimitKeeper
 
 if TYPE_CHECKING:
     from ...model.traffic import TrafficConfiguration
@@ -120,22 +126,6 @@
     """Set when one was added or asked for longer."""
 
 
-class LimitNews(msgspec.Struct, kw_only=True):
-    """Limits of upstreams that other boxes are to be told of, and questions under way."""
-
-    changed: dict[str, None] = msgspec.field(default_factory=dict)
-    """Runs of upstreams whose answers here said something new, oldest first."""
-
-    wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
-    """Set when there is something to tell or to ask for."""
-
-    calls: int = 0
-    """Questions that were asked; the number of the newest."""
-
-    asked_at: dict[int, float] = msgspec.field(default_factory=dict)
-    """When each question that may yet be answered was asked, on the monotonic clock."""
-
-
 class GatewayState(msgspec.Struct, kw_only=True):
     """State of one gateway process."""
 
@@ -171,9 +161,6 @@
     resting: RestingUpstreams = msgspec.field(default_factory=RestingUpstreams)
     """Upstreams that asked for rest."""
 
-    limit_news: LimitNews = msgspec.field(default_factory=LimitNews)
-    """Upstreams that name how many requests a second they take."""
-
     doubts: DomainDoubts = msgspec.field(default_factory=DomainDoubts)
     """Failure domains that may be cut off."""
 
@@ -231,6 +218,9 @@
     peers: Peers | None = None
     """Links to control boxes."""
 
+    limit_keeper: LimitKeeper | None = None
+    """Keeps to the requests a second that upstreams name."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
@@ -240,6 +230,13 @@
     out_of_time: bool = False
     """True once a planned stop cuts what is still in progress."""
 
+    def __post_init__(self) -> None:
+        self.limit_keeper = LimitKeeper(
+            table=self.table.limits,
+            attach=lambda instance, held: attach_limit(self.table, instance, held),
+            controls=lambda: list(self.peers.links.values()) if self.peers is not None else [],
+        )
+
     @property
     def version(self) -> int:
         """Version of the document in force; 0 before the first."""
@@ -251,6 +248,12 @@
         return self.configuration.limits if self.configuration is not None else CallerLimits()
 
 
+def limit_keeper_of(state: GatewayState) -> LimitKeeper:
+    """Return what keeps to the requests a second that upstreams name."""
+    assert state.limit_keeper is not None
+    return state.limit_keeper
+
+
 def start_waits(settings: GatewaySettings) -> StartWaits:
     """Return the bounded place for requests that wait while a box starts."""
     section = settings.gateway
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -13,7 +13,7 @@
 from ...routing.link_load import FIRST_LIMIT, RESUME_LIMIT, link_use
 from ...routing.path_costs import OVERFULL_AT, PathRequest
 from ...routing.paths import ChosenPath, MissingPath, choose_path, explain_no_path
-from .rate_limits import want_grants
+from .upstream_wishes import ask_for_grants
 
 if TYPE_CHECKING:
     from ...model.traffic import EngineProfile
@@ -55,7 +55,7 @@
     Returns:
         The path, or None if no engines that may be used cover all layers.
     """
-    want_grants(state, permit.pool.name)
+    ask_for_grants(state, permit.pool.name)
     wanted = _wanted(state, permit, session, expected)
     engines = state.table.pools.get(permit.pool.name, [])
     now = anyio.current_time()
--- a/src/ledgeladder/daemons/gateway/upstream_wishes.py
+++ b/src/ledgeladder/daemons/gateway/upstream_wishes.py
@@ -1,4 +1,4 @@
-"""Taking in what upstreams ask of this box in their answers: rest for a time, or no new work."""
+"""Taking in what upstreams ask for in their answers: rest for a time, no new work, or a limit."""
 
 from __future__ import annotations
 
@@ -7,8 +7,10 @@
 
 import anyio
 
-from ...routing.forwarding_table import held_requests
+from ...routing.forwarding_table import held_requests, want_grants
 from ...routing.upstream_wishes import ask_rest, note_fullness, say_leaving
+from ..limit_keeper import note_rate
+from .state import limit_keeper_of
 
 if TYPE_CHECKING:
     from ...model.exchange import AnswerFacts
@@ -24,6 +26,7 @@
     permit: Permit,
     upstream: ForwardedUpstream,
     facts: AnswerFacts,
+    sent_at: float,
 ) -> None:
     """Take in what an upstream asks for in the head of an answer.
 
@@ -35,10 +38,14 @@
         permit: The request that was answered.
         upstream: The upstream that answered.
         facts: What the head says.
+        sent_at: When the request was sent, on the monotonic clock.
     """
     if facts.wrong_upstream:
         # Another run of an upstream has the address, and speaks for itself alone.
         return
+    instance = upstream.registration.instance
+    is_own = facts.signed or facts.not_run
+    note_rate(limit_keeper_of(state), instance, facts.named_rate, sent_at, is_own=is_own)
     if facts.leaving and say_leaving(state.table.book, upstream.registration, upstream.wishes):
         state.metrics.counters["upstream-said-leaving"] += 1
         logger.info(
@@ -95,6 +102,12 @@
     )
 
 
+def ask_for_grants(state: GatewayState, pool: str) -> None:
+    """Note that a request looks for an upstream of a pool, and ask for what limited ones lack."""
+    if want_grants(state.table, pool, anyio.current_time()):
+        limit_keeper_of(state).wake.set()
+
+
 async def watch_rests(state: GatewayState) -> None:
     """Log when upstreams have rested for as long as they asked, for ever."""
     resting = state.resting
--- a/src/ledgeladder/daemons/rate_lender.py
+++ b/src/ledgeladder/daemons/rate_lender.py
@@ -97,7 +97,7 @@
     take_limits(lender, request.limits, to_peers=True)
     now = anyio.current_time()
     grants: dict[str, Grant] = {}
-    if lender.may_lend():
+    if _is_lending(lender):
         for instance, wanted in request.counts.items():
             book = lender.books.get(instance)
             if book is None:
@@ -116,17 +116,21 @@
         spend(book, count, lender.parts(), anyio.current_time())
 
 
-def forget_books(lender: RateLender) -> None:
-    """Forget what was lent under another vote: it counts from now on, with nothing saved."""
+def _is_lending(lender: RateLender) -> bool:
+    """Tell whether this box lends; one that does not has nothing saved when it begins to."""
+    if lender.may_lend():
+        return True
     now = anyio.current_time()
     for book in lender.books.values():
         book.saved, book.saved_at = min(book.saved, 0.0), now
+    return False
 
 
 async def keep_telling_limits(lender: RateLender) -> None:
     """Tell entry boxes all limits once a second while there are any, for ever."""
     while True:
         await anyio.sleep(TELL_SECONDS)
+        _is_lending(lender)
         now = anyio.current_time()
         for instance in [name for name, book in lender.books.items() if is_over(book.limit, now)]:
             del lender.books[instance]
--- a/src/ledgeladder/daemons/registry/lending.py
+++ b/src/ledgeladder/daemons/registry/lending.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import anyio
 
+from ...coordination.rate_limit import SURE_SECONDS
 from ...links import post_to_all
 from ...links.messages import LoanReply
 from ...routing.repeat_loans import FLOOR_SHARE, LoanBook, lend
 from ...routing.repeat_window import SHARE_USED
-from ..rate_lender import RateLender, forget_books
+from ..rate_lender import RateLender
 from .newest import current_knowledge
-from .state import lender_of
 
 if TYPE_CHECKING:
     from ...links import Link
@@ -22,10 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-SURE_SECONDS: Final = 1.0
-"""Age of the last word of the leader up to which a voter lends. One that is cut off stops long
-before another one takes its place, which then waits for a whole window."""
-
 
 def follow_votes(state: RegistryState) -> None:
     """Note since when this box is a voter; what it lent under an earlier vote is forgotten."""
@@ -33,7 +29,6 @@
     if is_voter and state.voter_since is None:
         state.voter_since = anyio.current_time()
         state.loan_books.clear()
-        forget_books(lender_of(state))
     elif not is_voter:
         state.voter_since = None
 
--- a/src/ledgeladder/routing/chain.py
+++ b/src/ledgeladder/routing/chain.py
@@ -80,14 +80,23 @@
     now: float,
     *,
     allowed: Callable[[UpstreamView], bool],
+    within: float = 0.0,
 ) -> list[UpstreamView]:
-    """Return the engines that may take new work for a pipeline."""
+    """Return the engines that may take new work for a pipeline.
+
+    Args:
+        table: What is known of upstreams.
+        pipeline: The pipeline.
+        now: Monotonic time.
+        allowed: Which upstreams the request may use.
+        within: Those count too that want work again within so many seconds.
+    """
     return [
         view
         for view in table.views.values()
         if view.upstream.kind is UpstreamKind.ENGINE
         and view.upstream.model == pipeline.model
-        and usable(view, now)
+        and usable(view, now, within)
         and allowed(view)
     ]
 
--- a/src/ledgeladder/routing/rate_grants.py
+++ b/src/ledgeladder/routing/rate_grants.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ..coordination.rate_limit import RateLimit, bound
+from ..coordination.rate_limit import RateLimit, bound, mean_gap
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -117,4 +117,4 @@
     """Return how long it takes in the mean until a request may be sent, in seconds."""
     if held is None or has_grant(held, now):
         return 0.0
-    return max(held.wait_until - now, 1.0 / bound(held.limit, now))
+    return max(held.wait_until - now, mean_gap(held.limit, now))
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..model import Configuration, Upstream, UpstreamKind
+from .rate_grants import HeldLimit, LimitTable, grant_wait, has_grant, is_limited
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,6 +46,9 @@
     rest_until: float = -math.inf
     """Until when it wants nothing from this box, as it said, on the monotonic clock."""
 
+    limit: HeldLimit | None = None
+    """Requests a second that it takes from all boxes together; None if it has named none."""
+
     suspect_until: float = 0.0
     """Until when it is passed over because of failures, on the monotonic clock."""
 
@@ -58,6 +62,9 @@
     views: dict[str, UpstreamView] = msgspec.field(default_factory=dict)
     """Views by name."""
 
+    limits: LimitTable = msgspec.field(default_factory=LimitTable)
+    """Requests a second that upstreams take from all boxes together, by name."""
+
 
 def adopt_configuration(table: UpstreamTable, configuration: Configuration) -> None:
     """Bring the table in line with a configuration, keeping what is known of each upstream.
@@ -69,8 +76,12 @@
     kept: dict[str, UpstreamView] = {}
     for name, upstream in configuration.upstreams.items():
         view = table.views.get(name)
-        if view is None or view.upstream.address != upstream.address:
-            view = UpstreamView(upstream=upstream)
+        if view is not None and view.upstream.address != upstream.address:
+            # Another process, which has named nothing yet.
+            table.limits.limits.pop(name, None)
+            view = None
+        if view is None:
+            view = UpstreamView(upstream=upstream, limit=table.limits.limits.get(name))
         view.upstream = upstream
         kept[name] = view
     table.views = kept
@@ -126,25 +137,56 @@
     return now < view.rest_until
 
 
-def rest_left(views: Iterable[UpstreamView], now: float) -> float | None:
+def first_wait(views: Iterable[UpstreamView], now: float) -> float | None:
     """Return when the first of some upstreams wants work again, in seconds.
 
     Returns:
-        None if one of them does not rest, or there are none. Those that leave count for nothing.
+        None if one of them wants some, or there are none. Those that leave count for nothing.
     """
-    left = [
-        view.rest_until - now for view in views if not (view.listed_leaving or view.said_leaving)
+    waits = [
+        view_wait(view, now) for view in views if not (view.listed_leaving or view.said_leaving)
     ]
-    return min(left) if left and min(left) > 0 else None
+    return min(waits) if waits and min(waits) > 0 else None
+
+
+def any_limited(views: Iterable[UpstreamView], now: float) -> bool:
+    """Tell whether any of some upstreams has a limit."""
+    return any(is_limited(view.limit, now) for view in views)
+
+
+def want_grants(views: Iterable[UpstreamView], now: float) -> bool:
+    """Note that a request looks for one of some upstreams, as far as they have limits.
+
+    Returns:
+        True if one of them has nothing left that was lent, so that more is to be asked for.
+    """
+    lacks = False
+    for view in views:
+        if view.limit is not None:
+            view.limit.wanted += 1
+            lacks = lacks or not has_grant(view.limit, now)
+    return lacks
+
+
+def attach_limit(table: UpstreamTable, name: str, held: HeldLimit | None) -> None:
+    """Give an upstream its limit, or take it away, if the configuration names it."""
+    view = table.views.get(name)
+    if view is not None:
+        view.limit = held
+
+
+def view_wait(view: UpstreamView, now: float) -> float:
+    """Return when an upstream wants work again, as far as it said so, in seconds; 0 if it does."""
+    return max(0.0, view.rest_until - now, grant_wait(view.limit, now))
 
 
-def usable(view: UpstreamView, now: float) -> bool:
-    """Tell whether new work may go to an upstream."""
-    if is_resting(view, now):
+def usable(view: UpstreamView, now: float, within: float = 0.0) -> bool:
+    """Tell whether new work may go to an upstream, now or within some seconds."""
+    if view_wait(view, now) > within:
         return False
     if view.listed_leaving or view.said_leaving or view.reported_down:
         return False
-    return now >= view.suspect_until
+    return now + within >= view.suspect_until
 
 
 def take_report(view: UpstreamView, *, live: bool, leaving: bool, running: int) -> None:
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from typing import TYPE_CHECKING, Annotated, Final
 
 import anyio
@@ -16,11 +16,12 @@
 
 from ..http1.wishes import raise_for_rest, read_rest
 from ..routing.session import ReceiptStage, TokenFrame
-from .fields import raw_fields
+from .fields import named_rate, raw_fields
 
 if TYPE_CHECKING:
     from ..coordination.orders import Assignment
     from ..model import Route
+    from ..model.exchange import NamedRate
 
 RUN_PATH: Final = "/stage/v1/run"
 CANCEL_PATH: Final = "/stage/v1/cancel"
@@ -210,13 +211,16 @@
 
 
 async def run_on_engine(
-    client: httpx.AsyncClient, request: RunRequest
+    client: httpx.AsyncClient,
+    request: RunRequest,
+    note_rate: Callable[[NamedRate | None], None] = lambda _named: None,
 ) -> AsyncGenerator[list[EngineFrame], None]:
     """Run a request and yield the frames that each read brings.
 
     Args:
         client: HTTP client without a read time-out; the caller watches progress.
         request: The request.
+        note_rate: Takes the rate that the answer of the head names, or None.
 
     Yields:
         Frames in the order in which the head sent them.
@@ -229,6 +233,7 @@
     url = f"http://{request.route[0].address}{RUN_PATH}"
     try:
         async with client.stream("POST", url, content=msgspec.json.encode(request)) as response:
+            note_rate(named_rate(response))
             if response.status_code != OK_STATUS:
                 await _raise_for_status(response)
             rest = b""
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import httpx
 import msgspec
 
 from ..http1.wishes import read_rest
 from ..model import EXECUTION_HEADER, Execution
-from .fields import raw_fields
+from .fields import named_rate, raw_fields
+
+if TYPE_CHECKING:
+    from ..model.exchange import NamedRate
 
 ANSWER_LIMIT: Final = 16 * 1024 * 1024
 """Longest answer of a service, in bytes."""
@@ -49,18 +52,28 @@
     rest_seconds: float | None = None
     """How long the service wants nothing more from this box, if it said so."""
 
+    named_rate: NamedRate | None = None
+    """Requests a second that it takes from all boxes together, if it names any."""
+
 
 class ServiceCallError(Exception):
     """A call that brought no answer."""
 
     def __init__(
-        self, execution: Execution, detail: str, *, rest_seconds: float | None = None
+        self,
+        execution: Execution,
+        detail: str,
+        *,
+        rest_seconds: float | None = None,
+        named_rate: NamedRate | None = None,
     ) -> None:
         super().__init__(detail)
         self.execution = execution
         """Whether the service may have run the call."""
         self.rest_seconds = rest_seconds
         """How long the service wants nothing more from this box, if it said so."""
+        self.named_rate = named_rate
+        """Requests a second that it takes from all boxes together, if it names any."""
 
 
 async def call_service(client: httpx.AsyncClient, address: str, call: ServiceCall) -> ServiceAnswer:
@@ -95,11 +108,14 @@
     rest = read_rest(response.status_code, raw_fields(response))
     if response.headers.get(EXECUTION_HEADER) == Execution.NOT_RUN.value:
         detail = f"refused with status {response.status_code}"
-        raise ServiceCallError(Execution.NOT_RUN, detail, rest_seconds=rest)
+        raise ServiceCallError(
+            Execution.NOT_RUN, detail, rest_seconds=rest, named_rate=named_rate(response)
+        )
     content_type = response.headers.get("content-type", "application/octet-stream")
     return ServiceAnswer(
         status=response.status_code,
         content_type=content_type,
         body=bytes(body),
         rest_seconds=rest,
+        named_rate=named_rate(response),
     )
