Let requests wait, where they have the time, until upstreams want work again

Cause: where all upstreams rest or take no more in this second, a request was refused at once, though most have seconds left and callers come back once. The queue of starting boxes is now one for both: bounded in number and bytes, who was cut first, then the urgent, then who came first, at the pace of engines that read prompts or of services that work requests off.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -16,8 +16,8 @@
 from .crashes import refuse_if_held
 from .notes import RequestNotes, log_fields
 from .plain import forward_plain
-from .starting import is_starting, wait_for_turn
 from .stream import forward_stream
+from .waiting import is_starting, wait_for_turn
 
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -21,9 +21,9 @@
 from .following import serve_control
 from .metrics import metrics_lines
 from .readiness import build_ready_site
-from .starting import run_start_queue
-from .state import GatewayState, limit_keeper_of, start_waits
+from .state import GatewayState, bounded_waits, limit_keeper_of
 from .upstream_wishes import watch_rests
+from .waiting import run_queue
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -57,7 +57,11 @@
 
 def build_state(settings: GatewaySettings) -> GatewayState:
     """Build the state of a gateway process, without a document."""
-    state = GatewayState(settings=settings, start_waits=start_waits(settings))
+    state = GatewayState(
+        settings=settings,
+        start_waits=bounded_waits(settings),
+        upstream_waits=bounded_waits(settings),
+    )
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     own = settings.box.address
 
@@ -100,7 +104,16 @@
             run=lambda: run_peers(peers, seeds),
             restart=Restart.ALWAYS,
         ),
-        Child(name="start-queue", run=lambda: run_start_queue(state), restart=Restart.ALWAYS),
+        Child(
+            name="start-queue",
+            run=lambda: run_queue(state.start_waits),
+            restart=Restart.ALWAYS,
+        ),
+        Child(
+            name="upstream-queue",
+            run=lambda: run_queue(state.upstream_waits),
+            restart=Restart.ALWAYS,
+        ),
         Child(name="rests", run=lambda: watch_rests(state), restart=Restart.ALWAYS),
         Child(
             name="limits", run=lambda: keep_limits(limit_keeper_of(state)), restart=Restart.ALWAYS
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -43,6 +43,7 @@
     read_whole,
 )
 from .upstream_wishes import ask_for_grants
+from .waiting import wait_for_upstreams
 
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
@@ -105,7 +106,12 @@
     budget = budget_of(state, permit.pool.name)
     note_first(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
-        while (upstream := _next_upstream(state, permit, tries)) is not None:
+        while True:
+            upstream = _next_upstream(state, permit, tries)
+            if upstream is None:
+                if await _waited(state, permit, request, tries, notes):
+                    continue
+                break
             ends = suspicion(state, permit, request, notes)
             if ends >= CRASH_LIMIT:
                 break
@@ -142,6 +148,40 @@
     )
 
 
+async def _waited(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    tries: _Tries,
+    notes: RequestNotes,
+) -> bool:
+    """Wait if upstreams want no work for a while that the request has; True if it is tried anew."""
+    wait = _first_wait(state, permit)
+    if tries.runs or tries.refusals >= REFUSALS_LIMIT or wait is None:
+        return False
+    began = anyio.current_time()
+    if not await wait_for_upstreams(state, permit, request, wait):
+        return False
+    notes.waited += anyio.current_time() - began
+    tries.tried.clear()
+    return True
+
+
+def _first_wait(state: GatewayState, permit: Permit) -> float | None:
+    """Return when the first service of the pool wants work again, in seconds.
+
+    That of one that holds as much as it may is when it has answered a request.
+
+    Returns:
+        None if none keeps from work by its own wish, or one of them wants some.
+    """
+    now = anyio.current_time()
+    pool = state.table.pools.get(permit.pool.name, [])
+    if _are_at_most(state, permit):
+        return answer_pace(state, permit.pool.name).mean
+    return first_wait(pool, now)
+
+
 async def _try_once(
     state: GatewayState,
     permit: Permit,
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -25,7 +25,7 @@
 from ...routing.pace import Pace
 from ...routing.repeat_window import RepeatWindow
 from ...routing.route_index import RouteIndex
-from ...routing.start_queue import StartQueue
+from ...routing.wait_queue import WaitQueue
 from .. import clock
 from ..limit_keeper import LimitKeeper
 
@@ -103,10 +103,10 @@
     """Set once it is answered for good."""
 
 
-class StartWaits(msgspec.Struct, kw_only=True):
-    """Requests that wait until the box can serve."""
+class Waits(msgspec.Struct, kw_only=True):
+    """Requests that wait until they can be served."""
 
-    queue: StartQueue
+    queue: WaitQueue
     """Who waits, and who goes first."""
 
     turns: dict[int, anyio.Event] = msgspec.field(default_factory=dict)
@@ -115,6 +115,9 @@
     filled: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set while somebody waits."""
 
+    looked: dict[str, tuple[float, bool]] = msgspec.field(default_factory=dict)
+    """When each pool was last looked at, on the monotonic clock, and whether it took requests."""
+
 
 class RestingUpstreams(msgspec.Struct, kw_only=True):
     """Upstreams whose rest is yet to be logged as over."""
@@ -212,9 +215,12 @@
     metrics: GatewayMetrics = msgspec.field(default_factory=GatewayMetrics)
     """Counters and histograms."""
 
-    start_waits: StartWaits
+    start_waits: Waits
     """Requests that wait until the box can serve."""
 
+    upstream_waits: Waits
+    """Requests that wait until upstreams want work again."""
+
     peers: Peers | None = None
     """Links to control boxes."""
 
@@ -254,13 +260,13 @@
     return state.limit_keeper
 
 
-def start_waits(settings: GatewaySettings) -> StartWaits:
-    """Return the bounded place for requests that wait while a box starts."""
+def bounded_waits(settings: GatewaySettings) -> Waits:
+    """Return a bounded place for requests that wait."""
     section = settings.gateway
-    queue = StartQueue(
-        most_requests=section.start_queue_requests, most_bytes=section.start_queue_bytes
+    queue = WaitQueue(
+        most_requests=section.wait_queue_requests, most_bytes=section.wait_queue_bytes
     )
-    return StartWaits(queue=queue)
+    return Waits(queue=queue)
 
 
 def belief_holds(state: GatewayState, now: float) -> bool:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -22,6 +22,7 @@
 from .stream_paths import choose_run_path, expected_answer, explain_missing_path
 from .stream_run import run_stream
 from .stream_session import RunEnd, StreamSession
+from .waiting import wait_for_upstreams
 
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
@@ -77,6 +78,8 @@
             path = choose_run_path(state, permit, profile, session, expected)
             if path is None:
                 session.missing = explain_missing_path(state, permit, profile, session, expected)
+                if await _waited(state, permit, request, session, notes):
+                    continue
                 reason = str(session.missing)
                 break
             repeat = await spend_repeat(state, permit.pool.name) if session.sent else None
@@ -94,6 +97,24 @@
     await _finish(state, permit, exchange, session, late=scope.cancelled_caught)
 
 
+async def _waited(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    session: StreamSession,
+    notes: RequestNotes,
+) -> bool:
+    """Wait if engines want no work for a while that the request has; True if it is tried anew."""
+    wait = session.missing.wait_seconds if session.missing is not None else None
+    if wait is None:
+        return False
+    began = anyio.current_time()
+    if not await wait_for_upstreams(state, permit, request, wait):
+        return False
+    notes.waited += anyio.current_time() - began
+    return True
+
+
 def _why_no_further_run(permit: Permit, session: StreamSession) -> str:
     """Return why another run is not allowed; empty if it is. The first one always is."""
     if session.refusals >= REFUSALS_LIMIT:
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -477,6 +477,15 @@
     )
 
 
+def covers_layers(engines: Iterable[ForwardedUpstream], layers: int) -> bool:
+    """Tell whether some engines together hold all layers of a model."""
+    held: set[int] = set()
+    for engine in engines:
+        for item in engine.registration.holdings:
+            held.update(range(item.first, min(item.end, layers)))
+    return len(held) >= layers
+
+
 def is_silent(upstream: ForwardedUpstream, now: float) -> bool:
     """Tell whether nobody has heard an upstream for so long that it is likely lost."""
     return now - upstream.heard_at > SILENT_SECONDS
--- a/src/ledgeladder/routing/start_queue.py
+++ b/src/ledgeladder/routing/wait_queue.py
@@ -1,18 +1,20 @@
-"""Requests that wait at a box which is starting and will be able to serve in a moment.
+"""Requests that wait until they can be served in a moment that is near.
 
-The pattern: all boxes lose their power at once, and come back within a second. Callers whose
-streams were cut connect again as soon as a box listens, which is 0.2 to 0.7 s before it can be sure
-of its document. Most of them come back only once, so that a refusal ends the request: refusing them
-lost 424 and 239 requests of fleets of 63 boxes that serve 85 streams a second. Held here, they are
-served a fraction of a second later, out of the 20 s that they have.
+Two patterns. All boxes lose their power at once and come back within a second: callers whose
+streams were cut connect again as soon as a box listens, which is before it can be sure of its
+document. And upstreams ask for rest, or take no more requests in this second: all copies of a range
+of layers rest for a second, say, while most engines are free. Most callers come back only once, so
+that a refusal ends the request. Held here, they are served a moment later, out of the time that
+they have.
 
 A request waits only while the moment is known to be near and leaves it time to be served; what
 waits is bounded in number and bytes. When the moment has come, streams that were cut go first, then
-the more urgent, then who came first, at the pace at which engines read their prompts.
+the more urgent, then who came first, at the pace at which upstreams take them.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -39,8 +41,8 @@
     size: int
     """Bytes of its body."""
 
-    prompt_tokens: int
-    """Tokens of its prompt; 0 for a request to a plain service."""
+    pace: Callable[[], float]
+    """Returns how long the next one is to wait after this one went on, in seconds."""
 
     is_resumed: bool
     """True for a stream that was cut: its caller has part of the answer."""
@@ -49,7 +51,7 @@
     """Returns its priority, 0 being the most urgent; None while it cannot be served."""
 
 
-class StartQueue(msgspec.Struct, kw_only=True):
+class WaitQueue(msgspec.Struct, kw_only=True):
     """Requests that wait, in the order in which they came."""
 
     most_requests: int
@@ -68,13 +70,13 @@
     """Ticket that was given last."""
 
 
-def wait_until(*, arrived_at: float, patience: float | None, served_at: float) -> float:
+def wait_until(*, arrived_at: float, patience: float | None, served_at: float = math.inf) -> float:
     """Return until when a request may wait, on the clock of the arguments.
 
     Args:
         arrived_at: When it arrived, in seconds.
         patience: How long its caller waits in all, in seconds; None if it does not say.
-        served_at: When the box is up at the latest, as far as it can know.
+        served_at: When it can be served at the latest, as far as the box can know.
 
     Returns:
         The earlier of that and the end of the part of its time that may pass with waiting. It has
@@ -90,10 +92,10 @@
 
 
 def enter(
-    queue: StartQueue,
+    queue: WaitQueue,
     *,
     size: int,
-    prompt_tokens: int,
+    pace: Callable[[], float],
     is_resumed: bool,
     rank: Callable[[], int | None],
 ) -> WaitingRequest | None:
@@ -102,7 +104,7 @@
     Args:
         queue: The queue.
         size: Bytes of its body.
-        prompt_tokens: Tokens of its prompt.
+        pace: Returns how long the next one is to wait after it went on, in seconds.
         is_resumed: True for a stream that was cut.
         rank: Returns its priority; None while it cannot be served.
 
@@ -116,7 +118,7 @@
     entered = WaitingRequest(
         ticket=queue.last_ticket,
         size=size,
-        prompt_tokens=prompt_tokens,
+        pace=pace,
         is_resumed=is_resumed,
         rank=rank,
     )
@@ -125,13 +127,13 @@
     return entered
 
 
-def leave(queue: StartQueue, request: WaitingRequest) -> None:
+def leave(queue: WaitQueue, request: WaitingRequest) -> None:
     """Take a request out, whether it goes on, was refused or lost its caller; once or twice."""
     if queue.waiting.pop(request.ticket, None) is not None:
         queue.held_bytes -= request.size
 
 
-def next_to_go(queue: StartQueue) -> WaitingRequest | None:
+def next_to_go(queue: WaitQueue) -> WaitingRequest | None:
     """Return who goes first: who was cut, then the more urgent, then who came first.
 
     Returns:
--- a/src/ledgeladder/settings/discovered.py
+++ b/src/ledgeladder/settings/discovered.py
@@ -92,13 +92,13 @@
     ready_address: Address
     """Where it is asked whether it is ready."""
 
-    start_queue_requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 256
-    """Most requests that wait while it starts: forty times what a box of 63 is sent in the second
-    after all lost their power; 0 refuses them at once."""
+    wait_queue_requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 256
+    """Most requests that wait while it starts, and as many again while upstreams want no work; 0
+    refuses them at once."""
 
-    start_queue_bytes: Annotated[int, msgspec.Meta(ge=0, le=1_073_741_824)] = 4_194_304
+    wait_queue_bytes: Annotated[int, msgspec.Meta(ge=0, le=1_073_741_824)] = 4_194_304
     """Most bytes that their bodies have together, an eighth of the memory that a box may use for
-    control."""
+    control, and as many again."""
 
 
 class RegistrySection(_Section, frozen=True, kw_only=True):
--- a/tests/daemons/test_rate_limit_named.py
+++ b/tests/daemons/test_rate_limit_named.py
@@ -38,6 +38,9 @@
 
 SENDING_SECONDS = 12.0
 
+LIMITED_CODE = "1208"
+"""Result code of a request that the upstreams for it take no more of."""
+
 
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[DiscoveredFleet]:
@@ -142,3 +145,27 @@
 
     send_over_all(fleet, "status", SENDING_SECONDS, cause)
     assert most_in_a_span(runs_on(fleet, name, named_at + SETTLE_SECONDS)) <= MOST
+
+
+@pytest.mark.parametrize("route", ["status", "draft"])
+def test_callers_wait_or_are_refused_as_not_run_while_all_upstreams_are_limited(
+    fleet: DiscoveredFleet, route: str
+) -> None:
+    """The pattern: no upstream is left that takes any number. Those that have the time are served
+    by turns; the others are told at once, and none is sent to an upstream that takes no more."""
+    pool = "engines" if route == "draft" else "services"
+    names = [name for name in fleet.boxes if name.startswith(pool)]
+    for name in names:
+        fleet.set_mood(name, limit=str(RATE))
+    named_at = time.time()
+    send_over_all(fleet, route, SETTLE_SECONDS)
+    answers = [send(fleet, route, item % GATEWAYS, deadline_ms=300) for item in range(12)]
+    refused = [answer for answer in answers if answer.status_code == 503]
+    assert refused
+    assert {answer.headers["ledgeladder-code"] for answer in refused} == {LIMITED_CODE}
+    assert {answer.headers["ledgeladder-execution"] for answer in refused} == {"not-run"}
+    assert all(float(answer.headers["retry-after"]) > 0 for answer in refused)
+    statuses = send_over_all(fleet, route, SENDING_SECONDS)
+    assert 200 in statuses
+    for name in names:
+        assert most_in_a_span(runs_on(fleet, name, named_at + SETTLE_SECONDS)) <= MOST
