Keep nobody waiting whose turn would come too late

Streams wait for as long as a run may be without a first event, and who comes after so many others that its turn comes too late is refused at once.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -27,6 +27,7 @@
 from ...routing.pace import note_gap, stall_after
 from ...routing.repeat_window import give_back, note_first
 from ...routing.service_choice import choose_service
+from ...routing.wait_queue import wait_until
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .crashes import note_answered, note_run_end, suspicion
@@ -160,7 +161,8 @@
     if tries.runs or tries.refusals >= REFUSALS_LIMIT or wait is None:
         return False
     began = anyio.current_time()
-    if not await wait_for_upstreams(state, permit, request, wait):
+    until = wait_until(arrived_at=request.arrived_at, patience=permit.deadline - request.arrived_at)
+    if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
         return False
     notes.waited += anyio.current_time() - began
     tries.tried.clear()
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -115,6 +115,15 @@
     filled: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set while somebody waits."""
 
+    filled_at: float = 0.0
+    """When the first of those that wait came, on the monotonic clock."""
+
+    turn_at: float = 0.0
+    """When a request last went on, likewise."""
+
+    turn_pace: Pace = msgspec.field(default_factory=Pace)
+    """Times between two that go on while others wait, in seconds."""
+
     looked: dict[str, tuple[float, bool]] = msgspec.field(default_factory=dict)
     """When each pool was last looked at, on the monotonic clock, and whether it took requests."""
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -104,12 +104,17 @@
     session: StreamSession,
     notes: RequestNotes,
 ) -> bool:
-    """Wait if engines want no work for a while that the request has; True if it is tried anew."""
+    """Wait if engines want no work for a while that the request has; True if it is tried anew.
+
+    Callers of a stream leave long before their deadline if nothing comes.
+    """
     wait = session.missing.wait_seconds if session.missing is not None else None
     if wait is None:
         return False
     began = anyio.current_time()
-    if not await wait_for_upstreams(state, permit, request, wait):
+    patience = session.patience
+    until = session.moved_at + (patience.gap_limit if session.started else patience.first_limit)
+    if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
         return False
     notes.waited += anyio.current_time() - began
     return True
--- a/src/ledgeladder/daemons/gateway/waiting.py
+++ b/src/ledgeladder/daemons/gateway/waiting.py
@@ -10,6 +10,7 @@
 import anyio
 
 from ...routing.forwarding_table import covers_layers, is_at_most, is_usable, takes_work
+from ...routing.pace import note_gap
 from ...routing.route_index import find_route
 from ...routing.wait_queue import enter, leave, next_to_go, reading_seconds, wait_until
 from .checks import LAST_RANK, START_SECONDS, rank_request
@@ -125,25 +126,26 @@
 
 
 async def wait_for_upstreams(
-    state: GatewayState, permit: Permit, request: HttpRequest, seconds: float
+    state: GatewayState, permit: Permit, request: HttpRequest, *, seconds: float, until: float
 ) -> bool:
     """Let a request wait until upstreams of its pool want work again.
 
-    Who could not be served any more then is not kept waiting.
+    Who could not be served any more then is not kept waiting, nor who comes after so many others
+    that its turn would come too late.
 
     Args:
         state: The process's state.
         permit: What the request may do.
         request: The request.
         seconds: When that is likely to be, from now on.
+        until: Until when it may wait, on the monotonic clock.
 
     Returns:
         True if its turn has come; whoever calls chooses an upstream then. False if it is to be
         refused.
     """
     now, waits = anyio.current_time(), state.upstream_waits
-    until = wait_until(arrived_at=request.arrived_at, patience=permit.deadline - request.arrived_at)
-    if now + seconds > until:
+    if now + seconds + len(waits.queue.waiting) * waits.turn_pace.mean > until:
         return False
     look_at = now + min(seconds, LOOK_AGAIN_SECONDS)
 
@@ -209,6 +211,8 @@
 async def _wait_for_turn(waits: Waits, entered: WaitingRequest, seconds: float) -> bool:
     """Wait until a request may go on; False if the time is over first."""
     turn = waits.turns[entered.ticket] = anyio.Event()
+    if len(waits.queue.waiting) == 1:
+        waits.filled_at = anyio.current_time()
     waits.filled.set()
     try:
         with anyio.move_on_after(seconds):
@@ -240,4 +244,8 @@
         return LOOK_SECONDS
     leave(waits.queue, request)
     waits.turns[request.ticket].set()
+    now = anyio.current_time()
+    if waits.queue.waiting or waits.turn_at > waits.filled_at:
+        note_gap(waits.turn_pace, now - max(waits.turn_at, waits.filled_at))
+    waits.turn_at = now
     return request.pace()
--- a/tests/daemons/gateway/test_waiting.py
+++ b/tests/daemons/gateway/test_waiting.py
@@ -238,13 +238,19 @@
     )
 
 
+async def wait(state: GatewayState, held: Permit, seconds: float) -> bool:
+    """Wait for half of the time that a request has."""
+    until = anyio.current_time() + (held.facts.patience or 0.0) / 2
+    return await wait_for_upstreams(state, held, request(), seconds=seconds, until=until)
+
+
 def test_request_that_has_the_time_waits_until_upstreams_have_rested() -> None:
     async def run() -> None:
         state = gateway_state()
         service = resting_service(state, 0.1)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_queue, state.upstream_waits)
-            assert await wait_for_upstreams(state, permit(5.0), request(), 0.1)
+            assert await wait(state, permit(5.0), 0.1)
             assert takes_work(service, anyio.current_time())
             tasks.cancel_scope.cancel()
         assert not state.upstream_waits.queue.waiting
@@ -258,7 +264,7 @@
         state = gateway_state()
         resting_service(state, 3.0)
         with anyio.fail_after(0.05):
-            assert not await wait_for_upstreams(state, permit(5.0), request(), 3.0)
+            assert not await wait(state, permit(5.0), 3.0)
 
     anyio.run(run)
 
@@ -270,7 +276,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_queue, state.upstream_waits)
             with anyio.fail_after(1.0):
-                assert not await wait_for_upstreams(state, permit(0.4), request(), 0.1)
+                assert not await wait(state, permit(0.4), 0.1)
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
@@ -287,7 +293,7 @@
 
         async def call(name: str, priority: int) -> None:
             held = permit(5.0, priority=priority)
-            assert await wait_for_upstreams(state, held, request(), 0.1)
+            assert await wait(state, held, 0.1)
             went.append((name, anyio.current_time()))
 
         async with anyio.create_task_group() as tasks:
@@ -323,19 +329,37 @@
         state.table.upstreams["a"].wishes.rest_until = now + 0.1
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run_queue, state.upstream_waits)
-            assert await wait_for_upstreams(state, permit(5.0, pool=POOL), request(), 0.1)
+            assert await wait(state, permit(5.0, pool=POOL), 0.1)
             assert anyio.current_time() >= now + 0.1
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
 
 
+def test_request_whose_turn_would_come_too_late_is_not_kept() -> None:
+    """The pattern: more callers than what rests takes, which waited in vain until they left."""
+
+    async def run() -> None:
+        state = gateway_state()
+        resting_service(state, 0.1)
+        state.upstream_waits.turn_pace.mean = 1.0
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(wait, state, permit(60.0), 0.1)
+            await anyio.wait_all_tasks_blocked()
+            with anyio.fail_after(0.05):
+                assert not await wait(state, permit(6.0), 0.1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_full_queue_refuses_at_once() -> None:
     async def run() -> None:
         state = gateway_state()
         state.upstream_waits.queue.most_requests = 0
         resting_service(state, 0.1)
         with anyio.fail_after(0.05):
-            assert not await wait_for_upstreams(state, permit(5.0), request(), 0.1)
+            assert not await wait(state, permit(5.0), 0.1)
 
     anyio.run(run)
--- a/tests/daemons/test_stage_loss.py
+++ b/tests/daemons/test_stage_loss.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 
 import pytest
 
@@ -14,6 +15,13 @@
 """Twice what a stream needs to be in progress still when a stage is lost: beside a load the test
 takes some time to find the stages."""
 
+STOOD_STILL_SECONDS = 2.0
+"""How long a stage stands still: more than the time within which it is to take a cancellation."""
+
+DROP_SECONDS = 10.0
+"""How long stages may take to drop a request whose caller has left; engines keep what nobody asks
+for three times as long."""
+
 
 def held_sessions(fleet: Fleet) -> dict[str, set[str]]:
     """Return the requests that each engine that is up holds."""
@@ -72,6 +80,28 @@
     wait_until(lambda: not busy_engines(healed), 20, "all stages to drop the request")
 
 
+@pytest.mark.parametrize("first_layer", ["head", "later"])
+def test_stage_that_stood_still_drops_the_request_of_a_caller_that_left(
+    healed: Fleet, first_layer: str
+) -> None:
+    """The pattern: a stage stands still while a caller leaves, and is told so in vain. It goes on
+    holding the request, for as long as engines keep what nobody asks for."""
+    before = held_sessions(healed)
+    body = {"model": "captions", "prompt": f"{first_layer} stands", "max_tokens": 1000}
+    url = f"{healed.url('entry-b1')}/v1/completions"
+    stream = {**body, "stream": True}
+    with healed.client.stream("POST", url, json=stream, headers=KEY) as response:
+        lines = response.iter_lines()
+        assert next(lines).startswith("data: ")
+        heads = {spec.name for spec in healed.engines if spec.first == 0}
+        busy = busy_engines(healed, before)
+        stopped = next(name for name in busy if (name in heads) == (first_layer == "head"))
+        healed.signal(stopped, signal.SIGSTOP)
+    time.sleep(STOOD_STILL_SECONDS)
+    healed.signal(stopped, signal.SIGCONT)
+    wait_until(lambda: not busy_engines(healed, before), DROP_SECONDS, "all stages to drop it")
+
+
 def test_no_route_is_refused_at_once_as_not_run(healed: Fleet) -> None:
     for spec in healed.engines:
         if spec.end == 32:
