Own interface: tell a stage to drop a request until it has taken it

A stage was told once, and for 0.5 s at most; the failure was swallowed without a line. One that is held up for longer keeps the request's memory until it forgets it by itself, half a minute later. Now it is told again for 10 s, with growing pauses, unless it has ended, and a line says if it never took it.

--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import AsyncGenerator, Callable
 from typing import TYPE_CHECKING, Annotated, Final
 
@@ -23,6 +24,8 @@
     from ..model import Route
     from ..model.exchange import NamedRate
 
+logger = logging.getLogger(__name__)
+
 RUN_PATH: Final = "/stage/v1/run"
 CANCEL_PATH: Final = "/stage/v1/cancel"
 LIVE_PATH: Final = "/stage/v1/live"
@@ -30,6 +33,13 @@
 ORDER_PATH: Final = "/stage/v1/orders"
 
 CONNECT_SECONDS: Final = 0.5
+CANCEL_SECONDS: Final = 10.0
+"""How long an engine is told to drop a request that it does not take; engines forget what nobody
+asks for some time later."""
+
+CANCEL_PAUSE_SECONDS: Final = 0.5
+"""Pause before it is told again; doubled each time."""
+
 PROBE_SECONDS: Final = 0.4
 """How long a live engine may take to answer a probe or to tell its load."""
 
@@ -267,13 +277,38 @@
 
 
 async def cancel_on_engine(client: httpx.AsyncClient, address: str, request: CancelRequest) -> None:
-    """Tell an engine to drop a request; a failure is ignored, since engines also expire them."""
+    """Tell an engine to drop a request, again and again until it has taken it.
+
+    One that stands still takes it once it goes on; until then the request keeps its memory. One
+    that has ended holds nothing.
+
+    Args:
+        client: HTTP client.
+        address: `host:port` of the engine.
+        request: The request.
+    """
+    pause = CANCEL_PAUSE_SECONDS
+    with anyio.move_on_after(CANCEL_SECONDS):
+        while not await _is_cancelled(client, address, request):
+            await anyio.sleep(pause)
+            pause *= 2
+        return
+    logger.warning(
+        "cancellation not taken", extra={"address": address, "request_id": request.session}
+    )
+
+
+async def _is_cancelled(client: httpx.AsyncClient, address: str, request: CancelRequest) -> bool:
+    """Tell an engine once to drop a request; returns True if it needs not be told again."""
     url = f"http://{address}{CANCEL_PATH}"
     try:
-        with anyio.move_on_after(CONNECT_SECONDS):
+        with anyio.fail_after(CONNECT_SECONDS):
             await client.post(url, content=msgspec.json.encode(request))
-    except httpx.HTTPError:
-        return
+    except httpx.ConnectError as error:
+        logger.info("nobody to cancel on", extra={"address": address, "reason": str(error)})
+    except (httpx.HTTPError, TimeoutError):
+        return False
+    return True
 
 
 async def is_live(
