--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -27,7 +27,6 @@
 from ...routing.pace import note_gap, stall_after
 from ...routing.repeat_window import give_back, note_first
 from ...routing.service_choice import choose_service
-from ...routing.wait_queue import wait_until
 from .borrowing import spend_repeat
 from .checks import Permit, refusal
 from .crashes import note_answered, note_run_end, suspicion
@@ -58,6 +57,10 @@
 """Part of the time that callers expect after which a repeatable request is tried elsewhere, if the
 service's own answers take no longer: the rest is for the second try."""
 
+WAIT_SHARE: Final = 0.5
+"""Part of the time that callers expect for which a request waits until services want work again;
+the rest is for the answer."""
+
 REFUSALS_LIMIT: Final = 3
 """Upstreams that may refuse one request before the caller is told to come back."""
 
@@ -161,7 +164,7 @@
     if tries.runs or tries.refusals >= REFUSALS_LIMIT or wait is None:
         return False
     began = anyio.current_time()
-    until = wait_until(arrived_at=request.arrived_at, patience=permit.deadline - request.arrived_at)
+    until = request.arrived_at + permit.route.target_latency * WAIT_SHARE
     if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
         return False
     notes.waited += anyio.current_time() - began
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -106,14 +106,15 @@
 ) -> bool:
     """Wait if engines want no work for a while that the request has; True if it is tried anew.
 
-    Callers of a stream leave long before their deadline if nothing comes.
+    Only who can still be served as soon as callers expect waits: with more than that, those who
+    came before take what those who come now could have had in time.
     """
     wait = session.missing.wait_seconds if session.missing is not None else None
     if wait is None:
         return False
     began = anyio.current_time()
     patience = session.patience
-    until = session.moved_at + (patience.gap_limit if session.started else patience.first_limit)
+    until = session.moved_at + (patience.gap_look if session.started else patience.first_look)
     if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
         return False
     notes.waited += anyio.current_time() - began
