Give a try of a plain service up only with a repeat in hand

What callers saw: 502 though the answer was on its way. The first try of a repeatable request gets a part of the time only, so that another one fits in.

Now the repeat is taken first, and without one the try goes on until the deadline. The new test fails before (502, sent once) and passes now.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -48,6 +48,7 @@
 if TYPE_CHECKING:
     from ...http1 import Exchange, HttpRequest
     from ...routing.forwarding_table import ForwardedUpstream
+    from ...routing.repeat_window import Repeat
     from .notes import RequestNotes
     from .state import GatewayState
 
@@ -80,6 +81,9 @@
     refusals: int = 0
     """Upstreams that refused it as not run."""
 
+    repeat: Repeat | None = None
+    """Repeat that was spent so that a try could be given up, and is not used yet."""
+
     answer: OpenAnswer | None = None
     """Newest answer of an upstream that ran it and failed."""
 
@@ -120,7 +124,7 @@
             if ends >= CRASH_LIMIT:
                 break
             sent_before = tries.sent
-            repeat = await spend_repeat(state, permit.pool.name) if sent_before else None
+            repeat = await _next_repeat(state, permit, tries)
             if sent_before and repeat is None:
                 break
             notes.runs += 1
@@ -129,11 +133,21 @@
                 break
             if repeat is not None and tries.sent == sent_before:
                 give_back(budget, repeat)
+    if tries.repeat is not None:
+        give_back(budget, tries.repeat)
     if tries.answer is not None:
         note_answered(state, permit, request, notes)
     await _finish(state, permit, request, exchange, tries)
 
 
+async def _next_repeat(state: GatewayState, permit: Permit, tries: _Tries) -> Repeat | None:
+    """Return the repeat for the next try; None for the first one, or if there is none."""
+    repeat, tries.repeat = tries.repeat, None
+    if repeat is not None or not tries.sent:
+        return repeat
+    return await spend_repeat(state, permit.pool.name)
+
+
 def _next_upstream(state: GatewayState, permit: Permit, tries: _Tries) -> ForwardedUpstream | None:
     """Choose the upstream for the next try, if there is to be one."""
     repeatable = permit.route.kind is RequestKind.REPEATABLE
@@ -219,11 +233,7 @@
     upstream.in_flight += 1
     outcome = "answered"
     try:
-        with anyio.fail_after(seconds):
-            answer = await open_answer(
-                state, permit, request, dispatch, upstream, fresh_connection=not repeatable
-            )
-            body = await read_whole(state, answer)
+        answer, body = await _ask(state, permit, request, dispatch, upstream, tries, seconds)
         note_gap(answer_pace(state, permit.pool.name), anyio.current_time() - now)
         if answer.facts.not_run:
             outcome = f"refused with status {answer.head.status_code}"
@@ -267,6 +277,62 @@
             )
 
 
+async def _ask(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    dispatch: Dispatch,
+    upstream: ForwardedUpstream,
+    tries: _Tries,
+    seconds: float,
+) -> tuple[OpenAnswer, bytes]:
+    """Send a request to an upstream and read its whole answer.
+
+    Raises:
+        NotSentError: If nothing was sent.
+        WithheldError: If the upstream wants it no more.
+        AnswerLostError: If the request may have run and no whole answer came.
+        TimeoutError: If none came within some seconds, and the request may be sent again.
+    """
+    answer: tuple[OpenAnswer, bytes] | None = None
+    failure: Exception = TimeoutError()
+    fresh = permit.route.kind is not RequestKind.REPEATABLE
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_give_up, state, permit, tries, seconds, tasks.cancel_scope)
+        try:
+            opened = await open_answer(
+                state, permit, request, dispatch, upstream, fresh_connection=fresh
+            )
+            answer = opened, await read_whole(state, opened)
+        except (NotSentError, WithheldError, AnswerLostError) as error:
+            # Raised below: a task group would wrap it.
+            failure = error
+        tasks.cancel_scope.cancel()
+    if answer is None:
+        raise failure
+    return answer
+
+
+async def _give_up(
+    state: GatewayState,
+    permit: Permit,
+    tries: _Tries,
+    seconds: float,
+    scope: anyio.CancelScope,
+) -> None:
+    """Give a try up after some seconds, if the request may be sent again or its time is over.
+
+    Without a repeat the answer that is late is the only one that can come.
+    """
+    await anyio.sleep(seconds)
+    left = permit.deadline - anyio.current_time()
+    if left > 0:
+        tries.repeat = await spend_repeat(state, permit.pool.name)
+        if tries.repeat is None:
+            await anyio.sleep(left)
+    scope.cancel()
+
+
 def _try_seconds(state: GatewayState, permit: Permit) -> float:
     """Return how long the first of two tries may take, in seconds.
 
--- a/tests/daemons/gateway/test_plain.py
+++ b/tests/daemons/gateway/test_plain.py
@@ -6,13 +6,16 @@
 from typing import Any
 
 import anyio
+import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
+from ledgeladder.daemons.gateway import plain
 from ledgeladder.daemons.gateway.notes import RequestNotes
 from ledgeladder.daemons.gateway.plain import _Tries, _try_once
 from ledgeladder.http1 import connect
 from ledgeladder.model.traffic import RequestKind
 from ledgeladder.routing.forwarding_table import put_registration
+from ledgeladder.routing.repeat_window import RepeatWindow
 
 from .builders import engine, gateway_state
 
@@ -62,3 +65,48 @@
         return len(state.connections.idle.get(address, []))
 
     assert anyio.run(play) == 0
+
+
+ANSWER_SECONDS = 0.2
+"""How long services of the test below take: longer than a first try may without an answer."""
+
+
+@pytest.mark.parametrize("reserve", [0.0, 200.0])
+def test_try_is_given_up_for_another_one_only_if_there_may_be_one(
+    monkeypatch: pytest.MonkeyPatch, reserve: float
+) -> None:
+    """The pattern: a service is slow for a moment, and the budget of repeats is spent. The try was
+    cut off, and its caller got 502 although the answer was on its way."""
+    answered: list[int] = []
+
+    async def open_late(*_args: Any, **_options: Any) -> Any:
+        await anyio.sleep(ANSWER_SECONDS)
+        facts = SimpleNamespace(not_run=False, wrong_upstream=False, signed=True)
+        headers = SimpleNamespace(raw_items=list)
+        return SimpleNamespace(facts=facts, head=SimpleNamespace(status_code=200, headers=headers))
+
+    async def read_nothing(*_args: Any) -> bytes:
+        return b""
+
+    async def answer(status: int, _headers: Any, _body: bytes) -> None:
+        answered.append(status)
+
+    monkeypatch.setattr(plain, "open_answer", open_late)
+    monkeypatch.setattr(plain, "read_whole", read_nothing)
+
+    async def play() -> int:
+        state = gateway_state()
+        for number in range(3):
+            item = engine(f"s-{number}", f"{LOCAL}:{number + 1}")
+            state.table.pools.setdefault("p", []).append(item)
+        budget = RepeatWindow(ratio=0.0, reserve=reserve, seconds=10.0)
+        state.repeats["p"] = budget
+        now = anyio.current_time()
+        request: Any = SimpleNamespace(arrived_at=now, method=b"GET", target=b"/", body=b"")
+        exchange: Any = SimpleNamespace(answer=answer)
+        await plain.forward_plain(state, permit(now), request, exchange, RequestNotes())
+        return len(budget.repeats)
+
+    repeats = anyio.run(play)
+    assert answered == [200]
+    assert repeats == (1 if reserve else 0)
