Soak: upstreams ask for rest and name limits while faults are injected

Checked from what upstreams wrote down: no run of one got more in any 4 s than one and a half times what it named and five, from 3 s after it first did so.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import random
+import secrets
 import signal
 import subprocess
 import sys
@@ -234,7 +235,8 @@
                 answers say that it leaves.
         """
         path = self.folder / f"{name}.mood"
-        written = path.with_suffix(".new")
+        # Several threads may say so at once.
+        written = path.with_suffix(f".{secrets.token_hex(4)}")
         written.write_text(json.dumps(mood))
         written.replace(path)
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,8 +2,9 @@
 
 Run as `python -m standins.soak --seeds 50 --seconds 20`. Processes are stopped, paused, killed and
 wiped by signals; connections to upstreams are delayed, reset, cut one way and silenced by a proxy;
-documents are published meanwhile. Callers keep their connections until the process is gone. The
-promises are checked against what callers got and what upstreams wrote into their ledgers.
+upstreams ask for rest and name limits; documents are published meanwhile. Callers keep their
+connections until the process is gone. The promises are checked against what callers got and what
+upstreams wrote into their ledgers.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import httpx
@@ -49,6 +51,12 @@
 SETTLE_SECONDS = 45
 """How long each route of each gateway may take to be served again, once all faults are gone."""
 
+LIMIT_SETTLE_SECONDS = 3.0
+"""How long after one of its runs first named it a limit may be passed, while boxes learn of it."""
+
+LIMIT_SPAN_SECONDS = 4.0
+"""Length of the spans in which requests under a limit are counted."""
+
 NOT_RUN = {408, 421, 429, 503}
 """Statuses that promise that a request has not run and will not run."""
 
@@ -82,6 +90,23 @@
     """True if the answer ended as it should."""
 
 
+@dataclass(kw_only=True)
+class NamedLimit:
+    """A time for which an upstream named how many requests a second it takes."""
+
+    upstream: str
+    """Name of its process."""
+
+    rate: float
+    """Requests a second."""
+
+    since: float
+    """From when on, in seconds since 1970."""
+
+    until: float
+    """Until when."""
+
+
 @dataclass(kw_only=True)
 class Soak:
     """One seeded run."""
@@ -117,6 +142,9 @@
     killed: set[int] = field(default_factory=set)
     """Processes that were killed, by id."""
 
+    limits: list[NamedLimit] = field(default_factory=list)
+    """Limits that upstreams named, each from its beginning to its end."""
+
     faults: list[str] = field(default_factory=list)
     """Kinds of the faults in order, each with a box that was drawn for it; kills and pauses hit
     that box, the other kinds one of their own."""
@@ -247,6 +275,36 @@
             publish(soak, with_second_key=soak.revoked_at is None and rng.random() < 0.7)
 
 
+def keep_wishing(soak: Soak, rng: random.Random) -> None:
+    """Have upstreams ask for rest or name limits, one or several at once, until the run is over.
+
+    With a source of its own, so that a seed injects the same faults as without wishes.
+    """
+    fleet = soak.fleet
+    while not soak.over.wait(rng.uniform(0.5, 2.0)):
+        upstream = rng.choice(
+            [name for name in fleet.boxes if not name.startswith(("gateway", "registry"))]
+        )
+        if rng.random() < 0.4:
+            fleet.set_mood(upstream, rest=f"{rng.uniform(0.2, 1.5):.2f}")
+            later(soak, rng.uniform(0.1, 1.0), partial(fleet.set_mood, upstream))
+        else:
+            name_limit(soak, upstream, round(rng.uniform(0.5, 4.0), 2), rng.uniform(4.0, 9.0))
+
+
+def name_limit(soak: Soak, upstream: str, rate: float, seconds: float) -> None:
+    """Have an upstream name a limit for some time."""
+    limit = NamedLimit(upstream=upstream, rate=rate, since=time.time(), until=time.time() + seconds)
+    soak.fleet.set_mood(upstream, limit=str(rate))
+    soak.limits.append(limit)
+
+    def end() -> None:
+        limit.until = min(limit.until, time.time())
+        soak.fleet.set_mood(upstream)
+
+    later(soak, seconds, end)
+
+
 def stop(soak: Soak, gateway: str) -> None:
     """Stop a gateway as planned, and start it again once it has ended."""
     fleet = soak.fleet
@@ -272,6 +330,8 @@
     fleet = soak.fleet
     assert fleet.proxy is not None
     fleet.proxy.heal()
+    for name in fleet.boxes:
+        fleet.set_mood(name)
     for name, box in list(fleet.boxes.items()):
         fleet.signal(name, signal.SIGCONT)
         if box.popen is None or box.popen.poll() is not None:
@@ -297,6 +357,8 @@
     """Return every promise that was broken."""
     runs = soak.fleet.ledger()
     broken = [*check_runs(soak, runs), *check_answers(soak, runs), *check_documents(soak)]
+    for limit in soak.limits:
+        broken += check_limit(soak, limit, runs)
     if soak.fleet.ledger("over-limit"):
         broken.append("an engine was ordered to hold more than fits")
     return broken
@@ -334,6 +396,30 @@
     return broken
 
 
+def check_limit(soak: Soak, limit: NamedLimit, runs: list[dict[str, Any]]) -> list[str]:
+    """Check that each run of an upstream got no more than the limit that it named allows.
+
+    A limit may have been replaced by another one, or by rest, before its end.
+    """
+    others = [other.since for other in soak.limits if other.upstream == limit.upstream]
+    until = min([limit.until, *(since for since in others if since > limit.since)])
+    most = 1.5 * limit.rate * LIMIT_SPAN_SECONDS + 5
+    broken = []
+    for instance in soak.fleet.upstream_ids(limit.upstream):
+        times = sorted(
+            run["at"]
+            for run in runs
+            if run["upstream"] == instance and limit.since <= run["at"] <= until
+        )
+        judged = [at for at in times if at >= times[0] + LIMIT_SETTLE_SECONDS]
+        got = max(
+            (sum(at <= x < at + LIMIT_SPAN_SECONDS for x in judged) for at in judged), default=0
+        )
+        if got > most:
+            broken.append(f"{instance} named {limit.rate} a second and got {got} in 4 s")
+    return broken
+
+
 def covers(path: str) -> bool:
     """Tell whether a path runs every layer once and in order."""
     position = 0
@@ -391,6 +477,8 @@
             threading.Thread(target=make_calls, args=(soak, number, rng.random()))
             for number in range(CALLERS)
         ]
+        wishes = random.Random(f"wishes of {seed}")
+        threads.append(threading.Thread(target=keep_wishing, args=(soak, wishes)))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
