--- a/src/ledgeladder/coordination/gathering.py
+++ b/src/ledgeladder/coordination/gathering.py
@@ -13,7 +13,7 @@
 
 LIMIT_SECONDS: Final = 3.0
 """Longest time that a plan waits for further engines once there are enough to hold the model. They
-were seen to register over 2.8 s; a system serves some seconds after its boxes start."""
+register over seconds; a system serves some seconds after its boxes start."""
 
 LIMIT_WITHOUT_MODEL_SECONDS: Final = 10.0
 """Longest time that it waits for engines that can hold the model. Nothing can be served before, and
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -88,8 +88,7 @@
 
     It is asked even if it has just worked for another request. Only a refused connection counts: a
     probe that is lost, beside a connection that broke for another reason, is what a link that loses
-    packets looks like. Counting those, two boxes took a living engine for lost, and three engines
-    were moved for it.
+    packets looks like.
 
     Args:
         state: The process's state.
--- a/src/ledgeladder/daemons/gateway/stream_run.py
+++ b/src/ledgeladder/daemons/gateway/stream_run.py
@@ -270,9 +270,8 @@
     """Take in that a run was refused on account of one engine.
 
     The first engine says so itself, and is full or leaves. It names a later one also if that one is
-    dead: taking it for full for a moment sent it a run from each box every quarter of a second for
-    as long as it was registered, 84 of 151 refusals in the six seconds after a loss of 7 engines of
-    37. A connection tells the two apart in a round trip.
+    dead: taken for full for a moment, it would be sent a run from each box every quarter of a
+    second for as long as it is registered. A connection tells the two apart in a round trip.
     """
     session.excluded.add(engine.registration.instance)
     _doubt(state, session, engine)
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -195,8 +195,8 @@
     """Return the moment up to which all other control boxes were heard, on the monotonic clock.
 
     An engine that sends its heartbeats to a box that is cut off without a word is silent here from
-    then on. Links to such a box are given up seconds later. Without this, a leader took 8 of 34
-    living engines for lost 0.3 s before that, and moved six others to take over their layers.
+    then on. Links to such a box are given up seconds later, and until then its engines, which
+    live, would be taken for lost and others moved to take over their layers.
 
     Returns:
         None while one of them is out of reach.
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -52,9 +52,9 @@
 connected is told at once."""
 
 NEWS_SECONDS: Final = 0.05
-"""Least time between two frames of news. Upstreams that register together are told together: a
-control box with 180 links sent 82,000 frames a second while 3,000 registered, for two thirds of its
-core. Those that leave are told in time to get nothing new: they serve on for seconds."""
+"""Least time between two frames of news. Upstreams that register together are told together, since
+each frame goes over every link. Those that leave are told in time to get nothing new: they serve on
+for seconds."""
 
 FORGET_SECONDS: Final = 12.0
 """An upstream that nobody heard for this long, ten heartbeats, is dropped."""
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -44,8 +44,7 @@
 STALLED_FACTOR: Final = 6.0
 """How many times more an engine costs that has shown no progress since a loss: more than lies
 between the fastest and the slowest cards, so that another holder of its layers goes first. Engines
-are lost together; while 118 streams were sent again after one of four was found dead, 33 of them
-ran into another of the four, and spent a repeat each."""
+are lost together, and each repeat that runs into another lost one is spent."""
 
 
 class PathRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -181,8 +180,7 @@
     """Return how many requests an engine runs at once; infinity if it tells no more than one.
 
     Requests beyond that wait for a slot. Where small answers leave the KV cache half empty, slots
-    are what fills: with 96 of them under 37 streams a second that last 2.5 s, first events came
-    after 0.3 to 0.7 s in place of 0.05 while other engines with the same layers had slots free.
+    are what fills, and first events wait while other engines with the same layers have slots free.
     """
     slots = engine.registration.slots
     return float(slots) if slots > 1 else math.inf
--- a/src/ledgeladder/routing/repeat_loans.py
+++ b/src/ledgeladder/routing/repeat_loans.py
@@ -2,9 +2,9 @@
 
 The pattern: engines of one failure domain are lost together, and the boxes beside them send all
 their streams again within two seconds, while the others need no repeat for the next ten. With the
-reserve split evenly over 63 boxes, 32 to 92 streams a day were broken off on 13 to 24 of them,
-although the fleet had used 149 to 399 of 470 repeats. So each box keeps a floor of its own, and the
-rest is lent by the voters of the replicated log, each of which has the same part of it.
+reserve split evenly, streams are broken off at a part of the boxes while most of the reserve is
+unspent. So each box keeps a floor of its own, and the rest is lent by the voters of the replicated
+log, each of which has the same part of it.
 
 A loan ends by itself, `LOAN_SECONDS` after the borrower asked. The lender counts it for a whole
 window beyond that. One that has just started or become a voter lends nothing for as long, since it
@@ -21,8 +21,7 @@
 
 FLOOR_SHARE: Final = 0.25
 """Part of the reserve that is split evenly: what a box may spend without asking. With the share of
-its own requests it covers scattered losses, and those of a box that is cut off. With half of it, a
-loss of 4 engines under 118 streams of one failure domain left 88 of them without a repeat."""
+its own requests it covers scattered losses, and those of a box that is cut off."""
 
 LOAN_SECONDS: Final = 1.0
 """How long a loan may be spent, from the moment of asking: losses are met within it."""
--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -81,7 +81,7 @@
     """Take back a repeat that could not be sent: only what arrives at upstreams counts.
 
     After a loss, half of the tries of a box end at engines that refuse connections. Counting them
-    spent half of the budget in the seconds in which it is needed.
+    would spend half of the budget in the seconds in which it is needed.
     """
     if repeat.lent_until is not None:
         window.lent.appendleft(repeat.lent_until)
--- a/src/ledgeladder/routing/stream_patience.py
+++ b/src/ledgeladder/routing/stream_patience.py
@@ -24,8 +24,7 @@
 
 MOST_GAP_SHARE: Final = 0.35
 """Most of it: a probe, a new run and the reading of its prompt beside others that were lost with it
-take the rest. With half of it, pauses of streams that were carried on were 0.21 to 0.32 s where
-callers accept 0.2 to 0.25."""
+take the rest."""
 
 ASK_SHARE: Final = 0.7
 """Part of that pause after which engines that accept connections are asked how slowly they work."""
--- a/src/ledgeladder/routing/upstream_wishes.py
+++ b/src/ledgeladder/routing/upstream_wishes.py
@@ -21,9 +21,8 @@
 
 MOST_SHARE: Final = 0.6
 """Part of what a full upstream held when it asked for rest that it is sent again at most, but never
-less than its slots. What is in its queue then was sent by boxes that did not know of each other;
-the rest is room for that. In virtual time (8 boxes, 3 services, load twice the usual for 5 s) 0.6
-serves 15,800 requests, 0.8 10,200, 1.0 8,800, and no bound 7,000, as all rest again and again."""
+less than its slots. What was in its queue then was sent by boxes that did not know of each other;
+the rest is room for that."""
 
 MOST_RESTS: Final = 10.0
 """How many times the rest that was asked for that bound holds: finding out anew whether there is
