Tell others of limits ten times a second at most, and once a second in any case

An upstream may name another figure in each answer. Each box that hears it told three control boxes, each of which told all its entry boxes and the other control boxes: with 195 boxes hundreds of thousands of messages a second. Control boxes tell each other once a second too, so that news that one of them passed over arrives.

--- a/src/ledgeladder/daemons/rate_lender.py
+++ b/src/ledgeladder/daemons/rate_lender.py
@@ -25,8 +25,12 @@
 logger = logging.getLogger(__name__)
 
 TELL_SECONDS: Final = 1.0
-"""How often entry boxes are told of all limits, so that lost news and boxes that have just started
-cost no more than that."""
+"""How often all are told of all limits, so that lost news and boxes that have just started cost no
+more than that."""
+
+NEWS_SECONDS: Final = 0.1
+"""Least time between two rounds of news beside that. Each goes to every entry box, and an upstream
+may name another figure in each answer."""
 
 
 class RateLender(msgspec.Struct, kw_only=True):
@@ -47,6 +51,9 @@
     books: dict[str, RateBook] = msgspec.field(default_factory=dict)
     """What it lends, by run of the upstream."""
 
+    told_at: float = float("-inf")
+    """When others were last told at once, on the monotonic clock."""
+
 
 def take_limits(lender: RateLender, limits: Mapping[str, ToldLimit], *, to_peers: bool) -> None:
     """Take in what another box knows of limits, and tell others what is news.
@@ -58,8 +65,9 @@
     """
     now = anyio.current_time()
     news = [instance for instance, told in limits.items() if _take(lender, instance, told, now)]
-    if not news:
+    if not news or now - lender.told_at < NEWS_SECONDS:
         return
+    lender.told_at = now
     message = _news(lender, news, now)
     lender.tell_entries(message)
     if to_peers:
@@ -127,7 +135,7 @@
 
 
 async def keep_telling_limits(lender: RateLender) -> None:
-    """Tell entry boxes all limits once a second while there are any, for ever."""
+    """Tell all boxes all limits once a second while there are any, for ever."""
     while True:
         await anyio.sleep(TELL_SECONDS)
         _is_lending(lender)
@@ -135,7 +143,9 @@
         for instance in [name for name, book in lender.books.items() if is_over(book.limit, now)]:
             del lender.books[instance]
         if lender.books:
-            lender.tell_entries(limit_news(lender))
+            news = limit_news(lender)
+            lender.tell_entries(news)
+            lender.tell_peers(news)
 
 
 def limit_news(lender: RateLender) -> RateLimitNews:
