--- a/src/ledgeladder/reports/log_report.py
+++ b/src/ledgeladder/reports/log_report.py
@@ -83,6 +83,12 @@
     refusals: Counter[str] = msgspec.field(default_factory=Counter)
     """Refused runs by the upstream that refused."""
 
+    limited: dict[int, Counter[str]] = msgspec.field(default_factory=dict)
+    """Requests that all boxes sent to upstreams with a limit, by span and upstream."""
+
+    limited_boxes: Counter[tuple[str, str]] = msgspec.field(default_factory=Counter)
+    """The same by upstream and box."""
+
     run_ends: Counter[str] = msgspec.field(default_factory=Counter)
     """Runs of streams that did not complete, by how they ended."""
 
@@ -96,18 +102,22 @@
         _add_request(report, line)
     elif line.message == "run ended early":
         _add_run(report, line.fields)
+    elif line.message == "sent under a limit":
+        _add_limited(report, line)
     elif line.message in BELIEFS:
         _count(report, report.beliefs, line.at, BELIEFS[line.message])
 
 
-def _count(report: LogReport, table_of: dict[int, Counter[str]], at: float, name: str) -> None:
+def _count(
+    report: LogReport, table_of: dict[int, Counter[str]], at: float, name: str, count: int = 1
+) -> None:
     if report.began is None:
         report.began = at - at % report.bucket_seconds
     index = int((at - report.began) // report.bucket_seconds)
     if index not in table_of and len(table_of) >= BUCKETS_LIMIT:
         report.overflow += 1
         return
-    table_of.setdefault(index, Counter())[name] += 1
+    table_of.setdefault(index, Counter())[name] += count
 
 
 def _add_request(report: LogReport, line: LogLine) -> None:
@@ -142,6 +152,17 @@
     report.refusals[upstream] += 1
 
 
+def _add_limited(report: LogReport, line: LogLine) -> None:
+    upstream, sent = str(line.fields.get("upstream", "?")), line.fields.get("sent")
+    if not isinstance(sent, int):
+        return
+    place = (upstream, line.box)
+    if place not in report.limited_boxes and len(report.limited_boxes) >= NAMES_LIMIT:
+        upstream, place = "others", ("others", "others")
+    _count(report, report.limited, line.at, upstream, sent)
+    report.limited_boxes[place] += sent
+
+
 def _list(value: Any) -> list[Any]:
     return value if isinstance(value, list) else []
 
@@ -163,6 +184,12 @@
         _written_paths(report),
         table("Runs of streams that did not complete", ["end", "runs"], _most(report.run_ends)),
         table("Refused runs by upstream", ["upstream", "runs"], _most(report.refusals)),
+        _over_time("Requests sent under a limit, by all boxes", report, report.limited),
+        table(
+            "Requests sent under a limit, by box",
+            ["upstream", "box", "requests"],
+            [(*place, count) for place, count in report.limited_boxes.most_common(ROWS_SHOWN)],
+        ),
     ]
     return [line for section in sections for line in [*section, ""]][:-1]
 
--- a/tests/reports/test_log_report.py
+++ b/tests/reports/test_log_report.py
@@ -46,6 +46,33 @@
     assert "4              1         0" in text
 
 
+def test_requests_under_a_limit_are_summed_over_boxes_and_told_by_box() -> None:
+    """What tells afterwards how many requests an upstream got that takes so many a second."""
+    report = report_of(
+        line(100.0, "sent under a limit", box="a-1", upstream="i", rate=2.0, sent=2, lent=3),
+        line(101.0, "sent under a limit", box="a-2", upstream="i", rate=2.0, sent=1, lent=1),
+        line(102.5, "sent under a limit", box="a-1", upstream="i", rate=2.0, sent=4, lent=4),
+        line(102.5, "sent under a limit", box="a-1", upstream="i", sent="many"),
+    )
+    assert {index: dict(found) for index, found in report.limited.items()} == {
+        0: {"i": 3},
+        1: {"i": 4},
+    }
+    assert dict(report.limited_boxes) == {("i", "a-1"): 6, ("i", "a-2"): 1}
+    text = "\n".join(write_report(report, ReadCounts(lines=4)))
+    assert "Requests sent under a limit, by box" in text
+
+
+def test_limited_upstreams_beyond_a_number_are_added_up() -> None:
+    lines = [
+        line(100.0, "sent under a limit", upstream=f"i-{number}", sent=1)
+        for number in range(NAMES_LIMIT + 10)
+    ]
+    report = report_of(*lines)
+    assert len(report.limited_boxes) == NAMES_LIMIT + 1
+    assert report.limited_boxes["others", "others"] == 10
+
+
 def test_pauses_are_told_by_crossings() -> None:
     fields = {"outcome": "answered", "path": ["i=0-80"], "first_event": 0.1}
     report = report_of(
