One piece each for what both tables of upstreams, and both kinds of waiting, did alike

Cause: the change wrote some things twice. any_limited and the counting of wanted requests stood in both tables of upstreams; both callers of wait_for_upstreams timed it; grants were checked a second time right before they were taken; a vote was asked for twice to lend repeats; wait_until had a default that nobody used; the keeper of limits waited in two steps. Behaviour stays as it is.

Checked: lint; tests of routing, coordination, gateway, registry, lender, imports, and the process tests of limits, rests and the gateway, all passed. Not mended: the first event of a stream is still given up before a repeat is in hand, the twin of the mended fault of plain services, since that changes behaviour.

--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -144,9 +144,11 @@
     views = [context.upstreams.views.get(name) for name in session.route.upstreams]
     held = [view for view in views if view is not None]
     head = frozenset({session.route.head.upstream})
-    lacking = frozenset(view.upstream.name for view in held if not has_grant(view.limit, now()))
-    if not take_grants([view.limit for view in held], now()):
+    at = now()
+    lacking = frozenset(view.upstream.name for view in held if not has_grant(view.limit, at))
+    if lacking:
         return AttemptOutcome(end=AttemptEnd.REFUSED, blamed=lacking, limited=True)
+    take_grants([view.limit for view in held], at)
     attempt = Attempt(outcome=AttemptOutcome(end=AttemptEnd.LOST, blamed=head), moved_at=now())
     for view in held:
         view.in_flight += 1
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -11,14 +11,13 @@
 
 from ...model import Execution, Problem, ProblemError, ResultCode, Route
 from ...routing.chain import choose_route, engines_for, replace_stages
+from ...routing.rate_grants import any_limited, note_wanted
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.session import Session, begin_attempt
 from ...routing.upstream_table import (
-    any_limited,
     note_failure,
     note_rest,
     view_wait,
-    want_grants,
 )
 from ...upstreams.engine import CancelRequest, cancel_on_engine
 from ..clock import now
@@ -145,12 +144,12 @@
 
 def _want_grants(context: EntryContext, request: Generation) -> None:
     """Ask for what limited engines of the pipeline lack."""
-    views = [
-        view
+    limits = [
+        view.limit
         for view in context.upstreams.views.values()
         if view.upstream.model == request.pipeline.model
     ]
-    if want_grants(views, now()):
+    if note_wanted(limits, now()):
         limit_keeper_of(context).wake.set()
 
 
@@ -165,7 +164,7 @@
     seconds = _wait_before_route(context, request)
     if seconds is None:
         return
-    is_limited = any_limited(context.upstreams.views.values(), now())
+    is_limited = any_limited([view.limit for view in context.upstreams.views.values()], now())
     code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
     detail = "the engines that want work now leave layers out"
     raise ProblemError(Problem(code=code, detail=detail, retry_after=seconds))
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -19,17 +19,15 @@
     ReleaseCommand,
 )
 from ...model import Execution, Problem, ProblemError, ResultCode
-from ...routing.rate_grants import take_grants
+from ...routing.rate_grants import any_limited, note_wanted, take_grants
 from ...routing.retry_budget import note_first_try, take_retry
 from ...routing.upstream_table import (
     UpstreamView,
-    any_limited,
     first_wait,
     note_failure,
     note_rest,
     note_success,
     usable,
-    want_grants,
 )
 from ...upstreams.service import ServiceAnswer, ServiceCall, ServiceCallError, call_service
 from ..clock import now, wall_clock_ms
@@ -108,7 +106,7 @@
     """Say why a call that was sent to no service was refused."""
     wait = _first_wait(context, permit)
     if wait is not None:
-        is_limited = any_limited(_services(context, permit), now())
+        is_limited = any_limited([view.limit for view in _services(context, permit)], now())
         code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
         return refuse(code, "all services of the pipeline", wait)
     return refuse(ResultCode.NO_ROUTE, "no service is reachable", 1.0)
@@ -116,7 +114,7 @@
 
 def _choose_service(context: EntryContext, permit: Permit, tried: set[str]) -> UpstreamView | None:
     services = _services(context, permit)
-    if want_grants(services, now()):
+    if note_wanted([view.limit for view in services], now()):
         limit_keeper_of(context).wake.set()
     candidates = [
         view for view in services if view.upstream.name not in tried and usable(view, now())
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -14,7 +14,6 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
 from ...routing.forwarding_table import (
-    any_limited,
     first_wait,
     has_alternative,
     is_at_most,
@@ -25,6 +24,7 @@
     takes_work,
 )
 from ...routing.pace import note_gap, stall_after
+from ...routing.rate_grants import any_limited
 from ...routing.repeat_window import give_back, note_first
 from ...routing.service_choice import choose_service
 from .borrowing import spend_repeat
@@ -177,11 +177,9 @@
     wait = _first_wait(state, permit)
     if tries.runs or tries.refusals >= REFUSALS_LIMIT or wait is None:
         return False
-    began = anyio.current_time()
     until = request.arrived_at + permit.route.target_latency * WAIT_SHARE
-    if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
+    if not await wait_for_upstreams(state, permit, request, notes, seconds=wait, until=until):
         return False
-    notes.waited += anyio.current_time() - began
     tries.tried.clear()
     return True
 
@@ -399,7 +397,7 @@
         pool, now = state.table.pools.get(permit.pool.name, []), anyio.current_time()
         wait = first_wait(pool, now)
         if wait is not None:
-            is_limited = any_limited(pool, now)
+            is_limited = any_limited([item.limit for item in pool], now)
             code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
             raise refusal(code, f"all of {permit.pool.name}", wait)
         if _are_at_most(state, permit):
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -112,13 +112,9 @@
     wait = session.missing.wait_seconds if session.missing is not None else None
     if wait is None:
         return False
-    began = anyio.current_time()
     patience = session.patience
     until = session.moved_at + (patience.gap_look if session.started else patience.first_look)
-    if not await wait_for_upstreams(state, permit, request, seconds=wait, until=until):
-        return False
-    notes.waited += anyio.current_time() - began
-    return True
+    return await wait_for_upstreams(state, permit, request, notes, seconds=wait, until=until)
 
 
 def _why_no_further_run(permit: Permit, session: StreamSession) -> str:
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -114,9 +114,10 @@
     sent_at = anyio.current_time()
     passed = (upstream, *later)
     reason = _why_withheld(passed, sent_at)
-    if reason or not take_grants([item.limit for item in passed], sent_at):
+    if reason:
         await connection.close()
         raise WithheldError(reason)
+    take_grants([item.limit for item in passed], sent_at)
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
     try:
--- a/src/ledgeladder/daemons/gateway/upstream_wishes.py
+++ b/src/ledgeladder/daemons/gateway/upstream_wishes.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from ...routing.forwarding_table import held_requests, want_grants
+from ...routing.forwarding_table import held_requests, limits_in
+from ...routing.rate_grants import note_wanted
 from ...routing.upstream_wishes import ask_rest, note_fullness, say_leaving
 from ..limit_keeper import note_rate
 from .state import limit_keeper_of
@@ -104,7 +105,7 @@
 
 def ask_for_grants(state: GatewayState, pool: str) -> None:
     """Note that a request looks for an upstream of a pool, and ask for what limited ones lack."""
-    if want_grants(state.table, pool, anyio.current_time()):
+    if note_wanted(limits_in(state.table, pool), anyio.current_time()):
         limit_keeper_of(state).wake.set()
 
 
--- a/src/ledgeladder/daemons/gateway/waiting.py
+++ b/src/ledgeladder/daemons/gateway/waiting.py
@@ -24,6 +24,7 @@
     from ...routing.forwarding_table import ForwardedUpstream
     from ...routing.wait_queue import WaitingRequest
     from .checks import Permit
+    from .notes import RequestNotes
     from .state import GatewayState, Waits
 
 LOOK_SECONDS: Final = 0.01
@@ -126,7 +127,13 @@
 
 
 async def wait_for_upstreams(
-    state: GatewayState, permit: Permit, request: HttpRequest, *, seconds: float, until: float
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    notes: RequestNotes,
+    *,
+    seconds: float,
+    until: float,
 ) -> bool:
     """Let a request wait until upstreams of its pool want work again.
 
@@ -137,6 +144,7 @@
         state: The process's state.
         permit: What the request may do.
         request: The request.
+        notes: Takes how long it waited for its turn.
         seconds: When that is likely to be, from now on.
         until: Until when it may wait, on the monotonic clock.
 
@@ -166,6 +174,8 @@
         state.metrics.counters["upstream-queue-full"] += 1
         return False
     has_turn = await _wait_for_turn(waits, entered, until - now)
+    if has_turn:
+        notes.waited += anyio.current_time() - now
     state.metrics.counters["upstream-queue-served" if has_turn else "upstream-queue-late"] += 1
     return has_turn
 
--- a/src/ledgeladder/daemons/limit_keeper.py
+++ b/src/ledgeladder/daemons/limit_keeper.py
@@ -158,9 +158,7 @@
             _hold(keeper, upstream, limit)
         elif not take_told(held.limit, told, now):
             continue
-        else:
-            limit = held.limit
-        _log_told(upstream, limit, now)
+        _log_told(upstream, keeper.table.limits[upstream].limit, now)
     if limits:
         keeper.wake.set()
 
@@ -193,9 +191,7 @@
     """Tell control boxes what answers say of limits, and ask for requests, for ever."""
     logged_at = float("-inf")
     while True:
-        if not keeper.table.limits:
-            await keeper.wake.wait()
-        with anyio.move_on_after(ASK_SECONDS):
+        with anyio.move_on_after(ASK_SECONDS if keeper.table.limits else None):
             await keeper.wake.wait()
         keeper.wake = anyio.Event()
         now = anyio.current_time()
--- a/src/ledgeladder/daemons/registry/lending.py
+++ b/src/ledgeladder/daemons/registry/lending.py
@@ -35,8 +35,8 @@
 
 def may_lend(state: RegistryState) -> bool:
     """Tell whether this box is a voter and has heard so lately."""
-    age = current_knowledge(state)
-    return state.voter_since is not None and age is not None and age <= SURE_SECONDS
+    age = current_knowledge(state) if state.voter_since is not None else None
+    return age is not None and age <= SURE_SECONDS
 
 
 def lending_voters(state: RegistryState) -> int:
@@ -57,15 +57,19 @@
 
 def answer_loan(state: RegistryState, link: Link, request: LoanRequest) -> None:
     """Lend repeats to an entry box out of the part of this voter, or say that there are none."""
-    age = current_knowledge(state)
-    count = 0
-    if state.voter_since is not None and may_lend(state):
-        book = _book(state, request.pool, state.voter_since)
+    opened_at, count = state.voter_since, 0
+    if opened_at is not None and may_lend(state):
+        book = _book(state, request.pool, opened_at)
         count = lend(book, request.count, anyio.current_time())
     if count < request.count:
         logger.info(
             "repeats not lent",
-            extra={"peer": link.peer_box, "pool": request.pool, "lent": count, "age": age},
+            extra={
+                "peer": link.peer_box,
+                "pool": request.pool,
+                "lent": count,
+                "age": current_knowledge(state),
+            },
         )
     link.post(LoanReply(call=request.call, count=count))
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -12,7 +12,7 @@
 
 from ..model.registration import Registration, UpstreamState, run_began
 from .load_sharing import LOAD_BELIEVED_SECONDS
-from .rate_grants import HeldLimit, LimitTable, grant_wait, has_grant, is_limited
+from .rate_grants import HeldLimit, LimitTable, grant_wait, has_grant
 from .upstream_wishes import WishBook, Wishes, wishes_of
 
 if TYPE_CHECKING:
@@ -221,25 +221,15 @@
         upstream.limit = held
 
 
-def want_grants(table: ForwardingTable, pool: str, now: float) -> bool:
-    """Note that a request looks for an upstream of a pool, as far as some have limits.
-
-    Returns:
-        True if one of them has nothing left that was lent, so that more is to be asked for.
-    """
-    lacks = False
-    for instance, held in table.limits.limits.items():
-        upstream = table.upstreams.get(instance)
-        if upstream is None or upstream.registration.pool != pool or upstream.leaving:
-            continue
-        held.wanted += 1
-        lacks = lacks or not has_grant(held, now)
-    return lacks
-
-
-def any_limited(upstreams: Iterable[ForwardedUpstream], now: float) -> bool:
-    """Tell whether any of some upstreams has a limit."""
-    return any(is_limited(item.limit, now) for item in upstreams)
+def limits_in(table: ForwardingTable, pool: str) -> list[HeldLimit]:
+    """Return the limits of the registered upstreams of a pool that do not leave."""
+    return [
+        held
+        for instance, held in table.limits.limits.items()
+        if (upstream := table.upstreams.get(instance)) is not None
+        and upstream.registration.pool == pool
+        and not upstream.leaving
+    ]
 
 
 def drop_upstream(table: ForwardingTable, instance: str) -> None:
--- a/src/ledgeladder/routing/rate_grants.py
+++ b/src/ledgeladder/routing/rate_grants.py
@@ -65,6 +65,23 @@
     return held is not None and not math.isinf(bound(held.limit, now))
 
 
+def any_limited(all_held: Iterable[HeldLimit | None], now: float) -> bool:
+    """Tell whether any of some upstreams gets only requests that were lent."""
+    return any(is_limited(held, now) for held in all_held)
+
+
+def note_wanted(all_held: Iterable[HeldLimit | None], now: float) -> bool:
+    """Note that a request looks for one of some upstreams, as far as they have limits.
+
+    Returns:
+        True if one of them has nothing left that was lent, so that more is to be asked for.
+    """
+    limited = [held for held in all_held if held is not None]
+    for held in limited:
+        held.wanted += 1
+    return not all(has_grant(held, now) for held in limited)
+
+
 def has_grant(held: HeldLimit | None, now: float) -> bool:
     """Tell whether a request may be sent to an upstream as far as its limit goes."""
     if held is None or not is_limited(held, now):
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..model import Configuration, Upstream, UpstreamKind
-from .rate_grants import HeldLimit, LimitTable, grant_wait, has_grant, is_limited
+from .rate_grants import HeldLimit, LimitTable, grant_wait
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -149,25 +149,6 @@
     return min(waits) if waits and min(waits) > 0 else None
 
 
-def any_limited(views: Iterable[UpstreamView], now: float) -> bool:
-    """Tell whether any of some upstreams has a limit."""
-    return any(is_limited(view.limit, now) for view in views)
-
-
-def want_grants(views: Iterable[UpstreamView], now: float) -> bool:
-    """Note that a request looks for one of some upstreams, as far as they have limits.
-
-    Returns:
-        True if one of them has nothing left that was lent, so that more is to be asked for.
-    """
-    lacks = False
-    for view in views:
-        if view.limit is not None:
-            view.limit.wanted += 1
-            lacks = lacks or not has_grant(view.limit, now)
-    return lacks
-
-
 def attach_limit(table: UpstreamTable, name: str, held: HeldLimit | None) -> None:
     """Give an upstream its limit, or take it away, if the configuration names it."""
     view = table.views.get(name)
--- a/src/ledgeladder/routing/wait_queue.py
+++ b/src/ledgeladder/routing/wait_queue.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -70,7 +69,7 @@
     """Ticket that was given last."""
 
 
-def wait_until(*, arrived_at: float, patience: float | None, served_at: float = math.inf) -> float:
+def wait_until(*, arrived_at: float, patience: float | None, served_at: float) -> float:
     """Return until when a request may wait, on the clock of the arguments.
 
     Args:
--- a/tests/daemons/gateway/test_rate_limits.py
+++ b/tests/daemons/gateway/test_rate_limits.py
@@ -20,10 +20,10 @@
 from ledgeladder.platform.exchange import read_answer_facts
 from ledgeladder.routing.forwarding_table import (
     ForwardedUpstream,
-    any_limited,
     put_registration,
     takes_work,
 )
+from ledgeladder.routing.rate_grants import any_limited
 
 from .builders import engine, gateway_state
 from .test_upstream_wishes import PERMIT
@@ -86,7 +86,7 @@
         held = upstream.limit
         assert (None if held is None else held.limit.rate) == rate
         assert takes_work(upstream, anyio.current_time()) is (rate is None)
-        assert any_limited([upstream], anyio.current_time()) is (rate is not None)
+        assert any_limited([upstream.limit], anyio.current_time()) is (rate is not None)
 
     anyio.run(play)
 
--- a/tests/daemons/gateway/test_waiting.py
+++ b/tests/daemons/gateway/test_waiting.py
@@ -15,6 +15,7 @@
 
 from ledgeladder.coordination.freshness import ask, take_answer
 from ledgeladder.daemons.gateway.checks import START_SECONDS, Permit
+from ledgeladder.daemons.gateway.notes import RequestNotes
 from ledgeladder.daemons.gateway.state import answer_pace
 from ledgeladder.daemons.gateway.waiting import (
     is_starting,
@@ -241,7 +242,9 @@
 async def wait(state: GatewayState, held: Permit, seconds: float) -> bool:
     """Wait for half of the time that a request has."""
     until = anyio.current_time() + (held.facts.patience or 0.0) / 2
-    return await wait_for_upstreams(state, held, request(), seconds=seconds, until=until)
+    return await wait_for_upstreams(
+        state, held, request(), RequestNotes(), seconds=seconds, until=until
+    )
 
 
 def test_request_that_has_the_time_waits_until_upstreams_have_rested() -> None:
