--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -13,6 +13,7 @@
 from ..coordination.state_machine import Delta
 from ..coordination.upstream_order import IndexChange, LoadFigures, UpstreamIndex
 from ..model import Configuration, ResultCode
+from ..model.demand import PoolDemand
 from ..model.registration import Holding, Liveness
 
 
@@ -170,6 +171,10 @@
     domains: dict[str, str] = {}
     """Failure domains by address, as far as the sender knows them."""
 
+    reads_demand: bool = False
+    """Whether the sender knows `DemandReport`, `DemandShare` and `FullReport`. Boxes of an earlier
+    version close a link on which a message of an unknown type arrives."""
+
 
 class RegistrationUpdate(
     msgspec.Struct, frozen=True, kw_only=True, tag="upstreams", array_like=True
@@ -285,12 +290,53 @@
     """Loads as encoded by `pack_loads`."""
 
 
+class DemandReport(msgspec.Struct, frozen=True, kw_only=True, tag="demand", array_like=True):
+    """Demand that the sender, an entry box, received.
+
+    It also tells that the sender knows `DemandTotals` and `FullNotice`.
+    """
+
+    pools: dict[str, PoolDemand]
+    """Demand by pool; only pools whose room is shared by priority."""
+
+
+class DemandShare(msgspec.Struct, frozen=True, kw_only=True, tag="demand-share", array_like=True):
+    """Demand at the entry boxes that report to the sender, for other control boxes."""
+
+    domains: dict[str, dict[str, PoolDemand]]
+    """Demand by failure domain of the entry boxes and by pool."""
+
+
+class DemandTotals(msgspec.Struct, frozen=True, kw_only=True, tag="demands", array_like=True):
+    """Demand at all entry boxes."""
+
+    pools: dict[str, PoolDemand]
+    """Demand by pool."""
+
+
+class FullReport(msgspec.Struct, frozen=True, kw_only=True, tag="full?", array_like=True):
+    """Reports that engines refused requests of the sender for lack of room."""
+
+    instances: tuple[str, ...]
+    """Instances of the engines."""
+
+
+class FullNotice(msgspec.Struct, frozen=True, kw_only=True, tag="full", array_like=True):
+    """Announces engines that refused requests for lack of room."""
+
+    instances: tuple[str, ...]
+    """Instances of the engines."""
+
+
 class RetryQuotaRequest(msgspec.Struct, frozen=True, kw_only=True, tag="lend?", array_like=True):
     """Requests retries beyond the base quota of an entry box."""
 
     call: int
     pool: str
     count: int
+    started: bool = True
+    """Whether the retries are for streams whose caller has part of the answer. A part of the quota
+    is kept for them."""
 
 
 class RetryQuotaReply(msgspec.Struct, frozen=True, kw_only=True, tag="lend", array_like=True):
@@ -404,6 +450,11 @@
     | LoadReport
     | LoadShare
     | LoadTotals
+    | DemandReport
+    | DemandShare
+    | DemandTotals
+    | FullReport
+    | FullNotice
     | RetryQuotaRequest
     | RetryQuotaReply
     | RateLimitUpdate
