Contended pools order requests by account priority, then by route priority

Cause: of 24 client accounts 22 have priority 1 and two have 0 in the traced configuration, and an account's priority replaces that of the route; so requests of routes with priority 0, 1 and 2 reached the engines with the same priority. Ruled out: engines that ignore the priority (they let urgent ones in first), a gateway that drops it (it is sent). The account's priority still goes first; the route's orders requests of equal accounts.

--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ...model import Problem, ProblemError, ResultCode
+from ...routing.contention import request_rank
 from ...routing.route_index import choose_pool, find_route
 from .state import check_freshness
 
@@ -55,7 +56,7 @@
     """Client account of its key; None on routes without keys."""
 
     priority: int
-    """Priority of the request; 0 is the most urgent."""
+    """Priority of the request; 0 is the most urgent. In a contended pool, its rank."""
 
     deadline: float
     """Monotonic time by which the final answer is due: the route's timeout, or the caller's timeout
@@ -64,6 +65,9 @@
     version: int
     """Version of the document against which it was checked."""
 
+    engine_priority: int | None = None
+    """Priority that its upstream is told; None to leave it to the upstream."""
+
 
 def refusal(code: ResultCode, detail: str, retry_after: float | None = None) -> ProblemError:
     """Build the error that refuses a request."""
@@ -113,17 +117,35 @@
     seconds = route.timeout
     if facts.timeout is not None:
         seconds = min(seconds, facts.timeout - ANSWER_MARGIN_SECONDS)
+    priority, engine_priority = _priorities(state, route, account, pool.name)
     return Permit(
         facts=facts,
         route=route,
         pool=pool,
         account=None if account is None else account.name,
-        priority=_priority(route, account),
+        priority=priority,
         deadline=request.arrived_at + seconds,
         version=configuration.version,
+        engine_priority=engine_priority,
     )
 
 
+def _priorities(
+    state: GatewayState, route: RouteRule, account: AccountKeys | None, pool: str
+) -> tuple[int, int]:
+    """Return the priority of a request at this box and the one that its upstream is told.
+
+    In a contended pool these are its rank and the position of that rank, since upstreams accept
+    few priorities.
+    """
+    ranks = state.index.ranks.get(pool)
+    if ranks is None:
+        priority = _priority(route, account)
+        return priority, priority
+    rank = request_rank(route.priority, None if account is None else account.priority)
+    return rank, sum(item < rank for item in ranks)
+
+
 def _priority(route: RouteRule, account: AccountKeys | None) -> int:
     """Return the priority of a request: that of its account, or else that of its route."""
     if account is None or account.priority is None:
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -204,7 +204,7 @@
         instance=path.head.registration.instance,
         account=permit.account,
         timeout=max(0.0, permit.deadline - anyio.current_time()),
-        priority=permit.priority,
+        priority=permit.engine_priority,
         path=path.parts,
         resume_after=resume_after,
     )
--- a/src/ledgeladder/routing/route_index.py
+++ b/src/ledgeladder/routing/route_index.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .contention import pool_ranks
+
 if TYPE_CHECKING:
     import random
 
@@ -24,10 +26,13 @@
     needs_keys: bool = False
     """Whether there are client accounts, in which case routes that are not public require a key."""
 
+    ranks: dict[str, tuple[int, ...]] = msgspec.field(default_factory=dict)
+    """Ranks of the requests of each contended pool, the most urgent first."""
+
 
 def build_index(configuration: TrafficConfiguration) -> RouteIndex:
     """Build the index of a configuration."""
-    index = RouteIndex(needs_keys=bool(configuration.accounts))
+    index = RouteIndex(needs_keys=bool(configuration.accounts), ranks=pool_ranks(configuration))
     for route in configuration.routes:
         index.routes.setdefault(route.host, {})[route.path_prefix] = route
     for account in configuration.accounts:
