Pools are contended only if their routes differ in priority

Cause: a deployment in service has one account of another priority and routes of one priority; its configuration asks for nothing that it did not ask for before. Its engines are told the account's priority, as before. Test: accounts that differ do not make a pool contended.

--- a/src/ledgeladder/routing/contention.py
+++ b/src/ledgeladder/routing/contention.py
@@ -28,21 +28,27 @@
 def pool_ranks(configuration: TrafficConfiguration) -> dict[str, tuple[int, ...]]:
     """Return the ranks of the requests of each contended pool, the most urgent first.
 
-    A pool of engines is contended if its requests differ in rank, which only the configuration
-    decides. Other pools serve requests as they arrive.
+    A pool of engines is contended if routes with different priorities send requests to it. Only the
+    configuration decides. Other pools serve requests as they arrive; priorities of accounts alone
+    are left to their engines.
     """
     accounts = {item.priority for item in configuration.accounts} or {None}
+    priorities: dict[str, set[int]] = {}
     ranks: dict[str, set[int]] = {}
     for route in configuration.routes:
         own = {None} if route.public else accounts
-        found = {request_rank(route.priority, priority) for priority in own}
         for item in route.pools:
             pool = configuration.pools.get(item.pool)
             if item.weight > 0 and pool is not None and pool.engine is not None:
-                ranks.setdefault(item.pool, set()).update(found)
-    return {name: tuple(sorted(found)) for name, found in ranks.items() if len(found) > 1}
+                priorities.setdefault(item.pool, set()).add(route.priority)
+                ranks.setdefault(item.pool, set()).update(
+                    request_rank(route.priority, priority) for priority in own
+                )
+    return {
+        name: tuple(sorted(ranks[name])) for name, found in priorities.items() if len(found) > 1
+    }
 
 
 def contended_pools(configuration: TrafficConfiguration) -> frozenset[str]:
-    """Return the pools of engines whose requests differ in rank."""
+    """Return the pools of engines to which routes with different priorities send requests."""
     return frozenset(pool_ranks(configuration))
--- a/tests/routing/test_contention.py
+++ b/tests/routing/test_contention.py
@@ -84,6 +84,13 @@
     assert pool_ranks(both) == {"engines": (10, 12)}
 
 
+def test_accounts_that_differ_do_not_make_a_pool_contended() -> None:
+    accounts = [account("x", 0), account("y", 1)]
+    assert not contended_pools(configuration([route("a", 1), route("b", 1)], accounts))
+    both = configuration([route("a", 1), route("b", 2)], accounts)
+    assert pool_ranks(both) == {"engines": (1, 2, 11, 12)}
+
+
 def test_an_urgent_account_precedes_an_urgent_route() -> None:
     assert request_rank(2, 0) < request_rank(0, 1)
 
