Streams: a late attempt is aborted only if another one can replace it

Cause: an attempt without a first event was aborted after twice the target latency, and a stream that stood still after five times the accepted pause, whether or not another attempt was allowed. Where engines are busy, retries spent and paths full, the caller got 502 with the answer on its way, and the prompt that the engines had read was thrown away. Ruled out: lost engines (those are found by probes and still end the attempt at once). Now the watch takes the retry and looks for a path over other engines first, and waits on without them, up to the deadline.

--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -1,4 +1,7 @@
-"""Stall detection for attempts of streams: probes of the engines and abort of stalled attempts."""
+"""Stall detection for attempts of streams: probes of the engines and abort of stalled attempts.
+
+An attempt whose engines answer probes is aborted only if another one can replace it.
+"""
 
 from __future__ import annotations
 
@@ -85,13 +88,15 @@
 ) -> None:
     """Probe the engines of a path each time that the head of the answer is overdue.
 
-    Cancels the scope if one of them is unreachable, or after the stream's `first_timeout`.
+    Cancels the scope if one of them is unreachable, or if the attempt can be replaced once the
+    stream's `first_timeout` has passed.
     """
     limit = session.timeouts.first_timeout
     waited = 0.0
-    while waited < limit:
+    while True:
         timeout = max(stall_timeout(state.first_event_pace), session.timeouts.first_probe)
-        timeout = min(timeout, limit - waited)
+        if waited < limit:
+            timeout = min(timeout, limit - waited)
         await anyio.sleep(timeout)
         waited += timeout
         if await find_unreachable(state, path.engines, session.dead):
@@ -99,6 +104,8 @@
             return
         await query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
+        if waited >= limit and await session.secure_replacement(path):
+            break
     _exclude_path(session, path)
     scope.cancel()
 
@@ -185,7 +192,8 @@
         if waited >= session.timeouts.slowdown_query:
             await query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
-        if waited >= session.timeouts.gap_timeout:
+        overdue = waited >= session.timeouts.gap_timeout
+        if overdue and await session.secure_replacement(path):
             _exclude_path(session, path)
             reasons.append(f"stalled for {waited:.2f} s")
             break
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -21,6 +21,7 @@
 from .state import retry_budget
 from .stream_attempt import run_attempt
 from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
+from .stream_replacement import replaceable_attempts
 from .stream_session import AttemptResult, StreamSession
 from .waiting import wait_for_upstreams
 
@@ -69,7 +70,8 @@
     )
     budget = retry_budget(state, permit.pool.name)
     record_first_attempt(budget, anyio.current_time())
-    with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())) as scope:
+    seconds = max(0.0, permit.deadline - anyio.current_time())
+    with anyio.move_on_after(seconds) as scope, replaceable_attempts(state, permit, session):
         while not (reason := _no_attempt_reason(permit, session)):
             crashes = count_crashes(state, permit, request, trace)
             if crashes >= CRASH_LIMIT:
@@ -82,7 +84,9 @@
                     continue
                 reason = str(session.missing)
                 break
-            retry = await acquire_retry(state, permit.pool.name) if session.sent else None
+            retry, session.reserved_retry = session.reserved_retry, None
+            if session.sent and retry is None:
+                retry = await acquire_retry(state, permit.pool.name)
             if session.sent and retry is None:
                 reason = "budget of repeats is spent"
                 break
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -73,6 +73,21 @@
     return path
 
 
+def has_other_path(
+    state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
+) -> bool:
+    """Return whether a request could move from its path to engines that are not on it."""
+    profile = permit.pool.engine
+    assert profile is not None
+    now = anyio.current_time()
+    request = _path_request(state, permit, session, expected_answer_tokens(permit, profile))
+    on_path = {item.registration.instance for item in path.engines}
+    excluded = session.excluded | session.dead | on_path
+    engines = state.table.pools.get(permit.pool.name, [])
+    usable = [item for item in engines if not _is_avoided(state, session, item, now)]
+    return choose_path(profile, usable, request, now, excluded=excluded) is not None
+
+
 def _path_request(
     state: GatewayState, permit: Permit, session: StreamSession, expected: int
 ) -> PathRequest:
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -0,0 +1,64 @@
+"""Decides whether a stalled attempt of a stream can be replaced by another one."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from ...routing.repeat_window import release_retry
+from .borrowing import acquire_retry
+from .state import retry_budget
+from .stream_paths import has_other_path
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ...routing.paths import ChosenPath
+    from .checks import Permit
+    from .state import GatewayState
+    from .stream_session import StreamSession
+
+
+@contextmanager
+def replaceable_attempts(
+    state: GatewayState, permit: Permit, session: StreamSession
+) -> Iterator[None]:
+    """Let stalled attempts of a stream be replaced within the block.
+
+    Args:
+        state: State of the process.
+        permit: Permit of the request.
+        session: The caller's stream.
+    """
+
+    async def secure(path: ChosenPath) -> bool:
+        return await _secure_replacement(state, permit, session, path)
+
+    session.secure_replacement = secure
+    try:
+        yield
+    finally:
+        if session.reserved_retry is not None:
+            release_retry(retry_budget(state, permit.pool.name), session.reserved_retry)
+            session.reserved_retry = None
+
+
+async def _secure_replacement(
+    state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
+) -> bool:
+    """Return whether another attempt may follow; take the retry that it needs.
+
+    Engines that answer probes are late because they are busy. Without a retry, or without a path
+    over other engines, aborting the attempt would fail the request although its answer is on its
+    way.
+    """
+    if not permit.route.repeatable or session.attempts >= permit.route.max_attempts:
+        return False
+    if not has_other_path(state, permit, session, path):
+        return False
+    if session.reserved_retry is None:
+        session.reserved_retry = await acquire_retry(state, permit.pool.name)
+    if session.reserved_retry is None:
+        return False
+    state.metrics.counters["attempt-replaced"] += 1
+    return True
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -11,8 +11,11 @@
 from .notes import RequestTrace
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ...routing.event_stream import EventOrder
-    from ...routing.paths import NoPathReason
+    from ...routing.paths import ChosenPath, NoPathReason
+    from ...routing.repeat_window import Retry
     from ...routing.stream_patience import StreamTimeouts
     from .upstream_call import OpenAnswer
 
@@ -34,6 +37,10 @@
     an error, which is forwarded if no other attempt succeeds."""
 
 
+async def _no_replacement(_path: ChosenPath) -> bool:
+    return False
+
+
 class StreamSession(msgspec.Struct, kw_only=True):
     """One caller's stream across all of its attempts."""
 
@@ -84,6 +91,13 @@
     failure_body: bytes = b""
     """Body of `failure`."""
 
+    secure_replacement: Callable[[ChosenPath], Awaitable[bool]] = _no_replacement
+    """Takes what another attempt needs, once that over the given path is overdue; returns False if
+    there can be none."""
+
+    reserved_retry: Retry | None = None
+    """Retry that was taken for a replacement and is not used yet."""
+
     pace: Pace = msgspec.field(default_factory=Pace)
     """Gaps between events, in seconds; its floor is `gap_probe` of `timeouts`."""
 
--- /dev/null
+++ b/tests/daemons/gateway/test_stream_replacement.py
@@ -0,0 +1,57 @@
+"""Load: retries and paths are short; what a stalled attempt may be replaced by."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from ledgeladder.daemons.gateway import stream_replacement
+from ledgeladder.daemons.gateway.state import retry_budget
+from ledgeladder.daemons.gateway.stream_replacement import replaceable_attempts
+from ledgeladder.daemons.gateway.stream_session import StreamSession
+from ledgeladder.routing.event_stream import EventOrder
+from ledgeladder.routing.repeat_window import add_quota
+from ledgeladder.routing.stream_patience import stream_timeouts
+
+from .builders import engine, gateway_state, path_over
+
+TIMEOUTS = stream_timeouts(
+    target_latency=0.5, gap_target=0.2, probe_seconds=0.04, first_seconds=0.1
+)
+
+
+@pytest.mark.parametrize(
+    ("attempts", "other_path", "retries", "expected"),
+    [(1, True, 1, True), (2, True, 1, False), (1, False, 1, False), (1, True, 0, False)],
+)
+def test_a_replacement_needs_an_attempt_a_path_and_a_retry(
+    monkeypatch: pytest.MonkeyPatch,
+    attempts: int,
+    retries: int,
+    *,
+    other_path: bool,
+    expected: bool,
+) -> None:
+    session = StreamSession(
+        order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10, attempts=attempts
+    )
+    permit = SimpleNamespace(
+        route=SimpleNamespace(repeatable=True, max_attempts=2), pool=SimpleNamespace(name="p")
+    )
+    monkeypatch.setattr(stream_replacement, "has_other_path", lambda *_: other_path)
+
+    async def run() -> bool:
+        state = gateway_state()
+        budget = retry_budget(state, "p")
+        add_quota(budget, retries, anyio.current_time() + 60.0)
+        with replaceable_attempts(state, permit, session):
+            secured = await session.secure_replacement(path_over(engine()))
+            assert (session.reserved_retry is not None) is expected
+        # An unused reservation goes back to the budget.
+        assert session.reserved_retry is None
+        assert len(budget.quota) == retries
+        return secured
+
+    assert anyio.run(run) is expected
