Messages: own tag for FullNotice

FullPush and FullNotice had the same tag, so the decoder of frames could not be built and no module that imports links/ could be imported. Seen by importing links.frames: it failed before, works now.

--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -321,7 +321,7 @@
     """Instances of the engines."""
 
 
-class FullNotice(msgspec.Struct, frozen=True, kw_only=True, tag="full", array_like=True):
+class FullNotice(msgspec.Struct, frozen=True, kw_only=True, tag="full!", array_like=True):
     """Announces engines that refused requests for lack of room."""
 
     instances: tuple[str, ...]
