Demand: interface of the fleet demand at entry boxes

Cause: no box knows how much is asked for at the others, so no decision before the engine can tell whether room is short.

GatewayState.demand and .contended; Peers.demand_readers for the control boxes that read demand.

--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -14,6 +14,7 @@
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
+from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
     ForwardedUpstream,
     ForwardingTable,
@@ -189,6 +190,12 @@
     connections: ConnectionPool = msgspec.field(default_factory=ConnectionPool)
     """Idle connections to upstreams."""
 
+    contended: frozenset[str] = frozenset()
+    """Pools whose room is shared by priority, by the document in force."""
+
+    demand: FleetDemand = msgspec.field(default_factory=FleetDemand)
+    """Demand for pools at this box and at all entry boxes."""
+
     retry_budgets: dict[str, RetryWindow] = msgspec.field(default_factory=dict)
     """Retry budgets, by pool."""
 
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -104,6 +104,9 @@
     domains: dict[str, str] = msgspec.field(default_factory=dict)
     """Failure domains of control boxes by IP address, where known."""
 
+    demand_readers: set[str] = msgspec.field(default_factory=set)
+    """IP addresses of control boxes whose peer hint said that they read demand."""
+
     scopes: dict[str, anyio.CancelScope] = msgspec.field(default_factory=dict)
     """Cancel scopes of the tasks that maintain the links, by IP address."""
 
@@ -196,6 +199,8 @@
 
     async def serve(link: Link) -> None:
         peers.links[address] = link
+        # A restarted box may be of another version; its first hint tells.
+        peers.demand_readers.discard(address)
         logger.info("dependency regained", extra={"peer": address})
         try:
             await peers.serve(address, link)
