Demand: reports of entry boxes, sums at control boxes, totals back

Cause: each entry box knew only its own demand. Entry boxes report it to the control box they prefer; control boxes sum the newest reports by failure domain, exchange the sums and send totals to the boxes that report.

Weighed: reports keyed by link count a box twice that connects again before its old link times out, so they are keyed by instance. Totals name how many boxes are in them, since a control box that is cut off or has just started would report a part as the whole; below half they are scaled. Keeping the share of a control box whose link closed would count its entry boxes twice.

--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -18,6 +18,7 @@
     unpack_loads,
 )
 from ...links.messages import (
+    DemandTotals,
     DocumentPull,
     DocumentPush,
     GrantReply,
@@ -50,9 +51,10 @@
 from ...routing.load_sharing import is_report_due, report_interval
 from ...routing.route_index import build_index
 from ..limit_keeper import handle_limit_message
-from ..peers import LINK_INACTIVITY_SECONDS, add_peers, primary_of
+from ..peers import LINK_INACTIVITY_SECONDS, primary_of, record_hint
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
+from .demand_reports import handle_demand_totals, report_demand
 from .loss_updates import confirm_loss, handle_loss_update
 from .state import rate_limiter_of, record_entry_count
 
@@ -89,6 +91,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_poll_version, state, link)
         tasks.start_soon(_report_load, state, address, link)
+        tasks.start_soon(report_demand, state, address, link)
         while True:
             with anyio.fail_after(LINK_INACTIVITY_SECONDS):
                 message = await link.receive()
@@ -121,9 +124,11 @@
                     _apply_load_totals(
                         state, unpack_loads(order, message.index_number, message.loads)
                     )
+                case DemandTotals():
+                    handle_demand_totals(state, message)
                 case PeerHint():
                     if state.peers is not None:
-                        add_peers(state.peers, message.addresses, message.domains)
+                        record_hint(state.peers, address, message)
                 case _:
                     logger.warning("message of the wrong kind", extra={"peer": address})
 
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -20,6 +20,7 @@
 from .app import build_caller_site
 from .backpressure import log_backoff_ends
 from .control_link import serve_control_link
+from .demand_reports import log_demand_changes
 from .metrics import metrics_lines
 from .readiness import build_ready_site
 from .state import GatewayState, build_admission_queue, rate_limiter_of
@@ -115,6 +116,7 @@
             restart=Restart.ALWAYS,
         ),
         Child(name="rests", run=lambda: log_backoff_ends(state), restart=Restart.ALWAYS),
+        Child(name="demand", run=lambda: log_demand_changes(state), restart=Restart.ALWAYS),
         Child(
             name="limits",
             run=lambda: run_rate_limiter(rate_limiter_of(state)),
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -30,6 +30,7 @@
 from ..reloading import SeedList, reload_seeds
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
+from .demand_totals import broadcast_demand
 from .http_api import build_site
 from .lending import build_rate_granter
 from .metrics import metrics_lines
@@ -232,6 +233,7 @@
         Child(name="ages", run=lambda: broadcast_ages(state), restart=Restart.ALWAYS),
         Child(name="news", run=lambda: broadcast_updates(state), restart=Restart.ALWAYS),
         Child(name="loads", run=lambda: broadcast_loads(state), restart=Restart.ALWAYS),
+        Child(name="demand", run=lambda: broadcast_demand(state), restart=Restart.ALWAYS),
         Child(name="newest", run=lambda: poll_leader(state), restart=Restart.ALWAYS),
         Child(name="publishing", run=lambda: watch_published(state), restart=Restart.ALWAYS),
         Child(
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from ..metrics_page import counter_lines, gauge_lines
+from .demand_totals import demand_gauges
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -26,6 +29,8 @@
         "upstreams": float(len(state.table.known)),
         "entry_links": float(len(state.entry_links)),
         "control_links": float(len(state.peers.links)),
+        "demand_reports": float(len(state.demands)),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
+    gauges.update(demand_gauges(state, anyio.current_time()))
     return [*counter_lines(counters), *gauge_lines(gauges)]
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -25,6 +25,8 @@
     CommandRequest,
     ContentServed,
     CrashReport,
+    DemandReport,
+    DemandShare,
     DocumentPull,
     DocumentPush,
     GrantRequest,
@@ -49,8 +51,9 @@
 from ...storage import box_of
 from .. import clock
 from ..content_judge import handle_content_served, handle_crash_report, quarantine_update
-from ..peers import LINK_INACTIVITY_SECONDS, add_peers
+from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
+from .demand_totals import forget_demand, record_demand_report, record_demand_share
 from .lending import handle_quota_request
 from .published_version import (
     handle_command_reply,
@@ -108,7 +111,7 @@
                 case CommandReply():
                     handle_command_reply(state, message)
                 case PeerHint():
-                    add_peers(state.peers, message.addresses, message.domains)
+                    record_hint(state.peers, address, message)
                 case _:
                     logger.warning("message of the wrong kind", extra={"peer": address})
 
@@ -155,6 +158,7 @@
             state.shares.pop(id(link), None)
             state.peer_indexes.pop(id(link), None)
             state.pending_queries.pop(id(link), None)
+            forget_demand(state, link)
 
 
 def _handle_message(
@@ -193,6 +197,10 @@
                 entries=message.entries,
                 reported_at=anyio.current_time(),
             )
+        case DemandReport() if not is_control:
+            record_demand_report(state, link, message, anyio.current_time())
+        case DemandShare() if is_control:
+            record_demand_share(state, link, message, anyio.current_time())
         case OrderUpdate() if is_control:
             record_reported_order(
                 state.order_ledger,
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -21,6 +21,7 @@
     from ...coordination.upstream_order import LoadFigures
     from ...links import Link
     from ...links.messages import CommandReply, VersionQuery
+    from ...model.demand import PoolDemand
     from ...model.registration import Registration
     from ...model.traffic import TrafficConfiguration
     from ...routing.repeat_loans import QuotaLedger
@@ -62,6 +63,38 @@
     """When the report arrived, on the monotonic clock."""
 
 
+class ReportedDemand(msgspec.Struct, kw_only=True):
+    """Demand report of one entry box."""
+
+    link: Link
+    """Link on which the report arrived, and on which totals are sent."""
+
+    failure_domain: str
+    """Failure domain of the entry box."""
+
+    pools: dict[str, PoolDemand]
+    """Demand by pool."""
+
+    reported_at: float
+    """When the report arrived, on the monotonic clock."""
+
+
+class ReportedDemandShare(msgspec.Struct, kw_only=True):
+    """Summed demand at the entry boxes that report to another control box."""
+
+    link: Link
+    """Link on which the share arrived."""
+
+    domains: dict[str, dict[str, PoolDemand]]
+    """Demand by failure domain of the entry boxes and by pool."""
+
+    entries: int
+    """Number of these entry boxes."""
+
+    reported_at: float
+    """When the share arrived, on the monotonic clock."""
+
+
 class PendingUpdates(msgspec.Struct, kw_only=True):
     """Registrations that have not been sent to other boxes yet."""
 
@@ -141,6 +174,13 @@
     shares: dict[int, ReportedShare] = msgspec.field(default_factory=dict)
     """Newest load share of each other control box, by `id` of its link."""
 
+    demands: dict[str, ReportedDemand] = msgspec.field(default_factory=dict)
+    """Newest demand report of each entry box that reports to this box, by instance of its process,
+    so that a box with two links counts once."""
+
+    demand_shares: dict[str, ReportedDemandShare] = msgspec.field(default_factory=dict)
+    """Newest demand share of each other control box, by its IP address."""
+
     upstream_index: UpstreamIndex = UpstreamIndex()
     """Positions of upstreams in the ages and loads that this box sends."""
 
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -306,6 +306,9 @@
     domains: dict[str, dict[str, PoolDemand]]
     """Demand by failure domain of the entry boxes and by pool."""
 
+    entries: int = 0
+    """Number of these entry boxes."""
+
 
 class DemandTotals(msgspec.Struct, frozen=True, kw_only=True, tag="demands", array_like=True):
     """Demand at all entry boxes."""
@@ -313,6 +316,9 @@
     pools: dict[str, PoolDemand]
     """Demand by pool."""
 
+    entries: int = 0
+    """Number of entry boxes whose reports are included."""
+
 
 class FullReport(msgspec.Struct, frozen=True, kw_only=True, tag="full?", array_like=True):
     """Reports that engines refused requests of the sender for lack of room."""
--- a/src/ledgeladder/routing/demand_sums.py
+++ b/src/ledgeladder/routing/demand_sums.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
 from ..model.demand import ClassDemand, PoolDemand
+from .load_sharing import is_report_due
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+Message = TypeVar("Message")
+
 Pools = dict[str, PoolDemand]
 """Demand by pool."""
 
@@ -18,6 +21,26 @@
 TOTAL_ACCOUNTS: Final = 32
 """Accounts a priority in sums over entry boxes."""
 
+DEMAND_BYTES_PER_SECOND: Final = 2000.0
+"""Maximum rate of demand on one link; an eighth of the bandwidth of an entry box for control."""
+
+MAX_DEMAND_BYTES: Final = 2000
+"""Size above which fewer accounts are named, so that a message a second keeps to the rate."""
+
+
+def is_demand_due(changed: bool, seconds: float, sent_bytes: int) -> bool:
+    """Return whether demand may and should be sent again.
+
+    Args:
+        changed: Whether it differs from what was sent last.
+        seconds: Time since then.
+        sent_bytes: Size of the last message.
+
+    >>> is_demand_due(True, 0.25, 100), is_demand_due(True, 0.25, 1000)
+    (True, False)
+    """
+    return is_report_due(changed, seconds) and seconds >= sent_bytes / DEMAND_BYTES_PER_SECOND
+
 
 def sum_pools(parts: Iterable[Mapping[str, PoolDemand]]) -> Pools:
     """Sum demand by pool; the order of the parts does not matter."""
@@ -128,19 +151,27 @@
     )
 
 
-def fit_accounts(build_size: Callable[[int], int], max_accounts: int, max_bytes: int) -> int:
-    """Return how many accounts a priority fit into a message, halving them until it is short.
+def shorten_message(
+    build: Callable[[int], Message], size_of: Callable[[Message], int], max_accounts: int
+) -> tuple[Message, int]:
+    """Build a message of at most `MAX_DEMAND_BYTES`, halving the number of accounts until it fits.
 
     Args:
-        build_size: Returns the size in bytes of the message with some accounts a priority.
+        build: Builds the message with at most some accounts a priority.
+        size_of: Returns the size of a message in bytes.
         max_accounts: Number of accounts that is tried first.
-        max_bytes: Size that should not be exceeded. Classes are never left out, so the message may
-            be longer without any account.
 
-    >>> fit_accounts(lambda accounts: 100 + 20 * accounts, 32, 300)
-    8
+    Returns:
+        The message and its size. Classes are never left out, so that a message without accounts may
+        still be longer.
+
+    >>> shorten_message(lambda accounts: "x" * (500 + 100 * accounts), len, 32)[1]
+    1300
     """
     accounts = max_accounts
-    while accounts and build_size(accounts) > max_bytes:
+    while True:
+        message = build(accounts)
+        size = size_of(message)
+        if size <= MAX_DEMAND_BYTES or not accounts:
+            return message, size
         accounts //= 2
-    return accounts
--- a/src/ledgeladder/routing/fleet_demand.py
+++ b/src/ledgeladder/routing/fleet_demand.py
@@ -77,6 +77,9 @@
     totals_at: float | None = None
     """Monotonic time at which the totals arrived; None if they never did."""
 
+    totals_entries: int = 0
+    """Number of entry boxes whose reports are in the totals."""
+
     reported: dict[str, PoolDemand] = msgspec.field(default_factory=dict)
     """Newest report of this box, by pool."""
 
@@ -137,19 +140,21 @@
         demand: Known demand.
         pool: Name of the pool.
         now: Monotonic time.
-        entries: Number of entry boxes, each assumed to receive as much as this one while no recent
-            totals are known.
+        entries: Number of known entry boxes.
 
     Returns:
-        The totals with this box's part as of now; it is never less than that part.
+        The totals with this box's part as of now; it is never less than that part. Without recent
+        totals, each box is assumed to receive as much as this one.
     """
     local = local_pool_demand(demand, pool, now)
-    age = demand_age(demand, now)
-    if age is None or age > TOTALS_VALID_SECONDS:
+    factor = _others_factor(demand, now, entries)
+    if factor is None:
         return scale_demand(local, max(1, entries))
     total = demand.totals.get(pool, PoolDemand())
     others = subtract_demand(total, demand.included.get(pool, PoolDemand()))
-    return keep_heaviest(sum_pools([{pool: others}, {pool: local}]), TOTAL_ACCOUNTS)[pool]
+    return keep_heaviest(
+        sum_pools([{pool: scale_demand(others, factor)}, {pool: local}]), TOTAL_ACCOUNTS
+    )[pool]
 
 
 def demand_age(demand: FleetDemand, now: float) -> float | None:
@@ -157,6 +162,12 @@
     return None if demand.totals_at is None else max(0.0, now - demand.totals_at)
 
 
+def has_totals(demand: FleetDemand, now: float) -> bool:
+    """Return whether recent totals are known."""
+    age = demand_age(demand, now)
+    return age is not None and age <= TOTALS_VALID_SECONDS
+
+
 def demand_report(demand: FleetDemand, pools: Iterable[str], now: float) -> dict[str, PoolDemand]:
     """Return the demand at this box for a report, and drop what has decayed.
 
@@ -176,13 +187,37 @@
     demand.reported = dict(report)
 
 
-def apply_totals(demand: FleetDemand, totals: Mapping[str, PoolDemand], now: float) -> None:
-    """Apply totals of all entry boxes that arrived now."""
+def apply_totals(
+    demand: FleetDemand, totals: Mapping[str, PoolDemand], entries: int, now: float
+) -> None:
+    """Apply totals that arrived now.
+
+    Args:
+        demand: Known demand.
+        totals: Totals by pool.
+        entries: Number of entry boxes whose reports are in the totals.
+        now: Monotonic time.
+    """
     demand.totals = dict(totals)
+    demand.totals_entries = entries
     demand.totals_at = now
     demand.included = demand.reported
 
 
+def _others_factor(demand: FleetDemand, now: float, entries: int) -> float | None:
+    """Return the factor from the other boxes in the totals to all others.
+
+    It is 1 if the totals cover half of the entry boxes: boxes that ended are counted as known for a
+    while, and their callers ask others. It is None if the totals say nothing about the others.
+    """
+    if not has_totals(demand, now):
+        return None
+    covered = demand.totals_entries
+    if covered * 2 >= entries:
+        return 1.0
+    return (entries - 1) / (covered - 1) if covered > 1 else None
+
+
 def _local_class(demand: FleetDemand, pool: str, priority: int, now: float) -> LocalClass:
     """Return a class of this box, decayed to now."""
     classes = demand.local.setdefault(pool, LocalDemand()).classes
