--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -25,7 +25,7 @@
     from anyio.abc import TaskGroup
 
     from ..links import Link
-    from ..links.messages import PeerRole
+    from ..links.messages import PeerHint, PeerRole
     from ..settings import DiscoveredBox, DiscoveredCluster
     from .reloading import SeedList
 
@@ -104,6 +104,9 @@
     domains: dict[str, str] = msgspec.field(default_factory=dict)
     """Failure domains of control boxes by IP address, where known."""
 
+    demand_readers: set[str] = msgspec.field(default_factory=set)
+    """IP addresses of control boxes whose peer hint said that they read demand."""
+
     scopes: dict[str, anyio.CancelScope] = msgspec.field(default_factory=dict)
     """Cancel scopes of the tasks that maintain the links, by IP address."""
 
@@ -149,6 +152,21 @@
     _update_links(peers)
 
 
+def record_hint(peers: Peers, address: str, hint: PeerHint) -> None:
+    """Record what a control box says of the others and of itself.
+
+    Args:
+        peers: The links.
+        address: IP address of the control box that sent the hint.
+        hint: The hint.
+    """
+    add_peers(peers, hint.addresses, hint.domains)
+    if hint.reads_demand:
+        peers.demand_readers.add(address)
+    else:
+        peers.demand_readers.discard(address)
+
+
 def _update_links(peers: Peers) -> None:
     """Open links to the chosen boxes, and close the others once enough are established."""
     if peers.tasks is None:
@@ -196,6 +214,8 @@
 
     async def serve(link: Link) -> None:
         peers.links[address] = link
+        # A restarted box may be of another version; its first hint tells.
+        peers.demand_readers.discard(address)
         logger.info("dependency regained", extra={"peer": address})
         try:
             await peers.serve(address, link)
