Full engines are announced to all entry boxes

Cause: each box learns that an engine has no room by a refused attempt of its own, which takes a retry; with many boxes one full engine refuses dozens a second.

Now a refused gateway reports to its primary control box, which passes one notice per engine and half an avoidance to control boxes and to the entry boxes that report to it, at most 2 KB in any second on a link. A gateway avoids the engine for FULL_AVOID_SECONDS from the arrival, unless a layer would be left without a usable holder. Control boxes of an earlier version are sent nothing.

--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -20,6 +20,7 @@
 from ...links.messages import (
     DocumentPull,
     DocumentPush,
+    FullNotice,
     GrantReply,
     IndexChangePush,
     LoadReport,
@@ -50,9 +51,10 @@
 from ...routing.load_sharing import is_report_due, report_interval
 from ...routing.route_index import build_index
 from ..limit_keeper import handle_limit_message
-from ..peers import LINK_INACTIVITY_SECONDS, add_peers, primary_of
+from ..peers import LINK_INACTIVITY_SECONDS, primary_of, record_hint
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
+from .full_notices import handle_full_notice
 from .loss_updates import confirm_loss, handle_loss_update
 from .state import rate_limiter_of, record_entry_count
 
@@ -121,9 +123,11 @@
                     _apply_load_totals(
                         state, unpack_loads(order, message.index_number, message.loads)
                     )
+                case FullNotice():
+                    handle_full_notice(state, message)
                 case PeerHint():
                     if state.peers is not None:
-                        add_peers(state.peers, message.addresses, message.domains)
+                        record_hint(state.peers, address, message)
                 case _:
                     logger.warning("message of the wrong kind", extra={"peer": address})
 
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -24,6 +24,7 @@
         "upstreams_avoided": float(
             sum(item.avoid_until > now for item in state.table.upstreams.values())
         ),
+        "full_reports_dropped": float(state.full_reports.dropped),
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
     }
     return [
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,6 +12,7 @@
 
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
+from ...coordination.full_notices import NoticeThrottle
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
@@ -21,6 +22,7 @@
     SuspectedDomains,
     set_limit,
 )
+from ...routing.full_engines import NOTICE_INTERVAL_SECONDS
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
@@ -241,6 +243,11 @@
     peers: Peers | None = None
     """Links to control boxes."""
 
+    full_reports: NoticeThrottle = msgspec.field(
+        default_factory=lambda: NoticeThrottle(interval=NOTICE_INTERVAL_SECONDS)
+    )
+    """Bounds the reports of engines that refused requests for lack of room."""
+
     rate_limiter: RateLimiter | None = None
     """Enforces the rate limits that upstreams advertise, in requests per second."""
 
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -21,6 +21,7 @@
 from ...routing.link_load import record_transfer
 from ...routing.paths import ChosenPath, release, reserve
 from .crashes import record_crash
+from .full_notices import report_full
 from .notes import content_fingerprint
 from .probing import check_exited, find_unreachable, report_lost
 from .stall_watch import open_watched
@@ -283,6 +284,7 @@
     ):
         return
     record_full(engine, anyio.current_time())
+    report_full(state, engine)
 
 
 def _suspect_domain(state: GatewayState, session: StreamSession, engine: ForwardedUpstream) -> None:
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -91,7 +91,7 @@
         previous_instances=session.tried,
         stalled_after=session.timeouts.gap_probe if session.dead else math.inf,
         link_limit=RESUMED_STREAM_LIMIT if session.started else NEW_REQUEST_LIMIT,
-        sharers=max(1.0, state.entry_count / _domain_count(state, permit)),
+        sharers=count_sharers(state, permit.pool.name),
     )
 
 
@@ -122,7 +122,8 @@
     return domain in session.failed_domains or is_suspected(state.suspected_domains, domain, now)
 
 
-def _domain_count(state: GatewayState, permit: Permit) -> int:
-    """Return how many failure domains have engines of the pool; at least 1."""
-    engines = state.table.pools.get(permit.pool.name, [])
-    return max(1, len({item.registration.failure_domain for item in engines}))
+def count_sharers(state: GatewayState, pool: str) -> float:
+    """Return the estimated ratio of all boxes' requests on an engine of a pool to this box's."""
+    engines = state.table.pools.get(pool, [])
+    domains = max(1, len({item.registration.failure_domain for item in engines}))
+    return max(1.0, state.entry_count / domains)
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -25,7 +25,7 @@
     from anyio.abc import TaskGroup
 
     from ..links import Link
-    from ..links.messages import PeerRole
+    from ..links.messages import PeerHint, PeerRole
     from ..settings import DiscoveredBox, DiscoveredCluster
     from .reloading import SeedList
 
@@ -152,6 +152,21 @@
     _update_links(peers)
 
 
+def record_hint(peers: Peers, address: str, hint: PeerHint) -> None:
+    """Record what a control box says of the others and of itself.
+
+    Args:
+        peers: The links.
+        address: IP address of the control box that sent the hint.
+        hint: The hint.
+    """
+    add_peers(peers, hint.addresses, hint.domains)
+    if hint.reads_demand:
+        peers.demand_readers.add(address)
+    else:
+        peers.demand_readers.discard(address)
+
+
 def _update_links(peers: Peers) -> None:
     """Open links to the chosen boxes, and close the others once enough are established."""
     if peers.tasks is None:
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -26,6 +26,10 @@
         "upstreams": float(len(state.table.known)),
         "entry_links": float(len(state.entry_links)),
         "control_links": float(len(state.peers.links)),
+        "full_notice_readers": float(len(state.notices.entry_readers)),
+        "full_notices_dropped": float(
+            state.notices.to_controls.dropped + state.notices.to_entries.dropped
+        ),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
     return [*counter_lines(counters), *gauge_lines(gauges)]
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -25,8 +25,11 @@
     CommandRequest,
     ContentServed,
     CrashReport,
+    DemandReport,
     DocumentPull,
     DocumentPush,
+    FullNotice,
+    FullReport,
     GrantRequest,
     IndexChangePush,
     JoinRequest,
@@ -49,8 +52,14 @@
 from ...storage import box_of
 from .. import clock
 from ..content_judge import handle_content_served, handle_crash_report, quarantine_update
-from ..peers import LINK_INACTIVITY_SECONDS, add_peers
+from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
+from .full_notices import (
+    forget_link,
+    handle_full_notice,
+    handle_full_report,
+    record_entry_reader,
+)
 from .lending import handle_quota_request
 from .published_version import (
     handle_command_reply,
@@ -108,7 +117,7 @@
                 case CommandReply():
                     handle_command_reply(state, message)
                 case PeerHint():
-                    add_peers(state.peers, message.addresses, message.domains)
+                    record_hint(state.peers, address, message)
                 case _:
                     logger.warning("message of the wrong kind", extra={"peer": address})
 
@@ -155,6 +164,7 @@
             state.shares.pop(id(link), None)
             state.peer_indexes.pop(id(link), None)
             state.pending_queries.pop(id(link), None)
+            forget_link(state, link)
 
 
 def _handle_message(
@@ -211,6 +221,12 @@
             handle_crash_report(quarantine_controller_of(state), message, to_peers=not is_control)
         case ContentServed():
             handle_content_served(quarantine_controller_of(state), message, to_peers=not is_control)
+        case FullReport() if not is_control:
+            handle_full_report(state, link, message)
+        case FullNotice() if is_control:
+            handle_full_notice(state, message)
+        case DemandReport() if not is_control:
+            record_entry_reader(state, link)
         case LossReport():
             _handle_loss_report(state, link, message.instance)
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -9,11 +9,13 @@
 
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
+from ...coordination.full_notices import NoticeRelay, build_relay
 from ...coordination.loss_evidence import LossEvidence
 from ...coordination.registrations import RegistrationTable
 from ...coordination.rests import Backoffs
 from ...coordination.upstream_order import UpstreamIndex
 from ...model.registration import Liveness
+from ...routing.full_engines import NOTICE_INTERVAL_SECONDS
 from ..content_judge import QuarantineController
 from ..rate_lender import RateGranter
 
@@ -181,6 +183,11 @@
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
     """Reports of entry boxes about unreachable engines."""
 
+    notices: NoticeRelay = msgspec.field(
+        default_factory=lambda: build_relay(NOTICE_INTERVAL_SECONDS)
+    )
+    """Notices of full engines that pass this box."""
+
     sent_version: int = 0
     """Version of the document that was last sent to the entry boxes."""
 
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -177,12 +177,12 @@
 
 
 def build_peer_hint(state: RegistryState) -> PeerHint:
-    """Return the known control boxes with their failure domains."""
+    """Return the known control boxes with their failure domains, and what this box can read."""
     domains = {state.peers.own_address: state.peers.identity.failure_domain}
     for link in state.accepted_control_links.values():
         if link.peer is not None:
             domains[link.peer_box] = link.peer.failure_domain
-    return PeerHint(addresses=_known_controls(state), domains=domains)
+    return PeerHint(addresses=_known_controls(state), domains=domains, reads_demand=True)
 
 
 async def broadcast_loads(state: RegistryState) -> None:
