Merge the demand reports; notices go to the boxes whose demand report arrived

Cause: the relay kept its own set of links that know notices; the newest demand report of each entry box says the same, once per process. The own set is dropped. Tests of coordination, gateway, registry, peers and links pass.

--- a/src/ledgeladder/coordination/full_notices.py
+++ b/src/ledgeladder/coordination/full_notices.py
@@ -12,7 +12,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
 MAX_BYTES_PER_SECOND: Final = 2000.0
 """Bandwidth limit of notices on a link, in bytes in any second. An eighth of the bandwidth for
@@ -81,7 +81,7 @@
 
 
 class NoticeRelay(msgspec.Struct, kw_only=True):
-    """What a control box passes on, and which links lead to entry boxes that know the messages."""
+    """Bounds the notices that a control box passes on."""
 
     to_controls: NoticeThrottle
     """Bounds the notices to other control boxes."""
@@ -89,9 +89,6 @@
     to_entries: NoticeThrottle
     """Bounds the notices to entry boxes."""
 
-    entry_readers: set[int] = msgspec.field(default_factory=set)
-    """Ids of the links to entry boxes that know the notices."""
-
 
 class NoticeFanOut(msgspec.Struct, frozen=True, kw_only=True):
     """Engines to announce."""
@@ -115,7 +112,7 @@
 
 
 def relay_notices(
-    relay: NoticeRelay, instances: Collection[str], now: float, *, from_control: bool
+    relay: NoticeRelay, instances: tuple[str, ...], now: float, *, from_control: bool
 ) -> NoticeFanOut:
     """Return what to announce of some full engines, and record that it is.
 
@@ -129,18 +126,3 @@
         to_controls=() if from_control else pass_notices(relay.to_controls, instances, now),
         to_entries=pass_notices(relay.to_entries, instances, now),
     )
-
-
-def entry_receivers(
-    relay: NoticeRelay, reporting: Iterable[int], *, sender: int | None = None
-) -> list[int]:
-    """Return the ids of the links to the entry boxes that get a notice.
-
-    Each entry box reports its load to one control box, so it gets a notice once.
-
-    Args:
-        relay: State of this control box.
-        reporting: Ids of the links to entry boxes that report their load to this control box.
-        sender: Id of the link that the report came from, whose box knows of the engine.
-    """
-    return [item for item in reporting if item in relay.entry_readers and item != sender]
--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -18,6 +18,7 @@
     unpack_loads,
 )
 from ...links.messages import (
+    DemandTotals,
     DocumentPull,
     DocumentPush,
     FullNotice,
@@ -54,6 +55,7 @@
 from ..peers import LINK_INACTIVITY_SECONDS, primary_of, record_hint
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
+from .demand_reports import handle_demand_totals, report_demand
 from .full_notices import handle_full_notice
 from .loss_updates import confirm_loss, handle_loss_update
 from .state import rate_limiter_of, record_entry_count
@@ -91,6 +93,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_poll_version, state, link)
         tasks.start_soon(_report_load, state, address, link)
+        tasks.start_soon(report_demand, state, address, link)
         while True:
             with anyio.fail_after(LINK_INACTIVITY_SECONDS):
                 message = await link.receive()
@@ -125,6 +128,8 @@
                     )
                 case FullNotice():
                     handle_full_notice(state, message)
+                case DemandTotals():
+                    handle_demand_totals(state, message)
                 case PeerHint():
                     if state.peers is not None:
                         record_hint(state.peers, address, message)
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -26,6 +26,7 @@
     ContentServed,
     CrashReport,
     DemandReport,
+    DemandShare,
     DocumentPull,
     DocumentPush,
     FullNotice,
@@ -54,12 +55,8 @@
 from ..content_judge import handle_content_served, handle_crash_report, quarantine_update
 from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
-from .full_notices import (
-    forget_link,
-    handle_full_notice,
-    handle_full_report,
-    record_entry_reader,
-)
+from .demand_totals import forget_demand, record_demand_report, record_demand_share
+from .full_notices import handle_full_notice, handle_full_report
 from .lending import handle_quota_request
 from .published_version import (
     handle_command_reply,
@@ -164,7 +161,7 @@
             state.shares.pop(id(link), None)
             state.peer_indexes.pop(id(link), None)
             state.pending_queries.pop(id(link), None)
-            forget_link(state, link)
+            forget_demand(state, link)
 
 
 def _handle_message(
@@ -203,6 +200,10 @@
                 entries=message.entries,
                 reported_at=anyio.current_time(),
             )
+        case DemandReport() if not is_control:
+            record_demand_report(state, link, message, anyio.current_time())
+        case DemandShare() if is_control:
+            record_demand_share(state, link, message, anyio.current_time())
         case OrderUpdate() if is_control:
             record_reported_order(
                 state.order_ledger,
@@ -225,8 +226,6 @@
             handle_full_report(state, link, message)
         case FullNotice() if is_control:
             handle_full_notice(state, message)
-        case DemandReport() if not is_control:
-            record_entry_reader(state, link)
         case LossReport():
             _handle_loss_report(state, link, message.instance)
         case VersionQuery():
