--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -21,6 +21,7 @@
     DemandTotals,
     DocumentPull,
     DocumentPush,
+    FullNotice,
     GrantReply,
     IndexChangePush,
     LoadReport,
@@ -55,6 +56,7 @@
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
 from .demand_reports import handle_demand_totals, report_demand
+from .full_notices import handle_full_notice
 from .loss_updates import confirm_loss, handle_loss_update
 from .state import rate_limiter_of, record_entry_count
 
@@ -124,6 +126,8 @@
                     _apply_load_totals(
                         state, unpack_loads(order, message.index_number, message.loads)
                     )
+                case FullNotice():
+                    handle_full_notice(state, message)
                 case DemandTotals():
                     handle_demand_totals(state, message)
                 case PeerHint():
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -29,6 +29,9 @@
         "upstreams": float(len(state.table.known)),
         "entry_links": float(len(state.entry_links)),
         "control_links": float(len(state.peers.links)),
+        "full_notices_dropped": float(
+            state.notices.to_controls.dropped + state.notices.to_entries.dropped
+        ),
         "demand_reports": float(len(state.demands)),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -29,6 +29,8 @@
     DemandShare,
     DocumentPull,
     DocumentPush,
+    FullNotice,
+    FullReport,
     GrantRequest,
     IndexChangePush,
     JoinRequest,
@@ -54,6 +56,7 @@
 from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
 from .demand_totals import forget_demand, record_demand_report, record_demand_share
+from .full_notices import handle_full_notice, handle_full_report
 from .lending import handle_quota_request
 from .published_version import (
     handle_command_reply,
@@ -219,6 +222,10 @@
             handle_crash_report(quarantine_controller_of(state), message, to_peers=not is_control)
         case ContentServed():
             handle_content_served(quarantine_controller_of(state), message, to_peers=not is_control)
+        case FullReport() if not is_control:
+            handle_full_report(state, link, message)
+        case FullNotice() if is_control:
+            handle_full_notice(state, message)
         case LossReport():
             _handle_loss_report(state, link, message.instance)
         case VersionQuery():
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -177,7 +177,7 @@
 
 
 def build_peer_hint(state: RegistryState) -> PeerHint:
-    """Return the known control boxes with their failure domains."""
+    """Return the known control boxes with their failure domains, and what this box can read."""
     domains = {state.peers.own_address: state.peers.identity.failure_domain}
     for link in state.accepted_control_links.values():
         if link.peer is not None:
