Admission: driver, waiting for room, setting, result code

Cause: nothing read the priority before an engine. Streams for contended pools now pass admit_stream before the first path search; others return at once. Weighed: an own queue (AdmissionQueue does it, with a deadline in its order); a new draw at each look (waiting would raise the chance); a view each 0.1 s at 600 engines, which costs some hundredths of a core, so that it ages with the number of engines.

--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -22,7 +22,12 @@
 from .control_link import serve_control_link
 from .metrics import metrics_lines
 from .readiness import build_ready_site
-from .state import GatewayState, build_admission_queue, rate_limiter_of
+from .state import (
+    GatewayState,
+    build_admission_queue,
+    build_room_admission,
+    rate_limiter_of,
+)
 from .waiting import run_queue
 
 if TYPE_CHECKING:
@@ -61,6 +66,7 @@
         settings=settings,
         start_queue=build_admission_queue(settings),
         upstream_queue=build_admission_queue(settings),
+        room=build_room_admission(settings),
     )
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     own = settings.box.address
@@ -114,6 +120,11 @@
             run=lambda: run_queue(state.upstream_queue),
             restart=Restart.ALWAYS,
         ),
+        Child(
+            name="room-queue",
+            run=lambda: run_queue(state.room.queue),
+            restart=Restart.ALWAYS,
+        ),
         Child(name="rests", run=lambda: log_backoff_ends(state), restart=Restart.ALWAYS),
         Child(
             name="limits",
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -14,6 +14,7 @@
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
+from ...routing.admission_level import AdmissionLevel
 from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
     ForwardedUpstream,
@@ -31,7 +32,9 @@
 from ..limit_keeper import RateLimiter
 
 if TYPE_CHECKING:
+    from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
+    from ...routing.pool_room import PoolRoom
     from ...settings import GatewaySettings
     from ..peers import Peers
 
@@ -130,6 +133,41 @@
     """Latest capacity check of each pool: its monotonic time, and whether the pool accepts work."""
 
 
+class RoomView(msgspec.Struct, kw_only=True):
+    """Room of a pool and demand for it, as last computed."""
+
+    at: float
+    """When they were computed, on the monotonic clock."""
+
+    room: PoolRoom
+    """Room of the pool."""
+
+    load_age: float
+    """Age of the newest load of other boxes at that time, in seconds."""
+
+    demand: PoolDemand
+    """Demand for the pool at all entry boxes."""
+
+    taken: float = 0.0
+    """Requests of the usual size that this box admitted since."""
+
+
+class RoomAdmission(msgspec.Struct, kw_only=True):
+    """Admission to pools whose room is shared by priority."""
+
+    queue: AdmissionQueue
+    """New streams that wait for room."""
+
+    views: dict[str, RoomView] = msgspec.field(default_factory=dict)
+    """Latest view of each pool."""
+
+    levels: dict[tuple[str, int], AdmissionLevel] = msgspec.field(default_factory=dict)
+    """Levels by pool and priority."""
+
+    waiting: Counter[tuple[str, int]] = msgspec.field(default_factory=Counter)
+    """Number of waiting requests by pool and priority."""
+
+
 class BackoffWatch(msgspec.Struct, kw_only=True):
     """Upstreams that are backing off, until the end of the back-off is logged."""
 
@@ -238,6 +276,9 @@
     upstream_queue: AdmissionQueue
     """Requests that wait until upstreams accept work again."""
 
+    room: RoomAdmission
+    """Admission to pools whose room is shared by priority."""
+
     peers: Peers | None = None
     """Links to control boxes."""
 
@@ -284,6 +325,11 @@
     return AdmissionQueue(queue=queue)
 
 
+def build_room_admission(settings: GatewaySettings) -> RoomAdmission:
+    """Build the admission to pools whose room is shared, with a queue bounded by the settings."""
+    return RoomAdmission(queue=build_admission_queue(settings))
+
+
 def check_freshness(state: GatewayState, now: float) -> bool:
     """Return whether the document in force is fresh enough to decide on keys and routes.
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -13,6 +13,7 @@
 from ...routing.pace import record_gap
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
+from .admission import admit_stream
 from .borrowing import acquire_retry
 from .checks import Permit, refusal
 from .crashes import count_crashes, record_answered
@@ -67,6 +68,7 @@
         last_progress_at=request.arrived_at,
         trace=trace,
     )
+    await admit_stream(state, permit, request, session, expected)
     budget = retry_budget(state, permit.pool.name)
     record_first_attempt(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())) as scope:
--- a/src/ledgeladder/daemons/gateway/waiting.py
+++ b/src/ledgeladder/daemons/gateway/waiting.py
@@ -119,7 +119,7 @@
     if waiting_request is None:
         state.metrics.counters["start-queue-full"] += 1
         return 0.0
-    if await _wait_for_admission(admission, waiting_request, until - now):
+    if await wait_for_admission(admission, waiting_request, until - now):
         state.metrics.counters["start-queue-served"] += 1
     return anyio.current_time() - now
 
@@ -178,7 +178,7 @@
     if waiting_request is None:
         state.metrics.counters["upstream-queue-full"] += 1
         return False
-    is_admitted = await _wait_for_admission(admission, waiting_request, until - now)
+    is_admitted = await wait_for_admission(admission, waiting_request, until - now)
     if is_admitted:
         trace.wait_seconds += anyio.current_time() - now
     state.metrics.counters["upstream-queue-served" if is_admitted else "upstream-queue-late"] += 1
@@ -226,7 +226,7 @@
     return answer_pace(state, pool.name).mean * state.entry_count / max(1, slots)
 
 
-async def _wait_for_admission(
+async def wait_for_admission(
     admission: AdmissionQueue, waiting_request: WaitingRequest, seconds: float
 ) -> bool:
     """Wait until a request is admitted; return False if the wait times out first."""
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -47,6 +47,7 @@
     CONCURRENCY_EXCEEDED = 1102
     QUEUE_FULL = 1103
     DEADLINE_UNREACHABLE = 1104
+    OUT_OF_ROOM = 1105
     NO_ROUTE = 1201
     UPSTREAM_REFUSED = 1202
     UPSTREAM_LOST = 1203
@@ -138,6 +139,9 @@
     ResultCode.DEADLINE_UNREACHABLE: _entry(
         503, _NOT_RUN, "The request could not have been answered before its deadline."
     ),
+    ResultCode.OUT_OF_ROOM: _entry(
+        503, _NOT_RUN, "The engines have no room, or keep it for more urgent requests."
+    ),
     ResultCode.NO_ROUTE: _entry(
         503, _NOT_RUN, "The reachable upstreams do not cover every layer of the model."
     ),
--- a/src/ledgeladder/routing/admission_level.py
+++ b/src/ledgeladder/routing/admission_level.py
@@ -40,7 +40,7 @@
     """There is room beyond what is kept for more urgent requests."""
 
     LEAST_SHARE = "least-share"
-    """There is none, but its priority or account would get less than its least share."""
+    """There is none, but its priority or account has less than its share."""
 
     RESERVED = "reserved"
     """The room is kept for more urgent requests."""
@@ -130,8 +130,8 @@
 def update_level(level: AdmissionLevel, view: AdmissionView, priority: int, now: float) -> float:
     """Update the level of a priority and return it.
 
-    It falls at once and rises by at most 1 a horizon: the effect of a rise is not visible before.
-    A fleet that is half free ends all cuts at once.
+    It falls at once and rises by at most 1 a horizon, as a rise shows in the view only then. It is
+    1 at once if there is room for all, or if the fleet is half free.
     """
     free, reserved = view.room.free, reserved_room(view, priority)
     horizon = max(MIN_HORIZON_SECONDS, view.horizon)
@@ -141,8 +141,7 @@
         target = 1.0
     else:
         target = min(1.0, max(0.0, free / reserved - 1.0))
-    is_slow = priority > _most_urgent(view.demand) and free < view.room.capacity / 2
-    if is_slow and target > level.value:
+    if target > level.value and not _has_room_for_all(view, priority, reserved):
         target = min(target, level.value + max(0.0, now - level.at) / horizon)
     level.value, level.at = target, now
     return target
@@ -183,6 +182,21 @@
     )
 
 
+def _has_room_for_all(view: AdmissionView, priority: int, reserved: float) -> bool:
+    """Return whether a level may rise at once.
+
+    It may if this is the most urgent priority and a place is free, if the room covers twice the
+    reserved part and what the priority itself asks for within the horizon, or if the fleet is half
+    free.
+    """
+    free = view.room.free
+    if reserved <= 0.0 or free >= view.room.capacity / 2:
+        return free >= 1.0
+    own = view.demand.classes.get(priority)
+    rate = 0.0 if own is None else _request_rate(own, view.usual_tokens)
+    return free >= 2.0 * reserved + rate * max(MIN_HORIZON_SECONDS, view.horizon)
+
+
 def _account_share(demand: ClassDemand, share: float, account: str | None) -> float:
     return account_ratio(demand.accounts, demand.tokens, share, account)
 
@@ -202,11 +216,3 @@
     if demand.tokens <= 0.0:
         return demand.asked
     return demand.tokens / max(1.0, usual_tokens)
-
-
-def _most_urgent(demand: PoolDemand) -> int:
-    """Return the most urgent priority that is asked for; 0 if there is no demand."""
-    return min(
-        (rank for rank, item in demand.classes.items() if item.asked > 0.0 or item.tokens > 0.0),
-        default=0,
-    )
--- a/src/ledgeladder/routing/pool_room.py
+++ b/src/ledgeladder/routing/pool_room.py
@@ -4,7 +4,7 @@
 
 import math
 from itertools import accumulate
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -15,10 +15,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from ..model.registration import Holding
     from ..model.traffic import EngineProfile
     from .forwarding_table import ForwardedUpstream
 
 
+MIN_ROOM: Final = 1e-6
+"""Room below which a layer has none, in requests; more than what rounding leaves in sums."""
+
+
 class PoolRoom(msgspec.Struct, frozen=True, kw_only=True):
     """Room of a pool, in requests of the usual size."""
 
@@ -32,14 +37,6 @@
     """Requests whose KV cache the engines hold."""
 
 
-class _EngineRoom(msgspec.Struct, frozen=True, kw_only=True):
-    """Room of one engine, in requests of the usual size over all of its layers."""
-
-    engine: ForwardedUpstream
-    free: float
-    capacity: float
-
-
 def pool_room(
     profile: EngineProfile, engines: Sequence[ForwardedUpstream], now: float, sharers: float
 ) -> PoolRoom:
@@ -54,54 +51,71 @@
         now: Monotonic time.
         sharers: Ratio of all boxes' requests to this box's, as for `total_in_flight`.
     """
-    domains: dict[str, list[_EngineRoom]] = {}
+    layers = max(1, profile.layers)
+    usual = usual_tokens(profile)
+    caches: dict[tuple[str, int], float] = {}
+    domains: dict[str, _LayerSteps] = {}
+    used = 0.0
     for engine in engines:
-        if (room := _engine_room(profile, engine, now, sharers)) is not None:
-            domains.setdefault(engine.registration.failure_domain, []).append(room)
-    free = capacity = 0.0
-    for rooms in domains.values():
-        free += _least_layer(profile, ((item, item.free) for item in rooms))
-        capacity += _least_layer(profile, ((item, item.capacity) for item in rooms))
-    if capacity <= 0.0:
-        rooms = [item for known in domains.values() for item in known]
-        free = _least_layer(profile, ((item, item.free) for item in rooms))
-        capacity = _least_layer(profile, ((item, item.capacity) for item in rooms))
-    used = sum(total_kv(engine, now, sharers) for engine in engines)
-    return PoolRoom(
-        free=free,
-        capacity=capacity,
-        in_flight=used / (usual_tokens(profile) * max(1, profile.layers)),
-    )
-
-
-def _engine_room(
-    profile: EngineProfile, engine: ForwardedUpstream, now: float, sharers: float
-) -> _EngineRoom | None:
-    """Return the room of an engine; None if it holds no layers, is draining or unknown."""
-    registration = engine.registration
-    held = sum(item.end - item.first for item in registration.holdings)
-    if held <= 0 or engine.draining or registration.card not in profile.cards:
-        return None
-    cache = kv_capacity(profile, registration.card, held) * FULL_FRACTION
-    slots = slot_limit(engine) * FULL_FRACTION
-    size = usual_tokens(profile) * held
-    capacity = min(cache / size, slots, MAX_REQUEST_CAPACITY)
-    if not is_usable(engine, now):
-        return _EngineRoom(engine=engine, free=0.0, capacity=capacity)
-    free = min(
-        (cache - total_kv(engine, now, sharers)) / size if cache < math.inf else math.inf,
-        slots - total_in_flight(engine, now, sharers) if slots < math.inf else math.inf,
-        MAX_REQUEST_CAPACITY,
-    )
-    return _EngineRoom(engine=engine, free=max(0.0, free), capacity=capacity)
-
-
-def _least_layer(profile: EngineProfile, rooms: Iterable[tuple[_EngineRoom, float]]) -> float:
-    """Return the minimum over all layers of the requests that their holders take."""
-    steps = [0.0] * (profile.layers + 1)
-    for room, requests in rooms:
-        for item in room.engine.registration.holdings:
-            steps[min(item.first, profile.layers)] += requests
-            steps[min(item.end, profile.layers)] -= requests
-    # Sums of differences may end slightly below zero.
-    return max(0.0, min(accumulate(steps[:-1]), default=0.0))
+        registration = engine.registration
+        holdings = registration.holdings
+        held = sum([item.end - item.first for item in holdings])
+        kv = total_kv(engine, now, sharers)
+        used += kv
+        if held <= 0 or engine.draining or registration.card not in profile.cards:
+            continue
+        key = (registration.card, held)
+        cache = caches.get(key)
+        if cache is None:
+            cache = caches[key] = kv_capacity(profile, *key) * FULL_FRACTION
+        steps = domains.get(registration.failure_domain)
+        if steps is None:
+            steps = domains[registration.failure_domain] = _LayerSteps(layers)
+        slots = slot_limit(engine) * FULL_FRACTION
+        capacity = min(cache / (usual * held), slots, MAX_REQUEST_CAPACITY)
+        free = 0.0
+        if is_usable(engine, now):
+            running = total_in_flight(engine, now, sharers) if slots < math.inf else 0.0
+            free = min((cache - kv) / (usual * held), slots - running, MAX_REQUEST_CAPACITY)
+        steps.add(holdings, max(0.0, free), capacity)
+    free, capacity = _sum_domains(list(domains.values()), layers)
+    return PoolRoom(free=free, capacity=capacity, in_flight=used / (usual * layers))
+
+
+class _LayerSteps:
+    """Differences between the room of each layer and the one before."""
+
+    def __init__(self, layers: int) -> None:
+        self.free = [0.0] * (layers + 1)
+        self.capacity = [0.0] * (layers + 1)
+
+    def add(self, holdings: Iterable[Holding], free: float, capacity: float) -> None:
+        """Add an engine."""
+        last = len(self.free) - 1
+        for item in holdings:
+            first, end = min(item.first, last), min(item.end, last)
+            self.free[first] += free
+            self.free[end] -= free
+            self.capacity[first] += capacity
+            self.capacity[end] -= capacity
+
+
+def _sum_domains(domains: list[_LayerSteps], layers: int) -> tuple[float, float]:
+    """Return free room and capacity over all failure domains."""
+    capacity = sum(_least_layer(item.capacity) for item in domains)
+    if capacity > 0.0:
+        return sum(_least_layer(item.free) for item in domains), capacity
+    joined = _LayerSteps(layers)
+    for item in domains:
+        joined.free = [own + more for own, more in zip(joined.free, item.free, strict=True)]
+        joined.capacity = [
+            own + more for own, more in zip(joined.capacity, item.capacity, strict=True)
+        ]
+    return _least_layer(joined.free), _least_layer(joined.capacity)
+
+
+def _least_layer(steps: list[float]) -> float:
+    """Return the least room of a layer, from the differences between layers."""
+    least = min(accumulate(steps[:-1]))
+    # Sums of differences may end close to zero instead of at zero.
+    return least if least > MIN_ROOM else 0.0
--- a/src/ledgeladder/routing/wait_queue.py
+++ b/src/ledgeladder/routing/wait_queue.py
@@ -5,11 +5,12 @@
 
 A request waits only if enough of its timeout is left to serve it, and the queue is bounded in
 number and bytes. Requests are released at the rate at which upstreams accept them: interrupted
-streams first, then by priority, then by arrival.
+streams first, then by priority, then by deadline if they have one, then by arrival.
 """
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -44,6 +45,9 @@
     rank: Callable[[], int | None]
     """Returns its priority, 0 being the most urgent; None while it cannot be served."""
 
+    deadline: float = math.inf
+    """Deadline on any clock, which orders requests of one priority; infinity if arrival does."""
+
 
 class WaitQueue(msgspec.Struct, kw_only=True):
     """Waiting requests, in order of arrival."""
@@ -92,6 +96,7 @@
     release_interval: Callable[[], float],
     is_resumed: bool,
     rank: Callable[[], int | None],
+    deadline: float = math.inf,
 ) -> WaitingRequest | None:
     """Add a request to the queue.
 
@@ -101,6 +106,7 @@
         release_interval: Returns the delay until the next release, in seconds.
         is_resumed: True for an interrupted stream.
         rank: Returns its priority, 0 being the most urgent; None while it cannot be served.
+        deadline: Deadline on any clock, as in `WaitingRequest`.
 
     Returns:
         The request, to be passed to `remove_request` in the end; None if the queue is full.
@@ -115,6 +121,7 @@
         release_interval=release_interval,
         is_resumed=is_resumed,
         rank=rank,
+        deadline=deadline,
     )
     queue.waiting[request.ticket] = request
     queue.queued_bytes += size
@@ -128,13 +135,13 @@
 
 
 def next_request(queue: WaitQueue) -> WaitingRequest | None:
-    """Return the next request: interrupted streams first, then by priority, then by arrival.
+    """Return the next request: interrupted first, then by priority, deadline and arrival.
 
     Returns:
         None if no request can be served.
     """
     ranked = [
-        (not request.is_resumed, rank, request.ticket)
+        (not request.is_resumed, rank, request.deadline, request.ticket)
         for request in queue.waiting.values()
         if (rank := request.rank()) is not None
     ]
--- a/src/ledgeladder/settings/discovered.py
+++ b/src/ledgeladder/settings/discovered.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -100,6 +100,10 @@
     """Most bytes that their bodies have together, an eighth of the memory that a box may use for
     control, and as many again."""
 
+    admission: Literal["by-priority", "off"] = "by-priority"
+    """Which new streams get the room of engines that requests of several priorities share, while it
+    is short; `off` admits them as they come."""
+
 
 class RegistrySection(_Section, frozen=True, kw_only=True):
     """Settings of a control process that upstreams register with."""
--- a/tests/daemons/gateway/builders.py
+++ b/tests/daemons/gateway/builders.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
-from ledgeladder.daemons.gateway.state import GatewayState, build_admission_queue
+from ledgeladder.daemons.gateway.state import (
+    GatewayState,
+    build_admission_queue,
+    build_room_admission,
+)
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream
 from ledgeladder.routing.paths import ChosenPath
@@ -33,6 +37,7 @@
         settings=gateway_settings,
         start_queue=build_admission_queue(gateway_settings),
         upstream_queue=build_admission_queue(gateway_settings),
+        room=build_room_admission(gateway_settings),
     )
 
 
