Admission: shares from the room that ends within the horizon

Cause: a small loop of arrivals with a view that lags by half a second or more swung between empty and twice the capacity: with a threshold on the free room alone, all boxes close and open together. At a load that fits, least urgent requests were refused; in a burst of the least urgent, urgent ones were. Weighed: a damped rise of the threshold (tried, still swings); correcting work beyond the capacity within a horizon (tried, swings for longer than within the duration of a stream); admitting each most urgent request while a place is free (swings the same way while they alone exceed the room). Now what ends counts as room, half of it is split in proportion to demand and half by priority.

--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ...model import ResultCode
-from ...routing.admission_level import AdmissionLevel, AdmissionView, decide
+from ...routing.admission_level import AdmissionLevel, AdmissionView, can_rise_to, decide
 from ...routing.fleet_demand import demand_age, pool_demand, record_admitted, record_asked
 from ...routing.layer_coverage import usual_tokens
 from ...routing.load_sharing import LOAD_VALID_SECONDS
@@ -85,7 +85,7 @@
     decision = _decide(state, permit, profile, draw)
     waited = 0.0
     if not decision.admitted:
-        is_admitted = await _wait_for_room(state, permit, profile, request, draw)
+        is_admitted = await _wait_for_room(state, permit, request, decision, draw)
         waited = anyio.current_time() - now
         session.trace.wait_seconds += waited
         if not is_admitted:
@@ -132,6 +132,7 @@
         demand=known.demand,
         demand_age=math.inf if age is None else age,
         horizon=known.load_age + now - known.at + permit.route.target_latency,
+        stream_seconds=state.stream_pace.mean,
         usual_tokens=usual_tokens(profile),
     )
     level = state.room.levels.setdefault((permit.pool.name, permit.priority), AdmissionLevel())
@@ -141,11 +142,13 @@
 async def _wait_for_room(
     state: GatewayState,
     permit: Permit,
-    profile: EngineProfile,
     request: HttpRequest,
+    decision: AdmissionDecision,
     draw: float,
 ) -> bool:
     """Let a request wait for room; return False if it gets none or must not wait."""
+    profile = permit.pool.engine
+    assert profile is not None
     now = anyio.current_time()
     queue, key = state.room.queue, (permit.pool.name, permit.priority)
     until = room_wait_deadline(
@@ -154,7 +157,9 @@
         deadline=permit.deadline,
         stream_seconds=state.stream_pace.mean,
     )
-    if until <= now or not is_place_expected(
+    if until <= now or not can_rise_to(decision, draw, until - now):
+        return False
+    if not is_place_expected(
         _current_view(state, permit, profile).demand,
         priority=permit.priority,
         seconds=until - now,
--- a/src/ledgeladder/routing/admission_level.py
+++ b/src/ledgeladder/routing/admission_level.py
@@ -1,7 +1,8 @@
 """Decides which new requests get room while the room of a pool is short.
 
-Room is kept for the more urgent requests that are expected before an admission shows in the view of
-the load (trunk reservation).
+Room is kept for the more urgent requests that are expected before an admission shows in the view
+of the load (trunk reservation). Of each priority a share is admitted, so that boxes with the same
+lagging view do not all admit or all refuse.
 """
 
 from __future__ import annotations
@@ -19,28 +20,28 @@
 
 MIN_CLASS_SHARE: Final = 0.5
 """Minimum admitted ratio of a priority, relative to that of all requests: no priority starves, and
-the floors of all together take at most half of the admitted rate."""
+the other half of the room goes to the most urgent requests."""
 
 MIN_ADMITTED_RATIO: Final = 0.1
-"""Minimum of the admitted ratio from which floors follow. A box whose view of the room is wrong
-would otherwise lower its own ratio with each decision until it admits nothing."""
+"""Minimum of the admitted ratio from which least shares follow. A box that knows of no room may be
+wrong, and would otherwise admit nothing from which it could learn so."""
 
-MAX_RESERVED_SHARE: Final = 0.25
-"""Maximum reserved part of the capacity. Levels reach 1 at twice the reserved room, so that a fleet
-that is half free refuses nobody."""
+CUT_FREE_SHARE: Final = 0.25
+"""Free part of the capacity up to which requests are cut according to the demand."""
+
+UNCUT_FREE_SHARE: Final = 0.5
+"""Free part of the capacity from which nobody is refused, whatever the demand figures say; they may
+be wrong, and the room is not. Between both, shares rise linearly to 1."""
 
 MIN_HORIZON_SECONDS: Final = 0.1
-"""Minimum horizon, about the time for which a view of the room is cached."""
+"""Minimum horizon, about the time for which a view of the room is used."""
 
 
 class AdmissionReason(StrEnum):
     """Why a request was admitted or refused."""
 
     ROOM = "room"
-    """There is room beyond what is kept for more urgent requests."""
-
-    LEAST_SHARE = "least-share"
-    """There is none, but its priority or account has less than its share."""
+    """There is room, or its priority or account has less than its share of it."""
 
     RESERVED = "reserved"
     """The room is kept for more urgent requests."""
@@ -76,12 +77,15 @@
     demand_age: float
     """Age of the demand, in seconds."""
 
+    horizon: float
+    """Time in which a share may rise from 0 to 1, in seconds."""
+
 
 class AdmissionLevel(msgspec.Struct, kw_only=True):
-    """Level of one priority for one pool."""
+    """Share of one priority for one pool, as last computed."""
 
     value: float = 1.0
-    """Part of the requests for which there is room, from 0 to 1."""
+    """Part of its requests that is admitted, from 0 to 1."""
 
     at: float = float("-inf")
     """When it was computed, on the monotonic clock."""
@@ -103,48 +107,70 @@
     """Time until an admission shows in the room, in seconds: age of the view plus target
     latency."""
 
+    stream_seconds: float
+    """Usual duration of a stream, in seconds; 0 if unknown."""
+
     usual_tokens: float
     """Tokens of a request of the usual size."""
 
 
 def reserved_room(view: AdmissionView, priority: int) -> float:
-    """Return the room that is kept for requests more urgent than a priority."""
-    rate = sum(
-        _request_rate(item, view.usual_tokens)
-        for rank, item in view.demand.classes.items()
-        if rank < priority
-    )
-    wanted = rate * max(MIN_HORIZON_SECONDS, view.horizon)
-    return min(wanted, view.room.capacity * MAX_RESERVED_SHARE)
+    """Return the room that requests more urgent than a priority ask for within the horizon."""
+    classes = view.demand.classes
+    return sum(_wanted_room(view, item) for rank, item in classes.items() if rank < priority)
 
 
-def admitted_ratio(demand: PoolDemand) -> float:
-    """Return the admitted part of all requests, at least `MIN_ADMITTED_RATIO`."""
-    asked = sum(item.asked for item in demand.classes.values())
-    admitted = sum(item.admitted for item in demand.classes.values())
-    if asked <= 0.0:
-        return 1.0
-    return min(1.0, max(MIN_ADMITTED_RATIO, admitted / asked))
+def expected_room(view: AdmissionView) -> float:
+    """Return the room that is free within the horizon, with that of streams that end in it.
 
+    While the room is used up, as much is admitted as ends, also on a view that lags. What is free
+    is filled within a horizon; what runs beyond the capacity is made up for more slowly, within the
+    duration of a stream and by half of the admissions at most. Together these do not swing.
+    """
+    room = view.room
+    horizon = _horizon(view)
+    busy = max(0.0, room.capacity - room.free)
+    part = horizon / max(horizon, view.stream_seconds)
+    excess = max(0.0, room.in_flight - room.capacity) if room.free < 1.0 else 0.0
+    return room.free + (busy - min(excess, busy / 2)) * part
 
-def update_level(level: AdmissionLevel, view: AdmissionView, priority: int, now: float) -> float:
-    """Update the level of a priority and return it.
 
-    It falls at once and rises by at most 1 a horizon, as a rise shows in the view only then. It is
-    1 at once if there is room for all, or if the fleet is half free.
+def class_share(view: AdmissionView, priority: int) -> float:
+    """Return the part of a priority's requests that the view has room for, from 0 to 1.
+
+    Half of the room is split in proportion to demand, the rest goes to the most urgent requests.
     """
-    free, reserved = view.room.free, reserved_room(view, priority)
-    horizon = max(MIN_HORIZON_SECONDS, view.horizon)
-    if free < 1.0:
-        target = 0.0
-    elif reserved <= 0.0:
-        target = 1.0
+    wanted = {rank: _wanted_room(view, item) for rank, item in view.demand.classes.items()}
+    total = sum(wanted.values())
+    room = expected_room(view)
+    if total <= room:
+        return 1.0 if room > 0.0 else MIN_CLASS_SHARE * MIN_ADMITTED_RATIO
+    least = MIN_CLASS_SHARE * room / total
+    own = wanted.get(priority, 0.0)
+    urgent = sum(item for rank, item in wanted.items() if rank < priority)
+    left = room * (1.0 - MIN_CLASS_SHARE) - urgent * (1.0 - least)
+    if own > 0.0:
+        share = least + min(1.0 - least, max(0.0, left) / own)
     else:
-        target = min(1.0, max(0.0, free / reserved - 1.0))
-    if target > level.value and not _has_room_for_all(view, priority, reserved):
-        target = min(target, level.value + max(0.0, now - level.at) / horizon)
-    level.value, level.at = target, now
-    return target
+        share = 1.0 if left > 0.0 else least
+    return max(share, MIN_CLASS_SHARE * MIN_ADMITTED_RATIO, _uncut_share(view))
+
+
+def update_level(level: AdmissionLevel, view: AdmissionView, priority: int, now: float) -> float:
+    """Update the share of a priority and return it.
+
+    It falls at once and rises by at most 1 a horizon, as a rise shows in the view only then; a free
+    fleet raises it at once.
+    """
+    share = class_share(view, priority)
+    risen = level.value + max(0.0, now - level.at) / _horizon(view)
+    level.value, level.at = max(min(share, risen), _uncut_share(view)), now
+    return level.value
+
+
+def can_rise_to(decision: AdmissionDecision, draw: float, seconds: float) -> bool:
+    """Return whether the share of a refused request may reach its random number within a time."""
+    return draw < decision.account_share + seconds / decision.horizon
 
 
 def decide(
@@ -166,53 +192,47 @@
         draw: Random number of the request from 0 to 1, the same for each decision on it.
         now: Monotonic time.
     """
-    value = update_level(level, view, priority, now)
-    share = max(value, MIN_CLASS_SHARE * admitted_ratio(view.demand))
+    share = update_level(level, view, priority, now)
     demand = view.demand.classes.get(priority)
-    own_share = share if demand is None else _account_share(demand, share, account)
+    own_share = share
+    if demand is not None:
+        own_share = account_ratio(demand.accounts, demand.tokens, share, account)
     admitted = draw < own_share
     return AdmissionDecision(
         admitted=admitted,
-        reason=_reason(view, admitted, draw, value, share),
+        reason=_reason(view, admitted, draw, share),
         free=view.room.free,
         reserved=reserved_room(view, priority),
         class_share=share,
         account_share=own_share,
         demand_age=view.demand_age,
+        horizon=_horizon(view),
     )
 
 
-def _has_room_for_all(view: AdmissionView, priority: int, reserved: float) -> bool:
-    """Return whether a level may rise at once.
-
-    It may if this is the most urgent priority and a place is free, if the room covers twice the
-    reserved part and what the priority itself asks for within the horizon, or if the fleet is half
-    free.
-    """
-    free = view.room.free
-    if reserved <= 0.0 or free >= view.room.capacity / 2:
-        return free >= 1.0
-    own = view.demand.classes.get(priority)
-    rate = 0.0 if own is None else _request_rate(own, view.usual_tokens)
-    return free >= 2.0 * reserved + rate * max(MIN_HORIZON_SECONDS, view.horizon)
-
-
-def _account_share(demand: ClassDemand, share: float, account: str | None) -> float:
-    return account_ratio(demand.accounts, demand.tokens, share, account)
-
-
-def _reason(
-    view: AdmissionView, admitted: bool, draw: float, value: float, share: float
-) -> AdmissionReason:
+def _reason(view: AdmissionView, admitted: bool, draw: float, share: float) -> AdmissionReason:
     if admitted:
-        return AdmissionReason.ROOM if draw < value else AdmissionReason.LEAST_SHARE
+        return AdmissionReason.ROOM
     if draw < share:
         return AdmissionReason.ACCOUNT_SHARE
     return AdmissionReason.NO_ROOM if view.room.free < 1.0 else AdmissionReason.RESERVED
 
 
-def _request_rate(demand: ClassDemand, usual_tokens: float) -> float:
-    """Return the demand of a priority in requests of the usual size per second."""
-    if demand.tokens <= 0.0:
-        return demand.asked
-    return demand.tokens / max(1.0, usual_tokens)
+def _uncut_share(view: AdmissionView) -> float:
+    """Return the least share of all requests that a free fleet gives, from 0 to 1."""
+    if view.room.capacity <= 0.0:
+        return 0.0
+    free = view.room.free / view.room.capacity
+    return min(1.0, max(0.0, (free - CUT_FREE_SHARE) / (UNCUT_FREE_SHARE - CUT_FREE_SHARE)))
+
+
+def _horizon(view: AdmissionView) -> float:
+    return max(MIN_HORIZON_SECONDS, view.horizon)
+
+
+def _wanted_room(view: AdmissionView, demand: ClassDemand) -> float:
+    """Return what a priority asks for within the horizon, in requests of the usual size."""
+    rate = demand.asked
+    if demand.tokens > 0.0:
+        rate = demand.tokens / max(1.0, view.usual_tokens)
+    return rate * _horizon(view)
