Retry budget: a part is kept for streams that have begun

Cause: own share and ledgers were first come, first served, so that a wave of refused requests left nothing to streams of lost engines. A box keeps half of its own share, at most one retry for each begun stream it runs; a voter keeps half, which halves with each accounting time in which no begun stream asked.

Weighed: keeping nothing before the first loss (a loss in a crest finds nothing), keeping a fixed part for ever (idle where engines only refuse). The total is bounded as before.

--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -1,4 +1,8 @@
-"""Limits retries over a sliding window to a box's own share and the quota granted to it."""
+"""Limits retries over a sliding window to a box's own share and the quota granted to it.
+
+Where room is short, full engines refuse new requests, and each refusal costs a retry. Part of the
+own share is therefore kept for streams that have begun, as far as there are any.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,7 @@
 
 import msgspec
 
-from .repeat_loans import BASE_QUOTA_SHARE
+from .repeat_loans import BASE_QUOTA_SHARE, KEPT_SHARE
 
 USABLE_SHARE: Final = 0.8
 """Part of its allowance that a box uses; the rest is a safety margin."""
@@ -22,6 +26,9 @@
     quota_until: float | None
     """When the granted quota expires, on the monotonic clock; None for the box's own share."""
 
+    started: bool = True
+    """Whether it is for a stream that has begun."""
+
 
 class RetryWindow(msgspec.Struct, kw_only=True):
     """Requests and retries that this box sent to one pool's upstreams in a sliding window."""
@@ -41,8 +48,14 @@
     retries: deque[float] = msgspec.field(default_factory=deque)
     """Times of retries from the box's own share, on the monotonic clock, oldest first."""
 
+    new_retries: deque[float] = msgspec.field(default_factory=deque)
+    """Those of them that were for new requests."""
+
     quota: deque[float] = msgspec.field(default_factory=deque)
-    """Expiry of each granted retry, on the monotonic clock, soonest first."""
+    """Expiry of each retry granted for begun streams, on the monotonic clock, soonest first."""
+
+    new_quota: deque[float] = msgspec.field(default_factory=deque)
+    """Expiry of each retry granted for new requests; begun streams may use them too."""
 
 
 def record_first_attempt(window: RetryWindow, now: float) -> None:
@@ -51,13 +64,17 @@
     _expire(window, now)
 
 
-def acquire_local_retry(window: RetryWindow, now: float, entries: int) -> Retry | None:
+def acquire_local_retry(
+    window: RetryWindow, now: float, entries: int, *, started: bool = True, begun: int = 0
+) -> Retry | None:
     """Take one retry from the box's own share, or else from its granted quota.
 
     Args:
         window: The budget.
         now: Monotonic time.
         entries: Number of entry boxes that share the base quota.
+        started: Whether the retry is for a stream that has begun.
+        begun: Number of begun streams that this box runs; retries are kept for at most as many.
 
     Returns:
         The retry; None if none is left, in which case the request must not be retried.
@@ -65,15 +82,26 @@
     _expire(window, now)
     base = window.reserve * BASE_QUOTA_SHARE / max(entries, MIN_ENTRIES)
     allowed = (window.ratio * len(window.first_attempts) + base) * USABLE_SHARE
-    if len(window.retries) + 1 <= allowed:
+    kept = min(allowed * KEPT_SHARE, float(begun))
+    if len(window.retries) + 1 <= allowed and (
+        started or len(window.new_retries) + 1 <= allowed - kept
+    ):
         window.retries.append(now)
-        return Retry(quota_until=None)
-    return Retry(quota_until=window.quota.popleft()) if window.quota else None
+        if not started:
+            window.new_retries.append(now)
+        return Retry(quota_until=None, started=started)
+    if started and window.quota:
+        return Retry(quota_until=window.quota.popleft())
+    if window.new_quota:
+        # Marked as granted for new requests also if a begun stream uses it, so that a release
+        # returns it to where it came from.
+        return Retry(quota_until=window.new_quota.popleft(), started=False)
+    return None
 
 
-def add_quota(window: RetryWindow, count: int, until: float) -> None:
-    """Add granted retries that expire at a monotonic time."""
-    window.quota.extend([until] * count)
+def add_quota(window: RetryWindow, count: int, until: float, *, started: bool = True) -> None:
+    """Add retries, granted for begun streams or for new requests, that expire at a time."""
+    (window.quota if started else window.new_quota).extend([until] * count)
 
 
 def release_retry(window: RetryWindow, retry: Retry) -> None:
@@ -83,14 +111,18 @@
     when it is needed most.
     """
     if retry.quota_until is not None:
-        window.quota.appendleft(retry.quota_until)
-    elif window.retries:
+        (window.quota if retry.started else window.new_quota).appendleft(retry.quota_until)
+        return
+    if window.retries:
         window.retries.pop()
+    if window.new_retries and not retry.started:
+        window.new_retries.pop()
 
 
 def _expire(window: RetryWindow, now: float) -> None:
-    for times in (window.first_attempts, window.retries):
+    for times in (window.first_attempts, window.retries, window.new_retries):
         while times and times[0] <= now - window.seconds:
             times.popleft()
-    while window.quota and window.quota[0] <= now:
-        window.quota.popleft()
+    for quota in (window.quota, window.new_quota):
+        while quota and quota[0] <= now:
+            quota.popleft()
--- a/tests/routing/test_repeat_loans.py
+++ b/tests/routing/test_repeat_loans.py
@@ -14,6 +14,7 @@
     QUOTA_SECONDS,
     QuotaLedger,
     grant_quota,
+    kept_quota,
 )
 from ledgeladder.routing.repeat_window import (
     USABLE_SHARE,
@@ -38,15 +39,22 @@
     return [RetryWindow(ratio=ratio, reserve=RESERVE, seconds=WINDOW) for _ in range(BOXES)]
 
 
-def use_retry(box: RetryWindow, ledgers: list[QuotaLedger], now: float) -> bool:
+def use_retry(
+    box: RetryWindow,
+    ledgers: list[QuotaLedger],
+    now: float,
+    *,
+    started: bool = True,
+    begun: int = 0,
+) -> bool:
     """Use a retry as a box does: from its own share, then from any voter's grant."""
-    if acquire_local_retry(box, now, BOXES):
+    if acquire_local_retry(box, now, BOXES, started=started, begun=begun):
         return True
     for voter in ledgers:
-        count = grant_quota(voter, 1, now)
+        count = grant_quota(voter, 1, now, started=started)
         if count:
-            add_quota(box, count, now + QUOTA_SECONDS)
-            return acquire_local_retry(box, now, BOXES) is not None
+            add_quota(box, count, now + QUOTA_SECONDS, started=started)
+            return acquire_local_retry(box, now, BOXES, started=started, begun=begun) is not None
     return False
 
 
@@ -97,6 +105,101 @@
         assert sum(start <= at < start + WINDOW for at in spent) <= RESERVE + forgotten_retries
 
 
+@pytest.mark.parametrize("seed", range(25))
+def test_retries_of_both_purposes_stay_within_the_reserve(seed: int) -> None:
+    """The same faults as above, with refused new requests and interrupted streams in turns."""
+    rng = random.Random(seed)
+    boxes, ledgers = windows(), [ledger(0.0) for _ in range(VOTERS)]
+    spent: list[float] = []
+    restarts = 0
+    now = 0.0
+    while now < 60.0:
+        now += rng.expovariate(60.0)
+        hot = rng.randrange(20) if rng.random() < 0.8 else rng.randrange(BOXES)
+        reachable = rng.sample(ledgers, rng.randrange(VOTERS + 1))
+        started = rng.random() < 0.5 * (now // 15.0 % 2)
+        if use_retry(boxes[hot], reachable, now, started=started, begun=rng.randrange(4)):
+            spent.append(now)
+        if rng.random() < 0.002:
+            ledgers[rng.randrange(VOTERS)] = ledger(now)
+        if rng.random() < 0.0005:
+            restarts += 1
+            boxes[rng.randrange(BOXES)] = windows()[0]
+    forgotten_retries = restarts * (RESERVE * BASE_QUOTA_SHARE / BOXES + 1)
+    for start in spent:
+        assert sum(start <= at < start + WINDOW for at in spent) <= RESERVE + forgotten_retries
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_new_requests_never_use_what_is_kept(seed: int) -> None:
+    """While a begun stream asks in each accounting time, half of a voter's part is theirs."""
+    rng = random.Random(seed)
+    voter, now, asked_at = ledger(0.0), 0.0, 0.0
+    span = voter.accounting_seconds
+    grants: list[tuple[float, int]] = []
+    while now < 120.0:
+        now += rng.expovariate(5.0)
+        started = rng.random() < 0.1 or now - asked_at > span / 2
+        asked_at = now if started else asked_at
+        count = grant_quota(voter, 1 + rng.randrange(8), now, started=started)
+        if not started:
+            grants.append((now, count))
+    for start, _count in grants:
+        used = sum(count for at, count in grants if start <= at < start + span)
+        assert used <= voter.grantable / 2
+
+
+def test_interrupted_streams_get_retries_after_a_wave_of_refused_requests() -> None:
+    """First come, first served would leave them nothing: the wave asks for more than there is."""
+    voter = ledger()
+    grant_quota(voter, 1, -1.0)
+    wave = sum(grant_quota(voter, 8, 0.1 * step, started=False) for step in range(20))
+    loss = sum(grant_quota(voter, 8, 2.0 + 0.01 * step) for step in range(20))
+    assert wave == int(voter.grantable / 2)
+    assert wave + loss == int(voter.grantable) - 1
+    served_in_order = ledger()
+    assert sum(grant_quota(served_in_order, 8, 0.1 * step) for step in range(20)) > wave
+    assert grant_quota(served_in_order, 8, 2.0) == 0
+
+
+def test_kept_quota_is_usable_while_no_begun_stream_needs_it() -> None:
+    voter, span = ledger(0.0), WINDOW + QUOTA_SECONDS
+    kept = [kept_quota(voter, span * (step + 0.5)) for step in range(8)]
+    assert kept[0] == voter.grantable / 2
+    assert all(later == earlier / 2 for earlier, later in zip(kept, kept[1:], strict=False))
+    assert grant_quota(voter, 1000, span * 7.5, started=False) == int(voter.grantable - kept[7])
+    assert kept[7] < 1.0
+
+
+def test_request_for_a_begun_stream_restores_what_is_kept() -> None:
+    voter, late = ledger(0.0), 100.0 * WINDOW
+    assert kept_quota(voter, late) < 1.0
+    assert grant_quota(voter, 1, late) == 1
+    assert kept_quota(voter, late) == voter.grantable / 2
+    assert grant_quota(voter, 1000, late, started=False) == int(voter.grantable / 2)
+
+
+def test_suspended_voter_keeps_its_count_of_grants() -> None:
+    """A clock that jumps ahead ends the accounting time of all grants at once, and no sooner."""
+    voter = ledger(0.0)
+    total = int(voter.grantable)
+    assert grant_quota(voter, 1000, 20.0) == total
+    assert grant_quota(voter, 1000, 20.0 + WINDOW, started=False) == 0
+    assert grant_quota(voter, 1000, 1e6, started=False) == total
+
+
+def test_quota_of_begun_streams_is_not_used_by_new_requests() -> None:
+    box = RetryWindow(ratio=0.0, reserve=0.0, seconds=WINDOW)
+    add_quota(box, 1, 1.0)
+    assert acquire_local_retry(box, 0.1, BOXES, started=False) is None
+    add_quota(box, 1, 1.0, started=False)
+    retry = acquire_local_retry(box, 0.1, BOXES, started=False)
+    assert retry is not None
+    release_retry(box, retry)
+    taken = [acquire_local_retry(box, 0.2, BOXES) for _ in range(3)]
+    assert [item is not None for item in taken] == [True, True, False]
+
+
 def test_new_voter_grants_nothing_for_a_window() -> None:
     voter = ledger(opened_at=5.0)
     assert grant_quota(voter, 1, 5.0 + WINDOW + QUOTA_SECONDS - 0.1) == 0
--- a/tests/routing/test_repeat_window.py
+++ b/tests/routing/test_repeat_window.py
@@ -51,3 +51,49 @@
     budget = window()
     release_retry(budget, Retry(quota_until=None))
     assert count_retries(budget, 1.0) == int(BASE_QUOTA * USABLE_SHARE)
+
+
+def count_new_retries(budget: RetryWindow, now: float, begun: int) -> int:
+    count = 0
+    while acquire_local_retry(budget, now, BOXES, started=False, begun=begun):
+        count += 1
+    return count
+
+
+def busy_window() -> RetryWindow:
+    """Return a budget with an own share of 17 retries."""
+    budget = window()
+    for _ in range(100):
+        record_first_attempt(budget, 0.0)
+    return budget
+
+
+def test_refused_new_requests_leave_retries_for_begun_streams() -> None:
+    """A burst that full engines refuse, and then an engine is lost under ten streams."""
+    budget = busy_window()
+    share = int((100 * 0.2 + BASE_QUOTA) * USABLE_SHARE)
+    assert count_new_retries(budget, 1.0, begun=10) == share // 2
+    assert count_retries(budget, 1.1) == share - share // 2
+
+
+def test_no_more_retries_are_kept_than_streams_have_begun() -> None:
+    share = int((100 * 0.2 + BASE_QUOTA) * USABLE_SHARE)
+    assert count_new_retries(busy_window(), 1.0, begun=0) == share
+    assert count_new_retries(busy_window(), 1.0, begun=3) == share - 3
+
+
+def test_begun_streams_may_use_the_whole_share() -> None:
+    budget = busy_window()
+    share = int((100 * 0.2 + BASE_QUOTA) * USABLE_SHARE)
+    assert count_retries(budget, 1.0) == share
+    assert count_new_retries(budget, 1.0, begun=0) == 0
+
+
+def test_released_retry_of_a_new_request_can_be_used_by_one_again() -> None:
+    budget = busy_window()
+    for _ in range(50):
+        retry = acquire_local_retry(budget, 1.0, BOXES, started=False, begun=10)
+        assert retry is not None
+        release_retry(budget, retry)
+    assert not budget.retries
+    assert not budget.new_retries
