--- a/src/ledgeladder/routing/contention.py
+++ b/src/ledgeladder/routing/contention.py
@@ -9,7 +9,12 @@
 
 
 def contended_pools(configuration: TrafficConfiguration) -> frozenset[str]:
-    """Return the pools of engines whose requests differ in priority.
+    """Return the pools of engines whose requests differ in priority."""
+    return frozenset(pool_priorities(configuration))
+
+
+def pool_priorities(configuration: TrafficConfiguration) -> dict[str, tuple[int, ...]]:
+    """Return the priorities of requests for each contended pool, the most urgent first.
 
     Only the configuration decides: routes with different priorities send requests to the pool, or a
     client account has a priority that differs from that of such a route. Other pools serve requests
@@ -22,4 +27,4 @@
             pool = configuration.pools.get(item.pool)
             if item.weight > 0 and pool is not None and pool.engine is not None:
                 ranks.setdefault(item.pool, set()).update(own, (route.priority,))
-    return frozenset(name for name, found in ranks.items() if len(found) > 1)
+    return {name: tuple(sorted(found)) for name, found in ranks.items() if len(found) > 1}
