Gateway and registry: retries by purpose

Requests for quota are batched, denied and granted by pool and purpose; a denial to new requests no longer keeps begun streams from asking for half a second. Streams of a box are tracked by pool, so that it knows how many have begun. Pools without priorities ask and use quota as before.

--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -38,6 +38,7 @@
 )
 from ...model.registration import UpstreamState
 from ...platform.configuration import decode_configuration
+from ...routing.contention import contended_pools, pool_priorities
 from ...routing.forwarding_table import (
     apply_peer_load,
     drop_upstream,
@@ -211,6 +212,8 @@
     configuration = decoded.unwrap()
     state.index = build_index(configuration)
     state.configuration = configuration
+    state.contended = contended_pools(configuration)
+    state.priorities = pool_priorities(configuration)
     logger.info(
         "document applied",
         extra={"version": push.version, "before": previous, "routes": len(configuration.routes)},
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -145,7 +145,7 @@
     retry, attempts.retry = attempts.retry, None
     if retry is not None or not attempts.sent:
         return retry
-    return await acquire_retry(state, permit.pool.name)
+    return await acquire_retry(state, permit.pool.name, started=False)
 
 
 def _next_upstream(
@@ -331,7 +331,7 @@
     await anyio.sleep(seconds)
     left = permit.deadline - anyio.current_time()
     if left > 0:
-        attempts.retry = await acquire_retry(state, permit.pool.name)
+        attempts.retry = await acquire_retry(state, permit.pool.name, started=False)
         if attempts.retry is None:
             await anyio.sleep(left)
     scope.cancel()
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -33,6 +33,7 @@
     from ...model.traffic import TrafficConfiguration
     from ...settings import GatewaySettings
     from ..peers import Peers
+    from .running_streams import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
 """Share of the revocation bound during which a confirmed document may be used. The rest covers the
@@ -85,6 +86,9 @@
     pool: str
     """Pool whose retries are requested."""
 
+    started: bool
+    """Whether they are for streams that have begun."""
+
     requested_at: float
     """Monotonic time of the first request."""
 
@@ -189,17 +193,30 @@
     connections: ConnectionPool = msgspec.field(default_factory=ConnectionPool)
     """Idle connections to upstreams."""
 
+    contended: frozenset[str] = frozenset()
+    """Pools whose room is shared by priority, by the document in force."""
+
+    priorities: dict[str, tuple[int, ...]] = msgspec.field(default_factory=dict)
+    """Priorities of requests for each contended pool, the most urgent first."""
+
+    running_streams: dict[str, dict[int, RunningStream]] = msgspec.field(default_factory=dict)
+    """Streams that this box runs, by pool and `id` of the session."""
+
     retry_budgets: dict[str, RetryWindow] = msgspec.field(default_factory=dict)
     """Retry budgets, by pool."""
 
-    batched_quota_requests: dict[str, PendingQuotaRequest] = msgspec.field(default_factory=dict)
-    """Requests for retry quota that still collect demand before being sent, by pool."""
+    batched_quota_requests: dict[tuple[str, bool], PendingQuotaRequest] = msgspec.field(
+        default_factory=dict
+    )
+    """Requests for retry quota that still collect demand before being sent, by pool and whether
+    they are for begun streams."""
 
     pending_quota_requests: dict[int, PendingQuotaRequest] = msgspec.field(default_factory=dict)
     """Sent requests for retry quota, by the id of their latest request."""
 
-    quota_denied_until: dict[str, float] = msgspec.field(default_factory=dict)
-    """Monotonic time until which no retry quota is requested after a denial, by pool."""
+    quota_denied_until: dict[tuple[str, bool], float] = msgspec.field(default_factory=dict)
+    """Monotonic time until which no retry quota is requested after a denial, by pool and whether it
+    would be for begun streams."""
 
     next_quota_call: int = 1
     """Id of the next request for retry quota."""
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -11,6 +11,7 @@
 from ...platform.exchange import caller_headers
 from ...routing.event_stream import EventOrder
 from ...routing.pace import record_gap
+from ...routing.refusal_limits import REFUSALS_LIMIT, rank_of, refusals_limit
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
 from .borrowing import acquire_retry
@@ -18,6 +19,7 @@
 from .crashes import count_crashes, record_answered
 from .probing import probe_timeout
 from .retry_after import retry_after_full, retry_after_no_path
+from .running_streams import track_stream
 from .state import retry_budget
 from .stream_attempt import run_attempt
 from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
@@ -29,9 +31,6 @@
     from .notes import RequestTrace
     from .state import GatewayState
 
-REFUSALS_LIMIT: Final = 4
-"""Refusals by paths after which a request is rejected with a retry delay."""
-
 
 async def forward_stream(
     state: GatewayState,
@@ -66,11 +65,33 @@
         tokens=permit.facts.prompt_tokens + expected,
         last_progress_at=request.arrived_at,
         trace=trace,
+        resumed=permit.facts.resume_after is not None,
     )
+    with track_stream(state, permit.pool.name, session, request.arrived_at):
+        timed_out = await _run_attempts(state, permit, request, exchange, session, expected)
+    if not session.complete:
+        await _finish(state, permit, exchange, session, timed_out=timed_out)
+
+
+async def _run_attempts(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    session: StreamSession,
+    expected: int,
+) -> bool:
+    """Send the request until it completes or no further attempt is possible.
+
+    Returns:
+        Whether its deadline passed.
+    """
+    profile, trace = permit.pool.engine, session.trace
+    assert profile is not None
     budget = retry_budget(state, permit.pool.name)
     record_first_attempt(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())) as scope:
-        while not (reason := _no_attempt_reason(permit, session)):
+        while not (reason := _no_attempt_reason(state, permit, session)):
             crashes = count_crashes(state, permit, request, trace)
             if crashes >= CRASH_LIMIT:
                 reason = f"{crashes} upstreams ended under it"
@@ -82,7 +103,9 @@
                     continue
                 reason = str(session.missing)
                 break
-            retry = await acquire_retry(state, permit.pool.name) if session.sent else None
+            retry = None
+            if session.sent:
+                retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
             if session.sent and retry is None:
                 reason = "budget of repeats is spent"
                 break
@@ -90,11 +113,12 @@
             if result is AttemptResult.COMPLETE:
                 record_answered(state, permit, request, trace)
                 record_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
-                return
+                session.complete = True
+                return False
             if retry is not None and result is AttemptResult.NOT_SENT:
                 release_retry(budget, retry)
         trace.give_up_reason = reason
-    await _finish(state, permit, exchange, session, timed_out=scope.cancelled_caught)
+    return scope.cancelled_caught
 
 
 async def _wait_for_engines(
@@ -119,9 +143,9 @@
     return await wait_for_upstreams(state, permit, request, trace, seconds=wait, until=until)
 
 
-def _no_attempt_reason(permit: Permit, session: StreamSession) -> str:
+def _no_attempt_reason(state: GatewayState, permit: Permit, session: StreamSession) -> str:
     """Return why another attempt is not allowed; empty if it is. The first one always is."""
-    if session.refusals >= REFUSALS_LIMIT:
+    if session.refusals >= _refusals_limit(state, permit, session):
         return f"{session.refusals} paths refused"
     if session.attempts == 0:
         return ""
@@ -132,6 +156,14 @@
     return ""
 
 
+def _refusals_limit(state: GatewayState, permit: Permit, session: StreamSession) -> int:
+    """Return after how many refusals to give up: earlier for new requests that are less urgent."""
+    priorities = state.priorities.get(permit.pool.name)
+    if priorities is None or session.has_begun:
+        return REFUSALS_LIMIT
+    return refusals_limit(rank_of(priorities, permit.priority))
+
+
 async def _finish(
     state: GatewayState,
     permit: Permit,
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -75,6 +75,12 @@
     started: bool = False
     """True once the response head was sent to the caller."""
 
+    resumed: bool = False
+    """True if the caller has part of the answer from an earlier request."""
+
+    complete: bool = False
+    """True once the last event was sent to the caller."""
+
     missing: NoPathReason | None = None
     """Why the last search for a path failed; None if none failed."""
 
@@ -97,5 +103,10 @@
     interrupted: bool = False
     """True if an engine of the current attempt was found dead; no more events are forwarded."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has part of the answer, which an end now would break off."""
+        return self.started or self.resumed
+
     def __post_init__(self) -> None:
         self.pace = Pace(floor=self.timeouts.gap_probe)
--- a/src/ledgeladder/daemons/registry/lending.py
+++ b/src/ledgeladder/daemons/registry/lending.py
@@ -63,14 +63,17 @@
     opened_at, count = state.voter_since, 0
     if opened_at is not None and may_grant(state):
         ledger = _quota_ledger(state, request.pool, opened_at)
-        count = grant_quota(ledger, request.count, anyio.current_time())
+        now = anyio.current_time()
+        count = grant_quota(ledger, request.count, now, started=request.started)
     if count < request.count:
         logger.info(
             "retry quota not fully granted",
             extra={
                 "peer": link.peer_box,
                 "pool": request.pool,
+                "wanted": request.count,
                 "lent": count,
+                "started": request.started,
                 "age": version_age(state),
             },
         )
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
+from ...routing.repeat_loans import kept_quota
 from ..metrics_page import counter_lines, gauge_lines
 
 if TYPE_CHECKING:
@@ -15,6 +18,7 @@
 def metrics_lines(state: RegistryState, counters: Counter[str]) -> list[str]:
     """Return the lines of the metrics page with all counters and gauges."""
     replica = state.node.replica
+    now = anyio.current_time()
     gauges = {
         "document_version": float(state.node.state.published.version),
         "log_term": float(replica.term),
@@ -26,6 +30,7 @@
         "upstreams": float(len(state.table.known)),
         "entry_links": float(len(state.entry_links)),
         "control_links": float(len(state.peers.links)),
+        "retry_quota_kept": sum(kept_quota(item, now) for item in state.quota_ledgers.values()),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
     return [*counter_lines(counters), *gauge_lines(gauges)]
--- a/tests/daemons/gateway/test_borrowing.py
+++ b/tests/daemons/gateway/test_borrowing.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
 
 from ledgeladder.daemons.gateway import borrowing
@@ -45,13 +47,13 @@
 
 
 async def acquire_all(
-    state: GatewayState, boxes: list[ControlBox], count: int
+    state: GatewayState, boxes: list[ControlBox], count: int, *, started: bool = True
 ) -> list[Retry | None]:
     """Acquire retries concurrently, while control boxes reply."""
     retries: list[Retry | None] = []
 
     async def acquire() -> None:
-        retries.append(await acquire_retry(state, POOL))
+        retries.append(await acquire_retry(state, POOL, started=started))
 
     async with anyio.create_task_group() as tasks:
         for _ in range(count):
@@ -120,3 +122,58 @@
 def test_box_without_links_is_denied_at_once() -> None:
     state = gateway_state()
     assert anyio.run(acquire_retry, state, POOL) is None
+
+
+def run_new(state: GatewayState, boxes: list[ControlBox], count: int) -> list[Retry | None]:
+    """Acquire retries for new requests."""
+    return anyio.run(partial(acquire_all, started=False), state, boxes, count)
+
+
+def test_begun_streams_may_ask_after_new_requests_were_denied() -> None:
+    state, boxes = linked(0)
+    state.contended = frozenset({POOL})
+    assert run_new(state, boxes, 1) == [None]
+    boxes[0].quota = 20
+    assert granted(run_new(state, boxes, 1)) == 0
+    assert granted(anyio.run(acquire_all, state, boxes, 2)) == 2
+    assert [request.started for request in boxes[0].requests] == [False, True]
+
+
+def test_new_requests_do_not_ask_after_begun_streams_were_denied() -> None:
+    state, boxes = linked(0)
+    state.contended = frozenset({POOL})
+    assert anyio.run(acquire_all, state, boxes, 1) == [None]
+    assert run_new(state, boxes, 1) == [None]
+    assert len(boxes[0].requests) == 1
+
+
+def test_retries_are_counted_by_purpose() -> None:
+    state, boxes = linked(2)
+    state.contended = frozenset({POOL})
+    anyio.run(acquire_all, state, boxes, 3)
+    run_new(state, boxes, 1)
+    counters = state.metrics.counters
+    assert counters["repeat-allowed-started"] == 2
+    assert counters["repeat-refused-started"] == 1
+    assert counters["repeat-allowed-new"] + counters["repeat-refused-new"] == 1
+    assert counters["repeat-refused"] == 1 + counters["repeat-refused-new"]
+
+
+def test_pools_without_priorities_keep_nothing() -> None:
+    """Their new requests ask for the same quota as begun streams, in the same batch."""
+    state, boxes = linked(20)
+    assert granted(run_new(state, boxes, 3)) == 3
+    assert granted(anyio.run(acquire_all, state, boxes, 3)) == 3
+    assert [request.started for request in boxes[0].requests] == [True, True]
+
+
+def test_control_boxes_of_an_earlier_version_read_the_request() -> None:
+    class Earlier(msgspec.Struct, frozen=True, kw_only=True, tag="lend?", array_like=True):
+        call: int
+        pool: str
+        count: int
+
+    request = RetryQuotaRequest(call=1, pool=POOL, count=2, started=False)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(request), type=Earlier).count == 2
+    earlier = msgspec.msgpack.encode(Earlier(call=1, pool=POOL, count=2))
+    assert msgspec.msgpack.decode(earlier, type=RetryQuotaRequest).started
