Gateway: refused callers of contended pools are told their place

retry_after_full(state, permit); other pools are told half of a mean stream as before. Log line, counters, gauge.

Tests: times differ, urgent callers are told earlier ones, a place that is too late isn't taken, full engines without a path.

--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ...routing.return_times import expire_places
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
 
 if TYPE_CHECKING:
@@ -25,6 +26,9 @@
             sum(item.avoid_until > now for item in state.table.upstreams.values())
         ),
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
+        "return_places": float(
+            sum(expire_places(book, now) for book in state.return_books.values())
+        ),
     }
     return [
         *counter_lines(metrics.counters),
--- a/src/ledgeladder/daemons/gateway/retry_after.py
+++ b/src/ledgeladder/daemons/gateway/retry_after.py
@@ -2,30 +2,76 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
 
 from ...routing.load_time import load_seconds
+from ...routing.refusal_limits import rank_of
+from ...routing.return_times import (
+    CAPACITY_SHARE,
+    MIN_RETURN_SECONDS,
+    ReturnBook,
+    choose_return,
+    place_interval,
+)
+from .running_streams import begun_streams
 
 if TYPE_CHECKING:
     from ...routing.paths import NoPathReason
     from .checks import Permit
     from .state import GatewayState
 
-CAPACITY_SHARE: Final = 0.5
-"""Share of a stream's mean duration after which full engines are expected to have capacity again:
-about half of their streams end within it."""
-
-MIN_RETRY_SECONDS: Final = 0.1
-"""Minimum retry delay, also used until a stream has completed. Prevents callers from retrying in a
-tight loop."""
+logger = logging.getLogger(__name__)
 
 
-def retry_after_full(state: GatewayState) -> float:
+def retry_after_full(state: GatewayState, permit: Permit) -> float:
     """Return the delay until full engines are expected to have capacity, in seconds.
 
-    The estimate is based on the recent duration of streams on this box.
+    The estimate is based on the recent duration of streams on this box. In pools that share their
+    room by priority, each caller is told another time, the more urgent an earlier one.
+
+    Args:
+        state: The process's state.
+        permit: What the request may do.
     """
-    return max(MIN_RETRY_SECONDS, state.stream_pace.mean * CAPACITY_SHARE)
+    if permit.pool.name in state.contended:
+        return _return_seconds(state, permit)
+    return max(MIN_RETURN_SECONDS, state.stream_pace.mean * CAPACITY_SHARE)
+
+
+def _return_seconds(state: GatewayState, permit: Permit) -> float:
+    """Choose when a refused caller of a contended pool should return, in seconds from now."""
+    pool, now = permit.pool.name, anyio.current_time()
+    book = state.return_books.setdefault(pool, ReturnBook())
+    ages = [now - item.opened_at for item in begun_streams(state, pool)]
+    rank = rank_of(state.priorities.get(pool, ()), permit.priority)
+    interval = place_interval(state.stream_pace.mean, ages)
+    chosen = choose_return(
+        book,
+        now,
+        rank=rank,
+        interval=interval,
+        seconds_left=permit.deadline - now,
+        rng=state.rng,
+    )
+    state.metrics.counters["return-promised" if chosen.promised else "return-too-late"] += 1
+    logger.info(
+        "return time told",
+        extra={
+            "request": permit.facts.attempt_id,
+            "pool": pool,
+            "priority": permit.priority,
+            "seconds": round(chosen.seconds, 3),
+            "promised": chosen.promised,
+            "left": round(permit.deadline - now, 3),
+            "interval": round(interval, 3),
+            "streams": len(ages),
+            "places": len(book.places),
+        },
+    )
+    return chosen.seconds
 
 
 def retry_after_no_path(state: GatewayState, permit: Permit, missing: NoPathReason | None) -> float:
@@ -43,5 +89,7 @@
     engines = state.table.pools.get(permit.pool.name, [])
     held = [item.end - item.first for engine in engines for item in engine.registration.holdings]
     if profile is None or not held or (missing is not None and missing.is_out_of_capacity):
-        return retry_after_full(state)
-    return max(MIN_RETRY_SECONDS, load_seconds(profile, sum(held) // len(held), concurrent_loads=1))
+        return retry_after_full(state, permit)
+    return max(
+        MIN_RETURN_SECONDS, load_seconds(profile, sum(held) // len(held), concurrent_loads=1)
+    )
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -23,6 +23,7 @@
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
+from ...routing.return_times import ReturnBook
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
 from ...routing.wait_queue import WaitQueue
@@ -202,6 +203,9 @@
     running_streams: dict[str, dict[int, RunningStream]] = msgspec.field(default_factory=dict)
     """Streams that this box runs, by pool and `id` of the session."""
 
+    return_books: dict[str, ReturnBook] = msgspec.field(default_factory=dict)
+    """Times at which refused callers were told to return, by contended pool."""
+
     retry_budgets: dict[str, RetryWindow] = msgspec.field(default_factory=dict)
     """Retry budgets, by pool."""
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -194,7 +194,7 @@
             raise refusal(code, session.trace.give_up_reason, missing.wait_seconds)
         if session.refusals:
             detail = f"{session.refusals} paths refused; {session.trace.give_up_reason}"
-            raise refusal(ResultCode.UPSTREAM_REFUSED, detail, retry_after_full(state))
+            raise refusal(ResultCode.UPSTREAM_REFUSED, detail, retry_after_full(state, permit))
         detail = f"no path over {permit.pool.name}; {session.trace.give_up_reason}"
         raise refusal(
             ResultCode.NO_ROUTE, detail, retry_after_no_path(state, permit, session.missing)
--- a/tests/daemons/gateway/test_retry_after.py
+++ b/tests/daemons/gateway/test_retry_after.py
@@ -5,24 +5,28 @@
 from types import SimpleNamespace
 from typing import Any
 
+import anyio
 import pytest
 
 from ledgeladder.daemons.gateway.retry_after import (
-    MIN_RETRY_SECONDS,
     retry_after_full,
     retry_after_no_path,
 )
+from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.model.registration import Holding
 from ledgeladder.routing.pace import Pace
 from ledgeladder.routing.paths import NoPathReason
+from ledgeladder.routing.return_times import MIN_RETURN_SECONDS
 
 from ...routing.sample_site import PROFILE
+from .builders import engine, gateway_state
 
 
 def state(stream_seconds: float, layers: int) -> Any:
     holdings = (Holding(first=0, end=layers),)
     engine = SimpleNamespace(registration=SimpleNamespace(holdings=holdings))
     return SimpleNamespace(
+        contended=frozenset({"other"}),
         stream_pace=Pace(mean=stream_seconds),
         table=SimpleNamespace(pools={"p": [engine, engine]}),
     )
@@ -34,7 +38,7 @@
 
 
 def test_full_engines_have_capacity_after_half_a_stream_duration() -> None:
-    assert retry_after_full(state(1.6, 8)) == pytest.approx(0.8)
+    assert retry_after_full(state(1.6, 8), PERMIT) == pytest.approx(0.8)
     assert retry_after_no_path(state(1.6, 8), PERMIT, FULL) == pytest.approx(0.8)
 
 
@@ -43,4 +47,60 @@
 
 
 def test_delay_has_a_minimum() -> None:
-    assert retry_after_full(state(0.0, 8)) == MIN_RETRY_SECONDS
+    assert retry_after_full(state(0.0, 8), PERMIT) == MIN_RETURN_SECONDS
+
+
+def contended_permit(now: float, priority: int, seconds_left: float) -> Any:
+    return SimpleNamespace(
+        facts=SimpleNamespace(attempt_id="a1"),
+        pool=SimpleNamespace(name="p", engine=PROFILE),
+        priority=priority,
+        deadline=now + seconds_left,
+    )
+
+
+def contended_state() -> GatewayState:
+    """Return a box whose streams last 2 s."""
+    box = gateway_state()
+    box.contended, box.priorities = frozenset({"p"}), {"p": (0, 3)}
+    box.stream_pace = Pace(mean=2.0)
+    return box
+
+
+def refuse(box: GatewayState, *callers: tuple[int, float]) -> list[float]:
+    """Return the delays of callers, given as priority and seconds left."""
+
+    async def run() -> list[float]:
+        now = anyio.current_time()
+        return [retry_after_full(box, contended_permit(now, *caller)) for caller in callers]
+
+    return anyio.run(run)
+
+
+def test_callers_of_a_contended_pool_are_told_different_times() -> None:
+    box = contended_state()
+    seconds = refuse(box, *[(3, 60.0)] * 8)
+    assert all(later - earlier > 0.5 for earlier, later in zip(seconds, seconds[1:], strict=False))
+    urgent = refuse(box, *[(0, 60.0)] * 4)
+    assert sorted(urgent) == urgent
+    assert urgent[-1] < seconds[-1]
+    assert box.metrics.counters["return-promised"] == 12
+
+
+def test_place_that_is_too_late_for_the_caller_is_told_but_not_taken() -> None:
+    box = contended_state()
+    assert refuse(box, (0, 0.9))[0] > 0.3
+    assert box.metrics.counters["return-too-late"] == 1
+    assert box.return_books["p"].places == []
+
+
+def test_full_engines_of_a_contended_pool_without_a_path() -> None:
+    box = contended_state()
+    box.table.pools["p"] = [engine()]
+
+    async def run() -> float:
+        permit = contended_permit(anyio.current_time(), 0, 60.0)
+        return retry_after_no_path(box, permit, FULL)
+
+    assert anyio.run(run) >= MIN_RETURN_SECONDS
+    assert len(box.return_books["p"].places) == 1
