--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -198,7 +198,7 @@
 ) -> Exception:
     """Count and log a refusal, and return it."""
     state.metrics.counters[f"admission-refused-p{permit.priority}"] += 1
-    retry_after = retry_after_full(state)
+    retry_after = retry_after_full(state, permit)
     _log(permit, decision, decided="refused", waited=waited, retry_after=retry_after)
     detail = f"no room at {permit.pool.name} for priority {permit.priority}: {decision.reason}"
     return refusal(ResultCode.OUT_OF_ROOM, detail, retry_after)
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ...routing.fleet_demand import has_totals
+from ...routing.return_times import expire_places
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
 
 if TYPE_CHECKING:
@@ -28,6 +29,9 @@
         ),
         "full_reports_dropped": float(state.full_reports.dropped),
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
+        "return_places": float(
+            sum(expire_places(book, now) for book in state.return_books.values())
+        ),
     }
     return [
         *counter_lines(metrics.counters),
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -27,6 +27,7 @@
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
+from ...routing.return_times import ReturnBook
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
 from ...routing.wait_queue import WaitQueue
@@ -39,6 +40,7 @@
     from ...routing.pool_room import PoolRoom
     from ...settings import GatewaySettings
     from ..peers import Peers
+    from .running_streams import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
 """Share of the revocation bound during which a confirmed document may be used. The rest covers the
@@ -91,6 +93,9 @@
     pool: str
     """Pool whose retries are requested."""
 
+    started: bool
+    """Whether they are for streams that have begun."""
+
     requested_at: float
     """Monotonic time of the first request."""
 
@@ -236,17 +241,27 @@
     demand: FleetDemand = msgspec.field(default_factory=FleetDemand)
     """Demand for pools at this box and at all entry boxes."""
 
+    running_streams: dict[str, dict[int, RunningStream]] = msgspec.field(default_factory=dict)
+    """Streams that this box runs, by pool and `id` of the session."""
+
+    return_books: dict[str, ReturnBook] = msgspec.field(default_factory=dict)
+    """Times at which refused callers were told to return, by contended pool."""
+
     retry_budgets: dict[str, RetryWindow] = msgspec.field(default_factory=dict)
     """Retry budgets, by pool."""
 
-    batched_quota_requests: dict[str, PendingQuotaRequest] = msgspec.field(default_factory=dict)
-    """Requests for retry quota that still collect demand before being sent, by pool."""
+    batched_quota_requests: dict[tuple[str, bool], PendingQuotaRequest] = msgspec.field(
+        default_factory=dict
+    )
+    """Requests for retry quota that still collect demand before being sent, by pool and whether
+    they are for begun streams."""
 
     pending_quota_requests: dict[int, PendingQuotaRequest] = msgspec.field(default_factory=dict)
     """Sent requests for retry quota, by the id of their latest request."""
 
-    quota_denied_until: dict[str, float] = msgspec.field(default_factory=dict)
-    """Monotonic time until which no retry quota is requested after a denial, by pool."""
+    quota_denied_until: dict[tuple[str, bool], float] = msgspec.field(default_factory=dict)
+    """Monotonic time until which no retry quota is requested after a denial, by pool and whether it
+    would be for begun streams."""
 
     next_quota_call: int = 1
     """Id of the next request for retry quota."""
--- a/src/ledgeladder/daemons/gateway/stream_replacement.py
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -57,7 +57,9 @@
     if not has_other_path(state, permit, session, path):
         return False
     if session.reserved_retry is None:
-        session.reserved_retry = await acquire_retry(state, permit.pool.name)
+        session.reserved_retry = await acquire_retry(
+            state, permit.pool.name, started=session.has_begun
+        )
     if session.reserved_retry is None:
         return False
     state.metrics.counters["attempt-replaced"] += 1
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ...routing.repeat_loans import kept_quota
 from ..metrics_page import counter_lines, gauge_lines
 from .demand_totals import demand_gauges
 
@@ -18,6 +19,7 @@
 def metrics_lines(state: RegistryState, counters: Counter[str]) -> list[str]:
     """Return the lines of the metrics page with all counters and gauges."""
     replica = state.node.replica
+    now = anyio.current_time()
     gauges = {
         "document_version": float(state.node.state.published.version),
         "log_term": float(replica.term),
@@ -33,6 +35,7 @@
             state.notices.to_controls.dropped + state.notices.to_entries.dropped
         ),
         "demand_reports": float(len(state.demands)),
+        "retry_quota_kept": sum(kept_quota(item, now) for item in state.quota_ledgers.values()),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
     gauges.update(demand_gauges(state, anyio.current_time()))
