Reports: who got the room, by priority, client account, failure domain and time

Cause: under load the logs told outcomes only as a whole; nobody saw that one priority or one client account paid for the others. Streams over engines now carry their priority in the request line, which also tells them from plain requests; the report adds them up, with the lines of admission, of full engines and of requested retries. Weighed: quantiles by client account (a histogram each for thousands), priority on all requests (plain ones would be counted as streams).

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -73,13 +73,17 @@
     exchange: Exchange,
     trace: RequestTrace,
 ) -> None:
-    needs_path = permit.pool.engine is not None and permit.route.kind is RequestKind.STREAM
-    if needs_path:
+    if _needs_path(permit):
         await forward_stream(state, permit, request, exchange, trace)
     else:
         await forward_plain(state, permit, request, exchange, trace)
 
 
+def _needs_path(permit: Permit) -> bool:
+    """Return True for streams over a path of engines."""
+    return permit.pool.engine is not None and permit.route.kind is RequestKind.STREAM
+
+
 def _log_request(
     state: GatewayState,
     request: HttpRequest,
@@ -102,6 +106,8 @@
         extra["route"] = permit.route.name
         extra["pool"] = permit.pool.name
         extra["account"] = permit.account
+        if _needs_path(permit):
+            extra["priority"] = permit.priority
     level = logging.INFO if outcome in ("answered", CALLER_DISCONNECTED) else logging.WARNING
     logger.log(level, "request", extra=extra)
 
--- a/src/ledgeladder/reports/log_report.py
+++ b/src/ledgeladder/reports/log_report.py
@@ -8,24 +8,14 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from .bounds import MAX_BUCKETS, MAX_NAMES, MAX_ROWS, new_histogram, record_seconds
+from .load_report import LoadReport, add_admission, add_load_line
+from .load_tables import format_load
 from .tables import format_table
 
 if TYPE_CHECKING:
     from .log_lines import LogLine, ReadCounts
 
-MAX_BUCKETS: Final = 2000
-"""Maximum number of time buckets, which bounds memory if a clock jumps. Lines outside are only
-counted."""
-
-MAX_NAMES: Final = 500
-"""Maximum number of upstreams in one table; further ones are summed as `others`."""
-
-MAX_ROWS: Final = 20
-"""Maximum number of rows in tables that are sorted by frequency."""
-
-MAX_MICROSECONDS: Final = 60_000_000
-"""Maximum value of histograms; longer times are recorded as this."""
-
 STATE_CHANGE_MESSAGES: Final = {
     "engine does not answer": "engine dead",
     "engine works slowly": "engine slow",
@@ -39,10 +29,6 @@
 """Messages that log a change of state as seen by a box, with their column headers."""
 
 
-def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(100, MAX_MICROSECONDS, 2)
-
-
 class PathStats(msgspec.Struct, kw_only=True):
     """Statistics of streams with the same number of inter-domain hops on their paths."""
 
@@ -55,10 +41,10 @@
     engines: int = 0
     """Total number of engines on the paths of completed streams."""
 
-    first_event_times: HdrHistogram = msgspec.field(default_factory=_new_histogram)
+    first_event_times: HdrHistogram = msgspec.field(default_factory=new_histogram)
     """Times to the first event, in microseconds."""
 
-    longest_gaps: HdrHistogram = msgspec.field(default_factory=_new_histogram)
+    longest_gaps: HdrHistogram = msgspec.field(default_factory=new_histogram)
     """Longest gap between events of each stream, in microseconds."""
 
 
@@ -92,28 +78,39 @@
     attempt_ends: Counter[str] = msgspec.field(default_factory=Counter)
     """Stream attempts that did not complete, by result."""
 
+    load: LoadReport = msgspec.field(default_factory=LoadReport)
+    """Streams and admission by priority, client account and failure domain."""
+
     overflow: int = 0
     """Lines outside of the buckets."""
 
 
 def add_line(report: LogReport, line: LogLine) -> None:
     """Add a line to the report; ignore lines that no table uses."""
+    add_load_line(report.load, line)
     if line.message == "request":
         _add_request(report, line)
     elif line.message == "run ended early":
         _add_attempt(report, line.fields)
     elif line.message == "sent under a limit":
         _add_rate_limited(report, line)
+    elif line.message == "admission":
+        report.overflow += not add_admission(report.load, line.fields, _bucket(report, line.at))
     elif line.message in STATE_CHANGE_MESSAGES:
         _count(report, report.state_changes, line.at, STATE_CHANGE_MESSAGES[line.message])
 
 
+def _bucket(report: LogReport, at: float) -> int:
+    """Return the index of the time bucket; the first line starts the first bucket."""
+    if report.started_at is None:
+        report.started_at = at - at % report.bucket_seconds
+    return int((at - report.started_at) // report.bucket_seconds)
+
+
 def _count(
     report: LogReport, buckets: dict[int, Counter[str]], at: float, name: str, count: int = 1
 ) -> None:
-    if report.started_at is None:
-        report.started_at = at - at % report.bucket_seconds
-    index = int((at - report.started_at) // report.bucket_seconds)
+    index = _bucket(report, at)
     if index not in buckets and len(buckets) >= MAX_BUCKETS:
         report.overflow += 1
         return
@@ -132,13 +129,8 @@
         return
     stats.streams += 1
     stats.engines += len(_as_list(line.fields.get("path")))
-    _record_seconds(stats.first_event_times, line.fields.get("first_event"))
-    _record_seconds(stats.longest_gaps, line.fields.get("longest_gap"))
-
-
-def _record_seconds(histogram: HdrHistogram, seconds: Any) -> None:
-    if isinstance(seconds, int | float):
-        histogram.record_value(min(max(int(seconds * 1e6), 100), MAX_MICROSECONDS))
+    record_seconds(stats.first_event_times, line.fields.get("first_event"))
+    record_seconds(stats.longest_gaps, line.fields.get("longest_gap"))
 
 
 def _add_attempt(report: LogReport, fields: dict[str, Any]) -> None:
@@ -196,6 +188,7 @@
             ["upstream", "box", "requests"],
             [(*key, count) for key, count in report.rate_limited_by_box.most_common(MAX_ROWS)],
         ),
+        *format_load(report.load, report.bucket_seconds),
     ]
     return [line for section in sections for line in [*section, ""]][:-1]
 
--- a/tests/daemons/gateway/test_app.py
+++ b/tests/daemons/gateway/test_app.py
@@ -10,6 +10,7 @@
 
 from ledgeladder.daemons.gateway import app
 from ledgeladder.http1 import HttpRequest
+from ledgeladder.model.traffic import RequestKind
 
 from .builders import gateway_state
 
@@ -42,3 +43,45 @@
         anyio.run(run)
     lines = [record for record in caplog.records if record.message == "request"]
     assert [line.outcome for line in lines] == [outcome]  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("kind", "has_engine", "priority"),
+    [
+        (RequestKind.STREAM, True, 2),
+        (RequestKind.STREAM, False, None),
+        (RequestKind.REPEATABLE, True, None),
+    ],
+)
+def test_only_streams_over_engines_are_logged_with_their_priority(
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    kind: RequestKind,
+    has_engine: bool,
+    priority: int | None,
+) -> None:
+    """Reports tell by it whose streams were served, and leave other requests out."""
+    permit = SimpleNamespace(
+        route=SimpleNamespace(name="draft", kind=kind),
+        pool=SimpleNamespace(name="p", engine=object() if has_engine else None),
+        account="acme",
+        priority=2,
+    )
+
+    async def forward(*_: object) -> None:
+        pass
+
+    monkeypatch.setattr(app, "permit_request", lambda *_: permit)
+    monkeypatch.setattr(app, "refuse_quarantined", lambda *_: None)
+    monkeypatch.setattr(app, "_forward", forward)
+    request = HttpRequest(method=b"POST", target=b"/x", headers=[], fields={})
+    exchange = SimpleNamespace(complete=True)
+
+    async def run() -> None:
+        await app.build_caller_site(gateway_state()).handler(request, exchange)
+
+    with caplog.at_level(logging.INFO):
+        anyio.run(run)
+    (line,) = [record for record in caplog.records if record.message == "request"]
+    assert getattr(line, "priority", None) == priority
+    assert line.account == "acme"  # type: ignore[attr-defined]
--- a/tests/reports/test_log_report.py
+++ b/tests/reports/test_log_report.py
@@ -16,7 +16,7 @@
     format_report,
     format_timeline,
 )
-from ledgeladder.reports.log_report import MAX_BUCKETS, MAX_NAMES
+from ledgeladder.reports.bounds import MAX_BUCKETS, MAX_NAMES
 from ledgeladder.reports.request_course import MAX_LINES
 
 
