Metrics: demand for pools by priority, and its age

Cause: whether admission decides by a recent view could be read from refusals alone. Weighed: accounts as labels (not bounded). Tests: own demand without totals; bound and escaped labels.

--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
+from .demand_gauges import demand_gauges
 
 if TYPE_CHECKING:
     from .state import GatewayState
@@ -32,4 +33,5 @@
         *histogram_lines("first_event", metrics.first_event),
         *histogram_lines("event_gap", metrics.gap),
         *gauge_lines(gauges),
+        *gauge_lines(demand_gauges(state, now)),
     ]
--- /dev/null
+++ b/tests/daemons/gateway/test_metrics.py
@@ -0,0 +1,52 @@
+"""Metrics page of a gateway: demand for pools by priority."""
+
+from __future__ import annotations
+
+import anyio
+
+from ledgeladder.daemons.gateway.demand_gauges import MAX_SERIES, demand_gauges
+from ledgeladder.daemons.gateway.metrics import metrics_lines
+from ledgeladder.model.demand import ClassDemand, PoolDemand
+from ledgeladder.routing.fleet_demand import apply_totals, record_asked
+
+from .builders import gateway_state
+
+
+def test_page_shows_demand_by_pool_and_priority_before_any_totals() -> None:
+    """A box that is cut off from control boxes shows its own demand, and no age."""
+
+    async def run() -> list[str]:
+        state = gateway_state()
+        state.contended = frozenset({"p"})
+        now = anyio.current_time()
+        for pool in ("p", "other"):
+            record_asked(state.demand, pool=pool, priority=2, account="acme", tokens=600.0, now=now)
+        return metrics_lines(state)
+
+    lines = anyio.run(run)
+    names = [item.rpartition(" ")[0] for item in lines if item.startswith("ledgeladder_demand")]
+    labels = '{pool="p",priority="2"}'
+    assert names == [
+        f"ledgeladder_demand_asked_per_second{labels}",
+        f"ledgeladder_demand_admitted_per_second{labels}",
+        f"ledgeladder_demand_tokens_per_second{labels}",
+        "ledgeladder_demand_series_left_out",
+    ]
+
+
+def test_demand_gauges_are_bounded_and_labels_escaped() -> None:
+    """Neither the document nor other boxes make the page grow without bound."""
+
+    async def run() -> dict[str, float]:
+        state = gateway_state()
+        pools = [f'p"{number}' for number in range(10)]
+        state.contended = frozenset(pools)
+        classes = {priority: ClassDemand(asked=1.0) for priority in range(MAX_SERIES)}
+        apply_totals(state.demand, {pool: PoolDemand(classes=classes) for pool in pools}, 5.0)
+        return demand_gauges(state, 5.5)
+
+    gauges = anyio.run(run)
+    assert gauges["demand_age_seconds"] == 0.5
+    assert gauges["demand_series_left_out"] == 9 * MAX_SERIES
+    assert len(gauges) == 3 * MAX_SERIES + 2
+    assert gauges['demand_asked_per_second{pool="p\\"0",priority="0"}'] == 1.0
