Stand-ins: engines with a bounded number of streams, fleets with another document

Cause: the stand-in engine took any number of streams, so that no run of real processes was ever short of room. Without it nothing changes. Weighed: counting streams of later engines of a path as well; the stand-in learns of them by a connection only, and the gateways count them already.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -115,6 +115,9 @@
     version: int = 0
     """Newest version that `publish_next` published."""
 
+    document: Callable[[int], dict[str, Any]] = field(default_factory=lambda: example_document)
+    """Returns the document of a version."""
+
     client: httpx.Client = field(
         default_factory=lambda: httpx.Client(timeout=10.0, trust_env=False)
     )
@@ -284,7 +287,7 @@
     def publish_next(self, **changes: Any) -> dict[str, Any]:
         """Publish the example document with changes as the next version, until it is accepted."""
         self.version += 1
-        document = example_document(self.version) | changes
+        document = self.document(self.version) | changes
 
         def accepted() -> bool:
             numbers = range(self.registries)
@@ -405,6 +408,7 @@
         options: Fields of `DiscoveredFleet`, and also: `engines` (6) and `services` (3), the
             numbers of upstreams; `fail_share`, the share of plain requests that services fail;
             `crash_word`, a word in a request's body that crashes the upstream that executes it;
+            `engine_slots`, the streams that an engine runs at once (0: without a bound);
             `keep_ids`, True if upstreams keep their instance ids over restarts.
 
     Yields:
@@ -415,6 +419,7 @@
     fail_share = options.pop("fail_share", 0.0)
     crash_word = options.pop("crash_word", "")
     keep_ids = options.pop("keep_ids", False)
+    engine_slots = options.pop("engine_slots", 0)
     with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
         fleet = DiscoveredFleet(folder=Path(folder), **options)
         try:
@@ -425,7 +430,12 @@
             for number in range(engines):
                 instance = f"e-{number}" if keep_ids else ""
                 fleet.add_upstream(
-                    number, "engines", "big", crash_word=crash_word, instance=instance
+                    number,
+                    "engines",
+                    "big",
+                    crash_word=crash_word,
+                    instance=instance,
+                    slots=engine_slots,
                 )
             for number in range(services):
                 instance = f"s-{number}" if keep_ids else ""
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -41,6 +41,9 @@
 CRASH_SECONDS = 0.05
 """Time from the start of a request to the crash that it causes."""
 
+UNBOUNDED_SLOTS = 8
+"""Slots in heartbeats and responses of an upstream without a bound."""
+
 DRAIN_SECONDS = 2.5
 """Time between the announcement of a planned exit and the exit."""
 
@@ -113,6 +116,13 @@
     in_progress: int = 0
     """Plain requests in progress."""
 
+    slots: int = 0
+    """Streams that it runs at once as the first engine of their path; further ones are refused as
+    not run. 0 for no bound."""
+
+    streams: int = 0
+    """Streams in progress as the first engine of their path."""
+
     def record(self, event: str, **facts: Any) -> None:
         """Append an event to the ledger."""
         line = {"event": event, "upstream": self.instance, "at": time.time(), **facts}
@@ -136,7 +146,7 @@
         "address": upstream.address,
         "zone": upstream.zone,
         "version": "v1",
-        "slots": 8,
+        "slots": upstream.slots or UNBOUNDED_SLOTS,
         "state": upstream.state,
         "coldRemainingMs": 0,
         "sequence": upstream.sequence,
@@ -171,6 +181,13 @@
         await anyio.sleep(HEARTBEAT_SECONDS)
 
 
+def load_header(upstream: StandIn) -> bytes:
+    """Return the load in responses; streams count only if their number is bounded."""
+    if upstream.slots:
+        return f"{upstream.in_progress + upstream.streams},0,{upstream.slots}".encode()
+    return f"{upstream.in_progress},0,{UNBOUNDED_SLOTS}".encode()
+
+
 def response_headers(upstream: StandIn, request: HttpRequest) -> list[tuple[bytes, bytes]]:
     """Return the header fields of a response to an executed request."""
     attempt = request.fields.get(b"attempt-id", b"")
@@ -180,7 +197,7 @@
     return [
         (b"Attempt-Id", attempt),
         (b"Replica-Seal", f"{upstream.instance}.{attempt.decode()}".encode()),
-        (b"Replica-Load", f"{upstream.in_progress},0,8".encode()),
+        (b"Replica-Load", load_header(upstream)),
         *draining,
         *rate_limit,
     ]
@@ -243,8 +260,7 @@
 async def answer_stream(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
     """Stream a generation as the first engine of its path.
 
-    Refuses a path with layers that this engine does not hold. Once another engine of the path is
-    lost, the stream stalls for `STALL_SECONDS` and breaks off.
+    Refuses a path with layers that this engine does not hold, and any while all slots are used.
     """
     stages = parse_path(request.fields.get(b"path", b"").decode())
     own = next((stage for stage in stages if stage[0] == upstream.address), None)
@@ -252,6 +268,29 @@
     if own is None or held is None or own[1] < held[0] or own[2] > held[1]:
         await exchange.answer(421, [(b"At-Server", upstream.address.encode())], b"")
         return
+    if upstream.slots and upstream.streams >= upstream.slots:
+        attempt = request.fields.get(b"attempt-id", b"")
+        upstream.record("full", id=attempt.decode())
+        headers = [(b"Attempt-Id", attempt), (b"Not-Executed", b"1")]
+        await exchange.answer(503, [*headers, (b"Replica-Load", load_header(upstream))], b"")
+        return
+    upstream.streams += 1
+    try:
+        await run_stream(upstream, request, exchange, stages)
+    finally:
+        upstream.streams -= 1
+
+
+async def run_stream(
+    upstream: StandIn,
+    request: HttpRequest,
+    exchange: Exchange,
+    stages: list[tuple[str, int, int]],
+) -> None:
+    """Execute a stream.
+
+    Once another engine of the path is lost, the stream stalls for `STALL_SECONDS` and breaks off.
+    """
     record_run(upstream, request)
     token_count = int(request.fields.get(b"token-count", b"10,10").partition(b",")[2])
     last_event = int(request.fields.get(b"last-event-id", b"-1"))
@@ -397,6 +436,7 @@
     parser.add_argument("--fail-share", type=float, default=0.0)
     parser.add_argument("--crash-word", default="")
     parser.add_argument("--mood", type=Path)
+    parser.add_argument("--slots", type=int, default=0)
     parser.add_argument("--instance", default="")
     values = vars(parser.parse_args())
     if values["instance"]:
