Soak: bursts of one priority or client account, and who gets the room

Cause: the soak had one priority and one account, and load never exceeded room. Three routes of different priorities and three client accounts share engines of four streams each; bursts multiply one priority or account, from a random source of their own, so that the faults of earlier seeds stay as they were. Checked: times to come back, deadlines, shares, no run behind a refusal by admission, no such refusal when faults and bursts are over. Weighed: counting each refused request as asked for in the shares; while no engine runs anything, or at a gateway that is not ready, nobody is served whatever admission decides, so those are left out.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -2,9 +2,9 @@
 
 Run as `python -m standins.soak --seeds 50 --seconds 20`. Processes are stopped, paused and killed,
 and registries lose their data. A proxy delays, resets and drops connections to upstreams. Upstreams
-announce back-off and rate limits, and documents are published. Callers keep their connections until
-the process exits. The guarantees are checked against the responses of callers and the ledgers of
-upstreams.
+announce back-off and rate limits, and documents are published. Bursts of one priority or client
+account take the room of the engines. Callers keep their connections until the process exits. The
+guarantees are checked against the responses of callers and the ledgers of upstreams.
 """
 
 from __future__ import annotations
@@ -29,16 +29,36 @@
     LAYERS,
     SECOND_KEY,
     DiscoveredFleet,
-    example_document,
     running_discovered_fleet,
     wait_until,
 )
 from .fault_proxy import CUT, NO_FAULT, Fault, FaultProxy
 from .registered_upstream import parse_path
+from .shared_room import (
+    ACCOUNTS,
+    BURSTS,
+    DEADLINE_SECONDS,
+    ENGINE_SLOTS,
+    STREAM_PRIORITIES,
+    Pause,
+    check_shared_room,
+    check_shares,
+    choose_request,
+    new_pause,
+    refused_by_admission,
+    shared_room_document,
+)
 
 CALLER_THREADS = 5
 """Number of threads that each send one request after another."""
 
+BURST_THREADS = 15
+"""Number of threads that send the requests of a burst: with the others, more than the engines that
+hold the first layers have slots."""
+
+QUIET_SECONDS = 2.0
+"""Time after the faults in which ordinary callers send and admission must refuse none of them."""
+
 STREAM_EVENTS = 25
 """Events of a complete stream."""
 
@@ -80,12 +100,24 @@
     body: bytes
     """Request body."""
 
+    gateway: int = 0
+    """Number of the gateway."""
+
+    ended_at: float = 0.0
+    """Time at which the response ended or the connection was lost; 0 while in progress."""
+
+    retry_after: float = 0.0
+    """Time to come back that the response names, in seconds; 0 if it names none."""
+
     status: int = 0
     """Response status, or 0 if no response head arrived."""
 
     text: bytes = b""
     """Received part of the response body."""
 
+    code: int = 0
+    """Result code of a refusal, or 0."""
+
     complete: bool = False
     """True if the response ended regularly."""
 
@@ -139,6 +171,9 @@
     planned_exit_codes: list[int] = field(default_factory=list)
     """Exit codes of gateways that were stopped by SIGTERM and not killed meanwhile."""
 
+    pauses: list[Pause] = field(default_factory=list)
+    """Periods in which processes were stopped."""
+
     killed_pids: set[int] = field(default_factory=set)
     """Process ids of killed processes."""
 
@@ -155,52 +190,121 @@
     return b"".join(b"id: %d\ndata: token-%d\n\n" % (number, number) for number in range(count))
 
 
-def run_caller(soak: Soak, number: int, seed: int) -> None:
-    """Send requests on kept connections until the run stops."""
+def run_caller(
+    soak: Soak,
+    name: str,
+    seed: float | str,
+    stopping: threading.Event,
+    choose: Callable[[random.Random], tuple[str, str]] = choose_request,
+) -> None:
+    """Send requests on kept connections until stopped.
+
+    Args:
+        soak: State of the run.
+        name: Name of the caller, which starts the ids of its requests.
+        seed: Random seed.
+        stopping: Stops the caller.
+        choose: Returns the route and the key of a request.
+    """
     rng = random.Random(seed)
     with httpx.Client(timeout=12.0, trust_env=False) as client:
         count = 0
-        while not soak.stopping.is_set():
+        while not stopping.is_set():
             count += 1
+            route, key = choose(rng)
             call = Call(
-                id=f"{number}-{count}",
-                route=rng.choice(("draft", "draft", "status", "preview")),
-                key=rng.choice((KEY, KEY, SECOND_KEY)),
+                id=f"{name}-{count}",
+                route=route,
+                key=key,
                 sent_at=time.time(),
-                body=b"body-%d-%d" % (number, count),
+                body=f"body-{name}-{count}".encode(),
+                gateway=rng.randrange(soak.fleet.gateways),
             )
             soak.calls.append(call)
-            send_call(soak, client, call, rng.randrange(soak.fleet.gateways))
+            send_call(soak, client, call)
             time.sleep(rng.random() * 0.1)
 
 
-def send_call(soak: Soak, client: httpx.Client, call: Call, gateway: int) -> None:
+def send_call(soak: Soak, client: httpx.Client, call: Call) -> None:
     """Send one request and record its response."""
     headers = {
         "Host": HOST,
         "Attempt-Id": call.id,
-        "Deadline-Ms": "7000",
+        "Deadline-Ms": f"{DEADLINE_SECONDS * 1000:.0f}",
         "Authorization": f"Token {call.key}",
     }
-    if call.route == "draft":
+    if call.route in STREAM_PRIORITIES:
         headers["Token-Count"] = f"10,{STREAM_EVENTS}"
-    url = f"http://{soak.fleet.caller_address(gateway)}/{call.route}/x"
+    url = f"http://{soak.fleet.caller_address(call.gateway)}/{call.route}/x"
     try:
         with client.stream("POST", url, headers=headers, content=call.body) as answer:
             call.status = answer.status_code
+            call.code = int(answer.headers.get("ledgeladder-code", 0))
+            call.retry_after = float(answer.headers.get("retry-after", 0))
             for part in answer.iter_bytes():
                 call.text += part
         call.complete = True
     except httpx.HTTPError:
         return
+    finally:
+        call.ended_at = time.time()
+
+
+def run_callers(soak: Soak, names: list[str], seeds: list[Any], **options: Any) -> None:
+    """Run callers on threads until they are stopped; the options are those of `run_caller`."""
+    threads = [
+        threading.Thread(target=run_caller, args=(soak, name, seed), kwargs=options)
+        for name, seed in zip(names, seeds, strict=True)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def send_bursts(soak: Soak, rng: random.Random) -> None:
+    """Multiply the requests of a random priority or account at random times until the run stops.
+
+    Takes a separate random source, as back-pressure does.
+    """
+    number = 0
+    while not soak.stopping.wait(rng.uniform(1.0, 3.0)):
+        number += 1
+        routes, keys = rng.choice(BURSTS)
+        soak.faults.append(f"burst {'/'.join(routes)}")
+        stopping = threading.Event()
+        run_later(soak, rng.uniform(1.0, 3.0), stopping.set)
+        run_callers(
+            soak,
+            [f"burst-{number}-{item}" for item in range(BURST_THREADS)],
+            [rng.random() for _ in range(BURST_THREADS)],
+            stopping=stopping,
+            choose=lambda rng: (rng.choice(routes), rng.choice(keys)),  # noqa: B023
+        )
+
+
+def check_quiet(soak: Soak) -> list[str]:
+    """Send ordinary requests without faults; returns violations if admission refuses any."""
+    known = admission_refusals(soak)
+    stopping = threading.Event()
+    threading.Timer(QUIET_SECONDS, stopping.set).start()
+    names = [f"quiet-{number}" for number in range(CALLER_THREADS)]
+    run_callers(soak, names, list(names), stopping=stopping)
+    refused = admission_refusals(soak) - known
+    return [f"refused by admission without burst or fault: {item}" for item in sorted(refused)]
+
+
+def admission_refusals(soak: Soak) -> set[str]:
+    """Return the ids of requests that the admission of any gateway refused."""
+    numbers = range(soak.fleet.gateways)
+    logs = [soak.fleet.log(f"gateway-{number}") for number in numbers]
+    return {item for log in logs for item in refused_by_admission(log)}
 
 
 def publish(soak: Soak, *, with_second_key: bool) -> None:
     """Publish the next document at a random registry; a lost response is no acknowledgement."""
     soak.sent_version += 1
-    keys = [KEY, SECOND_KEY] if with_second_key else [KEY]
-    tenants = [{"name": "designers", "apiKeys": keys, "priority": 1}]
-    document = example_document(soak.sent_version) | {"tenants": tenants}
+    document = shared_room_document(soak.sent_version, with_second_key=with_second_key)
     number = soak.rng.randrange(soak.fleet.registries)
     try:
         with httpx.Client(timeout=4.0, trust_env=False) as client:
@@ -249,6 +353,7 @@
             run_later(soak, pause, lambda: fleet.restart(victim))
         case "pause":
             fleet.signal(victim, signal.SIGSTOP)
+            soak.pauses.append(new_pause(victim, pause))
             run_later(soak, pause, lambda: fleet.signal(victim, signal.SIGCONT))
         case "stop":
             stop_gateway(soak, gateway)
@@ -341,12 +446,19 @@
     with httpx.Client(timeout=8.0, trust_env=False) as client:
 
         def served(gateway: int, route: str) -> bool:
-            call = Call(id=f"end-{time.time()}", route=route, key=KEY, sent_at=0.0, body=b"x")
-            send_call(soak, client, call, gateway)
+            call = Call(
+                id=f"end-{time.time()}",
+                route=route,
+                key=KEY,
+                sent_at=0.0,
+                body=b"x",
+                gateway=gateway,
+            )
+            send_call(soak, client, call)
             return call.complete and call.status == 200
 
         for gateway in range(fleet.gateways):
-            for route in ("draft", "status", "preview"):
+            for route in (*STREAM_PRIORITIES, "status", "preview"):
                 try:
                     what = f"{route} at gateway-{gateway}"
                     wait_until(lambda: served(gateway, route), RECOVERY_SECONDS, what)  # noqa: B023
@@ -359,6 +471,7 @@
     """Return all violated guarantees."""
     runs = soak.fleet.ledger()
     violations = [*check_runs(soak, runs), *check_responses(soak, runs), *check_documents(soak)]
+    violations += check_shared_room(soak.calls, runs, soak.pauses, admission_refusals(soak))
     for limit in soak.limits:
         violations += check_limit(soak, limit, runs)
     if soak.fleet.ledger("over-limit"):
@@ -380,7 +493,7 @@
             if not run["id"].startswith("end-"):
                 violations.append(f"run of an id that nobody sent: {run['id']}")
             continue
-        if run["tenant"] != "designers" or run["key"]:
+        if run["tenant"] != ACCOUNTS[call.key] or run["key"]:
             violations.append(f"account or key wrong: {run['id']}")
         if run["body"].encode() != call.body:
             violations.append(f"body changed: {run['id']}")
@@ -445,7 +558,7 @@
             continue
         if call.id not in executed:
             violations.append(f"answered and not run: {call.id}")
-        if call.route == "draft":
+        if call.route in STREAM_PRIORITIES:
             right = call.text == expected if call.complete else expected.startswith(call.text)
             if not right:
                 violations.append(f"stream not its own: {call.id} {call.text[-60:]!r}")
@@ -475,14 +588,23 @@
 def run_seed(seed: int, seconds: float) -> list[str]:
     """Run one seed; returns the violated guarantees and prints a summary."""
     rng = random.Random(seed)
-    with running_discovered_fleet(proxy=FaultProxy(), revocation_ms=REVOCATION_MS) as fleet:
+    with running_discovered_fleet(
+        proxy=FaultProxy(),
+        revocation_ms=REVOCATION_MS,
+        document=shared_room_document,
+        engine_slots=ENGINE_SLOTS,
+    ) as fleet:
         soak = Soak(fleet=fleet, rng=rng, seconds=seconds, acknowledged_version=1)
         threads = [
-            threading.Thread(target=run_caller, args=(soak, number, rng.random()))
+            threading.Thread(
+                target=run_caller, args=(soak, str(number), rng.random(), soak.stopping)
+            )
             for number in range(CALLER_THREADS)
         ]
         backpressure_rng = random.Random(f"wishes of {seed}")
         threads.append(threading.Thread(target=apply_backpressure, args=(soak, backpressure_rng)))
+        burst_rng = random.Random(f"bursts of {seed}")
+        threads.append(threading.Thread(target=send_bursts, args=(soak, burst_rng)))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
@@ -493,9 +615,16 @@
         for thread in threads:
             thread.join()
         time.sleep(0.5)
-        violations = [*recover(soak), *check_guarantees(soak)]
+        # Without the quiet time, in which there is room for all.
+        violations = check_shares(soak.calls)
+        violations += recover(soak) or check_quiet(soak)
+        violations += check_guarantees(soak)
         statuses = Counter(call.status for call in soak.calls)
-        print(f"seed {seed}: {len(soak.calls)} calls {dict(statuses)}, {len(violations)} broken")
+        found_full, refused = len(fleet.ledger("full")), len(admission_refusals(soak))
+        print(
+            f"seed {seed}: {len(soak.calls)} calls {dict(statuses)}, {found_full} at full engines, "
+            f"{refused} refused by admission, {len(violations)} broken"
+        )
         if violations:
             print("  faults: " + ", ".join(soak.faults))
             for name in fleet.boxes:
