--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -9,6 +9,7 @@
 from ...routing.fleet_demand import has_totals
 from ...routing.return_times import expire_places
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
+from .demand_gauges import demand_gauges
 
 if TYPE_CHECKING:
     from .state import GatewayState
@@ -39,4 +40,5 @@
         *histogram_lines("first_event", metrics.first_event),
         *histogram_lines("event_gap", metrics.gap),
         *gauge_lines(gauges),
+        *gauge_lines(demand_gauges(state, now)),
     ]
