--- a/tests/daemons/gateway/test_metrics.py
+++ b/tests/daemons/gateway/test_metrics.py
@@ -42,7 +42,7 @@
         pools = [f'p"{number}' for number in range(10)]
         state.contended = frozenset(pools)
         classes = {priority: ClassDemand(asked=1.0) for priority in range(MAX_SERIES)}
-        apply_totals(state.demand, {pool: PoolDemand(classes=classes) for pool in pools}, 5.0)
+        apply_totals(state.demand, {pool: PoolDemand(classes=classes) for pool in pools}, 1, 5.0)
         return demand_gauges(state, 5.5)
 
     gauges = anyio.run(run)
