--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -8,6 +8,7 @@
 
 from ...routing.repeat_loans import kept_quota
 from ..metrics_page import counter_lines, gauge_lines
+from .demand_totals import demand_gauges
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -31,6 +32,8 @@
         "entry_links": float(len(state.entry_links)),
         "control_links": float(len(state.peers.links)),
         "retry_quota_kept": sum(kept_quota(item, now) for item in state.quota_ledgers.values()),
+        "demand_reports": float(len(state.demands)),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
+    gauges.update(demand_gauges(state, anyio.current_time()))
     return [*counter_lines(counters), *gauge_lines(gauges)]
