--- a/tests/daemons/registry/test_demand_totals.py
+++ b/tests/daemons/registry/test_demand_totals.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from ledgeladder.daemons.registry import demand_totals
+from ledgeladder.daemons.registry import demand_totals, peer_links
 from ledgeladder.daemons.registry.demand_totals import (
     broadcast_demand,
     build_demand_share,
@@ -346,6 +346,23 @@
     assert demand_gauges(state, EXPIRED) == {}
 
 
+def test_reports_are_taken_from_entry_boxes_and_shares_from_control_boxes() -> None:
+    """An entry box that sent a share could claim the demand of others."""
+    sums, link = DemandShare(domains={"a": report(7.0).pools}, entries=3), Recorder("b")
+    for is_control in (False, True):
+        state: Any = control()
+
+        async def handle(state: Any = state, is_control: bool = is_control) -> None:
+            for message in (report(5.0), sums):
+                peer_links._handle_message(
+                    state, None, link, message, is_control=is_control  # type: ignore[arg-type]
+                )
+
+        anyio.run(handle)
+        assert len(state.demands) == (0 if is_control else 1)
+        assert len(state.demand_shares) == (1 if is_control else 0)
+
+
 class EarlierHint(msgspec.Struct, frozen=True, kw_only=True, tag="peers", array_like=True):
     """`PeerHint` as an earlier version knows it."""
 
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -8,10 +8,10 @@
 import anyio
 
 from ledgeladder.daemons import peers as peers_module
-from ledgeladder.daemons.peers import Peers, add_peers, primary_of, run_peers
+from ledgeladder.daemons.peers import Peers, add_peers, primary_of, record_hint, run_peers
 from ledgeladder.daemons.reloading import SeedList
 from ledgeladder.links import Link, LinkIdentity
-from ledgeladder.links.messages import PeerRole
+from ledgeladder.links.messages import PeerHint, PeerRole
 
 IDENTITY = LinkIdentity(
     cluster="c",
@@ -112,3 +112,21 @@
     """The established links may all lead to boxes that are partitioned from the leader."""
     peers = entry_peers(monkeypatch, reachable=set(CONTROLS), stale=True)
     assert run_until_settled(peers) == set(CONTROLS)
+
+
+def test_control_box_reads_demand_only_as_its_newest_hint_says() -> None:
+    """A box replaced by an earlier version would close any link on which demand arrives."""
+    peers = make_peers()
+    record_hint(peers, "10.0.1.1", PeerHint(addresses=(), reads_demand=True))
+    record_hint(peers, "10.0.1.2", PeerHint(addresses=()))
+    assert peers.demand_readers == {"10.0.1.1"}
+    record_hint(peers, "10.0.1.1", PeerHint(addresses=()))
+    assert not peers.demand_readers
+
+
+def test_new_link_does_not_read_demand_before_its_hint(monkeypatch) -> None:  # type: ignore[no-untyped-def]
+    peers = entry_peers(monkeypatch, reachable=set(CONTROLS))
+    peers.demand_readers = set(CONTROLS)
+    up = run_until_settled(peers)
+    assert up
+    assert not up & peers.demand_readers
