--- a/tests/daemons/gateway/test_demand_reports.py
+++ b/tests/daemons/gateway/test_demand_reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import zlib
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -9,12 +11,14 @@
 import pytest
 
 from ledgeladder.daemons.gateway import demand_reports
+from ledgeladder.daemons.gateway.control_link import apply_document
 from ledgeladder.links.frames import encode_frame
-from ledgeladder.links.messages import DemandReport, DemandTotals
+from ledgeladder.links.messages import DemandReport, DemandTotals, DocumentPush
 from ledgeladder.model.demand import ClassDemand, PoolDemand
 from ledgeladder.routing.demand_sums import DEMAND_BYTES_PER_SECOND, MAX_DEMAND_BYTES
 from ledgeladder.routing.fleet_demand import has_totals, pool_demand, record_asked
 from ledgeladder.routing.load_sharing import LOAD_VALID_SECONDS, MAX_REPORT_SECONDS
+from standins.discovered_fleet import example_document
 
 from .builders import gateway_state
 
@@ -162,6 +166,20 @@
     assert found.asked == pytest.approx(40.0 + local)
 
 
+def test_document_says_which_pools_are_reported() -> None:
+    """Pools whose requests do not differ in priority need no reports."""
+    state = gateway_state()
+    document = example_document(1)
+    for version, priority, expected in ((1, 1, set()), (2, 0, {"engines"}), (3, 1, set())):
+        document["version"] = version
+        urgent = document["routes"][0] | {"name": "urgent", "pathPrefix": "/urgent/"}
+        routes = [*document["routes"], urgent | {"priority": priority}]
+        body = json.dumps(document | {"routes": routes}).encode()
+        apply_document(state, DocumentPush(version=version, body=zlib.compress(body)))
+        assert state.version == version
+        assert state.contended == expected
+
+
 def test_loss_of_totals_is_logged_once(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
