--- a/src/ledgeladder/daemons/gateway/borrowing.py
+++ b/src/ledgeladder/daemons/gateway/borrowing.py
@@ -10,8 +10,8 @@
 from ...links.messages import RetryQuotaRequest
 from ...routing.repeat_loans import MAX_QUOTA_REQUEST, QUOTA_SECONDS
 from ...routing.repeat_window import acquire_local_retry, add_quota
-from .running_streams import begun_streams
 from .state import PendingQuotaRequest, retry_budget
+from .stream_session import begun_streams
 
 if TYPE_CHECKING:
     from ...links.messages import RetryQuotaReply
--- a/src/ledgeladder/daemons/gateway/retry_after.py
+++ b/src/ledgeladder/daemons/gateway/retry_after.py
@@ -7,8 +7,8 @@
 
 import anyio
 
+from ...routing.contention import rank_of
 from ...routing.load_time import load_seconds
-from ...routing.refusal_limits import rank_of
 from ...routing.return_times import (
     CAPACITY_SHARE,
     MIN_RETURN_SECONDS,
@@ -16,7 +16,7 @@
     choose_return,
     place_interval,
 )
-from .running_streams import begun_streams
+from .stream_session import begun_streams
 
 if TYPE_CHECKING:
     from ...routing.paths import NoPathReason
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -35,7 +35,7 @@
     from ...model.traffic import TrafficConfiguration
     from ...settings import GatewaySettings
     from ..peers import Peers
-    from .running_streams import RunningStream
+    from .stream_session import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
 """Share of the revocation bound during which a confirmed document may be used. The rest covers the
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -9,9 +9,9 @@
 from ...coordination.crash_book import CRASH_LIMIT
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...platform.exchange import caller_headers
+from ...routing.contention import REFUSALS_LIMIT, rank_of, refusals_limit
 from ...routing.event_stream import EventOrder
 from ...routing.pace import record_gap
-from ...routing.refusal_limits import REFUSALS_LIMIT, rank_of, refusals_limit
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
 from .borrowing import acquire_retry
@@ -19,11 +19,10 @@
 from .crashes import count_crashes, record_answered
 from .probing import probe_timeout
 from .retry_after import retry_after_full, retry_after_no_path
-from .running_streams import track_stream
 from .state import retry_budget
 from .stream_attempt import run_attempt
 from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
-from .stream_session import AttemptResult, StreamSession
+from .stream_session import AttemptResult, StreamSession, track_stream
 from .waiting import wait_for_upstreams
 
 if TYPE_CHECKING:
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -11,9 +12,12 @@
 from .notes import RequestTrace
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...routing.event_stream import EventOrder
     from ...routing.paths import NoPathReason
     from ...routing.stream_patience import StreamTimeouts
+    from .state import GatewayState
     from .upstream_call import OpenAnswer
 
 
@@ -110,3 +114,35 @@
 
     def __post_init__(self) -> None:
         self.pace = Pace(floor=self.timeouts.gap_probe)
+
+
+class RunningStream(NamedTuple):
+    """One stream that this box runs."""
+
+    opened_at: float
+    """When its request arrived, on the monotonic clock."""
+
+    session: StreamSession
+    """The stream."""
+
+
+@contextmanager
+def track_stream(
+    state: GatewayState, pool: str, session: StreamSession, opened_at: float
+) -> Iterator[None]:
+    """Count a stream as run by this box until the block ends."""
+    streams = state.running_streams.setdefault(pool, {})
+    streams[id(session)] = RunningStream(opened_at, session)
+    try:
+        yield
+    finally:
+        del streams[id(session)]
+        if not streams:
+            # A document may name other pools later.
+            state.running_streams.pop(pool, None)
+
+
+def begun_streams(state: GatewayState, pool: str) -> list[RunningStream]:
+    """Return the streams of a pool whose callers have part of the answer."""
+    streams = state.running_streams.get(pool, {})
+    return [item for item in streams.values() if item.session.has_begun]
--- a/tests/daemons/gateway/test_control_link.py
+++ b/tests/daemons/gateway/test_control_link.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import zlib
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
 import pytest
+from returns.result import Success
 
 from ledgeladder.daemons.gateway import control_link
-from ledgeladder.links.messages import LoadReport
+from ledgeladder.links.messages import DocumentPush, LoadReport
 from ledgeladder.model.registration import Liveness, Registration
-
+from ledgeladder.model.traffic import (
+    CallerLimits,
+    PoolWeight,
+    RequestKind,
+    RouteRule,
+    TrafficConfiguration,
+    UpstreamPool,
+)
+
+from ...routing.sample_site import PROFILE
 from .builders import engine, gateway_state
 
 ROUNDS = 12
@@ -94,3 +105,42 @@
         assert list(state.table.upstreams) == ["i-1#2000"]
 
     anyio.run(play)
+
+
+def route_to(pool: str, priority: int) -> RouteRule:
+    return RouteRule(
+        name=f"r-{priority}",
+        host="h",
+        path_prefix=f"/{priority}/",
+        kind=RequestKind.STREAM,
+        resumable=True,
+        timeout=20.0,
+        target_latency=0.5,
+        gap_target=0.2,
+        priority=priority,
+        pools=(PoolWeight(pool=pool, weight=1.0),),
+        max_attempts=2,
+        public=True,
+    )
+
+
+def test_document_tells_the_priorities_of_pools(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A later document with one priority ends what applies to contended pools."""
+    state = gateway_state()
+    pool = UpstreamPool(name="p", max_connections=1, engine=PROFILE)
+    priorities: list[dict[str, tuple[int, ...]]] = []
+    for version, ranks in ((1, (3, 0)), (2, (3,))):
+        document = TrafficConfiguration(
+            version=version,
+            pools={"p": pool},
+            routes=tuple(route_to("p", rank) for rank in ranks),
+            limits=CallerLimits(),
+            accounts=(),
+        )
+        monkeypatch.setattr(
+            control_link, "decode_configuration", lambda _body, found=document: Success(found)
+        )
+        control_link.apply_document(state, DocumentPush(version=version, body=zlib.compress(b"")))
+        priorities.append(state.priorities)
+        assert state.contended == set(state.priorities)
+    assert priorities == [{"p": (0, 3)}, {}]
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -9,11 +9,10 @@
 import pytest
 
 from ledgeladder.daemons.gateway import stream
-from ledgeladder.daemons.gateway.running_streams import begun_streams
 from ledgeladder.daemons.gateway.state import GatewayState
-from ledgeladder.daemons.gateway.stream_session import AttemptResult, StreamSession
+from ledgeladder.daemons.gateway.stream_session import AttemptResult, StreamSession, begun_streams
 from ledgeladder.model import ProblemError
-from ledgeladder.routing.refusal_limits import REFUSALS_LIMIT
+from ledgeladder.routing.contention import REFUSALS_LIMIT
 
 from ...routing.sample_site import PROFILE
 from .builders import engine, gateway_state, path_over
--- a/tests/routing/test_contention.py
+++ b/tests/routing/test_contention.py
@@ -1,11 +1,17 @@
-"""Which pools share their room by priority, and which priorities their requests have."""
+"""Which pools share their room by priority, and how often their requests may be refused."""
 
 from __future__ import annotations
 
 from types import SimpleNamespace
 from typing import Any
 
-from ledgeladder.routing.contention import contended_pools, pool_priorities
+from ledgeladder.routing.contention import (
+    REFUSALS_LIMIT,
+    contended_pools,
+    pool_priorities,
+    rank_of,
+    refusals_limit,
+)
 
 
 def configuration(*routes: tuple[str, int, float], accounts: tuple[int | None, ...] = ()) -> Any:
@@ -38,3 +44,16 @@
 def test_pools_of_one_priority_and_unused_routes_are_not_contended() -> None:
     found = configuration(("engines", 2, 1.0), ("engines", 0, 0.0), ("other", 2, 1.0))
     assert pool_priorities(found) == {}
+
+
+def test_rank_is_the_place_among_the_priorities_of_the_pool() -> None:
+    assert [rank_of((0, 4, 7), priority) for priority in (0, 4, 7)] == [0, 1, 2]
+    assert rank_of((2, 5), 2) == 0
+
+
+def test_less_urgent_requests_give_up_sooner() -> None:
+    limits = [refusals_limit(rank) for rank in range(10)]
+    assert limits[0] == REFUSALS_LIMIT
+    assert limits == sorted(limits, reverse=True)
+    assert limits[0] > limits[1]
+    assert limits[-1] >= 2
