--- a/tests/routing/test_return_times.py
+++ b/tests/routing/test_return_times.py
@@ -13,6 +13,7 @@
     MIN_RETURN_SECONDS,
     ROUNDING_SECONDS,
     USEFUL_SHARE,
+    Place,
     ReturnBook,
     ReturnTime,
     choose_return,
@@ -151,7 +152,21 @@
     chosen = box.refuse(2)
     assert chosen.promised
     assert chosen.seconds <= 1.5 * INTERVAL + MIN_RETURN_SECONDS
-    assert expire_places(box.book, box.now) == 1
+    assert len(box.book.places) == 1
+    assert expire_places(box.book, box.now + chosen.seconds) == 0
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_caller_keeps_its_distance_to_a_place_behind_that_of_a_less_urgent_one(seed: int) -> None:
+    box = Box(seed)
+    box.interval = 1.0
+    ahead = [(2.3, 2), (2.6, 1)]
+    box.book.places = [
+        Place(at=box.now + after, until=box.now + after, rank=rank) for after, rank in ahead
+    ]
+    chosen = box.refuse(1)
+    assert abs(chosen.seconds - 2.3) >= GAP_SHARE - ROUNDING_SECONDS
+    assert abs(chosen.seconds - 2.6) >= 2.0 - ROUNDING_SECONDS
 
 
 @pytest.mark.parametrize("seed", range(60))
