--- a/src/ledgeladder/daemons/gateway/retry_after.py
+++ b/src/ledgeladder/daemons/gateway/retry_after.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from ...routing.contention import urgency_class
+from ...routing.fleet_demand import pool_demand
 from ...routing.load_time import load_seconds
 from ...routing.return_times import (
     CAPACITY_SHARE,
@@ -15,8 +17,7 @@
     choose_return,
     place_interval,
 )
-from .running_streams import begun_streams
-from .urgency import urgency_of
+from .stream_session import begun_streams
 
 if TYPE_CHECKING:
     from ...routing.paths import NoPathReason
@@ -41,6 +42,13 @@
     return max(MIN_RETURN_SECONDS, state.stream_pace.mean * CAPACITY_SHARE)
 
 
+def urgency_of(state: GatewayState, permit: Permit) -> int:
+    """Return the urgency class of a request for a contended pool, 0 being the most urgent."""
+    pool = permit.pool.name
+    demand = pool_demand(state.demand, pool, anyio.current_time(), state.entry_count)
+    return urgency_class(state.index.ranks.get(pool, ()), demand, permit.priority)
+
+
 def _return_seconds(state: GatewayState, permit: Permit) -> float:
     """Choose when a refused caller of a contended pool should return, in seconds from now."""
     pool, now = permit.pool.name, anyio.current_time()
