--- a/tests/daemons/registry/test_demand_messages.py
+++ b/tests/daemons/registry/test_demand_messages.py
@@ -81,7 +81,7 @@
     assert len(entry.posted) <= 30.0 / MAX_REPORT_SECONDS + 1
 
 
-@pytest.mark.parametrize(("accounts", "pools"), [(40, 2), (5000, 2), (5000, 12)])
+@pytest.mark.parametrize(("accounts", "pools"), [(40, 2), (5000, 2), (5000, 12), (5000, 30)])
 def test_messages_keep_to_the_bandwidth_with_many_accounts(
     monkeypatch: pytest.MonkeyPatch, accounts: int, pools: int
 ) -> None:
