Demand: shares and totals are paced apart, shares at the rate of loads

A share holds classes by failure domain; with 90 classes in six domains it was longer than what 2 KB/s sends within 3 s, and totals waited for it, so that both expired. Weighed: leaving the failure domains out of long shares loses them on the metrics page; the links between control boxes are few and carry loads at 8 KB/s already. Each message has its own pace now.

--- a/src/ledgeladder/daemons/gateway/demand_reports.py
+++ b/src/ledgeladder/daemons/gateway/demand_reports.py
@@ -11,6 +11,7 @@
 from ...links.messages import DemandReport
 from ...routing.demand_sums import (
     REPORT_ACCOUNTS,
+    TOTALS_BYTES_PER_SECOND,
     is_demand_due,
     keep_heaviest,
     shorten_message,
@@ -54,7 +55,9 @@
         else:
             now = anyio.current_time()
             report, size = _build_demand_report(state, now)
-            if sent is None or is_demand_due(report != sent, now - sent_at, sent_bytes):
+            if sent is None or is_demand_due(
+                report != sent, now - sent_at, sent_bytes, TOTALS_BYTES_PER_SECOND
+            ):
                 link.post(report)
                 record_reported(state.demand, report.pools)
                 state.metrics.counters["demand-reported"] += 1
@@ -69,6 +72,7 @@
         lambda accounts: DemandReport(pools=keep_heaviest(pools, accounts)),
         lambda message: len(encode_frame(message)),
         REPORT_ACCOUNTS,
+        TOTALS_BYTES_PER_SECOND,
     )
 
 
--- a/src/ledgeladder/daemons/registry/demand_totals.py
+++ b/src/ledgeladder/daemons/registry/demand_totals.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from ...links import post_to_all
 from ...links.frames import encode_frame
 from ...links.messages import DemandShare, DemandTotals
 from ...routing.demand_sums import (
+    SHARES_BYTES_PER_SECOND,
     TOTAL_ACCOUNTS,
+    TOTALS_BYTES_PER_SECOND,
     is_demand_due,
     keep_heaviest,
     shorten_message,
@@ -23,14 +25,25 @@
 from .state import ReportedDemand, ReportedDemandShare
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from ...links import Link
     from ...links.messages import DemandReport, LinkMessage
     from ...routing.demand_sums import Pools
     from .state import RegistryState
 
-logger = logging.getLogger(__name__)
+
+class SentDemand(msgspec.Struct, kw_only=True):
+    """The latest share or totals that were sent."""
+
+    message: LinkMessage | None = None
+    """The message; None before the first."""
+
+    size: int = 0
+    """Its size in bytes."""
+
+    sent_at: float = float("-inf")
+    """When it was sent, on the monotonic clock."""
 
 
 def record_demand_report(
@@ -112,6 +125,7 @@
         ),
         _frame_bytes,
         TOTAL_ACCOUNTS,
+        SHARES_BYTES_PER_SECOND,
     )
 
 
@@ -123,6 +137,7 @@
         lambda accounts: DemandTotals(pools=keep_heaviest(pools, accounts), entries=entries),
         _frame_bytes,
         TOTAL_ACCOUNTS,
+        TOTALS_BYTES_PER_SECOND,
     )
 
 
@@ -133,26 +148,40 @@
 async def broadcast_demand(state: RegistryState) -> None:
     """Send shares to control boxes and totals to reporting entry boxes, until cancelled.
 
-    Both go out together, as the load does. Boxes that have not said that they read them get none.
+    Boxes that have not said that they read them get none.
     """
-    sent: tuple[DemandShare, DemandTotals] | None = None
-    sent_at, sent_bytes = 0.0, 0
+    last_share, last_totals = SentDemand(), SentDemand()
     while True:
         controls = len(state.peers.known) + 1
         await anyio.sleep(report_interval(count_entries(state), controls))
         now = anyio.current_time()
         drop_expired_demand(state, now)
-        if not is_demand_due(True, now - sent_at, sent_bytes):
-            continue
-        share, share_bytes = build_demand_share(state)
-        totals, totals_bytes = build_demand_totals(state)
-        if not is_demand_due((share, totals) != sent, now - sent_at, sent_bytes):
-            continue
         readers = state.peers.demand_readers
         links = [link for address, link in state.peers.links.items() if address in readers]
-        post_to_all(links, share)
-        post_to_all([item.link for item in state.demands.values()], totals)
-        sent, sent_at, sent_bytes = (share, totals), now, max(share_bytes, totals_bytes)
+        _send_due(
+            last_share, lambda: build_demand_share(state), links, SHARES_BYTES_PER_SECOND, now
+        )
+        reporting = [item.link for item in state.demands.values()]
+        _send_due(
+            last_totals, lambda: build_demand_totals(state), reporting, TOTALS_BYTES_PER_SECOND, now
+        )
+
+
+def _send_due(
+    last: SentDemand,
+    build: Callable[[], tuple[LinkMessage, int]],
+    links: Collection[Link],
+    rate: float,
+    now: float,
+) -> None:
+    """Send a message if it is due and the rate allows it."""
+    elapsed = now - last.sent_at
+    if not links or not is_demand_due(True, elapsed, last.size, rate):
+        return
+    message, size = build()
+    if is_demand_due(message != last.message, elapsed, last.size, rate):
+        post_to_all(links, message)
+        last.message, last.size, last.sent_at = message, size, now
 
 
 def demand_gauges(state: RegistryState, now: float) -> Mapping[str, float]:
--- a/src/ledgeladder/routing/demand_sums.py
+++ b/src/ledgeladder/routing/demand_sums.py
@@ -21,25 +21,28 @@
 TOTAL_ACCOUNTS: Final = 32
 """Accounts a priority in sums over entry boxes."""
 
-DEMAND_BYTES_PER_SECOND: Final = 2000.0
-"""Maximum rate of demand on one link; an eighth of the bandwidth of an entry box for control."""
+TOTALS_BYTES_PER_SECOND: Final = 2000.0
+"""Maximum rate of reports and totals on the link of an entry box; an eighth of its bandwidth for
+control. A message of this size a second keeps to it, so longer ones name fewer accounts."""
 
-MAX_DEMAND_BYTES: Final = 2000
-"""Size above which fewer accounts are named, so that a message a second keeps to the rate."""
+SHARES_BYTES_PER_SECOND: Final = 8000.0
+"""Maximum rate of shares on a link between control boxes, like that of loads. They hold classes by
+failure domain, and a control box has few such links."""
 
 
-def is_demand_due(changed: bool, seconds: float, sent_bytes: int) -> bool:
+def is_demand_due(changed: bool, seconds: float, sent_bytes: int, rate: float) -> bool:
     """Return whether demand may and should be sent again.
 
     Args:
         changed: Whether it differs from what was sent last.
         seconds: Time since then.
         sent_bytes: Size of the last message.
+        rate: Maximum rate in bytes per second.
 
-    >>> is_demand_due(True, 0.25, 100), is_demand_due(True, 0.25, 1000)
+    >>> is_demand_due(True, 0.25, 100, 2000.0), is_demand_due(True, 0.25, 1000, 2000.0)
     (True, False)
     """
-    return is_report_due(changed, seconds) and seconds >= sent_bytes / DEMAND_BYTES_PER_SECOND
+    return is_report_due(changed, seconds) and seconds >= sent_bytes / rate
 
 
 def sum_pools(parts: Iterable[Mapping[str, PoolDemand]]) -> Pools:
@@ -152,26 +155,30 @@
 
 
 def shorten_message(
-    build: Callable[[int], Message], size_of: Callable[[Message], int], max_accounts: int
+    build: Callable[[int], Message],
+    size_of: Callable[[Message], int],
+    max_accounts: int,
+    max_bytes: float,
 ) -> tuple[Message, int]:
-    """Build a message of at most `MAX_DEMAND_BYTES`, halving the number of accounts until it fits.
+    """Build a message, halving the number of accounts until it fits.
 
     Args:
         build: Builds the message with at most some accounts a priority.
         size_of: Returns the size of a message in bytes.
         max_accounts: Number of accounts that is tried first.
+        max_bytes: Size that the message should not exceed.
 
     Returns:
         The message and its size. Classes are never left out, so that a message without accounts may
         still be longer.
 
-    >>> shorten_message(lambda accounts: "x" * (500 + 100 * accounts), len, 32)[1]
+    >>> shorten_message(lambda accounts: "x" * (500 + 100 * accounts), len, 32, 2000)[1]
     1300
     """
     accounts = max_accounts
     while True:
         message = build(accounts)
         size = size_of(message)
-        if size <= MAX_DEMAND_BYTES or not accounts:
+        if size <= max_bytes or not accounts:
             return message, size
         accounts //= 2
