Prompts that wait at an engine are part of its cost

Cause: path costs count only the prompt of the request itself; bursts and the streams of a lost engine that resume together queue at the same few engines.

Each box counts the prompts that it sent and that have no event yet, extrapolates them to the other boxes like in-flight requests (bounded by their requests), and adds the time to read them once per engine. Failure domains are compared as before, except that another one is preferred when the longest queue of the own path exceeds the target latency alone. With nothing pending nothing changes.

Weighed: pending tokens in load reports (older than the queues); the queue in the congestion (an estimate from few requests would move streams between domains); the sum of queues for the target (engines of a path read one after another).

--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -19,7 +19,7 @@
     record_success,
 )
 from ...routing.link_load import record_transfer
-from ...routing.paths import ChosenPath, release, reserve
+from ...routing.paths import ChosenPath, count_prompt, release, reserve
 from .crashes import record_crash
 from .full_notices import report_full
 from .notes import content_fingerprint
@@ -75,6 +75,7 @@
     session.tried.update(part.instance for part in path.parts)
     started_at = anyio.current_time()
     reserve(path, session.tokens)
+    session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
     _record_hops(state, permit, session, path)
     detail = ""
     result = AttemptResult.LOST
@@ -86,6 +87,7 @@
         if scope.cancelled_caught:
             detail = "an engine of the path was found dead by another request"
     finally:
+        session.end_prompt()
         release(path, session.tokens)
         if result is AttemptResult.LOST:
             reached = _reached_engines(path, started_at)
@@ -94,6 +96,16 @@
     return result
 
 
+def _tokens_to_read(permit: Permit, session: StreamSession) -> int:
+    """Return how many tokens the engines read before the next event.
+
+    A resumed stream is read again, with the part of the answer that the caller has.
+    """
+    assert permit.pool.engine is not None
+    answered = session.order.delivered * max(1, permit.pool.engine.steps_per_pass)
+    return permit.facts.prompt_tokens + answered
+
+
 def _reached_engines(path: ChosenPath, started_at: float) -> list[ForwardedUpstream]:
     """Return the engines that were alive when the attempt reached them.
 
--- a/src/ledgeladder/daemons/gateway/stream_events.py
+++ b/src/ledgeladder/daemons/gateway/stream_events.py
@@ -88,6 +88,7 @@
     now = anyio.current_time()
     for engine in path.engines:
         engine.last_success_at = now
+    session.end_prompt()
     gap = now - session.last_progress_at
     if not session.started:
         record_duration(state.metrics.first_event, gap)
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -91,6 +91,7 @@
         previous_instances=session.tried,
         stalled_after=session.timeouts.gap_probe if session.dead else math.inf,
         link_limit=RESUMED_STREAM_LIMIT if session.started else NEW_REQUEST_LIMIT,
+        target_latency=permit.route.target_latency,
         sharers=count_sharers(state, permit.pool.name),
     )
 
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -97,5 +98,8 @@
     interrupted: bool = False
     """True if an engine of the current attempt was found dead; no more events are forwarded."""
 
+    end_prompt: Callable[[], None] = lambda: None
+    """Ends the count of the current attempt's prompt as pending."""
+
     def __post_init__(self) -> None:
         self.pace = Pace(floor=self.timeouts.gap_probe)
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -71,6 +71,12 @@
     kv_reserved: float = 0.0
     """KV cache that requests of this box take on it, in tokens x layers."""
 
+    pending_prompts: int = 0
+    """Those of the requests that have no event yet."""
+
+    pending_prefill: float = 0.0
+    """Prompt tokens of those x the layers that they run on it."""
+
     reported_in_flight: int = 0
     """Requests on it in this box's newest load report."""
 
@@ -371,6 +377,24 @@
     return upstream.kv_reserved + upstream.peer_kv + growth
 
 
+def total_pending_prefill(upstream: ForwardedUpstream, now: float, sharers: float) -> float:
+    """Estimate the prompts of all boxes that an engine has not read yet, in tokens x layers.
+
+    Other boxes are assumed to have as many as this one, but no more than they have requests on the
+    engine, each as long as this box's are on average.
+
+    Args:
+        upstream: The engine.
+        now: Monotonic time.
+        sharers: Ratio of all boxes' requests to this box's, as for `total_in_flight`.
+    """
+    if upstream.pending_prompts <= 0:
+        return 0.0
+    peer_requests = total_in_flight(upstream, now, sharers) - upstream.in_flight
+    peer_prompts = min(upstream.pending_prompts * (sharers - 1.0), peer_requests)
+    return upstream.pending_prefill * (1.0 + max(0.0, peer_prompts) / upstream.pending_prompts)
+
+
 def _peer_growth(own_growth: float, sharers: float) -> float:
     """Estimate how much the load of other boxes grew since it was last reported.
 
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from .forwarding_table import is_inactive, slow_factor, total_in_flight, total_kv
+from .forwarding_table import (
+    is_inactive,
+    slow_factor,
+    total_in_flight,
+    total_kv,
+    total_pending_prefill,
+)
 from .layer_coverage import kv_capacity
 from .link_load import NEW_REQUEST_LIMIT, link_between, transfer_seconds
 
@@ -81,6 +87,10 @@
     sharers: float = 1.0
     """Estimated ratio of all boxes' requests on an engine to those of this box."""
 
+    target_latency: float = math.inf
+    """Target time to the first event, in seconds. If prompts that wait in the own failure domain
+    exceed it, another one is preferred."""
+
 
 class EngineOffer(msgspec.Struct, kw_only=True, eq=False):
     """Predicted cost of running a request on one layer range of an engine."""
@@ -107,7 +117,10 @@
     """Predicted time for each layer if the engine were idle and at its usual speed."""
 
     fixed_seconds: float
-    """Predicted time that does not depend on the number of layers."""
+    """Predicted time that does not depend on the number of layers, including `queue_seconds`."""
+
+    queue_seconds: float = 0.0
+    """Predicted time to read the prompts that wait at the engine."""
 
 
 def engine_offers(
@@ -157,6 +170,7 @@
     if fitting < 1:
         return []
     fixed = INACTIVE_PENALTY_SECONDS if penalize_inactive and is_inactive(engine, now) else 0.0
+    queue = _queue_seconds(profile, card, engine, request, now) * factor
     offers = []
     for holding in engine.registration.holdings:
         used = min(holding.end - holding.first, fitting)
@@ -170,7 +184,8 @@
                 max_layers=used,
                 seconds_per_layer=seconds * (1.0 + FULLNESS_PENALTY * fullness**2),
                 idle_seconds_per_layer=idle_seconds,
-                fixed_seconds=fixed,
+                fixed_seconds=fixed + queue,
+                queue_seconds=queue,
             )
         )
     return offers
@@ -201,6 +216,19 @@
     return (step * request.answer_tokens + read) / profile.layers
 
 
+def _queue_seconds(
+    profile: EngineProfile,
+    card: CardKind,
+    engine: ForwardedUpstream,
+    request: PathRequest,
+    now: float,
+) -> float:
+    """Return the predicted time in which an engine reads the prompts that wait at it."""
+    pending = total_pending_prefill(engine, now, request.sharers) / profile.layers
+    seconds = pending / profile.prefill_tokens_per_s * card.prefill_factor
+    return seconds * slow_factor(engine, now)
+
+
 def _layers_that_fit(profile: EngineProfile, free: float, tokens: float) -> int:
     """Return for how many layers of a request the free KV cache suffices.
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -62,7 +62,14 @@
     """Predicted time, in seconds."""
 
     congestion: float = 1.0
-    """Predicted time relative to the same path over idle engines at their usual speed."""
+    """Predicted time relative to the same path over idle engines at their usual speed. Prompts that
+    wait are left out: their number at other boxes is an estimate from few requests."""
+
+    queue_seconds: float = 0.0
+    """Predicted time to read the prompts that wait, summed over the engines; a part of the cost."""
+
+    longest_queue: float = 0.0
+    """Longest of these times. The engines read one after another, so that their queues overlap."""
 
     @property
     def domains(self) -> list[str]:
@@ -128,7 +135,10 @@
         return offers[domain]
 
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
-    if single_domain is not None and single_domain.cost < INACTIVE_PENALTY_SECONDS:
+    if (
+        single_domain is not None
+        and single_domain.cost - single_domain.queue_seconds < INACTIVE_PENALTY_SECONDS
+    ):
         return single_domain
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
@@ -147,7 +157,7 @@
 
     Failure domains are compared by congestion and not by speed; otherwise the fastest one would
     fill up first. If no other domain could be less congested by `REMOTE_CONGESTION_RATIO`, the own
-    domain is used without searching the others.
+    domain is used without searching the others, unless its queue alone exceeds the target latency.
 
     Args:
         profile: Performance figures of the engines.
@@ -159,17 +169,30 @@
         The path, or None if no failure domain covers all layers by itself.
     """
     own = _search(profile, offers_in(request.failure_domain), request)
-    if own is not None and own.congestion <= REMOTE_CONGESTION_RATIO:
+    limit = request.target_latency
+    if own and own.congestion <= REMOTE_CONGESTION_RATIO and own.longest_queue <= limit:
         return own
-    others = [
+    found = (
         _search(profile, offers_in(domain), request)
         for domain in domains
         if domain != request.failure_domain
-    ]
-    remote = min((path for path in others if path), key=lambda path: path.congestion, default=None)
-    if own is None or remote is None:
-        return own or remote
-    return remote if remote.congestion * REMOTE_CONGESTION_RATIO < own.congestion else own
+    )
+    others = [path for path in found if path and _is_preferred(path, own, limit)]
+    remote = min(
+        others, key=lambda path: (path.longest_queue > limit, path.congestion), default=None
+    )
+    return remote or own
+
+
+def _is_preferred(other: ChosenPath, own: ChosenPath | None, target_latency: float) -> bool:
+    """Return whether a path in another failure domain is preferred to the best one in the own."""
+    if own is None:
+        return True
+    if own.longest_queue > target_latency >= other.longest_queue:
+        return other.congestion <= own.congestion * REMOTE_CONGESTION_RATIO
+    if other.longest_queue > max(target_latency, own.longest_queue):
+        return False
+    return other.congestion * REMOTE_CONGESTION_RATIO < own.congestion
 
 
 def _random_factor(rng: random.Random | None) -> float:
@@ -183,6 +206,8 @@
     if not steps:
         return None
     cost = steps[-1].cost
+    queues = [item.offer.queue_seconds for item in steps]
+    queue_seconds = sum(queues)
     return ChosenPath(
         parts=tuple(
             PathPart(
@@ -195,7 +220,9 @@
         ),
         engines=tuple(item.offer.engine for item in steps),
         cost=cost,
-        congestion=cost / (cost - sum(map(_excess_seconds, steps))),
+        congestion=(cost - queue_seconds) / (cost - sum(map(_excess_seconds, steps))),
+        queue_seconds=queue_seconds,
+        longest_queue=max(queues),
     )
 
 
@@ -338,3 +365,31 @@
     for part, engine in zip(path.parts, path.engines, strict=True):
         engine.in_flight -= 1
         engine.kv_reserved -= tokens * (part.end - part.first)
+
+
+def count_prompt(path: ChosenPath, tokens: int) -> Callable[[], None]:
+    """Count a prompt as pending on every engine of its path.
+
+    Args:
+        path: The path.
+        tokens: Tokens that the engines read before the first event.
+
+    Returns:
+        Ends the count; to be called at the first event and at the end of the attempt. Further calls
+        have no effect.
+    """
+    counted = [
+        (engine, tokens * (part.end - part.first))
+        for part, engine in zip(path.parts, path.engines, strict=True)
+    ]
+    for engine, prefill in counted:
+        engine.pending_prompts += 1
+        engine.pending_prefill += prefill
+
+    def end() -> None:
+        while counted:
+            engine, prefill = counted.pop()
+            engine.pending_prompts -= 1
+            engine.pending_prefill -= prefill
+
+    return end
