Waiting prompts in request lines and on the metrics page

Cause: a stream that was late behind other prompts could not be told from one on a slow engine. The request line has the longest predicted queue of its last path, the page the prompts of the box that wait. Weighed: a line at each choice (too many). Tests of daemons/gateway, daemons/registry and test_peers pass.

--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -27,6 +27,9 @@
             sum(item.avoid_until > now for item in state.table.upstreams.values())
         ),
         "full_reports_dropped": float(state.full_reports.dropped),
+        "prompts_pending": float(
+            sum(item.pending_prompts for item in state.table.upstreams.values())
+        ),
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
     }
     return [
--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -34,6 +34,9 @@
     inter_domain_hops: int | None = None
     """Inter-domain hops on the path of the latest attempt; None if it has no path."""
 
+    queue_seconds: float = 0.0
+    """Predicted time to read the prompts that waited on that path, in seconds."""
+
     give_up_reason: str = ""
     """Why a stream was not retried; empty if it completed or its deadline passed."""
 
@@ -72,6 +75,8 @@
         fields["path"] = trace.path
     if trace.inter_domain_hops is not None:
         fields["crossings"] = trace.inter_domain_hops
+    if trace.queue_seconds:
+        fields["queue"] = round(trace.queue_seconds, 3)
     if trace.first_event is not None:
         fields["first_event"] = round(trace.first_event, 3)
         fields["longest_gap"] = round(trace.longest_gap, 3)
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -72,6 +72,7 @@
     session.interrupted = False
     session.trace.attempts += 1
     session.trace.path = _describe_path(path)
+    session.trace.queue_seconds = path.longest_queue
     session.tried.update(part.instance for part in path.parts)
     started_at = anyio.current_time()
     reserve(path, session.tokens)
