Queues of prompts are no reason to cross failure domains; simulated in a fleet

Cause: a path over one failure domain whose queue made it dear was compared by its whole cost with paths across domains. Both are compared without queues now.

The simulated fleet reads prompts one after another and counts them as gateways do.

--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -71,6 +71,11 @@
     longest_queue: float = 0.0
     """Longest of these times. The engines read one after another, so that their queues overlap."""
 
+    @property
+    def cost_without_queue(self) -> float:
+        """Predicted time without prompts that wait, in seconds."""
+        return self.cost - self.queue_seconds
+
     @property
     def domains(self) -> list[str]:
         """Failure domains of the engines, in order."""
@@ -135,16 +140,14 @@
         return offers[domain]
 
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
-    if (
-        single_domain is not None
-        and single_domain.cost - single_domain.queue_seconds < INACTIVE_PENALTY_SECONDS
-    ):
+    if single_domain is not None and single_domain.cost_without_queue < INACTIVE_PENALTY_SECONDS:
         return single_domain
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
     if single_domain is None or multi_domain is None:
         return single_domain or multi_domain
-    return min(single_domain, multi_domain, key=lambda path: path.cost)
+    # A queue is no reason to cross failure domains.
+    return min(single_domain, multi_domain, key=lambda path: path.cost_without_queue)
 
 
 def _cheapest_single_domain_path(
--- a/tests/routing/fleet_simulation.py
+++ b/tests/routing/fleet_simulation.py
@@ -2,7 +2,8 @@
 
 Each box sees its own requests at once and those of other boxes when load sums arrive, every
 `report_interval`. An engine refuses a request that does not fit in its KV cache. The duration of a
-stream depends on the cards of its path and on what runs on them when it starts.
+stream depends on the cards of its path and on what runs on them when it starts. Engines read
+prompts one after another.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from ledgeladder.routing.layer_coverage import kv_capacity
 from ledgeladder.routing.load_sharing import report_interval
 from ledgeladder.routing.path_costs import PathRequest
-from ledgeladder.routing.paths import ChosenPath, choose_path, release, reserve
+from ledgeladder.routing.paths import ChosenPath, choose_path, count_prompt, release, reserve
 from ledgeladder.routing.placed_engine import PlacedEngine
 from ledgeladder.routing.placement import group_engines, plan_placement
 
@@ -38,6 +39,9 @@
 ANSWER = 214
 """Tokens of each stream's prompt and answer."""
 
+TARGET_LATENCY = 0.5
+"""Target time to the first event, in seconds."""
+
 LARGE_CARDS = {
     "a": (4, 11, 28),
     "b": (2, 18, 16),
@@ -106,6 +110,8 @@
     refused: int = 0
     arrivals: int = 0
     waited: int = 0
+    read_until: float = 0.0
+    """When it has read all prompts that it has accepted."""
 
 
 @dataclass(kw_only=True)
@@ -130,6 +136,8 @@
     """Inter-domain hops of all streams."""
 
     seconds: list[float] = field(default_factory=list)
+    reads: list[float] = field(default_factory=list)
+    """Time from the send of each stream until its prompt was read, in seconds."""
 
     @property
     def refused_share(self) -> float:
@@ -137,6 +145,11 @@
         arrivals = self.refusals + self.streams - self.gave_up
         return self.refusals / max(1, arrivals)
 
+    @property
+    def late_share(self) -> float:
+        """Share of streams whose prompt was read later than the target latency."""
+        return sum(item > TARGET_LATENCY for item in self.reads) / max(1, len(self.reads))
+
     def quantile(self, share: float) -> float:
         """Return a quantile of the stream durations, in seconds."""
         return sorted(self.seconds)[int(share * (len(self.seconds) - 1))]
@@ -184,9 +197,11 @@
         boxes: int = LARGE_BOXES,
         streams_per_second: float = LARGE_STREAMS_PER_SECOND,
         seed: int = 1,
+        counts_prompts: bool = True,
     ) -> None:
         super().__init__()
         self.profile = profile
+        self.counts_prompts = counts_prompts
         self.engines = place_engines(profile, cards)
         self.rng = random.Random(seed)
         self.rate = streams_per_second
@@ -259,6 +274,7 @@
             prompt_tokens=PROMPT,
             answer_tokens=ANSWER,
             failure_domain=box.failure_domain,
+            target_latency=TARGET_LATENCY,
             sharers=max(1.0, len(self.boxes) / len(self.domains)),
         )
         return choose_path(
@@ -286,7 +302,11 @@
             engine.running += 1
             engine.max_running = max(engine.max_running, engine.running)
             seconds += self.stream_seconds(engine, layers)
+        read = self.read_prompt(parts)
+        self.outcome.reads.append(read)
         reserve(path, tokens)
+        if self.counts_prompts:
+            self.at(self.now + read, count_prompt(path, PROMPT))
         self.outcome.seconds.append(seconds)
         domains = path.domains
         self.outcome.remote += domains[0] != box.failure_domain
@@ -295,6 +315,16 @@
         self.at(self.now + seconds, lambda: self.finish_stream(path, parts, tokens))
         return None
 
+    def read_prompt(self, parts: list[tuple[SimulatedEngine, int]]) -> float:
+        """Let the engines of a path read a prompt one after another; return how long it takes."""
+        at = self.now
+        for engine, layers in parts:
+            card = self.profile.cards[engine.registration.card]
+            read = PROMPT / self.profile.prefill_tokens_per_s * card.prefill_factor
+            at = max(at, engine.read_until) + read * layers / self.profile.layers
+            engine.read_until = at
+        return at - self.now
+
     def stream_seconds(self, engine: SimulatedEngine, layers: int) -> float:
         """Return how long a stream takes on one engine under its current load."""
         card = self.profile.cards[engine.registration.card]
--- a/tests/routing/test_fleet_simulation.py
+++ b/tests/routing/test_fleet_simulation.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from .fleet_simulation import (
     SLOTS,
     SMALL_BOXES,
@@ -63,3 +65,25 @@
     waited = sum(engine.waited for engine in fleet.engines.values())
     assert waited / arrivals < REFUSED_LIMIT
     assert max(engine.max_running for engine in fleet.engines.values()) <= 1.1 * SLOTS
+
+
+def test_prompts_that_queue_are_read_in_time_by_more_engines() -> None:
+    """Guards against first events that are late while engines with shorter queues are free.
+
+    Reading a prompt takes long enough that prompts wait at the preferred engines of a failure
+    domain. Choosing by in-flight requests alone makes several times as many streams late.
+    """
+    late = {}
+    for counts_prompts in (False, True):
+        fleet = FleetSimulation(
+            profile=msgspec.structs.replace(SMALL_PROFILE, prefill_tokens_per_s=25_000),
+            cards=SMALL_CARDS,
+            boxes=SMALL_BOXES,
+            streams_per_second=SMALL_STREAMS_PER_SECOND,
+            counts_prompts=counts_prompts,
+        )
+        outcome = fleet.run(SECONDS)
+        assert outcome.gave_up == 0
+        late[counts_prompts] = outcome.late_share
+    assert late[False] > 0.05
+    assert late[True] < 0.5 * late[False]
