Simulated fleet: engines that run full, with and without notices

Cause: the tests of full notices showed bounds and rules, not the load they answer. The test runs the small site and asks for half. tests/routing/test_fleet_simulation passes.

--- a/tests/routing/fleet_simulation.py
+++ b/tests/routing/fleet_simulation.py
@@ -14,9 +14,11 @@
 
 import msgspec
 
+from ledgeladder.coordination.full_notices import NoticeThrottle, pass_notices
 from ledgeladder.model.registration import Registration
 from ledgeladder.model.traffic import CardKind
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, apply_peer_load, record_full
+from ledgeladder.routing.full_engines import NOTICE_INTERVAL_SECONDS, apply_full_notice
 from ledgeladder.routing.layer_coverage import kv_capacity
 from ledgeladder.routing.load_sharing import report_interval
 from ledgeladder.routing.path_costs import PathRequest
@@ -198,10 +200,13 @@
         streams_per_second: float = LARGE_STREAMS_PER_SECOND,
         seed: int = 1,
         counts_prompts: bool = True,
+        notice_seconds: float | None = None,
     ) -> None:
         super().__init__()
         self.profile = profile
         self.counts_prompts = counts_prompts
+        self.notice_seconds = notice_seconds
+        self.notices = NoticeThrottle(interval=NOTICE_INTERVAL_SECONDS)
         self.engines = place_engines(profile, cards)
         self.rng = random.Random(seed)
         self.rate = streams_per_second
@@ -266,8 +271,21 @@
             self.outcome.refusals += 1
             excluded.add(refusing)
             record_full(box.engines[refusing], self.now)
+            self.notify(refusing)
         self.outcome.gave_up += 1
 
+    def notify(self, name: str) -> None:
+        """Announce a full engine to all boxes, if they exchange notices."""
+        if self.notice_seconds is None or not pass_notices(self.notices, (name,), self.now):
+            return
+        self.at(self.now + self.notice_seconds, lambda: self.apply_notice(name))
+
+    def apply_notice(self, name: str) -> None:
+        """Apply a notice at all boxes."""
+        for box in self.boxes:
+            if name in box.engines:
+                apply_full_notice(box.engines.values(), box.engines[name], self.now)
+
     def choose(self, box: SimulatedBox, excluded: set[str]) -> ChosenPath | None:
         """Choose a path as a gateway does."""
         request = PathRequest(
--- a/tests/routing/test_fleet_simulation.py
+++ b/tests/routing/test_fleet_simulation.py
@@ -21,6 +21,9 @@
 SECONDS = 4.0
 """Several times the duration of a stream and the age of load sums."""
 
+NOTICE_SECONDS = 0.05
+"""Time until a notice of a full engine has reached all boxes over two hops, one between regions."""
+
 REFUSED_LIMIT = 0.01
 """Share of attempts that an engine may refuse while others have room."""
 
@@ -87,3 +90,26 @@
         late[counts_prompts] = outcome.late_share
     assert late[False] > 0.05
     assert late[True] < 0.5 * late[False]
+
+
+def test_engines_that_run_full_refuse_few_boxes_that_exchange_notices() -> None:
+    """Guards against a refused attempt, and a retry, of every box for each full engine.
+
+    The busiest engines lose most of their room unseen, as with answers longer than hinted.
+    """
+    refusals = {}
+    for notice_seconds in (None, NOTICE_SECONDS):
+        fleet = FleetSimulation(
+            profile=SMALL_PROFILE,
+            cards=SMALL_CARDS,
+            boxes=SMALL_BOXES,
+            streams_per_second=SMALL_STREAMS_PER_SECOND,
+            notice_seconds=notice_seconds,
+        )
+        fleet.run(SECONDS / 2)
+        for engine in sorted(fleet.engines.values(), key=lambda item: item.kv_used)[-5:]:
+            engine.capacity *= 0.2
+        fleet.outcome = Outcome()
+        refusals[notice_seconds] = fleet.run(1.5 * SECONDS).refusals
+    assert refusals[None] > 0
+    assert refusals[NOTICE_SECONDS] < 0.5 * refusals[None]
