--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -119,6 +119,9 @@
     interrupted: bool = False
     """True if an engine of the current attempt was found dead; no more events are forwarded."""
 
+    end_prompt: Callable[[], None] = lambda: None
+    """Ends the count of the current attempt's prompt as pending."""
+
     @property
     def has_begun(self) -> bool:
         """Whether the caller has part of the answer, which an end now would break off."""
--- a/tests/routing/test_fleet_simulation.py
+++ b/tests/routing/test_fleet_simulation.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from .fleet_simulation import (
     SLOTS,
     SMALL_BOXES,
@@ -19,6 +21,9 @@
 SECONDS = 4.0
 """Several times the duration of a stream and the age of load sums."""
 
+NOTICE_SECONDS = 0.05
+"""Time until a notice of a full engine has reached all boxes over two hops, one between regions."""
+
 REFUSED_LIMIT = 0.01
 """Share of attempts that an engine may refuse while others have room."""
 
@@ -63,3 +68,48 @@
     waited = sum(engine.waited for engine in fleet.engines.values())
     assert waited / arrivals < REFUSED_LIMIT
     assert max(engine.max_running for engine in fleet.engines.values()) <= 1.1 * SLOTS
+
+
+def test_prompts_that_queue_are_read_in_time_by_more_engines() -> None:
+    """Guards against first events that are late while engines with shorter queues are free.
+
+    Reading a prompt takes long enough that prompts wait at the preferred engines of a failure
+    domain. Choosing by in-flight requests alone makes several times as many streams late.
+    """
+    late = {}
+    for counts_prompts in (False, True):
+        fleet = FleetSimulation(
+            profile=msgspec.structs.replace(SMALL_PROFILE, prefill_tokens_per_s=25_000),
+            cards=SMALL_CARDS,
+            boxes=SMALL_BOXES,
+            streams_per_second=SMALL_STREAMS_PER_SECOND,
+            counts_prompts=counts_prompts,
+        )
+        outcome = fleet.run(SECONDS)
+        assert outcome.gave_up == 0
+        late[counts_prompts] = outcome.late_share
+    assert late[False] > 0.05
+    assert late[True] < 0.5 * late[False]
+
+
+def test_engines_that_run_full_refuse_few_boxes_that_exchange_notices() -> None:
+    """Guards against a refused attempt, and a retry, of every box for each full engine.
+
+    The busiest engines lose most of their room unseen, as with answers longer than hinted.
+    """
+    refusals = {}
+    for notice_seconds in (None, NOTICE_SECONDS):
+        fleet = FleetSimulation(
+            profile=SMALL_PROFILE,
+            cards=SMALL_CARDS,
+            boxes=SMALL_BOXES,
+            streams_per_second=SMALL_STREAMS_PER_SECOND,
+            notice_seconds=notice_seconds,
+        )
+        fleet.run(SECONDS / 2)
+        for engine in sorted(fleet.engines.values(), key=lambda item: item.kv_used)[-5:]:
+            engine.capacity *= 0.2
+        fleet.outcome = Outcome()
+        refusals[notice_seconds] = fleet.run(1.5 * SECONDS).refusals
+    assert refusals[None] > 0
+    assert refusals[NOTICE_SECONDS] < 0.5 * refusals[None]
