--- a/tests/routing/test_wait_queue.py
+++ b/tests/routing/test_wait_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 import pytest
 
@@ -49,6 +50,28 @@
     assert order == ["cut", "urgent", "usual", "usual again", "late"]
 
 
+def test_deadlines_order_requests_of_one_priority() -> None:
+    """Load: requests of two priorities wait, of which the newest ones are due first."""
+    waiting = queue()
+    names = {}
+    for name, rank, deadline in (("late", 1, 9.0), ("soon", 1, 5.0), ("urgent", 0, 99.0)):
+        request = enqueue(
+            waiting,
+            size=0,
+            release_interval=lambda: 0.0,
+            is_resumed=False,
+            rank=partial(int, rank),
+            deadline=deadline,
+        )
+        assert request is not None
+        names[request.ticket] = name
+    order = []
+    while (found := next_request(waiting)) is not None:
+        order.append(names[found.ticket])
+        remove_request(waiting, found)
+    assert order == ["urgent", "soon", "late"]
+
+
 def test_rank_is_evaluated_at_release() -> None:
     waiting = queue()
     ranks = {"a": 5, "b": 4}
