--- a/tests/daemons/gateway/test_admission.py
+++ b/tests/daemons/gateway/test_admission.py
@@ -155,7 +155,7 @@
         for rank, rate in (asked or {}).items()
     }
     if asked is not None:
-        apply_totals(state.demand, {"p": PoolDemand(classes=classes)}, anyio.current_time())
+        apply_totals(state.demand, {"p": PoolDemand(classes=classes)}, 1, anyio.current_time())
     return state
 
 
@@ -313,7 +313,7 @@
     state = contended_state(in_flight=60)
     demand = {rank: ClassDemand(asked=1.0, admitted=50.0) for rank in range(3)}
     now = anyio.current_time()
-    apply_totals(state.demand, {"p": PoolDemand(classes=demand)}, now)
+    apply_totals(state.demand, {"p": PoolDemand(classes=demand)}, 1, now)
     state.rng = _Draws(0.95)
     for rank in range(3):
         state.room.levels["p", rank] = AdmissionLevel(value=0.85, at=now)
