--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
+    from ...model import ProblemError
     from ...model.traffic import EngineProfile
     from ...routing.admission_level import AdmissionDecision
     from .checks import Permit
@@ -200,7 +201,7 @@
 
 def _refuse(
     state: GatewayState, permit: Permit, decision: AdmissionDecision, waited: float
-) -> Exception:
+) -> ProblemError:
     """Count and log a refusal, and return it."""
     state.metrics.counters[f"admission-refused-p{permit.priority}"] += 1
     retry_after = retry_after_full(state)
