Load tool: several client accounts, and bursts of one of them

Cause: the tool could only send for one account at one rate, so that no benchmark could ask who is served while one asks for more. Outcomes are also counted by account.

--- a/standins/load.py
+++ b/standins/load.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,12 +18,29 @@
 from .model_function import reference_answer
 
 
+@dataclass(frozen=True, kw_only=True)
+class Burst:
+    """A period in which a client account multiplies its requests."""
+
+    account: str
+    """The client account."""
+
+    start: float
+    """Time of its start since that of the load, in seconds."""
+
+    seconds: float
+    """Length in seconds."""
+
+    factor: float
+    """Multiple of the usual rate of the account, at least 1."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Workload:
     """Parameters of a load."""
 
     rate: float
-    """Arrivals a second."""
+    """Arrivals a second outside of bursts."""
 
     seconds: float
     """Time over which requests arrive."""
@@ -33,6 +51,12 @@
     account: str = "nilayam"
     """Client account; its key is `key-of-ACCOUNT`."""
 
+    shares: Mapping[str, float] = field(default_factory=dict)
+    """Shares of several client accounts in the rate, in place of `account`; their sum is 1."""
+
+    bursts: tuple[Burst, ...] = ()
+    """Periods of more requests; those of one account do not overlap."""
+
     prompts: int = 50
     """Number of different prompts."""
 
@@ -53,6 +77,7 @@
     longest_gap: HdrHistogram = field(default_factory=_histogram)
     duration: HdrHistogram = field(default_factory=_histogram)
     outcomes: Counter[str] = field(default_factory=Counter)
+    account_outcomes: dict[str, Counter[str]] = field(default_factory=dict)
     tokens: int = 0
     wrong_prompts: list[str] = field(default_factory=list)
     started_at: float = 0.0
@@ -70,6 +95,12 @@
     return " / ".join(f"{value:.1f}" for value in values)
 
 
+def record_outcome(result: LoadResult, account: str, outcome: str) -> None:
+    """Count the outcome of a request, also by client account."""
+    result.outcomes[outcome] += 1
+    result.account_outcomes.setdefault(account, Counter())[outcome] += 1
+
+
 async def stream_once(
     client: httpx.AsyncClient,
     url: str,
@@ -90,7 +121,7 @@
             if response.status_code != 200:
                 await response.aread()
                 error = response.json()["error"]
-                result.outcomes[f"{error['type']} {error['execution']}"] += 1
+                record_outcome(result, account, f"{error['type']} {error['execution']}")
                 return
             async for line in response.aiter_lines():
                 if not line.startswith("data: "):
@@ -116,19 +147,53 @@
                 text += chunk
                 result.tokens += count
     except httpx.HTTPError as error:
-        result.outcomes[f"connection {type(error).__name__}"] += 1
+        record_outcome(result, account, f"connection {type(error).__name__}")
         return
     if error_type or not done:
-        result.outcomes[f"cut {error_type}"] += 1
+        record_outcome(result, account, f"cut {error_type}")
         return
     result.longest_gap.record_value(int(longest_gap * 1e6) + 1)
     result.duration.record_value(int((time.perf_counter() - started) * 1e6))
     correct = text == reference_answer(prompt, LAYERS, max_tokens)
-    result.outcomes["whole" if correct else "wrong"] += 1
+    record_outcome(result, account, "whole" if correct else "wrong")
     if not correct:
         result.wrong_prompts.append(prompt)
 
 
+def arrivals(workload: Workload, rng: random.Random) -> Iterator[tuple[float, str]]:
+    """Yield times and client accounts of requests, as Poisson processes with bursts.
+
+    Requests arrive at the highest rate and are thinned out. A load of one account without bursts
+    draws one number for each request.
+
+    Args:
+        workload: The load.
+        rng: Random source.
+    """
+    shares = workload.shares or {workload.account: 1.0}
+    most = {
+        name: max([1.0, *(item.factor for item in workload.bursts if item.account == name)])
+        for name in shares
+    }
+    weights = [share * most[name] for name, share in shares.items()]
+    at = 0.0
+    while True:
+        at += rng.expovariate(workload.rate * sum(weights))
+        if at > workload.seconds:
+            return
+        account = next(iter(shares)) if len(shares) == 1 else rng.choices([*shares], weights)[0]
+        factor = max(
+            [1.0]
+            + [
+                item.factor
+                for item in workload.bursts
+                if item.account == account and 0 <= at - item.start < item.seconds
+            ]
+        )
+        if factor == most[account] or rng.random() * most[account] < factor:
+            yield at, account
+
+
 async def run_load(urls: list[str], workload: Workload) -> LoadResult:
     """Run a workload against several entries in turn."""
     rng = random.Random(workload.seed)
@@ -136,21 +201,13 @@
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=500)
     client = httpx.AsyncClient(timeout=60, limits=limits, trust_env=False)
     async with client, anyio.create_task_group() as tasks:
-        at = 0.0
-        number = 0
-        while True:
-            at += rng.expovariate(workload.rate)
-            if at > workload.seconds:
-                break
+        for number, (at, account) in enumerate(arrivals(workload, rng)):
             wait = result.started_at + at - time.perf_counter()
             if wait > 0:
                 await anyio.sleep(wait)
-            prompt = f"prompt {rng.randrange(workload.prompts)} of {workload.account}"
+            prompt = f"prompt {rng.randrange(workload.prompts)} of {account}"
             url = urls[number % len(urls)]
-            number += 1
-            tasks.start_soon(
-                stream_once, client, url, prompt, workload.max_tokens, workload.account, result
-            )
+            tasks.start_soon(stream_once, client, url, prompt, workload.max_tokens, account, result)
     result.ended_at = time.perf_counter()
     return result
 
@@ -174,6 +231,11 @@
     return "\n".join(
         [
             f"outcomes: {dict(result.outcomes)}",
+            *(
+                f"  {account}: {dict(found)}"
+                for account, found in sorted(result.account_outcomes.items())
+                if len(result.account_outcomes) > 1
+            ),
             f"tokens a second: {result.tokens_per_second:.0f}",
             f"first token ms (50/95/99/100): {quantiles(result.first_token)}",
             f"token gap ms (50/95/99/100): {quantiles(result.token_gap)}",
