Reports: lines with infinite ages are read

Cause: boxes write an age that they do not know as Infinity, which JSON does not define; such lines were counted as not JSON. Ruled out: cut lines (the files were whole). Lines that the fast decoder rejects go through json, which accepts them; values that are not finite are ignored by histograms and by the least free room. Tests: seen to fail before, both in the reader and in the report.

--- a/src/ledgeladder/reports/bounds.py
+++ b/src/ledgeladder/reports/bounds.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Final, TypeVar
+import sys
+from typing import TYPE_CHECKING, Any, Final, TypeGuard, TypeVar
 
 from hdrh.histogram import HdrHistogram
 
@@ -30,10 +31,16 @@
     return HdrHistogram(100, MAX_MICROSECONDS, 2)
 
 
+def is_finite(value: Any) -> TypeGuard[float]:
+    """Return True for a number that a float can hold."""
+    return isinstance(value, int | float) and abs(value) <= sys.float_info.max
+
+
 def record_seconds(histogram: HdrHistogram, seconds: Any) -> None:
-    """Record a duration in seconds; ignore values that are not numbers."""
-    if isinstance(seconds, int | float):
-        histogram.record_value(min(max(int(seconds * 1e6), 100), MAX_MICROSECONDS))
+    """Record a duration in seconds; ignore values that are not finite numbers."""
+    if is_finite(seconds):
+        microseconds = min(seconds, MAX_MICROSECONDS) * 1e6
+        histogram.record_value(int(min(max(microseconds, 100), MAX_MICROSECONDS)))
 
 
 def bounded_key(table: Mapping[K, object], key: K, others: K, most: int) -> K:
--- a/src/ledgeladder/reports/load_report.py
+++ b/src/ledgeladder/reports/load_report.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .bounds import MAX_BUCKETS, MAX_NAMES, bounded_key, new_histogram, record_seconds
+from .bounds import MAX_BUCKETS, MAX_NAMES, bounded_key, is_finite, new_histogram, record_seconds
 
 if TYPE_CHECKING:
     from hdrh.histogram import HdrHistogram
@@ -133,7 +133,7 @@
     key = bounded_key(found.decisions, key, (OTHERS, OTHER_PRIORITIES), MAX_CLASSES)
     found.decisions[key] += 1
     free = fields.get("free")
-    if isinstance(free, int | float):
+    if is_finite(free):
         found.least_free = free if found.least_free is None else min(free, found.least_free)
     return True
 
--- a/src/ledgeladder/reports/log_lines.py
+++ b/src/ledgeladder/reports/log_lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any, Final
 
@@ -98,8 +99,8 @@
 
 def _parse(raw: bytes, counts: ReadCounts) -> LogLine | None:
     try:
-        content = msgspec.json.decode(raw[max(0, raw.find(b"{")) :])
-    except msgspec.DecodeError:
+        content = _decode(raw[max(0, raw.find(b"{")) :])
+    except (ValueError, RecursionError):
         counts.not_json += 1
         return None
     if not isinstance(content, dict):
@@ -116,6 +117,19 @@
     return LogLine(at=at, box=box, message=message, fields=content)
 
 
+def _decode(raw: bytes) -> Any:
+    """Decode a line; also one with `Infinity`, which processes write and JSON does not define.
+
+    Raises:
+        ValueError: If it is not JSON otherwise.
+        RecursionError: If it is nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return json.loads(raw)
+
+
 def _read_time(text: Any) -> float | None:
     """Parse the time of a log line; return None if it is malformed.
 
--- a/tests/reports/test_load_report.py
+++ b/tests/reports/test_load_report.py
@@ -114,10 +114,15 @@
         stream(7, pool=None, account=["x"], failure_domain=3, crossings="many"),  # type: ignore[arg-type]
         stream(first_event="soon", waited="long"),
         line("admission", decision=None, reason=["x"], priority="x", free="much"),
+        stream(first_event=float("inf")),
+        stream(first_event=float("nan")),
+        stream(first_event=-(10**400)),
+        line("admission", decision="refused", priority=1, free=float("inf")),
+        line("admission", decision="refused", priority=1, free=10**400),
         line("engine full", upstream=None),
         line("retry quota received", purpose=None, wanted="x", count=-4),
     )
-    assert sum(stats.counts.asked for stats in report.load.classes.values()) == 2
+    assert sum(stats.counts.asked for stats in report.load.classes.values()) == 5
     assert format_report(report, ReadCounts())
 
 
--- a/tests/reports/test_log_lines.py
+++ b/tests/reports/test_log_lines.py
@@ -35,6 +35,17 @@
     assert counts.not_json == 4
 
 
+def test_lines_with_infinite_values_are_read() -> None:
+    """A box that never heard of a document or of demand writes its age so."""
+    parsed, counts = read(
+        line(version_age=float("inf"), first_event=float("nan"), free=-float("inf")),
+        line()[:-3] + b', "x": Infinit}\n',
+        b'{"x": ' + b"[" * 100_000 + b"\n",
+    )
+    assert [item.fields["version_age"] for item in parsed] == [float("inf")]
+    assert counts.not_json == 2
+
+
 def test_lines_without_time_box_or_message_are_counted() -> None:
     _, counts = read(
         b'{"box": "a", "message": "m"}\n',
