--- a/src/ledgeladder/daemons/gateway/demand_gauges.py
+++ b/src/ledgeladder/daemons/gateway/demand_gauges.py
@@ -35,7 +35,7 @@
         for priority, item in sorted(_classes(state, pool, now).items())
     ]
     for pool, priority, item in found[:MAX_SERIES]:
-        labels = f'{{pool="{_escape(pool)}",priority="{priority}"}}'
+        labels = f'{{pool="{escape_label(pool)}",priority="{priority}"}}'
         gauges[f"demand_asked_per_second{labels}"] = item.asked
         gauges[f"demand_admitted_per_second{labels}"] = item.admitted
         gauges[f"demand_tokens_per_second{labels}"] = item.tokens
@@ -47,10 +47,10 @@
     return pool_demand(state.demand, pool, now, state.entry_count).classes
 
 
-def _escape(name: str) -> str:
+def escape_label(name: str) -> str:
     r"""Escape a label value.
 
-    >>> _escape('a"b')
+    >>> escape_label('a"b')
     'a\\"b'
     """
     return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
