--- a/tests/test_shared_room.py
+++ b/tests/test_shared_room.py
@@ -4,13 +4,18 @@
 
 import json
 import random
+from pathlib import Path
+from types import SimpleNamespace
 
+import anyio
 import pytest
 
+from ledgeladder.http1 import HttpRequest
 from ledgeladder.model import ResultCode
 from ledgeladder.platform.configuration import decode_configuration
 from ledgeladder.routing.contention import contended_pools
 from standins.discovered_fleet import KEY, SECOND_KEY
+from standins.registered_upstream import StandIn, answer_stream
 from standins.shared_room import (
     ACCOUNTS,
     DEADLINE_SECONDS,
@@ -139,6 +144,45 @@
     assert len(check_shares(others + refused(MIN_ASKED))) == 3
 
 
+@pytest.mark.parametrize(("streams", "statuses"), [(0, [200]), (1, [200]), (2, [503])])
+def test_full_engine_refuses_as_not_run(tmp_path: Path, streams: int, statuses: list[int]) -> None:
+    """A stream beyond its slots leaves no run in the ledger, and names the load."""
+    upstream = StandIn(
+        address="127.0.0.1:1",
+        listen="127.0.0.1:1",
+        pool="engines",
+        zone="zone-a",
+        card="big",
+        controls=[],
+        ledger=tmp_path / "ledger",
+        seconds=0.0,
+        instance="e-1",
+        layers=(0, 16),
+        slots=2,
+        streams=streams,
+    )
+    answers: list[tuple[int, dict[bytes, bytes]]] = []
+
+    async def answer(status: int, headers: list[tuple[bytes, bytes]], _body: bytes) -> None:
+        answers.append((status, dict(headers)))
+
+    async def end() -> None:
+        pass
+
+    fields = {b"attempt-id": b"a", b"path": b"127.0.0.1:1=0-16", b"token-count": b"1,0"}
+    request = HttpRequest(method=b"POST", target=b"/x", headers=[], fields=fields)
+    exchange = SimpleNamespace(answer=answer, begin=answer, end=end)
+    anyio.run(answer_stream, upstream, request, exchange)
+    assert [status for status, _headers in answers] == statuses
+    headers = answers[0][1]
+    assert headers[b"Replica-Load"] == (b"2,0,2" if streams == 2 else b"%d,0,2" % (streams + 1))
+    assert (b"Not-Executed" in headers) == (statuses == [503])
+    assert b"Retry-After" not in headers
+    events = [json.loads(line)["event"] for line in upstream.ledger.read_text().splitlines()]
+    assert events == (["full"] if statuses == [503] else ["run"])
+    assert upstream.streams == streams
+
+
 def test_ordinary_callers_ask_for_every_priority_and_account() -> None:
     rng = random.Random(1)
     chosen = [choose_request(rng) for _ in range(200)]
