--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ...routing.fleet_demand import has_totals
 from ...routing.return_times import expire_places
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
 from .demand_gauges import demand_gauges
@@ -22,6 +23,7 @@
         "document_version": float(state.version),
         "document_confirmed_age_seconds": now - state.freshness.as_of,
         "control_links": float(len(state.peers.links) if state.peers is not None else 0),
+        "demand_known": float(has_totals(state.demand, now)),
         "upstreams": float(len(state.table.upstreams)),
         "upstreams_avoided": float(
             sum(item.avoid_until > now for item in state.table.upstreams.values())
