--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -271,7 +271,9 @@
             item for item in path.engines if item.registration.address == failed_upstream
         ] or [path.head]
         for engine in at_fault:
-            await _evaluate_refusal(state, session, path, engine)
+            await _evaluate_refusal(
+                state, session, path, engine, reports=not answer.facts.wrong_upstream
+            )
         return AttemptResult.REFUSED, f"status {status} at {at_fault[0].registration.instance}"
     if not answer.facts.signed:
         return AttemptResult.LOST, f"unsigned answer with status {status}"
@@ -282,13 +284,19 @@
 
 
 async def _evaluate_refusal(
-    state: GatewayState, session: StreamSession, path: ChosenPath, engine: ForwardedUpstream
+    state: GatewayState,
+    session: StreamSession,
+    path: ChosenPath,
+    engine: ForwardedUpstream,
+    *,
+    reports: bool = True,
 ) -> None:
     """Record that an attempt was refused because of one engine, as full or as dead.
 
     The first engine refuses by itself if it is full or draining. It names a later engine if that
     one is full or dead. A dead engine that is recorded as full would receive an attempt from each
     box every `FULL_AVOID_SECONDS` while it is registered; a probe distinguishes the two cases.
+    Other boxes are told, unless another instance answered, which says nothing of the engine's room.
     """
     session.excluded.add(engine.registration.instance)
     _suspect_domain(state, session, engine)
@@ -297,7 +305,8 @@
     ):
         return
     record_full(engine, anyio.current_time())
-    report_full(state, engine)
+    if reports:
+        report_full(state, engine)
 
 
 def _suspect_domain(state: GatewayState, session: StreamSession, engine: ForwardedUpstream) -> None:
