Metrics: room, shares and waiting requests of pools that are shared by priority

Cause: whether a refusal followed from little room or from a small share was told by log lines alone. Weighed: computing the room for the page (costs as much as a decision, and may differ from what was decided on); the latest view and its age are shown instead.

--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -9,6 +9,7 @@
 from ...routing.fleet_demand import has_totals
 from ..metrics_page import counter_lines, gauge_lines, histogram_lines
 from .demand_gauges import demand_gauges
+from .room_gauges import room_gauges
 
 if TYPE_CHECKING:
     from .state import GatewayState
@@ -36,4 +37,5 @@
         *histogram_lines("event_gap", metrics.gap),
         *gauge_lines(gauges),
         *gauge_lines(demand_gauges(state, now)),
+        *gauge_lines(room_gauges(state, now)),
     ]
--- a/tests/daemons/gateway/test_metrics.py
+++ b/tests/daemons/gateway/test_metrics.py
@@ -6,8 +6,12 @@
 
 from ledgeladder.daemons.gateway.demand_gauges import MAX_SERIES, demand_gauges
 from ledgeladder.daemons.gateway.metrics import metrics_lines
+from ledgeladder.daemons.gateway.room_gauges import room_gauges
+from ledgeladder.daemons.gateway.state import RoomView
 from ledgeladder.model.demand import ClassDemand, PoolDemand
+from ledgeladder.routing.admission_level import AdmissionLevel
 from ledgeladder.routing.fleet_demand import apply_totals, record_asked
+from ledgeladder.routing.pool_room import PoolRoom
 
 from .builders import gateway_state
 
@@ -53,3 +57,45 @@
     assert gauges["demand_series_left_out"] == 9 * MAX_SERIES
     assert len(gauges) == 3 * MAX_SERIES + 2
     assert gauges['demand_asked_per_second{pool="p\\"0",priority="0"}'] == 1.0
+
+
+def test_room_gauges_tell_what_admission_last_saw() -> None:
+    """Pools that a newer document does not name any more are left out."""
+
+    async def run() -> dict[str, float]:
+        state = gateway_state()
+        room = PoolRoom(free=2.0, capacity=8.0, in_flight=6.0)
+        for pool in ("p", "gone"):
+            state.room.views[pool] = RoomView(
+                at=10.0, room=room, settled=0.0, load_age=0.0, demand=PoolDemand(), taken=3.0
+            )
+            state.room.levels[pool, 2] = AdmissionLevel(value=0.25)
+            state.room.waiting[pool, 2] = 4
+        state.contended = frozenset({"p", "unused"})
+        return room_gauges(state, 10.5)
+
+    assert anyio.run(run) == {
+        'room_free_requests{pool="p"}': 0.0,
+        'room_capacity_requests{pool="p"}': 8.0,
+        'room_age_seconds{pool="p"}': 0.5,
+        'admission_share{pool="p",priority="2"}': 0.25,
+        'admission_waiting{pool="p",priority="2"}': 4.0,
+    }
+
+
+def test_room_gauges_are_bounded() -> None:
+    async def run() -> dict[str, float]:
+        state = gateway_state()
+        state.contended = frozenset(f"p-{number}" for number in range(2 * MAX_SERIES))
+        room = PoolRoom(free=2.0, capacity=8.0, in_flight=6.0)
+        for pool in state.contended:
+            state.room.views[pool] = RoomView(
+                at=10.0, room=room, settled=0.0, load_age=0.0, demand=PoolDemand()
+            )
+            for priority in range(3):
+                state.room.levels[pool, priority] = AdmissionLevel()
+        gauges = room_gauges(state, 10.5)
+        assert not any(state.room.waiting.values())
+        return gauges
+
+    assert len(anyio.run(run)) == (3 + 2) * MAX_SERIES
