--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -105,6 +105,7 @@
         link_utilization=link_utilization(state.link_load, state.entry_count, now),
         previous_instances=session.tried,
         stalled_after=session.timeouts.gap_probe if session.dead else math.inf,
+        may_cross=session.has_begun or permit.pool.name not in state.contended,
         link_limit=RESUMED_STREAM_LIMIT if session.started else NEW_REQUEST_LIMIT,
         target_latency=permit.route.target_latency,
         sharers=count_sharers(state, permit.pool.name),
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -472,7 +472,12 @@
     """Return whether an upstream may receive new requests now."""
     if not accepts_work(upstream, now) or now < upstream.avoid_until:
         return False
-    return upstream.last_seen_at > upstream.lost_at + LAST_SEEN_MARGIN_SECONDS
+    return not is_lost(upstream)
+
+
+def is_lost(upstream: ForwardedUpstream) -> bool:
+    """Return whether an upstream was found lost and no heartbeat was seen since."""
+    return upstream.last_seen_at <= upstream.lost_at + LAST_SEEN_MARGIN_SECONDS
 
 
 def has_alternative(
--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -71,6 +71,10 @@
     link_utilization: Mapping[Link, float] = msgspec.field(default_factory=dict)
     """Utilization of each inter-domain link, as a share of its capacity."""
 
+    may_cross: bool = True
+    """Whether a path may cross failure domains although one of them holds all layers. Without it, a
+    domain that is full is short of room and not of layers."""
+
     link_limit: float = NEW_REQUEST_LIMIT
     """Utilization from which a link accepts no more requests."""
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -15,7 +15,15 @@
 import msgspec
 
 from ..model.exchange import PathPart
-from .forwarding_table import is_backing_off, is_inactive, is_usable, remaining_wait
+from .forwarding_table import (
+    accepts_work,
+    covers_layers,
+    is_backing_off,
+    is_inactive,
+    is_lost,
+    is_usable,
+    remaining_wait,
+)
 from .path_costs import INACTIVE_PENALTY_SECONDS, engine_offers
 from .path_search import cheapest_steps
 from .rate_grants import has_grant
@@ -107,8 +115,10 @@
         rng: Source of the cost jitter; None disables it.
 
     Returns:
-        The path, or None if the usable engines do not cover all layers.
+        The path, or None if the usable engines do not cover all layers, or cover them only across
+        failure domains though the request may not cross them.
     """
+    engines = list(engines)
     usable = [
         engine
         for engine in _newest_instances(engines)
@@ -142,6 +152,8 @@
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
     if single_domain is not None and single_domain.cost_without_queue < INACTIVE_PENALTY_SECONDS:
         return single_domain
+    if single_domain is None and not request.may_cross and _has_whole_domain(profile, engines, now):
+        return None
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
     if single_domain is None or multi_domain is None:
@@ -150,6 +162,17 @@
     return min(single_domain, multi_domain, key=lambda path: path.cost_without_queue)
 
 
+def _has_whole_domain(
+    profile: EngineProfile, engines: Iterable[ForwardedUpstream], now: float
+) -> bool:
+    """Return whether the engines of any failure domain hold all layers, full engines included."""
+    domains: dict[str, list[ForwardedUpstream]] = {}
+    for item in engines:
+        if not is_lost(item) and accepts_work(item, now) and not is_inactive(item, now):
+            domains.setdefault(item.registration.failure_domain, []).append(item)
+    return any(covers_layers(members, profile.layers) for members in domains.values())
+
+
 def _cheapest_single_domain_path(
     profile: EngineProfile,
     domains: Iterable[str],
