--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -41,6 +41,9 @@
 
 from .sample_site import CARDS, DOMAINS, PROFILE, placed_fleet
 
+SMALL_LAYERS = msgspec.structs.replace(PROFILE, layer_mb=250.0)
+"""Profile of a model half of which fits on each fast card."""
+
 
 def make_engines(now: float = 0.0) -> list[ForwardedUpstream]:
     """Return the engines of the site with the layers of the first plan, last seen at a time."""
@@ -284,6 +287,59 @@
     assert inter_domain_hops(path) == [("a", "b")]
 
 
+def two_halves(domain: str, capacity_used: float = 0.0) -> list[ForwardedUpstream]:
+    """Return engines of a failure domain that together hold all layers, filled to a share."""
+    halves = [
+        make_engine(domain, Holding(first=0, end=40)),
+        make_engine(domain, Holding(first=40, end=80)),
+    ]
+    for item in halves:
+        name = f"{domain}-{item.registration.holdings[0].first}"
+        item.registration = msgspec.structs.replace(
+            item.registration, instance=name, address=f"{name}:1"
+        )
+        item.kv_reserved = capacity_used * kv_capacity(SMALL_LAYERS, "fast", 40)
+    return halves
+
+
+@pytest.mark.parametrize("is_avoided", [False, True])
+def test_new_requests_do_not_cross_domains_that_are_only_full(*, is_avoided: bool) -> None:
+    """Load: each failure domain holds all layers, and half of each is full. A path over the other
+    halves would hold the room of both for as long as the link between them takes."""
+    pool = [*two_halves("a"), *two_halves("b")]
+    for full in (pool[0], pool[3]):
+        if is_avoided:
+            record_full(full, 2.5)
+        else:
+            full.kv_reserved = 2.0 * kv_capacity(SMALL_LAYERS, "fast", 40)
+    request = make_request("a")
+    crossing = choose_path(SMALL_LAYERS, pool, request, 2.5)
+    assert crossing is not None
+    assert inter_domain_hops(crossing) == [("b", "a")]
+    stays = msgspec.structs.replace(request, may_cross=False)
+    assert choose_path(SMALL_LAYERS, pool, stays, 2.5) is None
+
+
+def test_other_domain_with_room_is_used_without_crossing() -> None:
+    pool = [*two_halves("a", 2.0), *two_halves("b")]
+    stays = msgspec.structs.replace(make_request("a"), may_cross=False)
+    path = choose_path(SMALL_LAYERS, pool, stays, 2.5)
+    assert path is not None
+    assert path.domains == ["b", "b"]
+
+
+def test_requests_cross_domains_that_lost_layers() -> None:
+    """Failure: engines are lost until no failure domain holds all layers any more."""
+    pool = [*two_halves("a"), *two_halves("b")]
+    stays = msgspec.structs.replace(make_request("a"), may_cross=False)
+    record_loss(pool[0], 2.5)
+    assert choose_path(SMALL_LAYERS, pool, stays, 2.5) is not None
+    record_loss(pool[3], 2.5)
+    path = choose_path(SMALL_LAYERS, pool, stays, 2.5)
+    assert path is not None
+    assert inter_domain_hops(path) == [("b", "a")]
+
+
 def test_congested_failure_domain_uses_another() -> None:
     pool = [make_engine("a", Holding(first=0, end=80)), make_engine("b", Holding(first=0, end=80))]
     small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
