--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -42,9 +42,9 @@
 ) -> ChosenPath | None:
     """Choose the path of the next attempt, relaxing the constraints until one is found.
 
-    The first search leaves out suspected failure domains and the engines that failed this request.
-    The next ones admit the suspected domains, then engines that failed but are not dead. The last
-    one leaves out failed engines again and admits engines above their usual load limit.
+    A path between failure domains comes last: it is slow, and holds the room of several domains for
+    as long. New requests of contended pools take none while a domain that holds all layers is only
+    full; they are refused with a time to return.
 
     Args:
         state: State of the process.
@@ -58,6 +58,26 @@
     """
     request_grants(state, permit.pool.name)
     request = _path_request(state, permit, session, expected)
+    inside = msgspec.structs.replace(request, may_cross=False)
+    path = _choose_with_fallbacks(state, permit, profile, session, inside)
+    if path is None and (session.has_begun or permit.pool.name not in state.contended):
+        path = _choose_with_fallbacks(state, permit, profile, session, request)
+    return path
+
+
+def _choose_with_fallbacks(
+    state: GatewayState,
+    permit: Permit,
+    profile: EngineProfile,
+    session: StreamSession,
+    request: PathRequest,
+) -> ChosenPath | None:
+    """Choose a path with the given parameters.
+
+    The first search leaves out suspected failure domains and the engines that failed this request.
+    The next ones admit the suspected domains, then engines that failed but are not dead. The last
+    one leaves out failed engines again and admits engines above their usual load limit.
+    """
     engines = state.table.pools.get(permit.pool.name, [])
     now = anyio.current_time()
     excluded = session.excluded | session.dead
@@ -105,7 +125,6 @@
         link_utilization=link_utilization(state.link_load, state.entry_count, now),
         previous_instances=session.tried,
         stalled_after=session.timeouts.gap_probe if session.dead else math.inf,
-        may_cross=session.has_begun or permit.pool.name not in state.contended,
         link_limit=RESUMED_STREAM_LIMIT if session.started else NEW_REQUEST_LIMIT,
         target_latency=permit.route.target_latency,
         sharers=count_sharers(state, permit.pool.name),
