--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -96,11 +96,15 @@
 def has_other_path(
     state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
 ) -> bool:
-    """Return whether a request could move from its path to engines that are not on it."""
+    """Return whether a request could move from its path to engines that are not on it.
+
+    A path between failure domains counts only if no domain holds all layers.
+    """
     profile = permit.pool.engine
     assert profile is not None
     now = anyio.current_time()
     request = _path_request(state, permit, session, expected_answer_tokens(permit, profile))
+    request = msgspec.structs.replace(request, may_cross=False)
     on_path = {item.registration.instance for item in path.engines}
     excluded = session.excluded | session.dead | on_path
     engines = state.table.pools.get(permit.pool.name, [])
