--- a/tests/daemons/gateway/test_admission.py
+++ b/tests/daemons/gateway/test_admission.py
@@ -320,6 +320,13 @@
     return state
 
 
+async def wait_until_queued(state: GatewayState, number: int) -> None:
+    """Wait until some requests wait; fail instead of hanging if they were decided on at once."""
+    with anyio.fail_after(20.0):
+        while len(state.room.queue.queue.waiting) < number:
+            await anyio.sleep(0)
+
+
 def free_room(state: GatewayState) -> None:
     for item in state.table.upstreams.values():
         item.in_flight = 0
@@ -343,8 +350,7 @@
                 callers.start_soon(call, "late", 1, 25.0)
                 callers.start_soon(call, "soon", 1, 20.0)
                 callers.start_soon(call, "urgent", 0, 30.0)
-                while len(state.room.queue.queue.waiting) < 4:
-                    await anyio.sleep(0)
+                await wait_until_queued(state, 4)
                 free_room(state)
                 tasks.start_soon(run_queue, state.room.queue)
             tasks.cancel_scope.cancel()
@@ -407,8 +413,7 @@
         state = waiting_state()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(admit, state, caller(1, route=PATIENT))
-            while not state.room.queue.queue.waiting:
-                await anyio.sleep(0)
+            await wait_until_queued(state, 1)
             tasks.cancel_scope.cancel()
         assert not state.room.queue.queue.waiting
         assert not +state.room.waiting
