Gateways load admission and return times on first use

Only contended pools use admission and its cores, and only refused requests use return times.

Weighed: a lazy package face as in coordination/raft, which hides that the names are imported late; and loading when a document with contended pools arrives, which delays the document of all boxes at once. The import stands in the function that needs it instead. Streams of other pools no longer call admission, which returned at once for them.

The patch of admit_stream moved to the module that defines it. The new test of pools without contention fails if admission is called for all pools.

--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -15,8 +15,6 @@
 from ...coordination.full_notices import NoticeThrottle
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
-from ...routing.admission_level import AdmissionLevel
-from ...routing.admission_view import SettledRoom
 from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
     ForwardedUpstream,
@@ -28,7 +26,6 @@
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
-from ...routing.return_times import ReturnBook
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
 from ...routing.wait_queue import WaitQueue
@@ -38,7 +35,10 @@
 if TYPE_CHECKING:
     from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
+    from ...routing.admission_level import AdmissionLevel
+    from ...routing.admission_view import SettledRoom
     from ...routing.pool_room import PoolRoom
+    from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
     from ..peers import Peers
     from .stream_session import RunningStream
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -14,12 +14,10 @@
 from ...routing.pace import record_gap
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
-from .admission import admit_stream
 from .borrowing import acquire_retry
 from .checks import Permit, refusal
 from .crashes import count_crashes, record_answered
 from .probing import probe_timeout
-from .retry_after import retry_after_full, retry_after_no_path, urgency_of
 from .state import retry_budget
 from .stream_attempt import run_attempt
 from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
@@ -68,7 +66,11 @@
         trace=trace,
         resumed=permit.facts.resume_after is not None,
     )
-    await admit_stream(state, permit, request, session, expected)
+    if permit.pool.name in state.contended:
+        # Imported here because only contended pools need it.
+        from .admission import admit_stream
+
+        await admit_stream(state, permit, request, session, expected)
     with track_stream(state, permit.pool.name, session, request.arrived_at):
         timed_out = await _run_attempts(state, permit, request, exchange, session, expected)
     if not session.complete:
@@ -163,6 +165,9 @@
     """Return after how many refusals to give up: earlier for new requests that are less urgent."""
     if session.refusals == 0 or session.has_begun or permit.pool.name not in state.contended:
         return REFUSALS_LIMIT
+    # Imported here because only refused requests need it.
+    from .retry_after import urgency_of
+
     return refusals_limit(urgency_of(state, permit))
 
 
@@ -189,6 +194,9 @@
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
     if session.attempts <= 0 and session.sent == session.refusals:
+        # Imported here because only refused requests need it.
+        from .retry_after import retry_after_full, retry_after_no_path
+
         missing = session.missing
         if missing is not None and missing.wait_seconds is not None:
             is_limited = missing.is_rate_limited
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from ledgeladder.daemons.gateway import stream
+from ledgeladder.daemons.gateway import admission, stream
 from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.daemons.gateway.stream_session import AttemptResult, StreamSession, begun_streams
 from ledgeladder.model import ProblemError
@@ -43,15 +43,17 @@
         self.sent = 0
         self.purposes: list[bool] = []
         self.begun: list[int] = []
+        self.admissions = 0
         monkeypatch.setattr(stream, "count_crashes", lambda *_args: 0)
         monkeypatch.setattr(stream, "choose_attempt_path", lambda *_args: path_over(engine()))
-        monkeypatch.setattr(stream, "admit_stream", self._admit)
+        monkeypatch.setattr(admission, "admit_stream", self._admit)
         monkeypatch.setattr(stream, "run_attempt", self._attempt)
         monkeypatch.setattr(stream, "acquire_retry", self._acquire)
         monkeypatch.setattr(stream, "record_answered", lambda *_args: None)
 
     async def _admit(self, *_args: Any) -> None:
-        """Admission has tests of its own."""
+        """Count calls; admission has tests of its own."""
+        self.admissions += 1
 
     async def _acquire(self, _state: GatewayState, _pool: str, *, started: bool) -> Any:
         self.purposes.append(started)
@@ -107,6 +109,19 @@
     assert play.sent == REFUSALS_LIMIT
 
 
+@pytest.mark.parametrize("contended", [True, False])
+def test_only_contended_pools_ask_for_admission(
+    monkeypatch: pytest.MonkeyPatch, *, contended: bool
+) -> None:
+    """Gateways whose pools are all uncontended never load the modules of admission."""
+    play = Play(monkeypatch, AttemptResult.COMPLETE)
+    if contended:
+        play.state.contended = frozenset({POOL})
+    play.run(0)
+    assert play.sent == 1
+    assert play.admissions == int(contended)
+
+
 def test_resumed_streams_have_the_limit_of_urgent_requests(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
