Gateways load the metrics page's lines and full notices on first use

The lines of the page and their gauges are needed when it is read, full notices when an engine refuses or another box tells of one, loss updates when one arrives. full_reports of the state is None until the first refusal; its gauge is 0 until then.

Weighed: the listener of the page stays at the start, since it runs at once.

Tests: none changed; those of notices, metrics and control links pass.

--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -56,8 +56,6 @@
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
 from .demand_reports import handle_demand_totals, report_demand
-from .full_notices import handle_full_notice
-from .loss_updates import confirm_loss, handle_loss_update
 from .state import rate_limiter_of, record_entry_count
 
 if TYPE_CHECKING:
@@ -111,6 +109,9 @@
                 case RegistrationAges():
                     _apply_ages(state, unpack_ages(order, message.index_number, message.ages))
                 case LossUpdate():
+                    # Imported here because few boxes get one soon after their start.
+                    from .loss_updates import confirm_loss, handle_loss_update
+
                     engine = handle_loss_update(state, message.instance)
                     if engine is not None:
                         tasks.start_soon(confirm_loss, state, engine)
@@ -127,6 +128,9 @@
                         state, unpack_loads(order, message.index_number, message.loads)
                     )
                 case FullNotice():
+                    # Imported here because few boxes get one soon after their start.
+                    from .full_notices import handle_full_notice
+
                     handle_full_notice(state, message)
                 case DemandTotals():
                     handle_demand_totals(state, message)
--- a/src/ledgeladder/daemons/gateway/full_notices.py
+++ b/src/ledgeladder/daemons/gateway/full_notices.py
@@ -7,10 +7,10 @@
 
 import anyio
 
-from ...coordination.full_notices import pass_notices
+from ...coordination.full_notices import NoticeThrottle, pass_notices
 from ...links.messages import FullReport
 from ...routing.forwarding_table import total_kv
-from ...routing.full_engines import apply_full_notice
+from ...routing.full_engines import NOTICE_INTERVAL_SECONDS, apply_full_notice
 from ...routing.layer_coverage import kv_capacity
 from ..peers import primary_of
 from .stream_paths import count_sharers
@@ -33,6 +33,8 @@
     if engine.draining:
         return
     instance = engine.registration.instance
+    if state.full_reports is None:
+        state.full_reports = NoticeThrottle(interval=NOTICE_INTERVAL_SECONDS)
     if not pass_notices(state.full_reports, (instance,), anyio.current_time()):
         return
     logger.info(
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -21,7 +21,6 @@
 from .backpressure import log_backoff_ends
 from .control_link import serve_control_link
 from .demand_reports import log_demand_changes
-from .metrics import metrics_lines
 from .readiness import build_ready_site
 from .state import (
     GatewayState,
@@ -135,7 +134,7 @@
         ),
         log_child(),
         metrics_child(
-            f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: metrics_lines(state)
+            f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: _metrics_lines(state)
         ),
         Child(name="expiry", run=lambda: _close_expired_connections(state), restart=Restart.ALWAYS),
     ]
@@ -152,6 +151,14 @@
     logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
 
 
+def _metrics_lines(state: GatewayState) -> list[str]:
+    """Return the lines of the metrics page."""
+    # Imported here because only readers of the page need it.
+    from .metrics import metrics_lines
+
+    return metrics_lines(state)
+
+
 async def _close_expired_connections(state: GatewayState) -> None:
     while True:
         await anyio.sleep(EXPIRY_CHECK_SECONDS)
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -29,7 +29,9 @@
         "upstreams_avoided": float(
             sum(item.avoid_until > now for item in state.table.upstreams.values())
         ),
-        "full_reports_dropped": float(state.full_reports.dropped),
+        "full_reports_dropped": float(
+            state.full_reports.dropped if state.full_reports is not None else 0
+        ),
         "prompts_pending": float(
             sum(item.pending_prompts for item in state.table.upstreams.values())
         ),
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,7 +12,6 @@
 
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
-from ...coordination.full_notices import NoticeThrottle
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
@@ -22,7 +21,6 @@
     SuspectedDomains,
     set_limit,
 )
-from ...routing.full_engines import NOTICE_INTERVAL_SECONDS
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
@@ -33,6 +31,7 @@
 from ..limit_keeper import RateLimiter
 
 if TYPE_CHECKING:
+    from ...coordination.full_notices import NoticeThrottle
     from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
     from ...routing.admission_level import AdmissionLevel
@@ -306,10 +305,9 @@
     peers: Peers | None = None
     """Links to control boxes."""
 
-    full_reports: NoticeThrottle = msgspec.field(
-        default_factory=lambda: NoticeThrottle(interval=NOTICE_INTERVAL_SECONDS)
-    )
-    """Bounds the reports of engines that refused requests for lack of room."""
+    full_reports: NoticeThrottle | None = None
+    """Bounds the reports of engines that refused requests for lack of room; None before the first
+    refusal."""
 
     rate_limiter: RateLimiter | None = None
     """Enforces the rate limits that upstreams advertise, in requests per second."""
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -21,7 +21,6 @@
 from ...routing.link_load import record_transfer
 from ...routing.paths import ChosenPath, count_prompt, release, reserve
 from .crashes import record_crash
-from .full_notices import report_full
 from .notes import content_fingerprint
 from .probing import check_exited, find_unreachable, report_lost
 from .stall_watch import open_watched
@@ -306,6 +305,9 @@
         return
     record_full(engine, anyio.current_time())
     if reports:
+        # Imported here because engines are rarely full.
+        from .full_notices import report_full
+
         report_full(state, engine)
 
 
