Gateways load queries for slowdowns on first use

Weighed: joining stream_replacement into stream_paths and account_sketch into demand_sums, which isn't needed for the limit and would mix parts.

The patch of query_slowdowns moved to the module that defines it.

--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -14,7 +14,6 @@
 from ...routing.pace import record_false_alarm, stall_timeout
 from ...routing.suspected_links import suspect_links
 from .probing import find_unreachable
-from .slowdown_queries import query_slowdowns
 from .upstream_call import (
     AnswerLostError,
     BackpressureError,
@@ -102,7 +101,7 @@
         if await find_unreachable(state, path.engines, session.dead):
             scope.cancel()
             return
-        await query_slowdowns(state, path)
+        await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
         if waited >= limit and await session.secure_replacement(path):
             break
@@ -190,7 +189,7 @@
             reasons.append("an engine of the path is unreachable")
             break
         if waited >= session.timeouts.slowdown_query:
-            await query_slowdowns(state, path)
+            await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
         overdue = waited >= session.timeouts.gap_timeout
         if overdue and await session.secure_replacement(path):
@@ -205,6 +204,14 @@
     scope.cancel()
 
 
+async def _query_slowdowns(state: GatewayState, path: ChosenPath) -> None:
+    """Ask the engines of a stalled path whether they are slow."""
+    # Imported here because few streams stall.
+    from .slowdown_queries import query_slowdowns
+
+    await query_slowdowns(state, path)
+
+
 def _exclude_path(session: StreamSession, path: ChosenPath) -> None:
     """Exclude all engines of a stalled path, since the one that caused the stall is unknown."""
     session.excluded.update(item.registration.instance for item in path.engines)
--- a/tests/daemons/gateway/test_stall_watch.py
+++ b/tests/daemons/gateway/test_stall_watch.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from ledgeladder.daemons.gateway import stall_watch
+from ledgeladder.daemons.gateway import slowdown_queries, stall_watch
 from ledgeladder.daemons.gateway.stream_session import StreamSession
 from ledgeladder.daemons.gateway.upstream_call import AnswerLostError
 from ledgeladder.routing.event_stream import EventOrder
@@ -70,7 +70,7 @@
         pass
 
     monkeypatch.setattr(stall_watch, "find_unreachable", late.probe)
-    monkeypatch.setattr(stall_watch, "query_slowdowns", no_query)
+    monkeypatch.setattr(slowdown_queries, "query_slowdowns", no_query)
     monkeypatch.setattr(stall_watch, "open_answer", late.answer)
     monkeypatch.setattr(stall_watch, "read_part", late.answer)
     session.secure_replacement = secure
