--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,11 +12,8 @@
 
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
-from ...coordination.full_notices import NoticeThrottle
 from ...http1 import ConnectionPool
 from ...model.traffic import CallerLimits
-from ...routing.admission_level import AdmissionLevel
-from ...routing.admission_view import SettledRoom
 from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
     ForwardedUpstream,
@@ -24,11 +21,9 @@
     SuspectedDomains,
     set_limit,
 )
-from ...routing.full_engines import NOTICE_INTERVAL_SECONDS
 from ...routing.link_load import LinkLoad
 from ...routing.pace import Pace
 from ...routing.repeat_window import RetryWindow
-from ...routing.return_times import ReturnBook
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
 from ...routing.wait_queue import WaitQueue
@@ -36,9 +31,13 @@
 from ..limit_keeper import RateLimiter
 
 if TYPE_CHECKING:
+    from ...coordination.full_notices import NoticeThrottle
     from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
+    from ...routing.admission_level import AdmissionLevel
+    from ...routing.admission_view import SettledRoom
     from ...routing.pool_room import PoolRoom
+    from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
     from ..peers import Peers
     from .stream_session import RunningStream
@@ -306,10 +305,9 @@
     peers: Peers | None = None
     """Links to control boxes."""
 
-    full_reports: NoticeThrottle = msgspec.field(
-        default_factory=lambda: NoticeThrottle(interval=NOTICE_INTERVAL_SECONDS)
-    )
-    """Bounds the reports of engines that refused requests for lack of room."""
+    full_reports: NoticeThrottle | None = None
+    """Bounds the reports of engines that refused requests for lack of room; None before the first
+    refusal."""
 
     rate_limiter: RateLimiter | None = None
     """Enforces the rate limits that upstreams advertise, in requests per second."""
