--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -1,6 +1,7 @@
 """Stall detection for attempts of streams: probes of the engines and abort of stalled attempts.
 
-An attempt whose engines answer probes is aborted only if another one can replace it.
+An attempt whose engines answer probes is aborted only if another one can replace it, or if its path
+crosses failure domains.
 """
 
 from __future__ import annotations
@@ -103,7 +104,7 @@
             return
         await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
-        if waited >= limit and await session.secure_replacement(path):
+        if waited >= limit and await session.may_abort(path):
             break
     _exclude_path(session, path)
     scope.cancel()
@@ -192,7 +193,7 @@
             await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
         overdue = waited >= session.timeouts.gap_timeout
-        if overdue and await session.secure_replacement(path):
+        if overdue and await session.may_abort(path):
             _exclude_path(session, path)
             reasons.append(f"stalled for {waited:.2f} s")
             break
--- a/src/ledgeladder/daemons/gateway/stream_replacement.py
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -1,4 +1,4 @@
-"""Decides whether a stalled attempt of a stream can be replaced by another one."""
+"""Decides whether a stalled attempt of a stream is aborted although its engines answer probes."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 def replaceable_attempts(
     state: GatewayState, permit: Permit, session: StreamSession
 ) -> Iterator[None]:
-    """Let stalled attempts of a stream be replaced within the block.
+    """Let stalled attempts of a stream be aborted within the block if they can be replaced.
 
     Args:
         state: State of the process.
@@ -32,9 +32,9 @@
     """
 
     async def secure(path: ChosenPath) -> bool:
-        return await _secure_replacement(state, permit, session, path)
+        return await _may_abort(state, permit, session, path)
 
-    session.secure_replacement = secure
+    session.may_abort = secure
     try:
         yield
     finally:
@@ -43,15 +43,18 @@
             session.reserved_retry = None
 
 
-async def _secure_replacement(
+async def _may_abort(
     state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
 ) -> bool:
-    """Return whether another attempt may follow; take the retry that it needs.
+    """Return whether a stalled attempt is aborted; take the retry that its replacement needs.
 
     Engines that answer probes are late because they are busy. Without a retry, or without a path
     over other engines, aborting the attempt would fail the request although its answer is on its
-    way.
+    way. An attempt between failure domains is aborted all the same: it waits for a link that is
+    full, and holds the room of several domains as long as it does.
     """
+    if len(set(path.domains)) > 1:
+        return True
     if not permit.route.repeatable or session.attempts >= permit.route.max_attempts:
         return False
     if not has_other_path(state, permit, session, path):
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -39,7 +39,7 @@
     an error, which is forwarded if no other attempt succeeds."""
 
 
-async def _no_replacement(_path: ChosenPath) -> bool:
+async def _never(_path: ChosenPath) -> bool:
     return False
 
 
@@ -99,9 +99,9 @@
     failure_body: bytes = b""
     """Body of `failure`."""
 
-    secure_replacement: Callable[[ChosenPath], Awaitable[bool]] = _no_replacement
-    """Takes what another attempt needs, once that over the given path is overdue; returns False if
-    there can be none."""
+    may_abort: Callable[[ChosenPath], Awaitable[bool]] = _never
+    """Decides whether an attempt over the given path, which is overdue, is aborted; takes the retry
+    that its replacement needs."""
 
     reserved_retry: Retry | None = None
     """Retry that was taken for a replacement and is not used yet."""
--- a/tests/daemons/gateway/test_stall_watch.py
+++ b/tests/daemons/gateway/test_stall_watch.py
@@ -73,7 +73,7 @@
     monkeypatch.setattr(slowdown_queries, "query_slowdowns", no_query)
     monkeypatch.setattr(stall_watch, "open_answer", late.answer)
     monkeypatch.setattr(stall_watch, "read_part", late.answer)
-    session.secure_replacement = secure
+    session.may_abort = secure
     permit = SimpleNamespace(route=SimpleNamespace(repeatable=True))
     answer = SimpleNamespace(connection=None)
 
--- a/tests/daemons/gateway/test_stream_replacement.py
+++ b/tests/daemons/gateway/test_stream_replacement.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import anyio
+import msgspec
 import pytest
 
 from ledgeladder.daemons.gateway import stream_replacement
@@ -47,7 +48,7 @@
         budget = retry_budget(state, "p")
         add_quota(budget, retries, anyio.current_time() + 60.0)
         with replaceable_attempts(state, permit, session):
-            secured = await session.secure_replacement(path_over(engine()))
+            secured = await session.may_abort(path_over(engine()))
             assert (session.reserved_retry is not None) is expected
         # An unused reservation goes back to the budget.
         assert session.reserved_retry is None
@@ -55,3 +56,25 @@
         return secured
 
     assert anyio.run(run) is expected
+
+
+def test_a_stalled_attempt_between_failure_domains_is_aborted_without_replacement(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load: the link between two domains is full. Whoever waits for it holds the room of both."""
+    session = StreamSession(order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10)
+    permit = SimpleNamespace(
+        route=SimpleNamespace(repeatable=True, max_attempts=1), pool=SimpleNamespace(name="p")
+    )
+    monkeypatch.setattr(stream_replacement, "has_other_path", lambda *_: False)
+    engines = engine("i-1"), engine("i-2", "127.0.0.1:2")
+    engines[1].registration = msgspec.structs.replace(
+        engines[1].registration, failure_domain="other"
+    )
+
+    async def run() -> bool:
+        with replaceable_attempts(gateway_state(), permit, session):
+            return await session.may_abort(path_over(*engines))
+
+    assert anyio.run(run)
+    assert session.reserved_retry is None
