Admission: requests wait for room for a quarter of their time, not a fifth of the target latency

Cause: refused callers of this kind return once only, and a request that is refused again is lost. Waiting at the box in order of priority serves them late instead. Ruled out: holding what cannot be served (a place must be expected within the wait, else the refusal is immediate).

--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -159,7 +159,6 @@
     queue, key = state.room.queue, (permit.pool.name, permit.priority)
     until = room_wait_deadline(
         arrived_at=request.arrived_at,
-        target_latency=permit.route.target_latency,
         deadline=permit.deadline,
         stream_seconds=state.stream_pace.mean,
     )
--- a/src/ledgeladder/routing/room_wait.py
+++ b/src/ledgeladder/routing/room_wait.py
@@ -7,28 +7,27 @@
 if TYPE_CHECKING:
     from ..model.demand import PoolDemand
 
-MAX_WAIT_TARGET_SHARE: Final = 0.2
-"""Maximum wait for room, as a part of the target latency. If the request is refused after it, the
-rest leaves the caller time to come back."""
+MAX_WAIT_SHARE: Final = 0.25
+"""Maximum wait for room, as a part of the time that a caller has. Many callers return only once, so
+that a second refusal would end the request; a request that is refused after its wait leaves the
+caller time to come back."""
 
 
-def room_wait_deadline(
-    *, arrived_at: float, target_latency: float, deadline: float, stream_seconds: float
-) -> float:
+def room_wait_deadline(*, arrived_at: float, deadline: float, stream_seconds: float) -> float:
     """Return until when a request may wait for room, on the clock of the arguments.
 
     Args:
         arrived_at: When it arrived, in seconds.
-        target_latency: Target time to its first event, in seconds.
         deadline: When its answer must be complete.
         stream_seconds: Usual duration of a stream, in seconds; 0 if unknown.
 
-    >>> room_wait_deadline(arrived_at=10.0, target_latency=1.0, deadline=40.0, stream_seconds=3.0)
-    10.2
-    >>> room_wait_deadline(arrived_at=10.0, target_latency=1.0, deadline=13.1, stream_seconds=3.0)
-    10.1
+    >>> room_wait_deadline(arrived_at=10.0, deadline=30.0, stream_seconds=3.0)
+    15.0
+    >>> room_wait_deadline(arrived_at=10.0, deadline=13.5, stream_seconds=3.0)
+    10.5
     """
-    return min(arrived_at + target_latency * MAX_WAIT_TARGET_SHARE, deadline - stream_seconds)
+    seconds = max(0.0, deadline - arrived_at)
+    return min(arrived_at + seconds * MAX_WAIT_SHARE, deadline - stream_seconds)
 
 
 def is_place_expected(
