Engines avoided as full count as a lack of room

Cause: an engine that is avoided after a refusal, its own or a noticed one, was explained as 'avoided', so that a new request without a path inside a failure domain was refused with the time to load layers in place of the time until there is room. The same held if all layers are covered and only parts of them have room.

Weighed: a reason of its own in NoPathReason; what callers need is the same as of engines that are estimated full. Failing and lost engines are told apart as before.

Tests: two of three cases of test_missing_path_inside_domains_is_a_lack_of_room failed before; test_paths, test_retry_after and test_stream of the gateway pass.

--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -315,6 +315,11 @@
     upstream.lost_at = float("-inf")
 
 
+def is_failing(upstream: ForwardedUpstream, now: float) -> bool:
+    """Return whether an upstream is avoided after failures, and not only for lack of room."""
+    return upstream.failures > 0 and now < upstream.avoid_until
+
+
 def record_full(upstream: ForwardedUpstream, now: float) -> None:
     """Record that an upstream was full, and avoid it briefly."""
     upstream.avoid_until = max(upstream.avoid_until, now + FULL_AVOID_SECONDS)
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -19,6 +19,7 @@
     accepts_work,
     covers_layers,
     is_backing_off,
+    is_failing,
     is_inactive,
     is_lost,
     is_usable,
@@ -48,7 +49,8 @@
 
 
 NO_CAPACITY: Final = "full"
-"""Reason: the engine has no room for even one layer of the request."""
+"""Reason: the engine has no room for even one layer of the request, or just refused one for lack of
+room."""
 
 BACKING_OFF: Final = "resting"
 """Reason: the engine requested back-off from this box."""
@@ -298,8 +300,12 @@
 
     @property
     def is_out_of_capacity(self) -> bool:
-        """Whether engines or links are full, in which case a path appears as requests finish."""
-        return self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links)
+        """Whether engines or links are full, in which case a path appears as requests finish.
+
+        If no layer is uncovered, only room is missing: engines take a part of their layers, or the
+        request may not cross failure domains.
+        """
+        return self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links) or self.layers is None
 
     def __str__(self) -> str:
         counts = ", ".join(f"{count} {reason}" for reason, count in sorted(self.engines.items()))
@@ -369,8 +375,13 @@
         return RATE_LIMITED
     if registration.instance in excluded:
         return "failed this request"
+    if is_lost(engine):
+        return "lost"
+    if is_failing(engine, now):
+        return "avoided"
     if not is_usable(engine, now):
-        return "lost" if engine.lost_at > engine.last_seen_at else "avoided"
+        # It refused a request for lack of room.
+        return NO_CAPACITY
     return "" if engine_offers(profile, engine, request, now) else NO_CAPACITY
 
 
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -23,7 +23,7 @@
     total_kv,
 )
 from ledgeladder.routing.layer_coverage import kv_capacity
-from ledgeladder.routing.path_costs import OVERCOMMIT_FRACTION, PathRequest
+from ledgeladder.routing.path_costs import FULL_FRACTION, OVERCOMMIT_FRACTION, PathRequest
 from ledgeladder.routing.paths import (
     ChosenPath,
     choose_path,
@@ -340,6 +340,33 @@
     assert inter_domain_hops(path) == [("b", "a")]
 
 
+@pytest.mark.parametrize("full", ["refused", "no room", "room for a part"])
+def test_missing_path_inside_domains_is_a_lack_of_room(full: str) -> None:
+    """Load: all layers are held, and engines are full for a moment. Callers are told when room is
+    expected, and not when engines will have loaded layers."""
+    pool = [*two_halves("a"), *two_halves("b")]
+    most = FULL_FRACTION * kv_capacity(SMALL_LAYERS, "fast", 40)
+    few_layers = 10 * (774 + 200)
+    for item in (pool[0], pool[3]):
+        if full == "refused":
+            record_full(item, 2.5)
+        else:
+            item.kv_reserved = most if full == "no room" else most - few_layers
+    stays = msgspec.structs.replace(make_request("a"), may_cross=False)
+    assert choose_path(SMALL_LAYERS, pool, stays, 2.5) is None
+    assert explain_no_path(SMALL_LAYERS, pool, stays, 2.5).is_out_of_capacity
+
+
+@pytest.mark.parametrize("reason", ["failed", "lost"])
+def test_missing_layers_are_no_lack_of_room(reason: str) -> None:
+    pool = two_halves("a")
+    record = record_failure if reason == "failed" else record_loss
+    record(pool[0], 2.5)
+    why = explain_no_path(SMALL_LAYERS, pool, make_request("a"), 2.5)
+    assert not why.is_out_of_capacity
+    assert why.layers == (0, 40)
+
+
 def test_congested_failure_domain_uses_another() -> None:
     pool = [make_engine("a", Holding(first=0, end=80)), make_engine("b", Holding(first=0, end=80))]
     small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
