Domains that cannot serve a request once they have room do not keep it from crossing

Cause: a failure domain counted as whole with engines that are avoided after failures, whose kind of card the profile lacks, that are older instances at an address, or that have no room for one layer of the request while they are empty. New requests of contended pools were refused each time that they came back, for as long as that lasts.

Weighed: a search over idle engines would also find requests of which an empty domain takes a few layers only; it costs a search for each request without a path.

Tests: all four cases of test_requests_cross_domains_that_are_not_only_full failed before; tests/routing/test_paths.py passes.

--- a/src/ledgeladder/routing/path_costs.py
+++ b/src/ledgeladder/routing/path_costs.py
@@ -195,6 +195,17 @@
     return offers
 
 
+def can_hold(profile: EngineProfile, engine: ForwardedUpstream, request: PathRequest) -> bool:
+    """Return whether an engine has room for a layer of a request while it runs nothing else."""
+    registration = engine.registration
+    if registration.card not in profile.cards:
+        return False
+    layers_held = sum(item.end - item.first for item in registration.holdings)
+    capacity = kv_capacity(profile, registration.card, layers_held)
+    tokens = float(max(1, request.prompt_tokens + request.answer_tokens))
+    return _layers_that_fit(profile, capacity * request.full_fraction, tokens) >= 1
+
+
 def slot_limit(engine: ForwardedUpstream) -> float:
     """Return how many requests an engine runs at once; infinity if it reports no more than one.
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -25,7 +25,7 @@
     is_usable,
     remaining_wait,
 )
-from .path_costs import INACTIVE_PENALTY_SECONDS, engine_offers
+from .path_costs import INACTIVE_PENALTY_SECONDS, can_hold, engine_offers
 from .path_search import cheapest_steps
 from .rate_grants import has_grant
 
@@ -154,7 +154,11 @@
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
     if single_domain is not None and single_domain.cost_without_queue < INACTIVE_PENALTY_SECONDS:
         return single_domain
-    if single_domain is None and not request.may_cross and _has_whole_domain(profile, engines, now):
+    if (
+        single_domain is None
+        and not request.may_cross
+        and _has_whole_domain(profile, engines, request, now)
+    ):
         return None
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
@@ -165,12 +169,21 @@
 
 
 def _has_whole_domain(
-    profile: EngineProfile, engines: Iterable[ForwardedUpstream], now: float
+    profile: EngineProfile,
+    engines: Iterable[ForwardedUpstream],
+    request: PathRequest,
+    now: float,
 ) -> bool:
-    """Return whether the engines of any failure domain hold all layers, full engines included."""
+    """Return whether the engines of any failure domain hold all layers, full engines included.
+
+    Engines that cannot serve the request once they have room do not count: it would be refused each
+    time.
+    """
     domains: dict[str, list[ForwardedUpstream]] = {}
-    for item in engines:
-        if not is_lost(item) and accepts_work(item, now) and not is_inactive(item, now):
+    for item in _newest_instances(engines):
+        if is_lost(item) or not accepts_work(item, now) or is_inactive(item, now):
+            continue
+        if not is_failing(item, now) and can_hold(profile, item, request):
             domains.setdefault(item.registration.failure_domain, []).append(item)
     return any(covers_layers(members, profile.layers) for members in domains.values())
 
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -340,6 +340,30 @@
     assert inter_domain_hops(path) == [("b", "a")]
 
 
+@pytest.mark.parametrize("reason", ["failing", "unknown card", "older instance", "too small"])
+def test_requests_cross_domains_that_are_not_only_full(reason: str) -> None:
+    """Failure: no failure domain can serve the request, also once its engines have room. It would
+    be refused again each time that the caller comes back."""
+    pool = [*two_halves("a"), *two_halves("b")]
+    pool.remove(pool[3])
+    held = pool[0]
+    if reason == "failing":
+        record_failure(held, 2.4)
+    elif reason == "unknown card":
+        held.registration = msgspec.structs.replace(held.registration, card="unknown")
+    elif reason == "older instance":
+        newer = msgspec.structs.replace(held.registration, instance="newer", holdings=())
+        pool.append(ForwardedUpstream(registration=newer, last_seen_at=2.5, started_at=2.0))
+    else:
+        held.registration = msgspec.structs.replace(held.registration, card="tiny")
+    tiny = msgspec.structs.replace(SMALL_LAYERS.cards["fast"], name="tiny", memory_mb=40 * 250.0)
+    profile = msgspec.structs.replace(SMALL_LAYERS, cards=SMALL_LAYERS.cards | {"tiny": tiny})
+    stays = msgspec.structs.replace(make_request("a"), may_cross=False)
+    path = choose_path(profile, pool, stays, 2.5)
+    assert path is not None
+    assert inter_domain_hops(path) == [("b", "a")]
+
+
 @pytest.mark.parametrize("full", ["refused", "no room", "room for a part"])
 def test_missing_path_inside_domains_is_a_lack_of_room(full: str) -> None:
     """Load: all layers are held, and engines are full for a moment. Callers are told when room is
