Notices leave the last failure domain that holds all layers in use

Cause: a notice was applied if each layer had a usable holder in any failure domain. Since new requests of contended pools no longer cross domains that are only full, a notice could leave them no path although the engine may take the next request.

Weighed: asking the path search, which needs a request and is slower; the rule for single layers stays and holds where no domain is whole.

--- a/tests/routing/test_full_engines.py
+++ b/tests/routing/test_full_engines.py
@@ -22,13 +22,18 @@
 
 
 def make_engine(
-    name: str, *ranges: tuple[int, int], address: str = "", now: float = 10.0
+    name: str,
+    *ranges: tuple[int, int],
+    address: str = "",
+    now: float = 10.0,
+    domain: str = "",
 ) -> ForwardedUpstream:
     registration = Registration(
         instance=name,
         sequence=1,
         pool="p",
         address=address or f"{name}:1",
+        failure_domain=domain,
         holdings=tuple(Holding(first=first, end=end) for first, end in ranges),
     )
     return ForwardedUpstream(registration=registration, last_seen_at=now)
@@ -90,6 +95,27 @@
     assert not apply_full_notice([full, other], full, 10.0)
 
 
+def test_last_failure_domain_that_holds_all_layers_stays_in_use() -> None:
+    """Load: half of each failure domain is full. New requests of contended pools do not cross, so
+    that a notice on the other half would leave them no path."""
+    first = make_engine("a-1", (0, 6), domain="a")
+    spare = make_engine("a-2", (0, 6), domain="a")
+    pool = [first, spare, make_engine("a-3", (6, LAYERS), domain="a")]
+    pool += [make_engine("b-1", (0, 6), domain="b"), make_engine("b-2", (6, LAYERS), domain="b")]
+    record_full(pool[4], 10.0)
+    assert apply_full_notice(pool, first, 10.0)
+    assert not apply_full_notice(pool, spare, 10.0)
+    # The other half of the full domain is part of no path inside a domain.
+    assert apply_full_notice(pool, pool[3], 10.0)
+
+
+def test_each_failure_domain_may_be_avoided_while_another_holds_all_layers() -> None:
+    pool = [make_engine(f"{name}-1", (0, LAYERS), domain=name) for name in "abc"]
+    assert apply_full_notice(pool, pool[0], 10.0)
+    assert apply_full_notice(pool, pool[1], 10.0)
+    assert not apply_full_notice(pool, pool[2], 10.0)
+
+
 def test_engine_without_layers_can_be_avoided() -> None:
     full = make_engine("i-1")
     assert apply_full_notice([full], full, 10.0)
@@ -123,3 +149,33 @@
         }
         assert covered == set(range(LAYERS))
     assert applied or len(pool) < 6
+
+
+def whole_domains(pool: list[ForwardedUpstream], now: float) -> set[str]:
+    """Return the failure domains in which usable engines hold all layers."""
+    held: dict[str, set[int]] = {}
+    for item in pool:
+        if is_usable(item, now):
+            layers = held.setdefault(item.registration.failure_domain, set())
+            for holding in item.registration.holdings:
+                layers.update(range(holding.first, holding.end))
+    return {name for name, layers in held.items() if len(layers) == LAYERS}
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_notices_never_take_the_last_domain_that_holds_all_layers(seed: int) -> None:
+    rng = random.Random(seed)
+    pool = []
+    for number in range(rng.randrange(6, 25)):
+        first = rng.choice([0, 0, 6])
+        end = rng.choice([6, LAYERS]) if first == 0 else LAYERS
+        pool.append(make_engine(f"i-{number}", (first, end), domain=rng.choice("abc")))
+    now = 10.0
+    seen = False
+    for _ in range(200):
+        now += rng.expovariate(100.0)
+        before = whole_domains(pool, now)
+        seen |= bool(before)
+        apply_full_notice(pool, rng.choice(pool), now)
+        assert bool(whole_domains(pool, now)) == bool(before)
+    assert seen
