Demand gauges of registries escape names and are bounded

Cause: names of pools and failure domains went into labels as they are, so that a quote or backslash made the page unreadable, and their number had no bound, unlike on gateways.

Weighed: the bound of gateways (64) is below what six failure domains may need; a share has room for 720 classes, so that more would not arrive.

--- a/src/ledgeladder/daemons/gateway/demand_gauges.py
+++ b/src/ledgeladder/daemons/gateway/demand_gauges.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ...routing.fleet_demand import demand_age, pool_demand
+from ..metrics_page import escape_label
 
 if TYPE_CHECKING:
     from ...model.demand import ClassDemand
@@ -45,12 +46,3 @@
 
 def _classes(state: GatewayState, pool: str, now: float) -> dict[int, ClassDemand]:
     return pool_demand(state.demand, pool, now, state.entry_count).classes
-
-
-def escape_label(name: str) -> str:
-    r"""Escape a label value.
-
-    >>> escape_label('a"b')
-    'a\\"b'
-    """
-    return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/src/ledgeladder/daemons/gateway/room_gauges.py
+++ b/src/ledgeladder/daemons/gateway/room_gauges.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .demand_gauges import MAX_SERIES, escape_label
+from ..metrics_page import escape_label
+from .demand_gauges import MAX_SERIES
 
 if TYPE_CHECKING:
     from .state import GatewayState
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -51,6 +51,15 @@
     return [f"ledgeladder_{name} {value:g}" for name, value in gauges.items()]
 
 
+def escape_label(name: str) -> str:
+    r"""Escape a label value.
+
+    >>> escape_label('a"b')
+    'a\\"b'
+    """
+    return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 def metrics_child(address: str, lines: Callable[[], list[str]]) -> Child:
     """Return the child that serves the metrics page.
 
--- a/src/ledgeladder/daemons/registry/demand_totals.py
+++ b/src/ledgeladder/daemons/registry/demand_totals.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import anyio
 import msgspec
@@ -21,6 +21,7 @@
     sum_pools,
 )
 from ...routing.load_sharing import LOAD_VALID_SECONDS, report_interval
+from ..metrics_page import escape_label
 from .load_totals import count_entries
 from .state import ReportedDemand, ReportedDemandShare
 
@@ -33,6 +34,11 @@
     from .state import RegistryState
 
 
+MAX_SERIES: Final = 720
+"""Maximum number of classes by failure domain on the metrics page; further ones are left out and
+counted in a gauge. A share has room for as many before it expires."""
+
+
 class SentDemand(msgspec.Struct, kw_only=True):
     """The latest share or totals that were sent."""
 
@@ -192,12 +198,18 @@
         now: Monotonic time.
     """
     drop_expired_demand(state, now)
+    found = [
+        (domain, pool, priority, item)
+        for domain, pools in sorted(domain_demand(state).items())
+        for pool, demand in sorted(pools.items())
+        for priority, item in sorted(demand.classes.items())
+    ]
     gauges: dict[str, float] = {}
-    for domain, pools in sorted(domain_demand(state).items()):
-        for pool, demand in sorted(pools.items()):
-            for priority, item in sorted(demand.classes.items()):
-                labels = f'pool="{pool}",priority="{priority}",failure_domain="{domain}"'
-                gauges[f"demand_asked_per_second{{{labels}}}"] = item.asked
-                gauges[f"demand_admitted_per_second{{{labels}}}"] = item.admitted
-                gauges[f"demand_tokens_per_second{{{labels}}}"] = item.tokens
+    for domain, pool, priority, item in found[:MAX_SERIES]:
+        labels = f'pool="{escape_label(pool)}",priority="{priority}"'
+        labels = f'{{{labels},failure_domain="{escape_label(domain)}"}}'
+        gauges[f"demand_asked_per_second{labels}"] = item.asked
+        gauges[f"demand_admitted_per_second{labels}"] = item.admitted
+        gauges[f"demand_tokens_per_second{labels}"] = item.tokens
+    gauges["demand_series_left_out"] = float(max(0, len(found) - MAX_SERIES))
     return gauges
