Requests that an engine may have run cross failure domains that are full

Cause: a request of a contended pool whose attempt was lost before the first event took no path between failure domains, as if it were new. It cannot be refused with a time to return, so it ended as UPSTREAM_LOST although a path remained.

Weighed: refusing it all the same, which would deny that it may have run. The condition is that of the final answer, now StreamSession.may_have_run.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -188,7 +188,7 @@
         headers = caller_headers(head.headers.raw_items())
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
-    if session.attempts <= 0 and session.sent == session.refusals:
+    if not session.may_have_run:
         missing = session.missing
         if missing is not None and missing.wait_seconds is not None:
             is_limited = missing.is_rate_limited
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -44,7 +44,7 @@
 
     A path between failure domains comes last: it is slow, and holds the room of several domains for
     as long. New requests of contended pools take none while a domain that holds all layers is only
-    full; they are refused with a time to return.
+    full; they are refused with a time to return. Those that an engine may have run cannot be.
 
     Args:
         state: State of the process.
@@ -60,7 +60,8 @@
     request = _path_request(state, permit, session, expected)
     inside = msgspec.structs.replace(request, may_cross=False)
     path = _choose_with_fallbacks(state, permit, profile, session, inside)
-    if path is None and (session.has_begun or permit.pool.name not in state.contended):
+    is_kept = session.has_begun or session.may_have_run
+    if path is None and (is_kept or permit.pool.name not in state.contended):
         path = _choose_with_fallbacks(state, permit, profile, session, request)
     return path
 
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -127,6 +127,14 @@
         """Whether the caller has part of the answer, which an end now would break off."""
         return self.started or self.resumed
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine may have run a part of the request.
+
+        Otherwise every attempt was refused or could not be sent, and the request can be refused.
+        """
+        return self.attempts > 0 or self.sent != self.refusals
+
     def __post_init__(self) -> None:
         self.pace = Pace(floor=self.timeouts.gap_probe)
 
