Accounts beyond the maximum are shown after the largest, as the report says

Cause: their sum was sorted among the accounts and cut off with the small ones.

Tests: test_accounts_beyond_the_maximum_are_shown_after_the_largest failed before; tests/reports passes.

--- a/src/ledgeladder/reports/load_tables.py
+++ b/src/ledgeladder/reports/load_tables.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .bounds import MAX_ROWS
+from .load_report import OTHERS
 from .tables import format_table
 
 if TYPE_CHECKING:
@@ -84,8 +85,10 @@
 
 def _largest(load: LoadReport) -> list[tuple[str, StreamCounts]]:
     """Return the client accounts with most streams, and `others` after them."""
-    ordered = sorted(load.accounts.items(), key=lambda item: (-item[1].asked, item[0]))
-    return ordered[:MAX_ROWS]
+    accounts = [item for item in load.accounts.items() if item[0] != OTHERS]
+    largest = sorted(accounts, key=lambda item: (-item[1].asked, item[0]))[:MAX_ROWS]
+    others = load.accounts.get(OTHERS)
+    return largest if others is None else [*largest, (OTHERS, others)]
 
 
 def _admission_rows(
--- a/tests/reports/test_load_report.py
+++ b/tests/reports/test_load_report.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ledgeladder.reports import LogLine, LogReport, ReadCounts, add_line, format_report
-from ledgeladder.reports.bounds import MAX_BUCKETS, MAX_NAMES
+from ledgeladder.reports.bounds import MAX_BUCKETS, MAX_NAMES, MAX_ROWS
 from ledgeladder.reports.load_report import (
     MAX_ACCOUNTS,
     MAX_CLASSES,
@@ -175,3 +175,16 @@
     assert all(len(item.decisions) <= MAX_CLASSES + 1 for item in load.admission.values())
     shown = sum(item.decisions.total() for item in load.admission.values())
     assert shown + report.overflow == MAX_BUCKETS + 205
+
+
+def test_accounts_beyond_the_maximum_are_shown_after_the_largest() -> None:
+    """Their sum is no account, and must not be cut off as a small one would be."""
+    lines = [stream(account=f"c-{number}") for number in range(MAX_ACCOUNTS)]
+    lines += [stream(account="last"), *(stream(account=f"c-{n}") for n in range(2 * MAX_ROWS))]
+    rows = table(report_of(*lines), "Streams by client account")
+    assert len(rows) == MAX_ROWS + 1
+    assert rows[-1] == [OTHERS, "1", "1", "0"]
+    many = [stream(account=f"more-{number}") for number in range(100)]
+    rows = table(report_of(*lines, *many), "Streams by client account")
+    assert rows[-1] == [OTHERS, "101", "101", "0"]
+    assert rows[0] == ["c-0", "2", "2", "0"]
