--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -193,7 +193,7 @@
         headers = caller_headers(head.headers.raw_items())
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
-    if session.attempts <= 0 and session.sent == session.refusals:
+    if not session.may_have_run:
         # Imported here because only refused requests need it.
         from .retry_after import retry_after_full, retry_after_no_path
 
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -19,12 +19,13 @@
     accepts_work,
     covers_layers,
     is_backing_off,
+    is_failing,
     is_inactive,
     is_lost,
     is_usable,
     remaining_wait,
 )
-from .path_costs import INACTIVE_PENALTY_SECONDS, engine_offers
+from .path_costs import INACTIVE_PENALTY_SECONDS, can_hold, engine_offers
 from .path_search import cheapest_steps
 from .rate_grants import has_grant
 
@@ -48,7 +49,8 @@
 
 
 NO_CAPACITY: Final = "full"
-"""Reason: the engine has no room for even one layer of the request."""
+"""Reason: the engine has no room for even one layer of the request, or just refused one for lack of
+room."""
 
 BACKING_OFF: Final = "resting"
 """Reason: the engine requested back-off from this box."""
@@ -152,7 +154,11 @@
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
     if single_domain is not None and single_domain.cost_without_queue < INACTIVE_PENALTY_SECONDS:
         return single_domain
-    if single_domain is None and not request.may_cross and _has_whole_domain(profile, engines, now):
+    if (
+        single_domain is None
+        and not request.may_cross
+        and _has_whole_domain(profile, engines, request, now)
+    ):
         return None
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
@@ -163,12 +169,21 @@
 
 
 def _has_whole_domain(
-    profile: EngineProfile, engines: Iterable[ForwardedUpstream], now: float
+    profile: EngineProfile,
+    engines: Iterable[ForwardedUpstream],
+    request: PathRequest,
+    now: float,
 ) -> bool:
-    """Return whether the engines of any failure domain hold all layers, full engines included."""
+    """Return whether the engines of any failure domain hold all layers, full engines included.
+
+    Engines that cannot serve the request once they have room do not count: it would be refused each
+    time.
+    """
     domains: dict[str, list[ForwardedUpstream]] = {}
-    for item in engines:
-        if not is_lost(item) and accepts_work(item, now) and not is_inactive(item, now):
+    for item in _newest_instances(engines):
+        if is_lost(item) or not accepts_work(item, now) or is_inactive(item, now):
+            continue
+        if not is_failing(item, now) and can_hold(profile, item, request):
             domains.setdefault(item.registration.failure_domain, []).append(item)
     return any(covers_layers(members, profile.layers) for members in domains.values())
 
@@ -298,8 +313,12 @@
 
     @property
     def is_out_of_capacity(self) -> bool:
-        """Whether engines or links are full, in which case a path appears as requests finish."""
-        return self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links)
+        """Whether engines or links are full, in which case a path appears as requests finish.
+
+        If no layer is uncovered, only room is missing: engines take a part of their layers, or the
+        request may not cross failure domains.
+        """
+        return self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links) or self.layers is None
 
     def __str__(self) -> str:
         counts = ", ".join(f"{count} {reason}" for reason, count in sorted(self.engines.items()))
@@ -369,8 +388,13 @@
         return RATE_LIMITED
     if registration.instance in excluded:
         return "failed this request"
+    if is_lost(engine):
+        return "lost"
+    if is_failing(engine, now):
+        return "avoided"
     if not is_usable(engine, now):
-        return "lost" if engine.lost_at > engine.last_seen_at else "avoided"
+        # It refused a request for lack of room.
+        return NO_CAPACITY
     return "" if engine_offers(profile, engine, request, now) else NO_CAPACITY
 
 
