Fair shares: remains of an account that stopped asking don't end a cut

Cause: totals are older than this box's report, so that the subtraction of its part leaves next to nothing, but not zero, of an account that asks less or no more. This was the smallest listed account, and all that are not listed counted as that small: they were served in full, the others with them, or (if the number of such accounts lost the precision of a float) got the least share alone; that number could also end in a division by zero.

Weighed: dropping them when demand is summed; it's the shares that assume a size, and each source would have to drop them. The limit is the one below which an account sketch lists no account.

Tests: the new ones fail without it for remains of 1e-3, 1e-13 and the least float; those of fair shares and admission pass.

--- a/src/ledgeladder/routing/fair_shares.py
+++ b/src/ledgeladder/routing/fair_shares.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+from .account_sketch import MIN_TOKENS_PER_SECOND
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -53,7 +55,9 @@
         The part, from 0 to 1. Accounts that are not listed count as that many accounts of the size
         of the smallest listed one, the largest that they can be.
     """
-    listed = {name: demand for name, demand in accounts.items() if demand > 0.0}
+    # Less is what is left of an account that has stopped asking. Those that are not listed would
+    # count as that small, and be served in full.
+    listed = {name: demand for name, demand in accounts.items() if demand >= MIN_TOKENS_PER_SECOND}
     if ratio >= 1.0 or not listed:
         return ratio
     least = min(listed.values())
--- a/tests/routing/test_fair_shares.py
+++ b/tests/routing/test_fair_shares.py
@@ -86,3 +86,28 @@
         assert min(shares.values()) >= ratio * MIN_ACCOUNT_SHARE - 1e-9
         assert account_ratio(accounts, total, ratio, "unlisted") == shares[ranked[0]]
         assert least == accounts[ranked[0]]
+
+
+@pytest.mark.parametrize("ratio", [0.3, 0.5, 0.8, 0.95])
+@pytest.mark.parametrize("remains", [1e-3, 1e-13, 5e-324])
+def test_remains_of_an_account_that_vanished_do_not_end_a_cut(ratio: float, remains: float) -> None:
+    """Load: three large accounts and many that are not listed. Totals that are a little older than
+    this box's report leave next to nothing of an account that has stopped asking."""
+    accounts = {"a": 40_000.0, "b": 40_000.0, "c": 40_000.0}
+    for account in ("a", "unlisted", None):
+        expected = account_ratio(accounts, 170_000.0, ratio, account)
+        found = account_ratio({"gone": remains, **accounts}, 170_000.0, ratio, account)
+        assert found == pytest.approx(expected)
+        assert found < 1.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_remains_of_any_size_are_no_fault(seed: int) -> None:
+    """Shares are parts also if demands differ by more than a float resolves."""
+    rng = random.Random(seed)
+    for _ in range(400):
+        accounts = {f"a{n}": 10.0 ** rng.uniform(-320.0, 6.0) for n in range(rng.randint(1, 12))}
+        total = sum(accounts.values()) + 10.0 ** rng.uniform(-300.0, 6.0)
+        ratio = rng.random()
+        for account in (*accounts, "unlisted"):
+            assert ratio * MIN_ACCOUNT_SHARE <= account_ratio(accounts, total, ratio, account) <= 1
