Room of a pool: an engine that was started again counts once

Cause: the old instance stays registered for some seconds, and path selection uses only the newest one at an address, but the room counted both: capacity and free room of one engine twice, so that more was admitted than engines take.

Weighed: dropping old instances in the forwarding table, which other parts read.

Tests: the new one fails without it in both orders; engines of the other tests of this file have addresses of their own now, as on a site.

--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -121,7 +121,7 @@
     engines = list(engines)
     usable = [
         engine
-        for engine in _newest_instances(engines)
+        for engine in newest_instances(engines)
         if engine.registration.holdings
         and engine.registration.instance not in excluded
         and is_usable(engine, now)
@@ -259,7 +259,7 @@
     return per_layer * (step.end - step.first) + offer.fixed_seconds
 
 
-def _newest_instances(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
+def newest_instances(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
     """Return the most recently started instance at each address.
 
     After a crash and restart, the old instance stays registered for some seconds, and a delayed
@@ -330,7 +330,7 @@
     """
     reasons: Counter[str] = Counter()
     available_in = [math.inf] * profile.layers
-    for engine in _newest_instances(engines):
+    for engine in newest_instances(engines):
         reason = _unusable_reason(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
         if reason not in ("", BACKING_OFF, RATE_LIMITED):
--- a/src/ledgeladder/routing/pool_room.py
+++ b/src/ledgeladder/routing/pool_room.py
@@ -16,6 +16,7 @@
 )
 from .layer_coverage import MAX_REQUEST_CAPACITY, kv_capacity, usual_tokens
 from .path_costs import FULL_FRACTION, slot_limit
+from .paths import newest_instances
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -48,7 +49,8 @@
     """Return the room of a pool.
 
     In each failure domain, the layer with the least room counts. Domains that lack a layer count
-    only if no domain holds all of them: then paths cross, and all engines count as one domain.
+    only if no domain holds all of them: then paths cross, and all engines count as one domain. As
+    for paths, only the newest instance at each address counts.
 
     Args:
         profile: Performance of the engines.
@@ -61,7 +63,7 @@
     caches: dict[tuple[str, int], float] = {}
     domains: dict[str, _LayerSteps] = {}
     used = 0.0
-    for engine in engines:
+    for engine in newest_instances(engines):
         registration = engine.registration
         holdings = registration.holdings
         held = sum([item.end - item.first for item in holdings])
--- a/tests/routing/test_pool_room.py
+++ b/tests/routing/test_pool_room.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import count
+
 import msgspec
 import pytest
 
@@ -23,6 +25,9 @@
 PROFILE = msgspec.structs.replace(SITE_PROFILE, layer_mb=100.0)
 """Layers so small that one engine can hold them all."""
 
+PORTS = count(1)
+"""Ports of the engines: each has an address of its own."""
+
 
 def engine(
     first: int, end: int, *, domain: str = "a", slots: int = 1, card: str = "fast"
@@ -30,7 +35,7 @@
     registration = Registration(
         instance=f"{domain}-{first}-{end}-{slots}",
         sequence=1,
-        address="127.0.0.1:1",
+        address=f"127.0.0.1:{next(PORTS)}",
         failure_domain=domain,
         card=card,
         slots=slots,
@@ -124,3 +129,18 @@
         cards={"fast": CardKind(name="fast", memory_mb=1.0, step_factor=1.0, prefill_factor=1.0)},
     )
     assert pool_room(profile, [engine(0, 80)], NOW, 1.0).free < float("inf")
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_engine_that_was_started_again_counts_once(order: int) -> None:
+    """Failure: an engine crashes and starts again; its old instance is registered for a while."""
+    old = engine(0, 80)
+    address = old.registration.address
+    apply_peer_load(old, 1, 80 * usual_tokens(PROFILE), NOW)
+    new = engine(0, 80)
+    new.registration = msgspec.structs.replace(
+        new.registration, address=address, instance="a-again"
+    )
+    new.started_at = old.started_at + 5.0
+    other = engine(0, 80)
+    assert room(*[old, new, other][::order]) == room(new, other)
