Admission: log lines of a box without totals are valid JSON

Cause: until totals arrive the age of the demand is infinite, and the line said Infinity, which JSON doesn't have; strict readers drop the line of just the box that is cut off. It is null now.

Tests: the new one decodes the line strictly and fails without the mend; those of admission pass.

--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -219,6 +219,7 @@
     retry_after: float | None = None,
 ) -> None:
     """Write the log line of a decision that is not a plain admission."""
+    age = decision.demand_age
     logger.info(
         "admission",
         extra={
@@ -230,7 +231,8 @@
             "reason": decision.reason.value,
             "free": round(decision.free, 1),
             "reserved": round(decision.reserved, 1),
-            "demand_age": round(decision.demand_age, 2),
+            # JSON has no infinity, which the age is until totals arrive.
+            "demand_age": round(age, 2) if age < math.inf else None,
             "class_share": round(decision.class_share, 3),
             "account_share": round(decision.account_share, 3),
             "waited": round(waited, 3),
--- a/tests/daemons/gateway/test_admission.py
+++ b/tests/daemons/gateway/test_admission.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 import pytest
+from pythonjsonlogger.json import JsonFormatter
 
 from ledgeladder.daemons.gateway.admission import admit_stream
 from ledgeladder.daemons.gateway.checks import Permit
@@ -261,6 +262,24 @@
     assert [line.retry_after] == [round(item, 2) for item in told]  # type: ignore[attr-defined]
 
 
+def test_log_line_of_a_box_without_totals_is_valid_json(caplog: pytest.LogCaptureFixture) -> None:
+    """Failure: totals never arrived, so the demand has no age; JSON has no infinity."""
+
+    async def run() -> None:
+        state = contended_state(in_flight=2 * SLOTS)
+        state.entry_count = 100
+        with caplog.at_level(logging.INFO), pytest.raises(ProblemError):
+            for _ in range(200):
+                await admit(state, caller(1, route=HASTY))
+
+    anyio.run(run)
+    lines = [item for item in caplog.records if item.getMessage() == "admission"]
+    assert lines
+    for line in lines:
+        msgspec.json.decode(JsonFormatter().format(line))
+        assert line.demand_age is None  # type: ignore[attr-defined]
+
+
 def test_cut_off_box_neither_admits_nor_refuses_all_under_load() -> None:
     """Failure: totals never arrive; the box scales its own demand to all boxes."""
 
