Returns: a domain that refused isn't waited for as if it loaded layers

Cause: new requests of contended pools take no path between failure domains while one holds all layers. Its engines that refused are avoided for a moment, and the explanation counts them as avoided, not as full: the layers looked missing, and callers were told the time to load them, outside the order of returns.

Weighed: counting avoided engines as full in the explanation, which would change what callers of other pools are told.

Tests: the new one for refused engines fails without the mend; the one for layers that are really gone passes with and without. Those of returns, paths and admission pass.

--- a/src/ledgeladder/daemons/gateway/retry_after.py
+++ b/src/ledgeladder/daemons/gateway/retry_after.py
@@ -10,6 +10,7 @@
 from ...routing.contention import urgency_class
 from ...routing.fleet_demand import pool_demand
 from ...routing.load_time import load_seconds
+from ...routing.paths import has_whole_domain
 from ...routing.return_times import (
     CAPACITY_SHARE,
     MIN_RETURN_SECONDS,
@@ -85,7 +86,8 @@
     """Return the delay until a path is expected to exist, in seconds.
 
     If engines or links are full, this is the delay until they have capacity. Missing layers are
-    expected back after the time to load the mean number of layers per engine of the pool.
+    expected back after the time to load the mean number of layers per engine of the pool. In pools
+    that share their room by priority none are missing while a failure domain holds all of them.
 
     Args:
         state: The process's state.
@@ -97,6 +99,10 @@
     held = [item.end - item.first for engine in engines for item in engine.registration.holdings]
     if profile is None or not held or (missing is not None and missing.is_out_of_capacity):
         return retry_after_full(state, permit)
+    is_contended = permit.pool.name in state.contended
+    if is_contended and has_whole_domain(profile, engines, anyio.current_time()):
+        # Engines that have refused are avoided for a moment, and not known as full.
+        return retry_after_full(state, permit)
     return max(
         MIN_RETURN_SECONDS, load_seconds(profile, sum(held) // len(held), concurrent_loads=1)
     )
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -152,7 +152,7 @@
     single_domain = _cheapest_single_domain_path(profile, members, offers_in, request)
     if single_domain is not None and single_domain.cost_without_queue < INACTIVE_PENALTY_SECONDS:
         return single_domain
-    if single_domain is None and not request.may_cross and _has_whole_domain(profile, engines, now):
+    if single_domain is None and not request.may_cross and has_whole_domain(profile, engines, now):
         return None
     all_offers = [offer for domain in members for offer in offers_in(domain)]
     multi_domain = _search(profile, all_offers, request)
@@ -162,7 +162,7 @@
     return min(single_domain, multi_domain, key=lambda path: path.cost_without_queue)
 
 
-def _has_whole_domain(
+def has_whole_domain(
     profile: EngineProfile, engines: Iterable[ForwardedUpstream], now: float
 ) -> bool:
     """Return whether the engines of any failure domain hold all layers, full engines included."""
--- a/tests/daemons/gateway/test_retry_after.py
+++ b/tests/daemons/gateway/test_retry_after.py
@@ -13,9 +13,12 @@
     retry_after_no_path,
 )
 from ledgeladder.daemons.gateway.state import GatewayState
-from ledgeladder.model.registration import Holding
+from ledgeladder.model.registration import Holding, Registration
+from ledgeladder.routing.forwarding_table import ForwardedUpstream, record_full
+from ledgeladder.routing.load_time import load_seconds
 from ledgeladder.routing.pace import Pace
-from ledgeladder.routing.paths import NoPathReason
+from ledgeladder.routing.path_costs import PathRequest
+from ledgeladder.routing.paths import NoPathReason, explain_no_path
 from ledgeladder.routing.return_times import MIN_RETURN_SECONDS
 
 from ...routing.sample_site import PROFILE
@@ -102,3 +105,57 @@
 
     assert anyio.run(run) >= MIN_RETURN_SECONDS
     assert len(box.return_books["p"].places) == 1
+
+
+def retry_after_explained(box: GatewayState, *holders: tuple[str, int, int]) -> float:
+    """Return the delay of a caller beside engines that all refused a moment ago.
+
+    Args:
+        box: The box.
+        holders: Failure domain and range of layers of each engine.
+    """
+
+    async def run() -> float:
+        now = anyio.current_time()
+        engines = box.table.pools["p"] = [
+            ForwardedUpstream(
+                registration=Registration(
+                    instance=f"i-{number}",
+                    sequence=1,
+                    pool="p",
+                    address=f"127.0.0.1:{number}",
+                    failure_domain=domain,
+                    card="fast",
+                    slots=8,
+                    holdings=(Holding(first=first, end=end),),
+                ),
+                last_seen_at=now,
+            )
+            for number, (domain, first, end) in enumerate(holders)
+        ]
+        for item in engines:
+            record_full(item, now)
+        request = PathRequest(
+            prompt_tokens=100, answer_tokens=100, failure_domain="a", may_cross=False
+        )
+        missing = explain_no_path(PROFILE, engines, request, now)
+        return retry_after_no_path(box, contended_permit(now, 0, 60.0), missing)
+
+    return anyio.run(run)
+
+
+def test_domain_that_refused_has_all_layers_and_is_not_waited_for_as_if_it_loaded_them() -> None:
+    """Load: the only domain that holds all layers refused, so that no engine of it is asked."""
+    box = contended_state()
+    half = PROFILE.layers // 2
+    retry_after_explained(box, ("a", 0, half), ("a", half, PROFILE.layers))
+    assert len(box.return_books["p"].places) == 1
+
+
+def test_layers_that_no_domain_holds_are_back_after_the_load_time() -> None:
+    """Failure: the holder of half of the layers is gone; the other one refused."""
+    box = contended_state()
+    half = PROFILE.layers // 2
+    seconds = retry_after_explained(box, ("a", 0, half))
+    assert seconds == pytest.approx(load_seconds(PROFILE, half, concurrent_loads=1))
+    assert "p" not in box.return_books
