Retry budget: a released retry returns itself, and nothing once it has left the window

Cause: a release took the newest retry out of the window. A retry that was reserved for a replacement may be released when its stream ends, after the window: then a retry of another stream was no longer counted, and the box made more than its share. A released retry of a new request could also take out the one of a begun stream and leave its own in the newer deque.

Weighed: not keeping the reservation while the attempt goes on; the next alarm would compete for it again. Releases within the window return as many as before, in other pools too.

--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -29,6 +29,9 @@
     started: bool = True
     """Whether it is for a stream that has begun."""
 
+    taken_at: float | None = None
+    """When it was taken from the box's own share, on the monotonic clock; None for quota."""
+
 
 class RetryWindow(msgspec.Struct, kw_only=True):
     """Requests and retries that this box sent to one pool's upstreams in a sliding window."""
@@ -89,7 +92,7 @@
         window.retries.append(now)
         if not started:
             window.new_retries.append(now)
-        return Retry(quota_until=None, started=started)
+        return Retry(quota_until=None, started=started, taken_at=now)
     if started and window.quota:
         return Retry(quota_until=window.quota.popleft())
     if window.new_quota:
@@ -108,15 +111,16 @@
     """Return a retry that never reached an upstream.
 
     After a loss, many attempts end in refused connections. Counting them would use up the budget
-    when it is needed most.
+    when it is needed most. One that has left the window counts no more, and returns nothing.
     """
     if retry.quota_until is not None:
         (window.quota if retry.started else window.new_quota).appendleft(retry.quota_until)
         return
-    if window.retries:
-        window.retries.pop()
-    if window.new_retries and not retry.started:
-        window.new_retries.pop()
+    if retry.taken_at is None or retry.taken_at not in window.retries:
+        return
+    window.retries.remove(retry.taken_at)
+    if not retry.started:
+        window.new_retries.remove(retry.taken_at)
 
 
 def _expire(window: RetryWindow, now: float) -> None:
--- a/tests/routing/test_repeat_window.py
+++ b/tests/routing/test_repeat_window.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import random
+
+import pytest
+
 from ledgeladder.routing.repeat_loans import BASE_QUOTA_SHARE
 from ledgeladder.routing.repeat_window import (
     USABLE_SHARE,
@@ -97,3 +101,42 @@
         release_retry(budget, retry)
     assert not budget.retries
     assert not budget.new_retries
+
+
+@pytest.mark.parametrize("started", [True, False])
+def test_retry_released_after_its_window_returns_none_of_a_later_one(started: bool) -> None:
+    """A stream reserves a retry for a replacement, goes on after all, and outlasts the window."""
+    budget = window()
+    reserved = acquire_local_retry(budget, 0.0, BOXES, started=started)
+    assert reserved is not None
+    later = 10.0 + 1.0
+    assert acquire_local_retry(budget, later, BOXES, started=started) is not None
+    release_retry(budget, reserved)
+    assert count_retries(budget, later) == int(BASE_QUOTA * USABLE_SHARE) - 1
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_releases_never_raise_the_retries_of_a_window(seed: int) -> None:
+    """Retries of both purposes that are released soon, late, or never."""
+    rng = random.Random(seed)
+    budget = RetryWindow(ratio=0.2, reserve=400.0, seconds=10.0)
+    allowed = 400.0 * BASE_QUOTA_SHARE / BOXES * USABLE_SHARE
+    held: list[tuple[float, Retry]] = []
+    used: list[float] = []
+    now = 0.0
+    while now < 120.0:
+        now += rng.expovariate(5.0)
+        started = rng.random() < 0.5
+        retry = acquire_local_retry(budget, now, BOXES, started=started, begun=rng.randrange(4))
+        if retry is not None:
+            held.append((now, retry))
+        if held and rng.random() < 0.5:
+            at, retry = held.pop(rng.randrange(len(held)))
+            if rng.random() < 0.5:
+                release_retry(budget, retry)
+            else:
+                used.append(at)
+        assert len(budget.new_retries) <= len(budget.retries)
+        since = [at for at in used if at > now - budget.seconds]
+        since += [at for at, _retry in held if at > now - budget.seconds]
+        assert len(since) <= allowed
