Paths: an engine that loads its layers again holds none that keep requests from crossing

Cause: whether a failure domain holds all layers was decided with the old instance of an engine that crashed, which stays registered for a while, though paths use only the newest one at an address. New requests of contended pools were then refused, as if the domain was only full, while the only paths cross domains.

Tests: the new one fails without the mend; those of paths and returns pass.

--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -167,7 +167,7 @@
 ) -> bool:
     """Return whether the engines of any failure domain hold all layers, full engines included."""
     domains: dict[str, list[ForwardedUpstream]] = {}
-    for item in engines:
+    for item in newest_instances(engines):
         if not is_lost(item) and accepts_work(item, now) and not is_inactive(item, now):
             domains.setdefault(item.registration.failure_domain, []).append(item)
     return any(covers_layers(members, profile.layers) for members in domains.values())
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -340,6 +340,22 @@
     assert inter_domain_hops(path) == [("b", "a")]
 
 
+def test_requests_cross_domains_while_an_engine_loads_its_layers_again() -> None:
+    """Failure: an engine crashes and starts again without layers; its old instance stays
+    registered for a while, and no failure domain holds all layers."""
+    pool = [*two_halves("a"), *two_halves("b")[:1]]
+    old = pool[1].registration
+    again = msgspec.structs.replace(old, instance="a-again", holdings=())
+    pool.append(ForwardedUpstream(registration=again, last_seen_at=2.5, started_at=2.0))
+    pool[2].registration = msgspec.structs.replace(
+        pool[2].registration, holdings=(Holding(first=40, end=80),)
+    )
+    stays = msgspec.structs.replace(make_request("a"), may_cross=False)
+    path = choose_path(SMALL_LAYERS, pool, stays, 2.5)
+    assert path is not None
+    assert path.domains == ["a", "b"]
+
+
 def test_congested_failure_domain_uses_another() -> None:
     pool = [make_engine("a", Holding(first=0, end=80)), make_engine("b", Holding(first=0, end=80))]
     small = msgspec.structs.replace(PROFILE, layer_mb=250.0)
