Admission: the most urgent requests aren't logged as refused for more urgent ones

Cause: any refusal with a free place was called reserved, also where nothing more urgent was asked for, which sends operators to look for a priority that doesn't exist. These are no-room now. Decisions are the same.

Tests: the new one fails without the mend; those of levels pass.

--- a/src/ledgeladder/routing/admission_level.py
+++ b/src/ledgeladder/routing/admission_level.py
@@ -47,7 +47,8 @@
     """The same, and its account asks for more than its fair share of its priority."""
 
     NO_ROOM = "no-room"
-    """There is no room for any request."""
+    """There is no room, or too little for all that is asked for and none of it kept for more urgent
+    requests."""
 
 
 class AdmissionDecision(msgspec.Struct, frozen=True, kw_only=True):
@@ -151,11 +152,13 @@
     if demand is not None:
         own_share = account_ratio(demand.accounts, demand.tokens, share, account)
     admitted = draw < own_share
+    reserved = reserved_room(view, priority)
+    is_kept = view.room.free >= 1.0 and reserved > 0.0
     return AdmissionDecision(
         admitted=admitted,
-        reason=_reason(view, admitted, draw, share),
+        reason=_reason(admitted, draw, share, is_kept=is_kept),
         free=view.room.free,
-        reserved=reserved_room(view, priority),
+        reserved=reserved,
         class_share=share,
         account_share=own_share,
         demand_age=view.demand_age,
@@ -163,12 +166,12 @@
     )
 
 
-def _reason(view: AdmissionView, admitted: bool, draw: float, share: float) -> AdmissionReason:
+def _reason(admitted: bool, draw: float, share: float, *, is_kept: bool) -> AdmissionReason:
     if admitted:
         return AdmissionReason.ROOM
     if draw < share:
         return AdmissionReason.ACCOUNT_SHARE
-    return AdmissionReason.NO_ROOM if view.room.free < 1.0 else AdmissionReason.RESERVED
+    return AdmissionReason.RESERVED if is_kept else AdmissionReason.NO_ROOM
 
 
 def _uncut_share(view: AdmissionView) -> float:
--- a/tests/routing/test_admission_level.py
+++ b/tests/routing/test_admission_level.py
@@ -193,6 +193,14 @@
     assert decision(view(free, {0: 200.0, 1: 200.0}), 1, 0.99).reason is reason
 
 
+def test_most_urgent_requests_are_never_refused_for_more_urgent_ones() -> None:
+    """Load: the most urgent alone ask for twice the room."""
+    refused = decision(view(9.0, {0: 200.0}), 0, 0.99)
+    assert not refused.admitted
+    assert refused.reserved == 0.0
+    assert refused.reason is AdmissionReason.NO_ROOM
+
+
 def test_request_waits_only_for_a_share_that_can_be_reached() -> None:
     refused = decision(view(0.0, {0: 200.0, 1: 200.0}), 1, 0.99)
     assert can_rise_to(refused, refused.account_share + 0.1, 0.2)
