--- a/src/ledgeladder/routing/contention.py
+++ b/src/ledgeladder/routing/contention.py
@@ -94,7 +94,7 @@
 
 
 def refusals_limit(rank: int) -> int:
-    """Return the limit for new requests of a rank, 0 being the most urgent.
+    """Return the limit for new requests of an urgency class, 0 being the most urgent.
 
     Each refusal costs a retry that a more urgent request or a begun stream may lack.
 
--- a/src/ledgeladder/routing/return_times.py
+++ b/src/ledgeladder/routing/return_times.py
@@ -62,7 +62,7 @@
     """Last promised time; the same unless the book was full."""
 
     rank: int
-    """Most urgent rank to which it was promised."""
+    """Most urgent class to which it was promised."""
 
 
 class ReturnBook(msgspec.Struct, kw_only=True):
@@ -125,7 +125,7 @@
     Args:
         book: Promised places, which are updated.
         now: Monotonic time.
-        rank: How many priorities of the pool are more urgent than the caller's.
+        rank: Urgency class of the caller, 0 being the most urgent.
         interval: Time between two places, as given by `place_interval`.
         seconds_left: Time that the caller has left, in seconds.
         rng: Random source.
