--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -123,7 +123,7 @@
     engines = list(engines)
     usable = [
         engine
-        for engine in _newest_instances(engines)
+        for engine in newest_instances(engines)
         if engine.registration.holdings
         and engine.registration.instance not in excluded
         and is_usable(engine, now)
@@ -180,7 +180,7 @@
     time.
     """
     domains: dict[str, list[ForwardedUpstream]] = {}
-    for item in _newest_instances(engines):
+    for item in newest_instances(engines):
         if is_lost(item) or not accepts_work(item, now) or is_inactive(item, now):
             continue
         if not is_failing(item, now) and can_hold(profile, item, request):
@@ -274,7 +274,7 @@
     return per_layer * (step.end - step.first) + offer.fixed_seconds
 
 
-def _newest_instances(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
+def newest_instances(engines: Iterable[ForwardedUpstream]) -> Iterable[ForwardedUpstream]:
     """Return the most recently started instance at each address.
 
     After a crash and restart, the old instance stays registered for some seconds, and a delayed
@@ -306,6 +306,9 @@
     """Time until engines that are backing off or rate-limited cover all uncovered layers, in
     seconds; None if a layer is uncovered for another reason."""
 
+    lacks_layers: bool = False
+    """Whether no engine that could serve the request, once it has room, holds some layer."""
+
     @property
     def is_rate_limited(self) -> bool:
         """Whether engines are unusable because their rate limit is reached."""
@@ -318,7 +321,8 @@
         If no layer is uncovered, only room is missing: engines take a part of their layers, or the
         request may not cross failure domains.
         """
-        return self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links) or self.layers is None
+        is_full = self.engines.get(NO_CAPACITY, 0) > 0 or bool(self.full_links)
+        return is_full and not self.lacks_layers or self.layers is None
 
     def __str__(self) -> str:
         counts = ", ".join(f"{count} {reason}" for reason, count in sorted(self.engines.items()))
@@ -349,9 +353,14 @@
     """
     reasons: Counter[str] = Counter()
     available_in = [math.inf] * profile.layers
-    for engine in _newest_instances(engines):
+    is_held = [False] * profile.layers
+    for engine in newest_instances(engines):
         reason = _unusable_reason(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
+        if reason in ("", BACKING_OFF, RATE_LIMITED, NO_CAPACITY):
+            for item in engine.registration.holdings:
+                end = min(item.end, profile.layers)
+                is_held[item.first : end] = [True] * max(0, end - item.first)
         if reason not in ("", BACKING_OFF, RATE_LIMITED):
             continue
         wait = remaining_wait(engine, now)
@@ -366,7 +375,11 @@
     longest_wait = max(available_in)
     wait_seconds = longest_wait if 0 < longest_wait < math.inf else None
     return NoPathReason(
-        engines=reasons, layers=layers, full_links=full_links, wait_seconds=wait_seconds
+        engines=reasons,
+        layers=layers,
+        full_links=full_links,
+        wait_seconds=wait_seconds,
+        lacks_layers=not all(is_held),
     )
 
 
--- a/tests/daemons/gateway/test_admission.py
+++ b/tests/daemons/gateway/test_admission.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 import pytest
+from pythonjsonlogger.json import JsonFormatter
 
 from ledgeladder.daemons.gateway.admission import admit_stream
 from ledgeladder.daemons.gateway.checks import Permit
@@ -261,6 +262,24 @@
     assert [line.retry_after] == [round(item, 2) for item in told]  # type: ignore[attr-defined]
 
 
+def test_log_line_of_a_box_without_totals_is_valid_json(caplog: pytest.LogCaptureFixture) -> None:
+    """Failure: totals never arrived, so the demand has no age; JSON has no infinity."""
+
+    async def run() -> None:
+        state = contended_state(in_flight=2 * SLOTS)
+        state.entry_count = 100
+        with caplog.at_level(logging.INFO), pytest.raises(ProblemError):
+            for _ in range(200):
+                await admit(state, caller(1, route=HASTY))
+
+    anyio.run(run)
+    lines = [item for item in caplog.records if item.getMessage() == "admission"]
+    assert lines
+    for line in lines:
+        msgspec.json.decode(JsonFormatter().format(line))
+        assert line.demand_age is None  # type: ignore[attr-defined]
+
+
 def test_cut_off_box_neither_admits_nor_refuses_all_under_load() -> None:
     """Failure: totals never arrive; the box scales its own demand to all boxes."""
 
@@ -371,15 +390,22 @@
 
 
 def test_request_that_gets_no_room_is_refused_after_its_wait() -> None:
-    """Load: a full fleet that stays full."""
+    """Load: a full fleet that stays full, and runs about nine tenths of what is asked for. The
+    queue decides again meanwhile, and the share never exceeds the request's random number."""
 
     async def run() -> None:
-        state = waiting_state()
-        item = caller(1, timeout=4.0)
-        with anyio.fail_after(20.0), pytest.raises(ProblemError):
-            await admit(state, item)
+        state = contended_state(in_flight=SLOTS, asked={1: 33.0})
+        state.rng = _Draws(0.95)
+        item = caller(1, timeout=4.0, route=msgspec.structs.replace(ROUTE, target_latency=2.0))
+        with anyio.fail_after(20.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run_queue, state.room.queue)
+                with pytest.raises(ProblemError):
+                    await admit(state, item)
+                tasks.cancel_scope.cancel()
         assert state.room.queue.queue.last_ticket == 1
         assert counters(state) == {"admission-refused-p1": 1}
+        assert 0.75 < state.room.levels["p", 1].value < 0.95
         assert not state.room.queue.queue.waiting
 
     anyio.run(run)
