--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -15,8 +15,9 @@
     from collections.abc import Callable, Iterator
 
 CRASH_LIMIT: Final = 3
-"""Crashes after which a fingerprint is to blame. A lower limit blames requests that share an
-upstream with the cause by chance; each further crash interrupts more streams."""
+"""Crashes after which a fingerprint is to blame. With two, requests that share an upstream with the
+cause by chance are blamed far more often; each further crash interrupts all streams of one more
+upstream (`tests/routing/crash_bed.py` compares two to four)."""
 
 MAX_SINGLE_CRASHES: Final = 4096
 """Fingerprints with one crash that are kept, the newest. This exceeds the number of requests that
--- a/src/ledgeladder/coordination/freshness.py
+++ b/src/ledgeladder/coordination/freshness.py
@@ -14,7 +14,8 @@
 import msgspec
 
 MAX_OPEN_QUERIES: Final = 32
-"""Unanswered queries that are kept, over all links: those of the last few seconds."""
+"""Unanswered queries that are kept, over all links. Entry boxes poll each linked control box once a
+second, so these are the queries of the last seconds, also while a box tries all control boxes."""
 
 
 class Freshness(msgspec.Struct, kw_only=True):
--- a/src/ledgeladder/coordination/gathering.py
+++ b/src/ledgeladder/coordination/gathering.py
@@ -12,7 +12,8 @@
 longer."""
 
 MAX_WAIT_SECONDS: Final = 3.0
-"""Maximum time to wait for further engines once those that registered can hold the model."""
+"""Maximum time to wait for further engines once those that registered can hold the model. Engines
+register over seconds, and callers arrive some seconds after the boxes start."""
 
 MAX_WAIT_WITHOUT_MODEL_SECONDS: Final = 10.0
 """Maximum time to wait for engines that can hold the model. Nothing can be served before, and
--- a/src/ledgeladder/coordination/quarantine.py
+++ b/src/ledgeladder/coordination/quarantine.py
@@ -12,7 +12,7 @@
 
 QUARANTINE_MS: Final = 3_600_000
 """Duration of a quarantine, in milliseconds. It leaves time to repair upstreams or replace their
-version."""
+version; otherwise the content crashes three of them in each such period."""
 
 MAX_FINGERPRINTS: Final = 4096
 """Fingerprints that are kept, the newest."""
--- a/src/ledgeladder/coordination/raft/election.py
+++ b/src/ledgeladder/coordination/raft/election.py
@@ -28,7 +28,8 @@
 """Fraction of the election timeout after which a newly started member starts a pre-vote.
 
 If all voters are newly started, no lease can exist and they elect a leader without waiting for the
-full timeout. The fraction leaves time for the links to open first."""
+full timeout. With a larger fraction, they elect it later after a restart of all boxes; this one
+still leaves time for the links to open first."""
 
 
 def quorum(count: int) -> int:
--- a/src/ledgeladder/coordination/registrations.py
+++ b/src/ledgeladder/coordination/registrations.py
@@ -16,7 +16,8 @@
     from collections.abc import Iterable
 
 MAX_GONE: Final = 4096
-"""Exited instances that are kept, so a late heartbeat does not register one again."""
+"""Exited instances that are kept, so a late heartbeat does not register one again. A day with a
+hundred restarts among 600 upstreams needs a few hundred."""
 
 
 class KnownUpstream(msgspec.Struct, kw_only=True):
--- a/src/ledgeladder/coordination/upstream_order.py
+++ b/src/ledgeladder/coordination/upstream_order.py
@@ -29,7 +29,7 @@
 
 KV_UNIT: Final = 1024.0
 """Unit of KV cache, in tokens x layers. Half-precision floats have a relative error below 1 in
-2,048."""
+2,048 and end at 65,504 units, which is above the KV cache of a large engine."""
 
 MAX_KV: Final = 65504.0
 """Largest half-precision float."""
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -42,7 +42,7 @@
 
 LATE_TIMER_SECONDS: Final = 0.02
 """Lateness of a timer above which this process was stalled itself, and the timeout is no evidence
-against the engine."""
+against the engine. Timers of a process that is not stalled fire within a few milliseconds."""
 
 
 async def find_unreachable(
--- a/src/ledgeladder/daemons/log_queue.py
+++ b/src/ledgeladder/daemons/log_queue.py
@@ -13,7 +13,7 @@
 import msgspec
 
 MAX_QUEUED_LINES: Final = 2000
-"""Maximum number of queued lines."""
+"""Maximum number of queued lines: about 1 MB."""
 
 MAX_WRITE_BYTES: Final = 4096
 """Maximum size of a single write; a writable pipe accepts PIPE_BUF bytes without blocking."""
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -92,7 +92,7 @@
 
     cancels_on_disconnect: bool = True
     """True to cancel a request whose caller disconnects. Sites that answer immediately avoid the
-    cost of the extra task."""
+    cost of the extra task, which is a large part of handling a heartbeat."""
 
     stopping: bool = False
     """True once a planned stop has begun. Answers that start afterwards close their connections."""
--- a/src/ledgeladder/http1/sockets.py
+++ b/src/ledgeladder/http1/sockets.py
@@ -18,7 +18,8 @@
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 3
 """Number of unanswered probes after which an idle connection is closed. Where TCP_USER_TIMEOUT is
-supported, it overrides this number (tcp(7))."""
+supported, it overrides this number (tcp(7)), and a connection to a machine without power ends by
+that time."""
 
 
 def tune_socket(stream: SocketStream) -> None:
--- a/src/ledgeladder/links/frames.py
+++ b/src/ledgeladder/links/frames.py
@@ -27,7 +27,8 @@
 """Shortest message that is compressed; shorter ones would hardly shrink."""
 
 COMPRESSION_LEVEL: Final = 1
-"""Compression level of zlib: the fastest."""
+"""Compression level of zlib: the fastest. The highest saves a tenth more bytes and takes several
+times as long."""
 
 COMPRESSED_FLAG: Final = 1 << 31
 """Bit of the length prefix that marks a compressed message; valid lengths are below it."""
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -43,11 +43,12 @@
 """Maximum number of failures kept for each failure domain."""
 
 SLOWDOWN_VALID_SECONDS: Final = 4.0
-"""How long the slowdown that an engine reported is used."""
+"""How long the slowdown that an engine reported is used. Afterwards, a few requests try the engine
+again."""
 
 LAST_SEEN_MARGIN_SECONDS: Final = 0.05
-"""Minimum time between a loss and the heartbeat that clears it; covers the rounding of reported
-ages and the delay of heartbeats."""
+"""Minimum time between a loss and the heartbeat that clears it. Ages are reported in hundredths of
+a second, and a heartbeat takes some milliseconds to be announced."""
 
 REPORTED_LOAD_VALID_SECONDS: Final = 0.3
 """How long the load that an upstream reported is used."""
--- a/src/ledgeladder/routing/link_load.py
+++ b/src/ledgeladder/routing/link_load.py
@@ -26,7 +26,8 @@
 stream, to reflect a loss quickly, but long enough to average over several streams."""
 
 NEW_REQUEST_LIMIT: Final = 0.7
-"""Link utilization up to which new requests may use it; queueing delay grows steeply beyond."""
+"""Link utilization up to which new requests may use it. Beyond, a prompt waits for more than twice
+its own transfer time, and the delay of other requests grows as much."""
 
 RESUMED_STREAM_LIMIT: Final = 0.9
 """Link utilization up to which streams may resume after losing an engine. Higher, since their work
--- a/src/ledgeladder/routing/load_sharing.py
+++ b/src/ledgeladder/routing/load_sharing.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 MIN_REPORT_SECONDS: Final = 0.25
-"""Minimum time between two reports."""
+"""Minimum time between two reports: about the time to a first event under load."""
 
 SECONDS_PER_ENTRY: Final = 0.01
 """Interval per entry box, which limits a control box to 100 reports a second."""
@@ -18,11 +18,13 @@
 """Maximum rate of load totals sent to an entry box; half of the bandwidth reserved for control."""
 
 LOAD_VALID_SECONDS: Final = 3.0
-"""How long a report is valid; several times the longest interval, to tolerate lost reports."""
+"""How long a report is valid: over three times the interval of a fleet of eighty entry boxes with a
+single control box left, to tolerate lost reports."""
 
 
 MAX_REPORT_SECONDS: Final = 1.0
-"""Maximum time between two reports; unchanged loads are sent only this often."""
+"""Maximum time between two reports; unchanged loads are sent only this often. Three of them fit
+into the time that a report is valid."""
 
 
 def is_report_due(changed: bool, seconds: float) -> bool:
--- a/src/ledgeladder/routing/placement_repair.py
+++ b/src/ledgeladder/routing/placement_repair.py
@@ -28,8 +28,8 @@
 """Maximum number of engines moved to close gaps before all are reassigned instead."""
 
 MIN_CAPACITY_SHARE: Final = 0.25
-"""Share of the mean request capacity that an engine must keep when it gets more layers. Bounds the
-capacity that a repair may cost."""
+"""Share of the mean request capacity that an engine must keep when it gets more layers. The failure
+domain then keeps at least a quarter of its capacity, where the gap left it none."""
 
 COPY_COUNTS: Final = (1.0, 1.1, 1.25, 1.5, 2.0)
 """Numbers of model copies that are tried when all engines of a group are reassigned."""
--- a/src/ledgeladder/routing/repeat_window.py
+++ b/src/ledgeladder/routing/repeat_window.py
@@ -14,7 +14,8 @@
 from .repeat_loans import BASE_QUOTA_SHARE, KEPT_SHARE
 
 USABLE_SHARE: Final = 0.8
-"""Part of its allowance that a box uses; the rest is a safety margin."""
+"""Part of its allowance that a box uses. The rest is a safety margin, as other boxes may have
+received fewer requests than assumed."""
 
 MIN_ENTRIES: Final = 4
 """Minimum number of entry boxes assumed, since their real number is unknown at the start."""
--- a/src/ledgeladder/routing/stream_patience.py
+++ b/src/ledgeladder/routing/stream_patience.py
@@ -19,8 +19,8 @@
 latency."""
 
 MIN_GAP_SHARE: Final = 0.25
-"""Minimum part of the gap target before engines are probed; normal gaps during prefill are about as
-long."""
+"""Minimum part of the gap target before engines are probed. A shorter one would probe at every pass
+in which an engine prefills a prompt."""
 
 MAX_GAP_SHARE: Final = 0.35
 """Maximum part of the gap target before engines are probed; the probe, a new attempt and its
--- a/src/ledgeladder/routing/wait_queue.py
+++ b/src/ledgeladder/routing/wait_queue.py
@@ -24,7 +24,8 @@
 """Part of a request's timeout that it may wait; the rest is for serving it."""
 
 DEFAULT_TIMEOUT_SECONDS: Final = 2.0
-"""Assumed timeout of a caller that names none."""
+"""Assumed timeout of a caller that names none: about the shortest after which people and client
+libraries give up."""
 
 
 class WaitingRequest(msgspec.Struct, frozen=True, kw_only=True):
