--- a/src/ledgeladder/daemons/gateway/full_notices.py
+++ b/src/ledgeladder/daemons/gateway/full_notices.py
@@ -28,9 +28,10 @@
     """Log that an engine refused a request for lack of room, and report it to a control box.
 
     Refusals beyond the bounds of reports are neither logged nor reported, nor are those of an
-    engine that is draining: it is known to all boxes by its registration.
+    engine that is draining: it is known to all boxes by its registration. Pools that do not share
+    their room by priority have no notices.
     """
-    if engine.draining:
+    if engine.draining or engine.registration.pool not in state.contended:
         return
     instance = engine.registration.instance
     if state.full_reports is None:
@@ -56,7 +57,7 @@
     now = anyio.current_time()
     for instance in notice.instances:
         engine = state.table.upstreams.get(instance)
-        if engine is None:
+        if engine is None or engine.registration.pool not in state.contended:
             continue
         pool = state.table.pools.get(engine.registration.pool, [])
         applied = apply_full_notice(pool, engine, now)
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -75,7 +75,8 @@
     session.tried.update(part.instance for part in path.parts)
     started_at = anyio.current_time()
     reserve(path, session.tokens)
-    session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
+    if permit.pool.name in state.contended:
+        session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
     _record_hops(state, permit, session, path)
     detail = ""
     result = AttemptResult.LOST
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -42,8 +42,8 @@
 ) -> ChosenPath | None:
     """Choose the path of the next attempt, relaxing the constraints until one is found.
 
-    A path between failure domains comes last: it is slow, and holds the room of several domains for
-    as long. New requests of contended pools take none while a domain that holds all layers is only
+    In contended pools a path between failure domains comes last: it is slow, and holds the room of
+    several domains for as long. New requests take none while a domain that holds all layers is only
     full; they are refused with a time to return. Those that an engine may have run cannot be.
 
     Args:
@@ -58,10 +58,11 @@
     """
     request_grants(state, permit.pool.name)
     request = _path_request(state, permit, session, expected)
+    if permit.pool.name not in state.contended:
+        return _choose_with_fallbacks(state, permit, profile, session, request)
     inside = msgspec.structs.replace(request, may_cross=False)
     path = _choose_with_fallbacks(state, permit, profile, session, inside)
-    is_kept = session.has_begun or session.may_have_run
-    if path is None and (is_kept or permit.pool.name not in state.contended):
+    if path is None and (session.has_begun or session.may_have_run):
         path = _choose_with_fallbacks(state, permit, profile, session, request)
     return path
 
--- a/tests/daemons/gateway/test_full_notices.py
+++ b/tests/daemons/gateway/test_full_notices.py
@@ -45,6 +45,7 @@
             address: SimpleNamespace(post=posted.append) for address, posted in self.posted.items()
         }
         self.state: GatewayState = gateway_state()
+        self.state.contended = frozenset({"p"})
         self.state.peers = SimpleNamespace(  # type: ignore[assignment]
             links=links, ranked=list(CONTROLS), demand_readers=set(readers)
         )
@@ -121,6 +122,7 @@
 def test_refused_attempt_leads_to_a_report_unless_another_instance_answered(reports: bool) -> None:
     posted: list[Any] = []
     state = gateway_state()
+    state.contended = frozenset({engine().registration.pool})
     link = SimpleNamespace(post=posted.append)
     state.peers = SimpleNamespace(  # type: ignore[assignment]
         links={"10.0.0.1": link}, ranked=["10.0.0.1"], demand_readers={"10.0.0.1"}
@@ -152,3 +154,19 @@
     assert not any(bed.posted.values()), "a notice is never reported again"
     bed.now += FULL_AVOID_SECONDS
     assert is_usable(first, bed.now)
+
+
+def test_pools_without_priorities_neither_report_nor_apply_notices(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    bed = Bed(monkeypatch, readers=CONTROLS)
+    bed.state.contended = frozenset({"other"})
+    full = bed.add("i-1", 0, 80)
+    bed.add("i-2", 0, 80)
+    with caplog.at_level(logging.INFO):
+        report_full(bed.state, full)
+    handle_full_notice(bed.state, FullNotice(instances=("i-1",)))
+    assert not any(bed.posted.values())
+    assert is_usable(full, bed.now)
+    assert not bed.counters
+    assert not caplog.records
