Admission: a box that stops lets no request wait, and those that wait go ahead

Cause, by reading: a request may wait for a quarter of its caller's time, and a planned stop ends after a few seconds; a request that waits into it could be cut off although it was read. Tests failed before: a stopping box let a request wait, and one that waited stayed until its wait was over.

--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -152,7 +152,11 @@
     decision: AdmissionDecision,
     draw: float,
 ) -> bool:
-    """Let a request wait for room; return False if it gets none or must not wait."""
+    """Let a request wait for room; return False if it gets none or must not wait.
+
+    A box that stops has little time left to serve requests: it lets none wait, and those that wait
+    already go ahead.
+    """
     profile = permit.pool.engine
     assert profile is not None
     now = anyio.current_time()
@@ -162,7 +166,7 @@
         deadline=permit.deadline,
         stream_seconds=state.stream_pace.mean,
     )
-    if until <= now or not can_rise_to(decision, draw, until - now):
+    if state.stopping or until <= now or not can_rise_to(decision, draw, until - now):
         return False
     if not is_place_expected(
         _current_view(state, permit, profile).demand,
@@ -177,7 +181,11 @@
         size=len(request.body),
         release_interval=lambda: POLL_SECONDS,
         is_resumed=False,
-        rank=lambda: permit.priority if _decide(state, permit, profile, draw).admitted else None,
+        rank=lambda: (
+            permit.priority
+            if state.stopping or _decide(state, permit, profile, draw).admitted
+            else None
+        ),
         deadline=permit.deadline,
     )
     if waiting_request is None:
--- a/tests/daemons/gateway/test_admission.py
+++ b/tests/daemons/gateway/test_admission.py
@@ -449,3 +449,39 @@
         assert not +state.room.waiting
 
     anyio.run(run)
+
+
+def test_box_that_stops_lets_no_request_wait() -> None:
+    """Failure: a planned stop begins while the fleet is full."""
+
+    async def run() -> None:
+        state = waiting_state()
+        state.stopping = True
+        with pytest.raises(ProblemError):
+            await admit(state, caller(1, route=PATIENT))
+        assert state.room.queue.queue.last_ticket == 0
+
+    anyio.run(run)
+
+
+def test_requests_that_wait_go_ahead_once_the_box_stops() -> None:
+    """Failure: a planned stop begins while requests wait. It ends before their wait would."""
+
+    async def run() -> None:
+        state = contended_state(in_flight=SLOTS, asked={1: 33.0})
+        state.rng = _Draws(1.5)  # More than any share: it is never admitted otherwise.
+        with anyio.fail_after(20.0):
+            async with anyio.create_task_group() as tasks:
+                async with anyio.create_task_group() as callers:
+                    callers.start_soon(
+                        admit,
+                        state,
+                        caller(1, route=msgspec.structs.replace(ROUTE, target_latency=2.0)),
+                    )
+                    await wait_until_queued(state, 1)
+                    state.stopping = True
+                    tasks.start_soon(run_queue, state.room.queue)
+                tasks.cancel_scope.cancel()
+        assert counters(state) == {"admission-waited-p1": 1}
+
+    anyio.run(run)
