One piece of code for whole domains, sharers, ranks and gauges of demand

Written twice and now called: whether a failure domain holds all layers (waiting at start and paths), the ratio of all boxes' requests to this box's (admission and paths), the position of a rank, and the gauges of demand (gateways and registries). The contended pools follow from the ranks of the route index, which were computed a second time for each document. The reasons for a missing path are collected in one pass over the holdings. Behaviour is unchanged; tests of the gateway, the registry, paths, rooms, contention and start-up modules pass, with lint and types.

--- a/src/ledgeladder/daemons/gateway/admission.py
+++ b/src/ledgeladder/daemons/gateway/admission.py
@@ -21,6 +21,7 @@
 from .checks import refusal
 from .retry_after import retry_after_full
 from .state import RoomView
+from .stream_paths import count_sharers
 from .waiting import POLL_SECONDS, wait_for_admission
 
 if TYPE_CHECKING:
@@ -107,11 +108,8 @@
     valid_seconds = max(MIN_VIEW_SECONDS, len(engines) * VIEW_SECONDS_PER_ENGINE)
     if view is not None and now - view.at < valid_seconds:
         return view
-    domains = {item.registration.failure_domain for item in engines}
-    # Entry boxes of one failure domain are assumed to use the same engines.
-    sharers = max(1.0, state.entry_count / max(1, len(domains)))
     reported_at = max((item.peer_load_at for item in engines), default=-math.inf)
-    room = pool_room(profile, engines, now, sharers)
+    room = pool_room(profile, engines, now, count_sharers(state, pool))
     settled = state.room.settled.setdefault(pool, SettledRoom())
     view = RoomView(
         at=now,
--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ...model import Problem, ProblemError, ResultCode
-from ...routing.contention import request_rank
+from ...routing.contention import rank_of, request_rank
 from ...routing.route_index import choose_pool, find_route
 from .state import check_freshness
 
@@ -143,7 +143,7 @@
         priority = _priority(route, account)
         return priority, priority
     rank = request_rank(route.priority, None if account is None else account.priority)
-    return rank, sum(item < rank for item in ranks)
+    return rank, rank_of(ranks, rank)
 
 
 def _priority(route: RouteRule, account: AccountKeys | None) -> int:
--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -40,7 +40,6 @@
 )
 from ...model.registration import UpstreamState
 from ...platform.configuration import decode_configuration
-from ...routing.contention import contended_pools
 from ...routing.forwarding_table import (
     apply_peer_load,
     drop_upstream,
@@ -225,7 +224,7 @@
     configuration = decoded.unwrap()
     state.index = build_index(configuration)
     state.configuration = configuration
-    state.contended = contended_pools(configuration)
+    state.contended = frozenset(state.index.ranks)
     logger.info(
         "document applied",
         extra={"version": push.version, "before": previous, "routes": len(configuration.routes)},
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -165,7 +165,10 @@
 
 
 def count_sharers(state: GatewayState, pool: str) -> float:
-    """Return the estimated ratio of all boxes' requests on an engine of a pool to this box's."""
+    """Return the estimated ratio of all boxes' requests on an engine of a pool to this box's.
+
+    The entry boxes of one failure domain are assumed to use the same engines.
+    """
     engines = state.table.pools.get(pool, [])
     domains = max(1, len({item.registration.failure_domain for item in engines}))
     return max(1.0, state.entry_count / domains)
--- a/src/ledgeladder/daemons/gateway/waiting.py
+++ b/src/ledgeladder/daemons/gateway/waiting.py
@@ -9,7 +9,13 @@
 
 import anyio
 
-from ...routing.forwarding_table import accepts_work, covers_layers, is_at_max_requests, is_usable
+from ...routing.forwarding_table import (
+    accepts_work,
+    covers_layers,
+    has_whole_domain,
+    is_at_max_requests,
+    is_usable,
+)
 from ...routing.pace import record_gap
 from ...routing.route_index import find_route
 from ...routing.wait_queue import (
@@ -27,7 +33,6 @@
     from ...http1 import HttpRequest
     from ...model.exchange import CallerFacts
     from ...model.traffic import UpstreamPool
-    from ...routing.forwarding_table import ForwardedUpstream
     from ...routing.wait_queue import WaitingRequest
     from .checks import Permit
     from .notes import RequestTrace
@@ -80,10 +85,7 @@
     known = state.table.pools.get(pool.name, [])
     if pool.engine is None:
         return bool(known)
-    domains: dict[str, list[ForwardedUpstream]] = {}
-    for engine in known:
-        domains.setdefault(engine.registration.failure_domain, []).append(engine)
-    return any(covers_layers(engines, pool.engine.layers) for engines in domains.values())
+    return has_whole_domain(known, pool.engine.layers)
 
 
 async def wait_for_start(state: GatewayState, request: HttpRequest, facts: CallerFacts) -> float:
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -10,11 +10,12 @@
 from .supervisor import Child
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from hdrh.histogram import HdrHistogram
 
     from ..http1 import Exchange, HttpRequest
+    from ..model.demand import ClassDemand
 
 METRICS_PATH: Final = b"/metrics"
 QUANTILES: Final = (50.0, 95.0, 99.0, 100.0)
@@ -60,6 +61,22 @@
     return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
+def demand_series(found: Sequence[tuple[str, ClassDemand]], most: int) -> dict[str, float]:
+    """Return gauges of demand, and of how many series were left out.
+
+    Args:
+        found: Label sets, with braces, and the demand of each.
+        most: Maximum number of label sets on the page; the first ones are shown.
+    """
+    gauges: dict[str, float] = {}
+    for labels, item in found[:most]:
+        gauges[f"demand_asked_per_second{labels}"] = item.asked
+        gauges[f"demand_admitted_per_second{labels}"] = item.admitted
+        gauges[f"demand_tokens_per_second{labels}"] = item.tokens
+    gauges["demand_series_left_out"] = float(max(0, len(found) - most))
+    return gauges
+
+
 def metrics_child(address: str, lines: Callable[[], list[str]]) -> Child:
     """Return the child that serves the metrics page.
 
--- a/src/ledgeladder/daemons/registry/demand_totals.py
+++ b/src/ledgeladder/daemons/registry/demand_totals.py
@@ -21,7 +21,7 @@
     sum_pools,
 )
 from ...routing.load_sharing import LOAD_VALID_SECONDS, report_interval
-from ..metrics_page import escape_label
+from ..metrics_page import demand_series, escape_label
 from .load_totals import count_entries
 from .state import ReportedDemand, ReportedDemandShare
 
@@ -199,17 +199,13 @@
     """
     drop_expired_demand(state, now)
     found = [
-        (domain, pool, priority, item)
+        (
+            f'{{pool="{escape_label(pool)}",priority="{priority}",'
+            f'failure_domain="{escape_label(domain)}"}}',
+            item,
+        )
         for domain, pools in sorted(domain_demand(state).items())
         for pool, demand in sorted(pools.items())
         for priority, item in sorted(demand.classes.items())
     ]
-    gauges: dict[str, float] = {}
-    for domain, pool, priority, item in found[:MAX_SERIES]:
-        labels = f'pool="{escape_label(pool)}",priority="{priority}"'
-        labels = f'{{{labels},failure_domain="{escape_label(domain)}"}}'
-        gauges[f"demand_asked_per_second{labels}"] = item.asked
-        gauges[f"demand_admitted_per_second{labels}"] = item.admitted
-        gauges[f"demand_tokens_per_second{labels}"] = item.tokens
-    gauges["demand_series_left_out"] = float(max(0, len(found) - MAX_SERIES))
-    return gauges
+    return demand_series(found, MAX_SERIES)
--- a/src/ledgeladder/routing/contention.py
+++ b/src/ledgeladder/routing/contention.py
@@ -61,11 +61,6 @@
     }
 
 
-def contended_pools(configuration: TrafficConfiguration) -> frozenset[str]:
-    """Return the pools of engines to which routes with different priorities send requests."""
-    return frozenset(pool_ranks(configuration))
-
-
 def rank_of(priorities: Sequence[int], priority: int) -> int:
     """Return how many priorities of a pool are more urgent than a request's.
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -518,6 +518,14 @@
     return len(covered) >= layers
 
 
+def has_whole_domain(engines: Iterable[ForwardedUpstream], layers: int) -> bool:
+    """Return whether the engines of any failure domain together hold all layers of a model."""
+    domains: dict[str, list[ForwardedUpstream]] = {}
+    for engine in engines:
+        domains.setdefault(engine.registration.failure_domain, []).append(engine)
+    return any(covers_layers(members, layers) for members in domains.values())
+
+
 def is_inactive(upstream: ForwardedUpstream, now: float) -> bool:
     """Return whether no heartbeat of an upstream was seen for so long that it is likely lost."""
     return now - upstream.last_seen_at > INACTIVE_SECONDS
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -17,7 +17,7 @@
 from ..model.exchange import PathPart
 from .forwarding_table import (
     accepts_work,
-    covers_layers,
+    has_whole_domain,
     is_backing_off,
     is_failing,
     is_inactive,
@@ -157,7 +157,7 @@
     if (
         single_domain is None
         and not request.may_cross
-        and _has_whole_domain(profile, engines, request, now)
+        and _is_only_full(profile, engines, request, now)
     ):
         return None
     all_offers = [offer for domain in members for offer in offers_in(domain)]
@@ -168,24 +168,25 @@
     return min(single_domain, multi_domain, key=lambda path: path.cost_without_queue)
 
 
-def _has_whole_domain(
+def _is_only_full(
     profile: EngineProfile,
     engines: Iterable[ForwardedUpstream],
     request: PathRequest,
     now: float,
 ) -> bool:
-    """Return whether the engines of any failure domain hold all layers, full engines included.
+    """Return whether a failure domain without a path is short of room, and not of layers.
 
     Engines that cannot serve the request once they have room do not count: it would be refused each
     time.
     """
-    domains: dict[str, list[ForwardedUpstream]] = {}
-    for item in newest_instances(engines):
-        if is_lost(item) or not accepts_work(item, now) or is_inactive(item, now):
-            continue
-        if not is_failing(item, now) and can_hold(profile, item, request):
-            domains.setdefault(item.registration.failure_domain, []).append(item)
-    return any(covers_layers(members, profile.layers) for members in domains.values())
+    able = (
+        item
+        for item in newest_instances(engines)
+        if accepts_work(item, now)
+        and not (is_lost(item) or is_inactive(item, now) or is_failing(item, now))
+        and can_hold(profile, item, request)
+    )
+    return has_whole_domain(able, profile.layers)
 
 
 def _cheapest_single_domain_path(
@@ -357,15 +358,12 @@
     for engine in newest_instances(engines):
         reason = _unusable_reason(profile, engine, request, now, excluded)
         reasons[reason or "usable"] += 1
-        if reason in ("", BACKING_OFF, RATE_LIMITED, NO_CAPACITY):
-            for item in engine.registration.holdings:
-                end = min(item.end, profile.layers)
-                is_held[item.first : end] = [True] * max(0, end - item.first)
-        if reason not in ("", BACKING_OFF, RATE_LIMITED):
+        if reason not in ("", BACKING_OFF, RATE_LIMITED, NO_CAPACITY):
             continue
-        wait = remaining_wait(engine, now)
+        wait = math.inf if reason == NO_CAPACITY else remaining_wait(engine, now)
         for item in engine.registration.holdings:
             for layer in range(item.first, min(item.end, profile.layers)):
+                is_held[layer] = True
                 available_in[layer] = min(available_in[layer], wait)
     uncovered = [layer for layer, seconds in enumerate(available_in) if seconds > 0]
     full_links = tuple(
