Tests: one builder of routes and one profile for contended pools

The same builder and engine profile stood in two and three files. Assertions are as before; the tests of contention take the set of contended pools from the ranks, as the gateway does.

--- a/tests/daemons/gateway/test_control_link.py
+++ b/tests/daemons/gateway/test_control_link.py
@@ -15,14 +15,11 @@
 from ledgeladder.model.registration import Liveness, Registration
 from ledgeladder.model.traffic import (
     CallerLimits,
-    PoolWeight,
-    RequestKind,
-    RouteRule,
     TrafficConfiguration,
     UpstreamPool,
 )
 
-from ...routing.sample_site import PROFILE
+from ...routing.sample_site import PROFILE, stream_route
 from .builders import engine, gateway_state
 
 ROUNDS = 12
@@ -107,23 +104,6 @@
     anyio.run(play)
 
 
-def route_to(pool: str, priority: int) -> RouteRule:
-    return RouteRule(
-        name=f"r-{priority}",
-        host="h",
-        path_prefix=f"/{priority}/",
-        kind=RequestKind.STREAM,
-        resumable=True,
-        timeout=20.0,
-        target_latency=0.5,
-        gap_target=0.2,
-        priority=priority,
-        pools=(PoolWeight(pool=pool, weight=1.0),),
-        max_attempts=2,
-        public=True,
-    )
-
-
 def test_document_tells_the_priorities_of_pools(monkeypatch: pytest.MonkeyPatch) -> None:
     """A later document with one priority ends what applies to contended pools."""
     state = gateway_state()
@@ -133,7 +113,7 @@
         document = TrafficConfiguration(
             version=version,
             pools={"p": pool},
-            routes=tuple(route_to("p", rank) for rank in ranks),
+            routes=tuple(stream_route(f"r-{rank}", rank, "p", public=True) for rank in ranks),
             limits=CallerLimits(),
             accounts=(),
         )
--- a/tests/routing/sample_site.py
+++ b/tests/routing/sample_site.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from ledgeladder.model.registration import Holding
-from ledgeladder.model.traffic import CardKind, EngineProfile
+from ledgeladder.model.traffic import (
+    CardKind,
+    EngineProfile,
+    PoolWeight,
+    RequestKind,
+    RouteRule,
+)
 from ledgeladder.routing.layer_coverage import kv_capacity
 from ledgeladder.routing.placed_engine import PlacedEngine
 from ledgeladder.routing.placement import plan_placement
@@ -75,3 +81,21 @@
         for layer in range(holding.first, holding.end):
             carried[layer] += tokens / (PROFILE.mean_prompt_tokens + PROFILE.mean_answer_tokens)
     return carried
+
+
+def stream_route(name: str, priority: int, pool: str, *, public: bool = False) -> RouteRule:
+    """Return a route of streams that all go to one pool."""
+    return RouteRule(
+        name=name,
+        host="h",
+        path_prefix=f"/{name}/",
+        kind=RequestKind.STREAM,
+        resumable=True,
+        timeout=20.0,
+        target_latency=0.5,
+        gap_target=0.2,
+        priority=priority,
+        pools=(PoolWeight(pool=pool, weight=1.0),),
+        max_attempts=2,
+        public=public,
+    )
--- a/tests/routing/test_contention.py
+++ b/tests/routing/test_contention.py
@@ -9,16 +9,13 @@
 from ledgeladder.model.traffic import (
     AccountKeys,
     CallerLimits,
-    EngineProfile,
     PoolWeight,
-    RequestKind,
     RouteRule,
     TrafficConfiguration,
     UpstreamPool,
 )
 from ledgeladder.routing.contention import (
     REFUSALS_LIMIT,
-    contended_pools,
     pool_ranks,
     rank_of,
     refusals_limit,
@@ -26,39 +23,14 @@
     urgency_class,
 )
 
-PROFILE = EngineProfile(
-    model="m",
-    layers=4,
-    layer_mb=1.0,
-    kv_token_bytes=1.0,
-    step_ms=1.0,
-    step_ms_per_request=0.0,
-    prefill_tokens_per_s=1000.0,
-    steps_per_pass=1,
-    load_seconds=1.0,
-    parallel_loads=1,
-    mean_prompt_tokens=10.0,
-    mean_answer_tokens=10.0,
-)
+from .sample_site import PROFILE, stream_route
+
 ENGINES = UpstreamPool(name="engines", max_connections=10, engine=PROFILE)
 SERVICES = UpstreamPool(name="services", max_connections=10, engine=None)
 
 
 def route(name: str, priority: int, pool: str = "engines", *, public: bool = False) -> RouteRule:
-    return RouteRule(
-        name=name,
-        host="h",
-        path_prefix=f"/{name}/",
-        kind=RequestKind.STREAM,
-        resumable=True,
-        timeout=20.0,
-        target_latency=0.5,
-        gap_target=0.2,
-        priority=priority,
-        pools=(PoolWeight(pool=pool, weight=1.0),),
-        max_attempts=2,
-        public=public,
-    )
+    return stream_route(name, priority, pool, public=public)
 
 
 def account(name: str, priority: int | None) -> AccountKeys:
@@ -77,6 +49,10 @@
     )
 
 
+def contended_pools(found: TrafficConfiguration) -> frozenset[str]:
+    return frozenset(pool_ranks(found))
+
+
 def test_routes_of_one_priority_share_nothing() -> None:
     one = configuration([route("a", 1), route("b", 1)], [account("x", 1), account("y", 1)])
     assert contended_pools(one) == frozenset()
--- a/tests/test_shared_room.py
+++ b/tests/test_shared_room.py
@@ -13,7 +13,7 @@
 from ledgeladder.http1 import HttpRequest
 from ledgeladder.model import ResultCode
 from ledgeladder.platform.configuration import decode_configuration
-from ledgeladder.routing.contention import contended_pools
+from ledgeladder.routing.contention import pool_ranks
 from standins.discovered_fleet import KEY, SECOND_KEY
 from standins.registered_upstream import StandIn, answer_stream
 from standins.shared_room import (
@@ -56,7 +56,7 @@
 
 def test_document_shares_the_room_of_the_engines_only() -> None:
     document = json.dumps(shared_room_document(3)).encode()
-    assert contended_pools(decode_configuration(document).unwrap()) == {"engines"}
+    assert set(pool_ranks(decode_configuration(document).unwrap())) == {"engines"}
 
 
 def test_requests_that_keep_the_promises_pass() -> None:
