--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -35,6 +35,9 @@
         "prompts_pending": float(
             sum(item.pending_prompts for item in state.table.upstreams.values())
         ),
+        "upstream_connections_opened": float(state.reach.opened),
+        "upstream_connections_failed": float(state.reach.failed),
+        "upstream_connection_age_seconds": now - state.reach.last_opened_at,
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
         "return_places": float(
             sum(expire_places(book, now) for book in state.return_books.values())
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -12,6 +12,7 @@
 from ...links.messages import LossReport
 from ...routing.forwarding_table import record_exit, record_loss
 from ...routing.pace import adaptive_probe_timeout, record_gap
+from ...routing.upstream_reach import record_not_opened, record_opened
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -213,11 +214,13 @@
         try:
             connection = await connect(address, source=source, seconds=timeout - delay)
         except ConnectError as error:
+            record_not_opened(state.reach)
             failure = error
             if not isinstance(error.__cause__, TimeoutError):
                 scope.cancel()
             return
         elapsed = anyio.current_time() - started_at
+        record_opened(state.reach, anyio.current_time())
         await connection.close()
         scope.cancel()
 
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -26,6 +26,7 @@
 from ...routing.repeat_window import RetryWindow
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
+from ...routing.upstream_reach import UpstreamReach
 from ...routing.wait_queue import WaitQueue
 from .. import clock
 from ..limit_keeper import RateLimiter
@@ -232,6 +233,9 @@
     suspected_links: SuspectedLinks = msgspec.field(default_factory=SuspectedLinks)
     """Links between failure domains that are avoided for now."""
 
+    reach: UpstreamReach = msgspec.field(default_factory=UpstreamReach)
+    """Whether this box opens connections to upstreams."""
+
     link_load: LinkLoad = msgspec.field(default_factory=LinkLoad)
     """Traffic that this box sends over links between failure domains."""
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -19,6 +19,7 @@
 from ...platform.exchange import dispatch_headers, read_answer_facts
 from ...routing.forwarding_table import accepts_work, is_backing_off, record_load
 from ...routing.rate_grants import acquire_grants
+from ...routing.upstream_reach import record_not_opened, record_opened
 from .backpressure import handle_backpressure
 
 if TYPE_CHECKING:
@@ -162,9 +163,14 @@
         if pooled is not None:
             return pooled
     try:
-        return await connect(address, source=state.settings.box.address, seconds=CONNECT_SECONDS)
+        connection = await connect(
+            address, source=state.settings.box.address, seconds=CONNECT_SECONDS
+        )
     except ConnectError as error:
+        record_not_opened(state.reach)
         raise NotSentError(str(error)) from error
+    record_opened(state.reach, anyio.current_time())
+    return connection
 
 
 async def read_body(state: GatewayState, answer: OpenAnswer) -> bytes:
