--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -8,9 +8,13 @@
 
 import asyncio
 import contextlib
+import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
+
+from .packet_filter import drop_from, drop_nothing
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,6 +43,19 @@
 NO_FAULT = Fault()
 
 
+class OpenConnections(Enum):
+    """What happens to open connections of a host whose packets are dropped."""
+
+    HANG = "hang"
+    """Their packets are dropped as well."""
+
+    RESET = "reset"
+    """They are reset."""
+
+    LIVE_ON = "live on"
+    """They work, while new ones hang."""
+
+
 @dataclass(kw_only=True)
 class Target:
     """One proxied address and its open connections."""
@@ -46,6 +63,7 @@
     listen: tuple[str, int]
     forward: tuple[str, int]
     writers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
+    listener: socket.socket | None = None
 
 
 class DatagramForwarder(asyncio.DatagramProtocol):
@@ -73,6 +91,7 @@
         self.targets: dict[tuple[str, int], Target] = {}
         self.host_faults: dict[tuple[str, str], Fault] = {}
         self.target_faults: dict[tuple[str, int], Fault] = {}
+        self.filtered: list[socket.socket] = []
         self.thread.start()
 
     def add(self, listen: tuple[str, int], forward: tuple[str, int]) -> None:
@@ -81,7 +100,8 @@
         self.targets[listen] = target
 
         async def start() -> None:
-            await asyncio.start_server(lambda r, w: self._serve(target, r, w), *listen)
+            target.listener = socket.create_server(listen)
+            await asyncio.start_server(lambda r, w: self._serve(target, r, w), sock=target.listener)
             await self.loop.create_datagram_endpoint(
                 lambda: DatagramForwarder(self, target), local_addr=listen
             )
@@ -106,10 +126,37 @@
                 self.host_faults[(other, host)] = fault
         self._apply_faults()
 
+    def drop_packets(self, hosts: Iterable[str], open_connections: OpenConnections) -> None:
+        """Drop all packets of some hosts, so that their new connections to any target hang."""
+        self._run_on_loop(lambda: self._drop_packets(frozenset(hosts), open_connections))
+
+    def _drop_packets(self, hosts: frozenset[str], open_connections: OpenConnections) -> None:
+        self._stop_dropping()
+        for target in self.targets.values():
+            assert target.listener is not None
+            drop_from(target.listener, hosts)
+            self.filtered.append(target.listener)
+            for writer, source_host in list(target.writers.items()):
+                if source_host not in hosts:
+                    continue
+                if open_connections is OpenConnections.RESET:
+                    writer.transport.abort()
+                elif open_connections is OpenConnections.HANG:
+                    accepted = writer.get_extra_info("socket")
+                    drop_from(accepted, hosts)
+                    self.filtered.append(accepted)
+
+    def _stop_dropping(self) -> None:
+        for filtered in self.filtered:
+            with contextlib.suppress(OSError):
+                drop_nothing(filtered)
+        self.filtered.clear()
+
     def heal(self) -> None:
         """Remove all faults and reset all connections, as some may have lost bytes."""
         self.host_faults.clear()
         self.target_faults.clear()
+        self._run_on_loop(self._stop_dropping)
         self._run_on_loop(self._reset_all)
 
     def close(self) -> None:
