--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -50,6 +50,7 @@
 )
 from ...routing.load_sharing import is_report_due, report_interval
 from ...routing.route_index import build_index
+from ...routing.upstream_reach import record_relay_peers
 from ..limit_keeper import handle_limit_message
 from ..peers import LINK_INACTIVITY_SECONDS, primary_of, record_hint
 from .borrowing import handle_quota_reply
@@ -134,6 +135,9 @@
                 case DemandTotals():
                     handle_demand_totals(state, message)
                 case PeerHint():
+                    record_relay_peers(
+                        state.relay_peers, message.entries, state.settings.box.address
+                    )
                     if state.peers is not None:
                         record_hint(state.peers, address, message)
                 case _:
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ...http1 import HttpSite, serve_http1
+from ...links import listen_tcp
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
 from ..limit_keeper import run_rate_limiter
@@ -21,6 +22,7 @@
 from .backpressure import log_backoff_ends
 from .control_link import serve_control_link
 from .demand_reports import log_demand_changes
+from .reaching import run_reach_checks
 from .readiness import build_ready_site
 from .state import (
     GatewayState,
@@ -33,6 +35,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from anyio.abc import SocketStream
+
     from ...links import Link
     from ...settings import GatewaySettings
 
@@ -132,6 +136,8 @@
             run=lambda: run_rate_limiter(rate_limiter_of(state)),
             restart=Restart.ALWAYS,
         ),
+        Child(name="reach", run=lambda: run_reach_checks(state), restart=Restart.ALWAYS),
+        *_relay_children(state),
         log_child(),
         metrics_child(
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: _metrics_lines(state)
@@ -151,6 +157,28 @@
     logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
 
 
+def _relay_children(state: GatewayState) -> list[Child]:
+    """Return the child that relays connections of other boxes, if this box has a port for it."""
+    if not state.settings.cluster.relay_port:
+        return []
+    return [Child(name="relay", run=lambda: _serve_relay(state), restart=Restart.ALWAYS)]
+
+
+async def _serve_relay(state: GatewayState) -> None:
+    """Accept connections of other entry boxes until cancelled."""
+    box, cluster = state.settings.box, state.settings.cluster
+    listener = await listen_tcp(f"{box.address}:{cluster.relay_port}")
+
+    async def serve_one(stream: SocketStream) -> None:
+        # Imported here because few boxes relay soon after their start.
+        from .relay_server import serve_relayed
+
+        await serve_relayed(state, stream)
+
+    async with listener:
+        await listener.serve(serve_one)
+
+
 def _metrics_lines(state: GatewayState) -> list[str]:
     """Return the lines of the metrics page."""
     # Imported here because only readers of the page need it.
@@ -181,7 +209,7 @@
         callers.listening.cancel()
         state.refusing = True
         callers.close_idle()
-        while callers.in_progress or callers.open_connections:
+        while callers.in_progress or callers.open_connections or state.relays_open:
             await anyio.sleep(POLL_SECONDS)
             callers.close_idle()
     if scope.cancelled_caught:
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -38,6 +38,12 @@
         "upstream_connections_opened": float(state.reach.opened),
         "upstream_connections_failed": float(state.reach.failed),
         "upstream_connection_age_seconds": now - state.reach.last_opened_at,
+        "box_cut_off_seconds": (
+            now - state.reach.cut_since if state.reach.cut_since is not None else 0.0
+        ),
+        "upstream_connections_relayed": float(state.reach.relayed),
+        "relays_open": float(state.relays_open),
+        "relay_peers": float(len(state.relay_peers.known)),
         "upstreams_resting": float(len(state.backoff_watch.upstreams)),
         "return_places": float(
             sum(expire_places(book, now) for book in state.return_books.values())
--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -31,6 +31,9 @@
     path: list[str] = msgspec.field(default_factory=list)
     """Upstreams of the latest attempt; engines with their layers."""
 
+    relayed_by: str = ""
+    """IP address of the box that relayed the latest answer; empty if none did."""
+
     inter_domain_hops: int | None = None
     """Inter-domain hops on the path of the latest attempt; None if it has no path."""
 
@@ -73,6 +76,8 @@
         fields["waited"] = round(trace.wait_seconds, 3)
     if trace.path:
         fields["path"] = trace.path
+    if trace.relayed_by:
+        fields["relayed_by"] = trace.relayed_by
     if trace.inter_domain_hops is not None:
         fields["crossings"] = trace.inter_domain_hops
     if trace.queue_seconds:
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -21,6 +21,7 @@
     record_failure,
     record_full,
     record_loss,
+    record_out_of_reach,
     record_success,
 )
 from ...routing.pace import record_gap, stall_timeout
@@ -32,7 +33,6 @@
 from .checks import Permit, refusal
 from .crashes import count_crashes, record_answered, record_crash
 from .notes import content_fingerprint
-from .probing import check_exited
 from .state import answer_pace, record_duration, retry_budget
 from .upstream_call import (
     MIN_FAILURE_STATUS,
@@ -236,7 +236,9 @@
     upstream.in_flight += 1
     outcome = "answered"
     try:
-        answer, body = await _send(state, permit, request, dispatch, upstream, attempts, seconds)
+        answer, body = await _send(
+            state, permit, request, dispatch, upstream, attempts, seconds, trace
+        )
         record_gap(answer_pace(state, permit.pool.name), anyio.current_time() - now)
         if answer.facts.not_run:
             outcome = f"refused with status {answer.head.status_code}"
@@ -245,7 +247,10 @@
         outcome = f"not sent: {error}"
         attempts.sent -= 1
         attempts.executions -= 1
-        record_loss(upstream, anyio.current_time())
+        if error.is_inconclusive:
+            record_out_of_reach(upstream, anyio.current_time())
+        else:
+            record_loss(upstream, anyio.current_time())
         return False
     except BackpressureError as error:
         outcome = f"withheld: {error}"
@@ -255,6 +260,9 @@
     except AnswerLostError as error:
         outcome = f"lost: {error}"
         record_failure(upstream, anyio.current_time())
+        # Imported here because few answers are lost.
+        from .probing import check_exited
+
         if await check_exited(state, upstream, set()):
             record_crash(state, permit, request, trace, [upstream], now)
         return False
@@ -289,6 +297,7 @@
     upstream: ForwardedUpstream,
     attempts: _Attempts,
     seconds: float,
+    trace: RequestTrace,
 ) -> tuple[OpenAnswer, bytes]:
     """Send a request to an upstream and read its complete answer.
 
@@ -305,7 +314,13 @@
         tasks.start_soon(_cancel_late_attempt, state, permit, attempts, seconds, tasks.cancel_scope)
         try:
             opened = await open_answer(
-                state, permit, request, dispatch, upstream, fresh_connection=fresh
+                state,
+                permit,
+                request,
+                dispatch,
+                upstream,
+                fresh_connection=fresh,
+                trace=trace,
             )
             answer = opened, await read_body(state, opened)
         except (NotSentError, BackpressureError, AnswerLostError) as error:
--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -7,12 +7,19 @@
 
 import anyio
 
-from ...http1 import ConnectError, connect
+from ...http1 import ConnectError
 from ...links import is_port_closed
 from ...links.messages import LossReport
 from ...routing.forwarding_table import record_exit, record_loss
-from ...routing.pace import adaptive_probe_timeout, record_gap
-from ...routing.upstream_reach import record_not_opened, record_opened
+from ...routing.pace import record_gap
+from ...routing.upstream_reach import ReachVerdict, may_report_losses
+from .reaching import (
+    NoRelayError,
+    connect_directly,
+    connect_upstream,
+    probe_timeout,
+    verify_reach,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,21 +29,10 @@
 
 logger = logging.getLogger(__name__)
 
-PROBE_ROUND_TRIPS: Final = 25.0
-"""Minimum probe timeout, in round trips to the farthest failure domain. A working engine accepts a
-connection within one or two round trips and its scheduling delay; a machine that is down or cut off
-does not respond."""
-
-UNKNOWN_ROUND_TRIP_SECONDS: Final = 0.002
-"""Round trip that is assumed if the document gives no delays."""
-
 HEDGE_DELAY_SHARE: Final = 0.5
 """Share of the probe timeout after which a second connection is opened in parallel, because a
 single lost packet would otherwise make an engine appear dead."""
 
-PROBE_CEILING_FACTOR: Final = 10.0
-"""Maximum probe timeout, as a multiple of the minimum, if connections are slow to open."""
-
 LIVENESS_SECONDS: Final = 0.035
 """How long an engine counts as alive after its last progress. Shorter than the shortest stall
 timeout, since an engine that made no progress during the stall must be probed."""
@@ -98,8 +94,7 @@
         True if no process listens at its address.
     """
     address = upstream.registration.address
-    seconds = probe_timeout(state, upstream.registration.pool)
-    if not await is_port_closed(address, state.settings.box.address, seconds=seconds):
+    if not await _is_port_closed(state, upstream):
         return False
     record_exit(upstream, anyio.current_time())
     _log_loss(upstream, f"{address}: connection refused")
@@ -107,6 +102,25 @@
     return True
 
 
+async def _is_port_closed(state: GatewayState, upstream: ForwardedUpstream) -> bool:
+    """Return whether an upstream's port is closed, as seen from a box that reaches upstreams."""
+    seconds = probe_timeout(state, upstream.registration.pool)
+    if not state.reach.is_cut:
+        started_at = anyio.current_time()
+        address, source = upstream.registration.address, state.settings.box.address
+        if not await is_port_closed(address, source, seconds=seconds):
+            return False
+        verdict = await verify_reach(state, upstream, started_at)
+        if verdict is not ReachVerdict.CUT:
+            return verdict is ReachVerdict.DIRECT
+    try:
+        connection = await connect_upstream(state, upstream, seconds=seconds)
+    except ConnectError as error:
+        return error.is_refusal
+    await connection.close()
+    return False
+
+
 def _log_loss(upstream: ForwardedUpstream, reason: str) -> None:
     logger.warning(
         "engine does not answer",
@@ -118,6 +132,7 @@
     """Record that an engine is dead, and report it to the control boxes.
 
     It receives no new work until a later heartbeat is known; other requests on it are interrupted.
+    A box that reaches no upstream itself reports none, since control boxes believe two that agree.
 
     Args:
         state: State of the process.
@@ -127,66 +142,84 @@
     dead.add(engine.registration.instance)
     state.metrics.counters["engine-lost"] += 1
     record_loss(engine, anyio.current_time())
-    if state.peers is not None:
+    if state.peers is not None and may_report_losses(state.reach, anyio.current_time()):
         for link in state.peers.links.values():
             link.post(LossReport(instance=engine.registration.instance))
 
 
-def probe_timeout(state: GatewayState, pool: str) -> float:
-    """Return how long an engine of a pool may take to accept a connection, in seconds.
+async def _probe(state: GatewayState, engine: ForwardedUpstream) -> str:
+    """Probe an engine; a box that is cut off does so through another one.
+
+    A box that is cut off would otherwise find every engine dead, as would a stalled process: it
+    would break off its streams and cause the control boxes to move layers.
 
-    The timeout adapts to recent connection times, and is at least `PROBE_ROUND_TRIPS` round trips.
+    Returns:
+        Why the engine appears dead; empty if it accepted or if the probe is inconclusive.
     """
-    configuration = state.configuration
-    upstream_pool = configuration.pools.get(pool) if configuration is not None else None
-    delays = (
-        upstream_pool.engine.delays.values()
-        if upstream_pool is not None and upstream_pool.engine is not None
-        else ()
-    )
-    round_trip = 2.0 * max(delays, default=UNKNOWN_ROUND_TRIP_SECONDS / 2.0)
-    floor = PROBE_ROUND_TRIPS * round_trip
-    return adaptive_probe_timeout(
-        state.probe_pace, floor=floor, ceiling=floor * PROBE_CEILING_FACTOR
+    started_at = anyio.current_time()
+    if not state.reach.is_cut:
+        failure = await _probe_directly(state, engine)
+        if failure is None:
+            return ""
+        if await verify_reach(state, engine, started_at) is not ReachVerdict.CUT:
+            return _describe_failure(state, engine, failure)
+    try:
+        connection = await connect_upstream(
+            state, engine, seconds=probe_timeout(state, engine.registration.pool)
+        )
+    except NoRelayError as error:
+        _log_inconclusive(state, engine, str(error))
+        return ""
+    except ConnectError as error:
+        return _describe_failure(state, engine, error)
+    await connection.close()
+    engine.last_success_at = anyio.current_time()
+    return ""
+
+
+def _describe_failure(state: GatewayState, engine: ForwardedUpstream, failure: ConnectError) -> str:
+    """Return why a probe failed, and record an exit if the engine's port is closed."""
+    now = anyio.current_time()
+    if failure.is_refusal and may_report_losses(state.reach, now):
+        record_exit(engine, now)
+    return str(failure)
+
+
+def _log_inconclusive(state: GatewayState, engine: ForwardedUpstream, reason: str) -> None:
+    state.metrics.counters["probe-held-up"] += 1
+    logger.warning(
+        "probe says nothing",
+        extra={"upstream": engine.registration.instance, "reason": reason},
     )
 
 
-async def _probe(state: GatewayState, engine: ForwardedUpstream) -> str:
+async def _probe_directly(state: GatewayState, engine: ForwardedUpstream) -> ConnectError | None:
     """Connect to an engine, and retry once if this process was stalled meanwhile.
 
-    A stalled process would otherwise find every engine dead, break off its streams and cause the
-    control boxes to move layers.
-
     Returns:
-        Why the engine appears dead; empty if it accepted or if the probe is inconclusive.
+        Why it failed; None if the engine accepted or if the probe is inconclusive.
     """
-    reason = ""
+    failure: ConnectError | None = None
     for _ in range(2):
         timeout = probe_timeout(state, engine.registration.pool)
         started_at = anyio.current_time()
         try:
             elapsed = await _connect_hedged(state, engine, timeout)
         except ConnectError as error:
-            reason = str(error)
-            if error.is_refusal:
-                record_exit(engine, anyio.current_time())
+            failure = error
             if not isinstance(error.__cause__, TimeoutError):
-                return reason
+                return failure
         else:
             record_gap(state.probe_pace, elapsed)
             engine.last_success_at = anyio.current_time()
-            return ""
+            return None
         elapsed = anyio.current_time() - started_at
         if elapsed <= timeout + LATE_TIMER_SECONDS:
-            return reason
+            return failure
         # A late timeout also indicates that connections from this box are slow to open.
         record_gap(state.probe_pace, elapsed)
-    state.metrics.counters["probe-held-up"] += 1
-    logger.warning(
-        "probe says nothing",
-        extra={"upstream": engine.registration.instance, "reason": reason},
-    )
-    return ""
+    _log_inconclusive(state, engine, str(failure))
+    return None
 
 
 async def _connect_hedged(state: GatewayState, engine: ForwardedUpstream, timeout: float) -> float:
@@ -210,17 +243,14 @@
         nonlocal elapsed, failure
         await anyio.sleep(delay)
         started_at = anyio.current_time()
-        address, source = engine.registration.address, state.settings.box.address
         try:
-            connection = await connect(address, source=source, seconds=timeout - delay)
+            connection = await connect_directly(state, engine, timeout - delay)
         except ConnectError as error:
-            record_not_opened(state.reach)
             failure = error
             if not isinstance(error.__cause__, TimeoutError):
                 scope.cancel()
             return
         elapsed = anyio.current_time() - started_at
-        record_opened(state.reach, anyio.current_time())
         await connection.close()
         scope.cancel()
 
--- a/src/ledgeladder/daemons/gateway/slowdown_queries.py
+++ b/src/ledgeladder/daemons/gateway/slowdown_queries.py
@@ -33,12 +33,14 @@
 
     The reported factors influence the choice of later paths. If an engine does not answer in time,
     its previous factor stays in use, since a slow engine may also be slow to report. Engines that
-    are backing off or rate-limited are not queried.
+    are backing off or rate-limited are not queried, nor is any while this box is cut off.
 
     Args:
         state: State of the process.
         path: The path.
     """
+    if state.reach.is_cut:
+        return
     now = anyio.current_time()
     queried = [
         item
--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -14,7 +14,6 @@
 from ...http1 import AnswerBrokenError, read_part
 from ...routing.pace import record_false_alarm, stall_timeout
 from ...routing.suspected_links import suspect_links
-from .probing import find_unreachable
 from .upstream_call import (
     AnswerLostError,
     BackpressureError,
@@ -73,6 +72,7 @@
                 path.head,
                 fresh_connection=not permit.route.repeatable,
                 later_engines=path.engines[1:],
+                trace=session.trace,
             )
         except (NotSentError, BackpressureError, AnswerLostError) as error:
             # Raised below: a task group would wrap it.
@@ -91,22 +91,24 @@
     Cancels the scope if one of them is unreachable, or if the attempt can be replaced once the
     stream's `first_timeout` has passed.
     """
-    limit = session.timeouts.first_timeout
     waited = 0.0
     while True:
+        lost_link = _is_on_lost_link(state, session)
+        limit = session.timeouts.first_probe if lost_link else session.timeouts.first_timeout
         timeout = max(stall_timeout(state.first_event_pace), session.timeouts.first_probe)
         if waited < limit:
             timeout = min(timeout, limit - waited)
         await anyio.sleep(timeout)
         waited += timeout
-        if await find_unreachable(state, path.engines, session.dead):
+        if await _has_unreachable(state, session, path):
             scope.cancel()
             return
         await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
-        if waited >= limit and await session.may_abort(path):
+        if waited >= limit and await session.may_abort(path, lost_link=lost_link):
             break
-    _exclude_path(session, path)
+    if not lost_link:
+        _exclude_path(session, path)
     scope.cancel()
 
 
@@ -186,15 +188,18 @@
     """
     waited = _gap_timeout(session)
     while True:
-        if await find_unreachable(state, path.engines, session.dead):
+        if await _has_unreachable(state, session, path):
             reasons.append("an engine of the path is unreachable")
             break
         if waited >= session.timeouts.slowdown_query:
             await _query_slowdowns(state, path)
         _suspect_links(state, session, path, waited)
-        overdue = waited >= session.timeouts.gap_timeout
-        if overdue and await session.may_abort(path):
-            _exclude_path(session, path)
+        lost_link = _is_on_lost_link(state, session)
+        timeouts = session.timeouts
+        limit = timeouts.link_avoidance if lost_link else timeouts.gap_timeout
+        if waited >= limit and await session.may_abort(path, lost_link=lost_link):
+            if not lost_link:
+                _exclude_path(session, path)
             reasons.append(f"stalled for {waited:.2f} s")
             break
         state.metrics.counters["false-alarm"] += 1
@@ -205,6 +210,25 @@
     scope.cancel()
 
 
+async def _has_unreachable(state: GatewayState, session: StreamSession, path: ChosenPath) -> bool:
+    """Probe the engines of a stalled path, and return whether any is unreachable."""
+    # Imported here because few streams stall.
+    from .probing import find_unreachable
+
+    return await find_unreachable(state, path.engines, session.dead)
+
+
+def _is_on_lost_link(state: GatewayState, session: StreamSession) -> bool:
+    """Return whether an attempt uses a connection that this box opened before it was cut off.
+
+    Such a connection may still work, or hang without being closed.
+    """
+    cut_since = state.reach.cut_since
+    if cut_since is None or session.trace.relayed_by:
+        return False
+    return session.attempt_started_at < cut_since
+
+
 async def _query_slowdowns(state: GatewayState, path: ChosenPath) -> None:
     """Ask the engines of a stalled path whether they are slow."""
     # Imported here because few streams stall.
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -26,7 +26,7 @@
 from ...routing.repeat_window import RetryWindow
 from ...routing.route_index import RouteIndex
 from ...routing.suspected_links import SuspectedLinks
-from ...routing.upstream_reach import UpstreamReach
+from ...routing.upstream_reach import RelayPeers, UpstreamReach
 from ...routing.wait_queue import WaitQueue
 from .. import clock
 from ..limit_keeper import RateLimiter
@@ -41,6 +41,7 @@
     from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
     from ..peers import Peers
+    from .reaching import ReachCheck
     from .stream_session import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
@@ -234,7 +235,19 @@
     """Links between failure domains that are avoided for now."""
 
     reach: UpstreamReach = msgspec.field(default_factory=UpstreamReach)
-    """Whether this box opens connections to upstreams."""
+    """Whether this box opens connections to upstreams itself."""
+
+    reach_check: ReachCheck | None = None
+    """Check of this box's reach that waits to be run."""
+
+    reach_wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when such a check is requested."""
+
+    relay_peers: RelayPeers = msgspec.field(default_factory=RelayPeers)
+    """Entry boxes that may relay connections of this one."""
+
+    relays_open: int = 0
+    """Number of connections to upstreams that this box relays for others."""
 
     link_load: LinkLoad = msgspec.field(default_factory=LinkLoad)
     """Traffic that this box sends over links between failure domains."""
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -17,7 +17,7 @@
 from .borrowing import acquire_retry
 from .checks import Permit, refusal
 from .crashes import count_crashes, record_answered
-from .probing import probe_timeout
+from .reaching import probe_timeout
 from .state import retry_budget
 from .stream_attempt import run_attempt
 from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -16,13 +16,14 @@
     record_exit,
     record_failure,
     record_full,
+    record_out_of_reach,
     record_success,
 )
 from ...routing.link_load import record_transfer
 from ...routing.paths import ChosenPath, count_prompt, release, reserve
+from ...routing.upstream_reach import may_report_losses
 from .crashes import record_crash
 from .notes import content_fingerprint
-from .probing import check_exited, find_unreachable, report_lost
 from .stall_watch import open_watched
 from .stream_events import forward_events
 from .stream_session import AttemptResult, StreamSession
@@ -69,8 +70,10 @@
     session.sent += 1
     session.attempts += 1
     session.interrupted = False
+    session.attempt_started_at = anyio.current_time()
     session.trace.attempts += 1
     session.trace.path = _describe_path(path)
+    session.trace.relayed_by = ""
     session.trace.queue_seconds = path.longest_queue
     session.tried.update(part.instance for part in path.parts)
     started_at = anyio.current_time()
@@ -226,7 +229,13 @@
     try:
         answer = await open_watched(state, permit, request, session, path, dispatch)
     except NotSentError as error:
-        if error.is_refusal:
+        if error.is_inconclusive:
+            record_out_of_reach(path.head, anyio.current_time())
+            return AttemptResult.NOT_SENT, str(error)
+        if error.is_refusal and may_report_losses(state.reach, anyio.current_time()):
+            # Imported here because few connections are refused.
+            from .probing import report_lost
+
             record_exit(path.head, anyio.current_time())
             report_lost(state, path.head, session.dead)
         else:
@@ -298,6 +307,9 @@
     box every `FULL_AVOID_SECONDS` while it is registered; a probe distinguishes the two cases.
     Other boxes are told, unless another instance answered, which says nothing of the engine's room.
     """
+    # Imported here because few attempts are refused.
+    from .probing import find_unreachable
+
     session.excluded.add(engine.registration.instance)
     _suspect_domain(state, session, engine)
     if engine is not path.head and await find_unreachable(
@@ -327,6 +339,9 @@
 
     If none is found dead, the first engine is excluded.
     """
+    # Imported here because few attempts break off.
+    from .probing import check_exited, find_unreachable
+
     head = path.head.registration.instance
     if await find_unreachable(state, path.engines, session.dead) or head in session.dead:
         return
--- a/src/ledgeladder/daemons/gateway/stream_replacement.py
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -31,8 +31,8 @@
         session: The caller's stream.
     """
 
-    async def secure(path: ChosenPath) -> bool:
-        return await _may_abort(state, permit, session, path)
+    async def secure(path: ChosenPath, *, lost_link: bool) -> bool:
+        return await _may_abort(state, permit, session, path, lost_link=lost_link)
 
     session.may_abort = secure
     try:
@@ -44,20 +44,26 @@
 
 
 async def _may_abort(
-    state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
+    state: GatewayState,
+    permit: Permit,
+    session: StreamSession,
+    path: ChosenPath,
+    *,
+    lost_link: bool,
 ) -> bool:
     """Return whether a stalled attempt is aborted; take the retry that its replacement needs.
 
     Engines that answer probes are late because they are busy. Without a retry, or without a path
     over other engines, aborting the attempt would fail the request although its answer is on its
     way. An attempt between failure domains is aborted all the same: it waits for a link that is
-    full, and holds the room of several domains as long as it does.
+    full, and holds the room of several domains as long as it does. One whose link was lost needs no
+    other path, as its replacement goes through another box.
     """
     if len(set(path.domains)) > 1:
         return True
     if not permit.route.repeatable or session.attempts >= permit.route.max_attempts:
         return False
-    if not has_other_path(state, permit, session, path):
+    if not lost_link and not has_other_path(state, permit, session, path):
         return False
     if session.reserved_retry is None:
         session.reserved_retry = await acquire_retry(
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -4,7 +4,7 @@
 
 from contextlib import contextmanager
 from enum import StrEnum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from .notes import RequestTrace
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import Callable, Iterator
 
     from ...routing.event_stream import EventOrder
     from ...routing.paths import ChosenPath, NoPathReason
@@ -39,7 +39,21 @@
     an error, which is forwarded if no other attempt succeeds."""
 
 
-async def _never(_path: ChosenPath) -> bool:
+class AbortDecision(Protocol):
+    """Decides whether an overdue attempt is aborted."""
+
+    async def __call__(self, path: ChosenPath, *, lost_link: bool) -> bool:
+        """Return whether an attempt over a path is aborted.
+
+        Args:
+            path: The path.
+            lost_link: Whether its connection was opened before this box was cut off, so that the
+                same path is the way out.
+        """
+
+
+async def _never(path: ChosenPath, *, lost_link: bool) -> bool:
+    del path, lost_link
     return False
 
 
@@ -99,7 +113,7 @@
     failure_body: bytes = b""
     """Body of `failure`."""
 
-    may_abort: Callable[[ChosenPath], Awaitable[bool]] = _never
+    may_abort: AbortDecision = _never
     """Decides whether an attempt over the given path, which is overdue, is aborted; takes the retry
     that its replacement needs."""
 
@@ -113,6 +127,9 @@
     """When the newest event was forwarded, or else when the request arrived, on the monotonic
     clock."""
 
+    attempt_started_at: float = 0.0
+    """When the current attempt began, on the monotonic clock."""
+
     emitting: bool = False
     """True while events that `order` counts as delivered are being written to the caller."""
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -11,7 +11,6 @@
     AnswerBrokenError,
     ConnectError,
     UpstreamConnection,
-    connect,
     read_head,
     read_part,
     send_request,
@@ -19,8 +18,8 @@
 from ...platform.exchange import dispatch_headers, read_answer_facts
 from ...routing.forwarding_table import accepts_work, is_backing_off, record_load
 from ...routing.rate_grants import acquire_grants
-from ...routing.upstream_reach import record_not_opened, record_opened
 from .backpressure import handle_backpressure
+from .reaching import NoRelayError, connect_upstream
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -31,6 +30,7 @@
     from ...model.exchange import AnswerFacts, Dispatch
     from ...routing.forwarding_table import ForwardedUpstream
     from .checks import Permit
+    from .notes import RequestTrace
     from .state import GatewayState
 
 CONNECT_SECONDS: Final = 0.25
@@ -49,6 +49,11 @@
         """True if the connection was refused: no process listens at the address."""
         return isinstance(self.__cause__, ConnectError) and self.__cause__.is_refusal
 
+    @property
+    def is_inconclusive(self) -> bool:
+        """True if this box is cut off and no other one could try: no evidence against it."""
+        return isinstance(self.__cause__, NoRelayError)
+
 
 class BackpressureError(Exception):
     """An upstream applied back-pressure after it was chosen; nothing was sent.
@@ -88,6 +93,7 @@
     *,
     fresh_connection: bool,
     later_engines: Sequence[ForwardedUpstream] = (),
+    trace: RequestTrace | None = None,
 ) -> OpenAnswer:
     """Send a request to an upstream and wait for the head of its answer.
 
@@ -100,6 +106,7 @@
         fresh_connection: Whether to avoid pooled connections, whose loss is indistinguishable from
             the loss of the answer.
         later_engines: Engines that the request visits after the upstream.
+        trace: Trace of the request, which is told which box relays it.
 
     Returns:
         The answer, with its body unread. The caller of this function closes the connection or
@@ -111,7 +118,9 @@
             the connection was being opened.
         AnswerLostError: If the request may have been executed but no answer to it was received.
     """
-    connection = await _get_connection(state, upstream, fresh_connection=fresh_connection)
+    connection = await _get_connection(state, upstream, permit, fresh_connection=fresh_connection)
+    if trace is not None:
+        trace.relayed_by = connection.relayed_by
     sent_at = anyio.current_time()
     targets = (upstream, *later_engines)
     reason = _backpressure_reason(targets, sent_at)
@@ -155,7 +164,7 @@
 
 
 async def _get_connection(
-    state: GatewayState, upstream: ForwardedUpstream, *, fresh_connection: bool
+    state: GatewayState, upstream: ForwardedUpstream, permit: Permit, *, fresh_connection: bool
 ) -> UpstreamConnection:
     address = upstream.registration.address
     if not fresh_connection:
@@ -163,14 +172,11 @@
         if pooled is not None:
             return pooled
     try:
-        connection = await connect(
-            address, source=state.settings.box.address, seconds=CONNECT_SECONDS
+        return await connect_upstream(
+            state, upstream, seconds=CONNECT_SECONDS, request=permit.facts.attempt_id
         )
     except ConnectError as error:
-        record_not_opened(state.reach)
         raise NotSentError(str(error)) from error
-    record_opened(state.reach, anyio.current_time())
-    return connection
 
 
 async def read_body(state: GatewayState, answer: OpenAnswer) -> bytes:
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -65,7 +65,7 @@
     handle_version_reply,
 )
 from .state import ReportedLoad, ReportedShare, quarantine_controller_of, rate_granter_of
-from .telling import broadcast_registration, build_peer_hint
+from .telling import add_entries, broadcast_registration, build_peer_hint
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -147,7 +147,8 @@
         link.post(UpstreamIndexPush(index=state.upstream_index))
         link.post(quarantine_update(quarantine_controller_of(state)))
         link.post(limit_update(rate_granter_of(state)))
-    link.post(build_peer_hint(state))
+    hint = build_peer_hint(state)
+    link.post(hint if is_control else add_entries(state, hint))
     async with anyio.create_task_group() as tasks:
         try:
             while True:
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...coordination.loss_evidence import retain_engines
 from ...coordination.registrations import drop_inactive, heartbeat_ages
@@ -51,6 +53,9 @@
 """Interval at which the peer hint is sent to entry boxes while it does not change. A new link gets
 it immediately."""
 
+MAX_HINTED_ENTRIES: Final = 16
+"""Entry boxes that a peer hint names."""
+
 MIN_UPDATE_INTERVAL_SECONDS: Final = 0.05
 """Minimum interval between two frames of registrations. Registrations that arrive within it share a
 frame, since each frame goes over every link. The delay is short enough for draining upstreams,
@@ -163,7 +168,7 @@
         # Keeps the links that other control boxes opened from timing out for inactivity.
         post_to_all(state.accepted_control_links.values(), hint)
         if hint != sent_hint or now - hint_sent_at >= HINT_INTERVAL_SECONDS:
-            post_to_all(state.entry_links.values(), hint)
+            post_to_all(state.entry_links.values(), add_entries(state, hint))
             sent_hint, hint_sent_at = hint, now
 
 
@@ -185,6 +190,13 @@
     return PeerHint(addresses=_known_controls(state), domains=domains, reads_demand=True)
 
 
+def add_entries(state: RegistryState, hint: PeerHint) -> PeerHint:
+    """Return a peer hint that also names some linked entry boxes, others each time."""
+    linked = sorted({link.peer_box for link in state.entry_links.values()})
+    named = random.sample(linked, min(len(linked), MAX_HINTED_ENTRIES))
+    return msgspec.structs.replace(hint, entries=tuple(named))
+
+
 async def broadcast_loads(state: RegistryState) -> None:
     """Broadcast the summed load on each upstream until cancelled.
 
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -12,6 +12,7 @@
     read_head,
     read_part,
     send_request,
+    wrap_stream,
 )
 from .server import Exchange, HttpRequest, HttpSite, serve_http1
 from .sockets import tune_socket
@@ -34,4 +35,5 @@
     "send_request",
     "serve_http1",
     "tune_socket",
+    "wrap_stream",
 ]
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -14,7 +14,7 @@
 from .sockets import tune_socket
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketStream
+    from anyio.abc import ByteStream
 
     from .server import Headers
 
@@ -53,7 +53,7 @@
     address: str
     """`host:port` of the upstream."""
 
-    stream: SocketStream
+    stream: ByteStream
     """The connection."""
 
     protocol: h11.Connection
@@ -65,6 +65,9 @@
     reused: bool = False
     """True if an earlier request used the connection."""
 
+    relayed_by: str = ""
+    """IP address of the box that relays the connection; empty if this box opened it itself."""
+
     async def close(self) -> None:
         """Close the connection, which cancels the request on it at the upstream."""
         with anyio.CancelScope(shield=True):
@@ -95,8 +98,21 @@
     except OSError as error:
         await stream.aclose()
         raise ConnectError(f"{address}: {type(error).__name__}") from error
+    return wrap_stream(address, stream)
+
+
+def wrap_stream(address: str, stream: ByteStream, relayed_by: str = "") -> UpstreamConnection:
+    """Return the connection to an upstream over an open stream.
+
+    Args:
+        address: `host:port` of the upstream.
+        stream: The stream.
+        relayed_by: IP address of the box that relays it, if any.
+    """
     protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
-    return UpstreamConnection(address=address, stream=stream, protocol=protocol)
+    return UpstreamConnection(
+        address=address, stream=stream, protocol=protocol, relayed_by=relayed_by
+    )
 
 
 async def send_request(
@@ -217,7 +233,7 @@
         Args:
             connection: The connection.
             keep_alive_seconds: Keep-alive timeout that the upstream announced, or None for
-                `DEFAULT_KEEP_ALIVE_SECONDS`.
+                `DEFAULT_KEEP_ALIVE_SECONDS`. Relayed connections are not kept.
         """
         protocol = connection.protocol
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
@@ -228,7 +244,8 @@
             else keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS
         )
         idle = self.idle.setdefault(connection.address, [])
-        if not done or surplus or keep <= 0 or len(idle) >= MAX_IDLE_CONNECTIONS:
+        is_kept = done and not surplus and not connection.relayed_by and keep > 0
+        if not is_kept or len(idle) >= MAX_IDLE_CONNECTIONS:
             await connection.close()
             return
         protocol.start_next_cycle()
@@ -240,6 +257,11 @@
         for connection in self.idle.pop(address, []):
             await connection.close()
 
+    async def close_all(self) -> None:
+        """Close all idle connections."""
+        for address in list(self.idle):
+            await self.close_idle(address)
+
     async def close_expired(self) -> None:
         """Close connections that may no longer be reused."""
         now = anyio.current_time()
--- a/src/ledgeladder/links/__init__.py
+++ b/src/ledgeladder/links/__init__.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from .endpoint import keep_link, open_link, serve_links
-from .link import Link, LinkIdentity, post_to_all
+from .link import (
+    Link,
+    LinkIdentity,
+    accept_handshake,
+    initiate_handshake,
+    post_to_all,
+)
 from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address
 
 __all__ = [
     "Link",
     "LinkIdentity",
+    "accept_handshake",
     "connect_tcp",
+    "initiate_handshake",
     "keep_link",
     "listen_tcp",
     "is_port_closed",
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -175,6 +175,9 @@
     """Whether the sender knows `DemandReport`, `DemandShare` and `FullReport`. Boxes of an earlier
     version close a link on which a message of an unknown type arrives."""
 
+    entries: tuple[str, ...] = ()
+    """IP addresses of some entry boxes, which may relay connections to upstreams."""
+
 
 class RegistrationUpdate(
     msgspec.Struct, frozen=True, kw_only=True, tag="upstreams", array_like=True
@@ -206,6 +209,59 @@
     """Ages as encoded by `pack_ages`."""
 
 
+class RelayOutcome(StrEnum):
+    """Whether a box relays a connection to an upstream."""
+
+    OPEN = "open"
+    """The connection to the upstream is open."""
+
+    REFUSED = "refused"
+    """No process listens at the upstream's address; the box reaches other upstreams."""
+
+    UNREACHABLE = "unreachable"
+    """The upstream does not accept a connection; the box reaches other upstreams."""
+
+    CUT = "cut"
+    """The box reaches no upstream at all, so that it cannot tell."""
+
+    NOT_REGISTERED = "not-registered"
+    """The box knows no such upstream."""
+
+    FULL = "full"
+    """The box relays as many connections as it may."""
+
+    STOPPING = "stopping"
+    """The box is stopping."""
+
+
+class RelayRequest(msgspec.Struct, frozen=True, kw_only=True, tag="relay?", array_like=True):
+    """Requests that the receiver, an entry box, connects the sender with an upstream.
+
+    The receiver opens the connection itself and never through a third box.
+    """
+
+    instance: str
+    """Instance of the upstream."""
+
+    address: str
+    """Its `host:port`. Both must be registered at the receiver."""
+
+    seconds: float
+    """Timeout for connecting to the upstream."""
+
+    request: str = ""
+    """Id of the caller's attempt, for the log; empty for a connection that checks reachability."""
+
+
+class RelayReply(msgspec.Struct, frozen=True, kw_only=True, tag="relay", array_like=True):
+    """Outcome of a relay request.
+
+    If it is open, raw bytes of the request and frames of the answer follow.
+    """
+
+    outcome: RelayOutcome
+
+
 class LossReport(msgspec.Struct, frozen=True, kw_only=True, tag="lost", array_like=True):
     """Reports that an entry box found an upstream unreachable."""
 
@@ -446,6 +502,8 @@
     | UpstreamIndexPush
     | IndexChangePush
     | RegistrationAges
+    | RelayRequest
+    | RelayReply
     | LossReport
     | LossUpdate
     | CrashReport
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -29,6 +29,9 @@
 FULL_AVOID_SECONDS: Final = 0.25
 """How long a full upstream is avoided; about one report interval of an engine."""
 
+OUT_OF_REACH_SECONDS: Final = 0.5
+"""How long an upstream is avoided after this box, which is cut off, found no way to it."""
+
 INACTIVE_SECONDS: Final = 4.0
 """Time since the last heartbeat after which an upstream is only a last resort."""
 
@@ -316,6 +319,23 @@
     upstream.lost_at = float("-inf")
 
 
+def record_out_of_reach(upstream: ForwardedUpstream, now: float) -> None:
+    """Avoid an upstream briefly that this box has no way to, without counting a failure."""
+    upstream.avoid_until = max(upstream.avoid_until, now + OUT_OF_REACH_SECONDS)
+
+
+def forgive_failures(table: ForwardingTable, now: float) -> int:
+    """Clear the failures and losses of all upstreams that are avoided for them.
+
+    Returns:
+        Number of these upstreams.
+    """
+    forgiven = [item for item in table.upstreams.values() if is_failing(item, now) or is_lost(item)]
+    for item in forgiven:
+        record_success(item)
+    return len(forgiven)
+
+
 def is_failing(upstream: ForwardedUpstream, now: float) -> bool:
     """Return whether an upstream is avoided after failures, and not only for lack of room."""
     return upstream.failures > 0 and now < upstream.avoid_until
--- a/src/ledgeladder/settings/discovered.py
+++ b/src/ledgeladder/settings/discovered.py
@@ -42,6 +42,10 @@
     metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     """Port on every box for metrics."""
 
+    relay_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    """Port on every entry box for connections that it relays for others which reach no upstream; 0
+    to relay none and ask nobody."""
+
     seeds: tuple[Address, ...]
     """Some control boxes, which may be out of date."""
 
@@ -100,6 +104,9 @@
     """Most bytes that their bodies have together, an eighth of the memory that a box may use for
     control, and as many again."""
 
+    relayed_connections: Annotated[int, msgspec.Meta(ge=0, le=65_536)] = 256
+    """Most connections to upstreams that it relays for other boxes at once."""
+
     admission: Literal["by-priority", "off"] = "by-priority"
     """Which new streams get the room of engines that requests of several priorities share, while it
     is short; `off` admits them as they come."""
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -43,7 +43,7 @@
 """Host of all routes."""
 
 # Ports of a box, as offsets from its first one: 0 links, 1 metrics, 2 registry, 3 callers,
-# 4 readiness, 5 upstream or its proxy, 6 upstream behind a proxy.
+# 4 readiness, 5 upstream or its proxy, 6 upstream behind a proxy, 7 relayed connections.
 SETTINGS = """
 [box]
 name = "{name}"
@@ -54,6 +54,7 @@
 secret = "loopback-secret-0123456789"
 link_port = {port}
 metrics_port = {metrics_port}
+relay_port = {relay_port}
 seeds = [{seeds}]
 bootstrap = {bootstrap}
 
@@ -161,6 +162,7 @@
             ip=ip,
             port=self.port,
             metrics_port=self.port + 1,
+            relay_port=self.port + 7,
             seeds=", ".join(f'"{item}"' for item in self.control_addresses[:3]),
             bootstrap=str(bootstrap).lower(),
             role=role,
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -126,13 +126,32 @@
                 self.host_faults[(other, host)] = fault
         self._apply_faults()
 
-    def drop_packets(self, hosts: Iterable[str], open_connections: OpenConnections) -> None:
-        """Drop all packets of some hosts, so that their new connections to any target hang."""
-        self._run_on_loop(lambda: self._drop_packets(frozenset(hosts), open_connections))
-
-    def _drop_packets(self, hosts: frozenset[str], open_connections: OpenConnections) -> None:
+    def drop_packets(
+        self,
+        hosts: Iterable[str],
+        open_connections: OpenConnections,
+        target_hosts: Iterable[str] | None = None,
+    ) -> None:
+        """Drop all packets of some hosts, so that their new connections hang.
+
+        Args:
+            hosts: IP addresses of the hosts.
+            open_connections: What happens to their open connections.
+            target_hosts: IP addresses of the targets; None for all.
+        """
+        sources = frozenset(hosts)
+        targets = [
+            target
+            for target in self.targets.values()
+            if target_hosts is None or target.listen[0] in target_hosts
+        ]
+        self._run_on_loop(lambda: self._drop_packets(sources, targets, open_connections))
+
+    def _drop_packets(
+        self, hosts: frozenset[str], targets: list[Target], open_connections: OpenConnections
+    ) -> None:
         self._stop_dropping()
-        for target in self.targets.values():
+        for target in targets:
             assert target.listener is not None
             drop_from(target.listener, hosts)
             self.filtered.append(target.listener)
--- a/tests/daemons/gateway/test_loss_updates.py
+++ b/tests/daemons/gateway/test_loss_updates.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from ledgeladder.daemons.gateway import probing
+from ledgeladder.daemons.gateway import reaching
 from ledgeladder.daemons.gateway.loss_updates import confirm_loss, handle_loss_update
 from ledgeladder.daemons.gateway.state import GatewayState
 from ledgeladder.http1 import ConnectError
@@ -86,7 +86,7 @@
             return Accepted()
         raise ConnectError(address) from ConnectionRefusedError()
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     state, known = known_engine()
     interrupted: list[str] = []
     known.on_lost.add(lambda lost: interrupted.append(lost.registration.instance))
--- a/tests/daemons/gateway/test_probing.py
+++ b/tests/daemons/gateway/test_probing.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from ledgeladder.daemons.gateway import probing
+from ledgeladder.daemons.gateway import probing, reaching
 from ledgeladder.daemons.gateway.probing import find_unreachable
 from ledgeladder.http1 import ConnectError
 
@@ -24,7 +24,7 @@
         time.sleep(seconds + probing.LATE_TIMER_SECONDS * 2)
         raise ConnectError(f"{address}: OSError") from OSError()
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     state = gateway_state()
     path = path_over(engine())
 
@@ -56,7 +56,7 @@
             raise ConnectError(f"{address}: TimeoutError") from error
         raise AssertionError("unreachable")
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     state = gateway_state()
     path = path_over(engine())
     dead: set[str] = set()
@@ -82,7 +82,7 @@
         await anyio.sleep(seconds)
         raise ConnectError(f"{address}: TimeoutError") from TimeoutError()
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     state = gateway_state()
     path = path_over(engine())
 
@@ -102,7 +102,7 @@
         probed.append(address)
         raise ConnectError(f"{address}: OSError") from OSError()
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     state = gateway_state()
     working, inactive = engine(), engine("i-2", "127.0.0.1:2")
     path = path_over(working, inactive)
--- a/tests/daemons/gateway/test_stall_watch.py
+++ b/tests/daemons/gateway/test_stall_watch.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from ledgeladder.daemons.gateway import slowdown_queries, stall_watch
+from ledgeladder.daemons.gateway import probing, slowdown_queries, stall_watch
 from ledgeladder.daemons.gateway.stream_session import StreamSession
 from ledgeladder.daemons.gateway.upstream_call import AnswerLostError
 from ledgeladder.routing.event_stream import EventOrder
@@ -63,13 +63,13 @@
     state.first_event_pace.mean = 0.0005
     state.first_event_pace.floor = 0.0
 
-    async def secure(*_: object) -> bool:
+    async def secure(*_: object, **__: object) -> bool:
         return replacements.pop(0) if replacements else False
 
     async def no_query(*_: object) -> None:
         pass
 
-    monkeypatch.setattr(stall_watch, "find_unreachable", late.probe)
+    monkeypatch.setattr(probing, "find_unreachable", late.probe)
     monkeypatch.setattr(slowdown_queries, "query_slowdowns", no_query)
     monkeypatch.setattr(stall_watch, "open_answer", late.answer)
     monkeypatch.setattr(stall_watch, "read_part", late.answer)
--- a/tests/daemons/gateway/test_stream_attempt.py
+++ b/tests/daemons/gateway/test_stream_attempt.py
@@ -10,7 +10,7 @@
 import pytest
 from anyio.abc import SocketStream
 
-from ledgeladder.daemons.gateway import probing, stream_events
+from ledgeladder.daemons.gateway import reaching, stream_events
 from ledgeladder.daemons.gateway.probing import report_lost
 from ledgeladder.daemons.gateway.stream_attempt import (
     _cancel_on_loss,
@@ -132,7 +132,7 @@
             return Accepted()
         raise ConnectError(address) from ConnectionRefusedError()
 
-    monkeypatch.setattr(probing, "connect", connect)
+    monkeypatch.setattr(reaching, "connect", connect)
     session = StreamSession(order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10)
     path = path_over(engine("i-1"), engine("i-2", "127.0.0.1:2"))
     suspect = path.engines[at_fault]
--- a/tests/daemons/gateway/test_stream_replacement.py
+++ b/tests/daemons/gateway/test_stream_replacement.py
@@ -48,7 +48,7 @@
         budget = retry_budget(state, "p")
         add_quota(budget, retries, anyio.current_time() + 60.0)
         with replaceable_attempts(state, permit, session):
-            secured = await session.may_abort(path_over(engine()))
+            secured = await session.may_abort(path_over(engine()), lost_link=False)
             assert (session.reserved_retry is not None) is expected
         # An unused reservation goes back to the budget.
         assert session.reserved_retry is None
@@ -74,7 +74,7 @@
 
     async def run() -> bool:
         with replaceable_attempts(gateway_state(), permit, session):
-            return await session.may_abort(path_over(*engines))
+            return await session.may_abort(path_over(*engines), lost_link=False)
 
     assert anyio.run(run)
     assert session.reserved_retry is None
--- a/tests/daemons/registry/test_telling.py
+++ b/tests/daemons/registry/test_telling.py
@@ -31,6 +31,8 @@
 class Recorder:
     """A link that records the posted messages with their times."""
 
+    peer_box = "10.0.0.3"
+
     def __init__(self, clock: list[float]) -> None:
         self.clock = clock
         self.posted: list[tuple[float, Any]] = []
