--- a/src/ledgeladder/daemons/gateway/crashes.py
+++ b/src/ledgeladder/daemons/gateway/crashes.py
@@ -66,6 +66,8 @@
     trace: RequestTrace,
     upstreams: Iterable[ForwardedUpstream],
     started_at: float,
+    *,
+    events: int = 0,
 ) -> None:
     """Record and report a crash if an upstream of a failed attempt has exited since it was sent.
 
@@ -78,6 +80,7 @@
         trace: Trace of the request.
         upstreams: Upstreams that the attempt had reached.
         started_at: Monotonic time at which the attempt was sent.
+        events: Events of the attempt that arrived.
     """
     exited = next((item for item in upstreams if item.exited_at >= started_at), None)
     if exited is None:
@@ -98,6 +101,8 @@
             "content": fingerprint.hex(),
             "upstream": instance,
             "ends": crashes,
+            "events": events,
+            "parts": permit.facts.prompt_parts,
         },
     )
 
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -32,6 +32,9 @@
     answer_tokens: int = 0
     """Maximum number of tokens of the answer."""
 
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt, in order; requests share them."""
+
 
 class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Load of an upstream, as reported in an answer."""
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -24,6 +24,12 @@
 """Status with which an upstream refuses a request for another instance, or a path with layers that
 it has not loaded."""
 
+MAX_PROMPT_PARTS: Final = 32
+"""Parts of a prompt that are read, the first ones."""
+
+MAX_PART_ID_LENGTH: Final = 64
+"""Characters of a part's id that are read."""
+
 KEY_SCHEME: Final = "token"
 """Scheme of the authorization field with a key, in lower case."""
 
@@ -81,6 +87,7 @@
         resume_after=None if last_event_id is None else int(last_event_id),
         prompt_tokens=int(_parse_number(tokens[0]) or 0),
         answer_tokens=int(_parse_number(tokens[2]) or 0),
+        prompt_parts=_parse_parts(fields.get(b"prompt-prefix", b"")),
     )
 
 
@@ -94,6 +101,17 @@
     return None
 
 
+def _parse_parts(value: bytes) -> tuple[str, ...]:
+    """Parse the ids of a prompt's parts, given as `ID:TOKENS` with commas between them.
+
+    >>> _parse_parts(b"5c1e07a2:800, 91bd3f06:410")
+    ('5c1e07a2', '91bd3f06')
+    """
+    items = value.decode("latin-1").split(",")[:MAX_PROMPT_PARTS]
+    ids = (item.partition(":")[0].strip()[:MAX_PART_ID_LENGTH] for item in items)
+    return tuple(dict.fromkeys(filter(None, ids)))
+
+
 def _parse_key(value: bytes | None) -> str | None:
     """Parse the key of an authorization field; return None for another scheme or an empty key."""
     scheme, _, key = (value or b"").decode("latin-1").partition(" ")
--- a/tests/daemons/gateway/test_crashes.py
+++ b/tests/daemons/gateway/test_crashes.py
@@ -25,7 +25,9 @@
 
 from .builders import engine, gateway_state
 
-PERMIT: Any = SimpleNamespace(facts=SimpleNamespace(attempt_id="a", key="k"), account="account")
+PERMIT: Any = SimpleNamespace(
+    facts=SimpleNamespace(attempt_id="a", key="k", prompt_parts=()), account="account"
+)
 
 
 def request(body: bytes = b"body") -> Any:
--- a/tests/daemons/gateway/test_pending_prompts.py
+++ b/tests/daemons/gateway/test_pending_prompts.py
@@ -44,11 +44,11 @@
         self.path = ChosenPath(parts=parts, engines=tuple(self.engines), cost=1.0)
         self.permit: Any = SimpleNamespace(
             pool=SimpleNamespace(name="p", engine=SimpleNamespace(steps_per_pass=STEPS_PER_PASS)),
-            facts=SimpleNamespace(prompt_tokens=PROMPT, attempt_id="x"),
+            facts=SimpleNamespace(prompt_tokens=PROMPT, attempt_id="x", prompt_parts=()),
         )
         monkeypatch.setattr(stream_attempt, "_record_hops", lambda *_: None)
         monkeypatch.setattr(stream_attempt, "_record_result", lambda *_: None)
-        monkeypatch.setattr(stream_attempt, "record_crash", lambda *_: None)
+        monkeypatch.setattr(stream_attempt, "record_crash", lambda *_, **__: None)
 
     @property
     def pending(self) -> list[tuple[int, float]]:
