--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -410,6 +410,7 @@
         options: Fields of `DiscoveredFleet`, and also: `engines` (6) and `services` (3), the
             numbers of upstreams; `fail_share`, the share of plain requests that services fail;
             `crash_word`, a word in a request's body that crashes the upstream that executes it;
+            `crash_part`, a prompt's part that crashes the engine that begins to write on it;
             `engine_slots`, the streams that an engine runs at once (0: without a bound);
             `keep_ids`, True if upstreams keep their instance ids over restarts.
 
@@ -420,6 +421,7 @@
     services = options.pop("services", 3)
     fail_share = options.pop("fail_share", 0.0)
     crash_word = options.pop("crash_word", "")
+    crash_part = options.pop("crash_part", "")
     keep_ids = options.pop("keep_ids", False)
     engine_slots = options.pop("engine_slots", 0)
     with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
@@ -436,6 +438,7 @@
                     "engines",
                     "big",
                     crash_word=crash_word,
+                    crash_part=crash_part,
                     instance=instance,
                     slots=engine_slots,
                 )
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -83,6 +83,10 @@
     """Word in the body of a request that crashes the process while it executes it; empty for
     none."""
 
+    crash_part: str = ""
+    """Id of a prompt's part that crashes the process when it begins to write an answer; empty for
+    none."""
+
     mood: Path | None = None
     """File that controls its responses: a JSON object with `rest`, the `Retry-After` of refusals
     while all requests are refused, `rest_of_calls`, the same for reports and orders, `leaving`,
@@ -226,6 +230,16 @@
         os._exit(1)
 
 
+async def crash_on_part(upstream: StandIn, request: HttpRequest) -> None:
+    """Exit without notice if the prompt of a request has the part that crashes the process."""
+    parts = request.fields.get(b"prompt-prefix", b"").decode("latin-1").split(",")
+    ids = [part.partition(":")[0] for part in parts[:-1]]
+    if upstream.crash_part and upstream.crash_part in ids:
+        await anyio.sleep(CRASH_SECONDS)
+        upstream.record("crash", part=upstream.crash_part)
+        os._exit(1)
+
+
 async def answer_plain(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
     """Execute a plain request."""
     record_run(upstream, request)
@@ -253,6 +267,7 @@
         body=request.body.decode("latin-1"),
         deadline=fields.get("deadline-ms"),
         path=fields.get("path"),
+        parts=fields.get("prompt-prefix", ""),
         pool=upstream.pool,
     )
 
@@ -296,6 +311,7 @@
     last_event = int(request.fields.get(b"last-event-id", b"-1"))
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/event-stream")]
     await crash_on_word(upstream, request)
+    await crash_on_part(upstream, request)
     async with anyio.create_task_group() as tasks:
         broken = anyio.Event()
         for address, _, _ in stages:
@@ -435,6 +451,7 @@
     parser.add_argument("--seconds", type=float, default=0.02)
     parser.add_argument("--fail-share", type=float, default=0.0)
     parser.add_argument("--crash-word", default="")
+    parser.add_argument("--crash-part", default="")
     parser.add_argument("--mood", type=Path)
     parser.add_argument("--slots", type=int, default=0)
     parser.add_argument("--instance", default="")
