--- a/src/ledgeladder/daemons/gateway/reaching.py
+++ b/src/ledgeladder/daemons/gateway/reaching.py
@@ -216,12 +216,17 @@
     Returns:
         None if it knows no others to try.
     """
-    sample = sample_upstreams(state.table.upstreams.values(), failed, state.rng)
+    sample = _sample(state, failed)
     if not sample:
         return None
     return await _count_accepting(state, sample, enough=1) > 0
 
 
+def _sample(state: GatewayState, failed: Collection[str]) -> list[ForwardedUpstream]:
+    domain = state.settings.box.failure_domain
+    return sample_upstreams(state.table.upstreams.values(), failed, domain, state.rng)
+
+
 async def _count_accepting(
     state: GatewayState, sample: list[ForwardedUpstream], *, enough: int
 ) -> int:
@@ -292,7 +297,7 @@
 async def _try_directly(state: GatewayState) -> None:
     """Try some upstreams from this box while it is cut off, and end the cut if all accept."""
     since = state.reach.cut_since
-    sample = sample_upstreams(state.table.upstreams.values(), (), state.rng)
+    sample = _sample(state, ())
     accepted = await _count_accepting(state, sample, enough=len(sample))
     if record_round(state.reach, accepted=accepted, sampled=len(sample)) and since is not None:
         logger.info(
--- a/src/ledgeladder/routing/upstream_reach.py
+++ b/src/ledgeladder/routing/upstream_reach.py
@@ -149,16 +149,21 @@
 
 
 def sample_upstreams(
-    upstreams: Iterable[ForwardedUpstream], excluded: Collection[str], rng: random.Random
+    upstreams: Iterable[ForwardedUpstream],
+    excluded: Collection[str],
+    own_domain: str,
+    rng: random.Random,
 ) -> list[ForwardedUpstream]:
     """Choose the upstreams that a check of this box's reach connects to.
 
     They are of different failure domains and pools as far as possible, since a link or a pool that
-    is down says nothing of the others.
+    is down says nothing of the others. One is of this box's own domain, which is all that a box
+    reaches in a partition between domains.
 
     Args:
         upstreams: All registered upstreams.
         excluded: Addresses that are known to be unreachable.
+        own_domain: Failure domain of this box.
         rng: Random source.
 
     Returns:
@@ -171,6 +176,10 @@
             groups.setdefault(key, []).append(item)
     drawn = [rng.choice(group) for group in groups.values()]
     rng.shuffle(drawn)
+    drawn.sort(key=lambda item: item.registration.failure_domain != own_domain)
+    # The second of the own domain would displace one of another domain.
+    own = [item for item in drawn if item.registration.failure_domain == own_domain]
+    drawn = own[:1] + drawn[len(own) :] + own[1:]
     if len(drawn) < SAMPLE_SIZE:
         rest = [item for group in groups.values() for item in group if item not in drawn]
         drawn += rng.sample(rest, min(len(rest), SAMPLE_SIZE - len(drawn)))
--- a/tests/routing/test_upstream_reach.py
+++ b/tests/routing/test_upstream_reach.py
@@ -73,7 +73,7 @@
 def test_sample_spreads_over_failure_domains_and_leaves_out_what_failed() -> None:
     upstreams = [upstream(number, "abc"[number % 3]) for number in range(1, 30)]
     for seed in range(50):
-        sample = sample_upstreams(upstreams, {"10.0.0.1:1"}, random.Random(seed))
+        sample = sample_upstreams(upstreams, {"10.0.0.1:1"}, "a", random.Random(seed))
         assert {item.registration.failure_domain for item in sample} == {"a", "b", "c"}
         assert "i-1" not in {item.registration.instance for item in sample}
 
@@ -83,15 +83,25 @@
     upstreams += [upstream(40, "a", pool="q")]
     failed = {item.registration.address for item in upstreams[:29]}
     for seed in range(20):
-        sample = sample_upstreams(upstreams, failed, random.Random(seed))
+        sample = sample_upstreams(upstreams, failed, "a", random.Random(seed))
         assert [item.registration.pool for item in sample] == ["q"]
 
 
+def test_sample_has_an_upstream_of_the_own_domain() -> None:
+    """Partitioned from the other domains, the box would otherwise seem cut off from all."""
+    pools = ["p", "q", "r"]
+    upstreams = [upstream(number, "abc"[number % 3], pools[number // 9]) for number in range(27)]
+    for seed in range(50):
+        sample = sample_upstreams(upstreams, set(), "b", random.Random(seed))
+        assert sample[0].registration.failure_domain == "b"
+        assert {item.registration.failure_domain for item in sample} > {"b"}
+
+
 def test_sample_is_filled_from_one_domain_without_repeats() -> None:
     upstreams = [upstream(number, "a") for number in range(1, 9)]
-    sample = sample_upstreams(upstreams, set(), random.Random(1))
+    sample = sample_upstreams(upstreams, set(), "a", random.Random(1))
     assert len({item.registration.instance for item in sample}) == SAMPLE_SIZE
-    assert sample_upstreams([], set(), random.Random(1)) == []
+    assert sample_upstreams([], set(), "a", random.Random(1)) == []
 
 
 def test_relay_peers_are_bounded_and_never_this_box() -> None:
