--- a/src/ledgeladder/coordination/content_watch.py
+++ b/src/ledgeladder/coordination/content_watch.py
@@ -1,6 +1,7 @@
 """Tracks request content at one entry box by fingerprint: crashes, suspects and quarantine.
 
-Every attempt of a caller carries a new id, so retries by the caller are matched by content instead.
+Content is a whole request or a part of its prompt, which other requests share. Every attempt of a
+caller carries a new id, so retries by the caller are matched by content instead.
 """
 
 from __future__ import annotations
@@ -10,11 +11,21 @@
 
 import msgspec
 
-from .crash_book import CRASH_LIMIT, CrashTable, clear_crashes, crash_count, record_crash
+from .crash_book import (
+    CRASH_LIMIT,
+    PART_FINGERPRINT_BYTES,
+    PART_TAG,
+    CrashTable,
+    clear_crashes,
+    crash_count,
+    record_crash,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from .part_crashes import PartCrashTable
+
 FINGERPRINT_BYTES: Final = 8
 """Length of a fingerprint. With 4,096 fingerprints stored, accidental matches are negligible."""
 
@@ -23,6 +34,12 @@
 control boxes need to confirm a crash; unconfirmed crashes come from a partition that refuses
 connections, and their content is released."""
 
+ANSWERED_LATELY_SECONDS: Final = 30.0
+"""How long after an answer a part of a prompt is sound in all likelihood."""
+
+MAX_ANSWERED_PARTS: Final = 4096
+"""Answered parts that are remembered, the newest."""
+
 MAX_REPORTED_SUSPECTS: Final = 1024
 """Suspects reported by other boxes that are kept, the newest."""
 
@@ -33,6 +50,13 @@
     crashes: CrashTable = msgspec.field(default_factory=CrashTable)
     """Crashes under requests of this box."""
 
+    part_crashes: PartCrashTable | None = None
+    """Crashes under requests of this box, by part of their prompts; None before the first."""
+
+    parts_answered_at: dict[bytes, float] = msgspec.field(default_factory=dict)
+    """When a request of this box was last answered, on the monotonic clock, by part of its prompt,
+    longest ago first."""
+
     reported: dict[bytes, int] = msgspec.field(default_factory=dict)
     """Crashes by fingerprint over all boxes, as reported by control boxes, oldest first."""
 
@@ -72,6 +96,17 @@
     return digest.digest()
 
 
+def compute_part_fingerprint(pool: str, part: str) -> bytes:
+    """Return the fingerprint of a prompt's part in one pool, the same on every box.
+
+    >>> compute_part_fingerprint("a", "1") == compute_part_fingerprint("b", "1")
+    False
+    """
+    content = f"{pool}\0{part}".encode()
+    size = PART_FINGERPRINT_BYTES - len(PART_TAG)
+    return PART_TAG + hashlib.blake2b(content, digest_size=size).digest()
+
+
 def quarantine_seconds_left(quarantine: EntryQuarantine, fingerprint: bytes, now: float) -> float:
     """Return how many seconds the quarantine of a fingerprint lasts; 0 if there is none."""
     until = quarantine.quarantined_until.get(fingerprint)
@@ -115,9 +150,81 @@
     return crashes
 
 
+def record_own_part_crash(
+    quarantine: EntryQuarantine, part: bytes, instance: str, content: bytes, now: float
+) -> bool:
+    """Record that an upstream crashed before it answered a request of this box with a part.
+
+    Args:
+        quarantine: What this box knows.
+        part: Fingerprint of the part.
+        instance: Instance of the upstream.
+        content: Fingerprint of the whole request.
+        now: Monotonic time.
+
+    Returns:
+        Whether a request with the part was answered at this box shortly before, for the report to
+        the control boxes.
+    """
+    # Imported here because few boxes see crashes.
+    from .part_crashes import PartCrashTable, record_part_crash
+
+    if quarantine.part_crashes is None:
+        quarantine.part_crashes = PartCrashTable()
+    answered_at = quarantine.parts_answered_at.get(part, float("-inf"))
+    answered_lately = now - answered_at < ANSWERED_LATELY_SECONDS
+    record_part_crash(
+        quarantine.part_crashes, part, instance, content, now, answered_lately=answered_lately
+    )
+    return answered_lately
+
+
+def record_own_part_answered(quarantine: EntryQuarantine, part: bytes, now: float) -> bool:
+    """Record that a request with a part was answered, so the part did not cause the crashes.
+
+    Returns:
+        True if crashes were recorded, which must then be cleared at the control boxes as well.
+    """
+    answered_at = quarantine.parts_answered_at
+    answered_at.pop(part, None)
+    answered_at[part] = now
+    while len(answered_at) > MAX_ANSWERED_PARTS:
+        del answered_at[next(iter(answered_at))]
+    was_reported = quarantine.reported.pop(part, None) is not None
+    return _clear_part(quarantine, part) or was_reported
+
+
+def _clear_part(quarantine: EntryQuarantine, part: bytes) -> bool:
+    """Clear the crashes of this box under a part; return False if it has none."""
+    if quarantine.part_crashes is None:
+        return False
+    from .part_crashes import clear_part
+
+    return clear_part(quarantine.part_crashes, part)
+
+
+def blame_own_parts(quarantine: EntryQuarantine, now: float) -> list[bytes]:
+    """Quarantine the parts that are to blame by this box's own crashes alone.
+
+    Only for a box that is linked to no control box: those know of answers at other boxes.
+
+    Returns:
+        The parts.
+    """
+    if quarantine.part_crashes is None or not quarantine.part_crashes.suspects:
+        return []
+    from .part_crashes import blamed_parts
+
+    blamed = blamed_parts(quarantine.part_crashes, now)
+    for part in blamed:
+        _quarantine(quarantine, part, now)
+    return blamed
+
+
 def _quarantine(quarantine: EntryQuarantine, fingerprint: bytes, now: float) -> None:
     """Quarantine a fingerprint until the control boxes confirm the crashes."""
     clear_crashes(quarantine.crashes, fingerprint)
+    _clear_part(quarantine, fingerprint)
     quarantine.reported.pop(fingerprint, None)
     until = now + UNCONFIRMED_QUARANTINE_SECONDS
     quarantine.quarantined_until[fingerprint] = max(
--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -12,7 +12,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
 CRASH_LIMIT: Final = 3
 """Crashes after which a fingerprint is to blame. With two, requests that share an upstream with the
@@ -27,6 +27,13 @@
 """Fingerprints with several crashes that are kept, the newest."""
 
 
+PART_TAG: Final = b"p"
+"""First byte of the fingerprint of a prompt's part."""
+
+PART_FINGERPRINT_BYTES: Final = 9
+"""Length of such a fingerprint, one byte more than that of a whole content."""
+
+
 class CrashTable(msgspec.Struct, kw_only=True):
     """Crashed instances of upstreams by fingerprint of the requests that were on them."""
 
@@ -37,6 +44,11 @@
     """The crashed instances by fingerprint, where there are several; oldest first."""
 
 
+def is_part_fingerprint(fingerprint: bytes) -> bool:
+    """Return whether a fingerprint is that of a prompt's part and not of a whole content."""
+    return len(fingerprint) == PART_FINGERPRINT_BYTES
+
+
 def record_crash(table: CrashTable, fingerprint: bytes, instance: str) -> bool:
     """Record that an upstream crashed while a request was on it.
 
@@ -90,6 +102,17 @@
     return single is not None or several is not None
 
 
+def forgive_crashes(table: CrashTable, instances: Collection[str]) -> None:
+    """Remove crashes for which something else is to blame."""
+    for fingerprint, single in list(table.single_crashes.items()):
+        if single in instances:
+            del table.single_crashes[fingerprint]
+    for fingerprint, several in list(table.suspects.items()):
+        several.difference_update(instances)
+        if not several:
+            del table.suspects[fingerprint]
+
+
 def blamed_fingerprints(table: CrashTable, has_exited: Callable[[str], bool]) -> Iterator[bytes]:
     """Yield the fingerprints that are to blame.
 
--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -16,10 +16,13 @@
 
 from ..coordination.commands import QuarantineCommand
 from ..coordination.crash_book import (
+    CRASH_LIMIT,
     CrashTable,
     blamed_fingerprints,
     clear_crashes,
     crash_count,
+    forgive_crashes,
+    is_part_fingerprint,
     record_crash,
 )
 from ..coordination.quarantine import seconds_left
@@ -30,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..coordination.part_crashes import PartCrashTable
     from ..links.messages import ContentServed, LinkMessage
     from .control.node import ControlNode
 
@@ -44,6 +48,10 @@
 with a single crash only ran on the same upstream as the content that caused it."""
 
 
+def _ignore(message: LinkMessage) -> None:
+    del message
+
+
 class QuarantineController(msgspec.Struct, kw_only=True):
     """Quarantine state of one control box."""
 
@@ -62,6 +70,15 @@
     crash_table: CrashTable = msgspec.field(default_factory=CrashTable)
     """Crashes that entry boxes reported to this box or to other control boxes."""
 
+    broadcast_parts_to_peers: Callable[[LinkMessage], None] = _ignore
+    """Sends a message on a part of prompts to the other control boxes that read it."""
+
+    part_crashes: PartCrashTable | None = None
+    """The same crashes by part of the prompts; None before the first."""
+
+    announced_parts: dict[bytes, int] = msgspec.field(default_factory=dict)
+    """Parts announced as blamed, with the number of their crashes at that time."""
+
     last_broadcast_changes: int = 0
     """Value of the quarantine's change counter at the last broadcast to entry boxes."""
 
@@ -77,6 +94,9 @@
         to_peers: Whether to forward it to the other control boxes. True if it came from an entry
             box.
     """
+    if is_part_fingerprint(report.fingerprint):
+        _handle_part_crash(controller, report, to_peers=to_peers)
+        return
     if not record_crash(controller.crash_table, report.fingerprint, report.instance):
         return
     if to_peers:
@@ -91,10 +111,40 @@
     controller.broadcast_to_entries(SuspectUpdate(fingerprint=report.fingerprint, crashes=crashes))
 
 
+def _handle_part_crash(
+    controller: QuarantineController, report: CrashReport, *, to_peers: bool
+) -> None:
+    """Record a crash under a part, which entry boxes are told of so that answers clear it."""
+    # Imported here because few control boxes are told of crashes.
+    from ..coordination.part_crashes import PartCrashTable, part_crash_count, record_part_crash
+
+    if controller.part_crashes is None:
+        controller.part_crashes = PartCrashTable()
+    is_new = record_part_crash(
+        controller.part_crashes,
+        report.fingerprint,
+        report.instance,
+        report.content,
+        anyio.current_time(),
+        answered_lately=report.answered_lately,
+    )
+    if to_peers:
+        # Also if the instance is known: the request is another one.
+        controller.broadcast_parts_to_peers(report)
+    crashes = part_crash_count(controller.part_crashes, report.fingerprint)
+    if is_new and crashes >= MIN_SUSPECT_CRASHES:
+        update = SuspectUpdate(fingerprint=report.fingerprint, crashes=CRASH_LIMIT - 1)
+        controller.broadcast_to_entries(update)
+
+
 def handle_content_served(
     controller: QuarantineController, served: ContentServed, *, to_peers: bool
 ) -> None:
     """Clear the crashes of a content that was answered, and forward the message to peers."""
+    if is_part_fingerprint(served.fingerprint):
+        if _clear_part(controller, served.fingerprint) and to_peers:
+            controller.broadcast_parts_to_peers(served)
+        return
     if clear_crashes(controller.crash_table, served.fingerprint) and to_peers:
         controller.broadcast_to_peers(served)
 
@@ -103,10 +153,68 @@
     """Quarantine contents blamed for crashes while this box leads; runs until cancelled."""
     while True:
         await anyio.sleep(EVALUATION_INTERVAL_SECONDS)
-        if controller.crash_table.suspects and controller.node.replica.is_leader:
+        _forget_quarantined(controller)
+        announce_blamed_parts(controller)
+        if not controller.node.replica.is_leader:
+            continue
+        await quarantine_parts(controller)
+        if controller.crash_table.suspects:
             await quarantine_blamed(controller)
 
 
+def _forget_quarantined(controller: QuarantineController) -> None:
+    """Clear the crashes of parts that are quarantined."""
+    if controller.part_crashes is None or not controller.part_crashes.suspects:
+        return
+    quarantined = seconds_left(controller.node.state.quarantine, wall_clock_ms())
+    for part in [item for item in controller.part_crashes.suspects if item in quarantined]:
+        _clear_part(controller, part)
+        controller.announced_parts.pop(part, None)
+
+
+def _clear_part(controller: QuarantineController, part: bytes) -> bool:
+    """Clear the crashes under a part; return False if it has none."""
+    if controller.part_crashes is None:
+        return False
+    from ..coordination.part_crashes import clear_part
+
+    return clear_part(controller.part_crashes, part)
+
+
+def announce_blamed_parts(controller: QuarantineController) -> None:
+    """Have entry boxes refuse the parts that are to blame until the leader has confirmed them."""
+    table = controller.part_crashes
+    if table is None or not table.suspects:
+        return
+    from ..coordination.part_crashes import blamed_parts
+
+    now = anyio.current_time()
+    for part in [item for item in controller.announced_parts if item not in table.suspects]:
+        del controller.announced_parts[part]
+    for part in blamed_parts(table, now):
+        instances = table.suspects[part].instances
+        if controller.announced_parts.get(part) == len(instances):
+            continue
+        controller.announced_parts[part] = len(instances)
+        forgive_crashes(controller.crash_table, instances)
+        controller.broadcast_to_entries(SuspectUpdate(fingerprint=part, crashes=CRASH_LIMIT))
+        logger.warning(
+            "prompt part blamed", extra={"content": part.hex(), "ends": sorted(instances)}
+        )
+
+
+async def quarantine_parts(controller: QuarantineController) -> None:
+    """Quarantine the parts whose crashes are confirmed."""
+    table = controller.part_crashes
+    if table is None or not table.suspects:
+        return
+    from ..coordination.part_crashes import blamed_parts
+
+    for part in blamed_parts(table, anyio.current_time(), controller.has_exited):
+        if not await _commit(controller, part, sorted(table.suspects[part].instances)):
+            return
+
+
 async def quarantine_blamed(controller: QuarantineController) -> None:
     """Quarantine contents blamed for crashes, and clear the crashes of quarantined ones."""
     quarantined = seconds_left(controller.node.state.quarantine, wall_clock_ms())
@@ -114,19 +222,28 @@
         clear_crashes(controller.crash_table, fingerprint)
     for fingerprint in list(blamed_fingerprints(controller.crash_table, controller.has_exited)):
         crashes = sorted(controller.crash_table.suspects.get(fingerprint, ()))
-        command = QuarantineCommand(fingerprint=fingerprint, time_ms=wall_clock_ms())
-        outcome = await submit(controller.node, command)
-        if isinstance(outcome, Failure):
-            detail = outcome.failure().code.name
-            logger.warning(
-                "quarantine could not be committed",
-                extra={"content": fingerprint.hex(), "detail": detail},
-            )
+        if not await _commit(controller, fingerprint, crashes):
             return
-        clear_crashes(controller.crash_table, fingerprint)
+
+
+async def _commit(
+    controller: QuarantineController, fingerprint: bytes, instances: list[str]
+) -> bool:
+    """Commit the quarantine of a fingerprint, and clear its crashes; return False if that fails."""
+    command = QuarantineCommand(fingerprint=fingerprint, time_ms=wall_clock_ms())
+    outcome = await submit(controller.node, command)
+    if isinstance(outcome, Failure):
         logger.warning(
-            "request content quarantined", extra={"content": fingerprint.hex(), "ends": crashes}
+            "quarantine could not be committed",
+            extra={"content": fingerprint.hex(), "detail": outcome.failure().code.name},
         )
+        return False
+    clear_crashes(controller.crash_table, fingerprint)
+    _clear_part(controller, fingerprint)
+    logger.warning(
+        "request content quarantined", extra={"content": fingerprint.hex(), "ends": instances}
+    )
+    return True
 
 
 def quarantine_update(controller: QuarantineController) -> QuarantineUpdate:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -16,7 +16,12 @@
 from ...routing.stream_patience import stream_timeouts
 from .borrowing import acquire_retry
 from .checks import Permit, refusal
-from .crashes import count_crashes, record_answered
+from .crashes import (
+    ANSWERED_EVENTS,
+    count_crashes,
+    record_answered,
+    record_parts_answered,
+)
 from .reaching import probe_timeout
 from .state import retry_budget
 from .stream_attempt import run_attempt
@@ -64,6 +69,7 @@
         tokens=permit.facts.prompt_tokens + expected,
         last_progress_at=request.arrived_at,
         trace=trace,
+        record_prompt_answered=lambda: record_parts_answered(state, permit),
         resumed=permit.facts.resume_after is not None,
     )
     if permit.pool.name in state.contended:
@@ -117,6 +123,8 @@
             result = await run_attempt(state, permit, request, exchange, session, path)
             if result is AttemptResult.COMPLETE:
                 record_answered(state, permit, request, trace)
+                if session.attempt_events < ANSWERED_EVENTS:
+                    record_parts_answered(state, permit)
                 record_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
                 session.complete = True
                 return False
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -77,7 +77,7 @@
     session.trace.queue_seconds = path.longest_queue
     session.tried.update(part.instance for part in path.parts)
     started_at = anyio.current_time()
-    delivered_before = session.order.delivered
+    session.attempt_events = 0
     reserve(path, session.tokens)
     if permit.pool.name in state.contended:
         session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
@@ -96,8 +96,15 @@
         release(path, session.tokens)
         if result is AttemptResult.LOST:
             reached = _reached_engines(path, started_at)
-            events = session.order.delivered - delivered_before
-            record_crash(state, permit, request, session.trace, reached, started_at, events=events)
+            record_crash(
+                state,
+                permit,
+                request,
+                session.trace,
+                reached,
+                started_at,
+                events=session.attempt_events,
+            )
         _record_result(state, permit, request, session, path, result, detail)
     return result
 
--- a/src/ledgeladder/daemons/gateway/stream_events.py
+++ b/src/ledgeladder/daemons/gateway/stream_events.py
@@ -9,6 +9,7 @@
 from ...platform.exchange import caller_headers
 from ...routing.event_stream import EventBuffer, accept_events
 from ...routing.pace import record_gap
+from .crashes import ANSWERED_EVENTS
 from .stall_watch import read_watched
 from .state import record_duration
 from .stream_session import AttemptResult
@@ -62,6 +63,7 @@
             return AttemptResult.COMPLETE, ""
         accepted, fault = accept_events(session.order, buffer.feed(part))
         if accepted:
+            _count_events(session, len(accepted))
             _record_events(state, session, path, started_at)
             session.emitting = True
             await _emit(exchange, session, answer, b"".join(accepted))
@@ -71,6 +73,14 @@
             return AttemptResult.LOST, fault
 
 
+def _count_events(session: StreamSession, count: int) -> None:
+    """Count events of the attempt, and record once that its prompt is being answered."""
+    before = session.attempt_events
+    session.attempt_events += count
+    if before < ANSWERED_EVENTS <= session.attempt_events:
+        session.record_prompt_answered()
+
+
 def _raise_if_interrupted(session: StreamSession) -> None:
     """Check whether an engine of the attempt was found dead.
 
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -130,12 +130,18 @@
     attempt_started_at: float = 0.0
     """When the current attempt began, on the monotonic clock."""
 
+    attempt_events: int = 0
+    """Events of the current attempt that arrived."""
+
     emitting: bool = False
     """True while events that `order` counts as delivered are being written to the caller."""
 
     interrupted: bool = False
     """True if an engine of the current attempt was found dead; no more events are forwarded."""
 
+    record_prompt_answered: Callable[[], None] = lambda: None
+    """Called once in each attempt, when its upstreams have begun to answer."""
+
     end_prompt: Callable[[], None] = lambda: None
     """Ends the count of the current attempt's prompt as pending."""
 
--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -107,6 +107,9 @@
     demand_readers: set[str] = msgspec.field(default_factory=set)
     """IP addresses of control boxes whose peer hint said that they read demand."""
 
+    part_readers: set[str] = msgspec.field(default_factory=set)
+    """IP addresses of control boxes whose peer hint said that they read crashes by part."""
+
     scopes: dict[str, anyio.CancelScope] = msgspec.field(default_factory=dict)
     """Cancel scopes of the tasks that maintain the links, by IP address."""
 
@@ -157,6 +160,11 @@
     return [link for address, link in peers.links.items() if address in peers.demand_readers]
 
 
+def part_links(peers: Peers) -> list[Link]:
+    """Return the links to control boxes that read crashes by part of the prompts."""
+    return [link for address, link in peers.links.items() if address in peers.part_readers]
+
+
 def record_hint(peers: Peers, address: str, hint: PeerHint) -> None:
     """Record what a control box says of the others and of itself.
 
@@ -166,10 +174,14 @@
         hint: The hint.
     """
     add_peers(peers, hint.addresses, hint.domains)
-    if hint.reads_demand:
-        peers.demand_readers.add(address)
-    else:
-        peers.demand_readers.discard(address)
+    for readers, reads in (
+        (peers.demand_readers, hint.reads_demand),
+        (peers.part_readers, hint.reads_parts),
+    ):
+        if reads:
+            readers.add(address)
+        else:
+            readers.discard(address)
 
 
 def _update_links(peers: Peers) -> None:
@@ -221,6 +233,7 @@
         peers.links[address] = link
         # A restarted box may be of another version; its first hint tells.
         peers.demand_readers.discard(address)
+        peers.part_readers.discard(address)
         logger.info("dependency regained", extra={"peer": address})
         try:
             await peers.serve(address, link)
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -187,7 +187,9 @@
     for link in state.accepted_control_links.values():
         if link.peer is not None:
             domains[link.peer_box] = link.peer.failure_domain
-    return PeerHint(addresses=_known_controls(state), domains=domains, reads_demand=True)
+    return PeerHint(
+        addresses=_known_controls(state), domains=domains, reads_demand=True, reads_parts=True
+    )
 
 
 def add_entries(state: RegistryState, hint: PeerHint) -> PeerHint:
--- a/src/ledgeladder/daemons/registry/upstream_ends.py
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -10,6 +10,7 @@
 from ...coordination.registrations import superseded_instances
 from ...links import post_to_all
 from ..content_judge import QuarantineController
+from ..peers import part_links
 from .state import controls_last_seen
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
         node=state.node,
         broadcast_to_entries=lambda message: post_to_all(state.entry_links.values(), message),
         broadcast_to_peers=lambda message: post_to_all(state.peers.links.values(), message),
+        broadcast_parts_to_peers=lambda message: post_to_all(part_links(state.peers), message),
         has_exited=lambda instance: has_exited(state, instance),
     )
 
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -175,6 +175,10 @@
     """Whether the sender knows `DemandReport`, `DemandShare` and `FullReport`. Boxes of an earlier
     version close a link on which a message of an unknown type arrives."""
 
+    reads_parts: bool = False
+    """Whether the sender knows crash reports on parts of prompts. Boxes of an earlier version would
+    blame a part as soon as they blame a whole content."""
+
     entries: tuple[str, ...] = ()
     """IP addresses of some entry boxes, which may relay connections to upstreams."""
 
@@ -278,11 +282,17 @@
     """Reports that an upstream exited while running a request."""
 
     fingerprint: bytes
-    """Fingerprint of the request content."""
+    """Fingerprint of the request content, or of a part of its prompt."""
 
     instance: str
     """Instance of the upstream."""
 
+    content: bytes = b""
+    """Fingerprint of the whole content, if `fingerprint` is that of a part."""
+
+    answered_lately: bool = False
+    """Whether the sender saw a request with that part answered shortly before."""
+
 
 class ContentServed(msgspec.Struct, frozen=True, kw_only=True, tag="served", array_like=True):
     """Reports that a request was answered whose content had been blamed for crashes."""
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -26,7 +26,11 @@
         route=SimpleNamespace(target_latency=0.5, gap_target=0.2, repeatable=True, max_attempts=3),
         pool=SimpleNamespace(name=POOL, engine=PROFILE),
         facts=SimpleNamespace(
-            attempt_id="a1", resume_after=resume_after, prompt_tokens=10, answer_tokens=10
+            attempt_id="a1",
+            resume_after=resume_after,
+            prompt_tokens=10,
+            answer_tokens=10,
+            prompt_parts=(),
         ),
         account=None,
         priority=priority,
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -10,8 +11,10 @@
 from returns.result import Success
 
 from ledgeladder.coordination.commands import Acknowledgement, QuarantineCommand
+from ledgeladder.coordination.content_watch import compute_part_fingerprint
 from ledgeladder.coordination.crash_book import CRASH_LIMIT
 from ledgeladder.coordination.loss_evidence import LossEvidence
+from ledgeladder.coordination.part_crashes import MOMENT_SECONDS, SETTLE_SECONDS
 from ledgeladder.coordination.quarantine import QUARANTINE_MS, Quarantine, add_fingerprint
 from ledgeladder.coordination.registrations import RegistrationTable, apply_registration
 from ledgeladder.daemons import content_judge
@@ -28,6 +31,7 @@
 from ledgeladder.model.registration import Registration
 
 FINGERPRINT = b"content"
+PART = compute_part_fingerprint("pool", "part")
 
 
 class Recorder:
@@ -56,7 +60,11 @@
     return CrashReport(fingerprint=FINGERPRINT, instance=f"i-{number}")
 
 
-def evaluate(controller: QuarantineController, monkeypatch: pytest.MonkeyPatch) -> list[bytes]:
+def evaluate(
+    controller: QuarantineController,
+    monkeypatch: pytest.MonkeyPatch,
+    evaluation: Callable[[QuarantineController], Awaitable[None]] = content_judge.quarantine_blamed,
+) -> list[bytes]:
     """Run one evaluation of the leader, and return the fingerprints that it quarantines."""
     committed: list[bytes] = []
 
@@ -65,7 +73,7 @@
         return Success(Acknowledgement(accepted=True))
 
     monkeypatch.setattr(content_judge, "submit", submit)
-    anyio.run(content_judge.quarantine_blamed, controller)
+    anyio.run(evaluation, controller)
     return committed
 
 
@@ -162,3 +170,80 @@
         assert has_exited(state, "i-1")
 
     anyio.run(run)
+
+
+def part_controller(
+    monkeypatch: pytest.MonkeyPatch, alive: set[str]
+) -> tuple[QuarantineController, Recorder, Recorder, list[float]]:
+    """Return a controller with its entry boxes, the peers that read parts, and the time."""
+    entries, peers, clock = Recorder(), Recorder(), [0.0]
+    controller = build_controller(entries, Recorder(), alive)
+    controller.broadcast_parts_to_peers = lambda message: post_to_all([peers], message)  # type: ignore[list-item]
+    monkeypatch.setattr(content_judge.anyio, "current_time", lambda: clock[0])
+    return controller, entries, peers, clock
+
+
+def report_part(controller: QuarantineController, number: int, *, to_peers: bool = True) -> None:
+    """Report a crash under a part, each time with another request."""
+    content = b"content-%d" % number
+    crash = CrashReport(fingerprint=PART, instance=f"i-{number}", content=content)
+    content_judge.handle_crash_report(controller, crash, to_peers=to_peers)
+
+
+def test_part_is_announced_once_its_crashes_have_settled(monkeypatch: pytest.MonkeyPatch) -> None:
+    controller, entries, peers, clock = part_controller(monkeypatch, set())
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number, to_peers=number > 0)
+        content_judge.announce_blamed_parts(controller)
+        clock[0] += MOMENT_SECONDS
+    assert {item.crashes for item in entries.posted} == {CRASH_LIMIT - 1}
+    assert len(peers.posted) == CRASH_LIMIT - 1
+    clock[0] += SETTLE_SECONDS
+    for _ in range(3):
+        content_judge.announce_blamed_parts(controller)
+    blamed = [item for item in entries.posted if item.crashes == CRASH_LIMIT]
+    assert blamed == [SuspectUpdate(fingerprint=PART, crashes=CRASH_LIMIT)]
+    report_part(controller, CRASH_LIMIT)
+    content_judge.announce_blamed_parts(controller)
+    assert entries.posted[-1] == blamed[0]
+
+
+def test_blamed_part_clears_the_requests_that_stood_beside_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Sound streams that moved from one crash to the next would be quarantined themselves."""
+    controller, _entries, _peers, clock = part_controller(monkeypatch, set())
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        content_judge.handle_crash_report(controller, report(number), to_peers=False)
+        clock[0] += MOMENT_SECONDS
+    clock[0] += SETTLE_SECONDS
+    content_judge.announce_blamed_parts(controller)
+    assert evaluate(controller, monkeypatch) == []
+
+
+def test_answer_at_any_box_clears_a_part(monkeypatch: pytest.MonkeyPatch) -> None:
+    controller, entries, peers, clock = part_controller(monkeypatch, set())
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        clock[0] += MOMENT_SECONDS
+    served = ContentServed(fingerprint=PART)
+    content_judge.handle_content_served(controller, served, to_peers=True)
+    assert peers.posted[-1] == served
+    clock[0] += SETTLE_SECONDS
+    content_judge.announce_blamed_parts(controller)
+    assert {item.crashes for item in entries.posted} == {CRASH_LIMIT - 1}
+
+
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_leader_commits_a_part_once_its_crashes_are_confirmed(
+    monkeypatch: pytest.MonkeyPatch, confirmed: bool
+) -> None:
+    alive = set() if confirmed else {"i-0"}
+    controller, _entries, _peers, clock = part_controller(monkeypatch, alive)
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        clock[0] += MOMENT_SECONDS
+    clock[0] += SETTLE_SECONDS
+    committed = evaluate(controller, monkeypatch, content_judge.quarantine_parts)
+    assert committed == ([PART] if confirmed else [])
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -122,6 +122,10 @@
     assert peers.demand_readers == {"10.0.1.1"}
     record_hint(peers, "10.0.1.1", PeerHint(addresses=()))
     assert not peers.demand_readers
+    record_hint(peers, "10.0.1.1", PeerHint(addresses=(), reads_parts=True))
+    assert peers.part_readers == {"10.0.1.1"}
+    record_hint(peers, "10.0.1.1", PeerHint(addresses=()))
+    assert not peers.part_readers
 
 
 def test_new_link_does_not_read_demand_before_its_hint(monkeypatch) -> None:  # type: ignore[no-untyped-def]
--- a/tests/routing/crash_bed.py
+++ b/tests/routing/crash_bed.py
@@ -10,7 +10,6 @@
 
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from ledgeladder.coordination.crash_book import (
     CrashTable,
@@ -21,9 +20,6 @@
 
 from .virtual_time import VirtualTime
 
-if TYPE_CHECKING:
-    pass
-
 FIRST_TOKEN_SECONDS = (0.03, 0.15)
 """Minimum and maximum time from the start of an attempt to its first token."""
 
@@ -46,6 +42,10 @@
 
     fingerprint: bytes
     crashes_engine: bool = False
+    parts: tuple[bytes, ...] = ()
+    """Parts of its prompt."""
+    answered: bool = False
+    """Whether its current attempt has events."""
 
 
 @dataclass(kw_only=True)
