--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -82,6 +83,15 @@
             self.transport.sendto(data, self.target.forward)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, which `abort` alone would close in order."""
+    raw = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        # A linger time of 0 s resets the connection when it is closed.
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class FaultProxy:
     """All proxied addresses of a fleet."""
 
@@ -159,7 +169,7 @@
                 if source_host not in hosts:
                     continue
                 if open_connections is OpenConnections.RESET:
-                    writer.transport.abort()
+                    reset(writer)
                 elif open_connections is OpenConnections.HANG:
                     accepted = writer.get_extra_info("socket")
                     drop_from(accepted, hosts)
@@ -212,12 +222,12 @@
         for target in self.targets.values():
             for writer, source_host in list(target.writers.items()):
                 if self._fault(source_host, target).refuse:
-                    writer.transport.abort()
+                    reset(writer)
 
     def _reset_all(self) -> None:
         for target in self.targets.values():
             for writer in list(target.writers):
-                writer.transport.abort()
+                reset(writer)
 
     async def _serve(
         self, target: Target, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -225,7 +235,7 @@
         source_host = writer.get_extra_info("peername")[0]
         fault = self._fault(source_host, target)
         if fault.refuse:
-            writer.transport.abort()
+            reset(writer)
             return
         target.writers[writer] = source_host
         target_writer = None
@@ -237,7 +247,10 @@
                 self._pump(target, source_host, target_reader, writer, to_target=False),
             )
         except OSError:
-            pass
+            # One side was reset, which the other side must see as such.
+            for side in (writer, target_writer):
+                if side is not None:
+                    reset(side)
         finally:
             for side in (writer, target_writer):
                 if side is not None:
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -11,6 +11,8 @@
 import os
 import secrets
 import signal
+import socket
+import struct
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,6 +21,7 @@
 import anyio
 import httpx
 import uvloop
+from anyio.abc import SocketAttribute, SocketStream
 
 from ledgeladder.http1 import Exchange, HttpRequest, HttpSite, serve_http1
 from ledgeladder.model import Problem
@@ -90,7 +93,8 @@
     mood: Path | None = None
     """File that controls its responses: a JSON object with `rest`, the `Retry-After` of refusals
     while all requests are refused, `rest_of_calls`, the same for reports and orders, `leaving`,
-    true to announce draining, and `limit`, the announced requests a second. Read for each request;
+    true to announce draining, `limit`, the announced requests a second, and `unframed`, how answers
+    with neither a length nor chunks end (`whole`, `inside` or `reset`). Read for each request;
     without the file it serves normally."""
 
     instance: str = ""
@@ -250,10 +254,44 @@
     finally:
         upstream.in_progress -= 1
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/plain")]
+    unframed = read_response_mode(upstream).get("unframed")
+    if unframed:
+        await send_unframed(exchange, headers, [b"echo:", request.body], unframed)
+        return
     failed = secrets.randbelow(1000) < upstream.fail_share * 1000
     await exchange.answer(500 if failed else 200, headers, b"echo:" + request.body)
 
 
+async def send_unframed(
+    exchange: Exchange, headers: list[tuple[bytes, bytes]], parts: list[bytes], end: str
+) -> None:
+    """Send an answer with neither a length nor chunks, which ends with its connection.
+
+    Args:
+        exchange: The exchange.
+        headers: Header fields.
+        parts: The body.
+        end: `whole`; `inside` to close within the last part; or `reset` to reset there.
+    """
+    head = b"".join(b"%s: %s\r\n" % field for field in headers)
+    await exchange.stream.send(b"HTTP/1.1 200 OK\r\n" + head + b"Connection: close\r\n\r\n")
+    for part in parts[:-1]:
+        await exchange.stream.send(part)
+    last = parts[-1]
+    await exchange.stream.send(last if end == "whole" else last[: len(last) // 2])
+    if end == "reset":
+        reset_connection(exchange.stream)
+    await exchange.stream.aclose()
+
+
+def reset_connection(stream: SocketStream) -> None:
+    """Reset a connection without closing its sending side first, as `aclose` would."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    # A linger time of 0 s resets the connection when it is closed.
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream._transport.abort()  # type: ignore[attr-defined]
+
+
 def record_run(upstream: StandIn, request: HttpRequest) -> None:
     """Record the execution of a request in the ledger."""
     fields = {name.decode(): value.decode("latin-1") for name, value in request.fields.items()}
@@ -312,6 +350,11 @@
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/event-stream")]
     await crash_on_word(upstream, request)
     await crash_on_part(upstream, request)
+    unframed = read_response_mode(upstream).get("unframed")
+    if unframed:
+        events = [stream_event(number) for number in range(last_event + 1, token_count)]
+        await send_unframed(exchange, headers, events, unframed)
+        return
     async with anyio.create_task_group() as tasks:
         broken = anyio.Event()
         for address, _, _ in stages:
@@ -324,7 +367,7 @@
                 await anyio.sleep(STALL_SECONDS)
                 tasks.cancel_scope.cancel()
                 return
-            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            event = stream_event(number)
             if started:
                 await exchange.send(event)
             else:
@@ -336,6 +379,11 @@
         tasks.cancel_scope.cancel()
 
 
+def stream_event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token-{number}\n\n".encode()
+
+
 async def watch_stage(address: str, broken: anyio.Event) -> None:
     """Keep a connection to another engine of the path and set `broken` when it closes."""
     host, _, port = address.rpartition(":")
--- a/tests/daemons/gateway/test_relay.py
+++ b/tests/daemons/gateway/test_relay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -23,6 +21,7 @@
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, put_registration
 from ledgeladder.routing.upstream_reach import record_cut, record_relay_peers
+from standins.registered_upstream import reset_connection
 
 from .builders import settings
 
@@ -84,10 +83,7 @@
     await stream.receive()
     await stream.send(UNTIL_CLOSE)
     await anyio.sleep(0.05)
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    # A linger time of 0 s resets the connection when it is closed.
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    await stream.aclose()
+    reset_connection(stream)
 
 
 async def hang(stream: SocketStream) -> None:
