--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -259,11 +259,13 @@
     if not answer.succeeded or not answer.facts.signed:
         return await _handle_error_answer(state, session, path, answer)
     try:
-        return await forward_events(state, exchange, session, path, answer, started_at)
+        await forward_events(state, exchange, session, path, answer, started_at)
     except (AnswerBrokenError, AnswerLostError, ValueError) as error:
         # ValueError: an event exceeds the size limit.
         await _identify_failed_engines(state, session, path)
         return AttemptResult.LOST, str(error)
+    else:
+        return AttemptResult.COMPLETE, ""
     finally:
         # Connections are not pooled for streams: if the engine dies, a refused new connection costs
         # nothing, but a reset pooled connection costs an attempt.
--- a/src/ledgeladder/daemons/gateway/stream_events.py
+++ b/src/ledgeladder/daemons/gateway/stream_events.py
@@ -12,7 +12,6 @@
 from .crashes import ANSWERED_EVENTS
 from .stall_watch import read_watched
 from .state import record_duration
-from .stream_session import AttemptResult
 from .upstream_call import AnswerLostError
 
 if TYPE_CHECKING:
@@ -30,7 +29,7 @@
     path: ChosenPath,
     answer: OpenAnswer,
     started_at: float,
-) -> tuple[AttemptResult, str]:
+) -> None:
     """Forward whole events until the answer ends, skipping those that the caller already has.
 
     Args:
@@ -41,12 +40,10 @@
         answer: The engine's answer.
         started_at: When the attempt was sent, on the monotonic clock.
 
-    Returns:
-        The result of the attempt, and its reason for the log.
-
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AnswerLostError: If an engine of the path is dead, or the stream stalls for too long.
+        AnswerLostError: If an engine of the path is dead, the stream stalls for too long, or its
+            events are incomplete.
         ValueError: If an event exceeds the size limit.
     """
     buffer = EventBuffer()
@@ -58,9 +55,9 @@
         _raise_if_interrupted(session)
         if part is None:
             if buffer.pending:
-                return AttemptResult.LOST, "the stream ended within an event"
+                raise AnswerLostError("the stream ended within an event")
             await _finish_answer(exchange, session, answer)
-            return AttemptResult.COMPLETE, ""
+            return
         accepted, fault = accept_events(session.order, buffer.feed(part))
         if accepted:
             _count_events(session, len(accepted))
@@ -70,7 +67,7 @@
             session.emitting = False
             _raise_if_interrupted(session)
         if fault:
-            return AttemptResult.LOST, fault
+            raise AnswerLostError(fault)
 
 
 def _count_events(session: StreamSession, count: int) -> None:
--- a/tests/daemons/gateway/test_pending_prompts.py
+++ b/tests/daemons/gateway/test_pending_prompts.py
@@ -107,9 +107,8 @@
     exchange: Any = SimpleNamespace(begin=write, send=write, end=write)
 
     async def send(*_: object) -> tuple[AttemptResult, str]:
-        return await stream_events.forward_events(
-            bed.state, exchange, bed.session, bed.path, answer, 0.0
-        )
+        await stream_events.forward_events(bed.state, exchange, bed.session, bed.path, answer, 0.0)
+        return AttemptResult.COMPLETE, ""
 
     monkeypatch.setattr(stream_attempt, "_send_and_forward", send)
     for number in (1, 2):
