--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -284,6 +284,7 @@
     try:
         body = await read_body(state, answer)
     except AnswerLostError as error:
+        await _identify_failed_engines(state, session, path)
         return AttemptResult.LOST, str(error)
     if answer.facts.not_run:
         failed_upstream = answer.facts.failed_upstream
@@ -296,6 +297,7 @@
             )
         return AttemptResult.REFUSED, f"status {status} at {at_fault[0].registration.instance}"
     if not answer.facts.signed:
+        session.excluded.add(path.head.registration.instance)
         return AttemptResult.LOST, f"unsigned answer with status {status}"
     record_failure(path.head, anyio.current_time())
     session.excluded.add(path.head.registration.instance)
--- a/tests/daemons/gateway/test_stream_attempt.py
+++ b/tests/daemons/gateway/test_stream_attempt.py
@@ -4,17 +4,19 @@
 
 import contextlib
 from types import SimpleNamespace
+from typing import Any
 
 import anyio
 import h11
 import pytest
 from anyio.abc import SocketStream
 
-from ledgeladder.daemons.gateway import reaching, stream_events
+from ledgeladder.daemons.gateway import probing, reaching, stream_attempt, stream_events
 from ledgeladder.daemons.gateway.probing import report_lost
 from ledgeladder.daemons.gateway.stream_attempt import (
     _cancel_on_loss,
     _evaluate_refusal,
+    _handle_error_answer,
     _identify_failed_engines,
     _reached_engines,
 )
@@ -176,6 +178,39 @@
     assert session.excluded == (set() if has_exited else {"i-1"})
 
 
+@pytest.mark.parametrize("breaks_off", [True, False])
+def test_engine_whose_error_answer_is_broken_or_unsigned_is_excluded(
+    monkeypatch: pytest.MonkeyPatch, breaks_off: bool
+) -> None:
+    """The next attempt would otherwise choose the same engine."""
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Accepted:
+        return Accepted()
+
+    async def read_body(*_: object) -> bytes:
+        if breaks_off:
+            raise AnswerLostError("the connection broke")
+        return b""
+
+    async def not_closed(*_: object, **__: object) -> bool:
+        return False
+
+    monkeypatch.setattr(reaching, "connect", connect)
+    monkeypatch.setattr(probing, "is_port_closed", not_closed)
+    monkeypatch.setattr(stream_attempt, "read_body", read_body)
+    session = StreamSession(order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10)
+    path = path_over(engine("i-1"), engine("i-2", "127.0.0.1:2"))
+    head = SimpleNamespace(status_code=503)
+    facts = SimpleNamespace(not_run=False, signed=False)
+    answer: Any = SimpleNamespace(head=head, facts=facts)
+
+    async def run() -> None:
+        await _handle_error_answer(gateway_state(), session, path, answer)
+
+    anyio.run(run)
+    assert session.excluded == {"i-1"}
+
+
 def test_engine_that_exited_before_an_attempt_does_not_count_as_reached() -> None:
     """A request must not be blamed for the crash of an engine that died before the attempt."""
     path = path_over(engine("i-1"), engine("i-2"), engine("i-3"))
