--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -12,7 +12,6 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -22,6 +21,7 @@
 import httpx
 
 from .fault_proxy import FaultProxy
+from .kept_logs import fleet_folder
 from .registered_upstream import ACCELERATOR_MB, LAYER_MB
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -424,8 +424,8 @@
     crash_part = options.pop("crash_part", "")
     keep_ids = options.pop("keep_ids", False)
     engine_slots = options.pop("engine_slots", 0)
-    with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
-        fleet = DiscoveredFleet(folder=Path(folder), **options)
+    with fleet_folder() as folder:
+        fleet = DiscoveredFleet(folder=folder, **options)
         try:
             for number in range(fleet.registries):
                 fleet.add_registry(number)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,7 +11,6 @@
 import socket
 import subprocess
 import sys
-import tempfile
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -22,6 +21,7 @@
 import httpx
 
 from .fault_proxy import FaultProxy
+from .kept_logs import fleet_folder
 
 SECRET = "fleet-secret-0123456789"
 OPERATOR_TOKEN = "operator-token-of-the-fleet"
@@ -492,8 +492,8 @@
 @contextlib.contextmanager
 def running_fleet(**options: Any) -> Iterator[Fleet]:
     """Run a fleet in a temporary folder; `options` are fields of `Fleet`."""
-    with tempfile.TemporaryDirectory(prefix="ledgeladder-") as folder:
-        fleet = Fleet(folder=Path(folder), **options)
+    with fleet_folder() as folder:
+        fleet = Fleet(folder=folder, **options)
         try:
             fleet.start()
             yield fleet
