--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -157,6 +157,10 @@
         ]
         self._run_on_loop(lambda: self._drop_packets(sources, targets, open_connections))
 
+    def accept_packets(self) -> None:
+        """Stop dropping packets; connections that hang go on."""
+        self._run_on_loop(self._stop_dropping)
+
     def _drop_packets(
         self, hosts: frozenset[str], targets: list[Target], open_connections: OpenConnections
     ) -> None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -32,7 +32,8 @@
     running_discovered_fleet,
     wait_until,
 )
-from .fault_proxy import CUT, NO_FAULT, Fault, FaultProxy
+from .fault_proxy import CUT, NO_FAULT, Fault, FaultProxy, OpenConnections
+from .kept_logs import keep_logs
 from .registered_upstream import parse_path
 from .shared_room import (
     ACCOUNTS,
@@ -412,6 +413,23 @@
     run_later(soak, seconds, withdraw_limit)
 
 
+def cut_gateways(soak: Soak, rng: random.Random) -> None:
+    """Cut gateways off from all upstreams at random times until the run stops.
+
+    One, most or all of them; takes a separate random source, as back-pressure does.
+    """
+    fleet = soak.fleet
+    assert fleet.proxy is not None
+    while not soak.stopping.wait(rng.uniform(1.0, 4.0)):
+        count = rng.choice((1, 1, fleet.gateways - 1, fleet.gateways))
+        gateways = rng.sample(range(fleet.gateways), count)
+        way = rng.choice(list(OpenConnections))
+        soak.faults.append(f"cut {gateways} {way.value}")
+        fleet.proxy.drop_packets([fleet.ip(2, number) for number in gateways], way)
+        soak.stopping.wait(rng.uniform(0.3, 4.0))
+        fleet.proxy.accept_packets()
+
+
 def stop_gateway(soak: Soak, gateway: str) -> None:
     """Stop a gateway by SIGTERM, and restart it after its exit."""
     fleet = soak.fleet
@@ -605,6 +623,8 @@
         threads.append(threading.Thread(target=apply_backpressure, args=(soak, backpressure_rng)))
         burst_rng = random.Random(f"bursts of {seed}")
         threads.append(threading.Thread(target=send_bursts, args=(soak, burst_rng)))
+        cut_rng = random.Random(f"cuts of {seed}")
+        threads.append(threading.Thread(target=cut_gateways, args=(soak, cut_rng)))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
@@ -627,6 +647,7 @@
         )
         if violations:
             print("  faults: " + ", ".join(soak.faults))
+            print(f"  logs: {', '.join(map(str, keep_logs(f'soak-{seed}')))}")
             for name in fleet.boxes:
                 lines = [line for line in fleet.log(name) if line["level"] == "ERROR"]
                 for line in lines[:3]:
