--- a/src/ledgeladder/coordination/content_watch.py
+++ b/src/ledgeladder/coordination/content_watch.py
@@ -213,9 +213,9 @@
     """
     if quarantine.part_crashes is None or not quarantine.part_crashes.suspects:
         return []
-    from .part_crashes import blamed_parts
+    from .part_crashes import blame_parts
 
-    blamed = blamed_parts(quarantine.part_crashes, now)
+    blamed = blame_parts(quarantine.part_crashes, now)
     for part in blamed:
         _quarantine(quarantine, part, now)
     return blamed
--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
@@ -69,17 +69,18 @@
     single = table.single_crashes.get(fingerprint)
     if single is None:
         table.single_crashes[fingerprint] = instance
-        _evict_oldest(table.single_crashes, MAX_SINGLE_CRASHES)
+        evict_oldest(table.single_crashes, MAX_SINGLE_CRASHES)
         return True
     if single == instance:
         return False
     del table.single_crashes[fingerprint]
     table.suspects[fingerprint] = {single, instance}
-    _evict_oldest(table.suspects, MAX_SUSPECTS)
+    evict_oldest(table.suspects, MAX_SUSPECTS)
     return True
 
 
-def _evict_oldest(entries: dict[bytes, str] | dict[bytes, set[str]], max_entries: int) -> None:
+def evict_oldest(entries: dict[bytes, Any], max_entries: int) -> None:
+    """Drop the oldest entries beyond a maximum number."""
     while len(entries) > max_entries:
         del entries[next(iter(entries))]
 
--- a/src/ledgeladder/coordination/part_crashes.py
+++ b/src/ledgeladder/coordination/part_crashes.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .crash_book import CRASH_LIMIT
+from .crash_book import CRASH_LIMIT, MAX_SINGLE_CRASHES, MAX_SUSPECTS, evict_oldest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -34,13 +34,6 @@
 """Requests under which upstreams must have crashed before a part is to blame rather than the one
 request, which is watched as a whole."""
 
-MAX_SINGLE_CRASHES: Final = 4096
-"""Parts with one crash that are kept, the newest. They are dropped first, so that parts made up by
-the thousand displace none that has several crashes."""
-
-MAX_SUSPECTS: Final = 1024
-"""Parts with several crashes that are kept, the newest."""
-
 MAX_INSTANCES: Final = 16
 """Crashed instances that are kept for each part."""
 
@@ -65,7 +58,8 @@
     """Crashes by fingerprint of the part."""
 
     single_crashes: dict[bytes, PartCrashes] = msgspec.field(default_factory=dict)
-    """Parts with one crash, oldest first."""
+    """Parts with one crash, oldest first. They are dropped first, so that parts made up by the
+    thousand displace none that has several crashes."""
 
     suspects: dict[bytes, PartCrashes] = msgspec.field(default_factory=dict)
     """Parts with several crashes, oldest first."""
@@ -105,16 +99,11 @@
     crashes.instances[instance] = now
     if len(crashes.instances) > 1 and part in table.single_crashes:
         table.suspects[part] = table.single_crashes.pop(part)
-    _evict_oldest(table.single_crashes, MAX_SINGLE_CRASHES)
-    _evict_oldest(table.suspects, MAX_SUSPECTS)
+    evict_oldest(table.single_crashes, MAX_SINGLE_CRASHES)
+    evict_oldest(table.suspects, MAX_SUSPECTS)
     return True
 
 
-def _evict_oldest(entries: dict[bytes, PartCrashes], max_entries: int) -> None:
-    while len(entries) > max_entries:
-        del entries[next(iter(entries))]
-
-
 def part_crash_count(table: PartCrashTable, part: bytes) -> int:
     """Return how many upstreams crashed under requests with a part since one was answered."""
     crashes = table.suspects.get(part) or table.single_crashes.get(part)
@@ -128,7 +117,7 @@
     return single is not None or several is not None
 
 
-def blamed_parts(
+def blame_parts(
     table: PartCrashTable, now: float, has_exited: Callable[[str], bool] = lambda _instance: True
 ) -> list[bytes]:
     """Return the parts that are to blame.
--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -186,12 +186,12 @@
     table = controller.part_crashes
     if table is None or not table.suspects:
         return
-    from ..coordination.part_crashes import blamed_parts
+    from ..coordination.part_crashes import blame_parts
 
     now = anyio.current_time()
     for part in [item for item in controller.announced_parts if item not in table.suspects]:
         del controller.announced_parts[part]
-    for part in blamed_parts(table, now):
+    for part in blame_parts(table, now):
         instances = table.suspects[part].instances
         if controller.announced_parts.get(part) == len(instances):
             continue
@@ -208,9 +208,9 @@
     table = controller.part_crashes
     if table is None or not table.suspects:
         return
-    from ..coordination.part_crashes import blamed_parts
+    from ..coordination.part_crashes import blame_parts
 
-    for part in blamed_parts(table, anyio.current_time(), controller.has_exited):
+    for part in blame_parts(table, anyio.current_time(), controller.has_exited):
         if not await _commit(controller, part, sorted(table.suspects[part].instances)):
             return
 
--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -136,7 +136,10 @@
                     handle_demand_totals(state, message)
                 case PeerHint():
                     record_relay_peers(
-                        state.relay_peers, message.entries, state.settings.box.address
+                        state.relay_peers,
+                        message.entries,
+                        state.settings.box.address,
+                        anyio.current_time(),
                     )
                     if state.peers is not None:
                         record_hint(state.peers, address, message)
--- a/src/ledgeladder/daemons/gateway/relay_client.py
+++ b/src/ledgeladder/daemons/gateway/relay_client.py
@@ -14,9 +14,9 @@
 from ...links.messages import RelayOutcome, RelayReply, RelayRequest
 from ...links.relayed import RelayedStream
 from ...routing.upstream_reach import (
-    CUT_AVOID_SECONDS,
-    FULL_AVOID_SECONDS,
-    UNREACHABLE_AVOID_SECONDS,
+    RELAY_CUT_AVOID_SECONDS,
+    RELAY_FULL_AVOID_SECONDS,
+    RELAY_UNREACHABLE_AVOID_SECONDS,
     avoid_relay_peer,
     choose_relay_peers,
 )
@@ -37,9 +37,9 @@
 """Time for connecting to a box and for the handshake, in addition to its own connection."""
 
 AVOID_SECONDS: Final = {
-    RelayOutcome.CUT: CUT_AVOID_SECONDS,
-    RelayOutcome.FULL: FULL_AVOID_SECONDS,
-    RelayOutcome.STOPPING: UNREACHABLE_AVOID_SECONDS,
+    RelayOutcome.CUT: RELAY_CUT_AVOID_SECONDS,
+    RelayOutcome.FULL: RELAY_FULL_AVOID_SECONDS,
+    RelayOutcome.STOPPING: RELAY_UNREACHABLE_AVOID_SECONDS,
 }
 """How long a box is not asked again, by its reason for relaying nothing."""
 
@@ -109,7 +109,9 @@
             extra={"peer": peer, "request": request, "reason": type(error).__name__},
         )
     if connection is None and outcome not in (RelayOutcome.REFUSED, RelayOutcome.UNREACHABLE):
-        avoided = UNREACHABLE_AVOID_SECONDS if outcome is None else AVOID_SECONDS.get(outcome, 0.0)
+        avoided = (
+            RELAY_UNREACHABLE_AVOID_SECONDS if outcome is None else AVOID_SECONDS.get(outcome, 0.0)
+        )
         avoid_relay_peer(state.relay_peers, peer, avoided, anyio.current_time())
     return outcome, connection
 
--- a/src/ledgeladder/routing/upstream_reach.py
+++ b/src/ledgeladder/routing/upstream_reach.py
@@ -32,13 +32,16 @@
 """Entry boxes that are kept, the newest. Control boxes name a few at a time, so that each box knows
 others of its own and a fleet spreads its relayed connections."""
 
-CUT_AVOID_SECONDS: Final = 1.0
+PEER_VALID_SECONDS: Final = 120.0
+"""How long a box that no control box names any more is asked, since it may have been removed."""
+
+RELAY_CUT_AVOID_SECONDS: Final = 1.0
 """How long a box that reaches no upstream either is not asked again."""
 
-FULL_AVOID_SECONDS: Final = 0.25
+RELAY_FULL_AVOID_SECONDS: Final = 0.25
 """How long a box that relays as much as it may is not asked again."""
 
-UNREACHABLE_AVOID_SECONDS: Final = 2.0
+RELAY_UNREACHABLE_AVOID_SECONDS: Final = 2.0
 """How long a box that does not answer, or is stopping, is not asked again."""
 
 
@@ -189,26 +192,30 @@
 class RelayPeers(msgspec.Struct, kw_only=True):
     """Entry boxes that may relay connections."""
 
-    known: dict[str, None] = msgspec.field(default_factory=dict)
-    """IP addresses of the boxes, the one that was named longest ago first."""
+    known: dict[str, float] = msgspec.field(default_factory=dict)
+    """When a control box last named each box, on the monotonic clock, by IP address; the one named
+    longest ago first."""
 
     avoid_until: dict[str, float] = msgspec.field(default_factory=dict)
     """Time until which a box is not asked, on the monotonic clock, by IP address."""
 
 
-def record_relay_peers(peers: RelayPeers, addresses: Iterable[str], own_address: str) -> None:
+def record_relay_peers(
+    peers: RelayPeers, addresses: Iterable[str], own_address: str, now: float
+) -> None:
     """Record entry boxes that a control box names.
 
     Args:
         peers: The known boxes.
-        addresses: IP addresses of the boxes. Those longest unheard are dropped beyond
+        addresses: IP addresses of the boxes. Those named longest ago are dropped beyond
             `MAX_RELAY_PEERS`.
         own_address: IP address of this box, which is ignored.
+        now: Monotonic time.
     """
     for address in addresses:
         if address != own_address:
             peers.known.pop(address, None)
-            peers.known[address] = None
+            peers.known[address] = now
     while len(peers.known) > MAX_RELAY_PEERS:
         oldest = next(iter(peers.known))
         del peers.known[oldest]
@@ -232,5 +239,9 @@
     Returns:
         Their IP addresses; empty if none is known that may be asked now.
     """
-    usable = [item for item in peers.known if peers.avoid_until.get(item, 0.0) <= now]
+    usable = [
+        address
+        for address, named_at in peers.known.items()
+        if now - named_at < PEER_VALID_SECONDS and peers.avoid_until.get(address, 0.0) <= now
+    ]
     return rng.sample(usable, min(count, len(usable)))
--- a/tests/coordination/test_part_crashes.py
+++ b/tests/coordination/test_part_crashes.py
@@ -4,18 +4,16 @@
 
 import pytest
 
-from ledgeladder.coordination.crash_book import CRASH_LIMIT
+from ledgeladder.coordination.crash_book import CRASH_LIMIT, MAX_SINGLE_CRASHES, MAX_SUSPECTS
 from ledgeladder.coordination.part_crashes import (
     MAX_CONTENTS,
     MAX_INSTANCES,
-    MAX_SINGLE_CRASHES,
-    MAX_SUSPECTS,
     MOMENT_SECONDS,
     SETTLE_SECONDS,
     SOUND_CRASH_LIMIT,
     SOUND_SETTLE_SECONDS,
     PartCrashTable,
-    blamed_parts,
+    blame_parts,
     clear_part,
     part_crash_count,
     record_part_crash,
@@ -48,11 +46,11 @@
     table = PartCrashTable()
     for number in range(CRASH_LIMIT - 1):
         crash(table, b"bad", number=number)
-    assert blamed_parts(table, 100.0) == []
+    assert blame_parts(table, 100.0) == []
     last = CRASH_LIMIT - 1
     crash(table, b"bad", number=last)
-    assert blamed_parts(table, last * GAP + SETTLE_SECONDS * 0.9) == []
-    assert blamed_parts(table, last * GAP + SETTLE_SECONDS) == [b"bad"]
+    assert blame_parts(table, last * GAP + SETTLE_SECONDS * 0.9) == []
+    assert blame_parts(table, last * GAP + SETTLE_SECONDS) == [b"bad"]
 
 
 def test_answer_clears_a_part_although_it_was_in_every_crash() -> None:
@@ -60,7 +58,7 @@
     for number in range(CRASH_LIMIT):
         crash(table, b"shared", b"bad", number=number)
     assert clear_part(table, b"shared")
-    assert blamed_parts(table, 100.0) == [b"bad"]
+    assert blame_parts(table, 100.0) == [b"bad"]
     assert part_crash_count(table, b"shared") == 0
     assert not clear_part(table, b"shared")
 
@@ -70,7 +68,7 @@
     table = PartCrashTable()
     for number in range(10):
         crash(table, b"shared", number=number, at=1.0 + number * MOMENT_SECONDS / 20)
-    assert blamed_parts(table, 100.0) == []
+    assert blame_parts(table, 100.0) == []
 
 
 def test_part_of_one_request_alone_is_not_blamed() -> None:
@@ -78,18 +76,18 @@
     table = PartCrashTable()
     for number in range(CRASH_LIMIT + 2):
         crash(table, b"own", number=number, content=b"same")
-    assert blamed_parts(table, 100.0) == []
+    assert blame_parts(table, 100.0) == []
 
 
 def test_part_that_was_answered_lately_needs_more_crashes() -> None:
     table = PartCrashTable()
     for number in range(SOUND_CRASH_LIMIT - 1):
         crash(table, b"was-sound", number=number, answered_lately=True)
-    assert blamed_parts(table, 100.0) == []
+    assert blame_parts(table, 100.0) == []
     last = SOUND_CRASH_LIMIT - 1
     crash(table, b"was-sound", number=last)
-    assert blamed_parts(table, last * GAP + SOUND_SETTLE_SECONDS * 0.9) == []
-    assert blamed_parts(table, last * GAP + SOUND_SETTLE_SECONDS) == [b"was-sound"]
+    assert blame_parts(table, last * GAP + SOUND_SETTLE_SECONDS * 0.9) == []
+    assert blame_parts(table, last * GAP + SOUND_SETTLE_SECONDS) == [b"was-sound"]
 
 
 def test_crashes_that_a_part_explains_count_for_no_other() -> None:
@@ -98,7 +96,7 @@
     for number in range(SOUND_CRASH_LIMIT):
         crash(table, b"shared", number=number, answered_lately=True)
         crash(table, b"bad", number=number)
-    assert blamed_parts(table, 100.0) == [b"bad"]
+    assert blame_parts(table, 100.0) == [b"bad"]
     assert part_crash_count(table, b"shared") == 0
 
 
@@ -113,7 +111,7 @@
             crash(table, b"shared", number=number, content=content, answered_lately=True)
     for number in range(shared_extra):
         crash(table, b"shared", number=SOUND_CRASH_LIMIT + number, answered_lately=True)
-    assert blamed_parts(table, 100.0) == [b"turned-bad"]
+    assert blame_parts(table, 100.0) == [b"turned-bad"]
 
 
 def test_two_parts_with_crashes_of_their_own_are_both_blamed() -> None:
@@ -122,7 +120,7 @@
         crash(table, b"shared", b"bad-1", number=2 * number)
         crash(table, b"shared", b"bad-2", number=2 * number + 1)
     clear_part(table, b"shared")
-    assert sorted(blamed_parts(table, 100.0)) == [b"bad-1", b"bad-2"]
+    assert sorted(blame_parts(table, 100.0)) == [b"bad-1", b"bad-2"]
 
 
 def test_unconfirmed_crashes_blame_nothing() -> None:
@@ -131,8 +129,8 @@
     for number in range(CRASH_LIMIT):
         crash(table, b"bad", number=number)
     confirmed = {f"i-{number}" for number in range(CRASH_LIMIT - 1)}
-    assert blamed_parts(table, 100.0, confirmed.__contains__) == []
-    assert blamed_parts(table, 100.0, lambda _instance: True) == [b"bad"]
+    assert blame_parts(table, 100.0, confirmed.__contains__) == []
+    assert blame_parts(table, 100.0, lambda _instance: True) == [b"bad"]
 
 
 def test_made_up_parts_displace_none_with_several_crashes() -> None:
@@ -143,7 +141,7 @@
         crash(table, b"made-up-%d" % number, number=2, at=1.0)
     assert len(table.single_crashes) == MAX_SINGLE_CRASHES
     crash(table, b"bad", number=3)
-    assert blamed_parts(table, 100.0) == [b"bad"]
+    assert blame_parts(table, 100.0) == [b"bad"]
 
 
 def test_what_is_kept_is_bounded() -> None:
--- a/tests/daemons/gateway/test_relay.py
+++ b/tests/daemons/gateway/test_relay.py
@@ -64,7 +64,7 @@
         )
         upstream = put_registration(asking.table, registration, anyio.current_time())
         put_registration(relay.table, registration, anyio.current_time())
-        record_relay_peers(asking.relay_peers, [RELAY_HOST], "127.0.0.1")
+        record_relay_peers(asking.relay_peers, [RELAY_HOST], "127.0.0.1", anyio.current_time())
         tasks.start_soon(relay_listener.serve, lambda stream: serve_relayed(relay, stream))
         tasks.start_soon(upstream_listener.serve, serve)
         assert upstream is not None
--- a/tests/routing/part_crash_bed.py
+++ b/tests/routing/part_crash_bed.py
@@ -5,7 +5,7 @@
 from ledgeladder.coordination.content_watch import ANSWERED_LATELY_SECONDS
 from ledgeladder.coordination.part_crashes import (
     PartCrashTable,
-    blamed_parts,
+    blame_parts,
     clear_part,
     record_part_crash,
 )
@@ -128,7 +128,7 @@
     def evaluate(self) -> None:
         """Refuse the parts that are to blame from now on."""
         self.at(self.now + EVALUATION_SECONDS, self.evaluate)
-        for part in blamed_parts(self.part_table, self.now):
+        for part in blame_parts(self.part_table, self.now):
             self.blamed[part] = self.now
             clear_part(self.part_table, part)
 
--- a/tests/routing/test_upstream_reach.py
+++ b/tests/routing/test_upstream_reach.py
@@ -8,6 +8,7 @@
 from ledgeladder.routing.forwarding_table import ForwardedUpstream
 from ledgeladder.routing.upstream_reach import (
     MAX_RELAY_PEERS,
+    PEER_VALID_SECONDS,
     RECOVERY_ROUNDS,
     SAMPLE_SIZE,
     UNKNOWN_VALID_SECONDS,
@@ -106,7 +107,7 @@
 
 def test_relay_peers_are_bounded_and_never_this_box() -> None:
     peers = RelayPeers()
-    record_relay_peers(peers, [f"10.0.0.{number}" for number in range(200)], "10.0.0.150")
+    record_relay_peers(peers, [f"10.0.0.{number}" for number in range(200)], "10.0.0.150", 0.0)
     assert len(peers.known) == MAX_RELAY_PEERS
     assert "10.0.0.150" not in peers.known
     assert "10.0.0.199" in peers.known
@@ -115,13 +116,20 @@
 def test_relay_peers_that_are_named_again_outlive_those_that_are_not() -> None:
     peers = RelayPeers()
     for number in range(MAX_RELAY_PEERS * 3):
-        record_relay_peers(peers, [f"10.0.1.{number}", "10.0.0.1"], "10.9.9.9")
+        record_relay_peers(peers, [f"10.0.1.{number}", "10.0.0.1"], "10.9.9.9", 0.0)
     assert "10.0.0.1" in peers.known
 
 
 def test_avoided_relay_peers_are_not_asked_until_their_time_is_over() -> None:
     peers = RelayPeers()
-    record_relay_peers(peers, ["10.0.0.1", "10.0.0.2"], "10.9.9.9")
+    record_relay_peers(peers, ["10.0.0.1", "10.0.0.2"], "10.9.9.9", 0.0)
     avoid_relay_peer(peers, "10.0.0.1", 1.0, now=5.0)
     assert choose_relay_peers(peers, 6, 5.5, random.Random(1)) == ["10.0.0.2"]
     assert sorted(choose_relay_peers(peers, 6, 6.0, random.Random(1))) == ["10.0.0.1", "10.0.0.2"]
+
+
+def test_relay_peers_that_are_named_no_more_are_not_asked() -> None:
+    peers = RelayPeers()
+    record_relay_peers(peers, ["10.0.0.1", "10.0.0.2"], "10.9.9.9", 0.0)
+    record_relay_peers(peers, ["10.0.0.2"], "10.9.9.9", 1.0)
+    assert choose_relay_peers(peers, 6, PEER_VALID_SECONDS, random.Random(1)) == ["10.0.0.2"]
