--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -211,7 +211,9 @@
     from ..coordination.part_crashes import blame_parts
 
     for part in blame_parts(table, anyio.current_time(), controller.has_exited):
-        if not await _commit(controller, part, sorted(table.suspects[part].instances)):
+        # An answer may have cleared it while an earlier one was committed.
+        crashes = table.suspects.get(part)
+        if crashes is not None and not await _commit(controller, part, sorted(crashes.instances)):
             return
 
 
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -247,3 +247,30 @@
     clock[0] += SETTLE_SECONDS
     committed = evaluate(controller, monkeypatch, content_judge.quarantine_parts)
     assert committed == ([PART] if confirmed else [])
+
+
+def test_part_that_is_answered_while_another_is_committed_is_left_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The commit waits for a majority, and messages of entry boxes arrive meanwhile."""
+    controller, _entries, _peers, clock = part_controller(monkeypatch, set())
+    parts = [compute_part_fingerprint("pool", name) for name in ("a", "b")]
+    for number in range(2 * CRASH_LIMIT):
+        crash = CrashReport(
+            fingerprint=parts[number % 2], instance=f"i-{number}", content=b"%d" % number
+        )
+        content_judge.handle_crash_report(controller, crash, to_peers=False)
+        clock[0] += MOMENT_SECONDS
+    clock[0] += SETTLE_SECONDS
+    committed: list[bytes] = []
+
+    async def submit(_node: object, command: QuarantineCommand) -> Success[Acknowledgement]:
+        committed.append(command.fingerprint)
+        (other,) = set(parts) - {command.fingerprint}
+        served = ContentServed(fingerprint=other)
+        content_judge.handle_content_served(controller, served, to_peers=False)
+        return Success(Acknowledgement(accepted=True))
+
+    monkeypatch.setattr(content_judge, "submit", submit)
+    anyio.run(content_judge.quarantine_parts, controller)
+    assert len(committed) == 1
