--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from itertools import islice
+from typing import TYPE_CHECKING, Any, Final
 
 import anyio
 import msgspec
 from returns.result import Failure
 
 from ..coordination.commands import QuarantineCommand
+from ..coordination.content_watch import UNCONFIRMED_QUARANTINE_SECONDS
 from ..coordination.crash_book import (
     CRASH_LIMIT,
     CrashTable,
@@ -31,9 +33,10 @@
 from .control.node import submit
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ..coordination.part_crashes import PartCrashTable
+    from ..links import Link
     from ..links.messages import ContentServed, LinkMessage
     from .control.node import ControlNode
 
@@ -47,11 +50,24 @@
 """Number of crashes at which a content is reported to all entry boxes as suspected. Most contents
 with a single crash only ran on the same upstream as the content that caused it."""
 
+MAX_RETOLD_SUSPECTS: Final = 256
+"""Suspected contents, and as many parts, that an entry box is told of when it links, the newest."""
+
 
 def _ignore(message: LinkMessage) -> None:
     del message
 
 
+class Announcement(msgspec.Struct, frozen=True, kw_only=True):
+    """What entry boxes were told of a content that they refuse until the crashes are confirmed."""
+
+    crashes: int
+    """Number of its crashes at that time."""
+
+    announced_at: float
+    """When they were told, on the monotonic clock."""
+
+
 class QuarantineController(msgspec.Struct, kw_only=True):
     """Quarantine state of one control box."""
 
@@ -76,8 +92,8 @@
     part_crashes: PartCrashTable | None = None
     """The same crashes by part of the prompts; None before the first."""
 
-    announced_parts: dict[bytes, int] = msgspec.field(default_factory=dict)
-    """Parts announced as blamed, with the number of their crashes at that time."""
+    announced: dict[bytes, Announcement] = msgspec.field(default_factory=dict)
+    """Contents that entry boxes were told to refuse, whole ones and parts, by fingerprint."""
 
     last_broadcast_changes: int = 0
     """Value of the quarantine's change counter at the last broadcast to entry boxes."""
@@ -108,9 +124,18 @@
         "request content suspected",
         extra={"content": report.fingerprint.hex(), "upstream": report.instance, "ends": crashes},
     )
+    if crashes >= CRASH_LIMIT:
+        _record_announcement(controller, report.fingerprint, crashes)
     controller.broadcast_to_entries(SuspectUpdate(fingerprint=report.fingerprint, crashes=crashes))
 
 
+def _record_announcement(
+    controller: QuarantineController, fingerprint: bytes, crashes: int
+) -> None:
+    now = anyio.current_time()
+    controller.announced[fingerprint] = Announcement(crashes=crashes, announced_at=now)
+
+
 def _handle_part_crash(
     controller: QuarantineController, report: CrashReport, *, to_peers: bool
 ) -> None:
@@ -154,6 +179,7 @@
     while True:
         await anyio.sleep(EVALUATION_INTERVAL_SECONDS)
         _forget_quarantined(controller)
+        _forget_announced(controller)
         announce_blamed_parts(controller)
         if not controller.node.replica.is_leader:
             continue
@@ -169,7 +195,14 @@
     quarantined = seconds_left(controller.node.state.quarantine, wall_clock_ms())
     for part in [item for item in controller.part_crashes.suspects if item in quarantined]:
         _clear_part(controller, part)
-        controller.announced_parts.pop(part, None)
+
+
+def _forget_announced(controller: QuarantineController) -> None:
+    """Drop the announcements of contents that are no longer suspected."""
+    parts = controller.part_crashes.suspects if controller.part_crashes is not None else {}
+    contents = controller.crash_table.suspects
+    for item in [key for key in controller.announced if key not in parts and key not in contents]:
+        del controller.announced[item]
 
 
 def _clear_part(controller: QuarantineController, part: bytes) -> bool:
@@ -188,14 +221,12 @@
         return
     from ..coordination.part_crashes import blame_parts
 
-    now = anyio.current_time()
-    for part in [item for item in controller.announced_parts if item not in table.suspects]:
-        del controller.announced_parts[part]
-    for part in blame_parts(table, now):
+    for part in blame_parts(table, anyio.current_time()):
         instances = table.suspects[part].instances
-        if controller.announced_parts.get(part) == len(instances):
+        earlier = controller.announced.get(part)
+        if earlier is not None and earlier.crashes == len(instances):
             continue
-        controller.announced_parts[part] = len(instances)
+        _record_announcement(controller, part, len(instances))
         forgive_crashes(controller.crash_table, instances)
         controller.broadcast_to_entries(SuspectUpdate(fingerprint=part, crashes=CRASH_LIMIT))
         logger.warning(
@@ -254,6 +285,32 @@
     return QuarantineUpdate(seconds_left=seconds_left(quarantined, wall_clock_ms()))
 
 
+def post_contents(controller: QuarantineController, link: Link) -> None:
+    """Send an entry box that has just linked what others were told of contents before.
+
+    Args:
+        controller: The controller.
+        link: The link to the entry box.
+    """
+    link.post(quarantine_update(controller))
+    for update in _suspect_updates(controller):
+        link.post(update)
+
+
+def _suspect_updates(controller: QuarantineController) -> Iterator[SuspectUpdate]:
+    """Yield the newest suspects, with `CRASH_LIMIT` crashes while the others refuse them."""
+    tables: list[dict[bytes, Any]] = [controller.crash_table.suspects]
+    if controller.part_crashes is not None:
+        tables.append(controller.part_crashes.suspects)
+    expired_at = anyio.current_time() - UNCONFIRMED_QUARANTINE_SECONDS
+    for suspects in tables:
+        for fingerprint in islice(reversed(suspects), MAX_RETOLD_SUSPECTS):
+            earlier = controller.announced.get(fingerprint)
+            is_refused = earlier is not None and earlier.announced_at > expired_at
+            crashes = CRASH_LIMIT if is_refused else CRASH_LIMIT - 1
+            yield SuspectUpdate(fingerprint=fingerprint, crashes=crashes)
+
+
 def broadcast_quarantine(controller: QuarantineController) -> None:
     """Broadcast the quarantined contents to entry boxes if any was added."""
     changes = controller.node.state.quarantine.changes
--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -44,7 +44,7 @@
     broadcast_quarantine,
     handle_content_served,
     handle_crash_report,
-    quarantine_update,
+    post_contents,
 )
 from ..rate_lender import RateGranter, apply_limits, handle_grant_request, limit_update
 from .node import submit
@@ -284,7 +284,7 @@
 
 def _handle_pull(hub: Hub, node: ControlNode, link: Link, pull: Pull) -> None:
     if id(link) not in hub.follower_links:
-        link.post(quarantine_update(quarantine_controller_of(hub)))
+        post_contents(quarantine_controller_of(hub), link)
         link.post(limit_update(rate_granter_of(hub)))
     hub.follower_links[id(link)] = link
     deltas = None if pull.full else deltas_after(node.state, pull.version)
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -52,7 +52,7 @@
 )
 from ...storage import box_of
 from .. import clock
-from ..content_judge import handle_content_served, handle_crash_report, quarantine_update
+from ..content_judge import handle_content_served, handle_crash_report, post_contents
 from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
 from .demand_totals import forget_demand, record_demand_report, record_demand_share
@@ -145,7 +145,7 @@
         state.entry_links[id(link)] = link
         link.post(RegistrationUpdate(reported=list_liveness(state.table, anyio.current_time())))
         link.post(UpstreamIndexPush(index=state.upstream_index))
-        link.post(quarantine_update(quarantine_controller_of(state)))
+        post_contents(quarantine_controller_of(state), link)
         link.post(limit_update(rate_granter_of(state)))
     hint = build_peer_hint(state)
     link.post(hint if is_control else add_entries(state, hint))
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -11,7 +11,10 @@
 from returns.result import Success
 
 from ledgeladder.coordination.commands import Acknowledgement, QuarantineCommand
-from ledgeladder.coordination.content_watch import compute_part_fingerprint
+from ledgeladder.coordination.content_watch import (
+    UNCONFIRMED_QUARANTINE_SECONDS,
+    compute_part_fingerprint,
+)
 from ledgeladder.coordination.crash_book import CRASH_LIMIT
 from ledgeladder.coordination.loss_evidence import LossEvidence
 from ledgeladder.coordination.part_crashes import MOMENT_SECONDS, SETTLE_SECONDS
@@ -274,3 +277,57 @@
     monkeypatch.setattr(content_judge, "submit", submit)
     anyio.run(content_judge.quarantine_parts, controller)
     assert len(committed) == 1
+
+
+def links_late(controller: QuarantineController) -> list[Any]:
+    """Return the messages on contents that an entry box gets when it links."""
+    late = Recorder()
+    content_judge.post_contents(controller, SimpleNamespace(post=late.posted.append))  # type: ignore[arg-type]
+    return late.posted
+
+
+def test_box_that_links_late_refuses_what_is_announced(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It would send the part to engines until the leader has confirmed the crashes."""
+    controller, entries, _peers, clock = part_controller(monkeypatch, set())
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        content_judge.handle_crash_report(controller, report(number), to_peers=False)
+        clock[0] += MOMENT_SECONDS
+    told = links_late(controller)
+    assert SuspectUpdate(fingerprint=PART, crashes=CRASH_LIMIT - 1) in told
+    assert SuspectUpdate(fingerprint=FINGERPRINT, crashes=CRASH_LIMIT) in told
+    clock[0] += SETTLE_SECONDS
+    content_judge.announce_blamed_parts(controller)
+    assert entries.posted[-1] == SuspectUpdate(fingerprint=PART, crashes=CRASH_LIMIT)
+    assert entries.posted[-1] in links_late(controller)
+
+
+def test_box_that_links_after_the_announcement_expired_is_told_of_suspects(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Crashes that nobody confirms come from a partition, and their contents are released."""
+    controller, _entries, _peers, clock = part_controller(monkeypatch, {"i-0"})
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        content_judge.handle_crash_report(controller, report(number), to_peers=False)
+        clock[0] += MOMENT_SECONDS
+    clock[0] += SETTLE_SECONDS
+    content_judge.announce_blamed_parts(controller)
+    clock[0] += UNCONFIRMED_QUARANTINE_SECONDS
+    suspects = [item for item in links_late(controller) if isinstance(item, SuspectUpdate)]
+    assert {item.crashes for item in suspects} == {CRASH_LIMIT - 1}
+
+
+def test_few_of_many_suspects_are_told_to_a_box_that_links(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Parts made up by the thousand must not fill its link."""
+    controller, _entries, _peers, _clock = part_controller(monkeypatch, set())
+    for number in range(4 * content_judge.MAX_RETOLD_SUSPECTS):
+        for instance in ("i-1", "i-2"):
+            part = compute_part_fingerprint("pool", str(number))
+            crash = CrashReport(fingerprint=part, instance=instance, content=b"c")
+            content_judge.handle_crash_report(controller, crash, to_peers=False)
+    told = links_late(controller)
+    assert len(told) <= 2 * content_judge.MAX_RETOLD_SUSPECTS + 1
+    assert told[1].fingerprint == compute_part_fingerprint("pool", str(number))
