--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -18,6 +18,7 @@
     connect_directly,
     connect_upstream,
     probe_timeout,
+    proves_exit,
     verify_reach,
 )
 
@@ -118,7 +119,7 @@
     try:
         connection = await connect_upstream(state, upstream, seconds=seconds)
     except ConnectError as error:
-        return error.is_refusal
+        return proves_exit(state, error)
     await connection.close()
     return False
 
@@ -185,9 +186,8 @@
 
 def _describe_failure(state: GatewayState, engine: ForwardedUpstream, failure: ConnectError) -> str:
     """Return why a probe failed, and record an exit if the engine's port is closed."""
-    now = anyio.current_time()
-    if failure.is_refusal and may_report_losses(state.reach, now):
-        record_exit(engine, now)
+    if proves_exit(state, failure):
+        record_exit(engine, anyio.current_time())
     return str(failure)
 
 
--- a/src/ledgeladder/daemons/gateway/reaching.py
+++ b/src/ledgeladder/daemons/gateway/reaching.py
@@ -17,6 +17,7 @@
     ReachVerdict,
     choose_relay_peers,
     is_proved_since,
+    may_report_losses,
     record_cut,
     record_not_opened,
     record_opened,
@@ -57,6 +58,10 @@
     """No other box relays the connection, which says nothing about the upstream."""
 
 
+class RelayedConnectError(ConnectError):
+    """Another box, which reaches other upstreams, could not open the connection either."""
+
+
 class ReachCheck(msgspec.Struct, kw_only=True):
     """A check of this box's reach, shared by all connections that fail meanwhile."""
 
@@ -86,6 +91,7 @@
 
     Raises:
         NoRelayError: If this box is cut off and no other one relays.
+        RelayedConnectError: If this box is cut off and another one does not reach the upstream.
         ConnectError: If the upstream cannot be reached.
     """
     started_at = anyio.current_time()
@@ -121,6 +127,18 @@
     return connection
 
 
+def proves_exit(state: GatewayState, failure: ConnectError) -> bool:
+    """Return whether a failed connection shows that the upstream's process has exited.
+
+    A box that is cut off may be refused although the process runs; one that relays checked its own
+    reach before it answered.
+    """
+    if not failure.is_refusal:
+        return False
+    is_relayed = isinstance(failure, RelayedConnectError)
+    return is_relayed or may_report_losses(state.reach, anyio.current_time())
+
+
 def probe_timeout(state: GatewayState, pool: str) -> float:
     """Return how long an engine of a pool may take to accept a connection, in seconds.
 
--- a/src/ledgeladder/daemons/gateway/relay_client.py
+++ b/src/ledgeladder/daemons/gateway/relay_client.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ...http1 import ConnectError, tune_socket, wrap_stream
+from ...http1 import tune_socket, wrap_stream
 from ...links import connect_tcp, initiate_handshake
 from ...links.endpoint import LINK_ERRORS
 from ...links.frames import encode_frame
@@ -20,7 +20,7 @@
     avoid_relay_peer,
     choose_relay_peers,
 )
-from .reaching import NoRelayError
+from .reaching import NoRelayError, RelayedConnectError
 
 if TYPE_CHECKING:
     from ...http1 import UpstreamConnection
@@ -60,7 +60,7 @@
 
     Raises:
         NoRelayError: If no box could tell whether the upstream can be reached.
-        ConnectError: If a box that reaches other upstreams does not reach this one.
+        RelayedConnectError: If a box that reaches other upstreams does not reach this one.
     """
     address = upstream.registration.address
     now = anyio.current_time()
@@ -72,9 +72,11 @@
             state.reach.relayed += 1
             return connection
         if outcome is RelayOutcome.REFUSED:
-            raise ConnectError(f"{address}: refused, by {peer}") from ConnectionRefusedError()
+            raise RelayedConnectError(
+                f"{address}: refused, by {peer}"
+            ) from ConnectionRefusedError()
         if outcome is RelayOutcome.UNREACHABLE:
-            raise ConnectError(f"{address}: unreachable, by {peer}") from TimeoutError()
+            raise RelayedConnectError(f"{address}: unreachable, by {peer}") from TimeoutError()
     raise NoRelayError(f"{address}: no box relays")
 
 
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -21,9 +21,9 @@
 )
 from ...routing.link_load import record_transfer
 from ...routing.paths import ChosenPath, count_prompt, release, reserve
-from ...routing.upstream_reach import may_report_losses
 from .crashes import record_crash
 from .notes import content_fingerprint
+from .reaching import proves_exit
 from .stall_watch import open_watched
 from .stream_events import forward_events
 from .stream_session import AttemptResult, StreamSession
@@ -241,7 +241,7 @@
         if error.is_inconclusive:
             record_out_of_reach(path.head, anyio.current_time())
             return AttemptResult.NOT_SENT, str(error)
-        if error.is_refusal and may_report_losses(state.reach, anyio.current_time()):
+        if error.failure is not None and proves_exit(state, error.failure):
             # Imported here because few connections are refused.
             from .probing import report_lost
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -45,14 +45,14 @@
     """The upstream could not be reached; nothing was sent."""
 
     @property
-    def is_refusal(self) -> bool:
-        """True if the connection was refused: no process listens at the address."""
-        return isinstance(self.__cause__, ConnectError) and self.__cause__.is_refusal
+    def failure(self) -> ConnectError | None:
+        """Why the connection could not be opened, if that is the reason."""
+        return self.__cause__ if isinstance(self.__cause__, ConnectError) else None
 
     @property
     def is_inconclusive(self) -> bool:
         """True if this box is cut off and no other one could try: no evidence against it."""
-        return isinstance(self.__cause__, NoRelayError)
+        return isinstance(self.failure, NoRelayError)
 
 
 class BackpressureError(Exception):
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -14,7 +14,7 @@
     send_request,
     wrap_stream,
 )
-from .server import Exchange, HttpRequest, HttpSite, serve_http1
+from .server import Exchange, HttpRequest, HttpSite, serve_http1, serve_listener
 from .sockets import tune_socket
 
 __all__ = [
@@ -34,6 +34,7 @@
     "read_backoff",
     "send_request",
     "serve_http1",
+    "serve_listener",
     "tune_socket",
     "wrap_stream",
 ]
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -16,7 +16,7 @@
 from .sockets import tune_socket
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketStream
+    from anyio.abc import SocketListener, SocketStream
 
 logger = logging.getLogger(__name__)
 
@@ -347,7 +347,11 @@
     Raises:
         OSError: If listening on the address fails.
     """
-    listener = await listen_tcp(address)
+    await serve_listener(await listen_tcp(address), site)
+
+
+async def serve_listener(listener: SocketListener, site: HttpSite) -> None:
+    """Serve the connections of a listener until cancelled, and close it."""
     async with listener, anyio.create_task_group() as connections:
         with anyio.CancelScope() as site.listening:
             await listener.serve(lambda stream: _serve_connection(stream, site), connections)
--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -408,11 +408,12 @@
 
     Args:
         options: Fields of `DiscoveredFleet`, and also: `engines` (6) and `services` (3), the
-            numbers of upstreams; `fail_share`, the share of plain requests that services fail;
-            `crash_word`, a word in a request's body that crashes the upstream that executes it;
-            `crash_part`, a prompt's part that crashes the engine that begins to write on it;
-            `engine_slots`, the streams that an engine runs at once (0: without a bound);
-            `keep_ids`, True if upstreams keep their instance ids over restarts.
+            numbers of upstreams; `cut_gateways`, those that are cut off from all upstreams;
+            `fail_share`, the share of plain requests that services fail; `crash_word`, a word in a
+            request's body that crashes the upstream that executes it; `crash_part`, a prompt's part
+            that crashes the engine that begins to write on it; `engine_slots`, the streams that an
+            engine runs at once (0: without a bound); `keep_ids`, True if upstreams keep their
+            instance ids over restarts.
 
     Yields:
         The system when every gateway is ready. Engines may not hold their layers yet.
@@ -424,8 +425,10 @@
     crash_part = options.pop("crash_part", "")
     keep_ids = options.pop("keep_ids", False)
     engine_slots = options.pop("engine_slots", 0)
+    cut_gateways = options.pop("cut_gateways", ())
     with fleet_folder() as folder:
         fleet = DiscoveredFleet(folder=folder, **options)
+        unreachable_from = ",".join(fleet.ip(2, number) for number in cut_gateways)
         try:
             for number in range(fleet.registries):
                 fleet.add_registry(number)
@@ -441,6 +444,7 @@
                     crash_part=crash_part,
                     instance=instance,
                     slots=engine_slots,
+                    unreachable_from=unreachable_from,
                 )
             for number in range(services):
                 instance = f"s-{number}" if keep_ids else ""
@@ -450,6 +454,7 @@
                     fail_share=fail_share,
                     crash_word=crash_word,
                     instance=instance,
+                    unreachable_from=unreachable_from,
                 )
             fleet.publish_next()
             numbers = range(fleet.gateways)
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -14,7 +14,7 @@
 import socket
 import struct
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -23,9 +23,12 @@
 import uvloop
 from anyio.abc import SocketAttribute, SocketStream
 
-from ledgeladder.http1 import Exchange, HttpRequest, HttpSite, serve_http1
+from ledgeladder.http1 import Exchange, HttpRequest, HttpSite, serve_listener
+from ledgeladder.links import listen_tcp
 from ledgeladder.model import Problem
 
+from .packet_filter import drop_from
+
 LAYER_MB = 1000.0
 """Memory of one layer, in megabytes."""
 
@@ -103,6 +106,9 @@
     born: int = 0
     """Start of the process in milliseconds since 1970; 0 to leave it out of heartbeats."""
 
+    unreachable_from: list[str] = field(default_factory=list)
+    """IP addresses of hosts that are cut off from it."""
+
     sequence: int = 0
     """Sequence number of the newest heartbeat."""
 
@@ -473,7 +479,10 @@
 async def main(upstream: StandIn) -> None:
     """Serve until SIGTERM; then announce draining and exit after `DRAIN_SECONDS`."""
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_http1, upstream.listen, build_site(upstream))
+        listener = await listen_tcp(upstream.listen)
+        if upstream.unreachable_from:
+            drop_from(listener.extra(SocketAttribute.raw_socket), upstream.unreachable_from)
+        tasks.start_soon(serve_listener, listener, build_site(upstream))
         tasks.start_soon(send_heartbeats, upstream)
         with anyio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
@@ -503,6 +512,7 @@
     parser.add_argument("--mood", type=Path)
     parser.add_argument("--slots", type=int, default=0)
     parser.add_argument("--instance", default="")
+    parser.add_argument("--unreachable-from", default="")
     values = vars(parser.parse_args())
     if values["instance"]:
         values["born"] = time.time_ns() // 1_000_000
@@ -510,6 +520,7 @@
         values["instance"] = f"i-{secrets.token_hex(5)}"
     values["listen"] = values["listen"] or values["address"]
     values["controls"] = values["controls"].split(",")
+    values["unreachable_from"] = list(filter(None, values["unreachable_from"].split(",")))
     return StandIn(**values)
 
 
--- a/tests/daemons/gateway/test_reaching.py
+++ b/tests/daemons/gateway/test_reaching.py
@@ -20,7 +20,7 @@
     record_domain_failure,
     record_failure,
 )
-from ledgeladder.routing.upstream_reach import may_report_losses
+from ledgeladder.routing.upstream_reach import may_report_losses, record_opened
 
 from .test_relay import hang, relaying
 
@@ -120,3 +120,25 @@
             assert upstream.exited_at == float("-inf")
 
     anyio.run(play)
+
+
+def test_exit_that_a_relay_sees_is_recorded_at_a_box_that_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Requests of a box that is cut off would otherwise crash upstreams without being counted."""
+    fail_connections(monkeypatch, TimeoutError)
+
+    async def play() -> None:
+        async with checking() as (asking, relay, upstream):
+            gone = Registration(instance="i-2", sequence=1, pool="q", address="127.0.0.1:1")
+            exited = put_registration(asking.table, gone, 0.0)
+            put_registration(relay.table, gone, 0.0)
+            assert exited is not None
+            record_opened(relay.reach, anyio.current_time() + 60.0, anyio.current_time())
+            assert not await find_unreachable(asking, [upstream], set())
+            assert asking.reach.is_cut
+            assert await find_unreachable(asking, [exited], set())
+            assert exited.exited_at > 0
+            assert not may_report_losses(asking.reach, anyio.current_time())
+
+    anyio.run(play)
--- a/tests/daemons/gateway/test_stream_attempt.py
+++ b/tests/daemons/gateway/test_stream_attempt.py
@@ -13,6 +13,7 @@
 
 from ledgeladder.daemons.gateway import probing, reaching, stream_attempt, stream_events
 from ledgeladder.daemons.gateway.probing import report_lost
+from ledgeladder.daemons.gateway.reaching import proves_exit
 from ledgeladder.daemons.gateway.stream_attempt import (
     _cancel_on_loss,
     _evaluate_refusal,
@@ -239,9 +240,15 @@
 
 
 def test_only_a_refused_connection_proves_that_the_process_exited() -> None:
-    for cause, is_refusal in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
-        failed = ConnectError("127.0.0.1:1")
-        failed.__cause__ = cause
-        error = NotSentError("127.0.0.1:1")
-        error.__cause__ = failed
-        assert error.is_refusal is is_refusal
+    state = gateway_state()
+
+    async def run() -> None:
+        for cause, is_refusal in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
+            failed = ConnectError("127.0.0.1:1")
+            failed.__cause__ = cause
+            error = NotSentError("127.0.0.1:1")
+            error.__cause__ = failed
+            assert error.failure is failed
+            assert proves_exit(state, failed) is is_refusal
+
+    anyio.run(run)
--- a/tests/daemons/test_crashing_part.py
+++ b/tests/daemons/test_crashing_part.py
@@ -55,6 +55,10 @@
 ATTACK_SECONDS = 20.0
 """Time in which requests with the part are sent."""
 
+CUT_GATEWAYS = [(), (0, 1)]
+"""Gateways that are cut off from all upstreams: their connections are relayed, and they see crashes
+only through the gateway that relays."""
+
 
 class Traffic:
     """Sound requests and requests with the part at all gateways, and engines that restart."""
@@ -121,10 +125,12 @@
     return send(fleet, gateway, [SHARED_PART, "x"], KEY).status_code == 200
 
 
-@pytest.fixture(scope="module")
-def traffic() -> Iterator[Traffic]:
+@pytest.fixture(scope="module", params=CUT_GATEWAYS, ids=["all-reach", "two-cut-off"])
+def traffic(request: pytest.FixtureRequest) -> Iterator[Traffic]:
     """Traffic that has been sent for `ATTACK_SECONDS`."""
-    with running_discovered_fleet(crash_part=CRASH_PART, engines=8) as fleet:
+    with running_discovered_fleet(
+        crash_part=CRASH_PART, engines=8, cut_gateways=request.param
+    ) as fleet:
         gateways = range(fleet.gateways)
         wait_until(lambda: all(serves(fleet, item) for item in gateways), 20, "streams")
         sent = Traffic(fleet)
