--- a/src/ledgeladder/coordination/content_watch.py
+++ b/src/ledgeladder/coordination/content_watch.py
@@ -15,6 +15,7 @@
     CRASH_LIMIT,
     PART_FINGERPRINT_BYTES,
     PART_TAG,
+    UNCONFIRMED_QUARANTINE_SECONDS,
     CrashTable,
     clear_crashes,
     crash_count,
@@ -29,11 +30,6 @@
 FINGERPRINT_BYTES: Final = 8
 """Length of a fingerprint. With 4,096 fingerprints stored, accidental matches are negligible."""
 
-UNCONFIRMED_QUARANTINE_SECONDS: Final = 10.0
-"""How long content is quarantined after `CRASH_LIMIT` unconfirmed crashes. This is longer than the
-control boxes need to confirm a crash; unconfirmed crashes come from a partition that refuses
-connections, and their content is released."""
-
 ANSWERED_LATELY_SECONDS: Final = 30.0
 """How long after an answer a part of a prompt is sound in all likelihood."""
 
--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -19,6 +19,11 @@
 cause by chance are blamed far more often; each further crash interrupts all streams of one more
 upstream (`tests/routing/crash_bed.py` compares two to four)."""
 
+UNCONFIRMED_QUARANTINE_SECONDS: Final = 10.0
+"""How long content is quarantined after `CRASH_LIMIT` unconfirmed crashes. This is longer than the
+control boxes need to confirm a crash; unconfirmed crashes come from a partition that refuses
+connections, and their content is released."""
+
 MAX_SINGLE_CRASHES: Final = 4096
 """Fingerprints with one crash that are kept, the newest. This exceeds the number of requests that
 are in progress in a large failure domain when it is lost."""
--- a/src/ledgeladder/daemons/content_judge.py
+++ b/src/ledgeladder/daemons/content_judge.py
@@ -16,9 +16,9 @@
 from returns.result import Failure
 
 from ..coordination.commands import QuarantineCommand
-from ..coordination.content_watch import UNCONFIRMED_QUARANTINE_SECONDS
 from ..coordination.crash_book import (
     CRASH_LIMIT,
+    UNCONFIRMED_QUARANTINE_SECONDS,
     CrashTable,
     blamed_fingerprints,
     clear_crashes,
--- a/tests/daemons/gateway/test_crashes.py
+++ b/tests/daemons/gateway/test_crashes.py
@@ -8,8 +8,11 @@
 import anyio
 import pytest
 
-from ledgeladder.coordination.content_watch import UNCONFIRMED_QUARANTINE_SECONDS
-from ledgeladder.coordination.crash_book import CRASH_LIMIT, crash_count
+from ledgeladder.coordination.crash_book import (
+    CRASH_LIMIT,
+    UNCONFIRMED_QUARANTINE_SECONDS,
+    crash_count,
+)
 from ledgeladder.daemons.gateway.crashes import (
     count_crashes,
     handle_quarantine_update,
--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -11,11 +11,8 @@
 from returns.result import Success
 
 from ledgeladder.coordination.commands import Acknowledgement, QuarantineCommand
-from ledgeladder.coordination.content_watch import (
-    UNCONFIRMED_QUARANTINE_SECONDS,
-    compute_part_fingerprint,
-)
-from ledgeladder.coordination.crash_book import CRASH_LIMIT
+from ledgeladder.coordination.content_watch import compute_part_fingerprint
+from ledgeladder.coordination.crash_book import CRASH_LIMIT, UNCONFIRMED_QUARANTINE_SECONDS
 from ledgeladder.coordination.loss_evidence import LossEvidence
 from ledgeladder.coordination.part_crashes import MOMENT_SECONDS, SETTLE_SECONDS
 from ledgeladder.coordination.quarantine import QUARANTINE_MS, Quarantine, add_fingerprint
