--- a/src/ledgeladder/daemons/gateway/relay_client.py
+++ b/src/ledgeladder/daemons/gateway/relay_client.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from ...http1 import tune_socket, wrap_stream
-from ...links import connect_tcp, initiate_handshake
+from ...http1 import wrap_stream
+from ...links import connect_tcp, initiate_handshake, tune_socket
 from ...links.endpoint import LINK_ERRORS
 from ...links.frames import encode_frame
 from ...links.messages import RelayOutcome, RelayReply, RelayRequest
--- a/src/ledgeladder/daemons/gateway/relay_server.py
+++ b/src/ledgeladder/daemons/gateway/relay_server.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from ...http1 import ConnectError, connect, tune_socket
-from ...links import accept_handshake
+from ...http1 import ConnectError, connect
+from ...links import accept_handshake, tune_socket
 from ...links.endpoint import LINK_ERRORS, describe_error
 from ...links.frames import encode_frame
 from ...links.messages import PeerRole, RelayOutcome, RelayReply, RelayRequest
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -15,7 +15,6 @@
     wrap_stream,
 )
 from .server import Exchange, HttpRequest, HttpSite, serve_http1, serve_listener
-from .sockets import tune_socket
 
 __all__ = [
     "AnswerBrokenError",
@@ -35,6 +34,5 @@
     "send_request",
     "serve_http1",
     "serve_listener",
-    "tune_socket",
     "wrap_stream",
 ]
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -10,8 +10,7 @@
 import msgspec
 from anyio.abc import SocketAttribute
 
-from ..links import connect_tcp
-from .sockets import tune_socket
+from ..links import connect_tcp, tune_socket
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -10,10 +10,9 @@
 import h11
 import msgspec
 
-from ..links import listen_tcp
+from ..links import listen_tcp, tune_socket
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
-from .sockets import tune_socket
 
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, SocketStream
--- a/src/ledgeladder/links/__init__.py
+++ b/src/ledgeladder/links/__init__.py
@@ -10,7 +10,7 @@
     initiate_handshake,
     post_to_all,
 )
-from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address
+from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address, tune_socket
 
 __all__ = [
     "Link",
@@ -25,4 +25,5 @@
     "post_to_all",
     "serve_links",
     "split_address",
+    "tune_socket",
 ]
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 import anyio
-from anyio.abc import SocketListener, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
 
 BACKLOG: Final = 65536
 """Length of the accept queue; the kernel caps it. If the queue is full, SYN packets are dropped and
@@ -25,6 +25,17 @@
 """How long an exiting process may take to close all of its sockets. Checking a live upstream takes
 this whole time."""
 
+USER_TIMEOUT_MILLISECONDS: Final = 3000
+"""How long sent bytes may stay unacknowledged before the connection is closed. The platform allows
+an isolated box 3 s and one retransmission to detect it."""
+
+KEEPALIVE_IDLE_SECONDS: Final = 2
+KEEPALIVE_INTERVAL_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 3
+"""Number of unanswered probes after which an idle connection is closed. Where TCP_USER_TIMEOUT is
+supported, it overrides this number (tcp(7)), and a connection to a machine without power ends by
+that time."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split `host:port`.
@@ -94,6 +105,21 @@
         raise OSError(code, f"{os.strerror(code)}: {peer[0]}:{peer[1]}")
 
 
+def tune_socket(stream: SocketStream) -> None:
+    """Set timeouts on a connection, so that an unreachable peer does not keep it open for minutes.
+
+    Args:
+        stream: The connection.
+    """
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 async def is_port_closed(address: str, source: str | None, *, seconds: float) -> bool:
     """Return True if connections to an address are refused, as after the exit of its process.
 
