--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -63,7 +63,12 @@
                 outcome = STOPPED
             _log_request(state, request, facts, permit, trace, outcome)
 
-    return HttpSite(handler=handle, write_problem=write_problem, limits=lambda: state.limits)
+    return HttpSite(
+        handler=handle,
+        write_problem=write_problem,
+        limits=lambda: state.limits,
+        accept_queue=state.accept_queue,
+    )
 
 
 async def _forward(
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -35,6 +35,7 @@
         "prompts_pending": float(
             sum(item.pending_prompts for item in state.table.upstreams.values())
         ),
+        "connections_closed_unread": float(state.accept_queue.shed),
         "upstream_connections_opened": float(state.reach.opened),
         "upstream_connections_failed": float(state.reach.failed),
         "upstream_connection_age_seconds": now - state.reach.last_opened_at,
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,7 +12,7 @@
 
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
-from ...http1 import ConnectionPool
+from ...http1 import AcceptQueue, ConnectionPool
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
@@ -246,6 +246,9 @@
     relay_peers: RelayPeers = msgspec.field(default_factory=RelayPeers)
     """Entry boxes that may relay connections of this one."""
 
+    accept_queue: AcceptQueue = msgspec.field(default_factory=AcceptQueue)
+    """Connections of callers that wait to be served."""
+
     relays_open: int = 0
     """Number of connections to upstreams that this box relays for others."""
 
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .accepting import AcceptQueue
 from .backpressure import BackoffRequestedError, raise_for_backoff, read_backoff, read_rate
 from .client import (
     AnswerBrokenError,
@@ -17,6 +18,7 @@
 from .server import Exchange, HttpRequest, HttpSite, serve_http1, serve_listener
 
 __all__ = [
+    "AcceptQueue",
     "AnswerBrokenError",
     "ConnectError",
     "ConnectionPool",
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -13,6 +13,7 @@
 from ..links import listen_tcp, tune_socket
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
+from .accepting import AcceptQueue, accept_connections
 
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, SocketStream
@@ -102,6 +103,9 @@
     listening: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Cancelled to stop accepting connections; open connections are still served."""
 
+    accept_queue: AcceptQueue = msgspec.field(default_factory=AcceptQueue)
+    """Accepted connections that wait to be served."""
+
     open_connections: int = 0
     """Number of open connections."""
 
@@ -353,7 +357,12 @@
     """Serve the connections of a listener until cancelled, and close it."""
     async with listener, anyio.create_task_group() as connections:
         with anyio.CancelScope() as site.listening:
-            await listener.serve(lambda stream: _serve_connection(stream, site), connections)
+            await accept_connections(
+                listener,
+                site.accept_queue,
+                lambda stream: _serve_connection(stream, site),
+                connections,
+            )
         await listener.aclose()
         await anyio.sleep_forever()
 
