--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ...http1 import HttpSite, serve_http1
+from ...http1 import AcceptQueue, HttpSite, accept_connections, serve_http1
 from ...links import listen_tcp
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
@@ -175,8 +175,8 @@
 
         await serve_relayed(state, stream)
 
-    async with listener:
-        await listener.serve(serve_one)
+    async with listener, anyio.create_task_group() as connections:
+        await accept_connections(listener, AcceptQueue(), serve_one, connections)
 
 
 def _metrics_lines(state: GatewayState) -> list[str]:
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .accepting import AcceptQueue
+from .accepting import AcceptQueue, accept_connections
 from .backpressure import BackoffRequestedError, raise_for_backoff, read_backoff, read_rate
 from .client import (
     AnswerBrokenError,
@@ -27,6 +27,7 @@
     "HttpSite",
     "BackoffRequestedError",
     "UpstreamConnection",
+    "accept_connections",
     "connect",
     "raise_for_backoff",
     "read_head",
