--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -31,7 +31,7 @@
 from .backpressure import request_grants
 from .borrowing import acquire_retry
 from .checks import Permit, refusal
-from .crashes import count_crashes, record_answered, record_crash
+from .crashes import count_crashes, record_answered, record_crash, record_parts_answered
 from .notes import content_fingerprint
 from .state import answer_pace, record_duration, retry_budget
 from .upstream_call import (
@@ -137,6 +137,7 @@
         release_retry(budget, attempts.retry)
     if attempts.answer is not None:
         record_answered(state, permit, request, trace)
+        record_parts_answered(state, permit)
     await _answer_caller(state, permit, request, exchange, attempts)
 
 
