--- a/src/ledgeladder/coordination/crash_book.py
+++ b/src/ledgeladder/coordination/crash_book.py
@@ -31,7 +31,6 @@
 MAX_SUSPECTS: Final = 1024
 """Fingerprints with several crashes that are kept, the newest."""
 
-
 PART_TAG: Final = b"p"
 """First byte of the fingerprint of a prompt's part."""
 
--- a/src/ledgeladder/http1/accepting.py
+++ b/src/ledgeladder/http1/accepting.py
@@ -116,7 +116,8 @@
             connection, _ = raw.accept()
         except BlockingIOError:
             return accepted
-        except ConnectionAbortedError:
+        except ConnectionAbortedError as error:
+            logger.debug("connection ended before it was accepted", extra={"reason": str(error)})
             continue
         except OSError as error:
             if error.errno not in EXHAUSTION_ERRORS:
@@ -144,10 +145,15 @@
 
 
 async def _serve_one(raw: socket.socket, serve: Serve) -> None:
+    """Serve an accepted connection, unless its caller has left."""
     try:
         stream = await SocketStream.from_socket(raw)
-    except (OSError, ValueError):
-        # The caller has left, and the socket is no longer connected.
+    except (OSError, ValueError) as error:
+        # ValueError: the socket is no longer connected.
+        logger.debug("connection ended before it was served", extra={"reason": str(error)})
         raw.close()
         return
+    except BaseException:
+        raw.close()
+        raise
     await serve(stream)
--- a/src/ledgeladder/routing/upstream_reach.py
+++ b/src/ledgeladder/routing/upstream_reach.py
@@ -27,7 +27,6 @@
 UNKNOWN_VALID_SECONDS: Final = 1.0
 """How long a check that neither this box nor any other could answer keeps losses unreported."""
 
-
 MAX_RELAY_PEERS: Final = 64
 """Entry boxes that are kept, the newest. Control boxes name a few at a time, so that each box knows
 others of its own and a fleet spreads its relayed connections."""
--- a/tests/daemons/test_cut_from_upstreams.py
+++ b/tests/daemons/test_cut_from_upstreams.py
@@ -35,7 +35,6 @@
 REQUESTS = 15
 """Requests that are sent to a cut box for each route."""
 
-
 CUT_MESSAGE = "box reaches no upstream, its connections are relayed"
 """Line of a box that finds itself cut off."""
 
