--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -37,6 +37,7 @@
     bytes_per_second: float = 0.0
     """Bandwidth limit; 0 for none."""
 
+
 CUT = Fault(drop_to_target=True, drop_from_target=True)
 """Drops bytes both ways without closing connections, as a failed switch does."""
 
