--- a/src/ledgeladder/daemons/gateway/relay_server.py
+++ b/src/ledgeladder/daemons/gateway/relay_server.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -16,7 +16,7 @@
 from ...links.endpoint import LINK_ERRORS, describe_error
 from ...links.frames import encode_frame
 from ...links.messages import PeerRole, RelayOutcome, RelayReply, RelayRequest
-from ...links.relayed import END_FRAME, frame_answer
+from ...links.relayed import END_FRAME, READ_BYTES, frame_answer
 from ...routing.upstream_reach import is_proved_since, record_not_opened, record_opened
 from .reaching import reaches_others
 
@@ -28,9 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-READ_BYTES: Final = 65536
-"""Maximum size of a single read."""
-
 
 async def serve_relayed(state: GatewayState, stream: SocketStream) -> None:
     """Serve one connection of another entry box until either side ends.
