--- a/tests/daemons/test_content_judge.py
+++ b/tests/daemons/test_content_judge.py
@@ -190,6 +190,14 @@
     content_judge.handle_crash_report(controller, crash, to_peers=to_peers)
 
 
+def report_part_and_content(controller: QuarantineController, clock: list[float]) -> None:
+    """Report crashes under a part, in each of which one and the same request ran as well."""
+    for number in range(CRASH_LIMIT):
+        report_part(controller, number)
+        content_judge.handle_crash_report(controller, report(number), to_peers=False)
+        clock[0] += MOMENT_SECONDS
+
+
 def test_part_is_announced_once_its_crashes_have_settled(monkeypatch: pytest.MonkeyPatch) -> None:
     controller, entries, peers, clock = part_controller(monkeypatch, set())
     for number in range(CRASH_LIMIT):
@@ -213,10 +221,7 @@
 ) -> None:
     """Sound streams that moved from one crash to the next would be quarantined themselves."""
     controller, _entries, _peers, clock = part_controller(monkeypatch, set())
-    for number in range(CRASH_LIMIT):
-        report_part(controller, number)
-        content_judge.handle_crash_report(controller, report(number), to_peers=False)
-        clock[0] += MOMENT_SECONDS
+    report_part_and_content(controller, clock)
     clock[0] += SETTLE_SECONDS
     content_judge.announce_blamed_parts(controller)
     assert evaluate(controller, monkeypatch) == []
@@ -286,10 +291,7 @@
 def test_box_that_links_late_refuses_what_is_announced(monkeypatch: pytest.MonkeyPatch) -> None:
     """It would send the part to engines until the leader has confirmed the crashes."""
     controller, entries, _peers, clock = part_controller(monkeypatch, set())
-    for number in range(CRASH_LIMIT):
-        report_part(controller, number)
-        content_judge.handle_crash_report(controller, report(number), to_peers=False)
-        clock[0] += MOMENT_SECONDS
+    report_part_and_content(controller, clock)
     told = links_late(controller)
     assert SuspectUpdate(fingerprint=PART, crashes=CRASH_LIMIT - 1) in told
     assert SuspectUpdate(fingerprint=FINGERPRINT, crashes=CRASH_LIMIT) in told
@@ -304,10 +306,7 @@
 ) -> None:
     """Crashes that nobody confirms come from a partition, and their contents are released."""
     controller, _entries, _peers, clock = part_controller(monkeypatch, {"i-0"})
-    for number in range(CRASH_LIMIT):
-        report_part(controller, number)
-        content_judge.handle_crash_report(controller, report(number), to_peers=False)
-        clock[0] += MOMENT_SECONDS
+    report_part_and_content(controller, clock)
     clock[0] += SETTLE_SECONDS
     content_judge.announce_blamed_parts(controller)
     clock[0] += UNCONFIRMED_QUARANTINE_SECONDS
