--- a/review/2/run.py
+++ b/review/more/quarantine/run.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "common"))
 
 from fleet import CannotRunError, Fleet, document, route, run_case, wait_until  # noqa: E402
 
