--- a/review/3/run.py
+++ b/review/3/run.py
@@ -76,9 +76,7 @@
         wait_until(lambda: serves(number), 30, "requests served")  # noqa: B023
     load = Load(fleet)
     time.sleep(4.5)
-    ids = {
-        line["name"]: line["replica"] for line in fleet.ledgers() if line["event"] == "started"
-    }
+    ids = {line["name"]: line["replica"] for line in fleet.ledgers() if line["event"] == "started"}
     # Two replicas are told to leave at the same time, just after a heartbeat of
     # the second one, which another control node acknowledged.
     first, second = names[0], names[1]
@@ -115,7 +113,9 @@
     fleet.note(f"registry-0 answers {statuses} to DELETE of {first}, {second}")
     if trouble:
         late = (killed_at - acknowledged_at) * 1000
-        fleet.note(f"SIGKILL to registry-0, {late:.1f} ms after its second answer; dark for {DARK_SECONDS} s")
+        fleet.note(
+            f"SIGKILL to registry-0, {late:.1f} ms after its second answer; dark for {DARK_SECONDS} s"
+        )
     if statuses != [200, 200]:
         raise CannotRunError(f"DELETE answered with {statuses}")
     beat_age = acknowledged_at - beat_at(second)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -123,7 +124,9 @@
         text = fill((ROOT / section["template"]).read_text(), fields)
         # On loopback several boxes share one machine; only the page's port is moved.
         settings.write_text(text.replace("metrics_port = 9102", f"metrics_port = {self.port + 1}"))
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {
             "PYTHONPATH": "target/deps",
             "LEDGELADDER_NODE_FILE": str(settings),
@@ -137,7 +140,9 @@
         self.note(f"start {name} at {ip}: {' '.join(command)}")
         return name
 
-    def start_replica(self, name: str, number: int, service: str, *, kind: str, **options: Any) -> str:
+    def start_replica(
+        self, name: str, number: int, service: str, *, kind: str, **options: Any
+    ) -> str:
         role = 3 if kind else 4
         address = f"{self.ip(role, number)}:{self.port + 5}"
         self.addresses[name] = address
@@ -418,6 +423,8 @@
 def run_case(case: Callable[[Fleet, bool], bool], record: Path) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes too if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with running_fleet(record) as fleet:
             fleet.note(f"disruption: {'yes' if trouble else 'no'}")
@@ -427,3 +434,6 @@
     except CannotRunError as error:
         print(f"could not run: {error}", file=sys.stderr)
         return 2
+    except Exception:
+        traceback.print_exc()
+        return 2
