A stream that may run once only is not sent again after its engine died

Cause: `attempts` answered two questions. It counts towards `max_attempts` and was lowered when the first engine had died; 0 was then read as "nothing was sent", before the route was asked whether it may be repeated.

Ruled out: that the route counted as resumable, since streams whose connection closes or that are silent were not sent again.

Fix: AttemptCounts, whose counts never decrease: `counted` is the budget, `may_have_run` the evidence. An attempt counts as sent right before its first byte is written, so one cancelled while it connects is sent again and is told as not run. Plain requests use the same counts. Log lines tell `may_have_run` for each attempt and request.

--- a/src/ledgeladder/daemons/gateway/notes.py
+++ b/src/ledgeladder/daemons/gateway/notes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ...coordination.content_watch import compute_fingerprint
+from ...routing.attempt_counts import AttemptCounts
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
@@ -28,6 +29,9 @@
     attempts: int = 0
     """Number of attempts to send it to an upstream, including refused ones."""
 
+    counts: AttemptCounts = msgspec.field(default_factory=AttemptCounts)
+    """Those of them that were sent, by how they ended."""
+
     path: list[str] = msgspec.field(default_factory=list)
     """Upstreams of the latest attempt; engines with their layers."""
 
@@ -74,6 +78,8 @@
         fields["content"] = trace.fingerprint.hex()
     if trace.wait_seconds:
         fields["waited"] = round(trace.wait_seconds, 3)
+    if trace.counts.sent:
+        fields["may_have_run"] = trace.counts.may_have_run
     if trace.path:
         fields["path"] = trace.path
     if trace.relayed_by:
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -13,6 +13,7 @@
 from ...model.exchange import Dispatch
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
+from ...routing.attempt_counts import AttemptCounts
 from ...routing.forwarding_table import (
     accepts_work,
     has_alternative,
@@ -72,14 +73,8 @@
     instances: set[str] = msgspec.field(default_factory=set)
     """Instances to which sending it succeeded or failed."""
 
-    sent: int = 0
-    """Number of times that it was sent, including refused attempts."""
-
-    executions: int = 0
-    """Number of times that an upstream may have run it."""
-
-    refusals: int = 0
-    """Number of upstreams that refused to run it."""
+    counts: AttemptCounts = msgspec.field(default_factory=AttemptCounts)
+    """Attempts so far, by how they ended."""
 
     retry: Retry | None = None
     """Retry that was acquired before an attempt was cancelled, and is not used yet."""
@@ -110,7 +105,7 @@
     Raises:
         ProblemError: If no upstream answered it.
     """
-    attempts = _Attempts()
+    attempts = _Attempts(counts=trace.counts)
     budget = retry_budget(state, permit.pool.name)
     record_first_attempt(budget, anyio.current_time())
     with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
@@ -123,7 +118,7 @@
             crashes = count_crashes(state, permit, request, trace)
             if crashes >= CRASH_LIMIT:
                 break
-            sent_before = attempts.sent
+            sent_before = attempts.counts.sent
             retry = await _next_retry(state, permit, attempts)
             if sent_before and retry is None:
                 break
@@ -131,7 +126,7 @@
             trace.path = [upstream.registration.instance]
             if await _run_attempt(state, permit, request, attempts, upstream, trace):
                 break
-            if retry is not None and attempts.sent == sent_before:
+            if retry is not None and attempts.counts.sent == sent_before:
                 release_retry(budget, retry)
     if attempts.retry is not None:
         release_retry(budget, attempts.retry)
@@ -144,7 +139,7 @@
 async def _next_retry(state: GatewayState, permit: Permit, attempts: _Attempts) -> Retry | None:
     """Return the retry for the next attempt; None for the first attempt, or if no retry is left."""
     retry, attempts.retry = attempts.retry, None
-    if retry is not None or not attempts.sent:
+    if retry is not None or not attempts.counts.sent:
         return retry
     return await acquire_retry(state, permit.pool.name, started=False)
 
@@ -154,11 +149,10 @@
 ) -> ForwardedUpstream | None:
     """Choose the upstream for the next attempt; return None for no further attempt."""
     is_repeatable = permit.route.kind is RequestKind.REPEATABLE
-    if attempts.executions and (
-        not is_repeatable or attempts.executions >= permit.route.max_attempts
-    ):
+    counts = attempts.counts
+    if counts.may_have_run and (not is_repeatable or counts.counted >= permit.route.max_attempts):
         return None
-    if attempts.refusals >= MAX_REFUSALS:
+    if counts.refused >= MAX_REFUSALS:
         return None
     request_grants(state, permit.pool.name)
     return choose_service(
@@ -180,7 +174,8 @@
 ) -> bool:
     """Wait while no upstream accepts work, if time allows; return whether to try again."""
     wait = _seconds_to_capacity(state, permit)
-    if attempts.executions or attempts.refusals >= MAX_REFUSALS or wait is None:
+    counts = attempts.counts
+    if counts.may_have_run or counts.refused >= MAX_REFUSALS or wait is None:
         return False
     until = request.arrived_at + permit.route.target_latency * WAIT_SHARE
     if not await wait_for_upstreams(state, permit, request, trace, seconds=wait, until=until):
@@ -223,7 +218,7 @@
     now = anyio.current_time()
     seconds = permit.deadline - now
     pool = state.table.pools.get(permit.pool.name, [])
-    may_retry = is_repeatable and attempts.executions == 0 and permit.route.max_attempts > 1
+    may_retry = is_repeatable and attempts.counts.counted == 0 and permit.route.max_attempts > 1
     if may_retry and has_alternative(pool, upstream, attempts.instances, now):
         seconds = min(seconds, _first_attempt_seconds(state, permit))
     dispatch = Dispatch(
@@ -232,8 +227,8 @@
         timeout=permit.deadline - now,
         priority=permit.priority,
     )
-    attempts.sent += 1
-    attempts.executions += 1
+    counts = attempts.counts
+    sent_before, refused_before = counts.sent, counts.refused
     upstream.in_flight += 1
     outcome = "answered"
     try:
@@ -246,8 +241,6 @@
         return _evaluate(attempts, upstream, answer, body)
     except NotSentError as error:
         outcome = f"not sent: {error}"
-        attempts.sent -= 1
-        attempts.executions -= 1
         if error.is_inconclusive:
             record_out_of_reach(upstream, anyio.current_time())
         else:
@@ -255,8 +248,6 @@
         return False
     except BackpressureError as error:
         outcome = f"withheld: {error}"
-        attempts.sent -= 1
-        attempts.executions -= 1
         return False
     except AnswerLostError as error:
         outcome = f"lost: {error}"
@@ -277,6 +268,7 @@
     finally:
         upstream.in_flight -= 1
         if outcome != "answered":
+            was_refused = counts.refused > refused_before
             state.metrics.counters["try-failed"] += 1
             logger.warning(
                 "attempt failed",
@@ -285,7 +277,8 @@
                     "content": content_fingerprint(trace, request, permit).hex(),
                     "upstream": instance,
                     "outcome": outcome,
-                    "tries": attempts.sent,
+                    "tries": counts.sent,
+                    "may_have_run": counts.sent > sent_before and not was_refused,
                 },
             )
 
@@ -321,6 +314,7 @@
                 dispatch,
                 upstream,
                 fresh_connection=fresh,
+                counts=attempts.counts,
                 trace=trace,
             )
             answer = opened, await read_body(state, opened)
@@ -375,8 +369,7 @@
     now = anyio.current_time()
     status = answer.head.status_code
     if answer.facts.not_run:
-        attempts.executions -= 1
-        attempts.refusals += 1
+        attempts.counts.record_refused()
         if answer.facts.wrong_upstream:
             record_failure(upstream, now)
         else:
@@ -420,7 +413,7 @@
         headers = caller_headers(head.headers.raw_items())
         await exchange.answer(head.status_code, headers, attempts.body)
         return
-    if attempts.executions == 0:
+    if not attempts.counts.may_have_run:
         pool, now = state.table.pools.get(permit.pool.name, []), anyio.current_time()
         wait = min_remaining_wait(pool, now)
         if wait is not None:
@@ -429,10 +422,11 @@
             raise refusal(code, f"all of {permit.pool.name}", wait)
         if _has_saturated(state, permit):
             raise refusal(ResultCode.QUEUE_FULL, f"as much on {permit.pool.name} as it takes")
-        if attempts.refusals:
-            raise refusal(ResultCode.UPSTREAM_REFUSED, f"{attempts.refusals} upstreams refused")
+        refused = attempts.counts.refused
+        if refused:
+            raise refusal(ResultCode.UPSTREAM_REFUSED, f"{refused} upstreams refused")
         raise refusal(ResultCode.NO_ROUTE, f"no upstream of {permit.pool.name}", 0.5)
     is_late = anyio.current_time() >= permit.deadline
     code = ResultCode.DEADLINE_EXCEEDED if is_late else ResultCode.UPSTREAM_LOST
-    detail = f"sent {attempts.sent} times without a whole answer"
+    detail = f"sent {attempts.counts.sent} times without a whole answer"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -72,6 +72,7 @@
                 path.head,
                 fresh_connection=not permit.route.repeatable,
                 later_engines=path.engines[1:],
+                counts=session.attempts,
                 trace=session.trace,
             )
         except (NotSentError, BackpressureError, AnswerLostError) as error:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -72,6 +72,7 @@
         record_prompt_answered=lambda: record_parts_answered(state, permit),
         resumed=permit.facts.resume_after is not None,
     )
+    trace.counts = session.attempts
     if permit.pool.name in state.contended:
         # Imported here because only contended pools need it.
         from .admission import admit_stream
@@ -115,9 +116,9 @@
                 reason = str(session.missing)
                 break
             retry, session.reserved_retry = session.reserved_retry, None
-            if session.sent and retry is None:
+            if session.attempts.sent and retry is None:
                 retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
-            if session.sent and retry is None:
+            if session.attempts.sent and retry is None:
                 reason = "budget of repeats is spent"
                 break
             result = await run_attempt(state, permit, request, exchange, session, path)
@@ -158,20 +159,25 @@
 
 def _no_attempt_reason(state: GatewayState, permit: Permit, session: StreamSession) -> str:
     """Return why another attempt is not allowed; empty if it is. The first one always is."""
-    if session.refusals >= _refusals_limit(state, permit, session):
-        return f"{session.refusals} paths refused"
-    if session.attempts == 0:
+    attempts = session.attempts
+    if attempts.refused >= _refusals_limit(state, permit, session):
+        return f"{attempts.refused} paths refused"
+    if not attempts.may_have_run:
         return ""
     if not permit.route.repeatable:
         return "it may run once only"
-    if session.attempts >= permit.route.max_attempts:
-        return f"sent {session.attempts} times, as often as the route allows"
+    if attempts.counted >= permit.route.max_attempts:
+        return f"sent {attempts.counted} times, as often as the route allows"
     return ""
 
 
 def _refusals_limit(state: GatewayState, permit: Permit, session: StreamSession) -> int:
     """Return after how many refusals to give up: earlier for new requests that are less urgent."""
-    if session.refusals == 0 or session.has_begun or permit.pool.name not in state.contended:
+    if (
+        session.attempts.refused == 0
+        or session.has_begun
+        or permit.pool.name not in state.contended
+    ):
         return REFUSALS_LIMIT
     # Imported here because only refused requests need it.
     from .retry_after import urgency_of
@@ -201,7 +207,8 @@
         headers = caller_headers(head.headers.raw_items())
         await exchange.answer(head.status_code, headers, session.failure_body)
         return
-    if not session.may_have_run:
+    attempts = session.attempts
+    if not attempts.may_have_run:
         # Imported here because only refused requests need it.
         from .retry_after import retry_after_full, retry_after_no_path
 
@@ -210,13 +217,13 @@
             is_limited = missing.is_rate_limited
             code = ResultCode.UPSTREAMS_LIMITED if is_limited else ResultCode.UPSTREAMS_RESTING
             raise refusal(code, session.trace.give_up_reason, missing.wait_seconds)
-        if session.refusals:
-            detail = f"{session.refusals} paths refused; {session.trace.give_up_reason}"
+        if attempts.refused:
+            detail = f"{attempts.refused} paths refused; {session.trace.give_up_reason}"
             raise refusal(ResultCode.UPSTREAM_REFUSED, detail, retry_after_full(state, permit))
         detail = f"no path over {permit.pool.name}; {session.trace.give_up_reason}"
         raise refusal(
             ResultCode.NO_ROUTE, detail, retry_after_no_path(state, permit, session.missing)
         )
     code = ResultCode.DEADLINE_EXCEEDED if timed_out else ResultCode.UPSTREAM_LOST
-    detail = f"sent {session.sent} times without a first event"
+    detail = f"sent {attempts.sent} times without a first event"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -67,8 +67,7 @@
     Returns:
         The result of the attempt.
     """
-    session.sent += 1
-    session.attempts += 1
+    sent_before = session.attempts.sent
     session.interrupted = False
     session.attempt_started_at = anyio.current_time()
     session.trace.attempts += 1
@@ -94,6 +93,8 @@
     finally:
         session.end_prompt()
         release(path, session.tokens)
+        if result is AttemptResult.LOST and session.attempts.sent == sent_before:
+            result = AttemptResult.NOT_SENT
         if result is AttemptResult.LOST:
             reached = _reached_engines(path, started_at)
             record_crash(
@@ -172,32 +173,28 @@
     result: AttemptResult,
     detail: str,
 ) -> None:
-    """Count an attempt's result, correct the session's counters, and log incomplete attempts.
+    """Count an attempt's result, and log incomplete attempts.
 
     An attempt that is cancelled because the caller disconnected or the deadline passed is logged as
-    lost, without a detail.
+    lost, or as not sent if that happened earlier, without a detail.
     """
     state.metrics.counters[f"run-{result.value}"] += 1
     if result is AttemptResult.COMPLETE:
         for engine in path.engines:
             record_success(engine)
         return
+    is_head_dead = path.head.registration.instance in session.dead
     if result is AttemptResult.REFUSED:
-        session.attempts -= 1
-        session.refusals += 1
-    elif result is AttemptResult.NOT_SENT:
-        session.sent -= 1
-        session.attempts -= 1
-        session.excluded.add(path.head.registration.instance)
-    elif path.head.registration.instance in session.dead:
-        # Attempts whose first engine died do not count towards `max_attempts`.
-        session.attempts -= 1
+        session.attempts.record_refused()
+    elif result is AttemptResult.LOST and is_head_dead:
+        session.attempts.record_forgiven()
     logger.warning(
         "run ended early",
         extra={
             "request": permit.facts.attempt_id,
             "content": content_fingerprint(session.trace, request, permit).hex(),
             "end": result.value,
+            "may_have_run": result is AttemptResult.LOST,
             "detail": detail,
             "path": _describe_path(path),
             "events": session.order.delivered,
@@ -238,6 +235,7 @@
     try:
         answer = await open_watched(state, permit, request, session, path, dispatch)
     except NotSentError as error:
+        session.excluded.add(path.head.registration.instance)
         if error.is_inconclusive:
             record_out_of_reach(path.head, anyio.current_time())
             return AttemptResult.NOT_SENT, str(error)
@@ -252,6 +250,7 @@
         _suspect_domain(state, session, path.head)
         return AttemptResult.NOT_SENT, str(error)
     except BackpressureError as error:
+        session.excluded.add(path.head.registration.instance)
         return AttemptResult.NOT_SENT, str(error)
     except AnswerLostError as error:
         await _identify_failed_engines(state, session, path)
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -62,7 +62,7 @@
         return _choose_with_fallbacks(state, permit, profile, session, request)
     inside = msgspec.structs.replace(request, may_cross=False)
     path = _choose_with_fallbacks(state, permit, profile, session, inside)
-    if path is None and (session.has_begun or session.may_have_run):
+    if path is None and (session.has_begun or session.attempts.may_have_run):
         path = _choose_with_fallbacks(state, permit, profile, session, request)
     return path
 
--- a/src/ledgeladder/daemons/gateway/stream_replacement.py
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -61,7 +61,7 @@
     """
     if len(set(path.domains)) > 1:
         return True
-    if not permit.route.repeatable or session.attempts >= permit.route.max_attempts:
+    if not permit.route.repeatable or session.attempts.counted >= permit.route.max_attempts:
         return False
     if not lost_link and not has_other_path(state, permit, session, path):
         return False
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ...routing.attempt_counts import AttemptCounts
 from ...routing.pace import Pace
 from .notes import RequestTrace
 
@@ -32,7 +33,8 @@
     """An engine refused the request before executing any of it."""
 
     NOT_SENT = "not-sent"
-    """The first engine was unreachable or applied back-pressure; nothing was sent."""
+    """Nothing was sent: the first engine was unreachable or applied back-pressure, or the attempt
+    was cancelled before."""
 
     LOST = "lost"
     """The attempt broke off, possibly after some events were forwarded; or the engine answered with
@@ -82,15 +84,8 @@
     tried: set[str] = msgspec.field(default_factory=set)
     """Instances of engines on the paths of all attempts."""
 
-    sent: int = 0
-    """Times that the request was sent, including refused attempts."""
-
-    attempts: int = 0
-    """Attempts that count towards the route's `max_attempts`: excludes those that were refused and
-    those whose first engine died."""
-
-    refusals: int = 0
-    """Attempts that were refused."""
+    attempts: AttemptCounts = msgspec.field(default_factory=AttemptCounts)
+    """Attempts so far, by how they ended."""
 
     trace: RequestTrace = msgspec.field(default_factory=RequestTrace)
     """Collects data on the request for its log line."""
@@ -150,14 +145,6 @@
         """Whether the caller has part of the answer, which an end now would break off."""
         return self.started or self.resumed
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an engine may have run a part of the request.
-
-        Otherwise every attempt was refused or could not be sent, and the request can be refused.
-        """
-        return self.attempts > 0 or self.sent != self.refusals
-
     def __post_init__(self) -> None:
         self.pace = Pace(floor=self.timeouts.gap_probe)
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -28,6 +28,7 @@
 
     from ...http1 import HttpRequest
     from ...model.exchange import AnswerFacts, Dispatch
+    from ...routing.attempt_counts import AttemptCounts
     from ...routing.forwarding_table import ForwardedUpstream
     from .checks import Permit
     from .notes import RequestTrace
@@ -92,6 +93,7 @@
     upstream: ForwardedUpstream,
     *,
     fresh_connection: bool,
+    counts: AttemptCounts,
     later_engines: Sequence[ForwardedUpstream] = (),
     trace: RequestTrace | None = None,
 ) -> OpenAnswer:
@@ -105,6 +107,7 @@
         upstream: The upstream to call.
         fresh_connection: Whether to avoid pooled connections, whose loss is indistinguishable from
             the loss of the answer.
+        counts: Attempts of the request, to which this one is added before anything is written.
         later_engines: Engines that the request visits after the upstream.
         trace: Trace of the request, which is told which box relays it.
 
@@ -130,6 +133,7 @@
     acquire_grants([item.limit for item in targets], sent_at)
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
+    counts.record_sent()
     try:
         await send_request(connection, request.method, request.target, headers, request.body)
         head = await read_head(connection)
--- a/tests/daemons/gateway/test_backpressure.py
+++ b/tests/daemons/gateway/test_backpressure.py
@@ -18,6 +18,7 @@
 from ledgeladder.daemons.gateway.upstream_call import BackpressureError, open_answer
 from ledgeladder.model.exchange import AnswerFacts
 from ledgeladder.platform.exchange import read_answer_facts
+from ledgeladder.routing.attempt_counts import AttemptCounts
 from ledgeladder.routing.forwarding_table import ForwardedUpstream, is_backing_off
 
 from .builders import engine, gateway_state
@@ -100,7 +101,15 @@
         monkeypatch.setattr(upstream_call, "_get_connection", connect_late)
         request: Any = None
         with pytest.raises(BackpressureError):
-            await open_answer(state, PERMIT, request, request, head, fresh_connection=False)
+            await open_answer(
+                state,
+                PERMIT,
+                request,
+                request,
+                head,
+                fresh_connection=False,
+                counts=AttemptCounts(),
+            )
 
     anyio.run(play)
     assert closed == [True]
--- a/tests/daemons/gateway/test_rate_limits.py
+++ b/tests/daemons/gateway/test_rate_limits.py
@@ -18,6 +18,7 @@
 from ledgeladder.links.frames import LENGTH_PREFIX, decode_payload
 from ledgeladder.links.messages import Grant, GrantReply, GrantRequest, RateLimitUpdate
 from ledgeladder.platform.exchange import read_answer_facts
+from ledgeladder.routing.attempt_counts import AttemptCounts
 from ledgeladder.routing.forwarding_table import (
     ForwardedUpstream,
     accepts_work,
@@ -244,6 +245,7 @@
                 request,
                 first,
                 fresh_connection=False,
+                counts=AttemptCounts(),
                 later_engines=[later],
             )
 
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -69,12 +69,11 @@
         session: StreamSession = rest[0]
         result = self.results[min(self.sent, len(self.results) - 1)]
         self.sent += 1
-        session.sent += 1
+        session.attempts.record_sent()
         if result is AttemptResult.REFUSED:
-            session.refusals += 1
+            session.attempts.record_refused()
         else:
             session.started = True
-            session.attempts += 1
         self.begun.append(len(begun_streams(state, POOL)))
         return result
 
--- a/tests/daemons/gateway/test_stream_paths.py
+++ b/tests/daemons/gateway/test_stream_paths.py
@@ -119,15 +119,18 @@
     may have run, so that it can't be refused with a time to return."""
     site = Site()
     site.state.contended = frozenset({POOL})
-    site.session.sent = 1
-    site.session.attempts = 0 if is_head_dead else 1
+    site.session.attempts.record_sent()
+    if is_head_dead:
+        site.session.attempts.record_forgiven()
     assert crosses(site.choose(full=FULL_HALVES))
 
 
 def test_requests_whose_attempts_were_refused_do_not_cross() -> None:
     site = Site()
     site.state.contended = frozenset({POOL})
-    site.session.sent = site.session.refusals = 2
+    for _ in range(2):
+        site.session.attempts.record_sent()
+        site.session.attempts.record_refused()
     assert site.choose(full=FULL_HALVES) is None
 
 
--- a/tests/daemons/gateway/test_stream_replacement.py
+++ b/tests/daemons/gateway/test_stream_replacement.py
@@ -12,6 +12,7 @@
 from ledgeladder.daemons.gateway.state import retry_budget
 from ledgeladder.daemons.gateway.stream_replacement import replaceable_attempts
 from ledgeladder.daemons.gateway.stream_session import StreamSession
+from ledgeladder.routing.attempt_counts import AttemptCounts
 from ledgeladder.routing.event_stream import EventOrder
 from ledgeladder.routing.repeat_window import add_quota
 from ledgeladder.routing.stream_patience import stream_timeouts
@@ -36,7 +37,10 @@
     expected: bool,
 ) -> None:
     session = StreamSession(
-        order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10, attempts=attempts
+        order=EventOrder(last_id=None),
+        timeouts=TIMEOUTS,
+        tokens=10,
+        attempts=AttemptCounts(sent=attempts),
     )
     permit = SimpleNamespace(
         route=SimpleNamespace(repeatable=True, max_attempts=2), pool=SimpleNamespace(name="p")
