A generation that may have run is not told as not run after a refusal

Cause: the result of the last attempt alone decided.

Fix: the flag that already says over all attempts whether one may have run decides.

--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -99,7 +99,7 @@
         if not may_have_run:
             _refuse_if_backing_off(context, request)
         if not session.tokens and not acquire_retry(context.budget):
-            raise _no_retry_left(session, outcome)
+            raise _no_retry_left(session, may_have_run=may_have_run)
         progress.recovering = True
         context.metrics.events[f"attempt-{outcome.result.value}"] += 1
         logger.info(
@@ -238,8 +238,9 @@
             run_in_background(context, probe_failure_domain, context, domain)
 
 
-def _no_retry_left(session: Session, outcome: AttemptOutcome) -> ProblemError:
-    if outcome.result is AttemptResult.REFUSED:
+def _no_retry_left(session: Session, *, may_have_run: bool) -> ProblemError:
+    """Build the error for a request without a retry: refused if no upstream may have run it."""
+    if not may_have_run:
         detail = "every upstream tried refused before starting"
         problem = Problem(code=ResultCode.UPSTREAM_REFUSED, detail=detail, retry_after=1.0)
         return ProblemError(problem)
--- /dev/null
+++ b/tests/daemons/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry process."""
