Requests are not sent again once the document in force forbids it

Cause: only the route of the arrival decided. Evidence: test_request_is_not_sent_again_once_its_route_forbids_it fails before the fix for resumable streams and for repeatable requests (two runs) and passes with it. Fix: may_repeat asks the accepting route and the one in force; a route that is gone leaves the accepting one to decide, as planned changes must not break streams off.

--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -130,6 +130,17 @@
     )
 
 
+def may_repeat(state: GatewayState, permit: Permit) -> bool:
+    """Return whether a request may be sent again although an upstream may have run it.
+
+    The route that accepted it must allow that, and so must the one in force, if there still is one.
+    """
+    if not permit.route.repeatable:
+        return False
+    current = find_route(state.index, permit.facts.host, permit.facts.path)
+    return current is None or current.repeatable
+
+
 def _priorities(
     state: GatewayState, route: RouteRule, account: AccountKeys | None, pool: str
 ) -> tuple[int, int]:
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -31,7 +31,7 @@
 from ...routing.service_choice import choose_service
 from .backpressure import request_grants
 from .borrowing import acquire_retry
-from .checks import Permit, refusal
+from .checks import Permit, may_repeat, refusal
 from .crashes import count_crashes, record_answered, record_crash, record_parts_answered
 from .notes import content_fingerprint
 from .state import answer_pace, record_duration, retry_budget
@@ -148,7 +148,7 @@
     state: GatewayState, permit: Permit, attempts: _Attempts
 ) -> ForwardedUpstream | None:
     """Choose the upstream for the next attempt; return None for no further attempt."""
-    is_repeatable = permit.route.kind is RequestKind.REPEATABLE
+    is_repeatable = _is_repeatable(state, permit)
     counts = attempts.counts
     if counts.may_have_run and (not is_repeatable or counts.counted >= permit.route.max_attempts):
         return None
@@ -165,6 +165,11 @@
     )
 
 
+def _is_repeatable(state: GatewayState, permit: Permit) -> bool:
+    """Return whether a request may run more than once; streams of plain services may not."""
+    return permit.route.kind is RequestKind.REPEATABLE and may_repeat(state, permit)
+
+
 async def _wait_for_capacity(
     state: GatewayState,
     permit: Permit,
@@ -214,7 +219,7 @@
     """
     instance = upstream.registration.instance
     attempts.instances.add(instance)
-    is_repeatable = permit.route.kind is RequestKind.REPEATABLE
+    is_repeatable = _is_repeatable(state, permit)
     now = anyio.current_time()
     seconds = permit.deadline - now
     pool = state.table.pools.get(permit.pool.name, [])
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -15,7 +15,7 @@
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
 from .borrowing import acquire_retry
-from .checks import Permit, refusal
+from .checks import Permit, may_repeat, refusal
 from .crashes import (
     ANSWERED_EVENTS,
     count_crashes,
@@ -164,7 +164,7 @@
         return f"{attempts.refused} paths refused"
     if not attempts.may_have_run:
         return ""
-    if not permit.route.repeatable:
+    if not may_repeat(state, permit):
         return "it may run once only"
     if attempts.counted >= permit.route.max_attempts:
         return f"sent {attempts.counted} times, as often as the route allows"
--- a/src/ledgeladder/daemons/gateway/stream_replacement.py
+++ b/src/ledgeladder/daemons/gateway/stream_replacement.py
@@ -7,6 +7,7 @@
 
 from ...routing.repeat_window import release_retry
 from .borrowing import acquire_retry
+from .checks import may_repeat
 from .state import retry_budget
 from .stream_paths import has_other_path
 
@@ -61,7 +62,7 @@
     """
     if len(set(path.domains)) > 1:
         return True
-    if not permit.route.repeatable or session.attempts.counted >= permit.route.max_attempts:
+    if not may_repeat(state, permit) or session.attempts.counted >= permit.route.max_attempts:
         return False
     if not lost_link and not has_other_path(state, permit, session, path):
         return False
--- a/tests/daemons/gateway/test_plain.py
+++ b/tests/daemons/gateway/test_plain.py
@@ -30,9 +30,11 @@
 
 def permit(now: float) -> Any:
     return SimpleNamespace(
-        route=SimpleNamespace(kind=RequestKind.REPEATABLE, max_attempts=2, target_latency=0.01),
+        route=SimpleNamespace(
+            kind=RequestKind.REPEATABLE, repeatable=True, max_attempts=2, target_latency=0.01
+        ),
         pool=SimpleNamespace(name="p", engine=None),
-        facts=SimpleNamespace(attempt_id="a1", key="k", prompt_parts=("5c1e",)),
+        facts=SimpleNamespace(attempt_id="a1", host="h", path="/", key="k", prompt_parts=("5c1e",)),
         account=None,
         priority=5,
         deadline=now + 5.0,
--- a/tests/daemons/gateway/test_runs_once.py
+++ b/tests/daemons/gateway/test_runs_once.py
@@ -170,6 +170,11 @@
         records = (item.record for item in self.upstreams)
         return next((item for item in records if item.registration.instance not in tried), None)
 
+    def change_route(self, kind: RequestKind) -> None:
+        """Put a document into force whose route may be repeated no more."""
+        route = permit(0.0, kind, resumable=False).route
+        self.state.index.routes = {"h": {"/": route}}
+
     def run(self, kind: RequestKind, *, resumable: bool = False) -> None:
         async def forward() -> None:
             async with anyio.create_task_group() as tasks:
@@ -270,3 +275,19 @@
     play.run(RequestKind.STREAM, resumable=True)
     assert play.received == [1, 1]
     assert (play.caller.body, play.caller.complete) == (EVENTS, True)
+
+
+@pytest.mark.parametrize(
+    ("kind", "next_kind"),
+    [(RequestKind.STREAM, RequestKind.STREAM), (RequestKind.REPEATABLE, RequestKind.ONCE)],
+)
+def test_request_is_not_sent_again_once_its_route_forbids_it(
+    monkeypatch: pytest.MonkeyPatch, kind: RequestKind, next_kind: RequestKind
+) -> None:
+    """Failure: only the route that accepted the request decided whether it may run twice."""
+    play = Play(monkeypatch, "exits")
+    play.change_route(next_kind)
+    play.run(kind, resumable=True)
+    assert play.received == [1, 0]
+    assert play.caller.problem is not None
+    assert play.caller.problem.known_execution is Execution.UNKNOWN
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -27,6 +27,8 @@
         pool=SimpleNamespace(name=POOL, engine=PROFILE),
         facts=SimpleNamespace(
             attempt_id="a1",
+            host="h",
+            path="/",
             resume_after=resume_after,
             prompt_tokens=10,
             answer_tokens=10,
--- a/tests/daemons/gateway/test_stream_replacement.py
+++ b/tests/daemons/gateway/test_stream_replacement.py
@@ -19,6 +19,8 @@
 
 from .builders import engine, gateway_state, path_over
 
+FACTS = SimpleNamespace(host="h", path="/")
+
 TIMEOUTS = stream_timeouts(
     target_latency=0.5, gap_target=0.2, probe_seconds=0.04, first_seconds=0.1
 )
@@ -43,7 +45,9 @@
         attempts=AttemptCounts(sent=attempts),
     )
     permit = SimpleNamespace(
-        route=SimpleNamespace(repeatable=True, max_attempts=2), pool=SimpleNamespace(name="p")
+        route=SimpleNamespace(repeatable=True, max_attempts=2),
+        pool=SimpleNamespace(name="p"),
+        facts=FACTS,
     )
     monkeypatch.setattr(stream_replacement, "has_other_path", lambda *_: other_path)
 
@@ -68,7 +72,9 @@
     """Load: the link between two domains is full. Whoever waits for it holds the room of both."""
     session = StreamSession(order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10)
     permit = SimpleNamespace(
-        route=SimpleNamespace(repeatable=True, max_attempts=1), pool=SimpleNamespace(name="p")
+        route=SimpleNamespace(repeatable=True, max_attempts=1),
+        pool=SimpleNamespace(name="p"),
+        facts=FACTS,
     )
     monkeypatch.setattr(stream_replacement, "has_other_path", lambda *_: False)
     engines = engine("i-1"), engine("i-2", "127.0.0.1:2")
