Departures are acknowledged once other control boxes hold them

Cause: the answer went out when only one process had the departure; a second one within 50 ms waited for the next frame and died with the process. A planned stop dropped it as well, and a box whose link came back was told of known upstreams and not of exits.

Fix: broadcasts between control boxes are numbered and confirmed; the acknowledgement waits for as many receipts as boxes may be lost at once, for 0.6 s at most, and is a 503 otherwise, so that the upstream asks another box. Whoever is told of a departure tells the others. New links begin with recent exits, without which a receipt for the first frame of a link would be untrue. Registrations are sent on with their ages. A planned stop sends what waits. Ruled out: the replicated log, whose sync and order a departure does not need.

--- a/src/ledgeladder/coordination/registrations.py
+++ b/src/ledgeladder/coordination/registrations.py
@@ -19,6 +19,10 @@
 """Exited instances that are kept, so a late heartbeat does not register one again. A day with a
 hundred restarts among 600 upstreams needs a few hundred."""
 
+EXIT_RESEND_SECONDS: Final = 60.0
+"""Age up to which exits are told to a box that has just connected. Boxes keep an upstream without a
+heartbeat for a quarter of that, and heartbeats are delayed by seconds."""
+
 
 class KnownUpstream(msgspec.Struct, kw_only=True):
     """An instance of an upstream that registered."""
@@ -52,8 +56,9 @@
     known: dict[str, KnownUpstream] = msgspec.field(default_factory=dict)
     """Upstreams that have not exited, by instance."""
 
-    gone: dict[str, None] = msgspec.field(default_factory=dict)
-    """Instances that have exited, oldest first."""
+    gone: dict[str, float] = msgspec.field(default_factory=dict)
+    """When each instance that has exited reported it, on the local monotonic clock, in the order in
+    which they became known."""
 
     newest: dict[str, NewestInstance] = msgspec.field(default_factory=dict)
     """Newest instance of each upstream by upstream id, the most recently registered last."""
@@ -80,7 +85,7 @@
         return False
     if registration.state is UpstreamState.EXITED:
         table.known.pop(instance, None)
-        _record_gone(table, instance)
+        _record_gone(table, instance, last_seen_at)
         return True
     current = table.known.get(instance)
     if current is None and has_newer_instance(table, registration):
@@ -145,8 +150,8 @@
     return (current.pool, current.address) == (new.pool, new.address)
 
 
-def _record_gone(table: RegistrationTable, instance: str) -> None:
-    table.gone[instance] = None
+def _record_gone(table: RegistrationTable, instance: str, exited_at: float) -> None:
+    table.gone[instance] = exited_at
     while len(table.gone) > MAX_GONE:
         del table.gone[next(iter(table.gone))]
 
@@ -175,11 +180,27 @@
 
 
 def list_liveness(table: RegistrationTable, now: float) -> tuple[Liveness, ...]:
-    """Return all known upstreams, for a box that has just connected."""
-    return tuple(
+    """Return all known upstreams and recent exits, for a box that has just connected.
+
+    That box may have missed the exits, or forgotten them in a restart, and would otherwise keep the
+    upstreams, or accept a delayed heartbeat of one.
+    """
+    known = (
         Liveness(registration=item.registration, age=max(0.0, now - item.last_seen_at))
         for item in table.known.values()
     )
+    exits = (
+        Liveness(registration=exit_registration(instance), age=max(0.0, now - exited_at))
+        for instance, exited_at in table.gone.items()
+        if now - exited_at <= EXIT_RESEND_SECONDS
+    )
+    return (*known, *exits)
+
+
+def reported_at(table: RegistrationTable, instance: str, default: float) -> float:
+    """Return when an instance last reported, to any box, on the local monotonic clock."""
+    known = table.known.get(instance)
+    return table.gone.get(instance, default) if known is None else known.last_seen_at
 
 
 def merge_liveness(
--- a/src/ledgeladder/daemons/registry/http_api.py
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -10,6 +10,7 @@
 import anyio
 from returns.result import Failure
 
+from ...coordination.hold_receipts import count_holders
 from ...coordination.registrations import apply_registration, resolve_instance
 from ...http1 import AcceptQueue, HttpSite
 from ...model import Problem, ResultCode
@@ -25,6 +26,7 @@
     read_control_call,
 )
 from ..plain_problems import write_problem
+from .departures import wait_until_held
 from .published_version import publish, wait_until_fresh
 from .telling import broadcast_registration
 
@@ -84,7 +86,11 @@
 async def _register(
     state: RegistryState, counters: Counter[str], call: Register, exchange: Exchange
 ) -> None:
-    """Apply a registration, broadcast it if it is new, then acknowledge it."""
+    """Apply a registration, broadcast it if it is new, then acknowledge it.
+
+    A departure is acknowledged once enough other control boxes hold it, because the upstream does
+    not repeat it. Heartbeats that change nothing wait for nobody: the next one follows anyway.
+    """
     registration = call.registration
     counters["registrations"] += 1
     if not _accepts_pool(state, registration):
@@ -105,6 +111,18 @@
                     "sequence": registration.sequence,
                 },
             )
+    if not await wait_until_held(state, registration):
+        counters[ResultCode.DEPARTURE_UNCONFIRMED.name] += 1
+        logger.warning(
+            "departure not held by other control boxes",
+            extra={
+                "upstream": registration.instance,
+                "holders": count_holders(state.receipts, registration.instance),
+            },
+        )
+        code = ResultCode.DEPARTURE_UNCONFIRMED
+        await write_problem(exchange, Problem(code=code, detail=registration.instance))
+        return
     await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
 
 
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -31,6 +31,7 @@
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .demand_totals import broadcast_demand
+from .departures import flush_registrations
 from .http_api import build_site
 from .lending import build_rate_granter
 from .metrics import metrics_lines
@@ -254,6 +255,7 @@
             state.stopping = True
             site.stopping = True
             logger.info("planned stop", extra={"leads": state.node.replica.is_leader})
+            await flush_registrations(state)
             await _transfer_leadership(state.node)
             tasks.cancel_scope.cancel()
 
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -11,6 +11,7 @@
 import anyio
 
 from ...coordination.engine_orders import record_reported_order
+from ...coordination.hold_receipts import forget_box, open_broadcast, record_receipt
 from ...coordination.loss_evidence import record_report, should_broadcast
 from ...coordination.registrations import list_liveness, merge_ages, merge_liveness
 from ...coordination.upstream_order import (
@@ -32,6 +33,7 @@
     FullNotice,
     FullReport,
     GrantRequest,
+    HoldReceipt,
     IndexChangePush,
     JoinRequest,
     LoadReport,
@@ -100,15 +102,29 @@
         address: IP address of the other box.
         link: The link.
     """
-    link.post(RegistrationUpdate(reported=list_liveness(state.table, anyio.current_time())))
+    known = list_liveness(state.table, anyio.current_time())
+    link.post(RegistrationUpdate(reported=known, number=open_broadcast(state.receipts)))
     link.post(UpstreamIndexPush(index=state.upstream_index))
     link.post(build_peer_hint(state))
+    try:
+        await _receive_from_control(state, address, link)
+    finally:
+        forget_box(state.receipts, address)
+        # Waiting departures may be left with too few links.
+        state.receipt_arrived.set()
+
+
+async def _receive_from_control(state: RegistryState, address: str, link: Link) -> None:
+    """Handle what another control box sends on a link that this box opened."""
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_request_membership, state, link)
         while True:
             with anyio.fail_after(LINK_INACTIVITY_SECONDS):
                 message = await link.receive()
             match message:
+                case HoldReceipt():
+                    record_receipt(state.receipts, address, message.number)
+                    state.receipt_arrived.set()
                 case VersionReply():
                     handle_version_reply(state, message)
                 case CommandReply():
@@ -179,6 +195,8 @@
         case RegistrationUpdate() if is_control:
             for registration in merge_liveness(state.table, message.reported, anyio.current_time()):
                 broadcast_registration(state, registration, to_peers=False)
+            if message.number:
+                link.post(HoldReceipt(number=message.number))
         case UpstreamIndexPush() if is_control:
             state.peer_indexes[id(link)] = message.index
         case IndexChangePush() if is_control:
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -10,6 +10,7 @@
 from ...coordination.engine_orders import OrderLedger
 from ...coordination.freshness import Freshness
 from ...coordination.full_notices import NoticeRelay, build_relay
+from ...coordination.hold_receipts import HoldReceipts
 from ...coordination.loss_evidence import LossEvidence
 from ...coordination.registrations import RegistrationTable
 from ...coordination.rests import Backoffs
@@ -106,21 +107,21 @@
     registrations: dict[str, Registration] = msgspec.field(default_factory=dict)
     """Newest registration by instance id of the upstream."""
 
-    received_at: dict[str, float] = msgspec.field(default_factory=dict)
-    """When it arrived, on the monotonic clock, by instance id."""
+    reported_at: dict[str, float] = msgspec.field(default_factory=dict)
+    """When the instance reported it to any box, on the monotonic clock, by instance id."""
 
-    received_here: set[str] = msgspec.field(default_factory=set)
-    """Instances that registered with this box, which must be sent to the other control boxes."""
+    for_peers: set[str] = msgspec.field(default_factory=set)
+    """Instances that must be sent to the other control boxes as well."""
 
     wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when a registration is waiting to be sent."""
 
-    def add(self, registration: Registration, now: float, *, to_peers: bool) -> None:
+    def add(self, registration: Registration, reported_at: float, *, to_peers: bool) -> None:
         """Add a registration; only the newest of each instance is sent."""
         self.registrations[registration.instance] = registration
-        self.received_at[registration.instance] = now
+        self.reported_at[registration.instance] = reported_at
         if to_peers:
-            self.received_here.add(registration.instance)
+            self.for_peers.add(registration.instance)
 
     def pop_all(self, now: float) -> tuple[tuple[Liveness, ...], tuple[Liveness, ...]]:
         """Remove and return all pending registrations.
@@ -133,15 +134,13 @@
             seconds.
         """
         updates = {
-            instance: Liveness(registration=item, age=max(0.0, now - self.received_at[instance]))
+            instance: Liveness(registration=item, age=max(0.0, now - self.reported_at[instance]))
             for instance, item in self.registrations.items()
         }
-        to_peers = tuple(
-            item for instance, item in updates.items() if instance in self.received_here
-        )
+        to_peers = tuple(item for instance, item in updates.items() if instance in self.for_peers)
         self.registrations.clear()
-        self.received_at.clear()
-        self.received_here.clear()
+        self.reported_at.clear()
+        self.for_peers.clear()
         self.sent_at = now
         return tuple(updates.values()), to_peers
 
@@ -170,6 +169,15 @@
     pending_updates: PendingUpdates = msgspec.field(default_factory=PendingUpdates)
     """Registrations that have not been sent to other boxes yet."""
 
+    receipts: HoldReceipts = msgspec.field(default_factory=HoldReceipts)
+    """Which other control boxes hold the departures of upstreams."""
+
+    receipt_arrived: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set with the next receipt."""
+
+    waiting_departures: int = 0
+    """Calls of upstreams that wait until enough other control boxes hold their departure."""
+
     loads: dict[int, ReportedLoad] = msgspec.field(default_factory=dict)
     """Newest load report of each entry box that reports to this box, by `id` of its link."""
 
--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -9,8 +9,9 @@
 import anyio
 import msgspec
 
+from ...coordination.hold_receipts import open_broadcast, record_departure
 from ...coordination.loss_evidence import retain_engines
-from ...coordination.registrations import drop_inactive, heartbeat_ages
+from ...coordination.registrations import drop_inactive, heartbeat_ages, reported_at
 from ...coordination.upstream_order import (
     AGE_BYTES,
     LOAD_BYTES,
@@ -29,6 +30,7 @@
     RegistrationAges,
     RegistrationUpdate,
 )
+from ...model.registration import UpstreamState
 from ...routing.load_sharing import is_report_due, report_interval
 from ...storage import box_of
 from ..peers import add_peers
@@ -58,8 +60,8 @@
 
 MIN_UPDATE_INTERVAL_SECONDS: Final = 0.05
 """Minimum interval between two frames of registrations. Registrations that arrive within it share a
-frame, since each frame goes over every link. The delay is short enough for draining upstreams,
-which keep serving for seconds."""
+frame, since each frame goes over every link. Departures are acknowledged only after their frame has
+been confirmed, so none is lost with this box."""
 
 UPSTREAM_EXPIRY_SECONDS: Final = 12.0
 """An upstream is dropped if no control box has received a heartbeat for this long."""
@@ -85,26 +87,37 @@
 ) -> None:
     """Send a registration to other boxes: immediately, or batched after a recent update.
 
+    Departures that another control box reported are sent to all of them again: it may have been
+    lost before it reached the others. This ends once every box knows of the departure.
+
     Args:
         state: State of the process.
-        registration: The new registration.
+        registration: The new registration, which the table holds.
         to_peers: True if it was received by this box and must be sent to the other control boxes.
     """
     now = anyio.current_time()
-    state.pending_updates.add(registration, now, to_peers=to_peers)
+    instance = registration.instance
+    if registration.state is not UpstreamState.READY:
+        record_departure(state.receipts, instance)
+        to_peers = True
+    seen_at = reported_at(state.table, instance, now)
+    state.pending_updates.add(registration, seen_at, to_peers=to_peers)
     if now - state.pending_updates.sent_at >= MIN_UPDATE_INTERVAL_SECONDS:
-        _send_pending_updates(state, now)
+        send_pending_updates(state, now)
     else:
         state.pending_updates.wake.set()
 
 
-def _send_pending_updates(state: RegistryState, now: float) -> None:
+def send_pending_updates(state: RegistryState, now: float) -> None:
+    """Send all registrations that wait to be sent."""
     updates = state.pending_updates
     to_entries, to_peers = updates.pop_all(now)
     if to_entries:
         post_to_all(state.entry_links.values(), RegistrationUpdate(reported=to_entries))
     if to_peers:
-        post_to_all(state.peers.links.values(), RegistrationUpdate(reported=to_peers))
+        number = open_broadcast(state.receipts)
+        update = RegistrationUpdate(reported=to_peers, number=number)
+        post_to_all(state.peers.links.values(), update)
 
 
 async def broadcast_updates(state: RegistryState) -> None:
@@ -118,7 +131,7 @@
                 state.pending_updates.sent_at + MIN_UPDATE_INTERVAL_SECONDS - anyio.current_time(),
             )
         )
-        _send_pending_updates(state, anyio.current_time())
+        send_pending_updates(state, anyio.current_time())
 
 
 def _update_index(state: RegistryState) -> UpstreamIndex:
--- a/src/ledgeladder/links/messages.py
+++ b/src/ledgeladder/links/messages.py
@@ -190,6 +190,16 @@
 
     reported: tuple[Liveness, ...]
 
+    number: int = 0
+    """Number of the broadcast, which the receiver confirms once it holds the registrations; 0 if no
+    receipt is wanted."""
+
+
+class HoldReceipt(msgspec.Struct, frozen=True, kw_only=True, tag="receipt", array_like=True):
+    """Confirms that the sender holds a broadcast of registrations and all earlier ones."""
+
+    number: int
+
 
 class UpstreamIndexPush(msgspec.Struct, frozen=True, kw_only=True, tag="known", array_like=True):
     """Index of upstreams to which the sender's next ages and loads refer."""
@@ -509,6 +519,7 @@
     | TermReply
     | PeerHint
     | RegistrationUpdate
+    | HoldReceipt
     | UpstreamIndexPush
     | IndexChangePush
     | RegistrationAges
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -72,6 +72,7 @@
     NOT_LEADER = 2007
     CHANGE_UNKNOWN = 2008
     REGISTRATION_INVALID = 2101
+    DEPARTURE_UNCONFIRMED = 2102
     SETTINGS_INVALID = 3001
     JOURNAL_CORRUPT = 3002
     JOURNAL_FORMAT = 3003
@@ -206,6 +207,11 @@
     ResultCode.REGISTRATION_INVALID: _entry(
         400, _NOT_RUN, "An upstream's registration is malformed or too long; it was ignored."
     ),
+    ResultCode.DEPARTURE_UNCONFIRMED: _entry(
+        503,
+        _UNKNOWN,
+        "Too few other control boxes hold an upstream's departure; the upstream asks another box.",
+    ),
     ResultCode.SETTINGS_INVALID: _entry(
         500, _NOT_RUN, "The settings file is wrong; the message names file, key and value."
     ),
--- a/tests/daemons/registry/test_telling.py
+++ b/tests/daemons/registry/test_telling.py
@@ -9,8 +9,9 @@
 import anyio.lowlevel
 import pytest
 
+from ledgeladder.coordination.hold_receipts import HoldReceipts
 from ledgeladder.coordination.loss_evidence import LossEvidence
-from ledgeladder.coordination.registrations import RegistrationTable
+from ledgeladder.coordination.registrations import RegistrationTable, apply_registration
 from ledgeladder.coordination.upstream_order import UpstreamIndex
 from ledgeladder.daemons.peers import LINK_INACTIVITY_SECONDS
 from ledgeladder.daemons.registry import telling
@@ -140,6 +141,7 @@
         table=RegistrationTable(),
         peers=SimpleNamespace(links={"10.0.0.2": peer}),
         entry_links={1: entry},
+        receipts=HoldReceipts(),
     )
     monkeypatch.setattr(telling.anyio, "current_time", lambda: clock[0])
 
@@ -154,7 +156,7 @@
             await anyio.lowlevel.checkpoint()
             for number in range(UPSTREAMS):
                 clock[0] = max(clock[0], number * REGISTER_SECONDS / UPSTREAMS)
-                state.table.known[registration(number).instance] = None
+                apply_registration(state.table, registration(number), clock[0])
                 telling.broadcast_registration(
                     state, registration(number), to_peers=number % 5 == 0
                 )
