A draining upstream is not sent on as ready

Cause: what was sent on was the heartbeat and not what the table holds. Evidence: test_ready_heartbeat_after_draining_is_told_to_nobody fails before the fix (ready at the two other boxes) and passes with it.

--- a/src/ledgeladder/daemons/registry/telling.py
+++ b/src/ledgeladder/daemons/registry/telling.py
@@ -85,23 +85,26 @@
 def broadcast_registration(
     state: RegistryState, registration: Registration, *, to_peers: bool
 ) -> None:
-    """Send a registration to other boxes: immediately, or batched after a recent update.
+    """Send what the table holds of an instance: immediately, or batched after a recent update.
 
     Departures that another control box reported are sent to all of them again: it may have been
     lost before it reached the others. This ends once every box knows of the departure.
 
     Args:
         state: State of the process.
-        registration: The new registration, which the table holds.
+        registration: The registration that changed the table. A late heartbeat of an upstream that
+            drains does not make it ready again, so the table is what counts.
         to_peers: True if it was received by this box and must be sent to the other control boxes.
     """
     now = anyio.current_time()
     instance = registration.instance
-    if registration.state is not UpstreamState.READY:
+    known = state.table.known.get(instance)
+    current = registration if known is None else known.registration
+    if current.state is not UpstreamState.READY:
         record_departure(state.receipts, instance)
         to_peers = True
     seen_at = reported_at(state.table, instance, now)
-    state.pending_updates.add(registration, seen_at, to_peers=to_peers)
+    state.pending_updates.add(current, seen_at, to_peers=to_peers)
     if now - state.pending_updates.sent_at >= MIN_UPDATE_INTERVAL_SECONDS:
         send_pending_updates(state, now)
     else:
--- a/tests/daemons/registry/test_departures.py
+++ b/tests/daemons/registry/test_departures.py
@@ -129,3 +129,21 @@
     fleet.restart("registry-2")
     wait_until(lambda: report(fleet, 2, 0, "ready", 9), 20, "heartbeat taken")
     wait_until(lambda: states(fleet, 2).get("i-0") is UpstreamState.EXITED, 10, "the exit to win")
+
+
+def test_ready_heartbeat_after_draining_is_told_to_nobody(fleet: DiscoveredFleet) -> None:
+    """Failure: a changed heartbeat of an upstream that drains was sent on as ready."""
+    assert report(fleet, 0, 0, "draining", 2)
+    url = f"http://{fleet.control_addresses[0]}/api/replicas/i-0"
+    body = {
+        "service": "services",
+        "address": "127.0.0.1:1",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 3,
+    }
+    assert fleet.client.put(url, json=body).status_code == 200
+    time.sleep(0.3)
+    assert [states(fleet, box)["i-0"] for box in range(3)] == [UpstreamState.DRAINING] * 3
