Soak: streams that may run once only

The soak sent such requests to plain services only, so that it could not see a stream that runs twice. A fourth streaming route, without resumable, is checked as the unsafe one: at most one run, and none after a refusal.

--- a/standins/shared_room.py
+++ b/standins/shared_room.py
@@ -20,9 +20,12 @@
 if TYPE_CHECKING:
     from .soak import Call
 
-STREAM_PRIORITIES = {"urgent": 0, "draft": 1, "bulk": 2}
+STREAM_PRIORITIES = {"urgent": 0, "draft": 1, "bulk": 2, "letter": 1}
 """Routes over engines and their priorities."""
 
+ONCE_ROUTES = ("preview", "letter")
+"""Routes whose requests may run once only: of a plain service, and streams."""
+
 LARGE_KEY = "key-of-the-printers"
 """Key of the client account that sends most."""
 
@@ -87,7 +90,8 @@
     draft = next(item for item in document["routes"] if item["name"] == "draft")
     routes = [item for item in document["routes"] if item["name"] != "draft"]
     for name, priority in STREAM_PRIORITIES.items():
-        routes.append(draft | {"name": name, "pathPrefix": f"/{name}/", "priority": priority})
+        fields = {"name": name, "pathPrefix": f"/{name}/", "priority": priority}
+        routes.append(draft | fields | {"resumable": name not in ONCE_ROUTES})
     keys = [KEY, SECOND_KEY] if with_second_key else [KEY]
     tenants = [
         {"name": "designers", "apiKeys": keys, "priority": DESIGNERS_PRIORITY},
@@ -99,7 +103,7 @@
 
 def choose_request(rng: random.Random) -> tuple[str, str]:
     """Return the route and the key of an ordinary request."""
-    routes = ("draft", "draft", "urgent", "bulk", "status", "preview")
+    routes = ("draft", "draft", "urgent", "bulk", "letter", "status", "preview")
     return rng.choice(routes), rng.choice((KEY, SECOND_KEY, LARGE_KEY, LARGE_KEY, SMALL_KEY))
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -40,6 +40,7 @@
     BURSTS,
     DEADLINE_SECONDS,
     ENGINE_SLOTS,
+    ONCE_ROUTES,
     STREAM_PRIORITIES,
     Pause,
     check_shared_room,
@@ -522,9 +523,9 @@
             if call.sent_at > limit:
                 violations.append(f"ran with a key taken away: {run['id']}")
     for call in soak.calls:
-        if call.route == "preview" and counts[call.id] > 1:
+        if call.route in ONCE_ROUTES and counts[call.id] > 1:
             violations.append(f"ran {counts[call.id]} times: {call.id}")
-        if call.route == "preview" and call.status in NOT_RUN_STATUSES and counts[call.id]:
+        if call.route in ONCE_ROUTES and call.status in NOT_RUN_STATUSES and counts[call.id]:
             violations.append(f"refused as not run, and ran: {call.id}")
     return violations
 
