--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -272,8 +272,6 @@
     remainder = bytearray()
     without_frame = 0
     async for chunk in response.aiter_raw():
-        # Many short chunks of one read would keep other tasks from running.
-        await anyio.lowlevel.checkpoint()
         remainder += chunk
         without_frame += len(chunk)
         if b"\n" in chunk:
@@ -283,8 +281,11 @@
             if frames:
                 without_frame = len(last)
                 yield frames
+                continue
         if without_frame > MAX_LINE_BYTES:
             raise EngineLostError(f"no frame in {without_frame} bytes")
+        # Many short chunks of one read would keep other tasks from running.
+        await anyio.lowlevel.checkpoint()
 
 
 async def _raise_for_status(response: httpx.Response) -> None:
