--- a/src/ledgeladder/daemons/gateway/readiness.py
+++ b/src/ledgeladder/daemons/gateway/readiness.py
@@ -8,7 +8,7 @@
 
 from ...http1 import HttpSite
 from ...model import Problem, ResultCode
-from ...platform.control_calls import READY_PATH
+from ...platform.exchange import READY_PATH
 from ..plain_problems import write_problem
 from .state import check_freshness
 
--- a/src/ledgeladder/daemons/registry/departures.py
+++ b/src/ledgeladder/daemons/registry/departures.py
@@ -7,7 +7,6 @@
 import anyio
 
 from ...coordination.hold_receipts import count_holders
-from ...model.registration import UpstreamState
 from ...storage import box_of
 from .telling import send_pending_updates
 
@@ -23,19 +22,18 @@
 """Interval at which a planned stop checks whether its last registrations were written."""
 
 
-async def wait_until_held(state: RegistryState, registration: Registration) -> bool:
+async def wait_until_held(state: RegistryState, departure: Registration) -> bool:
     """Wait until enough other control boxes hold the departure of an upstream.
 
     Args:
         state: State of the process.
-        registration: What the upstream reported. A state other than a departure is not waited for,
-            nor one that the table did not accept.
+        departure: What the upstream reported. One that the table did not accept is not waited for.
 
     Returns:
         False if too few boxes confirmed it in time. It is applied here and sent on all the same.
     """
-    instance, receipts = registration.instance, state.receipts
-    if registration.state is UpstreamState.READY or instance not in receipts.departures:
+    instance, receipts = departure.instance, state.receipts
+    if instance not in receipts.departures:
         return True
     needed = _holders_needed(state)
     state.waiting_departures += 1
--- a/src/ledgeladder/daemons/registry/http_api.py
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -26,7 +26,6 @@
     read_control_call,
 )
 from ..plain_problems import write_problem
-from .departures import wait_until_held
 from .published_version import publish, wait_until_fresh
 from .telling import broadcast_registration
 
@@ -111,19 +110,27 @@
                     "sequence": registration.sequence,
                 },
             )
-    if not await wait_until_held(state, registration):
-        counters[ResultCode.DEPARTURE_UNCONFIRMED.name] += 1
-        logger.warning(
-            "departure not held by other control boxes",
-            extra={
-                "upstream": registration.instance,
-                "holders": count_holders(state.receipts, registration.instance),
-            },
-        )
-        code = ResultCode.DEPARTURE_UNCONFIRMED
-        await write_problem(exchange, Problem(code=code, detail=registration.instance))
+    if registration.state is UpstreamState.READY or await _is_held(state, registration):
+        await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
         return
-    await exchange.answer(OK, JSON_HEADERS, ACKNOWLEDGED)
+    counters[ResultCode.DEPARTURE_UNCONFIRMED.name] += 1
+    logger.warning(
+        "departure not held by other control boxes",
+        extra={
+            "upstream": registration.instance,
+            "holders": count_holders(state.receipts, registration.instance),
+        },
+    )
+    code = ResultCode.DEPARTURE_UNCONFIRMED
+    await write_problem(exchange, Problem(code=code, detail=registration.instance))
+
+
+async def _is_held(state: RegistryState, departure: Registration) -> bool:
+    """Wait until enough other control boxes hold a departure; return False if they do not."""
+    # Imported here because few calls are departures.
+    from .departures import wait_until_held
+
+    return await wait_until_held(state, departure)
 
 
 def _accepts_pool(state: RegistryState, registration: Registration) -> bool:
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -21,7 +21,6 @@
 from ...settings import load_registry_settings
 from ...storage import StorageError, box_of, create_identity, member_id, read_identity
 from ..content_judge import broadcast_quarantine, run_quarantine_controller
-from ..control.leadership_transfer import start_leadership_transfer
 from ..control.node import ControlNode, open_node, run_log
 from ..log_child import log_child
 from ..metrics_page import metrics_child
@@ -31,7 +30,6 @@
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .demand_totals import broadcast_demand
-from .departures import flush_registrations
 from .http_api import build_site
 from .lending import build_rate_granter
 from .metrics import metrics_lines
@@ -255,6 +253,9 @@
             state.stopping = True
             site.stopping = True
             logger.info("planned stop", extra={"leads": state.node.replica.is_leader})
+            # Imported here because it is needed once.
+            from .departures import flush_registrations
+
             await flush_registrations(state)
             await _transfer_leadership(state.node)
             tasks.cancel_scope.cancel()
@@ -269,6 +270,9 @@
 
 async def _transfer_leadership(node: ControlNode) -> None:
     """Transfer the leadership to another member, and wait for it until a timeout."""
+    # Imported here because it is needed once.
+    from ..control.leadership_transfer import start_leadership_transfer
+
     if not node.replica.is_leader or not start_leadership_transfer(node):
         return
     with anyio.move_on_after(LEADERSHIP_TRANSFER_TIMEOUT_SECONDS):
--- a/src/ledgeladder/platform/control_calls.py
+++ b/src/ledgeladder/platform/control_calls.py
@@ -15,7 +15,6 @@
     from ..model.registration import Registration
 
 CONFIGURATION_PATH: Final = "/api/config"
-READY_PATH: Final = "/api/ready"
 JSON_HEADERS: Final = [(b"Content-Type", b"application/json")]
 
 ACKNOWLEDGED: Final = b"{}"
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -16,6 +16,9 @@
 
     Headers = list[tuple[bytes, bytes]]
 
+READY_PATH: Final = "/api/ready"
+"""Path at which load balancers ask a gateway whether it is ready."""
+
 MILLISECONDS: Final = 1000
 MAX_PRIORITY_RANK: Final = 9
 """Rank of the lowest priority that upstreams accept."""
