Attempts that end early name who ended them and the silent engines

The line of an attempt gave a reason as text, but not whether the upstream or this box ended it, which engines had been silent for how long, or which document was in force when the request was admitted and when the attempt ended; so the record could not tell the three hypotheses apart. No decision changes: what the box concludes raises an error class of its own.

--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -16,6 +16,7 @@
 from ...routing.suspected_links import suspect_links
 from .upstream_call import (
     AnswerLostError,
+    AttemptAbandonedError,
     BackpressureError,
     NotSentError,
     OpenAnswer,
@@ -64,7 +65,7 @@
         AnswerLostError: If the request may have been executed but no head came in time.
     """
     answer: OpenAnswer | None = None
-    failure: Exception = AnswerLostError("timed out waiting for the response head")
+    failure: Exception = AttemptAbandonedError("timed out waiting for the response head")
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_head, state, session, path, tasks.cancel_scope)
         try:
@@ -136,7 +137,7 @@
 
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AnswerLostError: If an engine is unreachable, or the stream stalls for too long.
+        AttemptAbandonedError: If an engine is unreachable, or the stream stalls for too long.
     """
     with anyio.move_on_after(_gap_timeout(session)):
         return await read()
@@ -162,10 +163,10 @@
 
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AnswerLostError: If an engine is unreachable, or the stream stalls for too long.
+        AttemptAbandonedError: If an engine is unreachable, or the stream stalls for too long.
     """
     results: list[T] = []
-    failure: Exception = AnswerLostError("the attempt was abandoned")
+    failure: Exception = AttemptAbandonedError("the attempt was abandoned")
     reasons: list[str] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_watch_stall, state, session, path, reasons, tasks.cancel_scope)
@@ -177,7 +178,7 @@
         tasks.cancel_scope.cancel()
     if results:
         return results[0]
-    raise AnswerLostError(reasons[0]) if reasons else failure
+    raise AttemptAbandonedError(reasons[0]) if reasons else failure
 
 
 async def _watch_stall(
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+import math
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import anyio
 
@@ -26,9 +27,10 @@
 from .reaching import proves_exit
 from .stall_watch import open_watched
 from .stream_events import forward_events
-from .stream_session import AttemptResult, StreamSession
+from .stream_session import AttemptEnd, AttemptResult, EndedBy, StreamSession
 from .upstream_call import (
     AnswerLostError,
+    AttemptAbandonedError,
     BackpressureError,
     NotSentError,
     OpenAnswer,
@@ -45,6 +47,9 @@
 
 logger = logging.getLogger(__name__)
 
+FOUND_DEAD_ELSEWHERE: Final = "an engine of the path was found dead by another request"
+"""Reason for the end of an attempt that another request interrupted."""
+
 
 async def run_attempt(
     state: GatewayState,
@@ -81,21 +86,18 @@
     if permit.pool.name in state.contended:
         session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
     _record_hops(state, permit, session, path)
-    detail = ""
-    result = AttemptResult.LOST
+    end = AttemptEnd(AttemptResult.LOST, ended_by=EndedBy.CALLER)
     try:
         with anyio.CancelScope() as scope, _cancel_on_loss(path, session, scope):
-            result, detail = await _send_and_forward(
-                state, permit, request, exchange, session, path
-            )
+            end = await _send_and_forward(state, permit, request, exchange, session, path)
         if scope.cancelled_caught:
-            detail = "an engine of the path was found dead by another request"
+            end = AttemptEnd(AttemptResult.LOST, FOUND_DEAD_ELSEWHERE, EndedBy.BOX)
     finally:
         session.end_prompt()
         release(path, session.tokens)
-        if result is AttemptResult.LOST and session.attempts.sent == sent_before:
-            result = AttemptResult.NOT_SENT
-        if result is AttemptResult.LOST:
+        if end.result is AttemptResult.LOST and session.attempts.sent == sent_before:
+            end = end._replace(result=AttemptResult.NOT_SENT)
+        if end.result is AttemptResult.LOST:
             reached = _reached_engines(path, started_at)
             record_crash(
                 state,
@@ -106,8 +108,8 @@
                 started_at,
                 events=session.attempt_events,
             )
-        _record_result(state, permit, request, session, path, result, detail)
-    return result
+        _record_result(state, permit, request, session, path, end)
+    return end.result
 
 
 def _tokens_to_read(permit: Permit, session: StreamSession) -> int:
@@ -170,14 +172,14 @@
     request: HttpRequest,
     session: StreamSession,
     path: ChosenPath,
-    result: AttemptResult,
-    detail: str,
+    end: AttemptEnd,
 ) -> None:
     """Count an attempt's result, and log incomplete attempts.
 
     An attempt that is cancelled because the caller disconnected or the deadline passed is logged as
     lost, or as not sent if that happened earlier, without a detail.
     """
+    result = end.result
     state.metrics.counters[f"run-{result.value}"] += 1
     if result is AttemptResult.COMPLETE:
         for engine in path.engines:
@@ -195,15 +197,29 @@
             "content": content_fingerprint(session.trace, request, permit).hex(),
             "end": result.value,
             "may_have_run": result is AttemptResult.LOST,
-            "detail": detail,
+            "detail": end.detail,
+            "ended_by": end.ended_by.value,
             "path": _describe_path(path),
             "events": session.order.delivered,
             "dead": sorted(session.dead),
             "silent_for": round(anyio.current_time() - session.last_progress_at, 3),
+            "silent_engines": describe_silence(path, anyio.current_time()),
+            "began_with": permit.version,
+            "version": state.version,
         },
     )
 
 
+def describe_silence(path: ChosenPath, now: float) -> dict[str, float | None]:
+    """Return for each engine of a path how long ago it last gave a sign of life, for logs.
+
+    Returns:
+        Seconds by instance; None if there was none.
+    """
+    ages = {item.registration.instance: now - item.last_success_at for item in path.engines}
+    return {name: round(age, 3) if age < math.inf else None for name, age in ages.items()}
+
+
 def _describe_path(path: ChosenPath) -> list[str]:
     """Return the engines of a path with their layer ranges, for logs."""
     return [f"{part.instance}={part.first}-{part.end}" for part in path.parts]
@@ -216,12 +232,8 @@
     exchange: Exchange,
     session: StreamSession,
     path: ChosenPath,
-) -> tuple[AttemptResult, str]:
-    """Send the request and forward the events.
-
-    Returns:
-        The result of the attempt, and its reason for the log.
-    """
+) -> AttemptEnd:
+    """Send the request and forward the events; return how the attempt ended."""
     resume_after = session.order.last_id
     dispatch = Dispatch(
         instance=path.head.registration.instance,
@@ -238,7 +250,7 @@
         session.excluded.add(path.head.registration.instance)
         if error.is_inconclusive:
             record_out_of_reach(path.head, anyio.current_time())
-            return AttemptResult.NOT_SENT, str(error)
+            return AttemptEnd(AttemptResult.NOT_SENT, str(error), EndedBy.BOX)
         if error.failure is not None and proves_exit(state, error.failure):
             # Imported here because few connections are refused.
             from .probing import report_lost
@@ -248,15 +260,15 @@
         else:
             record_failure(path.head, anyio.current_time())
         _suspect_domain(state, session, path.head)
-        return AttemptResult.NOT_SENT, str(error)
+        return AttemptEnd(AttemptResult.NOT_SENT, str(error), EndedBy.BOX)
     except BackpressureError as error:
         session.excluded.add(path.head.registration.instance)
-        return AttemptResult.NOT_SENT, str(error)
+        return AttemptEnd(AttemptResult.NOT_SENT, str(error), EndedBy.BOX)
     except AnswerLostError as error:
         if error.is_invalid:
             record_failure(path.head, anyio.current_time())
         await _identify_failed_engines(state, session, path)
-        return AttemptResult.LOST, str(error)
+        return AttemptEnd(AttemptResult.LOST, str(error), _ended_by(error))
     if not answer.succeeded or not answer.facts.signed:
         return await _handle_error_answer(state, session, path, answer)
     try:
@@ -266,22 +278,28 @@
         if isinstance(error, (AnswerInvalidError, ValueError)):
             record_failure(path.head, anyio.current_time())
         await _identify_failed_engines(state, session, path)
-        return AttemptResult.LOST, str(error)
+        return AttemptEnd(AttemptResult.LOST, str(error), _ended_by(error))
     else:
-        return AttemptResult.COMPLETE, ""
+        return AttemptEnd(AttemptResult.COMPLETE)
     finally:
         # Connections are not pooled for streams: if the engine dies, a refused new connection costs
         # nothing, but a reset pooled connection costs an attempt.
         await answer.connection.close()
 
 
+def _ended_by(error: Exception) -> EndedBy:
+    """Return who ended an attempt that failed with an error."""
+    is_conclusion = isinstance(error, (AttemptAbandonedError, TimeoutError))
+    return EndedBy.BOX if is_conclusion else EndedBy.UPSTREAM
+
+
 async def _handle_error_answer(
     state: GatewayState, session: StreamSession, path: ChosenPath, answer: OpenAnswer
-) -> tuple[AttemptResult, str]:
+) -> AttemptEnd:
     """Handle an answer that is not a stream, or that does not carry the id of the request.
 
     Returns:
-        The result of the attempt, and its reason for the log.
+        How the attempt ended.
     """
     status = answer.head.status_code
     try:
@@ -291,7 +309,8 @@
         if isinstance(error, TimeoutError) or error.is_invalid:
             record_failure(path.head, anyio.current_time())
         await _identify_failed_engines(state, session, path)
-        return AttemptResult.LOST, str(error) or "error answer without an end"
+        detail = str(error) or "error answer without an end"
+        return AttemptEnd(AttemptResult.LOST, detail, _ended_by(error))
     if answer.facts.not_run:
         failed_upstream = answer.facts.failed_upstream
         at_fault = [
@@ -301,14 +320,15 @@
             await _evaluate_refusal(
                 state, session, path, engine, reports=not answer.facts.wrong_upstream
             )
-        return AttemptResult.REFUSED, f"status {status} at {at_fault[0].registration.instance}"
+        detail = f"status {status} at {at_fault[0].registration.instance}"
+        return AttemptEnd(AttemptResult.REFUSED, detail)
     if not answer.facts.signed:
         session.excluded.add(path.head.registration.instance)
-        return AttemptResult.LOST, f"unsigned answer with status {status}"
+        return AttemptEnd(AttemptResult.LOST, f"unsigned answer with status {status}")
     record_failure(path.head, anyio.current_time())
     session.excluded.add(path.head.registration.instance)
     session.failure, session.failure_body = answer, body
-    return AttemptResult.LOST, f"status {status}"
+    return AttemptEnd(AttemptResult.LOST, f"status {status}")
 
 
 async def _evaluate_refusal(
--- a/src/ledgeladder/daemons/gateway/stream_events.py
+++ b/src/ledgeladder/daemons/gateway/stream_events.py
@@ -13,7 +13,7 @@
 from .crashes import ANSWERED_EVENTS
 from .stall_watch import read_watched
 from .state import record_duration
-from .upstream_call import AnswerLostError
+from .upstream_call import AnswerLostError, AttemptAbandonedError
 
 if TYPE_CHECKING:
     from ...http1 import Exchange
@@ -91,10 +91,10 @@
     """Check whether an engine of the attempt was found dead.
 
     Raises:
-        AnswerLostError: If an engine was found dead.
+        AttemptAbandonedError: If an engine was found dead.
     """
     if session.interrupted:
-        raise AnswerLostError("an engine of the path was found dead by another request")
+        raise AttemptAbandonedError("an engine of the path was found dead by another request")
 
 
 def _record_events(
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -41,6 +41,32 @@
     an error, which is forwarded if no other attempt succeeds."""
 
 
+class EndedBy(StrEnum):
+    """Who ended an attempt."""
+
+    UPSTREAM = "upstream"
+    """The engine: by its answer, or by closing or resetting the connection."""
+
+    BOX = "box"
+    """This box, by what it concluded about the engines of the path."""
+
+    CALLER = "caller"
+    """The caller, who disconnected or whose deadline passed."""
+
+
+class AttemptEnd(NamedTuple):
+    """How one attempt ended."""
+
+    result: AttemptResult
+    """Its result."""
+
+    detail: str = ""
+    """Reason for the log."""
+
+    ended_by: EndedBy = EndedBy.UPSTREAM
+    """Who ended it."""
+
+
 class AbortDecision(Protocol):
     """Decides whether an overdue attempt is aborted."""
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -84,6 +84,10 @@
         return isinstance(self.__cause__, AnswerInvalidError)
 
 
+class AttemptAbandonedError(AnswerLostError):
+    """This box ended the attempt because of what it concluded about the upstream."""
+
+
 class OpenAnswer(msgspec.Struct, kw_only=True):
     """An answer whose head has been read and whose body has not."""
 
--- a/tests/daemons/gateway/test_pending_prompts.py
+++ b/tests/daemons/gateway/test_pending_prompts.py
@@ -11,7 +11,7 @@
 
 from ledgeladder.daemons.gateway import stream_attempt, stream_events
 from ledgeladder.daemons.gateway.stream_attempt import run_attempt
-from ledgeladder.daemons.gateway.stream_session import AttemptResult, StreamSession
+from ledgeladder.daemons.gateway.stream_session import AttemptEnd, AttemptResult, StreamSession
 from ledgeladder.model.exchange import PathPart
 from ledgeladder.routing.event_stream import EventOrder
 from ledgeladder.routing.paths import ChosenPath
@@ -68,9 +68,9 @@
     bed = Bed(monkeypatch, delivered=delivered)
     tokens = PROMPT + delivered * STEPS_PER_PASS
 
-    async def send(*_: object) -> tuple[AttemptResult, str]:
+    async def send(*_: object) -> AttemptEnd:
         assert bed.pending == [(1, 10.0 * tokens), (1, 30.0 * tokens)]
-        return result, ""
+        return AttemptEnd(result)
 
     monkeypatch.setattr(stream_attempt, "_send_and_forward", send)
     anyio.run(bed.run)
@@ -80,7 +80,7 @@
 def test_count_ends_with_a_failure_or_a_caller_that_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
     bed = Bed(monkeypatch)
 
-    async def send(*_: object) -> tuple[AttemptResult, str]:
+    async def send(*_: object) -> AttemptEnd:
         raise OSError
 
     monkeypatch.setattr(stream_attempt, "_send_and_forward", send)
@@ -106,9 +106,9 @@
     answer: Any = SimpleNamespace(head=h11.Response(status_code=200, headers=[]), connection=None)
     exchange: Any = SimpleNamespace(begin=write, send=write, end=write)
 
-    async def send(*_: object) -> tuple[AttemptResult, str]:
+    async def send(*_: object) -> AttemptEnd:
         await stream_events.forward_events(bed.state, exchange, bed.session, bed.path, answer, 0.0)
-        return AttemptResult.COMPLETE, ""
+        return AttemptEnd(AttemptResult.COMPLETE)
 
     monkeypatch.setattr(stream_attempt, "_send_and_forward", send)
     for number in (1, 2):
