Silence ends no attempt of a stream: an overdue one is hedged, and goes on

What callers saw: streams whose engines were silent for a second were broken off, or answered with 502.

Cause: an overdue attempt was ended before anything replaced it. On a path that crosses failure domains it was ended whether or not it could be replaced, even if the stream may run once only; otherwise once a path and a retry were in hand, and the next attempt could still be refused by engines that the ended runs occupy. A probe that was not accepted in time, and the word of another box, interrupted all streams on an engine as an exit does.

Change: routing/attempt_race.py decides without sockets and clocks. Silence, a failed probe and a reported loss make an attempt overdue; another one may be begun beside it, over engines that are not silent, with a retry in hand, and the first that makes progress stops the others. Only the upstream's own end or proof that an engine's process exited ends an attempt. One that may run once only is never sent again, and waits for its answer until its deadline.

Why this works: nothing is given up before something better has arrived, so that silence costs a caller time and no answer.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -319,7 +319,7 @@
                 dispatch,
                 upstream,
                 fresh_connection=fresh,
-                counts=attempts.counts,
+                record_sent=attempts.counts.record_sent,
                 trace=trace,
             )
             answer = opened, await read_body(state, opened)
--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -1,22 +1,22 @@
-"""Stall detection for attempts of streams: probes of the engines and abort of stalled attempts.
+"""Stall detection for attempts of streams: probes of the engines, and reports of overdue attempts.
 
-An attempt whose engines answer probes is aborted only if another one can replace it, or if its path
-crosses failure domains.
+Silence ends no attempt: its engines may be sound. Another attempt may be begun beside it.
 """
 
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import anyio
 
 from ...http1 import AnswerBrokenError
+from ...routing.forwarding_table import record_silence
 from ...routing.pace import record_false_alarm, stall_timeout
 from ...routing.suspected_links import suspect_links
+from .stream_session import report_overdue
 from .upstream_call import (
     AnswerLostError,
-    AttemptAbandonedError,
     BackpressureError,
     NotSentError,
     OpenAnswer,
@@ -28,6 +28,7 @@
 
     from ...http1 import HttpRequest
     from ...model.exchange import Dispatch
+    from ...routing.attempt_race import RunningAttempt
     from ...routing.paths import ChosenPath
     from .checks import Permit
     from .state import GatewayState
@@ -35,6 +36,9 @@
 
 logger = logging.getLogger(__name__)
 
+UNREACHABLE: Final = "an engine of the path is unreachable"
+"""Reason for an overdue attempt."""
+
 T = TypeVar("T")
 
 
@@ -43,7 +47,7 @@
     permit: Permit,
     request: HttpRequest,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
     dispatch: Dispatch,
 ) -> OpenAnswer:
     """Send a request and wait for the head of the answer, while checking the path's engines.
@@ -53,7 +57,7 @@
         permit: Permit of the request.
         request: The request.
         session: The caller's stream.
-        path: The path.
+        attempt: The attempt.
         dispatch: Values of the headers for the first engine.
 
     Returns:
@@ -62,22 +66,27 @@
     Raises:
         NotSentError: If nothing was sent.
         BackpressureError: If an engine of the path applied back-pressure.
-        AnswerLostError: If the request may have been executed but no head came in time.
+        AnswerLostError: If the request may have been executed but its connection broke.
     """
     answer: OpenAnswer | None = None
-    failure: Exception = AttemptAbandonedError("timed out waiting for the response head")
+    failure: Exception = AnswerLostError("no response head")
+
+    def record_sent() -> None:
+        attempt.was_sent = True
+        session.attempts.record_sent()
+
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_head, state, session, path, tasks.cancel_scope)
+        tasks.start_soon(_watch_head, state, session, attempt)
         try:
             answer = await open_answer(
                 state,
                 permit,
                 request,
                 dispatch,
-                path.head,
+                attempt.path.head,
                 fresh_connection=not permit.route.repeatable,
-                later_engines=path.engines[1:],
-                counts=session.attempts,
+                later_engines=attempt.path.engines[1:],
+                record_sent=record_sent,
                 trace=session.trace,
             )
         except (NotSentError, BackpressureError, AnswerLostError) as error:
@@ -89,47 +98,44 @@
     return answer
 
 
-async def _watch_head(
-    state: GatewayState, session: StreamSession, path: ChosenPath, scope: anyio.CancelScope
-) -> None:
+async def _watch_head(state: GatewayState, session: StreamSession, attempt: RunningAttempt) -> None:
     """Probe the engines of a path each time that the head of the answer is overdue.
 
-    Cancels the scope if one of them is unreachable, or if the attempt can be replaced once the
-    stream's `first_timeout` has passed.
+    Reports the attempt as overdue if one of them is unreachable, or once the stream's
+    `first_timeout` has passed. Runs until cancelled.
     """
     waited = 0.0
     while True:
-        lost_link = _is_on_lost_link(state, session)
+        lost_link = _is_on_lost_link(state, attempt)
         limit = session.timeouts.first_probe if lost_link else session.timeouts.first_timeout
         timeout = max(stall_timeout(state.first_event_pace), session.timeouts.first_probe)
         if waited < limit:
             timeout = min(timeout, limit - waited)
         await anyio.sleep(timeout)
         waited += timeout
-        if await _has_unreachable(state, session, path):
-            scope.cancel()
-            return
-        await _query_slowdowns(state, path)
-        _suspect_links(state, session, path, waited)
-        if waited >= limit and await session.may_abort(path, lost_link=lost_link):
-            break
-    if not lost_link:
-        _exclude_path(session, path)
-    scope.cancel()
+        if await _has_unreachable(state, session, attempt.path):
+            report_overdue(session, attempt, UNREACHABLE)
+            continue
+        await _query_slowdowns(state, attempt.path)
+        _suspect_links(state, session, attempt.path, waited)
+        if waited >= limit:
+            _report_silence(session, attempt, f"no head for {waited:.2f} s")
 
 
 async def read_watched(
     state: GatewayState,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
     read: Callable[[], Awaitable[T]],
 ) -> T:
     """Read until the stream makes progress, and probe the engines if that is overdue.
 
+    Reading continues meanwhile, since most pauses end by themselves.
+
     Args:
         state: State of the process.
         session: The caller's stream.
-        path: The path.
+        attempt: The attempt.
         read: Reads from the answer until there is progress. It may be cancelled and called again.
 
     Returns:
@@ -137,88 +143,63 @@
 
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AttemptAbandonedError: If an engine is unreachable, or the stream stalls for too long.
+        ValueError: If an event exceeds the size limit.
     """
     with anyio.move_on_after(_gap_timeout(session)):
         return await read()
-    return await _read_overdue(state, session, path, read)
-
-
-def _gap_timeout(session: StreamSession) -> float:
-    """Return how long the next part may take before the engines are probed, in seconds."""
-    is_known = session.pace.mean > 0
-    timeout = stall_timeout(session.pace) if is_known else session.timeouts.first_probe
-    return min(timeout, session.timeouts.gap_timeout)
-
-
-async def _read_overdue(
-    state: GatewayState,
-    session: StreamSession,
-    path: ChosenPath,
-    read: Callable[[], Awaitable[T]],
-) -> T:
-    """Read what is overdue while the engines are probed.
-
-    Reading continues meanwhile, since most pauses end by themselves before the probes complete.
-
-    Raises:
-        AnswerBrokenError: If the answer ends early.
-        AttemptAbandonedError: If an engine is unreachable, or the stream stalls for too long.
-    """
     results: list[T] = []
-    failure: Exception = AttemptAbandonedError("the attempt was abandoned")
-    reasons: list[str] = []
+    failure: Exception | None = None
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_stall, state, session, path, reasons, tasks.cancel_scope)
+        tasks.start_soon(_watch_stall, state, session, attempt)
         try:
             results.append(await read())
         except (AnswerBrokenError, ValueError) as error:
             # Raised below: a task group would wrap it.
             failure = error
         tasks.cancel_scope.cancel()
-    if results:
-        return results[0]
-    raise AttemptAbandonedError(reasons[0]) if reasons else failure
+    if failure is not None:
+        raise failure
+    return results[0]
+
+
+def _gap_timeout(session: StreamSession) -> float:
+    """Return how long the next part may take before the engines are probed, in seconds."""
+    is_known = session.pace.mean > 0
+    timeout = stall_timeout(session.pace) if is_known else session.timeouts.first_probe
+    return min(timeout, session.timeouts.gap_timeout)
 
 
 async def _watch_stall(
-    state: GatewayState,
-    session: StreamSession,
-    path: ChosenPath,
-    reasons: list[str],
-    scope: anyio.CancelScope,
+    state: GatewayState, session: StreamSession, attempt: RunningAttempt
 ) -> None:
-    """Probe the engines of a stalled stream repeatedly, and abort its attempt if necessary.
+    """Probe the engines of a stalled stream repeatedly, and report its attempt as overdue.
 
-    Args:
-        state: State of the process.
-        session: The caller's stream.
-        path: The path.
-        reasons: Receives the reason for the abort.
-        scope: Scope of the read, which is cancelled on abort.
+    Runs until cancelled.
     """
     waited = _gap_timeout(session)
     while True:
-        if await _has_unreachable(state, session, path):
-            reasons.append("an engine of the path is unreachable")
-            break
-        if waited >= session.timeouts.slowdown_query:
-            await _query_slowdowns(state, path)
-        _suspect_links(state, session, path, waited)
-        lost_link = _is_on_lost_link(state, session)
-        timeouts = session.timeouts
-        limit = timeouts.link_avoidance if lost_link else timeouts.gap_timeout
-        if waited >= limit and await session.may_abort(path, lost_link=lost_link):
-            if not lost_link:
-                _exclude_path(session, path)
-            reasons.append(f"stalled for {waited:.2f} s")
-            break
-        state.metrics.counters["false-alarm"] += 1
-        record_false_alarm(session.pace)
+        if await _has_unreachable(state, session, attempt.path):
+            report_overdue(session, attempt, UNREACHABLE)
+        else:
+            if waited >= session.timeouts.slowdown_query:
+                await _query_slowdowns(state, attempt.path)
+            _suspect_links(state, session, attempt.path, waited)
+            lost_link = _is_on_lost_link(state, attempt)
+            timeouts = session.timeouts
+            limit = timeouts.link_avoidance if lost_link else timeouts.gap_timeout
+            if waited >= limit:
+                _report_silence(session, attempt, f"stalled for {waited:.2f} s")
+            state.metrics.counters["false-alarm"] += 1
+            record_false_alarm(session.pace)
         timeout = _gap_timeout(session)
         await anyio.sleep(timeout)
         waited += timeout
-    scope.cancel()
+
+
+def _report_silence(session: StreamSession, attempt: RunningAttempt, reason: str) -> None:
+    """Report an attempt as overdue although its engines accept probes."""
+    record_silence(attempt.path.engines, anyio.current_time())
+    report_overdue(session, attempt, reason)
 
 
 async def _has_unreachable(state: GatewayState, session: StreamSession, path: ChosenPath) -> bool:
@@ -229,15 +210,13 @@
     return await find_unreachable(state, path.engines, session.dead)
 
 
-def _is_on_lost_link(state: GatewayState, session: StreamSession) -> bool:
+def _is_on_lost_link(state: GatewayState, attempt: RunningAttempt) -> bool:
     """Return whether an attempt uses a connection that this box opened before it was cut off.
 
     Such a connection may still work, or hang without being closed.
     """
     cut_since = state.reach.cut_since
-    if cut_since is None or session.trace.relayed_by:
-        return False
-    return session.attempt_started_at < cut_since
+    return cut_since is not None and attempt.started_at < cut_since
 
 
 async def _query_slowdowns(state: GatewayState, path: ChosenPath) -> None:
@@ -248,11 +227,6 @@
     await query_slowdowns(state, path)
 
 
-def _exclude_path(session: StreamSession, path: ChosenPath) -> None:
-    """Exclude all engines of a stalled path, since the one that caused the stall is unknown."""
-    session.excluded.update(item.registration.instance for item in path.engines)
-
-
 def _suspect_links(
     state: GatewayState, session: StreamSession, path: ChosenPath, waited: float
 ) -> None:
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -6,27 +6,27 @@
 
 import anyio
 
-from ...coordination.crash_book import CRASH_LIMIT
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...platform.exchange import caller_headers
-from ...routing.contention import REFUSALS_LIMIT, refusals_limit
+from ...routing.attempt_race import RunningAttempt, begin_attempt, end_attempt
 from ...routing.event_stream import EventOrder
 from ...routing.pace import record_gap
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
 from .borrowing import acquire_retry
-from .checks import Permit, may_repeat, refusal
-from .crashes import (
-    ANSWERED_EVENTS,
-    count_crashes,
-    record_answered,
-    record_parts_answered,
-)
+from .checks import Permit, refusal
+from .crashes import ANSWERED_EVENTS, record_answered, record_parts_answered
 from .reaching import probe_timeout
 from .state import retry_budget
 from .stream_attempt import run_attempt
-from .stream_paths import choose_attempt_path, expected_answer_tokens, explain_missing_path
-from .stream_replacement import replaceable_attempts
+from .stream_paths import (
+    RETRIES_SPENT,
+    PlannedAttempt,
+    choose_attempt_path,
+    expected_answer_tokens,
+    explain_missing_path,
+    explain_no_attempt,
+)
 from .stream_session import AttemptResult, StreamSession, track_stream
 from .waiting import wait_for_upstreams
 
@@ -94,47 +94,97 @@
 ) -> bool:
     """Send the request until it completes or no further attempt is possible.
 
+    An attempt that is overdue goes on, and another one may be begun beside it.
+
     Returns:
         Whether its deadline passed.
     """
-    profile, trace = permit.pool.engine, session.trace
-    assert profile is not None
-    budget = retry_budget(state, permit.pool.name)
-    record_first_attempt(budget, anyio.current_time())
+    record_first_attempt(retry_budget(state, permit.pool.name), anyio.current_time())
     seconds = max(0.0, permit.deadline - anyio.current_time())
-    with anyio.move_on_after(seconds) as scope, replaceable_attempts(state, permit, session):
-        while not (reason := _no_attempt_reason(state, permit, session)):
-            crashes = count_crashes(state, permit, request, trace)
-            if crashes >= CRASH_LIMIT:
-                reason = f"{crashes} upstreams ended under it"
-                break
-            path = choose_attempt_path(state, permit, profile, session, expected)
-            if path is None:
-                session.missing = explain_missing_path(state, permit, profile, session, expected)
-                if await _wait_for_engines(state, permit, request, session, trace):
-                    continue
-                reason = str(session.missing)
-                break
-            retry, session.reserved_retry = session.reserved_retry, None
-            if session.attempts.sent and retry is None:
-                retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
-            if session.attempts.sent and retry is None:
-                reason = "budget of repeats is spent"
-                break
-            result = await run_attempt(state, permit, request, exchange, session, path)
-            if result is AttemptResult.COMPLETE:
-                record_answered(state, permit, request, trace)
-                if session.attempt_events < ANSWERED_EVENTS:
-                    record_parts_answered(state, permit)
-                record_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
-                session.complete = True
-                return False
-            if retry is not None and result is AttemptResult.NOT_SENT:
-                release_retry(budget, retry)
-        trace.give_up_reason = reason
+    with anyio.move_on_after(seconds) as scope:
+        async with anyio.create_task_group() as tasks:
+            while not session.complete:
+                planned: PlannedAttempt | None = None
+                if session.race.running:
+                    if session.race.needs_attempt:
+                        # Imported here because few attempts are overdue.
+                        from .stream_hedging import plan_hedge
+
+                        planned = await plan_hedge(state, permit, request, session)
+                else:
+                    planned = await _plan_attempt(state, permit, request, session, expected)
+                    if planned is None:
+                        break
+                if planned is not None:
+                    attempt = RunningAttempt(path=planned.path, started_at=anyio.current_time())
+                    begin_attempt(session.race, attempt)
+                    tasks.start_soon(
+                        _run_planned, state, permit, request, exchange, session, attempt, planned
+                    )
+                await session.changed.wait()
+                session.changed = anyio.Event()
+            tasks.cancel_scope.cancel()
     return scope.cancelled_caught
 
 
+async def _plan_attempt(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    session: StreamSession,
+    expected: int,
+) -> PlannedAttempt | None:
+    """Choose the path of the next attempt while none runs, and take its retry.
+
+    Returns:
+        None if no further attempt is possible.
+    """
+    profile, trace = permit.pool.engine, session.trace
+    assert profile is not None
+    while not (reason := explain_no_attempt(state, permit, request, session)):
+        path = choose_attempt_path(state, permit, profile, session, expected)
+        if path is None:
+            session.missing = explain_missing_path(state, permit, profile, session, expected)
+            if await _wait_for_engines(state, permit, request, session, trace):
+                continue
+            reason = str(session.missing)
+            break
+        if not session.attempts.sent:
+            return PlannedAttempt(path)
+        retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
+        if retry is not None:
+            return PlannedAttempt(path, retry)
+        reason = RETRIES_SPENT
+        break
+    trace.give_up_reason = reason
+    return None
+
+
+async def _run_planned(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    exchange: Exchange,
+    session: StreamSession,
+    attempt: RunningAttempt,
+    planned: PlannedAttempt,
+) -> None:
+    """Run an attempt, and record whether it completed the stream."""
+    try:
+        result = await run_attempt(state, permit, request, exchange, session, attempt)
+    finally:
+        end_attempt(session.race, attempt)
+        session.changed.set()
+    if result is AttemptResult.COMPLETE:
+        record_answered(state, permit, request, session.trace)
+        if attempt.events < ANSWERED_EVENTS:
+            record_parts_answered(state, permit)
+        record_gap(state.stream_pace, anyio.current_time() - request.arrived_at)
+        session.complete = True
+    elif result is AttemptResult.NOT_SENT and planned.retry is not None:
+        release_retry(retry_budget(state, permit.pool.name), planned.retry)
+
+
 async def _wait_for_engines(
     state: GatewayState,
     permit: Permit,
@@ -157,34 +207,6 @@
     return await wait_for_upstreams(state, permit, request, trace, seconds=wait, until=until)
 
 
-def _no_attempt_reason(state: GatewayState, permit: Permit, session: StreamSession) -> str:
-    """Return why another attempt is not allowed; empty if it is. The first one always is."""
-    attempts = session.attempts
-    if attempts.refused >= _refusals_limit(state, permit, session):
-        return f"{attempts.refused} paths refused"
-    if not attempts.may_have_run:
-        return ""
-    if not may_repeat(state, permit):
-        return "it may run once only"
-    if attempts.counted >= permit.route.max_attempts:
-        return f"sent {attempts.counted} times, as often as the route allows"
-    return ""
-
-
-def _refusals_limit(state: GatewayState, permit: Permit, session: StreamSession) -> int:
-    """Return after how many refusals to give up: earlier for new requests that are less urgent."""
-    if (
-        session.attempts.refused == 0
-        or session.has_begun
-        or permit.pool.name not in state.contended
-    ):
-        return REFUSALS_LIMIT
-    # Imported here because only refused requests need it.
-    from .retry_after import urgency_of
-
-    return refusals_limit(urgency_of(state, permit))
-
-
 async def _finish(
     state: GatewayState,
     permit: Permit,
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -5,12 +5,13 @@
 import logging
 import math
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import anyio
 
 from ...http1 import AnswerBrokenError, AnswerInvalidError
 from ...model.exchange import Dispatch
+from ...routing.attempt_race import StopReason, stop_attempt
 from ...routing.forwarding_table import (
     FULL_AVOID_SECONDS,
     record_domain_failure,
@@ -27,7 +28,7 @@
 from .reaching import proves_exit
 from .stall_watch import open_watched
 from .stream_events import forward_events
-from .stream_session import AttemptEnd, AttemptResult, EndedBy, StreamSession
+from .stream_session import AttemptEnd, AttemptResult, EndedBy, StreamSession, report_overdue
 from .upstream_call import (
     AnswerLostError,
     AttemptAbandonedError,
@@ -41,15 +42,13 @@
     from collections.abc import Iterator
 
     from ...http1 import Exchange, HttpRequest
+    from ...routing.attempt_race import RunningAttempt
     from ...routing.forwarding_table import ForwardedUpstream
     from .checks import Permit
     from .state import GatewayState
 
 logger = logging.getLogger(__name__)
 
-FOUND_DEAD_ELSEWHERE: Final = "an engine of the path was found dead by another request"
-"""Reason for the end of an attempt that another request interrupted."""
-
 
 async def run_attempt(
     state: GatewayState,
@@ -57,7 +56,7 @@
     request: HttpRequest,
     exchange: Exchange,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
 ) -> AttemptResult:
     """Send a stream's request over a path once and forward the events.
 
@@ -67,51 +66,56 @@
         request: The request.
         exchange: The exchange with the caller.
         session: The caller's stream.
-        path: The path.
+        attempt: The attempt.
 
     Returns:
         The result of the attempt.
     """
-    sent_before = session.attempts.sent
-    session.interrupted = False
-    session.attempt_started_at = anyio.current_time()
+    path = attempt.path
     session.trace.attempts += 1
-    session.trace.path = _describe_path(path)
+    session.trace.path = path.describe()
     session.trace.relayed_by = ""
     session.trace.queue_seconds = path.longest_queue
     session.tried.update(part.instance for part in path.parts)
-    started_at = anyio.current_time()
-    session.attempt_events = 0
     reserve(path, session.tokens)
     if permit.pool.name in state.contended:
-        session.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
+        attempt.end_prompt = count_prompt(path, _tokens_to_read(permit, session))
     _record_hops(state, permit, session, path)
     end = AttemptEnd(AttemptResult.LOST, ended_by=EndedBy.CALLER)
     try:
-        with anyio.CancelScope() as scope, _cancel_on_loss(path, session, scope):
-            end = await _send_and_forward(state, permit, request, exchange, session, path)
-        if scope.cancelled_caught:
-            end = AttemptEnd(AttemptResult.LOST, FOUND_DEAD_ELSEWHERE, EndedBy.BOX)
+        with anyio.CancelScope() as scope, _stop_on_exit(session, attempt, scope):
+            end = await _send_and_forward(state, permit, request, exchange, session, attempt)
+        end = _evaluate_end(attempt, end, is_cancelled=scope.cancelled_caught)
     finally:
-        session.end_prompt()
+        attempt.end_prompt()
         release(path, session.tokens)
-        if end.result is AttemptResult.LOST and session.attempts.sent == sent_before:
+        if end.result is AttemptResult.LOST and not attempt.was_sent:
             end = end._replace(result=AttemptResult.NOT_SENT)
         if end.result is AttemptResult.LOST:
-            reached = _reached_engines(path, started_at)
+            reached = _reached_engines(path, attempt.started_at)
             record_crash(
                 state,
                 permit,
                 request,
                 session.trace,
                 reached,
-                started_at,
-                events=session.attempt_events,
+                attempt.started_at,
+                events=attempt.events,
             )
-        _record_result(state, permit, request, session, path, end)
+        _record_result(state, permit, request, session, attempt, end)
     return end.result
 
 
+def _evaluate_end(attempt: RunningAttempt, end: AttemptEnd, *, is_cancelled: bool) -> AttemptEnd:
+    """Return how an attempt ended, considering that this box may have stopped it."""
+    if attempt.stopped is None or (not is_cancelled and end.ended_by is not EndedBy.BOX):
+        return end
+    if attempt.stopped is StopReason.EXITED:
+        return AttemptEnd(AttemptResult.LOST, attempt.stopped.value, EndedBy.BOX)
+    result = AttemptResult.SUPERSEDED if attempt.was_sent else AttemptResult.NOT_SENT
+    return AttemptEnd(result, attempt.stopped.value, EndedBy.BOX)
+
+
 def _tokens_to_read(permit: Permit, session: StreamSession) -> int:
     """Return how many tokens the engines read before the next event.
 
@@ -145,24 +149,30 @@
 
 
 @contextmanager
-def _cancel_on_loss(
-    path: ChosenPath, session: StreamSession, scope: anyio.CancelScope
+def _stop_on_exit(
+    session: StreamSession, attempt: RunningAttempt, scope: anyio.CancelScope
 ) -> Iterator[None]:
-    """Cancel the block if any request finds an engine of the path dead."""
+    """Stop an attempt within the block if any request finds that an engine of its path has exited.
 
-    def handle_loss(engine: ForwardedUpstream) -> None:
-        session.dead.add(engine.registration.instance)
-        session.interrupted = True
-        if not session.emitting:
-            # Cancelling a write would lose events that the next attempt does not resend.
-            scope.cancel()
+    An engine that only appears lost may be silent, so that its attempt is overdue instead.
+    """
 
-    for engine in path.engines:
+    def handle_loss(engine: ForwardedUpstream) -> None:
+        instance = engine.registration.instance
+        is_known = instance in session.dead
+        session.dead.add(instance)
+        if engine.exited_at >= attempt.started_at:
+            stop_attempt(attempt, StopReason.EXITED)
+        elif not is_known:
+            report_overdue(session, attempt, f"{instance} was found unreachable")
+
+    attempt.stop = scope.cancel
+    for engine in attempt.path.engines:
         engine.on_lost.add(handle_loss)
     try:
         yield
     finally:
-        for engine in path.engines:
+        for engine in attempt.path.engines:
             engine.on_lost.discard(handle_loss)
 
 
@@ -171,7 +181,7 @@
     permit: Permit,
     request: HttpRequest,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
     end: AttemptEnd,
 ) -> None:
     """Count an attempt's result, and log incomplete attempts.
@@ -179,7 +189,7 @@
     An attempt that is cancelled because the caller disconnected or the deadline passed is logged as
     lost, or as not sent if that happened earlier, without a detail.
     """
-    result = end.result
+    result, path = end.result, attempt.path
     state.metrics.counters[f"run-{result.value}"] += 1
     if result is AttemptResult.COMPLETE:
         for engine in path.engines:
@@ -188,7 +198,7 @@
     is_head_dead = path.head.registration.instance in session.dead
     if result is AttemptResult.REFUSED:
         session.attempts.record_refused()
-    elif result is AttemptResult.LOST and is_head_dead:
+    elif result in (AttemptResult.LOST, AttemptResult.SUPERSEDED) and is_head_dead:
         session.attempts.record_forgiven()
     logger.warning(
         "run ended early",
@@ -196,10 +206,10 @@
             "request": permit.facts.attempt_id,
             "content": content_fingerprint(session.trace, request, permit).hex(),
             "end": result.value,
-            "may_have_run": result is AttemptResult.LOST,
+            "may_have_run": result in (AttemptResult.LOST, AttemptResult.SUPERSEDED),
             "detail": end.detail,
             "ended_by": end.ended_by.value,
-            "path": _describe_path(path),
+            "path": path.describe(),
             "events": session.order.delivered,
             "dead": sorted(session.dead),
             "silent_for": round(anyio.current_time() - session.last_progress_at, 3),
@@ -220,20 +230,16 @@
     return {name: round(age, 3) if age < math.inf else None for name, age in ages.items()}
 
 
-def _describe_path(path: ChosenPath) -> list[str]:
-    """Return the engines of a path with their layer ranges, for logs."""
-    return [f"{part.instance}={part.first}-{part.end}" for part in path.parts]
-
-
 async def _send_and_forward(
     state: GatewayState,
     permit: Permit,
     request: HttpRequest,
     exchange: Exchange,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
 ) -> AttemptEnd:
     """Send the request and forward the events; return how the attempt ended."""
+    path = attempt.path
     resume_after = session.order.last_id
     dispatch = Dispatch(
         instance=path.head.registration.instance,
@@ -243,9 +249,8 @@
         path=path.parts,
         resume_after=resume_after,
     )
-    started_at = anyio.current_time()
     try:
-        answer = await open_watched(state, permit, request, session, path, dispatch)
+        answer = await open_watched(state, permit, request, session, attempt, dispatch)
     except NotSentError as error:
         session.excluded.add(path.head.registration.instance)
         if error.is_inconclusive:
@@ -272,7 +277,7 @@
     if not answer.succeeded or not answer.facts.signed:
         return await _handle_error_answer(state, session, path, answer)
     try:
-        await forward_events(state, exchange, session, path, answer, started_at)
+        await forward_events(state, exchange, session, attempt, answer)
     except (AnswerBrokenError, AnswerLostError, ValueError) as error:
         # ValueError: an event exceeds the size limit.
         if isinstance(error, (AnswerInvalidError, ValueError)):
--- a/src/ledgeladder/daemons/gateway/stream_events.py
+++ b/src/ledgeladder/daemons/gateway/stream_events.py
@@ -8,7 +8,9 @@
 
 from ...http1 import read_part
 from ...platform.exchange import caller_headers
+from ...routing.attempt_race import record_progress
 from ...routing.event_stream import EventBuffer, StreamEvent, accept_events
+from ...routing.forwarding_table import record_event
 from ...routing.pace import record_gap
 from .crashes import ANSWERED_EVENTS
 from .stall_watch import read_watched
@@ -17,7 +19,7 @@
 
 if TYPE_CHECKING:
     from ...http1 import Exchange
-    from ...routing.paths import ChosenPath
+    from ...routing.attempt_race import RunningAttempt
     from .state import GatewayState
     from .stream_session import StreamSession
     from .upstream_call import OpenAnswer
@@ -27,9 +29,8 @@
     state: GatewayState,
     exchange: Exchange,
     session: StreamSession,
-    path: ChosenPath,
+    attempt: RunningAttempt,
     answer: OpenAnswer,
-    started_at: float,
 ) -> None:
     """Forward whole events until the answer ends, skipping those that the caller already has.
 
@@ -37,14 +38,13 @@
         state: State of the process.
         exchange: The exchange with the caller.
         session: The caller's stream.
-        path: The path.
+        attempt: The attempt.
         answer: The engine's answer.
-        started_at: When the attempt was sent, on the monotonic clock.
 
     Raises:
         AnswerBrokenError: If the answer ends early.
-        AnswerLostError: If an engine of the path is dead, the stream stalls for too long, or its
-            events are incomplete.
+        AttemptAbandonedError: If the attempt was stopped.
+        AnswerLostError: If its events are incomplete.
         ValueError: If an event exceeds the size limit.
     """
     buffer = EventBuffer()
@@ -57,59 +57,67 @@
         return None
 
     while True:
-        events = await read_watched(state, session, path, read_events)
+        events = await read_watched(state, session, attempt, read_events)
         # A read that has already completed returns even if the attempt is cancelled. The
         # cancellation would then interrupt the write, and the next attempt would resume after
         # events that were never written.
-        _raise_if_interrupted(session)
+        _raise_if_stopped(attempt)
         if events is None:
             if not buffer.is_between_events:
                 raise AnswerLostError("the stream ended within an event")
+            _take_lead(session, attempt, answer)
             await _finish_answer(exchange, session, answer, bytes(buffer.pending))
             return
         accepted, fault = accept_events(session.order, events)
         if accepted:
-            _count_events(session, len(accepted))
-            _record_events(state, session, path, started_at)
-            session.emitting = True
+            _take_lead(session, attempt, answer)
+            _count_events(session, attempt, len(accepted))
+            _record_events(state, session, attempt)
+            attempt.is_writing = True
             await _emit(exchange, session, answer, b"".join(accepted))
-            session.emitting = False
-            _raise_if_interrupted(session)
+            attempt.is_writing = False
+            _raise_if_stopped(attempt)
         if fault:
             raise AnswerLostError(fault)
 
 
-def _count_events(session: StreamSession, count: int) -> None:
+def _take_lead(session: StreamSession, attempt: RunningAttempt, answer: OpenAnswer) -> None:
+    """Let an attempt continue the stream, and stop the others."""
+    if attempt.overdue or len(session.race.running) > 1:
+        session.trace.path = attempt.path.describe()
+        session.trace.relayed_by = answer.connection.relayed_by
+    record_progress(session.race, attempt)
+
+
+def _count_events(session: StreamSession, attempt: RunningAttempt, count: int) -> None:
     """Count events of the attempt, and record once that its prompt is being answered."""
-    before = session.attempt_events
-    session.attempt_events += count
-    if before < ANSWERED_EVENTS <= session.attempt_events:
+    before = attempt.events
+    attempt.events += count
+    if before < ANSWERED_EVENTS <= attempt.events:
         session.record_prompt_answered()
 
 
-def _raise_if_interrupted(session: StreamSession) -> None:
-    """Check whether an engine of the attempt was found dead.
+def _raise_if_stopped(attempt: RunningAttempt) -> None:
+    """Check whether the attempt was stopped.
 
     Raises:
-        AttemptAbandonedError: If an engine was found dead.
+        AttemptAbandonedError: If it was.
     """
-    if session.interrupted:
-        raise AttemptAbandonedError("an engine of the path was found dead by another request")
+    if attempt.stopped is not None:
+        raise AttemptAbandonedError(attempt.stopped.value)
 
 
-def _record_events(
-    state: GatewayState, session: StreamSession, path: ChosenPath, started_at: float
-) -> None:
+def _record_events(state: GatewayState, session: StreamSession, attempt: RunningAttempt) -> None:
     """Record the times of new events, and mark the engines of the path as alive."""
     now = anyio.current_time()
-    for engine in path.engines:
-        engine.last_success_at = now
-    session.end_prompt()
+    for engine in attempt.path.engines:
+        record_event(engine, now)
+    attempt.end_prompt()
     gap = now - session.last_progress_at
     if not session.started:
         record_duration(state.metrics.first_event, gap)
         session.trace.first_event = gap
-        record_gap(state.first_event_pace, now - started_at)
+        record_gap(state.first_event_pace, now - attempt.started_at)
     else:
         record_duration(state.metrics.gap, gap)
         session.trace.longest_gap = max(session.trace.longest_gap, gap)
--- /dev/null
+++ b/src/ledgeladder/daemons/gateway/stream_hedging.py
@@ -0,0 +1,110 @@
+"""Decides whether another attempt of a stream is begun beside one that is overdue."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+import anyio
+
+from ...routing.repeat_window import release_retry
+from .borrowing import acquire_retry
+from .checks import may_repeat
+from .state import retry_budget
+from .stream_attempt import describe_silence
+from .stream_paths import (
+    RETRIES_SPENT,
+    PlannedAttempt,
+    choose_hedge_path,
+    explain_no_attempt,
+)
+
+if TYPE_CHECKING:
+    from ...http1 import HttpRequest
+    from ...routing.attempt_race import RunningAttempt
+    from ...routing.paths import ChosenPath
+    from ...routing.repeat_window import Retry
+    from .checks import Permit
+    from .state import GatewayState
+    from .stream_session import StreamSession
+
+logger = logging.getLogger(__name__)
+
+NO_OTHER_PATH: Final = "no path over other engines that are not silent"
+"""Reason for no attempt beside one that is overdue."""
+
+
+async def plan_hedge(
+    state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
+) -> PlannedAttempt | None:
+    """Choose the path of an attempt beside those that are overdue, and take its retry.
+
+    Args:
+        state: State of the process.
+        permit: Permit of the request.
+        request: The request.
+        session: The caller's stream.
+
+    Returns:
+        None if none may be begun.
+    """
+    newest = session.race.running[-1]
+    path: ChosenPath | None = None
+    retry: Retry | None = None
+    reason = _explain_no_hedge(state, permit, request, session)
+    if not reason:
+        path = choose_hedge_path(state, permit, session)
+        reason = "" if path is not None else NO_OTHER_PATH
+    if path is not None:
+        retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
+        reason = "" if retry is not None else RETRIES_SPENT
+    if retry is not None and not session.race.needs_attempt:
+        # An attempt made progress while quota was requested.
+        release_retry(retry_budget(state, permit.pool.name), retry)
+        return None
+    _log_decision(state, permit, session, newest, path, reason)
+    if path is None or retry is None:
+        return None
+    state.metrics.counters["attempt-replaced"] += 1
+    return PlannedAttempt(path, retry)
+
+
+def _explain_no_hedge(
+    state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
+) -> str:
+    """Return why no attempt may be begun beside those that run; empty if one may."""
+    if not may_repeat(state, permit):
+        # One that runs may not have been sent yet, and would be sent later.
+        return "it may run once only"
+    return explain_no_attempt(state, permit, request, session)
+
+
+def _log_decision(
+    state: GatewayState,
+    permit: Permit,
+    session: StreamSession,
+    attempt: RunningAttempt,
+    path: ChosenPath | None,
+    reason: str,
+) -> None:
+    """Log what is done about an overdue attempt; why it is kept only when that has changed."""
+    is_repeated = bool(reason) and attempt.kept == reason
+    attempt.kept = reason
+    if is_repeated:
+        return
+    now = anyio.current_time()
+    logger.warning(
+        "attempt overdue",
+        extra={
+            "request": permit.facts.attempt_id,
+            "decision": "kept" if reason else "another attempt begins beside it",
+            "reason": reason,
+            "overdue": attempt.overdue,
+            "path": attempt.path.describe(),
+            "next_path": path.describe() if path is not None and not reason else None,
+            "silent_for": round(now - session.last_progress_at, 3),
+            "silent_engines": describe_silence(attempt.path, now),
+            "began_with": permit.version,
+            "version": state.version,
+        },
+    )
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -1,23 +1,30 @@
-"""Choice of the path for the next attempt of a stream."""
+"""Choice of the next attempt of a stream: whether it may be sent again, and over which path."""
 
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import anyio
 import msgspec
 
-from ...routing.forwarding_table import is_suspected
+from ...coordination.crash_book import CRASH_LIMIT
+from ...routing.attempt_race import explain_no_further_attempt
+from ...routing.contention import REFUSALS_LIMIT, refusals_limit
+from ...routing.forwarding_table import is_silent, is_suspected
 from ...routing.link_load import NEW_REQUEST_LIMIT, RESUMED_STREAM_LIMIT, link_utilization
 from ...routing.path_costs import OVERCOMMIT_FRACTION, PathRequest
 from ...routing.paths import ChosenPath, NoPathReason, choose_path, explain_no_path
 from ...routing.suspected_links import link_penalties
 from .backpressure import request_grants
+from .checks import may_repeat
+from .crashes import count_crashes
 
 if TYPE_CHECKING:
+    from ...http1 import HttpRequest
     from ...model.traffic import EngineProfile
     from ...routing.forwarding_table import ForwardedUpstream
+    from ...routing.repeat_window import Retry
     from .checks import Permit
     from .state import GatewayState
     from .stream_session import StreamSession
@@ -26,6 +33,55 @@
 """Expected answer length, as a share of the requested maximum, if the engine profile has none."""
 
 
+RETRIES_SPENT: Final = "budget of repeats is spent"
+"""Reason for no further attempt."""
+
+
+class PlannedAttempt(NamedTuple):
+    """An attempt that may begin."""
+
+    path: ChosenPath
+    """Its path."""
+
+    retry: Retry | None = None
+    """Retry that was taken for it; None for the first attempt."""
+
+
+def explain_no_attempt(
+    state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
+) -> str:
+    """Return why another attempt is not allowed; empty if it is. The first one always is."""
+    running = session.race.running
+    reason = explain_no_further_attempt(
+        session.attempts,
+        may_repeat=may_repeat(state, permit),
+        max_attempts=permit.route.max_attempts,
+        refusals_limit=_refusals_limit(state, permit, session),
+        forgiven_running=sum(
+            item.was_sent and item.path.head.registration.instance in session.dead
+            for item in running
+        ),
+    )
+    if reason:
+        return reason
+    crashes = count_crashes(state, permit, request, session.trace)
+    return f"{crashes} upstreams ended under it" if crashes >= CRASH_LIMIT else ""
+
+
+def _refusals_limit(state: GatewayState, permit: Permit, session: StreamSession) -> int:
+    """Return after how many refusals to give up: earlier for new requests that are less urgent."""
+    if (
+        session.attempts.refused == 0
+        or session.has_begun
+        or permit.pool.name not in state.contended
+    ):
+        return REFUSALS_LIMIT
+    # Imported here because only refused requests need it.
+    from .retry_after import urgency_of
+
+    return refusals_limit(urgency_of(state, permit))
+
+
 def expected_answer_tokens(permit: Permit, profile: EngineProfile) -> int:
     """Return the expected number of answer tokens; at least 1."""
     max_tokens = permit.facts.answer_tokens
@@ -95,23 +151,45 @@
     return path
 
 
-def has_other_path(
-    state: GatewayState, permit: Permit, session: StreamSession, path: ChosenPath
-) -> bool:
-    """Return whether a request could move from its path to engines that are not on it.
+def choose_hedge_path(
+    state: GatewayState, permit: Permit, session: StreamSession
+) -> ChosenPath | None:
+    """Choose the path of an attempt beside those that are overdue.
 
-    A path between failure domains counts only if no domain holds all layers.
+    If an engine of theirs is unreachable, the others may serve the new attempt as well; likewise
+    all of them if this box was cut off, since the new attempt is relayed. Otherwise any engine may
+    be the silent one, and neither those engines are used nor others that are silent. A path between
+    failure domains is then used only if no domain holds all layers.
+
+    Args:
+        state: State of the process.
+        permit: Permit of the request.
+        session: The caller's stream.
+
+    Returns:
+        The path, or None if there is no other one.
     """
     profile = permit.pool.engine
     assert profile is not None
+    expected = expected_answer_tokens(permit, profile)
+    in_use = {
+        engine.registration.instance
+        for item in session.race.running
+        for engine in item.path.engines
+    }
+    if state.reach.is_cut or not in_use.isdisjoint(session.dead):
+        return choose_attempt_path(state, permit, profile, session, expected)
     now = anyio.current_time()
-    request = _path_request(state, permit, session, expected_answer_tokens(permit, profile))
+    request = _path_request(state, permit, session, expected)
     request = msgspec.structs.replace(request, may_cross=False)
-    on_path = {item.registration.instance for item in path.engines}
-    excluded = session.excluded | session.dead | on_path
+    excluded = session.excluded | session.dead | in_use
     engines = state.table.pools.get(permit.pool.name, [])
-    usable = [item for item in engines if not _is_avoided(state, session, item, now)]
-    return choose_path(profile, usable, request, now, excluded=excluded) is not None
+    usable = [
+        item
+        for item in engines
+        if not (_is_avoided(state, session, item, now) or is_silent(item, now))
+    ]
+    return choose_path(profile, usable, request, now, excluded=excluded, rng=state.rng)
 
 
 def _path_request(
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -4,11 +4,13 @@
 
 from contextlib import contextmanager
 from enum import StrEnum
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
+import anyio
 import msgspec
 
 from ...routing.attempt_counts import AttemptCounts
+from ...routing.attempt_race import AttemptRace, RunningAttempt, record_overdue
 from ...routing.pace import Pace
 from .notes import RequestTrace
 
@@ -16,8 +18,7 @@
     from collections.abc import Callable, Iterator
 
     from ...routing.event_stream import EventOrder
-    from ...routing.paths import ChosenPath, NoPathReason
-    from ...routing.repeat_window import Retry
+    from ...routing.paths import NoPathReason
     from ...routing.stream_patience import StreamTimeouts
     from .state import GatewayState
     from .upstream_call import OpenAnswer
@@ -40,6 +41,9 @@
     """The attempt broke off, possibly after some events were forwarded; or the engine answered with
     an error, which is forwarded if no other attempt succeeds."""
 
+    SUPERSEDED = "superseded"
+    """Another attempt continued the stream."""
+
 
 class EndedBy(StrEnum):
     """Who ended an attempt."""
@@ -67,24 +71,6 @@
     """Who ended it."""
 
 
-class AbortDecision(Protocol):
-    """Decides whether an overdue attempt is aborted."""
-
-    async def __call__(self, path: ChosenPath, *, lost_link: bool) -> bool:
-        """Return whether an attempt over a path is aborted.
-
-        Args:
-            path: The path.
-            lost_link: Whether its connection was opened before this box was cut off, so that the
-                same path is the way out.
-        """
-
-
-async def _never(path: ChosenPath, *, lost_link: bool) -> bool:
-    del path, lost_link
-    return False
-
-
 class StreamSession(msgspec.Struct, kw_only=True):
     """One caller's stream across all of its attempts."""
 
@@ -134,12 +120,11 @@
     failure_body: bytes = b""
     """Body of `failure`."""
 
-    may_abort: AbortDecision = _never
-    """Decides whether an attempt over the given path, which is overdue, is aborted; takes the retry
-    that its replacement needs."""
+    race: AttemptRace = msgspec.field(default_factory=AttemptRace)
+    """Attempts that run now."""
 
-    reserved_retry: Retry | None = None
-    """Retry that was taken for a replacement and is not used yet."""
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when an attempt ends or is overdue."""
 
     pace: Pace = msgspec.field(default_factory=Pace)
     """Gaps between events, in seconds; its floor is `gap_probe` of `timeouts`."""
@@ -148,24 +133,9 @@
     """When the newest event was forwarded, or else when the request arrived, on the monotonic
     clock."""
 
-    attempt_started_at: float = 0.0
-    """When the current attempt began, on the monotonic clock."""
-
-    attempt_events: int = 0
-    """Events of the current attempt that arrived."""
-
-    emitting: bool = False
-    """True while events that `order` counts as delivered are being written to the caller."""
-
-    interrupted: bool = False
-    """True if an engine of the current attempt was found dead; no more events are forwarded."""
-
     record_prompt_answered: Callable[[], None] = lambda: None
     """Called once in each attempt, when its upstreams have begun to answer."""
 
-    end_prompt: Callable[[], None] = lambda: None
-    """Ends the count of the current attempt's prompt as pending."""
-
     @property
     def has_begun(self) -> bool:
         """Whether the caller has part of the answer, which an end now would break off."""
@@ -175,6 +145,12 @@
         self.pace = Pace(floor=self.timeouts.gap_probe)
 
 
+def report_overdue(session: StreamSession, attempt: RunningAttempt, reason: str) -> None:
+    """Record that an attempt is overdue, so that another one may be begun beside it."""
+    record_overdue(attempt, reason)
+    session.changed.set()
+
+
 class RunningStream(NamedTuple):
     """One stream that this box runs."""
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -25,13 +25,12 @@
 from .reaching import NoRelayError, connect_upstream
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     import h11
 
     from ...http1 import HttpRequest
     from ...model.exchange import AnswerFacts, Dispatch
-    from ...routing.attempt_counts import AttemptCounts
     from ...routing.forwarding_table import ForwardedUpstream
     from .checks import Permit
     from .notes import RequestTrace
@@ -114,7 +113,7 @@
     upstream: ForwardedUpstream,
     *,
     fresh_connection: bool,
-    counts: AttemptCounts,
+    record_sent: Callable[[], None],
     later_engines: Sequence[ForwardedUpstream] = (),
     trace: RequestTrace | None = None,
 ) -> OpenAnswer:
@@ -128,7 +127,7 @@
         upstream: The upstream to call.
         fresh_connection: Whether to avoid pooled connections, whose loss is indistinguishable from
             the loss of the answer.
-        counts: Attempts of the request, to which this one is added before anything is written.
+        record_sent: Called before anything is written.
         later_engines: Engines that the request visits after the upstream.
         trace: Trace of the request, which is told which box relays it.
 
@@ -154,7 +153,7 @@
     acquire_grants([item.limit for item in targets], sent_at)
     hide_key = state.index.needs_keys
     headers = dispatch_headers(request, dispatch, hide_key=hide_key)
-    counts.record_sent()
+    record_sent()
     try:
         await send_request(connection, request.method, request.target, headers, request.body)
         head = await read_head(connection)
--- /dev/null
+++ b/src/ledgeladder/routing/attempt_race.py
@@ -0,0 +1,150 @@
+"""Decides which of the concurrent attempts of a stream continues it.
+
+A silent engine may be sound, so an overdue attempt is not ended. Another attempt runs beside it (a
+hedged request), and the first that makes progress continues the stream; the others are stopped.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .attempt_counts import AttemptCounts
+    from .paths import ChosenPath
+
+
+class StopReason(StrEnum):
+    """Why an attempt is stopped before its upstream ends it."""
+
+    SUPERSEDED = "another attempt continues the stream"
+    """Another attempt made progress first."""
+
+    EXITED = "an engine of the path has exited"
+    """The process of an engine of its path has exited."""
+
+
+class RunningAttempt(msgspec.Struct, kw_only=True, eq=False):
+    """One attempt of a stream while it runs."""
+
+    path: ChosenPath
+    """Engines that it uses."""
+
+    started_at: float
+    """When it began, on the monotonic clock."""
+
+    stop: Callable[[], None] = lambda: None
+    """Ends the attempt unless it has ended."""
+
+    end_prompt: Callable[[], None] = lambda: None
+    """Ends the count of its prompt as pending."""
+
+    was_sent: bool = False
+    """Whether its request may have been written to an upstream."""
+
+    events: int = 0
+    """Events that it received."""
+
+    is_writing: bool = False
+    """Whether events that count as delivered are being written to the caller."""
+
+    overdue: str = ""
+    """Why it is overdue; empty if it is not."""
+
+    kept: str = ""
+    """Why no other attempt was begun beside it when that was last decided."""
+
+    stopped: StopReason | None = None
+    """Why it was stopped; None if it was not. No event of a stopped attempt may be forwarded."""
+
+
+class AttemptRace(msgspec.Struct, kw_only=True):
+    """Concurrent attempts of one stream."""
+
+    running: list[RunningAttempt] = msgspec.field(default_factory=list)
+    """Attempts that have not ended, oldest first."""
+
+    @property
+    def needs_attempt(self) -> bool:
+        """Whether another attempt would be useful: none runs, or all that run are overdue."""
+        return all(item.overdue and not item.is_writing for item in self.running)
+
+
+def begin_attempt(race: AttemptRace, attempt: RunningAttempt) -> None:
+    """Add an attempt that begins."""
+    race.running.append(attempt)
+
+
+def end_attempt(race: AttemptRace, attempt: RunningAttempt) -> None:
+    """Remove an attempt that has ended."""
+    race.running.remove(attempt)
+
+
+def record_overdue(attempt: RunningAttempt, reason: str) -> None:
+    """Record that an attempt makes no progress, or that its engines appear lost."""
+    attempt.overdue = reason
+
+
+def record_progress(race: AttemptRace, attempt: RunningAttempt) -> bool:
+    """Let an attempt continue the stream with what it received.
+
+    Returns:
+        Whether its events may be forwarded; False if it was stopped before.
+    """
+    if attempt.stopped is not None:
+        return False
+    attempt.overdue = attempt.kept = ""
+    for other in race.running:
+        if other is not attempt:
+            stop_attempt(other, StopReason.SUPERSEDED)
+    return True
+
+
+def stop_attempt(attempt: RunningAttempt, reason: StopReason) -> None:
+    """Stop an attempt; one that is writing to the caller stops after the write.
+
+    Interrupting a write would lose events that no other attempt sends again.
+    """
+    if attempt.stopped is None:
+        attempt.stopped = reason
+    if not attempt.is_writing:
+        attempt.stop()
+
+
+def explain_no_further_attempt(
+    counts: AttemptCounts,
+    *,
+    may_repeat: bool,
+    max_attempts: int,
+    refusals_limit: int,
+    forgiven_running: int = 0,
+) -> str:
+    """Return why a stream may not be sent again; empty if it may.
+
+    Args:
+        counts: Attempts so far.
+        may_repeat: Whether it may run more than once.
+        max_attempts: Attempts that the route allows.
+        refusals_limit: Refusals after which it is given up.
+        forgiven_running: Running attempts that do not count towards `max_attempts`, as their first
+            engine appears lost.
+
+    >>> from ledgeladder.routing.attempt_counts import AttemptCounts
+    >>> explain_no_further_attempt(
+    ...     AttemptCounts(sent=1), may_repeat=False, max_attempts=2, refusals_limit=3
+    ... )
+    'it may run once only'
+    """
+    if counts.refused >= refusals_limit:
+        return f"{counts.refused} paths refused"
+    if not counts.may_have_run:
+        return ""
+    if not may_repeat:
+        return "it may run once only"
+    if counts.counted - forgiven_running >= max_attempts:
+        return f"sent {counts.counted} times, as often as the route allows"
+    return ""
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -53,6 +53,10 @@
 """Minimum time between a loss and the heartbeat that clears it. Ages are reported in hundredths of
 a second, and a heartbeat takes some milliseconds to be announced."""
 
+SILENT_VALID_SECONDS: Final = 2.0
+"""How long an engine counts as silent after an attempt over it was found overdue. Longer than the
+interval at which overdue attempts are checked."""
+
 REPORTED_LOAD_VALID_SECONDS: Final = 0.3
 """How long the load that an upstream reported is used."""
 
@@ -116,6 +120,12 @@
     """When an event last arrived over a path through it, or it last accepted a probe, on the
     monotonic clock."""
 
+    last_event_at: float = float("-inf")
+    """When an event last arrived over a path through it, on the monotonic clock."""
+
+    silent_at: float = float("-inf")
+    """When an attempt on a path through it was last found overdue, on the monotonic clock."""
+
     slowdown: float = 1.0
     """Slowdown factor that it last reported; 1 before the first report."""
 
@@ -279,6 +289,22 @@
     upstream.lost_at = float("-inf")
 
 
+def record_event(engine: ForwardedUpstream, now: float) -> None:
+    """Record that an event arrived over a path through an engine."""
+    engine.last_event_at = engine.last_success_at = now
+
+
+def record_silence(engines: Iterable[ForwardedUpstream], now: float) -> None:
+    """Record that an attempt over some engines is overdue; which of them is silent is unknown."""
+    for engine in engines:
+        engine.silent_at = now
+
+
+def is_silent(engine: ForwardedUpstream, now: float) -> bool:
+    """Return whether attempts over an engine are overdue and no event came through it since."""
+    return engine.silent_at > engine.last_event_at and now - engine.silent_at < SILENT_VALID_SECONDS
+
+
 def record_failure(upstream: ForwardedUpstream, now: float) -> None:
     """Record a failure of an upstream and avoid it, each time for longer."""
     if now < upstream.avoid_until:
--- a/src/ledgeladder/routing/paths.py
+++ b/src/ledgeladder/routing/paths.py
@@ -91,6 +91,10 @@
         """Failure domains of the engines, in order."""
         return [engine.registration.failure_domain for engine in self.engines]
 
+    def describe(self) -> list[str]:
+        """Return the engines with their layer ranges, for logs."""
+        return [f"{part.instance}={part.first}-{part.end}" for part in self.parts]
+
     @property
     def head(self) -> ForwardedUpstream:
         """The first engine, which receives the request."""
