--- a/tests/daemons/gateway/failing_upstream.py
+++ b/tests/daemons/gateway/failing_upstream.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
@@ -37,6 +38,7 @@
 REFUSAL = b"HTTP/1.1 503 Full\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 WRONG_UPSTREAM = b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
 DEADLINE_SECONDS = 1.0
+TARGET_SECONDS = 0.2
 
 ANSWERS = {
     "refuses": REFUSAL,
@@ -146,6 +148,7 @@
         self.state.retry_budgets[POOL] = RetryWindow(ratio=0.0, reserve=200.0, seconds=10.0)
         self.caller = Caller()
         self.trace = RequestTrace()
+        self.crosses_domains = False
         monkeypatch.setattr(stream, "choose_attempt_path", self._choose_path)
         monkeypatch.setattr(plain, "choose_service", self._choose_service)
         monkeypatch.setattr(upstream_call, "connect_upstream", self._connect)
@@ -166,9 +169,22 @@
         chosen = self._first_untried(session.excluded | session.dead)
         if chosen is None:
             return None
-        known = chosen.registration
-        part = PathPart(instance=known.instance, address=known.address, first=0, end=PROFILE.layers)
-        return ChosenPath(parts=(part,), engines=(chosen,), cost=1.0)
+        engines = [chosen]
+        if self.crosses_domains:
+            known = chosen.registration
+            later = engine(f"{known.instance}-later", known.address)
+            later.registration = msgspec.structs.replace(later.registration, failure_domain="b")
+            engines.append(later)
+        parts = tuple(
+            PathPart(
+                instance=item.registration.instance,
+                address=item.registration.address,
+                first=0,
+                end=PROFILE.layers,
+            )
+            for item in engines
+        )
+        return ChosenPath(parts=parts, engines=tuple(engines), cost=1.0)
 
     def _choose_hedge_path(
         self, state: object, permit: object, session: StreamSession
@@ -203,6 +219,7 @@
         *,
         resumable: bool = False,
         seconds: float = DEADLINE_SECONDS,
+        target: float = TARGET_SECONDS,
         check: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         async def forward() -> None:
@@ -214,7 +231,7 @@
                 try:
                     await call(
                         self.state,
-                        permit(now, kind, resumable=resumable, seconds=seconds),
+                        permit(now, kind, resumable=resumable, seconds=seconds, target=target),
                         request(now),
                         self.caller,  # type: ignore[arg-type]
                         self.trace,
@@ -234,7 +251,12 @@
 
 
 def permit(
-    now: float, kind: RequestKind, *, resumable: bool, seconds: float = DEADLINE_SECONDS
+    now: float,
+    kind: RequestKind,
+    *,
+    resumable: bool,
+    seconds: float = DEADLINE_SECONDS,
+    target: float = TARGET_SECONDS,
 ) -> Permit:
     route = RouteRule(
         name="r",
@@ -243,8 +265,8 @@
         kind=kind,
         resumable=resumable,
         timeout=seconds,
-        target_latency=0.2,
-        gap_target=0.2,
+        target_latency=target,
+        gap_target=target,
         priority=1,
         pools=(PoolWeight(pool=POOL, weight=1),),
         max_attempts=3,
