The body of an error answer is awaited, and its attempt hedged when late

What callers saw: a signed error answer whose body was silent for two target latencies became a 502 of the box, for streams that may run once only as well. Cause: a timeout of its own around the body, the same class as the silence of streams: something was given up with nothing in hand. Now the attempt is overdue after that time and goes on. Memory stays bounded by the size of an answer. test_error_answer_whose_body_is_late_reaches_the_caller[stream] failed before (0 instead of 500), passes now; endless answers pass.

--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -275,7 +275,7 @@
         await _identify_failed_engines(state, session, path)
         return AttemptEnd(AttemptResult.LOST, str(error), _ended_by(error))
     if not answer.succeeded or not answer.facts.signed:
-        return await _handle_error_answer(state, session, path, answer)
+        return await _handle_error_answer(state, session, attempt, answer)
     try:
         await forward_events(state, exchange, session, attempt, answer)
     except (AnswerBrokenError, AnswerLostError, ValueError) as error:
@@ -294,28 +294,54 @@
 
 def _ended_by(error: Exception) -> EndedBy:
     """Return who ended an attempt that failed with an error."""
-    is_conclusion = isinstance(error, (AttemptAbandonedError, TimeoutError))
-    return EndedBy.BOX if is_conclusion else EndedBy.UPSTREAM
+    return EndedBy.BOX if isinstance(error, AttemptAbandonedError) else EndedBy.UPSTREAM
+
+
+async def _read_error_body(
+    state: GatewayState, session: StreamSession, attempt: RunningAttempt, answer: OpenAnswer
+) -> bytes:
+    """Read the body of an error answer; the attempt is overdue if it takes too long.
+
+    Raises:
+        AnswerLostError: If the body ends early or is too long.
+    """
+    body = b""
+    failure: AnswerLostError | None = None
+
+    async def report_late() -> None:
+        await anyio.sleep(session.timeouts.first_timeout)
+        report_overdue(session, attempt, "error answer without an end")
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(report_late)
+        try:
+            body = await read_body(state, answer)
+        except AnswerLostError as error:
+            # Raised below: a task group would wrap it.
+            failure = error
+        tasks.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return body
 
 
 async def _handle_error_answer(
-    state: GatewayState, session: StreamSession, path: ChosenPath, answer: OpenAnswer
+    state: GatewayState, session: StreamSession, attempt: RunningAttempt, answer: OpenAnswer
 ) -> AttemptEnd:
     """Handle an answer that is not a stream, or that does not carry the id of the request.
 
     Returns:
         How the attempt ended.
     """
+    path = attempt.path
     status = answer.head.status_code
     try:
-        with anyio.fail_after(session.timeouts.first_timeout):
-            body = await read_body(state, answer)
-    except (AnswerLostError, TimeoutError) as error:
-        if isinstance(error, TimeoutError) or error.is_invalid:
+        body = await _read_error_body(state, session, attempt, answer)
+    except AnswerLostError as error:
+        if error.is_invalid:
             record_failure(path.head, anyio.current_time())
         await _identify_failed_engines(state, session, path)
-        detail = str(error) or "error answer without an end"
-        return AttemptEnd(AttemptResult.LOST, detail, _ended_by(error))
+        return AttemptEnd(AttemptResult.LOST, str(error))
     if answer.facts.not_run:
         failed_upstream = answer.facts.failed_upstream
         at_fault = [
--- a/tests/daemons/gateway/test_silent_answers.py
+++ b/tests/daemons/gateway/test_silent_answers.py
@@ -31,6 +31,12 @@
 }
 """Bytes that the upstream sends before it is silent, by the state of the answer."""
 
+ERROR_BODY = b"failed"
+ERROR_ANSWER = (
+    b"HTTP/1.1 500 Failed\r\nAttempt-Id: a1\r\nReplica-Seal: s\r\nContent-Length: 6\r\n\r\n"
+)
+
+
 class Pausing(Upstream):
     """An upstream that is silent in the middle of its answer."""
 
@@ -116,3 +122,14 @@
     play = Play(monkeypatch, pausing(state))
     play.run(RequestKind.REPEATABLE, seconds=DEADLINE_SECONDS, target=TARGET_SECONDS)
     assert (play.caller.body, play.caller.complete) == (EVENTS, True)
+
+
+@pytest.mark.parametrize("kind", [RequestKind.STREAM, RequestKind.ONCE])
+def test_error_answer_whose_body_is_late_reaches_the_caller(
+    monkeypatch: pytest.MonkeyPatch, kind: RequestKind
+) -> None:
+    """Failure: the body of an error answer was given up, and the caller got another status."""
+    play = Play(monkeypatch, Pausing("i-1", [ERROR_ANSWER, ERROR_BODY]))
+    play.run(kind, seconds=DEADLINE_SECONDS, target=TARGET_SECONDS)
+    assert play.received == [1, 0]
+    assert (play.caller.status, play.caller.body) == (500, ERROR_BODY)
--- a/tests/daemons/gateway/test_stream_attempt.py
+++ b/tests/daemons/gateway/test_stream_attempt.py
@@ -223,7 +223,8 @@
     answer: Any = SimpleNamespace(head=head, facts=facts)
 
     async def run() -> None:
-        await _handle_error_answer(gateway_state(), session, path, answer)
+        attempt = RunningAttempt(path=path, started_at=0.0)
+        await _handle_error_answer(gateway_state(), session, attempt, answer)
 
     anyio.run(run)
     assert session.excluded == {"i-1"}
