Probes of a silent engine are spaced, each counts twice as long as the last

What callers may see: an engine that is suspended accepts connections until its accept queue is full. An event resets the spacing, so that an engine that dies while it works is probed as soon as before.

--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -10,7 +10,12 @@
 from ...http1 import ConnectError
 from ...links import is_port_closed
 from ...links.messages import LossReport
-from ...routing.forwarding_table import record_exit, record_loss
+from ...routing.forwarding_table import (
+    counts_as_alive,
+    record_exit,
+    record_loss,
+    record_probe,
+)
 from ...routing.pace import record_gap
 from ...routing.upstream_reach import ReachVerdict, may_report_losses
 from .reaching import (
@@ -52,7 +57,8 @@
 ) -> bool:
     """Probe engines concurrently, and report those that do not accept a connection.
 
-    An engine that made progress for another request within `liveness_seconds` is not probed.
+    An engine that made progress for another request within `liveness_seconds` is not probed, nor
+    one that accepted a probe recently.
 
     Args:
         state: State of the process.
@@ -75,7 +81,7 @@
 
     async with anyio.create_task_group() as tasks:
         for engine in engines:
-            if anyio.current_time() - engine.last_success_at > liveness_seconds:
+            if not counts_as_alive(engine, anyio.current_time(), liveness_seconds):
                 tasks.start_soon(probe, engine)
     for engine in found:
         report_lost(state, engine, dead)
@@ -180,7 +186,7 @@
     except ConnectError as error:
         return _describe_failure(state, engine, error)
     await connection.close()
-    engine.last_success_at = anyio.current_time()
+    record_probe(engine, anyio.current_time())
     return ""
 
 
@@ -217,7 +223,7 @@
                 return failure
         else:
             record_gap(state.probe_pace, elapsed)
-            engine.last_success_at = anyio.current_time()
+            record_probe(engine, anyio.current_time())
             return None
         elapsed = anyio.current_time() - started_at
         if elapsed <= timeout + LATE_TIMER_SECONDS:
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -57,6 +57,12 @@
 """How long an engine counts as silent after an attempt over it was found overdue. Longer than the
 interval at which overdue attempts are checked."""
 
+MAX_PROBE_VALID_SECONDS: Final = 0.5
+"""Maximum time for which an accepted probe shows that an engine is alive."""
+
+MAX_PROBE_DOUBLINGS: Final = 16
+"""Maximum number of times that the time is doubled for which an accepted probe counts."""
+
 REPORTED_LOAD_VALID_SECONDS: Final = 0.3
 """How long the load that an upstream reported is used."""
 
@@ -123,6 +129,9 @@
     last_event_at: float = float("-inf")
     """When an event last arrived over a path through it, on the monotonic clock."""
 
+    probes_since_event: int = 0
+    """Probes that it accepted since an event last arrived over a path through it."""
+
     silent_at: float = float("-inf")
     """When an attempt on a path through it was last found overdue, on the monotonic clock."""
 
@@ -292,6 +301,30 @@
 def record_event(engine: ForwardedUpstream, now: float) -> None:
     """Record that an event arrived over a path through an engine."""
     engine.last_event_at = engine.last_success_at = now
+    engine.probes_since_event = 0
+
+
+def record_probe(engine: ForwardedUpstream, now: float) -> None:
+    """Record that an engine accepted a probe."""
+    engine.last_success_at = now
+    engine.probes_since_event += 1
+
+
+def counts_as_alive(engine: ForwardedUpstream, now: float, seconds: float) -> bool:
+    """Return whether an engine needs no probe, since it gave a sign of life recently.
+
+    Each probe that a silent engine accepts counts twice as long as the one before. A suspended
+    process does not empty its accept queue, which frequent probes of all boxes would fill.
+
+    Args:
+        engine: The engine.
+        now: Monotonic time.
+        seconds: How long an event counts.
+    """
+    if engine.probes_since_event:
+        doubled = seconds * 2.0 ** min(engine.probes_since_event - 1, MAX_PROBE_DOUBLINGS)
+        seconds = max(seconds, min(doubled, MAX_PROBE_VALID_SECONDS))
+    return now - engine.last_success_at <= seconds
 
 
 def record_silence(engines: Iterable[ForwardedUpstream], now: float) -> None:
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ledgeladder.daemons.gateway.probing import LIVENESS_SECONDS
 from ledgeladder.model.registration import Registration, UpstreamState
 from ledgeladder.model.traffic import (
     CallerLimits,
@@ -18,12 +19,15 @@
 from ledgeladder.routing.forwarding_table import (
     ForwardedUpstream,
     SuspectedDomains,
+    counts_as_alive,
     has_alternative,
     is_suspected,
     is_usable,
     record_domain_failure,
+    record_event,
     record_failure,
     record_loss,
+    record_probe,
     record_success,
 )
 from ledgeladder.routing.repeat_window import RetryWindow, acquire_local_retry, record_first_attempt
@@ -208,3 +212,22 @@
     record_loss(upstream, 10.0)
     record_success(upstream)
     assert is_usable(upstream, 10.1)
+
+
+def test_probes_do_not_fill_the_accept_queue_of_a_silent_engine() -> None:
+    """Failure: probes of all boxes fill the queue, further ones time out, and all streams on an
+    engine that is only suspended are taken for lost."""
+    boxes, accept_queue, silence_seconds = 8, 100, 3.0
+    engine = ForwardedUpstream(
+        registration=Registration(instance="i-1", sequence=1, address="a:1"), last_seen_at=0.0
+    )
+    record_event(engine, 0.0)
+    probes = 0
+    for now in (step / 1000 for step in range(int(silence_seconds * 1000))):
+        if not counts_as_alive(engine, now, LIVENESS_SECONDS):
+            record_probe(engine, now)
+            probes += 1
+    assert probes > 0
+    assert probes * boxes < accept_queue
+    record_event(engine, silence_seconds)
+    assert not counts_as_alive(engine, silence_seconds + 2 * LIVENESS_SECONDS, LIVENESS_SECONDS)
