An attempt whose engine accepts no connections is stopped for another one

Cause: the attempt that was kept held the room on the engines of its path that were alive, and its hedge, which shares them, was refused as full.

Change: an engine that accepts no connections, found by a probe with proof of the box's own reach, is no silent one. Silence alone stops nothing, as before. Overdue attempts are also checked at the moment of the limit and not up to twice as late.

--- a/src/ledgeladder/daemons/gateway/stall_watch.py
+++ b/src/ledgeladder/daemons/gateway/stall_watch.py
@@ -178,20 +178,22 @@
     """
     waited = _gap_timeout(session)
     while True:
+        timeouts = session.timeouts
+        lost_link = _is_on_lost_link(state, attempt)
+        limit = timeouts.link_avoidance if lost_link else timeouts.gap_timeout
         if await _has_unreachable(state, session, attempt.path):
             report_overdue(session, attempt, UNREACHABLE)
         else:
-            if waited >= session.timeouts.slowdown_query:
+            if waited >= timeouts.slowdown_query:
                 await _query_slowdowns(state, attempt.path)
             _suspect_links(state, session, attempt.path, waited)
-            lost_link = _is_on_lost_link(state, attempt)
-            timeouts = session.timeouts
-            limit = timeouts.link_avoidance if lost_link else timeouts.gap_timeout
             if waited >= limit:
                 _report_silence(session, attempt, f"stalled for {waited:.2f} s")
             state.metrics.counters["false-alarm"] += 1
             record_false_alarm(session.pace)
         timeout = _gap_timeout(session)
+        if waited < limit:
+            timeout = min(timeout, limit - waited)
         await anyio.sleep(timeout)
         waited += timeout
 
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -21,13 +21,12 @@
 from .stream_attempt import run_attempt
 from .stream_paths import (
     RETRIES_SPENT,
-    PlannedAttempt,
     choose_attempt_path,
     expected_answer_tokens,
     explain_missing_path,
     explain_no_attempt,
 )
-from .stream_session import AttemptResult, StreamSession, track_stream
+from .stream_session import AttemptResult, PlannedAttempt, StreamSession, track_stream
 from .waiting import wait_for_upstreams
 
 if TYPE_CHECKING:
@@ -79,7 +78,11 @@
 
         await admit_stream(state, permit, request, session, expected)
     with track_stream(state, permit.pool.name, session, request.arrived_at):
-        timed_out = await _run_attempts(state, permit, request, exchange, session, expected)
+        try:
+            timed_out = await _run_attempts(state, permit, request, exchange, session, expected)
+        finally:
+            if session.next_attempt is not None and session.next_attempt.retry is not None:
+                release_retry(retry_budget(state, permit.pool.name), session.next_attempt.retry)
     if not session.complete:
         await _finish(state, permit, exchange, session, timed_out=timed_out)
 
@@ -139,6 +142,9 @@
     Returns:
         None if no further attempt is possible.
     """
+    planned, session.next_attempt = session.next_attempt, None
+    if planned is not None:
+        return planned
     profile, trace = permit.pool.engine, session.trace
     assert profile is not None
     while not (reason := explain_no_attempt(state, permit, request, session)):
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -89,7 +89,7 @@
     finally:
         attempt.end_prompt()
         release(path, session.tokens)
-        if end.result is AttemptResult.LOST and not attempt.was_sent:
+        if end.result in (AttemptResult.LOST, AttemptResult.SUPERSEDED) and not attempt.was_sent:
             end = end._replace(result=AttemptResult.NOT_SENT)
         if end.result is AttemptResult.LOST:
             reached = _reached_engines(path, attempt.started_at)
@@ -110,9 +110,8 @@
     """Return how an attempt ended, considering that this box may have stopped it."""
     if attempt.stopped is None or (not is_cancelled and end.ended_by is not EndedBy.BOX):
         return end
-    if attempt.stopped is StopReason.EXITED:
-        return AttemptEnd(AttemptResult.LOST, attempt.stopped.value, EndedBy.BOX)
-    result = AttemptResult.SUPERSEDED if attempt.was_sent else AttemptResult.NOT_SENT
+    is_superseded = attempt.stopped is StopReason.SUPERSEDED
+    result = AttemptResult.SUPERSEDED if is_superseded else AttemptResult.LOST
     return AttemptEnd(result, attempt.stopped.value, EndedBy.BOX)
 
 
--- a/src/ledgeladder/daemons/gateway/stream_hedging.py
+++ b/src/ledgeladder/daemons/gateway/stream_hedging.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from ...routing.attempt_race import StopReason, stop_attempt
 from ...routing.repeat_window import release_retry
 from .borrowing import acquire_retry
 from .checks import may_repeat
@@ -14,10 +15,11 @@
 from .stream_attempt import describe_silence
 from .stream_paths import (
     RETRIES_SPENT,
-    PlannedAttempt,
     choose_hedge_path,
     explain_no_attempt,
+    uses_unreachable,
 )
+from .stream_session import PlannedAttempt
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
@@ -66,7 +68,24 @@
     if path is None or retry is None:
         return None
     state.metrics.counters["attempt-replaced"] += 1
-    return PlannedAttempt(path, retry)
+    planned = PlannedAttempt(path, retry)
+    if _stop_unreachable(session):
+        session.next_attempt = planned
+        return None
+    return planned
+
+
+def _stop_unreachable(session: StreamSession) -> bool:
+    """Stop the attempts if an engine of each is unreachable; return whether they were.
+
+    The next attempt begins once they have ended, since it may need the room that they take.
+    """
+    running = session.race.running
+    if not all(uses_unreachable(session, item) for item in running):
+        return False
+    for item in running:
+        stop_attempt(item, StopReason.UNREACHABLE)
+    return True
 
 
 def _explain_no_hedge(
@@ -97,7 +116,7 @@
         "attempt overdue",
         extra={
             "request": permit.facts.attempt_id,
-            "decision": "kept" if reason else "another attempt begins beside it",
+            "decision": "kept" if reason else "another attempt begins",
             "reason": reason,
             "overdue": attempt.overdue,
             "path": attempt.path.describe(),
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Final
 
 import anyio
 import msgspec
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
     from ...model.traffic import EngineProfile
+    from ...routing.attempt_race import RunningAttempt
     from ...routing.forwarding_table import ForwardedUpstream
-    from ...routing.repeat_window import Retry
     from .checks import Permit
     from .state import GatewayState
     from .stream_session import StreamSession
@@ -37,16 +37,6 @@
 """Reason for no further attempt."""
 
 
-class PlannedAttempt(NamedTuple):
-    """An attempt that may begin."""
-
-    path: ChosenPath
-    """Its path."""
-
-    retry: Retry | None = None
-    """Retry that was taken for it; None for the first attempt."""
-
-
 def explain_no_attempt(
     state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
 ) -> str:
@@ -151,6 +141,11 @@
     return path
 
 
+def uses_unreachable(session: StreamSession, attempt: RunningAttempt) -> bool:
+    """Return whether an engine of an attempt was found unreachable."""
+    return any(item.registration.instance in session.dead for item in attempt.path.engines)
+
+
 def choose_hedge_path(
     state: GatewayState, permit: Permit, session: StreamSession
 ) -> ChosenPath | None:
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -18,7 +18,8 @@
     from collections.abc import Callable, Iterator
 
     from ...routing.event_stream import EventOrder
-    from ...routing.paths import NoPathReason
+    from ...routing.paths import ChosenPath, NoPathReason
+    from ...routing.repeat_window import Retry
     from ...routing.stream_patience import StreamTimeouts
     from .state import GatewayState
     from .upstream_call import OpenAnswer
@@ -71,6 +72,16 @@
     """Who ended it."""
 
 
+class PlannedAttempt(NamedTuple):
+    """An attempt that may begin."""
+
+    path: ChosenPath
+    """Its path."""
+
+    retry: Retry | None = None
+    """Retry that was taken for it; None for the first attempt."""
+
+
 class StreamSession(msgspec.Struct, kw_only=True):
     """One caller's stream across all of its attempts."""
 
@@ -123,6 +134,9 @@
     race: AttemptRace = msgspec.field(default_factory=AttemptRace)
     """Attempts that run now."""
 
+    next_attempt: PlannedAttempt | None = None
+    """Attempt that begins once the current one, which was stopped for it, has ended."""
+
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when an attempt ends or is overdue."""
 
--- a/src/ledgeladder/routing/attempt_race.py
+++ b/src/ledgeladder/routing/attempt_race.py
@@ -1,7 +1,9 @@
 """Decides which of the concurrent attempts of a stream continues it.
 
 A silent engine may be sound, so an overdue attempt is not ended. Another attempt runs beside it (a
-hedged request), and the first that makes progress continues the stream; the others are stopped.
+hedged request), and the first that makes progress continues the stream; the others are stopped. An
+attempt whose engine accepts no connections either is stopped for another one, which may need the
+room that it takes on the other engines.
 """
 
 from __future__ import annotations
@@ -27,6 +29,9 @@
     EXITED = "an engine of the path has exited"
     """The process of an engine of its path has exited."""
 
+    UNREACHABLE = "an engine of the path is unreachable"
+    """An engine of its path accepts no connections, and another attempt can begin."""
+
 
 class RunningAttempt(msgspec.Struct, kw_only=True, eq=False):
     """One attempt of a stream while it runs."""
