--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -141,7 +141,8 @@
     """Record that an engine is dead, and report it to the control boxes.
 
     It receives no new work until a later heartbeat is known; the attempts of other streams on it
-    are overdue, or stopped if it has exited. A box that reaches no upstream itself reports none, since control boxes believe two that agree.
+    are overdue, or stopped if it has exited. A box that reaches no upstream itself reports none,
+    since control boxes believe two that agree.
 
     Args:
         state: State of the process.
