A silent service ends no attempt of a plain request: it is hedged, and goes on

What callers saw: a request that may be repeated failed, or was answered with the error of its second upstream, although the first, which had been silent for a moment, would have answered it.

Cause: the first attempt was cancelled after a share of the target latency once a retry was in hand. Nothing better was: the second upstream could still refuse, close, or be silent until the deadline. The silent upstream was blamed with a failure, and its idle connections were closed.

Evidence, upstreams on loopback: 58 of 65 cases of test_silent_services failed before. Among them are all 28 in which the second upstream is closed, refuses, closes, resets, exits, is silent or answers 500, with the first one silent before the head, inside it, inside the body, or before the last byte.

Ruled out: requests that may run once only; their attempts waited until the deadline before, and still do (4 cases, passing before and after).

Change: the attempts of a request race as those of a stream do (AttemptRace). An overdue attempt goes on while another one runs; the first whole final answer stops the others, whose connections are closed. An answer of status 500 or above is kept, and forwarded if nothing better comes. When an attempt is overdue, how many may run, the refusals and the retries are as before. A hedge goes only to a usable service that is not silent, and the check is repeated while the attempt goes on. A check that is late proves no silence, since this box was stopped then.

Silence is no failure, and nothing is reported. A silent service is still a last resort for new requests, for 2 s at most and until its next answer: its attempts go on and keep their place, but a box that kept choosing it would pay a retry for each request, also when its machine is gone. If all services are silent, they are chosen as before, and requests are not sent twice for it.

Idle connections stay. While nothing was heard, requests that may be repeated use a new connection; if that one answers first, the idle ones are closed, as they have likely stalled. A sound service that was suspended keeps its connections unless such a request is answered before the older ones.

Tests: test_silent_services 65 of 65.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+import math
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import anyio
 import msgspec
@@ -14,18 +15,33 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import caller_headers
 from ...routing.attempt_counts import AttemptCounts
+from ...routing.attempt_race import (
+    AttemptRace,
+    RunningAttempt,
+    begin_attempt,
+    end_attempt,
+    explain_no_further_attempt,
+    record_overdue,
+    record_progress,
+    take_silent,
+)
 from ...routing.forwarding_table import (
     accepts_work,
     has_alternative,
     is_at_max_requests,
+    is_silent,
+    is_usable,
     min_remaining_wait,
+    record_event,
     record_failure,
     record_full,
     record_loss,
     record_out_of_reach,
+    record_silence,
     record_success,
 )
 from ...routing.pace import record_gap, stall_timeout
+from ...routing.paths import ChosenPath
 from ...routing.rate_grants import any_limited
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.service_choice import choose_service
@@ -35,6 +51,7 @@
 from .crashes import count_crashes, record_answered, record_crash, record_parts_answered
 from .notes import content_fingerprint
 from .state import answer_pace, record_duration, retry_budget
+from .stream_session import EndedBy
 from .upstream_call import (
     MIN_FAILURE_STATUS,
     AnswerLostError,
@@ -56,8 +73,9 @@
 logger = logging.getLogger(__name__)
 
 FIRST_ATTEMPT_SHARE: Final = 0.6
-"""Share of the target latency after which a repeatable request is retried on another upstream,
-unless the service's answers usually take longer. The rest is for the second attempt."""
+"""Share of the target latency after which the first attempt is overdue and a repeatable request is
+sent to another upstream as well, unless the service's answers usually take longer. The rest is for
+the second attempt."""
 
 WAIT_SHARE: Final = 0.5
 """Share of the target latency for which a request waits until services accept work again. The rest
@@ -76,8 +94,11 @@
     counts: AttemptCounts = msgspec.field(default_factory=AttemptCounts)
     """Attempts so far, by how they ended."""
 
-    retry: Retry | None = None
-    """Retry that was acquired before an attempt was cancelled, and is not used yet."""
+    race: AttemptRace = msgspec.field(default_factory=AttemptRace)
+    """Attempts that run now."""
+
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when an attempt ends."""
 
     answer: OpenAnswer | None = None
     """Latest complete answer of an upstream that ran it."""
@@ -85,6 +106,29 @@
     body: bytes = b""
     """Body of that answer."""
 
+    is_final: bool = False
+    """Whether that answer is forwarded without waiting for a better one."""
+
+
+class _PlannedAttempt(NamedTuple):
+    """An attempt that may begin."""
+
+    upstream: ForwardedUpstream
+    """Its upstream."""
+
+    retry: Retry | None = None
+    """Retry that was taken for it; None for the first attempt."""
+
+
+class _AttemptEnd(NamedTuple):
+    """How one attempt ended without a final answer, for the log."""
+
+    outcome: str
+    """What happened; empty if nothing is to be logged."""
+
+    ended_by: EndedBy = EndedBy.UPSTREAM
+    """Who ended it."""
+
 
 async def forward_plain(
     state: GatewayState,
@@ -106,57 +150,163 @@
         ProblemError: If no upstream answered it.
     """
     attempts = _Attempts(counts=trace.counts)
-    budget = retry_budget(state, permit.pool.name)
-    record_first_attempt(budget, anyio.current_time())
-    with anyio.move_on_after(max(0.0, permit.deadline - anyio.current_time())):
-        while True:
-            upstream = _next_upstream(state, permit, attempts)
-            if upstream is None:
-                if await _wait_for_capacity(state, permit, request, attempts, trace):
-                    continue
-                break
-            crashes = count_crashes(state, permit, request, trace)
-            if crashes >= CRASH_LIMIT:
-                break
-            sent_before = attempts.counts.sent
-            retry = await _next_retry(state, permit, attempts)
-            if sent_before and retry is None:
-                break
-            trace.attempts += 1
-            trace.path = [upstream.registration.instance]
-            if await _run_attempt(state, permit, request, attempts, upstream, trace):
-                break
-            if retry is not None and attempts.counts.sent == sent_before:
-                release_retry(budget, retry)
-    if attempts.retry is not None:
-        release_retry(budget, attempts.retry)
+    record_first_attempt(retry_budget(state, permit.pool.name), anyio.current_time())
+    with anyio.CancelScope(deadline=permit.deadline):
+        await _run_attempts(state, permit, request, attempts, trace)
     if attempts.answer is not None:
         record_answered(state, permit, request, trace)
         record_parts_answered(state, permit)
     await _answer_caller(state, permit, request, exchange, attempts)
 
 
-async def _next_retry(state: GatewayState, permit: Permit, attempts: _Attempts) -> Retry | None:
-    """Return the retry for the next attempt; None for the first attempt, or if no retry is left."""
-    retry, attempts.retry = attempts.retry, None
-    if retry is not None or not attempts.counts.sent:
-        return retry
-    return await acquire_retry(state, permit.pool.name, started=False)
+async def _run_attempts(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    attempts: _Attempts,
+    trace: RequestTrace,
+) -> None:
+    """Send a request until its answer is final or no further attempt is possible.
+
+    An attempt that is overdue goes on, and another one may be begun beside it.
+    """
+    race = attempts.race
+    async with anyio.create_task_group() as tasks:
+        while not attempts.is_final:
+            planned: _PlannedAttempt | None = None
+            if not race.running:
+                planned = await _plan_attempt(state, permit, request, attempts, trace)
+                if planned is None:
+                    break
+            elif race.needs_attempt:
+                planned = await _plan_hedge(state, permit, request, attempts, trace)
+            if planned is not None:
+                attempt = _begin_attempt(state, permit, attempts, planned.upstream, trace)
+                tasks.start_soon(
+                    _run_planned, state, permit, request, attempts, attempt, planned.retry, trace
+                )
+            await _wait_for_change(state, permit, attempts)
+        tasks.cancel_scope.cancel()
+
+
+async def _wait_for_change(state: GatewayState, permit: Permit, attempts: _Attempts) -> None:
+    """Wait until an attempt has ended or is overdue."""
+    with anyio.CancelScope(deadline=attempts.race.next_check):
+        await attempts.changed.wait()
+    if attempts.changed.is_set():
+        attempts.changed = anyio.Event()
+    now = anyio.current_time()
+    for attempt in take_silent(attempts.race, now, _first_attempt_seconds(state, permit)):
+        record_silence(attempt.path.engines, now)
+        record_overdue(attempt, f"no answer within {now - attempt.started_at:.2f} s")
+
+
+async def _plan_attempt(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    attempts: _Attempts,
+    trace: RequestTrace,
+) -> _PlannedAttempt | None:
+    """Choose the upstream of the next attempt while none runs, and take its retry.
+
+    Returns:
+        None if no further attempt is possible.
+    """
+    while (upstream := _next_upstream(state, permit, attempts)) is None:
+        if not await _wait_for_capacity(state, permit, request, attempts, trace):
+            return None
+    if count_crashes(state, permit, request, trace) >= CRASH_LIMIT:
+        return None
+    if not attempts.counts.sent:
+        return _PlannedAttempt(upstream)
+    retry = await acquire_retry(state, permit.pool.name, started=False)
+    return None if retry is None else _PlannedAttempt(upstream, retry)
+
+
+async def _plan_hedge(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    attempts: _Attempts,
+    trace: RequestTrace,
+) -> _PlannedAttempt | None:
+    """Choose the upstream of an attempt beside those that are overdue, and take its retry.
+
+    Returns:
+        None if none may be begun. Upstreams that are silent as well are not used.
+    """
+    if not _may_hedge(state, permit, attempts):
+        return None
+    if count_crashes(state, permit, request, trace) >= CRASH_LIMIT:
+        return None
+    request_grants(state, permit.pool.name)
+    now, running = anyio.current_time(), attempts.race.running
+    pool = _pool(state, permit)
+    if not state.reach.is_cut:
+        # Attempts of a box that is cut off are relayed, whatever its connections were silent about.
+        pool = [item for item in pool if not is_silent(item, now)]
+    if not all(has_alternative(pool, item.path.head, attempts.instances, now) for item in running):
+        return None
+    upstream = _choose(state, permit, attempts, pool)
+    if upstream is None:
+        return None
+    retry = await acquire_retry(state, permit.pool.name, started=False)
+    if retry is not None and (attempts.is_final or not attempts.race.needs_attempt):
+        # An attempt was answered while quota was requested.
+        release_retry(retry_budget(state, permit.pool.name), retry)
+        return None
+    return None if retry is None else _PlannedAttempt(upstream, retry)
+
+
+def _may_hedge(state: GatewayState, permit: Permit, attempts: _Attempts) -> bool:
+    """Return whether a request may be sent again while it may still be answered.
+
+    One that may run once only is not, even if nothing was sent yet: that may happen later.
+    """
+    counts, running = attempts.counts, attempts.race.running
+    unsent = sum(not item.was_sent for item in running)
+    return (
+        _is_repeatable(state, permit)
+        and counts.counted + unsent < permit.route.max_attempts
+        and counts.refused < MAX_REFUSALS
+    )
 
 
 def _next_upstream(
     state: GatewayState, permit: Permit, attempts: _Attempts
 ) -> ForwardedUpstream | None:
-    """Choose the upstream for the next attempt; return None for no further attempt."""
-    is_repeatable = _is_repeatable(state, permit)
-    counts = attempts.counts
-    if counts.may_have_run and (not is_repeatable or counts.counted >= permit.route.max_attempts):
-        return None
-    if counts.refused >= MAX_REFUSALS:
+    """Choose the upstream for an attempt while none runs; return None for no further attempt.
+
+    Silent upstreams are a last resort. They may be sound, so their silence counts as no failure,
+    but a request that one of them accepts would likely need a retry on another one.
+    """
+    if explain_no_further_attempt(
+        attempts.counts,
+        may_repeat=_is_repeatable(state, permit),
+        max_attempts=permit.route.max_attempts,
+        refusals_limit=MAX_REFUSALS,
+    ):
         return None
     request_grants(state, permit.pool.name)
+    pool, now = _pool(state, permit), anyio.current_time()
+    if any(is_silent(item, now) for item in pool):
+        heard = [item for item in pool if is_usable(item, now) and not is_silent(item, now)]
+        upstream = _choose(state, permit, attempts, heard)
+        if upstream is not None:
+            return upstream
+    return _choose(state, permit, attempts, pool)
+
+
+def _choose(
+    state: GatewayState,
+    permit: Permit,
+    attempts: _Attempts,
+    candidates: list[ForwardedUpstream],
+) -> ForwardedUpstream | None:
+    """Choose one of some upstreams that the request was not sent to yet."""
     return choose_service(
-        state.table.pools.get(permit.pool.name, []),
+        candidates,
         anyio.current_time(),
         tried=attempts.instances,
         failure_domain=state.settings.box.failure_domain,
@@ -165,6 +315,11 @@
     )
 
 
+def _pool(state: GatewayState, permit: Permit) -> list[ForwardedUpstream]:
+    """Return the upstreams of a request's pool."""
+    return state.table.pools.get(permit.pool.name, [])
+
+
 def _is_repeatable(state: GatewayState, permit: Permit) -> bool:
     """Return whether a request may run more than once; streams of plain services may not."""
     return permit.route.kind is RequestKind.REPEATABLE and may_repeat(state, permit)
@@ -198,162 +353,197 @@
         None if no service applies back-pressure, or if one accepts work now.
     """
     now = anyio.current_time()
-    pool = state.table.pools.get(permit.pool.name, [])
     if _has_saturated(state, permit):
         return answer_pace(state, permit.pool.name).mean
-    return min_remaining_wait(pool, now)
+    return min_remaining_wait(_pool(state, permit), now)
 
 
-async def _run_attempt(
+def _begin_attempt(
     state: GatewayState,
     permit: Permit,
-    request: HttpRequest,
     attempts: _Attempts,
     upstream: ForwardedUpstream,
     trace: RequestTrace,
-) -> bool:
-    """Send a request to one upstream; return True if its answer is final.
-
-    The first attempt of a repeatable request gets only a share of the time, to leave room for a
-    retry.
-    """
-    instance = upstream.registration.instance
-    attempts.instances.add(instance)
-    is_repeatable = _is_repeatable(state, permit)
-    now = anyio.current_time()
-    seconds = permit.deadline - now
-    pool = state.table.pools.get(permit.pool.name, [])
-    may_retry = is_repeatable and attempts.counts.counted == 0 and permit.route.max_attempts > 1
-    if may_retry and has_alternative(pool, upstream, attempts.instances, now):
-        seconds = min(seconds, _first_attempt_seconds(state, permit))
-    dispatch = Dispatch(
-        instance=instance,
-        account=permit.account,
-        timeout=permit.deadline - now,
-        priority=permit.priority,
+) -> RunningAttempt:
+    """Add an attempt; only the first that counts is checked for silence."""
+    now, instance = anyio.current_time(), upstream.registration.instance
+    is_first = attempts.counts.counted == 0 and not attempts.race.running
+    attempt = RunningAttempt(
+        path=ChosenPath(parts=(), engines=(upstream,), cost=0.0),
+        started_at=now,
+        check_at=now + _first_attempt_seconds(state, permit) if is_first else math.inf,
     )
-    counts = attempts.counts
-    sent_before, refused_before = counts.sent, counts.refused
+    begin_attempt(attempts.race, attempt)
+    attempts.instances.add(instance)
+    trace.attempts += 1
+    trace.path = [instance]
+    return attempt
+
+
+async def _run_planned(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    attempts: _Attempts,
+    attempt: RunningAttempt,
+    retry: Retry | None,
+    trace: RequestTrace,
+) -> None:
+    """Run an attempt, and return its retry if nothing was sent."""
+    try:
+        with anyio.CancelScope() as scope:
+            attempt.stop = scope.cancel
+            await _run_attempt(state, permit, request, attempts, attempt, trace)
+    finally:
+        end_attempt(attempts.race, attempt)
+        attempts.changed.set()
+        if retry is not None and not attempt.was_sent:
+            release_retry(retry_budget(state, permit.pool.name), retry)
+
+
+async def _run_attempt(
+    state: GatewayState,
+    permit: Permit,
+    request: HttpRequest,
+    attempts: _Attempts,
+    attempt: RunningAttempt,
+    trace: RequestTrace,
+) -> None:
+    """Send a request to one upstream, and evaluate its answer."""
+    upstream, started_at = attempt.path.head, attempt.started_at
+    heard_at = started_at
+    refused = False
+    end = _AttemptEnd("")
     upstream.in_flight += 1
-    outcome = "answered"
     try:
-        answer, body = await _send(
-            state, permit, request, dispatch, upstream, attempts, seconds, trace
-        )
-        record_gap(answer_pace(state, permit.pool.name), anyio.current_time() - now)
-        if answer.facts.not_run:
-            outcome = f"refused with status {answer.head.status_code}"
-        return _evaluate(attempts, upstream, answer, body)
+        answer = await _open(state, permit, request, attempts, attempt, trace)
+        heard_at = anyio.current_time()
+        body = await read_body(state, answer)
+        record_gap(answer_pace(state, permit.pool.name), anyio.current_time() - started_at)
+        refused = answer.facts.not_run
+        end = _evaluate(attempts, attempt, answer, body, trace)
     except NotSentError as error:
-        outcome = f"not sent: {error}"
+        end = _AttemptEnd(f"not sent: {error}", EndedBy.BOX)
         if error.is_inconclusive:
             record_out_of_reach(upstream, anyio.current_time())
         else:
             record_loss(upstream, anyio.current_time())
-        return False
     except BackpressureError as error:
-        outcome = f"withheld: {error}"
-        return False
+        end = _AttemptEnd(f"withheld: {error}", EndedBy.BOX)
     except AnswerLostError as error:
-        outcome = f"lost: {error}"
+        end = _AttemptEnd(f"lost: {error}")
         record_failure(upstream, anyio.current_time())
         # Imported here because few answers are lost.
         from .probing import check_exited
 
         if await check_exited(state, upstream, set()):
-            record_crash(state, permit, request, trace, [upstream], now)
-        return False
-    except TimeoutError:
-        outcome = f"no answer within {seconds:.2f} s"
-        record_failure(upstream, anyio.current_time())
-        # Existing connections may have stalled permanently while new ones work, so idle ones are
-        # closed.
-        await state.connections.close_idle(upstream.registration.address)
-        return False
+            record_crash(state, permit, request, trace, [upstream], started_at)
+    except anyio.get_cancelled_exc_class():
+        end = _evaluate_cancellation(permit, attempt)
+        raise
     finally:
         upstream.in_flight -= 1
-        if outcome != "answered":
-            was_refused = counts.refused > refused_before
+        if end.outcome:
             state.metrics.counters["try-failed"] += 1
             logger.warning(
                 "attempt failed",
                 extra={
                     "request": permit.facts.attempt_id,
                     "content": content_fingerprint(trace, request, permit).hex(),
-                    "upstream": instance,
-                    "outcome": outcome,
-                    "tries": counts.sent,
-                    "may_have_run": counts.sent > sent_before and not was_refused,
+                    "upstream": upstream.registration.instance,
+                    "outcome": end.outcome,
+                    "ended_by": end.ended_by.value,
+                    "tries": attempts.counts.sent,
+                    "may_have_run": attempt.was_sent and not refused,
+                    "silent_for": round(anyio.current_time() - heard_at, 3),
+                    "began_with": permit.version,
+                    "version": state.version,
                 },
             )
 
 
-async def _send(
+def _evaluate_cancellation(permit: Permit, attempt: RunningAttempt) -> _AttemptEnd:
+    """Return how an attempt ended that was cancelled; silence is no failure of its upstream."""
+    if attempt.stopped is not None:
+        return _AttemptEnd(attempt.stopped.value, EndedBy.BOX)
+    now = anyio.current_time()
+    if now < permit.deadline:
+        return _AttemptEnd("", EndedBy.CALLER)
+    record_silence(attempt.path.engines, now)
+    return _AttemptEnd(f"no answer within {now - attempt.started_at:.2f} s", EndedBy.CALLER)
+
+
+async def _open(
     state: GatewayState,
     permit: Permit,
     request: HttpRequest,
-    dispatch: Dispatch,
-    upstream: ForwardedUpstream,
     attempts: _Attempts,
-    seconds: float,
+    attempt: RunningAttempt,
     trace: RequestTrace,
-) -> tuple[OpenAnswer, bytes]:
-    """Send a request to an upstream and read its complete answer.
+) -> OpenAnswer:
+    """Send a request to an upstream and wait for the head of its answer.
 
     Raises:
         NotSentError: If nothing was sent.
         BackpressureError: If the upstream no longer accepts it.
         AnswerLostError: If the request may have run and no complete answer arrived.
-        TimeoutError: If no answer arrived in time.
     """
-    answer: tuple[OpenAnswer, bytes] | None = None
-    failure: Exception = TimeoutError()
-    fresh = permit.route.kind is not RequestKind.REPEATABLE
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_cancel_late_attempt, state, permit, attempts, seconds, tasks.cancel_scope)
-        try:
-            opened = await open_answer(
-                state,
-                permit,
-                request,
-                dispatch,
-                upstream,
-                fresh_connection=fresh,
-                record_sent=attempts.counts.record_sent,
-                trace=trace,
-            )
-            answer = opened, await read_body(state, opened)
-        except (NotSentError, BackpressureError, AnswerLostError) as error:
-            # Raised below, because the task group would wrap it in an exception group.
-            failure = error
-        tasks.cancel_scope.cancel()
-    if answer is None:
-        raise failure
+    upstream = attempt.path.head
+
+    def record_sent() -> None:
+        attempt.was_sent = True
+        attempts.counts.record_sent()
+
+    dispatch = Dispatch(
+        instance=upstream.registration.instance,
+        account=permit.account,
+        timeout=permit.deadline - anyio.current_time(),
+        priority=permit.priority,
+    )
+    is_repeatable = permit.route.kind is RequestKind.REPEATABLE
+    answer = await open_answer(
+        state,
+        permit,
+        request,
+        dispatch,
+        upstream,
+        fresh_connection=not is_repeatable or _is_unheard(upstream),
+        record_sent=record_sent,
+        trace=trace,
+    )
+    try:
+        await _record_heard(state, attempt, answer)
+    except BaseException:
+        await answer.connection.close()
+        raise
     return answer
 
 
-async def _cancel_late_attempt(
-    state: GatewayState,
-    permit: Permit,
-    attempts: _Attempts,
-    seconds: float,
-    scope: anyio.CancelScope,
-) -> None:
-    """Cancel an attempt after a timeout if a retry is available, or else at the deadline.
+def _is_unheard(upstream: ForwardedUpstream) -> bool:
+    """Return whether an upstream has answered nothing since an attempt was overdue.
 
-    Without a retry, only the late answer of this attempt can still be returned.
+    Its idle connections may have stalled permanently while new ones work.
     """
-    await anyio.sleep(seconds)
-    left = permit.deadline - anyio.current_time()
-    if left > 0:
-        attempts.retry = await acquire_retry(state, permit.pool.name, started=False)
-        if attempts.retry is None:
-            await anyio.sleep(left)
-    scope.cancel()
+    return upstream.silent_at > upstream.last_event_at
+
+
+async def _record_heard(state: GatewayState, attempt: RunningAttempt, answer: OpenAnswer) -> None:
+    """Record an answer as a sign of life of its upstream.
+
+    If it is the first since an attempt was overdue and came over a newer connection, idle ones have
+    likely stalled and are closed.
+    """
+    if answer.facts.wrong_upstream:
+        return
+    upstream = attempt.path.head
+    may_have_stalled = _is_unheard(upstream) and attempt.started_at >= upstream.silent_at
+    record_event(upstream, anyio.current_time())
+    if may_have_stalled:
+        await state.connections.close_idle(upstream.registration.address)
 
 
 def _first_attempt_seconds(state: GatewayState, permit: Permit) -> float:
-    """Return the timeout of the first of two attempts, in seconds.
+    """Return after how long the first attempt is overdue, in seconds.
 
     It is based on the mean and deviation of the service's answer times, but not shorter than a
     share of the route's target latency.
@@ -364,14 +554,18 @@
 
 
 def _evaluate(
-    attempts: _Attempts, upstream: ForwardedUpstream, answer: OpenAnswer, body: bytes
-) -> bool:
-    """Evaluate a complete answer; return True if it is final.
+    attempts: _Attempts,
+    attempt: RunningAttempt,
+    answer: OpenAnswer,
+    body: bytes,
+    trace: RequestTrace,
+) -> _AttemptEnd:
+    """Evaluate a complete answer, which is final unless it is a failure.
 
     Raises:
         AnswerLostError: If the upstream did not sign it.
     """
-    now = anyio.current_time()
+    upstream, now = attempt.path.head, anyio.current_time()
     status = answer.head.status_code
     if answer.facts.not_run:
         attempts.counts.record_refused()
@@ -379,24 +573,27 @@
             record_failure(upstream, now)
         else:
             record_full(upstream, now)
-        return False
+        return _AttemptEnd(f"refused with status {status}")
     if not answer.facts.signed:
         # An unsigned answer may come from another process.
         raise AnswerLostError(f"unsigned answer with status {status}")
+    if attempt.stopped is not None:
+        return _AttemptEnd(attempt.stopped.value, EndedBy.BOX)
     attempts.answer, attempts.body = answer, body
-    if status >= MIN_FAILURE_STATUS:
-        return False
-    record_success(upstream)
-    return True
+    trace.path = [upstream.registration.instance]
+    trace.relayed_by = answer.connection.relayed_by
+    if status < MIN_FAILURE_STATUS:
+        record_success(upstream)
+        attempts.is_final = record_progress(attempts.race, attempt)
+    return _AttemptEnd("")
 
 
 def _has_saturated(state: GatewayState, permit: Permit) -> bool:
     """Return whether any service of the pool is excluded because it is saturated."""
     now = anyio.current_time()
-    pool = state.table.pools.get(permit.pool.name, [])
     return any(
         accepts_work(item, now) and is_at_max_requests(item, now, state.entry_count)
-        for item in pool
+        for item in _pool(state, permit)
     )
 
 
@@ -419,7 +616,7 @@
         await exchange.answer(head.status_code, headers, attempts.body)
         return
     if not attempts.counts.may_have_run:
-        pool, now = state.table.pools.get(permit.pool.name, []), anyio.current_time()
+        pool, now = _pool(state, permit), anyio.current_time()
         wait = min_remaining_wait(pool, now)
         if wait is not None:
             is_limited = any_limited([item.limit for item in pool], now)
--- a/src/ledgeladder/routing/attempt_race.py
+++ b/src/ledgeladder/routing/attempt_race.py
@@ -1,13 +1,15 @@
-"""Decides which of the concurrent attempts of a stream continues it.
+"""Decides which of the concurrent attempts of a request is forwarded to the caller.
 
-A silent engine may be sound, so an overdue attempt is not ended. Another attempt runs beside it (a
-hedged request), and the first that makes progress continues the stream; the others are stopped.
+A silent upstream may be sound, so an overdue attempt is not ended. Another attempt runs beside it
+(a hedged request), and the first that makes progress is forwarded; the others are stopped. A
+stream makes progress with each event, a plain request with its whole answer.
 """
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -18,10 +20,16 @@
     from .paths import ChosenPath
 
 
+LATE_CHECK_SECONDS: Final = 0.1
+"""Lateness of a check for silence above which this process was stalled itself, so that answers may
+be waiting to be read. The check is then repeated after the same time, which is also the shortest
+interval between checks."""
+
+
 class StopReason(StrEnum):
     """Why an attempt is stopped before its upstream ends it."""
 
-    SUPERSEDED = "another attempt continues the stream"
+    SUPERSEDED = "another attempt made progress first"
     """Another attempt made progress first."""
 
     EXITED = "an engine of the path has exited"
@@ -29,10 +37,10 @@
 
 
 class RunningAttempt(msgspec.Struct, kw_only=True, eq=False):
-    """One attempt of a stream while it runs."""
+    """One attempt of a request while it runs."""
 
     path: ChosenPath
-    """Engines that it uses."""
+    """Engines that it uses, or the one service."""
 
     started_at: float
     """When it began, on the monotonic clock."""
@@ -52,6 +60,10 @@
     is_writing: bool = False
     """Whether events that count as delivered are being written to the caller."""
 
+    check_at: float = math.inf
+    """When it is checked for silence next, on the monotonic clock; infinite if other means find it
+    overdue."""
+
     overdue: str = ""
     """Why it is overdue; empty if it is not."""
 
@@ -63,7 +75,7 @@
 
 
 class AttemptRace(msgspec.Struct, kw_only=True):
-    """Concurrent attempts of one stream."""
+    """Concurrent attempts of one request."""
 
     running: list[RunningAttempt] = msgspec.field(default_factory=list)
     """Attempts that have not ended, oldest first."""
@@ -73,6 +85,11 @@
         """Whether another attempt would be useful: none runs, or all that run are overdue."""
         return all(item.overdue and not item.is_writing for item in self.running)
 
+    @property
+    def next_check(self) -> float:
+        """When an attempt is checked for silence next, on the monotonic clock."""
+        return min((item.check_at for item in self.running), default=math.inf)
+
 
 def begin_attempt(race: AttemptRace, attempt: RunningAttempt) -> None:
     """Add an attempt that begins."""
@@ -89,11 +106,35 @@
     attempt.overdue = reason
 
 
+def take_silent(race: AttemptRace, now: float, interval: float) -> list[RunningAttempt]:
+    """Return the attempts whose check for silence is due, and set the time of their next one.
+
+    Args:
+        race: The attempts.
+        now: Monotonic time.
+        interval: Time until the next check, in seconds; at least `LATE_CHECK_SECONDS` is used.
+
+    Returns:
+        The attempts, without those whose check is so late that it proves no silence.
+    """
+    silent: list[RunningAttempt] = []
+    for attempt in race.running:
+        if attempt.check_at > now:
+            continue
+        is_late = now - attempt.check_at > LATE_CHECK_SECONDS
+        attempt.check_at = now + (
+            LATE_CHECK_SECONDS if is_late else max(interval, LATE_CHECK_SECONDS)
+        )
+        if not is_late:
+            silent.append(attempt)
+    return silent
+
+
 def record_progress(race: AttemptRace, attempt: RunningAttempt) -> bool:
-    """Let an attempt continue the stream with what it received.
+    """Let an attempt continue with what it received, and stop the others.
 
     Returns:
-        Whether its events may be forwarded; False if it was stopped before.
+        Whether that may be forwarded; False if it was stopped before.
     """
     if attempt.stopped is not None:
         return False
@@ -123,7 +164,7 @@
     refusals_limit: int,
     forgiven_running: int = 0,
 ) -> str:
-    """Return why a stream may not be sent again; empty if it may.
+    """Return why a request may not be sent again; empty if it may.
 
     Args:
         counts: Attempts so far.
--- a/tests/routing/test_attempt_race.py
+++ b/tests/routing/test_attempt_race.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
 
 from ledgeladder.routing.attempt_race import (
+    LATE_CHECK_SECONDS,
     AttemptRace,
     RunningAttempt,
     StopReason,
@@ -15,6 +17,7 @@
     record_overdue,
     record_progress,
     stop_attempt,
+    take_silent,
 )
 from ledgeladder.routing.paths import ChosenPath
 
@@ -82,6 +85,37 @@
     assert attempt.record.stopped is StopReason.EXITED
 
 
+def test_checks_for_silence_are_repeated() -> None:
+    race = AttemptRace()
+    assert race.next_check == math.inf
+    first, second = Attempt(race).record, Attempt(race).record
+    first.check_at = 1.0
+    assert take_silent(race, 0.9, 1.0) == []
+    assert take_silent(race, 1.0, 1.0) == [first]
+    assert (first.check_at, second.check_at, race.next_check) == (2.0, math.inf, 2.0)
+    assert take_silent(race, 2.0, 1.0) == [first]
+
+
+def test_checks_without_an_interval_are_apart() -> None:
+    """Failure: a route without a target latency was checked without a pause."""
+    race = AttemptRace()
+    attempt = Attempt(race).record
+    attempt.check_at = 1.0
+    assert take_silent(race, 1.0, 0.0) == [attempt]
+    assert attempt.check_at == 1.0 + LATE_CHECK_SECONDS
+
+
+def test_late_check_proves_no_silence() -> None:
+    """Failure: a box that was stopped itself took all upstreams for silent when it went on."""
+    race = AttemptRace()
+    attempt = Attempt(race).record
+    attempt.check_at = 1.0
+    now = 1.1 + LATE_CHECK_SECONDS
+    assert take_silent(race, now, 5.0) == []
+    assert take_silent(race, attempt.check_at, 5.0) == [attempt]
+    assert attempt.check_at == pytest.approx(now + LATE_CHECK_SECONDS + 5.0)
+
+
 @pytest.mark.parametrize("seed", range(200))
 def test_one_attempt_at_a_time_writes_in_any_order_of_events(seed: int) -> None:
     """Failure: two attempts write to one caller, or all of them are stopped by silence."""
