The leader connects to a suspected engine before its layers move

What callers saw: nothing at once, but sound engines that were suspended for some heartbeats lost their layers, and others loaded them and then loaded their own again, during which they served nothing.

Cause: three missed heartbeats, or the reports of two boxes, made an engine presumed lost without any look at it.

Evidence: real processes, 4 of 6 engines stopped by SIGSTOP for 1.3 s (beats of 0.3 s): "engine moved" 0-11 to 5-16 and back after the silence. The new test failed before ("engine moved" twice) and passes. With beats of 1.2 s the same is reached by a silence of 2.4 to 3.6 s, or at once by two boxes whose probes fail.

Change: an engine that was reported, or whose heartbeat is overdue by one more interval, is connected to by the leader, each 0.5 s. One that accepts is no loss for a second, and reports from before do not count. The check begins before a conclusion is due; placement waits at most 0.1 s for the first one.

Ruled out: waiting for an overdue heartbeat with two witnesses, which replaces a machine that is gone up to 1.5 s later.

An engine that hangs for good with its port open is replaced when its registration expires (12 s), since it is not told from a silent one. An engine whose accept queue is full does not accept and is still presumed lost.

Tests: test_silent_control (2), test_loss_evidence, test_registrations, tests/daemons/registry, test_crashing_request, test_late_orders, test_imports: 107 passed.

--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -38,7 +38,7 @@
 from .published_version import poll_leader
 from .state import RegistryState, quarantine_controller_of, rate_granter_of
 from .telling import broadcast_ages, broadcast_loads, broadcast_updates, push_document
-from .upstream_ends import build_quarantine_controller
+from .upstream_ends import build_quarantine_controller, run_liveness_checks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -245,6 +245,11 @@
             run=lambda: run_limit_broadcasts(rate_granter_of(state)),
             restart=Restart.ALWAYS,
         ),
+        Child(
+            name="checking",
+            run=lambda: run_liveness_checks(state),
+            restart=Restart.ALWAYS,
+        ),
         Child(name="placing", run=lambda: run_placement(state), restart=Restart.ALWAYS),
     ]
     async with anyio.create_task_group() as tasks:
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -68,6 +68,7 @@
 )
 from .state import ReportedLoad, ReportedShare, quarantine_controller_of, rate_granter_of
 from .telling import add_entries, broadcast_registration, build_peer_hint
+from .upstream_ends import begin_due_checks
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -269,6 +270,7 @@
         return
     now = anyio.current_time()
     record_report(state.losses, instance, link.peer_box, link.peer.failure_domain, now)
+    begin_due_checks(state, [instance])
     domain = known.registration.failure_domain
     if not should_broadcast(state.losses, instance, domain, known.last_seen_at, now):
         return
--- a/src/ledgeladder/daemons/registry/placement.py
+++ b/src/ledgeladder/daemons/registry/placement.py
@@ -16,7 +16,7 @@
     step_down,
 )
 from ...coordination.gathering import InitialDiscovery
-from ...coordination.loss_evidence import is_presumed_lost
+from ...coordination.loss_evidence import awaits_check, is_presumed_lost
 from ...coordination.registrations import superseded_instances
 from ...model.registration import UpstreamState
 from ...routing.group_plan import max_layers
@@ -31,6 +31,7 @@
 from ...routing.placement_repair import plan_repairs
 from .order_sending import format_range, may_order, order_layers
 from .state import controls_last_seen
+from .upstream_ends import begin_due_checks
 
 if TYPE_CHECKING:
     from ...model.registration import Holding, Registration
@@ -71,6 +72,7 @@
             step_down(state.order_ledger, anyio.current_time())
             continue
         resume_reported_orders(state.order_ledger)
+        begin_due_checks(state, state.table.known)
         pools = [pool for pool in state.configuration.pools.values() if pool.engine is not None]
         engines = {pool.name: _pool_engines(state, pool) for pool in pools}
         pools = [_with_slots(pool, engines[pool.name]) for pool in pools]
@@ -317,6 +319,8 @@
     now = anyio.current_time()
     if now - state.order_ledger.repaired_at < REPAIR_INTERVAL_SECONDS:
         return []
+    if any(_awaits_check(state, item, now) for item in engines):
+        return []
     seen_until = controls_last_seen(state)
     up = {item.instance: item for item in engines if _is_up(state, item, now, seen_until)}
     orders = [
@@ -342,6 +346,13 @@
     return orders
 
 
+def _awaits_check(state: RegistryState, engine: Registration, now: float) -> bool:
+    known = state.table.known.get(engine.instance)
+    return known is not None and awaits_check(
+        state.losses, engine.instance, known.last_seen_at, now
+    )
+
+
 def _is_up(
     state: RegistryState, engine: Registration, now: float, seen_until: float | None
 ) -> bool:
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -229,7 +229,13 @@
     """Engines that requested back-off from this box."""
 
     losses: LossEvidence = msgspec.field(default_factory=LossEvidence)
-    """Reports of entry boxes about unreachable engines."""
+    """Reports of entry boxes about unreachable engines, and this box's checks of them."""
+
+    begun_checks: list[str] = msgspec.field(default_factory=list)
+    """Instances of engines whose checks were begun and not carried out yet."""
+
+    checks_begun: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set once there are any."""
 
     notices: NoticeRelay = msgspec.field(
         default_factory=lambda: build_relay(NOTICE_INTERVAL_SECONDS)
--- a/src/ledgeladder/daemons/registry/upstream_ends.py
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -1,21 +1,37 @@
-"""Decides whether instances of registered upstreams have exited."""
+"""Decides whether instances of registered upstreams have exited, and checks suspected engines."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import logging
+from typing import TYPE_CHECKING, Final
 
 import anyio
 
-from ...coordination.loss_evidence import is_presumed_lost
+from ...coordination.loss_evidence import (
+    CHECK_TIMEOUT_SECONDS,
+    begin_check,
+    end_check,
+    is_check_due,
+    is_presumed_lost,
+)
 from ...coordination.registrations import superseded_instances
+from ...http1 import ConnectError, connect
 from ...links import post_to_all
 from ..content_judge import QuarantineController
 from ..peers import part_links
+from .order_sending import may_order
 from .state import controls_last_seen
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .state import RegistryState
 
+logger = logging.getLogger(__name__)
+
+MAX_CONCURRENT_CHECKS: Final = 64
+"""Maximum number of connections for checks at once."""
+
 
 def build_quarantine_controller(state: RegistryState) -> QuarantineController:
     """Return a quarantine controller that uses the links of this process."""
@@ -48,3 +64,73 @@
     )
     # Evaluated last because it iterates over all upstreams.
     return is_lost or instance in superseded_instances(state.table)
+
+
+def begin_due_checks(state: RegistryState, instances: Iterable[str]) -> None:
+    """Begin the checks that are due of some engines if this box leads."""
+    if not may_order(state):
+        return
+    now, heartbeat = anyio.current_time(), state.table.heartbeat
+    for instance in instances:
+        known = state.table.known.get(instance)
+        if known is None or not known.registration.card:
+            continue
+        if is_check_due(state.losses, instance, known.last_seen_at, now, heartbeat):
+            begin_check(state.losses, instance, now)
+            state.begun_checks.append(instance)
+    if state.begun_checks:
+        state.checks_begun.set()
+
+
+async def run_liveness_checks(state: RegistryState) -> None:
+    """Carry out the checks that were begun; runs until cancelled."""
+    limiter = anyio.CapacityLimiter(MAX_CONCURRENT_CHECKS)
+    async with anyio.create_task_group() as tasks:
+        while True:
+            await state.checks_begun.wait()
+            state.checks_begun = anyio.Event()
+            begun, state.begun_checks = state.begun_checks, []
+            for instance in begun:
+                tasks.start_soon(_check, state, limiter, instance)
+
+
+async def _check(state: RegistryState, limiter: anyio.CapacityLimiter, instance: str) -> None:
+    """Connect to an engine, and record whether it accepted."""
+    accepted = False
+    try:
+        async with limiter:
+            accepted = await _accepts(state, instance)
+    finally:
+        end_check(state.losses, instance, accepted=accepted)
+
+
+async def _accepts(state: RegistryState, instance: str) -> bool:
+    known = state.table.known.get(instance)
+    if known is None:
+        return False
+    source = state.settings.box.address
+    try:
+        connection = await connect(
+            known.registration.address, source=source, seconds=CHECK_TIMEOUT_SECONDS
+        )
+    except ConnectError as error:
+        _log_check(state, instance, str(error))
+        return False
+    await connection.close()
+    _log_check(state, instance, "accepted")
+    return True
+
+
+def _log_check(state: RegistryState, instance: str, outcome: str) -> None:
+    known = state.table.known.get(instance)
+    if known is None:
+        return
+    logger.info(
+        "suspected engine checked",
+        extra={
+            "upstream": instance,
+            "outcome": outcome,
+            "heard_before": round(anyio.current_time() - known.last_seen_at, 3),
+            "reports": len(state.losses.reports.get(instance, ())),
+        },
+    )
--- a/tests/coordination/test_loss_evidence.py
+++ b/tests/coordination/test_loss_evidence.py
@@ -5,7 +5,14 @@
 import pytest
 
 from ledgeladder.coordination.loss_evidence import (
+    ACCEPTED_VALID_SECONDS,
+    CHECK_INTERVAL_SECONDS,
+    CHECK_PATIENCE_SECONDS,
     LossEvidence,
+    awaits_check,
+    begin_check,
+    end_check,
+    is_check_due,
     is_presumed_lost,
     record_report,
     retain_engines,
@@ -105,3 +112,63 @@
     record_report(evidence, "i-1", "a", "here", 9.5)
     lost = is_presumed_lost(evidence, "i-1", 7.5, 10.0, HEARTBEAT, seen_until=seen_until)
     assert lost is expected
+
+
+def is_lost(evidence: LossEvidence, last_seen_at: float, now: float) -> bool:
+    return is_presumed_lost(evidence, "i-1", last_seen_at, now, HEARTBEAT, seen_until=now)
+
+
+def record_check(evidence: LossEvidence, now: float, *, accepted: bool) -> None:
+    begin_check(evidence, "i-1", now)
+    end_check(evidence, "i-1", accepted=accepted)
+
+
+def test_engine_that_accepts_is_not_lost_by_missing_heartbeats() -> None:
+    """Failure: an engine that is suspended for some heartbeats lost its layers."""
+    evidence = LossEvidence()
+    assert not is_check_due(evidence, "i-1", 10.0, 12.3, HEARTBEAT)
+    assert is_check_due(evidence, "i-1", 10.0, 12.5, HEARTBEAT)
+    record_check(evidence, 13.5, accepted=True)
+    assert not is_lost(evidence, 10.0, 13.7)
+    assert is_check_due(evidence, "i-1", 10.0, 13.5 + CHECK_INTERVAL_SECONDS, HEARTBEAT)
+    record_check(evidence, 14.0, accepted=False)
+    assert is_lost(evidence, 10.0, 13.5 + ACCEPTED_VALID_SECONDS)
+
+
+def test_reports_from_before_a_successful_check_are_ignored() -> None:
+    """Failure: two boxes whose probes an engine's full accept queue dropped moved its layers."""
+    evidence = LossEvidence()
+    for box in ("a", "b"):
+        record_report(evidence, "i-1", box, "here", 10.2)
+    assert is_check_due(evidence, "i-1", 10.0, 10.2, HEARTBEAT)
+    record_check(evidence, 10.25, accepted=True)
+    assert not is_lost(evidence, 10.0, 10.3)
+    for box in ("a", "b"):
+        record_report(evidence, "i-1", box, "here", 10.4)
+    assert is_check_due(evidence, "i-1", 10.0, 10.4, HEARTBEAT)
+    assert is_lost(evidence, 10.0, 10.4)
+
+
+def test_failed_check_delays_no_conclusion() -> None:
+    """Failure: a machine that is gone is replaced later than without checks."""
+    evidence = LossEvidence()
+    for box in ("a", "b"):
+        record_report(evidence, "i-1", box, "here", 10.2)
+    assert is_lost(evidence, 10.0, 10.2)
+    begin_check(evidence, "i-1", 10.2)
+    assert awaits_check(evidence, "i-1", 10.0, 10.25)
+    assert not awaits_check(evidence, "i-1", 10.0, 10.25 + CHECK_PATIENCE_SECONDS)
+    assert not is_check_due(evidence, "i-1", 10.0, 10.8, HEARTBEAT)
+    end_check(evidence, "i-1", accepted=False)
+    assert is_lost(evidence, 10.0, 10.6)
+    begin_check(evidence, "i-1", 10.7)
+    assert not awaits_check(evidence, "i-1", 10.0, 10.75)
+    assert not is_check_due(LossEvidence(), "i-1", 10.0, 10.2, HEARTBEAT)
+
+
+def test_check_of_an_engine_that_was_dropped_is_ignored() -> None:
+    evidence = LossEvidence()
+    begin_check(evidence, "i-1", 10.0)
+    retain_engines(evidence, set())
+    end_check(evidence, "i-1", accepted=True)
+    assert not evidence.checks
