Streams that stall together share a probe, and silent engines get fewer

What callers saw: engines that were suspended for a second or more were taken for lost, by gateways ("engine does not answer"), then by all boxes ("engine lost", two witnesses): no new work for them, hedges and retries for their streams ("retry quota not fully granted"), and layers that moved.

Cause: each stream probed each engine of its path at each stall check, up to 28 times a second and gateway. A suspended process accepts nothing, so that the probes stay in its accept queue. Once that is full, further ones are dropped as by a machine that is down.

Change: streams that stall together share one running probe and its report. An engine that accepts probes and stays silent counts as alive after each for half of its silence, at most 0.5 s. One that had events within 70 ms before its last sign of life is probed as before, so that a crash of a working engine is found as fast; one that is silent already and then dies is found up to 0.5 s later.

Ruled out: believing a probe less after an accepted one, since a machine that is gone looks the same as a full queue.

Open: the bound is by gateway, so that hundreds of gateways can still fill a short queue in a long silence.

--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...http1 import ConnectError
 from ...links import is_port_closed
@@ -38,50 +39,112 @@
 """How long an engine counts as alive after its last progress. Shorter than the shortest stall
 timeout, since an engine that made no progress during the stall must be probed."""
 
+SILENCE_SHARE: Final = 0.5
+"""How long a silent engine counts as alive after an accepted probe, as a share of its silence until
+then. A suspended process leaves each probe in its accept queue, and a full queue drops further ones
+as a machine does that is down."""
+
+MAX_LIVENESS_SECONDS: Final = 0.5
+"""Maximum of that time."""
+
 LATE_TIMER_SECONDS: Final = 0.02
 """Lateness of a timer above which this process was stalled itself, and the timeout is no evidence
 against the engine. Timers of a process that is not stalled fire within a few milliseconds."""
 
 
+class RunningProbe(msgspec.Struct, kw_only=True):
+    """A probe of an engine, whose result all streams on the engine use."""
+
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when it ends or is cancelled."""
+
+    was_finished: bool = False
+    """False if it was cancelled."""
+
+    found_dead: bool = False
+    """Whether the engine appears dead."""
+
+    was_reported: bool = False
+    """True once one of the streams has reported that."""
+
+
 async def find_unreachable(
     state: GatewayState,
     engines: Iterable[ForwardedUpstream],
     dead: set[str],
     *,
-    liveness_seconds: float = LIVENESS_SECONDS,
+    liveness_seconds: float | None = None,
 ) -> bool:
     """Probe engines concurrently, and report those that do not accept a connection.
 
-    An engine that made progress for another request within `liveness_seconds` is not probed.
+    An engine that made progress for another request, or accepted a probe, within `liveness_seconds`
+    is not probed.
 
     Args:
         state: State of the process.
         engines: The engines, for example those of a path.
         dead: Instances of engines that are known to be dead; those found are added.
-        liveness_seconds: How long an engine counts as alive after its last progress.
+        liveness_seconds: How long an engine counts as alive after its last progress; by default
+            `LIVENESS_SECONDS`, or more for one that is silent and accepts probes.
 
     Returns:
         True if any engine was found unreachable.
     """
-    found: list[ForwardedUpstream] = []
+    found: list[tuple[ForwardedUpstream, RunningProbe]] = []
     # Connections to the other engines of the path prove the reach of this box as well.
     since = anyio.current_time()
 
     async def probe(engine: ForwardedUpstream) -> None:
-        reason = await _probe(state, engine, since)
-        if reason:
-            found.append(engine)
-            _log_loss(engine, reason)
+        result = await _probe_shared(state, engine, since)
+        if result.found_dead:
+            found.append((engine, result))
 
     async with anyio.create_task_group() as tasks:
         for engine in engines:
-            if anyio.current_time() - engine.last_success_at > liveness_seconds:
+            liveness = _liveness(engine) if liveness_seconds is None else liveness_seconds
+            if anyio.current_time() - engine.last_success_at > liveness:
                 tasks.start_soon(probe, engine)
-    for engine in found:
-        report_lost(state, engine, dead)
+    for engine, result in found:
+        dead.add(engine.registration.instance)
+        if not result.was_reported:
+            result.was_reported = True
+            report_lost(state, engine, dead)
     return bool(found)
 
 
+def _liveness(engine: ForwardedUpstream) -> float:
+    """Return how long an engine counts as alive after its last progress, in seconds."""
+    if engine.last_event_at == float("-inf"):
+        return LIVENESS_SECONDS
+    silence = engine.last_success_at - engine.last_event_at
+    return min(max(LIVENESS_SECONDS, silence * SILENCE_SHARE), MAX_LIVENESS_SECONDS)
+
+
+async def _probe_shared(
+    state: GatewayState, engine: ForwardedUpstream, since: float
+) -> RunningProbe:
+    """Probe an engine, or wait for the probe of another stream; return the finished probe.
+
+    If the stream that probes ends meanwhile, the next one probes.
+    """
+    instance = engine.registration.instance
+    while (running := state.running_probes.get(instance)) is not None:
+        await running.done.wait()
+        if running.was_finished:
+            return running
+    running = state.running_probes[instance] = RunningProbe()
+    try:
+        reason = await _probe(state, engine, since)
+        if reason:
+            _log_loss(engine, reason)
+        running.found_dead = bool(reason)
+        running.was_finished = True
+    finally:
+        del state.running_probes[instance]
+        running.done.set()
+    return running
+
+
 async def check_exited(state: GatewayState, upstream: ForwardedUpstream, dead: set[str]) -> bool:
     """Check whether the process of an upstream has exited after a connection to it broke.
 
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -41,6 +41,7 @@
     from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
     from ..peers import Peers
+    from .probing import RunningProbe
     from .reaching import ReachCheck
     from .stream_session import RunningStream
 
@@ -243,6 +244,9 @@
     reach_wake: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when such a check is requested."""
 
+    running_probes: dict[str, RunningProbe] = msgspec.field(default_factory=dict)
+    """Probes of engines that run, by instance."""
+
     relay_peers: RelayPeers = msgspec.field(default_factory=RelayPeers)
     """Entry boxes that may relay connections of this one."""
 
--- a/tests/daemons/gateway/test_probing.py
+++ b/tests/daemons/gateway/test_probing.py
@@ -116,3 +116,111 @@
     assert anyio.run(run)
     assert probed == ["127.0.0.1:2"]
     assert dead == {"i-2"}
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+def test_streams_that_stall_together_share_a_probe(
+    monkeypatch: pytest.MonkeyPatch, accepts: bool
+) -> None:
+    """Failure: the probes of all streams filled the accept queue of a suspended engine, and the
+    probes that it dropped made the engine appear dead."""
+    tries = 0
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Connected:
+        nonlocal tries
+        tries += 1
+        await anyio.sleep(0)
+        if accepts:
+            return Connected()
+        raise ConnectError(f"{address}: OSError") from OSError()
+
+    monkeypatch.setattr(reaching, "connect", connect)
+    state = gateway_state()
+    path = path_over(engine())
+    found: list[bool] = []
+    dead: list[set[str]] = [set() for _ in range(20)]
+
+    async def check(number: int) -> None:
+        found.append(await find_unreachable(state, path.engines, dead[number]))
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(check, number)
+
+    anyio.run(run)
+    assert tries == 1
+    assert found == [not accepts] * 20
+    assert dead == [set() if accepts else {"i-1"}] * 20
+    assert state.metrics.counters["engine-lost"] == (0 if accepts else 1)
+
+
+def test_probe_is_repeated_by_the_next_stream_if_its_own_stream_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: a stream waits for a probe that was cancelled, and finds no loss."""
+    was_cancelled = False
+    later_tries = 0
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Connected:
+        nonlocal later_tries
+        if not was_cancelled:
+            await anyio.sleep_forever()
+        later_tries += 1
+        raise ConnectError(f"{address}: OSError") from OSError()
+
+    monkeypatch.setattr(reaching, "connect", connect)
+    state = gateway_state()
+    path = path_over(engine())
+    found: list[bool] = []
+
+    async def check_first(scope: anyio.CancelScope) -> None:
+        with scope:
+            await find_unreachable(state, path.engines, set())
+
+    async def check_second() -> None:
+        found.append(await find_unreachable(state, path.engines, set()))
+
+    async def run() -> None:
+        nonlocal was_cancelled
+        first = anyio.CancelScope()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(check_first, first)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(check_second)
+            await anyio.wait_all_tasks_blocked()
+            assert not found
+            was_cancelled = True
+            first.cancel()
+
+    anyio.run(run)
+    assert found == [True]
+    assert later_tries == 1
+
+
+@pytest.mark.parametrize(
+    ("silent_for", "accepted_before", "is_probed"),
+    [(2.0, 0.2, False), (2.0, 0.7, True), (0.1, 0.06, True), (0.1, 0.01, False)],
+)
+def test_engine_that_stays_silent_is_probed_less_often(
+    monkeypatch: pytest.MonkeyPatch, silent_for: float, accepted_before: float, is_probed: bool
+) -> None:
+    """Failure: probes each 35 ms filled the accept queue of an engine that was suspended."""
+    probed: list[str] = []
+
+    async def connect(address: str, *, source: str | None, seconds: float) -> Connected:
+        probed.append(address)
+        return Connected()
+
+    monkeypatch.setattr(reaching, "connect", connect)
+    state = gateway_state()
+    silent = engine()
+
+    async def run() -> None:
+        now = anyio.current_time()
+        silent.last_success_at = now - accepted_before
+        silent.last_event_at = silent.last_success_at - silent_for
+        await find_unreachable(state, path_over(silent).engines, set())
+
+    anyio.run(run)
+    assert bool(probed) is is_probed
