Engines of a broken attempt are probed although they were silent

What callers saw: nothing yet. A later engine of a path that exits after a silence would have been found dead, and its exit counted as evidence of a crash, only by a later stall.

Cause: an engine that accepts probes and stays silent counts as alive for up to 0.5 s after each since the last change, also when an attempt over it breaks.

Change: after a broken attempt the window is that of an engine with progress (35 ms), as before.

Test: test_engines_of_a_broken_attempt_are_probed_although_they_were_silent failed before (only the head was found dead); test_stream_attempt and test_probing: 30 passed.

--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -410,10 +410,14 @@
     If none is found dead, the first engine is excluded.
     """
     # Imported here because few attempts break off.
-    from .probing import check_exited, find_unreachable
+    from .probing import LIVENESS_SECONDS, check_exited, find_unreachable
 
     head = path.head.registration.instance
-    if await find_unreachable(state, path.engines, session.dead) or head in session.dead:
+    # Unlike a stall, a broken connection is a reason to probe an engine that accepted just before.
+    found = await find_unreachable(
+        state, path.engines, session.dead, liveness_seconds=LIVENESS_SECONDS
+    )
+    if found or head in session.dead:
         return
     if not await check_exited(state, path.head, session.dead):
         session.excluded.add(head)
--- a/tests/daemons/gateway/test_stream_attempt.py
+++ b/tests/daemons/gateway/test_stream_attempt.py
@@ -12,7 +12,7 @@
 from anyio.abc import SocketStream
 
 from ledgeladder.daemons.gateway import probing, reaching, stream_attempt, stream_events
-from ledgeladder.daemons.gateway.probing import report_lost
+from ledgeladder.daemons.gateway.probing import LIVENESS_SECONDS, report_lost
 from ledgeladder.daemons.gateway.reaching import proves_exit
 from ledgeladder.daemons.gateway.stream_attempt import (
     _evaluate_refusal,
@@ -230,6 +230,21 @@
     assert session.excluded == {"i-1"}
 
 
+def test_engines_of_a_broken_attempt_are_probed_although_they_were_silent() -> None:
+    """Failure: an engine that exits after a silence is found only by a later attempt."""
+    path = path_over(engine("i-1", "127.0.0.1:1"), engine("i-2", "127.0.0.1:2"))
+    session = StreamSession(order=EventOrder(last_id=None), timeouts=TIMEOUTS, tokens=10)
+
+    async def run() -> None:
+        for item in path.engines:
+            item.last_success_at = anyio.current_time() - 2 * LIVENESS_SECONDS
+            item.last_event_at = item.last_success_at - 2.0
+        await _identify_failed_engines(gateway_state(), session, path)
+
+    anyio.run(run)
+    assert session.dead == {"i-1", "i-2"}
+
+
 def test_engine_that_exited_before_an_attempt_does_not_count_as_reached() -> None:
     """A request must not be blamed for the crash of an engine that died before the attempt."""
     path = path_over(engine("i-1"), engine("i-2"), engine("i-3"))
