Tests: a disk is lost while all boxes stop, those that do not vote included

Read: a change is acknowledged once a majority of the 2f+1 voters has synced it, so that f lost disks leave at least one synced copy among the voters; gateways have no disk and hold nothing that was acknowledged, and boxes that do not vote are not counted.

The test with processes had three registries, which all vote. It now also runs with five, of which three vote; each disk is lost once while all registries and gateways are killed. SIGKILL keeps what the kernel has; that writes are synced before they are promised is covered by the schedules of the log.

--- a/tests/daemons/test_lost_disks.py
+++ b/tests/daemons/test_lost_disks.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import httpx
+import pytest
 
 from standins.discovered_fleet import (
     HOST,
@@ -32,9 +33,11 @@
     return False
 
 
-def test_acknowledged_document_survives_disk_loss_and_restart_of_all_boxes() -> None:
-    """An acknowledged document must not exist only on the disk of the box that acknowledged it."""
-    with running_discovered_fleet(engines=0) as fleet:
+@pytest.mark.parametrize("registries", [3, 5])
+def test_acknowledged_document_survives_disk_loss_and_restart_of_all_boxes(registries: int) -> None:
+    """An acknowledged document must not exist only on the disk of the box that acknowledged it, nor
+    on those of boxes that do not vote: of five, three do."""
+    with running_discovered_fleet(engines=0, registries=registries) as fleet:
         for wiped in range(fleet.registries):
             fleet.publish_next()
             boxes = [name for name in fleet.boxes if name.startswith(("registry", "gateway"))]
