--- a/src/ledgeladder/daemons/gateway/probing.py
+++ b/src/ledgeladder/daemons/gateway/probing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import msgspec
 
 from ...http1 import ConnectError
 from ...links import is_port_closed
@@ -14,7 +15,6 @@
     counts_as_alive,
     record_exit,
     record_loss,
-    record_probe,
 )
 from ...routing.pace import record_gap
 from ...routing.upstream_reach import ReachVerdict, may_report_losses
@@ -48,46 +48,98 @@
 against the engine. Timers of a process that is not stalled fire within a few milliseconds."""
 
 
+class RunningProbe(msgspec.Struct, kw_only=True):
+    """A probe of an engine, whose result all streams on the engine use."""
+
+    done: anyio.Event = msgspec.field(default_factory=anyio.Event)
+    """Set when it ends or is cancelled."""
+
+    was_finished: bool = False
+    """False if it was cancelled."""
+
+    found_dead: bool = False
+    """Whether the engine appears dead."""
+
+    was_reported: bool = False
+    """True once one of the streams has reported that."""
+
+
 async def find_unreachable(
     state: GatewayState,
     engines: Iterable[ForwardedUpstream],
     dead: set[str],
     *,
-    liveness_seconds: float = LIVENESS_SECONDS,
+    liveness_seconds: float | None = None,
 ) -> bool:
     """Probe engines concurrently, and report those that do not accept a connection.
 
-    An engine that made progress for another request within `liveness_seconds` is not probed, nor
-    one that accepted a probe recently.
+    An engine that made progress for another request, or accepted a probe, within `liveness_seconds`
+    is not probed.
 
     Args:
         state: State of the process.
         engines: The engines, for example those of a path.
         dead: Instances of engines that are known to be dead; those found are added.
-        liveness_seconds: How long an engine counts as alive after its last progress.
+        liveness_seconds: How long an engine counts as alive after its last progress; by default
+            `LIVENESS_SECONDS`, or more for one that is silent and accepts probes.
 
     Returns:
         True if any engine was found unreachable.
     """
-    found: list[ForwardedUpstream] = []
+    found: list[tuple[ForwardedUpstream, RunningProbe]] = []
     # Connections to the other engines of the path prove the reach of this box as well.
     since = anyio.current_time()
 
     async def probe(engine: ForwardedUpstream) -> None:
-        reason = await _probe(state, engine, since)
-        if reason:
-            found.append(engine)
-            _log_loss(engine, reason)
+        result = await _probe_shared(state, engine, since)
+        if result.found_dead:
+            found.append((engine, result))
 
     async with anyio.create_task_group() as tasks:
         for engine in engines:
-            if not counts_as_alive(engine, anyio.current_time(), liveness_seconds):
+            if not _counts_as_alive(engine, liveness_seconds):
                 tasks.start_soon(probe, engine)
-    for engine in found:
-        report_lost(state, engine, dead)
+    for engine, result in found:
+        dead.add(engine.registration.instance)
+        if not result.was_reported:
+            result.was_reported = True
+            report_lost(state, engine, dead)
     return bool(found)
 
 
+def _counts_as_alive(engine: ForwardedUpstream, seconds: float | None) -> bool:
+    """Return whether an engine needs no probe."""
+    now = anyio.current_time()
+    if seconds is None:
+        return counts_as_alive(engine, now, LIVENESS_SECONDS)
+    return now - engine.last_success_at <= seconds
+
+
+async def _probe_shared(
+    state: GatewayState, engine: ForwardedUpstream, since: float
+) -> RunningProbe:
+    """Probe an engine, or wait for the probe of another stream; return the finished probe.
+
+    If the stream that probes ends meanwhile, the next one probes.
+    """
+    instance = engine.registration.instance
+    while (running := state.running_probes.get(instance)) is not None:
+        await running.done.wait()
+        if running.was_finished:
+            return running
+    running = state.running_probes[instance] = RunningProbe()
+    try:
+        reason = await _probe(state, engine, since)
+        if reason:
+            _log_loss(engine, reason)
+        running.found_dead = bool(reason)
+        running.was_finished = True
+    finally:
+        del state.running_probes[instance]
+        running.done.set()
+    return running
+
+
 async def check_exited(state: GatewayState, upstream: ForwardedUpstream, dead: set[str]) -> bool:
     """Check whether the process of an upstream has exited after a connection to it broke.
 
@@ -187,7 +239,7 @@
     except ConnectError as error:
         return _describe_failure(state, engine, error)
     await connection.close()
-    record_probe(engine, anyio.current_time())
+    engine.last_success_at = anyio.current_time()
     return ""
 
 
@@ -224,7 +276,7 @@
                 return failure
         else:
             record_gap(state.probe_pace, elapsed)
-            record_probe(engine, anyio.current_time())
+            engine.last_success_at = anyio.current_time()
             return None
         elapsed = anyio.current_time() - started_at
         if elapsed <= timeout + LATE_TIMER_SECONDS:
--- a/tests/routing/test_forwarding.py
+++ b/tests/routing/test_forwarding.py
@@ -27,7 +27,6 @@
     record_event,
     record_failure,
     record_loss,
-    record_probe,
     record_success,
 )
 from ledgeladder.routing.repeat_window import RetryWindow, acquire_local_retry, record_first_attempt
@@ -225,7 +224,7 @@
     probes = 0
     for now in (step / 1000 for step in range(int(silence_seconds * 1000))):
         if not counts_as_alive(engine, now, LIVENESS_SECONDS):
-            record_probe(engine, now)
+            engine.last_success_at = now
             probes += 1
     assert probes > 0
     assert probes * boxes < accept_queue
