--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -107,29 +107,37 @@
     with anyio.move_on_after(seconds) as scope:
         async with anyio.create_task_group() as tasks:
             while not session.complete:
-                planned: PlannedAttempt | None = None
-                if session.race.running:
-                    if session.race.needs_attempt:
-                        # Imported here because few attempts are overdue.
-                        from .stream_hedging import plan_hedge
-
-                        planned = await plan_hedge(state, permit, request, session)
+                is_running = bool(session.race.running)
+                if is_running:
+                    planned = await _plan_beside(state, permit, request, session)
                 else:
                     planned = await _plan_attempt(state, permit, request, session, expected)
-                    if planned is None:
-                        break
                 if planned is not None:
                     attempt = RunningAttempt(path=planned.path, started_at=anyio.current_time())
                     begin_attempt(session.race, attempt)
                     tasks.start_soon(
                         _run_planned, state, permit, request, exchange, session, attempt, planned
                     )
+                elif not is_running:
+                    break
                 await session.changed.wait()
                 session.changed = anyio.Event()
             # Attempts that another one superseded have been stopped, and end by themselves.
     return scope.cancelled_caught
 
 
+async def _plan_beside(
+    state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
+) -> PlannedAttempt | None:
+    """Plan an attempt beside those that run, if all of them are overdue."""
+    if not session.race.needs_attempt:
+        return None
+    # Imported here because few attempts are overdue.
+    from .stream_hedging import plan_hedge
+
+    return await plan_hedge(state, permit, request, session)
+
+
 async def _plan_attempt(
     state: GatewayState,
     permit: Permit,
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -266,19 +266,7 @@
     try:
         answer = await open_watched(state, permit, request, session, attempt, dispatch)
     except NotSentError as error:
-        session.excluded.add(path.head.registration.instance)
-        if error.is_inconclusive:
-            record_out_of_reach(path.head, anyio.current_time())
-            return AttemptEnd(AttemptResult.NOT_SENT, str(error), EndedBy.BOX)
-        if error.failure is not None and proves_exit(state, error.failure):
-            # Imported here because few connections are refused.
-            from .probing import report_lost
-
-            record_exit(path.head, anyio.current_time())
-            report_lost(state, path.head, session.dead)
-        else:
-            record_failure(path.head, anyio.current_time())
-        _suspect_domain(state, session, path.head)
+        _handle_not_sent(state, session, path, error)
         return AttemptEnd(AttemptResult.NOT_SENT, str(error), EndedBy.BOX)
     except BackpressureError as error:
         session.excluded.add(path.head.registration.instance)
@@ -306,6 +294,25 @@
         await answer.connection.close()
 
 
+def _handle_not_sent(
+    state: GatewayState, session: StreamSession, path: ChosenPath, error: NotSentError
+) -> None:
+    """Record that the first engine of a path could not be reached."""
+    session.excluded.add(path.head.registration.instance)
+    if error.is_inconclusive:
+        record_out_of_reach(path.head, anyio.current_time())
+        return
+    if error.failure is not None and proves_exit(state, error.failure):
+        # Imported here because few connections are refused.
+        from .probing import report_lost
+
+        record_exit(path.head, anyio.current_time())
+        report_lost(state, path.head, session.dead)
+    else:
+        record_failure(path.head, anyio.current_time())
+    _suspect_domain(state, session, path.head)
+
+
 def _ended_by(error: Exception) -> EndedBy:
     """Return who ended an attempt that failed with an error."""
     return EndedBy.BOX if isinstance(error, AttemptAbandonedError) else EndedBy.UPSTREAM
--- a/tests/daemons/gateway/test_concurrent_attempts.py
+++ b/tests/daemons/gateway/test_concurrent_attempts.py
@@ -79,8 +79,9 @@
     monkeypatch: pytest.MonkeyPatch, state: str
 ) -> None:
     """Failure: the log says that the caller ended it, and it counts as lost."""
-    play = Play(monkeypatch, pausing(state))
-    play.upstreams[1] = Upstream("i-2", "is silent")
+    first = pausing(state)
+    play = Play(monkeypatch, first)
+    play.upstreams[1] = first.hedge = Upstream("i-2", "is silent")
     run(play, monkeypatch)
     assert play.received == [1, 1]
     results = {key: n for key, n in play.state.metrics.counters.items() if key.startswith("run-")}
--- a/tests/daemons/gateway/test_silent_answers.py
+++ b/tests/daemons/gateway/test_silent_answers.py
@@ -17,6 +17,9 @@
 SILENCE_SECONDS = 0.4
 """How long the upstream is silent."""
 
+POLL_SECONDS = 0.01
+"""Interval at which an upstream checks whether it may go on."""
+
 DEADLINE_SECONDS = 3.0
 """Deadline of the requests."""
 
@@ -43,12 +46,16 @@
     def __init__(self, name: str, parts: list[bytes]) -> None:
         super().__init__(name, "answers")
         self.parts = parts
+        self.hedge: Upstream | None = None
+        """Upstream of the hedge; once it has the request, this one goes on."""
 
     async def answer(self, connection: SocketStream) -> None:
         first, last = self.parts
         if first:
             await connection.send(first)
         await anyio.sleep(SILENCE_SECONDS)
+        while self.hedge is not None and not self.hedge.received:
+            await anyio.sleep(POLL_SECONDS)
         await connection.send(last)
 
 
@@ -92,7 +99,9 @@
 def test_resumable_stream_is_continued_by_a_sound_upstream(
     monkeypatch: pytest.MonkeyPatch, state: str
 ) -> None:
-    play = Play(monkeypatch, pausing(state))
+    first = pausing(state)
+    play = Play(monkeypatch, first)
+    first.hedge = play.upstreams[1]
     play.allow_hedges(monkeypatch)
     play.run(RequestKind.STREAM, resumable=True, seconds=DEADLINE_SECONDS, target=TARGET_SECONDS)
     assert play.received == [1, 1]
