A silent engine ends no attempt of a generation: it is hedged, and goes on

What callers saw: over the own interface, requests whose engines were silent for 1.2 s or 3 s got 502, "too many retries are in progress", or were sent three to five times.

Cause: an attempt that stalled, and of which a stage left a probe unanswered, was cancelled before anything replaced it. The retry, the route and the limit of recoveries that the replacement needs were looked for afterwards, and each could end the request.

Ruled out by reading: crash evidence (it needs a refused connection), and calls of services, which have no timer but their deadline.

Change: such an attempt is overdue and goes on. Its silent engines are suspected until they answer a probe, as before. Beside it another one begins over engines that answer, if a retry is in hand, and the first token decides: the other is stopped and its stages are told. An attempt that makes no progress for as long as the silence lasted after its engines answer again is overdue too, as its connections may be broken. Each decision is logged with the silent engines and the version in force. Ends of connections and reports of lost stages are handled as before.

Why this works: nothing is given up before a token of another attempt is there.

Cost: a hedge runs the tokens so far on all its stages, and not only on those that replace silent ones.

--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -10,7 +10,7 @@
 
 from ...model import EXECUTION_HEADER, Execution, Problem, ProblemError, ResultCode
 from ..http import CODE_HEADER, problem_body, problem_response
-from .attempt import Generation
+from .branches import Generation
 from .caller_models import AnswerMetadata, answer_object, chunk_object
 from .checks import Permit, admitted
 from .generation import generate
--- a/src/ledgeladder/daemons/entry/attempt.py
+++ b/src/ledgeladder/daemons/entry/attempt.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
+import math
 from contextlib import aclosing
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import anyio
+import anyio.lowlevel
 import msgspec
 
-from ...routing.pace import Pace, record_false_alarm, record_gap, stall_timeout
+from ...routing.attempt_race import record_overdue, record_progress
+from ...routing.pace import record_false_alarm, record_gap, stall_timeout
 from ...routing.rate_grants import acquire_grants, has_grant
-from ...routing.session import Session, TokenFrame, Verdict, accept_token
+from ...routing.session import TokenFrame, Verdict, accept_token
 from ...routing.upstream_table import record_success
 from ...upstreams.engine import (
     EngineFrame,
@@ -27,48 +29,18 @@
 from ..limit_keeper import record_advertised_rate
 from .context import rate_limiter_of
 from .metrics import record_duration
-from .watching import responds_to_probe
+from .watching import find_silent_stages, is_suspected, record_silence
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
-
-    from ...model import Pipeline
     from ...model.exchange import AdvertisedRate
-    from ...routing.upstream_table import UpstreamView
+    from ...routing.session import Session
+    from .branches import Branch, GenerationRun, Progress
     from .context import EntryContext
 
 logger = logging.getLogger(__name__)
 
-Emit = Callable[[list[str]], Awaitable[None]]
-"""Forwards texts of accepted tokens to the caller."""
-
-
-class Generation(msgspec.Struct, frozen=True, kw_only=True):
-    """A generation request that passed all checks."""
-
-    pipeline: Pipeline
-    """Pipeline that runs it."""
-
-    prompt: str
-    """Prompt."""
-
-    max_tokens: int
-    """Maximum number of tokens of the answer."""
-
-    rank: int
-    """Rank of its priority."""
-
-    deadline: float
-    """Deadline of the answer, on the monotonic clock."""
-
-    arrived_at: float
-    """Time of arrival, on the monotonic clock."""
-
-    allowed: Callable[[UpstreamView], bool]
-    """Returns whether its policy allows an upstream."""
-
-    fingerprint: bytes = b""
-    """Fingerprint of its content."""
+HEDGE_INTERVAL_SECONDS: Final = 0.05
+"""Mean interval at which another branch is considered beside an overdue one."""
 
 
 class AttemptResult(StrEnum):
@@ -117,30 +89,17 @@
     last_progress_at: float
     """Time of its latest progress, on the monotonic clock."""
 
-    blocked: bool = False
-    """True while a write to the caller is in progress."""
+    patient_until: float = math.inf
+    """Time after a silence from which it is overdue although all stages answer, on the monotonic
+    clock; infinite if none was silent since its latest token."""
 
     reached: frozenset[str] = frozenset()
     """Upstreams that were alive when the attempt reached them."""
 
 
-class Progress(msgspec.Struct, kw_only=True):
-    """Timing of a request over all its attempts."""
-
-    pace: Pace = msgspec.field(default_factory=Pace)
-    """Gaps between tokens."""
-
-    last_token_at: float = 0.0
-    """Time at which the latest token was accepted, or at which the request arrived."""
-
-    recovering: bool = False
-    """True from the loss of a stage until the next token."""
-
-
-async def run_attempt(
-    context: EntryContext, request: Generation, session: Session, progress: Progress, emit: Emit
-) -> AttemptOutcome:
-    """Run the current attempt: stream from the head, and monitor progress concurrently."""
+async def run_attempt(context: EntryContext, run: GenerationRun, branch: Branch) -> AttemptOutcome:
+    """Run the current attempt of a branch: stream from the head, and monitor its progress."""
+    session = branch.session
     assert session.route is not None
     views = [context.upstreams.views.get(name) for name in session.route.upstreams]
     known = [view for view in views if view is not None]
@@ -157,10 +116,11 @@
         view.in_flight += 1
     try:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_watch_progress, context, session, progress, attempt, tasks)
-            await _stream_from_head(context, request, session, progress, attempt, emit)
+            tasks.start_soon(_watch_progress, context, run, branch, attempt)
+            await _stream_from_head(context, run, branch, attempt)
             tasks.cancel_scope.cancel()
     finally:
+        branch.overdue = ""
         for view in known:
             view.in_flight -= 1
     attempt.outcome.reached = attempt.reached
@@ -171,16 +131,12 @@
 
 
 async def _stream_from_head(
-    context: EntryContext,
-    request: Generation,
-    session: Session,
-    progress: Progress,
-    attempt: Attempt,
-    emit: Emit,
+    context: EntryContext, run: GenerationRun, branch: Branch, attempt: Attempt
 ) -> None:
     """Handle frames from the head until the attempt has an outcome."""
+    session, request = branch.session, run.request
     assert session.route is not None
-    run = make_run_request(
+    message = make_run_request(
         session=session.session_id,
         attempt=session.attempt,
         model=request.pipeline.model,
@@ -196,14 +152,19 @@
         record_advertised_rate(rate_limiter_of(context), head, advertised, sent_at, is_own=True)
 
     try:
-        async with aclosing(run_on_engine(context.client, run, record_rate)) as batches:
+        async with aclosing(run_on_engine(context.client, message, record_rate)) as batches:
             async for frames in batches:
-                texts, lost = _handle_frames(context, session, progress, frames)
+                if branch.stopped is not None:
+                    # Its scope is cancelled, which these frames were ahead of.
+                    await anyio.lowlevel.checkpoint()
+                texts, lost = _handle_frames(context, session, run.progress, frames)
                 if texts:
+                    record_progress(run.race, branch)
                     attempt.reached = session.route.upstreams
-                    attempt.blocked = True
-                    await emit(texts)
-                    attempt.blocked = False
+                    attempt.patient_until = math.inf
+                    branch.is_writing = True
+                    await run.emit(texts)
+                    branch.is_writing = False
                     attempt.last_progress_at = now()
                 if session.ended:
                     attempt.outcome = AttemptOutcome(result=AttemptResult.COMPLETE)
@@ -223,35 +184,63 @@
 
 
 async def _watch_progress(
-    context: EntryContext,
-    session: Session,
-    progress: Progress,
-    attempt: Attempt,
-    tasks: TaskGroup,
+    context: EntryContext, run: GenerationRun, branch: Branch, attempt: Attempt
 ) -> None:
-    """Cancel the attempt if it stalls and some of its stages do not answer a probe.
+    """Take the attempt for overdue if it stalls and some of its stages do not answer a probe.
 
     A caller that does not read does not count as a stall. The timer is not reset for each token:
     after a timeout, the time of the latest progress decides whether to wait again.
     """
+    session = branch.session
+    assert session.route is not None
     while True:
-        pace = progress.pace if session.tokens else context.first_pace
+        pace = run.progress.pace if session.tokens else context.first_pace
         timeout = context.settings.entry.stall_seconds or stall_timeout(pace)
         inactive_seconds = now() - attempt.last_progress_at
-        if attempt.blocked or inactive_seconds < timeout:
-            await anyio.sleep(timeout if attempt.blocked else timeout - inactive_seconds)
+        if branch.is_writing or inactive_seconds < timeout:
+            await anyio.sleep(timeout if branch.is_writing else timeout - inactive_seconds)
+            continue
+        stalled_at = attempt.last_progress_at
+        silent = await find_silent_stages(context, session.route)
+        if branch.is_writing or attempt.last_progress_at != stalled_at:
+            continue
+        if silent or now() >= attempt.patient_until:
+            await _wait_overdue(context, run, branch, attempt, silent)
             continue
-        unreachable = await _find_unreachable_stages(context, session)
-        if unreachable:
-            context.metrics.events["stall-confirmed"] += 1
-            attempt.outcome = AttemptOutcome(result=AttemptResult.LOST, blamed=unreachable)
-            tasks.cancel_scope.cancel()
-            return
         context.metrics.events["stall-false-alarm"] += 1
         record_false_alarm(pace)
         attempt.last_progress_at = now()
 
 
+async def _wait_overdue(
+    context: EntryContext,
+    run: GenerationRun,
+    branch: Branch,
+    attempt: Attempt,
+    silent: frozenset[str],
+) -> None:
+    """Consider another branch until the attempt makes progress or its stages answer again.
+
+    The attempt itself goes on, because silent engines may be sound. Once they answer again, it has
+    as much time as the silence lasted, in which TCP repeats what was lost. After that its
+    connections may be broken although its engines work.
+    """
+    reason = f"silent: {', '.join(sorted(silent))}" if silent else "no progress after a silence"
+    record_overdue(branch, reason)
+    overdue_at = now()
+    if silent:
+        context.metrics.events["stall-confirmed"] += 1
+        record_silence(context, silent)
+    while branch.overdue:
+        if silent and not any(is_suspected(context, name) for name in silent):
+            branch.overdue = ""
+            attempt.last_progress_at = now()
+            attempt.patient_until = now() + (now() - overdue_at)
+            return
+        await run.begin_hedge(branch)
+        await anyio.sleep(HEDGE_INTERVAL_SECONDS * context.rng.uniform(0.5, 1.5))
+
+
 def _handle_frames(
     context: EntryContext, session: Session, progress: Progress, frames: list[EngineFrame]
 ) -> tuple[list[str], AttemptOutcome | None]:
@@ -290,18 +279,4 @@
         record_gap(progress.pace, gap)
     progress.recovering = False
     progress.last_token_at = at
-
-
-async def _find_unreachable_stages(context: EntryContext, session: Session) -> frozenset[str]:
-    """Probe all stages of the route concurrently and return those that do not answer."""
-    assert session.route is not None
-    unreachable: set[str] = set()
-
-    async def probe(upstream: str, address: str) -> None:
-        if not await responds_to_probe(context, address):
-            unreachable.add(upstream)
-
-    async with anyio.create_task_group() as tasks:
-        for stage in session.route.stages:
-            tasks.start_soon(probe, stage.upstream, stage.address)
-    return frozenset(unreachable)
+    progress.session = session
--- a/src/ledgeladder/daemons/entry/generation.py
+++ b/src/ledgeladder/daemons/entry/generation.py
@@ -1,4 +1,8 @@
-"""Runs a generation request to completion, with a new attempt after each lost stage."""
+"""Runs a generation request to completion.
+
+Lost stages are replaced in a new attempt. Beside an attempt whose stages are silent, another one
+runs over other engines, and the first that makes progress continues the answer.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +14,8 @@
 from returns.result import Failure
 
 from ...model import Execution, Problem, ProblemError, ResultCode, Route
+from ...routing.attempt_race import begin_attempt as add_to_race
+from ...routing.attempt_race import end_attempt as end_in_race
 from ...routing.chain import choose_route, eligible_engines, replace_stages
 from ...routing.rate_grants import any_limited, record_demand
 from ...routing.retry_budget import acquire_retry, record_first_attempt
@@ -21,10 +27,11 @@
 )
 from ...upstreams.engine import CancelRequest, cancel_on_engine
 from ..clock import now
-from .attempt import AttemptOutcome, AttemptResult, Emit, Generation, Progress, run_attempt
+from .attempt import AttemptOutcome, AttemptResult, run_attempt
+from .branches import Branch, Emit, Generation, GenerationRun, Progress, fork_session
 from .context import rate_limiter_of, run_in_background
 from .crashes import may_retry, record_answered, record_crash
-from .watching import probe_failure_domain
+from .watching import find_silent_stages, probe_failure_domain, record_silence
 
 if TYPE_CHECKING:
     from .context import EntryContext
@@ -64,43 +71,105 @@
     record_first_attempt(context.budget)
     try:
         with anyio.fail_after(max(0.0, request.deadline - now())):
-            await _run_attempts(context, request, session, progress, emit)
+            return await _run_attempts(context, request, session, progress, emit)
     except TimeoutError as error:
         raise _request_failed(
-            session, ResultCode.DEADLINE_EXCEEDED, "the deadline passed"
+            progress.session or session, ResultCode.DEADLINE_EXCEEDED, "the deadline passed"
         ) from error
     finally:
-        _cancel_unused_stages(context, session, keep=frozenset())
-        for verdict, count in session.dropped.items():
-            context.metrics.events[f"dropped-{verdict.value}"] += count
-    return session
+        _release_session(context, session)
 
 
 async def _run_attempts(
     context: EntryContext, request: Generation, session: Session, progress: Progress, emit: Emit
-) -> None:
+) -> Session:
+    """Run all branches of a request.
+
+    Returns:
+        The session with the complete answer.
+
+    Raises:
+        ProblemError: If all branches failed.
+    """
     route = _choose_first_route(context, request)
-    recoveries = 0
-    may_have_run = False
+    async with anyio.create_task_group() as tasks:
+
+        async def begin_hedge(overdue: Branch) -> None:
+            planned = await _plan_hedge(context, run, overdue)
+            if planned is None:
+                return
+            hedge = Branch(session=fork_session(run, overdue.session), started_at=now())
+            # It counts as running at once, so that no second one is begun.
+            add_to_race(run.race, hedge)
+            tasks.start_soon(_run_hedge, context, run, hedge, planned)
+
+        run = GenerationRun(request=request, progress=progress, emit=emit, begin_hedge=begin_hedge)
+        first = Branch(session=session, started_at=now())
+        add_to_race(run.race, first)
+        await _run_branch(context, run, first, route)
+    if run.answered is not None:
+        return run.answered
+    assert run.problem is not None
+    raise run.problem
+
+
+async def _run_hedge(
+    context: EntryContext, run: GenerationRun, branch: Branch, route: Route
+) -> None:
+    try:
+        await _run_branch(context, run, branch, route)
+    finally:
+        _release_session(context, branch.session)
+
+
+async def _run_branch(
+    context: EntryContext, run: GenerationRun, branch: Branch, route: Route
+) -> None:
+    """Run a branch until it has the answer, fails, or is stopped by the progress of another."""
+    if branch.stopped is not None:
+        end_in_race(run.race, branch)
+        return
+    with anyio.CancelScope() as scope:
+        branch.stop = scope.cancel
+        try:
+            await _complete_branch(context, run, branch, route)
+            run.answered = branch.session
+        except ProblemError as error:
+            run.problem = error
+        finally:
+            end_in_race(run.race, branch)
+    if branch.stopped is not None:
+        _release_session(context, branch.session)
+
+
+async def _complete_branch(
+    context: EntryContext, run: GenerationRun, branch: Branch, route: Route
+) -> None:
+    """Run attempts of a branch, each without the stages that were lost, until one is complete.
+
+    Raises:
+        ProblemError: If the branch failed.
+    """
+    request, session = run.request, branch.session
     while True:
         attempt = begin_attempt(session, route)
-        outcome = await run_attempt(context, request, session, progress, emit)
+        outcome = await run_attempt(context, run, branch)
         if outcome.result is AttemptResult.COMPLETE:
             record_answered(context, request.fingerprint)
             return
-        recoveries += 1
+        run.recoveries += 1
         await _record_crashes(context, request, session, outcome)
         if not may_retry(context, request.fingerprint):
             raise _request_failed(session, ResultCode.UPSTREAM_LOST, "its upstreams ended")
         _record_failures(context, outcome)
-        if recoveries > MAX_RECOVERIES:
+        if run.recoveries > MAX_RECOVERIES:
             raise _request_failed(session, ResultCode.UPSTREAM_LOST, "too many stages were lost")
-        may_have_run = may_have_run or outcome.result is not AttemptResult.REFUSED
-        if not may_have_run:
+        run.may_have_run = run.may_have_run or outcome.result is not AttemptResult.REFUSED
+        if not run.may_have_run:
             _refuse_if_backing_off(context, request)
         if not session.tokens and not acquire_retry(context.budget):
-            raise _no_retry_left(session, may_have_run=may_have_run)
-        progress.recovering = True
+            raise _no_retry_left(session, may_have_run=run.may_have_run)
+        run.progress.recovering = True
         context.metrics.events[f"attempt-{outcome.result.value}"] += 1
         logger.info(
             "attempt failed; replacing stages",
@@ -115,6 +184,72 @@
         _cancel_unused_stages(context, session, keep=route.upstreams)
 
 
+async def _plan_hedge(context: EntryContext, run: GenerationRun, overdue: Branch) -> Route | None:
+    """Choose the route of a branch beside those that are overdue, and take its retry.
+
+    Returns:
+        None if none may be begun.
+    """
+    if not run.race.needs_attempt or run.race.running[-1] is not overdue:
+        return None
+    request, session = run.request, overdue.session
+    reason, route = "", None
+    if not may_retry(context, request.fingerprint):
+        reason = "its upstreams ended"
+    elif run.recoveries >= MAX_RECOVERIES:
+        reason = "too many attempts were begun"
+    else:
+        route = await _choose_answering_route(context, request)
+        if not run.race.needs_attempt:
+            # A branch made progress while the engines were probed.
+            return None
+        if route is None:
+            reason = "no route over other engines that answer"
+        elif not session.tokens and not acquire_retry(context.budget):
+            reason, route = "too many retries are in progress", None
+    _log_decision(context, run, overdue, reason)
+    if route is None:
+        return None
+    run.recoveries += 1
+    run.may_have_run = True
+    run.progress.recovering = True
+    context.metrics.events["attempt-hedged"] += 1
+    return route
+
+
+async def _choose_answering_route(context: EntryContext, request: Generation) -> Route | None:
+    """Choose a route whose engines all answer a probe, so that no work queues up on silent ones."""
+    _request_grants(context, request)
+    engines = eligible_engines(context.upstreams, request.pipeline, now(), allowed=request.allowed)
+    chosen = choose_route(engines, request.pipeline.layers, context.select_engine)
+    if isinstance(chosen, Failure):
+        return None
+    route = chosen.unwrap()
+    silent = await find_silent_stages(context, route)
+    record_silence(context, silent)
+    return None if silent else route
+
+
+def _log_decision(context: EntryContext, run: GenerationRun, overdue: Branch, reason: str) -> None:
+    """Log what is done about an overdue branch; why it is kept only when that has changed."""
+    is_repeated = bool(reason) and overdue.kept == reason
+    overdue.kept = reason
+    if is_repeated:
+        return
+    logger.info(
+        "attempt overdue",
+        extra={
+            "request_id": overdue.session.session_id,
+            "attempt": overdue.session.attempt,
+            "decision": "kept" if reason else "another attempt begins beside it",
+            "reason": reason,
+            "overdue": overdue.overdue,
+            "silent_for": round(now() - run.progress.last_token_at, 3),
+            "version": context.configuration.version,
+        },
+    )
+
+
 async def _record_crashes(
     context: EntryContext, request: Generation, session: Session, outcome: AttemptOutcome
 ) -> None:
@@ -252,6 +387,15 @@
     return ProblemError(Problem(code=code, detail=detail, execution=execution, retry_after=1.0))
 
 
+def _release_session(context: EntryContext, session: Session) -> None:
+    """Cancel a session on all its stages unless it is complete; no effect if repeated."""
+    _cancel_unused_stages(context, session, keep=frozenset())
+    session.route = None
+    for verdict, count in session.dropped.items():
+        context.metrics.events[f"dropped-{verdict.value}"] += count
+    session.dropped.clear()
+
+
 def _cancel_unused_stages(context: EntryContext, session: Session, *, keep: frozenset[str]) -> None:
     """Cancel the request on stages of the previous route that are no longer used."""
     if session.route is None or (session.ended and not keep):
--- a/src/ledgeladder/daemons/entry/watching.py
+++ b/src/ledgeladder/daemons/entry/watching.py
@@ -24,9 +24,13 @@
 )
 from ...upstreams.engine import is_live, read_load
 from ..clock import now, wall_clock_ms
+from .context import run_in_background
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ...coordination.membership import Membership
+    from ...model import Route
     from ...routing.upstream_table import UpstreamView
     from .context import EntryContext
 
@@ -151,6 +155,41 @@
         record_success(view)
 
 
+async def find_silent_stages(context: EntryContext, route: Route) -> frozenset[str]:
+    """Probe all stages of a route concurrently and return those that do not answer."""
+    silent: set[str] = set()
+
+    async def probe(upstream: str, address: str) -> None:
+        if not await responds_to_probe(context, address):
+            silent.add(upstream)
+
+    async with anyio.create_task_group() as tasks:
+        for stage in route.stages:
+            tasks.start_soon(probe, stage.upstream, stage.address)
+    return frozenset(silent)
+
+
+def record_silence(context: EntryContext, names: Collection[str]) -> None:
+    """Suspect engines that do not answer, and probe the others of their failure domains.
+
+    Args:
+        context: The entry's state.
+        names: Names of the engines.
+    """
+    views = [context.upstreams.views.get(name) for name in names]
+    silent = [view for view in views if view is not None]
+    for view in silent:
+        record_failure(view, now())
+    for domain in sorted({view.upstream.failure_domain for view in silent}):
+        run_in_background(context, probe_failure_domain, context, domain)
+
+
+def is_suspected(context: EntryContext, name: str) -> bool:
+    """Return whether an engine has not answered since it was suspected, or has been removed."""
+    view = context.upstreams.views.get(name)
+    return view is None or now() < view.suspect_until
+
+
 async def probe_failure_domain(context: EntryContext, failure_domain: str) -> None:
     """Probe all engines of a failure domain after one of them was lost.
 
