Tests: a request that begins while all engines are silent (fails)

What callers saw: 503, "no reachable upstream holds layers 0-31", while all engines were only silent.

Cause: engines that leave probes unanswered are suspected, and requests without a route over others are refused at once, as after an exit of the engines.

Not mended: a probe tells a silent engine, whose machine accepts connections, from neither an engine that has exited nor a machine that is gone, and only the first is worth waiting for.

--- a/tests/daemons/test_silent_engines.py
+++ b/tests/daemons/test_silent_engines.py
@@ -88,3 +88,18 @@
     ]
     suspend(healed, names, seconds)
     join(streams)
+
+
+def test_request_that_begins_during_a_silence_is_answered(healed: Fleet) -> None:
+    """Failure: requests were refused without a route while all engines were only silent."""
+    streams = start_streams(healed, "before")
+    names = [spec.name for spec in healed.engines]
+    for name in names:
+        healed.signal(name, signal.SIGSTOP)
+    time.sleep(1.2)
+    late = [
+        Stream(fleet=healed, entry=entry, prompt=f"begins late {entry}", count=5)
+        for entry in healed.entry_names
+    ]
+    suspend(healed, names, 1.0)
+    join([*streams, *late])
