--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -469,7 +469,6 @@
     now = anyio.current_time()
     if now < permit.deadline:
         return _AttemptEnd("", EndedBy.CALLER)
-    record_silence(attempt.path.engines, now)
     return _AttemptEnd(f"no answer within {now - attempt.started_at:.2f} s", EndedBy.CALLER)
 
 
--- a/tests/daemons/gateway/test_silent_services.py
+++ b/tests/daemons/gateway/test_silent_services.py
@@ -17,6 +17,7 @@
 from ledgeladder.daemons.gateway.plain import forward_plain
 from ledgeladder.model import Execution, ResultCode
 from ledgeladder.model.traffic import RequestKind
+from ledgeladder.routing.forwarding_table import is_silent
 from ledgeladder.routing.repeat_window import RetryWindow
 
 from . import failing_upstream
@@ -237,6 +238,15 @@
     assert not (first.record.failures or second.record.failures)
 
 
+def test_short_deadline_proves_no_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Failure: callers with short deadlines made sound services a last resort."""
+    first = held("head awaited")
+    bed = Bed(monkeypatch, first)
+    bed.run(RequestKind.REPEATABLE, seconds=0.1, target=DEADLINE_SECONDS)
+    assert bed.caller.problem is not None
+    assert not is_silent(first.record, first.record.silent_at)
+
+
 def test_attempts_end_when_the_caller_leaves(monkeypatch: pytest.MonkeyPatch) -> None:
     first, second = held("body inside"), Held("i-2", WHOLE, 0)
     bed = Bed(monkeypatch, first, second)
@@ -347,3 +357,19 @@
     (line,) = [vars(item) for item in caplog.records if item.message == "attempt failed"]
     assert (line["upstream"], line["ended_by"]) == ("i-2", ended_by)
     assert line["may_have_run"] is (second == "closes")
+
+
+@pytest.mark.parametrize("kind", [RequestKind.ONCE, RequestKind.REPEATABLE])
+def test_log_line_of_an_attempt_whose_time_was_over(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, kind: RequestKind
+) -> None:
+    """Failure: no line told which service a request had waited for until its deadline."""
+    first = held("head awaited")
+    bed = Bed(monkeypatch, first)
+    bed.state.retry_budgets[POOL] = RetryWindow(ratio=0.0, reserve=0.0, seconds=10.0)
+    with caplog.at_level(logging.WARNING):
+        bed.run(kind, seconds=0.3, target=TARGET_SECONDS)
+    (line,) = [vars(item) for item in caplog.records if item.message == "attempt failed"]
+    assert (line["upstream"], line["ended_by"]) == ("i-1", "caller")
+    assert line["outcome"].startswith("no answer within")
+    assert line["silent_for"] > 0.0
