Stalled idle connections are closed even if the attempt that shows it is overdue

Cause: whether a connection was newer than a silence was told from the time of the latest overdue attempt, which the attempt on that connection itself moves on when its answer is late. Its answer then ended the silence and kept the idle connections, each of which could cost a request its time again. What was known when the connection was opened decides now.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -499,19 +499,19 @@
         timeout=permit.deadline - anyio.current_time(),
         priority=permit.priority,
     )
-    is_repeatable = permit.route.kind is RequestKind.REPEATABLE
+    is_repeatable, was_unheard = permit.route.kind is RequestKind.REPEATABLE, _is_unheard(upstream)
     answer = await open_answer(
         state,
         permit,
         request,
         dispatch,
         upstream,
-        fresh_connection=not is_repeatable or _is_unheard(upstream),
+        fresh_connection=not is_repeatable or was_unheard,
         record_sent=record_sent,
         trace=trace,
     )
     try:
-        await _record_heard(state, attempt, answer)
+        await _record_heard(state, upstream, answer, was_unheard=was_unheard)
     except BaseException:
         await answer.connection.close()
         raise
@@ -526,16 +526,17 @@
     return upstream.silent_at > upstream.last_event_at
 
 
-async def _record_heard(state: GatewayState, attempt: RunningAttempt, answer: OpenAnswer) -> None:
+async def _record_heard(
+    state: GatewayState, upstream: ForwardedUpstream, answer: OpenAnswer, *, was_unheard: bool
+) -> None:
     """Record an answer as a sign of life of its upstream.
 
-    If it is the first since an attempt was overdue and came over a newer connection, idle ones have
-    likely stalled and are closed.
+    If nothing was heard when its connection was opened, and no older connection has answered since,
+    idle ones have likely stalled and are closed.
     """
     if answer.facts.wrong_upstream:
         return
-    upstream = attempt.path.head
-    may_have_stalled = _is_unheard(upstream) and attempt.started_at >= upstream.silent_at
+    may_have_stalled = was_unheard and _is_unheard(upstream)
     record_event(upstream, anyio.current_time())
     if may_have_stalled:
         await state.connections.close_idle(upstream.registration.address)
--- a/tests/daemons/gateway/test_plain.py
+++ b/tests/daemons/gateway/test_plain.py
@@ -85,6 +85,8 @@
             self.connections += 1
             if self.connections > POOLED and self.answers:
                 await connection.receive()
+                # The attempt is overdue itself.
+                record_silence([self.record], anyio.current_time())
                 await connection.send(WHOLE)
             await anyio.sleep_forever()
 
