Stand-in upstreams: a short accept queue, streams in step, other heartbeats

What callers saw: in the soak with silences, answers of 502 that the stand-in caused, not the system.

Change: an upstream serves whatever its kernel has accepted, and its 421 says that the request has not run.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -61,8 +61,8 @@
 {role}
 
 [bounds]
-repeat_reserve = 200
-heartbeat_ms = 300
+repeat_reserve = {repeat_reserve}
+heartbeat_ms = {heartbeat_ms}
 revocation_ms = {revocation_ms}
 stop_seconds = 8
 """
@@ -104,6 +104,12 @@
     revocation_ms: int = 5000
     """Time limit for the revocation of a key, in milliseconds."""
 
+    repeat_reserve: int = 200
+    """Repeats that all gateways may make besides the share of requests that they may repeat."""
+
+    heartbeat_ms: int = 300
+    """Time between heartbeats of an upstream, in milliseconds."""
+
     port: int = 0
     """First port of every box; random."""
 
@@ -116,7 +122,7 @@
     version: int = 0
     """Newest version that `publish_next` published."""
 
-    document: Callable[[int], dict[str, Any]] = field(default_factory=lambda: example_document)
+    document: Callable[..., dict[str, Any]] = field(default_factory=lambda: example_document)
     """Returns the document of a version."""
 
     client: httpx.Client = field(
@@ -167,6 +173,8 @@
             bootstrap=str(bootstrap).lower(),
             role=role,
             revocation_ms=self.revocation_ms,
+            repeat_reserve=self.repeat_reserve,
+            heartbeat_ms=self.heartbeat_ms,
         )
         path.write_text(text)
         return path
@@ -226,6 +234,7 @@
             f"--controls={','.join(self.control_addresses)}",
             f"--ledger={self.folder / (name + '.ledger')}",
             f"--mood={self.folder / (name + '.mood')}",
+            f"--heartbeat-ms={self.heartbeat_ms}",
         ]
         command += [f"--{option.replace('_', '-')}={value}" for option, value in options.items()]
         return self.start(name, ip, command)
@@ -412,7 +421,9 @@
             `fail_share`, the share of plain requests that services fail; `crash_word`, a word in a
             request's body that crashes the upstream that executes it; `crash_part`, a prompt's part
             that crashes the engine that begins to write on it; `engine_slots`, the streams that an
-            engine runs at once (0: without a bound); `keep_ids`, True if upstreams keep their
+            engine runs at once (0: without a bound); `backlog`, the connections that the kernel of
+            an upstream accepts before the process does (0: the usual number); `in_step`, True if a
+            stream waits for all engines of its path; `keep_ids`, True if upstreams keep their
             instance ids over restarts.
 
     Yields:
@@ -425,6 +436,8 @@
     crash_part = options.pop("crash_part", "")
     keep_ids = options.pop("keep_ids", False)
     engine_slots = options.pop("engine_slots", 0)
+    backlog = options.pop("backlog", 0)
+    in_step = options.pop("in_step", False)
     cut_gateways = options.pop("cut_gateways", ())
     with fleet_folder() as folder:
         fleet = DiscoveredFleet(folder=folder, **options)
@@ -444,6 +457,8 @@
                     crash_part=crash_part,
                     instance=instance,
                     slots=engine_slots,
+                    in_step=int(in_step),
+                    backlog=backlog,
                     unreachable_from=unreachable_from,
                 )
             for number in range(services):
@@ -454,6 +469,7 @@
                     fail_share=fail_share,
                     crash_word=crash_word,
                     instance=instance,
+                    backlog=backlog,
                     unreachable_from=unreachable_from,
                 )
             fleet.publish_next()
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import time
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from ledgeladder.http1 import Exchange, HttpRequest, HttpSite, serve_listener
+from ledgeladder.http1.accepting import AcceptQueue
 from ledgeladder.links import listen_tcp
 from ledgeladder.model import Problem
 
@@ -41,12 +43,12 @@
 STALL_SECONDS = 3.0
 """How long the first engine of a path stalls before it breaks off, once another engine is lost."""
 
-HEARTBEAT_SECONDS = 0.3
-"""Time between heartbeats; must match `heartbeat_ms` in the fleet's settings."""
-
 CRASH_SECONDS = 0.05
 """Time from the start of a request to the crash that it causes."""
 
+STEP_REQUEST = b"GET /step HTTP/1.1\r\nHost: x\r\n\r\n"
+"""What the first engine of a path sends to each later one for each event, if they run in step."""
+
 UNBOUNDED_SLOTS = 8
 """Slots in heartbeats and responses of an upstream without a bound."""
 
@@ -130,6 +132,17 @@
     in_progress: int = 0
     """Plain requests in progress."""
 
+    heartbeat_ms: float = 300.0
+    """Time between heartbeats, in milliseconds, as in the settings of the boxes."""
+
+    in_step: bool = False
+    """Whether each event of a stream waits for all later engines of its path, so that one of them
+    that is suspended holds the stream up."""
+
+    backlog: int = 0
+    """Connections that its kernel accepts before the process does; further ones hang. 0 for the
+    usual number."""
+
     slots: int = 0
     """Streams that it runs at once as the first engine of their path; further ones are refused as
     not run. 0 for no bound."""
@@ -192,7 +205,7 @@
     """Send heartbeats until cancelled."""
     while True:
         await call_control(upstream, "PUT", heartbeat_body(upstream))
-        await anyio.sleep(HEARTBEAT_SECONDS)
+        await anyio.sleep(upstream.heartbeat_ms / 1000)
 
 
 def load_header(upstream: StandIn) -> bytes:
@@ -325,7 +338,9 @@
     own = next((stage for stage in stages if stage[0] == upstream.address), None)
     held = upstream.layers
     if own is None or held is None or own[1] < held[0] or own[2] > held[1]:
-        await exchange.answer(421, [(b"At-Server", upstream.address.encode())], b"")
+        attempt = request.fields.get(b"attempt-id", b"")
+        headers = [(b"Attempt-Id", attempt), (b"Not-Executed", b"1")]
+        await exchange.answer(421, [*headers, (b"At-Server", upstream.address.encode())], b"")
         return
     if upstream.slots and upstream.streams >= upstream.slots:
         attempt = request.fields.get(b"attempt-id", b"")
@@ -361,14 +376,17 @@
         events = [stream_event(number) for number in range(last_event + 1, token_count)]
         await send_unframed(exchange, headers, events, unframed)
         return
-    async with anyio.create_task_group() as tasks:
+    async with AsyncExitStack() as open_links, anyio.create_task_group() as tasks:
         broken = anyio.Event()
-        for address, _, _ in stages:
-            if address != upstream.address:
-                tasks.start_soon(watch_stage, address, broken)
+        others = [address for address, _, _ in stages if address != upstream.address]
+        for address in others:
+            tasks.start_soon(watch_stage, address, broken)
+        steps = others if upstream.in_step else []
+        links = await connect_stages(steps, open_links, broken)
         started = False
         for number in range(last_event + 1, token_count):
             await anyio.sleep(EVENT_SECONDS)
+            await step_stages(links, broken)
             if broken.is_set():
                 await anyio.sleep(STALL_SECONDS)
                 tasks.cancel_scope.cancel()
@@ -402,6 +420,34 @@
         broken.set()
 
 
+async def connect_stages(
+    addresses: list[str], open_links: AsyncExitStack, broken: anyio.Event
+) -> list[SocketStream]:
+    """Connect to the later engines of a path; sets `broken` if one of them does not accept."""
+    links = []
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        try:
+            link = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            broken.set()
+            return []
+        links.append(await open_links.enter_async_context(link))
+    return links
+
+
+async def step_stages(links: list[SocketStream], broken: anyio.Event) -> None:
+    """Wait until each later engine has run one event; sets `broken` if one of them is lost."""
+    try:
+        for link in links:
+            await link.send(STEP_REQUEST)
+            answer = b""
+            while not answer.endswith(b"\r\n\r\n"):
+                answer += await link.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        broken.set()
+
+
 def parse_path(text: str) -> list[tuple[str, int, int]]:
     """Split a path into stages of address, first layer and one past the last layer.
 
@@ -453,6 +499,8 @@
             await exchange.answer(421, [(b"Replica-Id", upstream.instance.encode())], b"")
         elif request.target == b"/hold":
             await anyio.sleep_forever()
+        elif request.target == b"/step":
+            await exchange.answer(200, [], b"")
         elif request.target.startswith(b"/api/") and await refuse_for_backoff(
             upstream, request, exchange, to_control=True
         ):
@@ -473,13 +521,17 @@
     async def write_problem(exchange: Exchange, problem: Problem) -> None:
         await exchange.answer(problem.status, [], b"")
 
-    return HttpSite(handler=handle, write_problem=write_problem)
+    # An upstream that runs again after a suspension serves what its kernel has accepted.
+    queue = AcceptQueue(max_wait_seconds=float("inf"))
+    return HttpSite(handler=handle, write_problem=write_problem, accept_queue=queue)
 
 
 async def main(upstream: StandIn) -> None:
     """Serve until SIGTERM; then announce draining and exit after `DRAIN_SECONDS`."""
     async with anyio.create_task_group() as tasks:
         listener = await listen_tcp(upstream.listen)
+        if upstream.backlog:
+            listener.extra(SocketAttribute.raw_socket).listen(upstream.backlog)
         if upstream.unreachable_from:
             drop_from(listener.extra(SocketAttribute.raw_socket), upstream.unreachable_from)
         tasks.start_soon(serve_listener, listener, build_site(upstream))
@@ -511,6 +563,9 @@
     parser.add_argument("--crash-part", default="")
     parser.add_argument("--mood", type=Path)
     parser.add_argument("--slots", type=int, default=0)
+    parser.add_argument("--in-step", type=int, choices=(0, 1), default=0)
+    parser.add_argument("--backlog", type=int, default=0)
+    parser.add_argument("--heartbeat-ms", type=float, default=300.0)
     parser.add_argument("--instance", default="")
     parser.add_argument("--unreachable-from", default="")
     values = vars(parser.parse_args())
@@ -518,6 +573,7 @@
         values["born"] = time.time_ns() // 1_000_000
     else:
         values["instance"] = f"i-{secrets.token_hex(5)}"
+    values["in_step"] = bool(values["in_step"])
     values["listen"] = values["listen"] or values["address"]
     values["controls"] = values["controls"].split(",")
     values["unreachable_from"] = list(filter(None, values["unreachable_from"].split(",")))
