The soak: sound upstreams fall silent together

Upstreams are suspended by SIGSTOP for 0.3 to 3 s: all, a failure domain, a share, one, one after the other, twice in a row; with documents just before or during it, reloads by signal, and at times a gateway or control box.

No test is weakened: each kind of violation has an assertion of its own.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -3,8 +3,11 @@
 Run as `python -m standins.soak --seeds 50 --seconds 20`. Processes are stopped, paused and killed,
 and registries lose their data. A proxy delays, resets and drops connections to upstreams. Upstreams
 announce back-off and rate limits, and documents are published. Bursts of one priority or client
-account take the room of the engines. Callers keep their connections until the process exits. The
-guarantees are checked against the responses of callers and the ledgers of upstreams.
+account take the room of the engines. Upstreams are suspended together and run again. Callers keep
+their connections until the process exits. The guarantees are checked against the responses of
+callers and the ledgers of upstreams.
+
+With `--silence`, silences of upstreams are the only faults, and every request must be answered.
 """
 
 from __future__ import annotations
@@ -50,6 +53,26 @@
     refused_by_admission,
     shared_room_document,
 )
+from .silence import (
+    CHANGES,
+    ENGINE_NUMBERS,
+    MOVED,
+    SPARE_CHANGES,
+    SPARE_POOL,
+    RouteTimeout,
+    Silence,
+    change_documents,
+    check_answers,
+    check_attempts,
+    check_blame,
+    check_retry_budget,
+    choose_silence,
+    held_layers,
+    logged_outcomes,
+    record_acknowledged,
+    record_timeout,
+    silence_document,
+)
 
 CALLER_THREADS = 5
 """Number of threads that each send one request after another."""
@@ -79,6 +102,19 @@
 LIMIT_WINDOW_SECONDS = 4.0
 """Length of the sliding window in which requests under a limit are counted."""
 
+SILENCE_CALLERS = 12
+"""Number of callers while silences are the only faults: with fewer, most would wait for one."""
+
+SPARES = 2
+"""Upstreams to which documents move plain routes while silences are the only faults."""
+
+SILENCE_HEARTBEAT_MS = 1200
+"""Time between heartbeats while silences are the only faults, the default of the settings: most
+silences end before an engine has missed enough of them to be presumed lost."""
+
+SETTLED_SECONDS = 2.0
+"""Time without orders after which engines are taken to hold their final layers."""
+
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """Statuses that guarantee that a request was not executed and will not be."""
 
@@ -182,6 +218,15 @@
     limits: list[AnnouncedLimit] = field(default_factory=list)
     """Rate limits that upstreams announced."""
 
+    timeouts: list[RouteTimeout] = field(default_factory=list)
+    """Route timeouts of all documents that were sent, oldest first."""
+
+    publishing: threading.Lock = field(default_factory=threading.Lock)
+    """Held while a document is published: versions are sent in order."""
+
+    violations: list[str] = field(default_factory=list)
+    """Violated guarantees that were seen while faults were injected."""
+
     faults: list[str] = field(default_factory=list)
     """Kinds of the injected faults in order, each with a random victim; only kills and pauses
     affect that victim, other kinds choose their own."""
@@ -303,21 +348,100 @@
     return {item for log in logs for item in refused_by_admission(log)}
 
 
-def publish(soak: Soak, *, with_second_key: bool) -> None:
-    """Publish the next document at a random registry; a lost response is no acknowledgement."""
-    soak.sent_version += 1
-    document = shared_room_document(soak.sent_version, with_second_key=with_second_key)
-    number = soak.rng.randrange(soak.fleet.registries)
+def publish(
+    soak: Soak,
+    number: int,
+    *,
+    with_second_key: bool = True,
+    change: Callable[[dict[str, Any]], None] | None = None,
+    is_valid: bool = True,
+) -> None:
+    """Publish the next document; a lost response is no acknowledgement.
+
+    Args:
+        soak: State of the run.
+        number: Number of the registry.
+        with_second_key: False to revoke the second key; it stays revoked.
+        change: Changes the document; None to publish it as it is.
+        is_valid: False if the document must be refused.
+    """
+    with soak.publishing:
+        with_second_key = with_second_key and soak.revoked_at is None
+        version = soak.sent_version + 1
+        document = soak.fleet.document(version, with_second_key=with_second_key)
+        if change is not None:
+            change(document)
+        if is_valid:
+            soak.sent_version = version
+            record_timeout(soak.timeouts, document, time.time())
+        status = put_document(soak, number, document)
+        if not is_valid:
+            if status == 200:
+                soak.violations.append(f"an invalid document was acknowledged as {version}")
+            return
+        if status != 200:
+            return
+        record_acknowledged(soak.timeouts, time.time())
+        soak.acknowledged_version = version
+        if not with_second_key and soak.revoked_at is None:
+            soak.revoked_at = time.time()
+
+
+def put_document(soak: Soak, number: int, document: dict[str, Any]) -> int:
+    """Send a document to a registry; returns the status, or 0 without a response."""
+    url = f"http://{soak.fleet.control_addresses[number]}/api/config"
     try:
         with httpx.Client(timeout=4.0, trust_env=False) as client:
-            url = f"http://{soak.fleet.control_addresses[number]}/api/config"
-            acknowledged = client.put(url, json=document).status_code == 200
+            return client.put(url, json=document).status_code
     except httpx.HTTPError:
-        acknowledged = False
-    if acknowledged:
-        soak.acknowledged_version = max(soak.acknowledged_version, soak.sent_version)
-        if not with_second_key and soak.revoked_at is None:
-            soak.revoked_at = time.time()
+        return 0
+
+
+def keep_silent(soak: Soak, rng: random.Random, changes: tuple[str, ...], longest: float) -> None:
+    """Suspend upstreams at random times until the run stops.
+
+    Args:
+        soak: State of the run.
+        rng: Random source of its own, as back-pressure has.
+        changes: Kinds of documents that may be published.
+        longest: Longest time between two silences, in seconds.
+    """
+    names = list(soak.fleet.boxes)
+    gateways = [name for name in names if name.startswith("gateway")]
+    registries = [name for name in names if name.startswith("registry")]
+    upstreams = [name for name in names if not name.startswith(("gateway", "registry"))]
+    while not soak.stopping.wait(rng.uniform(0.3, longest)):
+        silence = choose_silence(rng, upstreams, gateways, registries, changes)
+        soak.faults.append(f"{time.strftime('%H:%M:%S')} {silence.describe()}")
+        play_silence(soak, rng, silence)
+
+
+def play_silence(soak: Soak, rng: random.Random, silence: Silence) -> None:
+    """Suspend processes and resume them, with the documents and the reload beside it."""
+    # Chosen here, as the random source belongs to this thread.
+    documents = change_documents(rng, silence.change)
+    numbers = [rng.randrange(soak.fleet.registries) for _ in documents]
+
+    def publish_all() -> None:
+        soak.stopping.wait(max(0.0, -silence.lead))
+        for number, change in zip(numbers, documents, strict=True):
+            publish(soak, number, change=change, is_valid=silence.change != "invalid")
+            soak.stopping.wait(silence.gap)
+
+    publisher = threading.Thread(target=publish_all)
+    publisher.start()
+    soak.stopping.wait(max(0.0, silence.lead))
+    if silence.reloaded:
+        soak.fleet.signal(silence.reloaded, signal.SIGHUP)
+    for wave in silence.waves:
+        soak.stopping.wait(wave.delay)
+        for name in wave.names:
+            soak.fleet.signal(name, signal.SIGSTOP)
+            soak.pauses.append(new_pause(name, wave.seconds))
+        soak.stopping.wait(wave.seconds)
+        for name in wave.names:
+            soak.fleet.signal(name, signal.SIGCONT)
+    publisher.join()
 
 
 def run_later(soak: Soak, seconds: float, action: Callable[[], None]) -> None:
@@ -379,7 +503,8 @@
             proxy.set_target(address, fault)
             run_later(soak, pause, lambda: proxy.set_target(address, NO_FAULT))
         case _:
-            publish(soak, with_second_key=soak.revoked_at is None and rng.random() < 0.7)
+            with_second_key = soak.revoked_at is None and rng.random() < 0.7
+            publish(soak, rng.randrange(fleet.registries), with_second_key=with_second_key)
 
 
 def apply_backpressure(soak: Soak, rng: random.Random) -> None:
@@ -454,14 +579,20 @@
 def recover(soak: Soak) -> list[str]:
     """Remove all faults and wait until each gateway serves each route; returns violations."""
     fleet = soak.fleet
-    assert fleet.proxy is not None
-    fleet.proxy.heal()
+    if fleet.proxy is not None:
+        fleet.proxy.heal()
     for name in fleet.boxes:
         fleet.set_response_mode(name)
     for name, box in list(fleet.boxes.items()):
         fleet.signal(name, signal.SIGCONT)
         if box.popen is None or box.popen.poll() is not None:
             fleet.restart(name)
+    return wait_served(soak, (*STREAM_PRIORITIES, "status", "preview"))
+
+
+def wait_served(soak: Soak, routes: tuple[str, ...]) -> list[str]:
+    """Wait until each gateway serves each of some routes; returns violations."""
+    fleet = soak.fleet
     with httpx.Client(timeout=8.0, trust_env=False) as client:
 
         def served(gateway: int, route: str) -> bool:
@@ -477,7 +608,7 @@
             return call.complete and call.status == 200
 
         for gateway in range(fleet.gateways):
-            for route in (*STREAM_PRIORITIES, "status", "preview"):
+            for route in routes:
                 try:
                     what = f"{route} at gateway-{gateway}"
                     wait_until(lambda: served(gateway, route), RECOVERY_SECONDS, what)  # noqa: B023
@@ -489,7 +620,8 @@
 def check_guarantees(soak: Soak) -> list[str]:
     """Return all violated guarantees."""
     runs = soak.fleet.ledger()
-    violations = [*check_runs(soak, runs), *check_responses(soak, runs), *check_documents(soak)]
+    violations = [*soak.violations]
+    violations += [*check_runs(soak, runs), *check_responses(soak, runs), *check_documents(soak)]
     violations += check_shared_room(soak.calls, runs, soak.pauses, admission_refusals(soak))
     for limit in soak.limits:
         violations += check_limit(soak, limit, runs)
@@ -626,6 +758,10 @@
         threads.append(threading.Thread(target=send_bursts, args=(soak, burst_rng)))
         cut_rng = random.Random(f"cuts of {seed}")
         threads.append(threading.Thread(target=cut_gateways, args=(soak, cut_rng)))
+        silence_rng = random.Random(f"silences of {seed}")
+        changes = tuple(item for item in CHANGES if item not in SPARE_CHANGES)
+        silence_arguments = (soak, silence_rng, changes, 4.0)
+        threads.append(threading.Thread(target=keep_silent, args=silence_arguments))
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
@@ -647,26 +783,124 @@
             f"{refused} refused by admission, {len(violations)} broken"
         )
         if violations:
-            print("  faults: " + ", ".join(soak.faults))
-            print(f"  logs: {', '.join(map(str, keep_logs(f'soak-{seed}')))}")
-            for name in fleet.boxes:
-                lines = [line for line in fleet.log(name) if line["level"] == "ERROR"]
-                for line in lines[:3]:
-                    print(f"  {name}: {line.get('exc_info', line['message'])[-600:]}")
+            print_findings(soak, f"soak-{seed}")
         return violations
 
 
+def print_findings(soak: Soak, label: str) -> None:
+    """Keep the logs of a failed run, and print its faults and the errors in them."""
+    print("  faults: " + ", ".join(soak.faults))
+    print(f"  logs: {', '.join(map(str, keep_logs(label)))}")
+    for name in soak.fleet.boxes:
+        lines = [line for line in soak.fleet.log(name) if line["level"] == "ERROR"]
+        for line in lines[:3]:
+            print(f"  {name}: {line.get('exc_info', line['message'])[-600:]}")
+
+
+def run_silence_seed(seed: int, seconds: float) -> list[str]:
+    """Run one seed with silences as the only faults.
+
+    Returns:
+        The violated guarantees, among them every request without its whole answer; prints a
+        summary.
+    """
+    rng = random.Random(f"only silences of {seed}")
+    options = {
+        "engines": rng.choice(ENGINE_NUMBERS),
+        "engine_slots": rng.choice((16, 64, 64)),
+        "repeat_reserve": rng.choice((20, 200)),
+        "backlog": rng.choice((0, 0, 4)),
+        "in_step": rng.random() < 0.7,
+    }
+    with running_discovered_fleet(
+        revocation_ms=REVOCATION_MS,
+        document=silence_document,
+        heartbeat_ms=SILENCE_HEARTBEAT_MS,
+        **options,
+    ) as fleet:
+        for number in range(SPARES):
+            # Plain services of one pool have the first addresses.
+            fleet.add_upstream(10 + number, SPARE_POOL, backlog=options["backlog"])
+        soak = Soak(fleet=fleet, rng=rng, seconds=seconds, acknowledged_version=1)
+        record_timeout(soak.timeouts, silence_document(1), time.time())
+        violations = wait_served(soak, ("draft",))
+        held = wait_settled(fleet)
+        names = [str(number) for number in range(SILENCE_CALLERS)]
+        callers = threading.Thread(
+            target=run_callers,
+            args=(soak, names, [rng.random() for _ in names]),
+            kwargs={"stopping": soak.stopping},
+        )
+        silences = threading.Thread(target=keep_silent, args=(soak, rng, CHANGES, 1.5))
+        for thread in (callers, silences):
+            thread.start()
+        time.sleep(seconds)
+        soak.stopping.set()
+        for thread in (callers, silences):
+            thread.join()
+        violations += recover(soak) + check_silences(soak, held, options["repeat_reserve"])
+        statuses = Counter(f"{call.status}{'' if call.complete else ' cut'}" for call in soak.calls)
+        print(
+            f"silences {seed} {options}: {len(soak.faults)} silences, {dict(statuses)}, "
+            f"{len(violations)} broken"
+        )
+        if violations:
+            print_findings(soak, f"silence-{seed}")
+        return violations
+
+
+def wait_settled(fleet: DiscoveredFleet) -> dict[str, tuple[int, int]]:
+    """Wait until no engine has got an order for `SETTLED_SECONDS`; returns the held layers."""
+
+    def is_settled() -> bool:
+        orders = fleet.ledger("order")
+        return bool(orders) and time.time() - max(order["at"] for order in orders) > SETTLED_SECONDS
+
+    wait_until(is_settled, RECOVERY_SECONDS, "no more orders")
+    return held_layers(fleet.ledger("order"))
+
+
+def check_silences(soak: Soak, held: dict[str, tuple[int, int]], reserve: float) -> list[str]:
+    """Return all guarantees that silences alone violated.
+
+    Args:
+        soak: State of the run.
+        held: Layers that each engine held before the silences.
+        reserve: Retries that are allowed beside the share of requests.
+    """
+    fleet = soak.fleet
+    runs = fleet.ledger()
+    arrivals = [*runs, *fleet.ledger("full"), *fleet.ledger("refused")]
+    violations = check_guarantees(soak)
+    outcomes: dict[str, str] = {}
+    for number in range(fleet.gateways):
+        outcomes |= logged_outcomes(fleet.log(f"gateway-{number}"))
+    violations += check_answers(soak.calls, runs, outcomes, soak.timeouts, soak.pauses)
+    violations += check_retry_budget(soak.calls, arrivals, reserve)
+    violations += check_attempts(runs)
+    violations += check_blame({name: fleet.log(name) for name in fleet.boxes})
+    for name, box in fleet.boxes.items():
+        if box.popen is None or box.popen.poll() is not None:
+            violations.append(f"ended: {name}")
+    found = wait_settled(fleet)
+    if found != held:
+        violations.append(f"{MOVED} {held}, and are {found}")
+    return violations
+
+
 def main() -> int:
     """Run the given or random seeds; returns 1 if any guarantee was violated."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, help="first seed; a fresh one if left out")
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--silence", action="store_true", help="with silences as the only faults")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else random.SystemRandom().randrange(10**9)
     failed = []
     for seed in range(first, first + options.seeds):
-        violations = run_seed(seed, options.seconds)
+        run = run_silence_seed if options.silence else run_seed
+        violations = run(seed, options.seconds)
         for line in violations[:10]:
             print(f"  {line}", flush=True)
         if violations:
