--- a/tests/daemons/test_silent_control.py
+++ b/tests/daemons/test_silent_control.py
@@ -11,7 +11,6 @@
 
 from ledgeladder.daemons.registry.placement import REPAIR_INTERVAL_SECONDS
 from standins.discovered_fleet import DiscoveredFleet, running_discovered_fleet, wait_until
-from standins.registered_upstream import HEARTBEAT_SECONDS
 
 ENGINES = 6
 """Engines of the fleet, two in each of three failure domains, which hold the whole model."""
@@ -45,7 +44,8 @@
     """Failure: the layers of sound engines were moved after three missed heartbeats."""
     for name in STOPPED:
         fleet.signal(name, signal.SIGSTOP)
-    time.sleep(SILENT_HEARTBEATS * HEARTBEAT_SECONDS + REPAIR_INTERVAL_SECONDS)
+    heartbeat_seconds = fleet.heartbeat_ms / 1000
+    time.sleep(SILENT_HEARTBEATS * heartbeat_seconds + REPAIR_INTERVAL_SECONDS)
     for name in STOPPED:
         fleet.signal(name, signal.SIGCONT)
     time.sleep(2 * REPAIR_INTERVAL_SECONDS)
