An unreachable attempt is stopped only after an engine has refused another one

Cause: a path in hand is no answer in hand.

Now the other attempt begins beside it. Only if an engine refuses that one, so that engines do answer, may it need the room of the first, which is then stopped once a further path and a retry are in hand. Engines that are gone are replaced as fast, but where room is short one refusal later.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -191,6 +191,7 @@
         if planned.retry is not None and not attempt.was_sent:
             release_retry(retry_budget(state, permit.pool.name), planned.retry)
         session.changed.set()
+    session.was_hedge_refused = result is AttemptResult.REFUSED and bool(session.race.running)
     if result is AttemptResult.COMPLETE:
         record_answered(state, permit, request, session.trace)
         if attempt.events < ANSWERED_EVENTS:
--- a/src/ledgeladder/daemons/gateway/stream_hedging.py
+++ b/src/ledgeladder/daemons/gateway/stream_hedging.py
@@ -69,7 +69,7 @@
         return None
     state.metrics.counters["attempt-replaced"] += 1
     planned = PlannedAttempt(path, retry)
-    if _stop_unreachable(session):
+    if session.was_hedge_refused and _stop_unreachable(session):
         session.next_attempt = planned
         return None
     return planned
@@ -78,7 +78,8 @@
 def _stop_unreachable(session: StreamSession) -> bool:
     """Stop the attempts if an engine of each is unreachable; return whether they were.
 
-    The next attempt begins once they have ended, since it may need the room that they take.
+    Done once an engine has refused an attempt beside them, so that others answer: the next one may
+    need the room that they take, and begins once they have ended.
     """
     running = session.race.running
     if not all(uses_unreachable(session, item) for item in running):
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -138,6 +138,9 @@
     next_attempt: PlannedAttempt | None = None
     """Attempt that begins once the current one, which was stopped for it, has ended."""
 
+    was_hedge_refused: bool = False
+    """Whether an engine refused the newest attempt while another one ran."""
+
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set when an attempt ends or is overdue."""
 
--- a/src/ledgeladder/routing/attempt_race.py
+++ b/src/ledgeladder/routing/attempt_race.py
@@ -3,8 +3,8 @@
 A silent upstream may be sound, so an overdue attempt is not ended. Another attempt runs beside it
 (a hedged request), and the first that makes progress is forwarded; the others are stopped. A
 stream makes progress with each event, a plain request with its whole answer. An attempt whose
-engine accepts no connections either is stopped for another one, which may need the room that it
-takes on the other engines.
+engine accepts no connections either is stopped once an engine has refused another one, which may
+need the room that it takes.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
     """The process of an engine of its path has exited."""
 
     UNREACHABLE = "an engine of the path is unreachable"
-    """An engine of its path accepts no connections, and another attempt can begin."""
+    """An engine of its path accepts no connections, and another attempt needs its room."""
 
 
 class RunningAttempt(msgspec.Struct, kw_only=True, eq=False):
