Attempts of streams hold room from the moment they are planned

Cause: an attempt reserved its room when its task began, one pass of the event loop after its path was chosen, or later if another attempt ended first; all streams of a box that lost an engine chose the same engines in between. The room is held by the plan now, and returned with it. tests/daemons/gateway and test_imports pass; test_stream_hedging checks the room of planned attempts.

--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -8,12 +8,11 @@
 
 from ...model import Execution, Problem, ProblemError, ResultCode
 from ...platform.exchange import caller_headers
-from ...routing.attempt_race import RunningAttempt, begin_attempt, end_attempt
+from ...routing.attempt_race import begin_attempt, end_attempt
 from ...routing.event_stream import EventOrder
 from ...routing.pace import record_gap
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
-from .borrowing import acquire_retry
 from .checks import Permit, refusal
 from .crashes import ANSWERED_EVENTS, record_answered, record_parts_answered
 from .reaching import probe_timeout
@@ -21,12 +20,20 @@
 from .stream_attempt import run_attempt
 from .stream_paths import (
     RETRIES_SPENT,
+    acquire_planned_retry,
     choose_attempt_path,
+    drop_planned,
     expected_answer_tokens,
     explain_missing_path,
     explain_no_attempt,
 )
-from .stream_session import AttemptResult, PlannedAttempt, StreamSession, track_stream
+from .stream_session import (
+    AttemptResult,
+    PlannedAttempt,
+    StreamSession,
+    plan_attempt,
+    track_stream,
+)
 from .waiting import wait_for_upstreams
 
 if TYPE_CHECKING:
@@ -81,8 +88,8 @@
         try:
             timed_out = await _run_attempts(state, permit, request, exchange, session, expected)
         finally:
-            if session.next_attempt is not None and session.next_attempt.retry is not None:
-                release_retry(retry_budget(state, permit.pool.name), session.next_attempt.retry)
+            if session.next_attempt is not None:
+                drop_planned(state, permit, session, session.next_attempt)
     if not session.complete:
         await _finish(state, permit, exchange, session, timed_out=timed_out)
 
@@ -113,10 +120,10 @@
                 else:
                     planned = await _plan_attempt(state, permit, request, session, expected)
                 if planned is not None:
-                    attempt = RunningAttempt(path=planned.path, started_at=anyio.current_time())
-                    begin_attempt(session.race, attempt)
+                    planned.attempt.started_at = anyio.current_time()
+                    begin_attempt(session.race, planned.attempt)
                     tasks.start_soon(
-                        _run_planned, state, permit, request, exchange, session, attempt, planned
+                        _run_planned, state, permit, request, exchange, session, planned
                     )
                 elif not is_running:
                     break
@@ -163,11 +170,12 @@
                 continue
             reason = str(session.missing)
             break
+        attempt = plan_attempt(session, path)
         if not session.attempts.sent:
-            return PlannedAttempt(path)
-        retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
+            return PlannedAttempt(attempt)
+        retry = await acquire_planned_retry(state, permit, session, attempt)
         if retry is not None:
-            return PlannedAttempt(path, retry)
+            return PlannedAttempt(attempt, retry)
         reason = RETRIES_SPENT
         break
     trace.give_up_reason = reason
@@ -180,10 +188,10 @@
     request: HttpRequest,
     exchange: Exchange,
     session: StreamSession,
-    attempt: RunningAttempt,
     planned: PlannedAttempt,
 ) -> None:
     """Run an attempt, and record whether it completed the stream."""
+    attempt = planned.attempt
     try:
         result = await run_attempt(state, permit, request, exchange, session, attempt)
     finally:
--- a/src/ledgeladder/daemons/gateway/stream_hedging.py
+++ b/src/ledgeladder/daemons/gateway/stream_hedging.py
@@ -8,24 +8,21 @@
 import anyio
 
 from ...routing.attempt_race import StopReason, stop_attempt
-from ...routing.repeat_window import release_retry
-from .borrowing import acquire_retry
 from .checks import may_repeat
-from .state import retry_budget
 from .stream_attempt import describe_silence
 from .stream_paths import (
     RETRIES_SPENT,
+    acquire_planned_retry,
     choose_hedge_path,
+    drop_planned,
     explain_no_attempt,
     uses_unreachable,
 )
-from .stream_session import PlannedAttempt
+from .stream_session import PlannedAttempt, plan_attempt
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
     from ...routing.attempt_race import RunningAttempt
-    from ...routing.paths import ChosenPath
-    from ...routing.repeat_window import Retry
     from .checks import Permit
     from .state import GatewayState
     from .stream_session import StreamSession
@@ -51,24 +48,24 @@
         None if none may be begun.
     """
     newest = session.race.running[-1]
-    path: ChosenPath | None = None
-    retry: Retry | None = None
+    planned: PlannedAttempt | None = None
     reason = _explain_no_hedge(state, permit, request, session)
     if not reason:
         path = choose_hedge_path(state, permit, session)
         reason = "" if path is not None else NO_OTHER_PATH
-    if path is not None:
-        retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
-        reason = "" if retry is not None else RETRIES_SPENT
-    if retry is not None and (session.complete or not session.race.needs_attempt):
+        if path is not None:
+            attempt = plan_attempt(session, path)
+            retry = await acquire_planned_retry(state, permit, session, attempt)
+            reason = "" if retry is not None else RETRIES_SPENT
+            planned = PlannedAttempt(attempt, retry) if retry is not None else None
+    if planned is not None and (session.complete or not session.race.needs_attempt):
         # An attempt made progress while quota was requested.
-        release_retry(retry_budget(state, permit.pool.name), retry)
+        drop_planned(state, permit, session, planned)
         return None
-    _log_decision(state, permit, session, newest, path, reason)
-    if path is None or retry is None:
+    _log_decision(state, permit, session, newest, planned, reason)
+    if planned is None:
         return None
     state.metrics.counters["attempt-replaced"] += 1
-    planned = PlannedAttempt(path, retry)
     if session.was_hedge_refused and _stop_unreachable(session):
         session.next_attempt = planned
         return None
@@ -104,7 +101,7 @@
     permit: Permit,
     session: StreamSession,
     attempt: RunningAttempt,
-    path: ChosenPath | None,
+    planned: PlannedAttempt | None,
     reason: str,
 ) -> None:
     """Log what is done about an overdue attempt; why it is kept only when that has changed."""
@@ -121,7 +118,7 @@
             "reason": reason,
             "overdue": attempt.overdue,
             "path": attempt.path.describe(),
-            "next_path": path.describe() if path is not None and not reason else None,
+            "next_path": planned.attempt.path.describe() if planned is not None else None,
             "silent_for": round(now - session.last_progress_at, 3),
             "silent_engines": describe_silence(attempt.path, now),
             "began_with": permit.version,
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -20,19 +20,24 @@
     choose_path,
     explain_no_path,
 )
+from ...routing.repeat_window import release_retry
 from ...routing.suspected_links import link_penalties
 from .backpressure import request_grants
+from .borrowing import acquire_retry
 from .checks import may_repeat
 from .crashes import count_crashes
+from .state import retry_budget
+from .stream_session import release_room
 
 if TYPE_CHECKING:
     from ...http1 import HttpRequest
     from ...model.traffic import EngineProfile
     from ...routing.attempt_race import RunningAttempt
     from ...routing.forwarding_table import ForwardedUpstream
+    from ...routing.repeat_window import Retry
     from .checks import Permit
     from .state import GatewayState
-    from .stream_session import StreamSession
+    from .stream_session import PlannedAttempt, StreamSession
 
 EXPECTED_ANSWER_SHARE: Final = 0.5
 """Expected answer length, as a share of the requested maximum, if the engine profile has none."""
@@ -60,6 +65,28 @@
     return f"{crashes} upstreams ended under it" if crashes >= CRASH_LIMIT else ""
 
 
+async def acquire_planned_retry(
+    state: GatewayState, permit: Permit, session: StreamSession, attempt: RunningAttempt
+) -> Retry | None:
+    """Take the retry of a planned attempt; without one, the attempt holds room no more."""
+    retry: Retry | None = None
+    try:
+        retry = await acquire_retry(state, permit.pool.name, started=session.has_begun)
+    finally:
+        if retry is None:
+            release_room(session, attempt)
+    return retry
+
+
+def drop_planned(
+    state: GatewayState, permit: Permit, session: StreamSession, planned: PlannedAttempt
+) -> None:
+    """Return the room and the retry of an attempt that does not begin."""
+    release_room(session, planned.attempt)
+    if planned.retry is not None:
+        release_retry(retry_budget(state, permit.pool.name), planned.retry)
+
+
 def _refusals_limit(state: GatewayState, permit: Permit, session: StreamSession) -> int:
     """Return after how many refusals to give up: earlier for new requests that are less urgent."""
     if (
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -76,8 +76,9 @@
 class PlannedAttempt(NamedTuple):
     """An attempt that may begin."""
 
-    path: ChosenPath
-    """Its path."""
+    attempt: RunningAttempt
+    """The attempt, which holds room since it was planned: the attempts of other streams, planned in
+    the same pass of the event loop, would choose the same engines."""
 
     retry: Retry | None = None
     """Retry that was taken for it; None for the first attempt."""
@@ -163,6 +164,13 @@
         self.pace = Pace(floor=self.timeouts.gap_probe)
 
 
+def plan_attempt(session: StreamSession, path: ChosenPath) -> RunningAttempt:
+    """Return an attempt over a path, which holds room on its engines."""
+    attempt = RunningAttempt(path=path, started_at=anyio.current_time())
+    reserve_room(session, attempt)
+    return attempt
+
+
 def report_overdue(
     session: StreamSession, attempt: RunningAttempt, reason: str, *, frees_room: bool = False
 ) -> None:
--- a/tests/daemons/gateway/builders.py
+++ b/tests/daemons/gateway/builders.py
@@ -9,6 +9,7 @@
     build_admission_queue,
     build_room_admission,
 )
+from ledgeladder.model.exchange import PathPart
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream
 from ledgeladder.routing.paths import ChosenPath
@@ -47,5 +48,14 @@
 
 
 def path_over(*engines: ForwardedUpstream) -> ChosenPath:
-    """Return a path over some engines, without layers."""
-    return ChosenPath(parts=(), engines=engines, cost=1.0)
+    """Return a path over some engines, each with no layers."""
+    parts = tuple(
+        PathPart(
+            instance=item.registration.instance,
+            address=item.registration.address,
+            first=0,
+            end=0,
+        )
+        for item in engines
+    )
+    return ChosenPath(parts=parts, engines=engines, cost=1.0)
--- a/tests/daemons/gateway/test_concurrent_attempts.py
+++ b/tests/daemons/gateway/test_concurrent_attempts.py
@@ -19,6 +19,7 @@
     stream,
     stream_events,
     stream_hedging,
+    stream_paths,
 )
 from ledgeladder.daemons.gateway.reaching import connect_upstream
 from ledgeladder.daemons.gateway.stream_attempt import _stop_on_exit
@@ -302,7 +303,7 @@
     """Failure: an attempt that completes the stream while quota is requested leaves none running,
     which counts as all of them being overdue, so that a retry is spent and another one begins."""
     play = Play(monkeypatch, pausing("before the head"))
-    acquire = stream_hedging.acquire_retry
+    acquire = stream_paths.acquire_retry
 
     async def acquire_late(*args: Any, **options: Any) -> object:
         retry = await acquire(*args, **options)
@@ -310,7 +311,7 @@
             await anyio.sleep(0.01)
         return retry
 
-    monkeypatch.setattr(stream_hedging, "acquire_retry", acquire_late)
+    monkeypatch.setattr(stream_paths, "acquire_retry", acquire_late)
     run(play, monkeypatch)
     assert play.received == [1, 0]
     assert not play.state.metrics.counters["attempt-replaced"]
--- a/tests/daemons/gateway/test_stream.py
+++ b/tests/daemons/gateway/test_stream.py
@@ -54,7 +54,7 @@
         monkeypatch.setattr(stream, "choose_attempt_path", lambda *_args: path_over(engine()))
         monkeypatch.setattr(admission, "admit_stream", self._admit)
         monkeypatch.setattr(stream, "run_attempt", self._attempt)
-        monkeypatch.setattr(stream, "acquire_retry", self._acquire)
+        monkeypatch.setattr(stream_paths, "acquire_retry", self._acquire)
         monkeypatch.setattr(stream, "record_answered", lambda *_args: None)
 
     async def _admit(self, *_args: Any) -> None:
--- a/tests/daemons/gateway/test_stream_hedging.py
+++ b/tests/daemons/gateway/test_stream_hedging.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from ledgeladder.daemons.gateway import stream_hedging
+from ledgeladder.daemons.gateway import stream_hedging, stream_paths
 from ledgeladder.daemons.gateway.state import retry_budget
 from ledgeladder.daemons.gateway.stream_hedging import plan_hedge
 from ledgeladder.daemons.gateway.stream_session import StreamSession, report_overdue
@@ -29,8 +29,6 @@
     target_latency=0.5, gap_target=0.2, probe_seconds=0.04, first_seconds=0.1
 )
 
-OTHER_PATH = path_over(engine("i-9"))
-
 
 class Bed:
     """A stream with one attempt that is overdue."""
@@ -60,7 +58,8 @@
         self.attempt.was_sent = attempts > 0
         self.retries = retries
         self.state = gateway_state()
-        path = OTHER_PATH if other_path else None
+        self.other = engine("i-9")
+        path = path_over(self.other) if other_path else None
         monkeypatch.setattr(stream_hedging, "choose_hedge_path", lambda *_: path)
 
     async def plan(self) -> bool:
@@ -71,8 +70,9 @@
         add_quota(budget, self.retries, anyio.current_time() + 60.0)
         planned = await plan_hedge(self.state, self.permit, None, self.session)
         is_planned = planned is not None or self.session.next_attempt is not None
-        # A retry is taken for another attempt only.
+        # A retry is taken for another attempt only, and room.
         assert len(budget.quota) == self.retries - is_planned
+        assert self.other.in_flight == int(is_planned)
         return is_planned
 
 
@@ -155,12 +155,12 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     bed = Bed(monkeypatch)
-    acquire = stream_hedging.acquire_retry
+    acquire = stream_paths.acquire_retry
 
     async def acquire_late(*args: object, **options: object) -> object:
         retry = await acquire(*args, **options)
         record_progress(bed.session.race, bed.attempt)
         return retry
 
-    monkeypatch.setattr(stream_hedging, "acquire_retry", acquire_late)
+    monkeypatch.setattr(stream_paths, "acquire_retry", acquire_late)
     assert not anyio.run(bed.plan)
