One rule says whether a request may be sent beside attempts that run

stream_hedging and plain each wrote the check of explain_no_further_attempt again; since that counts attempts that still connect, it already refuses what may run once only. Both call it now; no behavior changes.

--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -264,12 +264,12 @@
 
     One that may run once only is not, even if nothing was sent yet: that may happen later.
     """
-    counts, running = attempts.counts, attempts.race.running
-    unsent = sum(not item.was_sent for item in running)
-    return (
-        _is_repeatable(state, permit)
-        and counts.counted + unsent < permit.route.max_attempts
-        and counts.refused < MAX_REFUSALS
+    return not explain_no_further_attempt(
+        attempts.counts,
+        may_repeat=_is_repeatable(state, permit),
+        max_attempts=permit.route.max_attempts,
+        refusals_limit=MAX_REFUSALS,
+        unsent=sum(not item.was_sent for item in attempts.race.running),
     )
 
 
--- a/src/ledgeladder/daemons/gateway/stream_hedging.py
+++ b/src/ledgeladder/daemons/gateway/stream_hedging.py
@@ -8,7 +8,6 @@
 import anyio
 
 from ...routing.attempt_race import StopReason, stop_attempt
-from .checks import may_repeat
 from .stream_attempt import describe_silence
 from .stream_paths import (
     RETRIES_SPENT,
@@ -49,7 +48,7 @@
     """
     newest = session.race.running[-1]
     planned: PlannedAttempt | None = None
-    reason = _explain_no_hedge(state, permit, request, session)
+    reason = explain_no_attempt(state, permit, request, session)
     if not reason:
         path = choose_hedge_path(state, permit, session)
         reason = "" if path is not None else NO_OTHER_PATH
@@ -86,16 +85,6 @@
     return True
 
 
-def _explain_no_hedge(
-    state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
-) -> str:
-    """Return why no attempt may be begun beside those that run; empty if one may."""
-    if not may_repeat(state, permit):
-        # One that runs may not have been sent yet, and would be sent later.
-        return "it may run once only"
-    return explain_no_attempt(state, permit, request, session)
-
-
 def _log_decision(
     state: GatewayState,
     permit: Permit,
