Processes leave evidence of how they end

Users saw processes that ended by themselves and kept no logs; ours would not have told why either: an end with an unexpected error left a traceback without box and exit code on standard error, other ends left no line, and a kill left nothing at all.

Each process writes a last line, process ends, with its exit code and reason, past the bound of the queue and to standard error if standard output is closed or blocked. Processes with a disk record their start and end there, so that the next start tells a kill from an end. A port that cannot be listened on is named.

--- a/src/ledgeladder/cli/main.py
+++ b/src/ledgeladder/cli/main.py
@@ -21,6 +21,7 @@
     end_with_problem,
     fail,
     load_settings,
+    run_daemon,
     settings_path,
 )
 from ..model import Problem, ResultCode
@@ -116,8 +117,8 @@
     loaded = load_settings(load_entry_settings, _settings_option())
     if isinstance(loaded, Failure) or arguments:
         return _settings_error(loaded)
-    anyio.run(run_entry, loaded.unwrap(), backend_options=LOOP_OPTIONS)
-    return EXIT_OK
+    settings = loaded.unwrap()
+    return run_daemon(lambda: anyio.run(run_entry, settings, backend_options=LOOP_OPTIONS), None)
 
 
 def _run_control(arguments: list[str]) -> int:
@@ -129,7 +130,10 @@
     settings = loaded.unwrap()
     if arguments == ["format"]:
         return end_with_problem(lambda: format_folder(settings))
-    return end_with_problem(lambda: anyio.run(run_control, settings, backend_options=LOOP_OPTIONS))
+    return run_daemon(
+        lambda: anyio.run(run_control, settings, backend_options=LOOP_OPTIONS),
+        settings.control.data_folder,
+    )
 
 
 def _launch(role: str) -> Command:
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -15,7 +15,7 @@
 from ...storage import INITIAL_INCARNATION, create_identity, member_id, read_identity
 from ..content_judge import run_quarantine_controller
 from ..http import serve_http, upstream_client
-from ..log_child import log_child
+from ..logs import log_child
 from ..rate_lender import run_limit_broadcasts
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -16,7 +16,7 @@
 from ...upstreams.box_list import read_box_list
 from ..http import serve_http, upstream_client
 from ..limit_keeper import RateLimiter, run_rate_limiter
-from ..log_child import log_child
+from ..logs import log_child
 from ..signals import on_stop_signal
 from ..supervisor import Child, Restart, supervise
 from .caller_api import build_caller_app
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -12,7 +12,7 @@
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
 from ..limit_keeper import run_rate_limiter
-from ..log_child import log_child
+from ..logs import log_child
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers
 from ..reloading import SeedList, reload_seeds
--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -10,9 +10,11 @@
 import anyio
 from returns.result import Failure, Result, Success
 
+from ..links.endpoint import describe_error
 from ..model import Problem, ProblemError, ResultCode
 from ..settings import load_gateway_settings, load_registry_settings
 from .clock import new_event_loop
+from .ends import STOP_SIGNAL, UNEXPECTED_ERROR, record_end, record_start
 from .logs import set_up_logging
 
 if TYPE_CHECKING:
@@ -84,7 +86,7 @@
 
         return run_gateway
 
-    return _launch(load_gateway_settings, import_daemon, path)
+    return _launch(load_gateway_settings, import_daemon, path, lambda settings: None)
 
 
 def launch_registry(path: Path | None) -> int:
@@ -102,13 +104,16 @@
 
         return run_registry
 
-    return _launch(load_registry_settings, import_daemon, path)
+    return _launch(
+        load_registry_settings, import_daemon, path, lambda settings: settings.registry.data_folder
+    )
 
 
 def _launch(
     loader: Callable[[Path], Result[Any, Problem]],
     import_daemon: Callable[[], DaemonRun],
     path: Path | None,
+    data_folder: Callable[[Any], Path | None],
 ) -> int:
     """Load settings and run a daemon with them.
 
@@ -117,6 +122,7 @@
         import_daemon: Imports and returns the daemon's entry point. The import is deferred, so that
             a process loads only the modules of its own role.
         path: Path of the settings file.
+        data_folder: Returns the data folder of settings, or None if the role has no disk.
 
     Returns:
         The exit code.
@@ -126,7 +132,9 @@
         return fail(loaded.failure(), EXIT_USAGE)
     run = import_daemon()
     settings = loaded.unwrap()
-    return end_with_problem(lambda: anyio.run(run, settings, path, backend_options=LOOP_OPTIONS))
+    return run_daemon(
+        lambda: anyio.run(run, settings, path, backend_options=LOOP_OPTIONS), data_folder(settings)
+    )
 
 
 LAUNCHERS: Final[dict[str, Callable[[Path | None], int]]] = {
@@ -136,6 +144,32 @@
 """Launch functions by name, of daemons whose settings file may be given in the environment."""
 
 
+def run_daemon(run: Callable[[], Any], data_folder: Path | None) -> int:
+    """Run a daemon until it ends, and record its start and its end.
+
+    Args:
+        run: Runs the daemon.
+        data_folder: Its data folder; None for a process without a disk.
+
+    Returns:
+        The exit code.
+    """
+    record_start(data_folder)
+    try:
+        run()
+    except Exception as error:
+        problem = find_problem(error)
+        if problem is None:
+            detail = describe_error(error)
+            record_end(data_folder, status=EXIT_FAILED, reason=UNEXPECTED_ERROR, detail=detail)
+            raise
+        name = problem.code.name
+        record_end(data_folder, status=EXIT_STORAGE, reason=name, detail=problem.detail)
+        return fail(problem, EXIT_STORAGE)
+    record_end(data_folder, status=EXIT_OK, reason=STOP_SIGNAL)
+    return EXIT_OK
+
+
 def end_with_problem(run: Callable[[], Any]) -> int:
     """Run a function; a `Problem` that it raises is printed and becomes an exit code.
 
--- a/src/ledgeladder/daemons/log_queue.py
+++ b/src/ledgeladder/daemons/log_queue.py
@@ -52,6 +52,9 @@
     wake: anyio.Event | None = None
     """Set when lines are queued; None while no background writer runs."""
 
+    output_failed: bool = False
+    """True once a write has failed, for example since the reader has closed the pipe."""
+
 
 def admit(queue: LogQueue, level: int, now: float) -> bool:
     """Return True if a line should be queued; otherwise count it as dropped.
@@ -93,6 +96,7 @@
             written = os.write(queue.descriptor, chunk[:MAX_WRITE_BYTES])
         except OSError:
             # The reader has closed the pipe; the lines cannot be written anywhere.
+            queue.output_failed = True
             queue.lines.clear()
             return True
         if written < len(chunk):
@@ -107,6 +111,22 @@
         time.sleep(0.01)
 
 
+def write_last_line(queue: LogQueue, line: bytes, *, fallback: int) -> None:
+    """Write the last line of the process, regardless of the bound of the queue.
+
+    Args:
+        queue: The queue, which is flushed first.
+        line: The line with its end.
+        fallback: File descriptor for the line if the output is blocked or closed.
+    """
+    flush_at_exit(queue)
+    if not queue.lines and not queue.output_failed:
+        queue.lines.append(line)
+        flush_at_exit(queue)
+    if queue.lines or queue.output_failed:
+        write_ready(LogQueue(descriptor=fallback, lines=deque([line])))
+
+
 class QueueHandler(logging.Handler):
     """Formats records into a `LogQueue`.
 
--- a/src/ledgeladder/daemons/logs.py
+++ b/src/ledgeladder/daemons/logs.py
@@ -6,9 +6,11 @@
 import logging
 import sys
 
+import anyio
 from pythonjsonlogger.json import JsonFormatter
 
-from .log_queue import LogQueue, QueueHandler, flush_at_exit
+from .log_queue import LogQueue, QueueHandler, flush_at_exit, run_log_writer
+from .supervisor import Child, Restart
 
 
 def set_up_logging(*, level: str, box: str, failure_domain: str) -> LogQueue:
@@ -39,9 +41,22 @@
     return queue
 
 
-def current_log_queue() -> LogQueue | None:
-    """Return the queue that `set_up_logging` created, or None if it was not called."""
+def current_log_handler() -> QueueHandler | None:
+    """Return the handler that `set_up_logging` created, or None if it was not called."""
     for handler in logging.getLogger().handlers:
         if isinstance(handler, QueueHandler):
-            return handler.queue
+            return handler
     return None
+
+
+def log_child() -> Child:
+    """Return the child that writes queued log lines; every daemon runs it."""
+
+    async def run() -> None:
+        handler = current_log_handler()
+        if handler is None:
+            await anyio.sleep_forever()
+        else:
+            await run_log_writer(handler.queue)
+
+    return Child(name="log writer", run=run, restart=Restart.ALWAYS)
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -22,7 +22,7 @@
 from ...storage import StorageError, box_of, create_identity, member_id, read_identity
 from ..content_judge import broadcast_quarantine, run_quarantine_controller
 from ..control.node import ControlNode, open_node, run_log
-from ..log_child import log_child
+from ..logs import log_child
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers, seed_addresses
 from ..rate_lender import run_limit_broadcasts
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -159,9 +159,8 @@
     await link.stream.aclose()
 
 
-def describe_error(group: BaseExceptionGroup[BaseException]) -> str:
-    """Describe the first error of a group, for the log."""
-    error: BaseException = group
+def describe_error(error: BaseException) -> str:
+    """Describe an error, or the first one of a group, for the log."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return f"{type(error).__name__}: {error}"
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -66,6 +66,9 @@
         raw.bind(split_address(address))
         raw.listen(BACKLOG)
         return await SocketListener.from_socket(raw)
+    except OSError as error:
+        raw.close()
+        raise OSError(error.errno, f"cannot listen on {address}: {error.strerror}") from error
     except BaseException:
         raw.close()
         raise
--- a/tests/daemons/test_log_queue.py
+++ b/tests/daemons/test_log_queue.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import os
 
+import pytest
+
 from ledgeladder.daemons.log_queue import (
     MAX_INFO_LINES_PER_SECOND,
     MAX_QUEUED_LINES,
     LogQueue,
     QueueHandler,
     admit,
+    write_last_line,
     write_ready,
 )
 
@@ -66,3 +70,37 @@
     assert json.loads(os.read(reading, 1000)) == {"dropped": 3, "sampled": 4}
     os.close(reading)
     assert queue.dropped == 0
+
+
+def fill_pipe(writing: int) -> None:
+    """Write to a pipe until it is full."""
+    os.set_blocking(writing, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writing, b"x" * 4096)
+
+
+def test_last_line_is_written_although_the_queue_is_full() -> None:
+    reading, writing = os.pipe()
+    queue = LogQueue(descriptor=writing)
+    queue.lines.extend([b"line\n"] * MAX_QUEUED_LINES)
+    write_last_line(queue, b"last\n", fallback=writing)
+    os.close(writing)
+    with os.fdopen(reading, "rb") as file:
+        assert file.read().endswith(b"line\nlast\n")
+
+
+@pytest.mark.parametrize("closed", [True, False])
+def test_last_line_goes_to_the_fallback_if_the_output_is_closed_or_blocked(closed: bool) -> None:
+    reading, writing = os.pipe()
+    other, fallback = os.pipe()
+    if closed:
+        os.close(reading)
+    else:
+        fill_pipe(writing)
+    write_last_line(LogQueue(descriptor=writing), b"last\n", fallback=fallback)
+    assert os.read(other, 100) == b"last\n"
+    for descriptor in (writing, other, fallback):
+        os.close(descriptor)
+    if not closed:
+        os.close(reading)
