An error of one connection ends neither its listener nor the process

A control box whose link port got connections that were reset at once ended with 1 after 0.4 s (links ended 6 times in 10 seconds).

Cause: the listener of links ran its connections in the library's own loop. For a connection that was reset between its accept and the first step of its task, asking for its address raised an AttributeError, as the transport had no socket any more. That ended the listener with all links of the box; six such moments ended the process. Errors of accept that concern one connection did the same, as did any unexpected error of a handler; on outgoing links, a connection that was reset before it was wrapped raised a ValueError that ended all links.

Now every listener of ours accepts in one place, links/accepting.py (moved from http1/), where an error of a connection is logged and stays there, accept errors of accept(2) are told apart, and sockets are tuned before they are wrapped, so that no transport is asked for its socket. An outgoing link logs an unexpected error and reconnects. Exhausted descriptors pause the listener of links as they did the others.

--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from ...http1 import AcceptQueue, HttpSite, accept_connections, serve_http1
-from ...links import listen_tcp
+from ...http1 import HttpSite, serve_http1
+from ...links import AcceptQueue, accept_connections, listen_tcp
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
 from ..limit_keeper import run_rate_limiter
@@ -176,7 +176,7 @@
         await serve_relayed(state, stream)
 
     async with listener, anyio.create_task_group() as connections:
-        await accept_connections(listener, AcceptQueue(), serve_one, connections)
+        await accept_connections(listener, AcceptQueue(), serve_one, connections, tuned=True)
 
 
 def _metrics_lines(state: GatewayState) -> list[str]:
--- a/src/ledgeladder/daemons/gateway/relay_client.py
+++ b/src/ledgeladder/daemons/gateway/relay_client.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ...http1 import wrap_stream
-from ...links import connect_tcp, initiate_handshake, tune_socket
+from ...links import connect_tcp, initiate_handshake
 from ...links.endpoint import LINK_ERRORS
 from ...links.frames import encode_frame
 from ...links.messages import RelayOutcome, RelayReply, RelayRequest
@@ -129,9 +129,8 @@
     assert state.peers is not None
     registration = upstream.registration
     port = state.settings.cluster.relay_port
-    stream = await connect_tcp(f"{peer}:{port}", state.settings.box.address)
+    stream = await connect_tcp(f"{peer}:{port}", state.settings.box.address, tuned=True)
     try:
-        tune_socket(stream)
         link = await initiate_handshake(stream, state.peers.identity)
         await stream.send(
             encode_frame(
--- a/src/ledgeladder/daemons/gateway/relay_server.py
+++ b/src/ledgeladder/daemons/gateway/relay_server.py
@@ -12,7 +12,7 @@
 import anyio
 
 from ...http1 import ConnectError, connect
-from ...links import accept_handshake, tune_socket
+from ...links import accept_handshake
 from ...links.endpoint import LINK_ERRORS, describe_error
 from ...links.frames import encode_frame
 from ...links.messages import PeerRole, RelayOutcome, RelayReply, RelayRequest
@@ -38,7 +38,6 @@
     """
     try:
         async with stream:
-            tune_socket(stream)
             await _serve_connection(state, stream)
     except* LINK_ERRORS as errors:
         logger.info("relayed connection failed", extra={"reason": describe_error(errors)})
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -12,7 +12,8 @@
 
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
-from ...http1 import AcceptQueue, ConnectionPool
+from ...http1 import ConnectionPool
+from ...links import AcceptQueue
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
 from ...routing.forwarding_table import (
--- a/src/ledgeladder/daemons/registry/http_api.py
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -12,7 +12,8 @@
 
 from ...coordination.hold_receipts import count_holders
 from ...coordination.registrations import apply_registration, resolve_instance
-from ...http1 import AcceptQueue, HttpSite
+from ...http1 import HttpSite
+from ...links import AcceptQueue
 from ...model import Problem, ResultCode
 from ...model.registration import UpstreamState
 from ...model.traffic import CallerLimits
--- a/src/ledgeladder/http1/__init__.py
+++ b/src/ledgeladder/http1/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from .accepting import AcceptQueue, accept_connections
 from .backpressure import BackoffRequestedError, raise_for_backoff, read_backoff, read_rate
 from .client import (
     AnswerBrokenError,
@@ -19,7 +18,6 @@
 from .server import Exchange, HttpRequest, HttpSite, serve_http1, serve_listener
 
 __all__ = [
-    "AcceptQueue",
     "AnswerBrokenError",
     "AnswerInvalidError",
     "ConnectError",
@@ -29,7 +27,6 @@
     "HttpSite",
     "BackoffRequestedError",
     "UpstreamConnection",
-    "accept_connections",
     "connect",
     "raise_for_backoff",
     "read_head",
--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -11,7 +11,7 @@
 import msgspec
 from anyio.abc import SocketAttribute
 
-from ..links import connect_tcp, tune_socket
+from ..links import connect_tcp
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
@@ -117,14 +117,9 @@
     """
     try:
         with anyio.fail_after(seconds):
-            stream = await connect_tcp(address, source)
+            stream = await connect_tcp(address, source, tuned=True)
     except (OSError, TimeoutError) as error:
         raise ConnectError(f"{address}: {type(error).__name__}") from error
-    try:
-        tune_socket(stream)
-    except OSError as error:
-        await stream.aclose()
-        raise ConnectError(f"{address}: {type(error).__name__}") from error
     return wrap_stream(address, stream)
 
 
@@ -236,7 +231,11 @@
 
 def _is_readable(connection: UpstreamConnection) -> bool:
     """Return True if an idle connection has unexpected bytes or was closed by the upstream."""
-    raw = connection.stream.extra(SocketAttribute.raw_socket)
+    try:
+        raw = connection.stream.extra(SocketAttribute.raw_socket)
+    except AttributeError:
+        # The connection has failed, and its transport has no socket any more.
+        return True
     poller = select.poll()
     poller.register(raw.fileno(), select.POLLIN)
     return bool(poller.poll(0))
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -10,10 +10,9 @@
 import h11
 import msgspec
 
-from ..links import listen_tcp, tune_socket
+from ..links import AcceptQueue, accept_connections, listen_tcp
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
-from .accepting import AcceptQueue, accept_connections
 
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, SocketStream
@@ -362,6 +361,7 @@
                 site.accept_queue,
                 lambda stream: _serve_connection(stream, site),
                 connections,
+                tuned=True,
             )
         await listener.aclose()
         await anyio.sleep_forever()
@@ -376,13 +376,10 @@
     )
     site.open_connections += 1
     try:
-        tune_socket(stream)
         await _serve_requests(connection)
     except DISCONNECT_ERRORS:
         # The caller closed or reset its connection; the request handler logs the effect.
         pass
-    except Exception:
-        logger.exception("connection failed")
     finally:
         site.open_connections -= 1
         with anyio.CancelScope(shield=True):
--- a/src/ledgeladder/links/__init__.py
+++ b/src/ledgeladder/links/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .accepting import AcceptQueue, accept_connections
 from .endpoint import keep_link, open_link, serve_links
 from .link import (
     Link,
@@ -10,11 +11,13 @@
     initiate_handshake,
     post_to_all,
 )
-from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address, tune_socket
+from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address, wrap_socket
 
 __all__ = [
+    "AcceptQueue",
     "Link",
     "LinkIdentity",
+    "accept_connections",
     "accept_handshake",
     "connect_tcp",
     "initiate_handshake",
@@ -25,5 +28,5 @@
     "post_to_all",
     "serve_links",
     "split_address",
-    "tune_socket",
+    "wrap_socket",
 ]
--- a/src/ledgeladder/http1/accepting.py
+++ b/src/ledgeladder/links/accepting.py
@@ -16,10 +16,12 @@
 import anyio
 import anyio.lowlevel
 import msgspec
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute
+
+from .tcp import tune_socket, wrap_socket
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketListener, TaskGroup
+    from anyio.abc import SocketListener, SocketStream, TaskGroup
 
 logger = logging.getLogger(__name__)
 
@@ -40,8 +42,27 @@
 EXHAUSTION_ERRORS: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 """Errors of accepting that last until resources are released."""
 
-Serve = Callable[[SocketStream], Awaitable[None]]
-"""Serves an accepted connection."""
+CONNECTION_ERRORS: Final = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
+"""Errors of accepting that concern only the connection (accept(2), section "Error handling")."""
+
+Serve = Callable[["SocketStream"], Awaitable[None]]
+"""Serves an accepted connection, and closes it. An error that it raises ends only this one."""
 
 
 class WaitingConnection(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,7 +104,12 @@
 
 
 async def accept_connections(
-    listener: SocketListener, queue: AcceptQueue, serve: Serve, tasks: TaskGroup
+    listener: SocketListener,
+    queue: AcceptQueue,
+    serve: Serve,
+    tasks: TaskGroup,
+    *,
+    tuned: bool = False,
 ) -> None:
     """Accept connections until cancelled, and start a task for each that does not wait too long.
 
@@ -95,6 +121,7 @@
         queue: Queue of the listener.
         serve: Serves a connection, and closes it.
         tasks: Runs `serve`.
+        tuned: True to set the timeouts of `tune_socket` on each connection.
     """
     raw = listener.extra(SocketAttribute.raw_socket)
     try:
@@ -104,12 +131,12 @@
                 continue
             _shed_expired(queue)
             if queue.waiting:
-                tasks.start_soon(_serve_one, queue.waiting.popleft().raw, serve)
+                tasks.start_soon(_serve_one, queue.waiting.popleft().raw, serve, tuned)
             await anyio.lowlevel.checkpoint()
     finally:
         # A planned stop serves what it has accepted.
         while queue.waiting:
-            tasks.start_soon(_serve_one, queue.waiting.popleft().raw, serve)
+            tasks.start_soon(_serve_one, queue.waiting.popleft().raw, serve, tuned)
 
 
 async def _accept_pending(raw: socket.socket, queue: AcceptQueue) -> int:
@@ -120,10 +147,12 @@
             connection, _ = raw.accept()
         except BlockingIOError:
             return accepted
-        except ConnectionAbortedError as error:
-            logger.debug("connection ended before it was accepted", extra={"reason": str(error)})
-            continue
         except OSError as error:
+            if error.errno in CONNECTION_ERRORS:
+                logger.debug(
+                    "connection ended before it was accepted", extra={"reason": str(error)}
+                )
+                continue
             if error.errno not in EXHAUSTION_ERRORS:
                 raise
             logger.warning("connection not accepted", extra={"reason": str(error)})
@@ -148,16 +177,21 @@
     queue.shed_logged, queue.logged_at = queue.shed, now
 
 
-async def _serve_one(raw: socket.socket, serve: Serve) -> None:
+async def _serve_one(raw: socket.socket, serve: Serve, tuned: bool) -> None:
     """Serve an accepted connection, unless its caller has left."""
     try:
-        stream = await SocketStream.from_socket(raw)
-    except (OSError, ValueError) as error:
-        # ValueError: the socket is no longer connected.
+        if tuned:
+            tune_socket(raw)
+        stream = await wrap_socket(raw)
+    except OSError as error:
         logger.debug("connection ended before it was served", extra={"reason": str(error)})
         raw.close()
         return
     except BaseException:
         raw.close()
         raise
-    await serve(stream)
+    try:
+        await serve(stream)
+    except Exception:
+        # Raised further, it would cancel the tasks of all other connections of the listener.
+        logger.exception("connection failed")
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -10,7 +10,8 @@
 from anyio.abc import SocketAttribute
 
 from ..model import ProblemError
-from .link import accept_handshake, initiate_handshake
+from .accepting import AcceptQueue, accept_connections
+from .link import HANDSHAKE_TIMEOUT_SECONDS, accept_handshake, initiate_handshake
 from .tcp import connect_tcp, listen_tcp
 
 if TYPE_CHECKING:
@@ -61,18 +62,27 @@
     listener = await listen_tcp(address)
 
     async def serve_one(stream: SocketStream) -> None:
-        remote = stream.extra(SocketAttribute.remote_address, None)
+        remote = _remote_address(stream)
         try:
             async with stream:
                 link = await accept_handshake(stream, identity)
                 await _run_link(link, handler)
         except* LINK_ERRORS as errors:
-            logger.info(
-                "link ended", extra={"remote": str(remote), "reason": describe_error(errors)}
-            )
+            logger.info("link ended", extra={"remote": remote, "reason": describe_error(errors)})
+
+    # A peer waits for the challenge as long as for the rest of the handshake.
+    queue = AcceptQueue(max_wait_seconds=HANDSHAKE_TIMEOUT_SECONDS)
+    async with listener, anyio.create_task_group() as connections:
+        await accept_connections(listener, queue, serve_one, connections)
 
-    async with listener:
-        await listener.serve(serve_one)
+
+def _remote_address(stream: SocketStream) -> str:
+    """Return the address of a peer, for the log."""
+    try:
+        return str(stream.extra(SocketAttribute.remote_address, None))
+    except AttributeError:
+        # The connection was reset, and its transport has no socket any more.
+        return "reset"
 
 
 async def keep_link(
@@ -101,6 +111,9 @@
                 "connecting failed or link lost",
                 extra={"remote": address, "reason": describe_error(errors)},
             )
+        except* Exception as errors:
+            # Raised further, it would end the links to all other boxes.
+            logger.error("link failed", extra={"remote": address}, exc_info=errors)
         delay = min(RECONNECT_DELAY_SECONDS * 2**failures, MAX_RECONNECT_DELAY_SECONDS)
         failures += 1
         await anyio.sleep(delay * rng.uniform(0.5, 1.0))
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 import anyio
-from anyio.abc import SocketAttribute, SocketListener, SocketStream
+from anyio.abc import SocketListener, SocketStream
 
 BACKLOG: Final = 65536
 """Length of the accept queue; the kernel caps it. If the queue is full, SYN packets are dropped and
@@ -74,12 +74,15 @@
         raise
 
 
-async def connect_tcp(address: str, source: str | None = None) -> SocketStream:
+async def connect_tcp(
+    address: str, source: str | None = None, *, tuned: bool = False
+) -> SocketStream:
     """Open a connection, without a timeout of its own.
 
     Args:
         address: `host:port` of the peer, by IP address.
         source: Source IP address; None lets the system choose.
+        tuned: True to set the timeouts of `tune_socket`.
 
     Returns:
         The connection.
@@ -93,12 +96,30 @@
         if source is not None:
             raw.bind((source, 0))
         await _finish_connecting(raw, split_address(address))
-        return await SocketStream.from_socket(raw)
+        if tuned:
+            tune_socket(raw)
+        return await wrap_socket(raw)
     except BaseException:
         raw.close()
         raise
 
 
+async def wrap_socket(raw: socket.socket) -> SocketStream:
+    """Return the stream over a connected socket.
+
+    Args:
+        raw: The socket; the caller closes it if this fails.
+
+    Raises:
+        OSError: If the connection has failed.
+    """
+    try:
+        return await SocketStream.from_socket(raw)
+    except ValueError as error:
+        # Raised for a socket that is no longer connected.
+        raise OSError(errno.ENOTCONN, os.strerror(errno.ENOTCONN)) from error
+
+
 async def _finish_connecting(raw: socket.socket, peer: tuple[str, int]) -> None:
     code = raw.connect_ex(peer)
     if code == errno.EINPROGRESS:
@@ -108,13 +129,15 @@
         raise OSError(code, f"{os.strerror(code)}: {peer[0]}:{peer[1]}")
 
 
-def tune_socket(stream: SocketStream) -> None:
+def tune_socket(raw: socket.socket) -> None:
     """Set timeouts on a connection, so that an unreachable peer does not keep it open for minutes.
 
     Args:
-        stream: The connection.
+        raw: Socket of the connection.
+
+    Raises:
+        OSError: If the connection has failed.
     """
-    raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -25,8 +25,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from ledgeladder.http1 import Exchange, HttpRequest, HttpSite, serve_listener
-from ledgeladder.http1.accepting import AcceptQueue
-from ledgeladder.links import listen_tcp
+from ledgeladder.links import AcceptQueue, listen_tcp
 from ledgeladder.model import Problem
 
 from .packet_filter import drop_from
--- a/tests/http1/test_accepting.py
+++ b/tests/links/test_accepting.py
@@ -12,15 +12,14 @@
 import pytest
 from anyio.abc import SocketStream
 
-from ledgeladder.http1 import accepting
-from ledgeladder.http1.accepting import (
+from ledgeladder.links import accepting, listen_tcp
+from ledgeladder.links.accepting import (
     MAX_WAIT_SECONDS,
     AcceptQueue,
     WaitingConnection,
     accept_connections,
     remove_expired,
 )
-from ledgeladder.links import listen_tcp
 
 SERVICE_SECONDS = 0.01
 """Processor time of a request in virtual time."""
@@ -123,7 +122,9 @@
     assert set(received) == {b"!", b""}
 
 
-@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED])
+@pytest.mark.parametrize(
+    "error", [errno.EMFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EHOSTUNREACH, errno.EPERM]
+)
 def test_failure_to_accept_does_not_end_the_listener(error: int) -> None:
     """It would end all open connections of the site."""
 
@@ -163,3 +164,35 @@
         return served
 
     assert anyio.run(play) == [b"?"]
+
+
+def test_error_of_one_connection_ends_only_that_one() -> None:
+    """Guards against a listener that ends with all connections when serving one of them fails."""
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            data = await stream.receive()
+            if data == b"x":
+                raise KeyError("unexpected")
+            await stream.send(data)
+
+    async def ask(port: int, data: bytes) -> bytes:
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(data)
+            try:
+                return await stream.receive()
+            except anyio.EndOfStream:
+                return b""
+
+    async def play() -> list[bytes]:
+        async with await listen_tcp("127.0.0.1:0") as listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(accept_connections, listener, AcceptQueue(), serve, tasks)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with await anyio.connect_tcp("127.0.0.1", port) as kept:
+                answers = [await ask(port, b"x"), await ask(port, b"y")]
+                await kept.send(b"z")
+                answers.append(await kept.receive())
+            tasks.cancel_scope.cancel()
+        return answers
+
+    assert anyio.run(play) == [b"", b"y", b"z"]
