A child that keeps failing is restarted with back-off and ends nobody

What users saw: processes that ended by themselves. A port that another socket held for 1.5 s while a process started ended it with 1 after less than a second, for any port of any role, also those of the metrics page and of the relay.

Cause: a supervisor gave up after six failures within ten seconds, and its delay of 50 ms let them pass within a third of a second. The limit was a count, so it had nothing to do with how long a cause lasts, and it did not ask what the child is for. It also turned any other fault of one task into an end of the process.

Now delays grow from 50 ms to 2 s and end only with a run of 10 s; no count ends the process. What ends it: a stop signal, settings, the log of a control box (never restarted, as its memory must match the disk) and problems of the disk after which a promise would be broken. A failing child is named by the metrics page and the ready page; a gateway without a port for callers is not ready. The reload of settings is a child as well, and a planned stop that fails still ends the process. Hypercorn gets a socket that listens, since its tasks stay behind when listening fails after its start.

The test of the limit is replaced: it held that a child that always fails stops the tree, which was the fault; the new ones hold that it is visible and ends no sibling, that delays grow, and what does end the tree.

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -47,6 +47,7 @@
     post_contents,
 )
 from ..rate_lender import RateGranter, apply_limits, handle_grant_request, limit_update
+from ..supervisor import ChildState
 from .node import submit
 
 if TYPE_CHECKING:
@@ -89,6 +90,9 @@
     follower_links: dict[int, Link] = msgspec.field(default_factory=dict)
     """Links of entry boxes that follow this box's configuration, by `id()` of the link."""
 
+    children: dict[str, ChildState] = msgspec.field(default_factory=dict)
+    """States of the supervised tasks by name."""
+
     order_outcomes: list[OrderOutcome] = msgspec.field(default_factory=list)
     """Outcomes of orders that gates reported and that are not handled yet."""
 
--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -177,11 +177,10 @@
         async def planned_stop() -> None:
             await _transfer_leadership(node)
             stop.set()
-            tasks.cancel_scope.cancel()
 
-        tasks.start_soon(on_stop_signal, planned_stop)
+        tasks.start_soon(on_stop_signal, planned_stop, tasks.cancel_scope)
         logger.info("control starts", extra={"member": node.identity.member_id})
-        await supervise(children)
+        await supervise(children, states=hub.children)
     await client.aclose()
     node.journal.close()
     logger.info("control stopped")
--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -26,6 +26,7 @@
 from ...routing.policy import validate_policies
 from ..clock import wall_clock_ms
 from ..http import not_found, problem_response
+from ..supervisor import failing_children
 from .hub import connected_boxes
 from .leadership_transfer import start_leadership_transfer
 from .node import submit
@@ -222,6 +223,7 @@
         "claims": node.state.claims.count,
         "journal_bytes": node.journal.size,
         "syncs": node.syncs,
+        "failing_children": failing_children(hub.children, anyio.current_time()),
         "boxes": {
             name: {"version": box.version, "failure_domain": box.failure_domain}
             for name, box in sorted(boxes.items())
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
+import anyio
 from pydantic import BaseModel, ValidationError
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse, Response
@@ -15,6 +16,7 @@
 from ...model import EXECUTION_HEADER, ProblemError, ResultCode
 from ...upstreams.service import ServiceAnswer, ServiceCall
 from ..http import CODE_HEADER, not_found, problem_response
+from ..supervisor import failing_children
 from .answers import (
     AnswerWriter,
     answer_generation,
@@ -82,6 +84,7 @@
         page = metrics_page(context.metrics) | {
             "version": context.configuration.version,
             "in_progress": context.in_progress,
+            "failing_children": failing_children(context.children, anyio.current_time()),
         }
         return JSONResponse(page)
 
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -19,6 +19,7 @@
 from ...routing.policy import CompiledPolicy, compile_policy
 from ...routing.retry_budget import RetryBudget
 from ...routing.upstream_table import UpstreamTable, update_upstreams
+from ..supervisor import ChildState
 from .gate import Gate
 from .metrics import EntryMetrics
 
@@ -108,6 +109,9 @@
     synced: anyio.Event = msgspec.field(default_factory=anyio.Event)
     """Set once the newest configuration known to the reachable boxes is in force."""
 
+    children: dict[str, ChildState] = msgspec.field(default_factory=dict)
+    """States of the supervised tasks by name."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -92,13 +92,8 @@
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         context = build_context(settings, tasks)
-
-        async def planned_stop() -> None:
-            await _stop(context, stop)
-            tasks.cancel_scope.cancel()
-
-        tasks.start_soon(on_stop_signal, planned_stop)
-        await supervise(_children(context, stop))
+        tasks.start_soon(on_stop_signal, lambda: _stop(context, stop), tasks.cancel_scope)
+        await supervise(_children(context, stop), states=context.children)
     await context.client.aclose()
     logger.info("entry stopped")
 
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -105,7 +105,7 @@
     assert peers is not None
     seeds = SeedList(path=path, seeds=settings.cluster.seeds)
     callers = build_caller_site(state)
-    ready = build_ready_site(state)
+    ready = build_ready_site(state, callers)
     children = [
         Child(name="callers", run=lambda: serve_http1(settings.gateway.caller_address, callers)),
         Child(name="ready", run=lambda: serve_http1(settings.gateway.ready_address, ready)),
@@ -143,17 +143,16 @@
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: _metrics_lines(state)
         ),
         Child(name="expiry", run=lambda: _close_expired_connections(state), restart=Restart.ALWAYS),
+        Child(
+            name="reload",
+            run=lambda: reload_seeds(seeds, peers, load_gateway_settings),
+            restart=Restart.ALWAYS,
+        ),
     ]
     async with anyio.create_task_group() as tasks:
-
-        async def planned_stop() -> None:
-            await _stop(state, callers)
-            tasks.cancel_scope.cancel()
-
-        tasks.start_soon(on_stop_signal, planned_stop)
-        tasks.start_soon(reload_seeds, seeds, peers, load_gateway_settings)
+        tasks.start_soon(on_stop_signal, lambda: _stop(state, callers), tasks.cancel_scope)
         logger.info("gateway starts", extra={"seeds": list(settings.cluster.seeds)})
-        await supervise(children)
+        await supervise(children, states=state.children)
     logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
 
 
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -8,7 +8,7 @@
 
 from ...routing.fleet_demand import has_totals
 from ...routing.return_times import expire_places
-from ..metrics_page import counter_lines, gauge_lines, histogram_lines
+from ..metrics_page import child_gauges, counter_lines, gauge_lines, histogram_lines
 from .demand_gauges import demand_gauges
 from .room_gauges import room_gauges
 
@@ -56,6 +56,7 @@
         *histogram_lines("first_event", metrics.first_event),
         *histogram_lines("event_gap", metrics.gap),
         *gauge_lines(gauges),
+        *gauge_lines(child_gauges(state.children, now)),
         *gauge_lines(demand_gauges(state, now)),
         *gauge_lines(room_gauges(state, now)),
     ]
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -31,6 +31,7 @@
 from ...routing.wait_queue import WaitQueue
 from .. import clock
 from ..limit_keeper import RateLimiter
+from ..supervisor import ChildState
 
 if TYPE_CHECKING:
     from ...coordination.full_notices import NoticeThrottle
@@ -340,6 +341,9 @@
     rate_limiter: RateLimiter | None = None
     """Enforces the rate limits that upstreams advertise, in requests per second."""
 
+    children: dict[str, ChildState] = msgspec.field(default_factory=dict)
+    """States of the supervised tasks by name."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -11,6 +11,7 @@
 from hypercorn.config import Config
 from starlette.responses import JSONResponse
 
+from ..links.tcp import bind_tcp
 from ..model import EXECUTION_HEADER, Problem, ResultCode
 
 if TYPE_CHECKING:
@@ -111,9 +112,13 @@
         address: `host:port` to listen on.
         stop: Set to start the shutdown.
         grace_seconds: How long to wait for open connections during shutdown.
+
+    Raises:
+        OSError: If listening on the address fails.
     """
     config = Config()
-    config.bind = [address]
+    # Hypercorn would leave tasks behind if listening failed after its start.
+    config.bind = [f"fd://{bind_tcp(address).detach()}"]
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
     config.graceful_timeout = grace_seconds
--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from ..links.endpoint import describe_error
-from ..model import Problem, ProblemError, ResultCode
+from ..model import Problem, ProblemError, ResultCode, find_problem
 from ..settings import load_gateway_settings, load_registry_settings
 from .clock import new_event_loop
 from .ends import STOP_SIGNAL, UNEXPECTED_ERROR, record_end, record_start
@@ -189,16 +189,6 @@
     return EXIT_OK
 
 
-def find_problem(error: BaseException) -> Problem | None:
-    """Return the problem of an error, or the first one in an error group; None without any."""
-    if isinstance(error, ProblemError):
-        return error.problem
-    if isinstance(error, BaseExceptionGroup):
-        found = (find_problem(inner) for inner in error.exceptions)
-        return next((problem for problem in found if problem is not None), None)
-    return None
-
-
 def fail(problem: Problem, status: int) -> int:
     """Print a problem to standard error.
 
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -7,7 +7,7 @@
 from ..http1 import HttpSite, serve_http1
 from ..model import Problem, ResultCode
 from .plain_problems import write_problem
-from .supervisor import Child
+from .supervisor import Child, ChildState, failing_children
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -61,6 +61,23 @@
     return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
+def child_gauges(states: dict[str, ChildState], now: float) -> dict[str, float]:
+    """Return gauges of the supervised tasks that have failed since the start of the process.
+
+    Args:
+        states: States of the children by name.
+        now: Monotonic time.
+    """
+    failing = failing_children(states, now)
+    gauges: dict[str, float] = {}
+    for name, state in states.items():
+        if state.total_failures:
+            label = f'{{child="{escape_label(name)}"}}'
+            gauges[f"child_failures{label}"] = float(state.total_failures)
+            gauges[f"child_failing{label}"] = float(name in failing)
+    return gauges
+
+
 def demand_series(found: Sequence[tuple[str, ClassDemand]], most: int) -> dict[str, float]:
     """Return gauges of demand, and of how many series were left out.
 
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -251,6 +251,11 @@
             restart=Restart.ALWAYS,
         ),
         Child(name="placing", run=lambda: run_placement(state), restart=Restart.ALWAYS),
+        Child(
+            name="reload",
+            run=lambda: reload_seeds(seeds, state.peers, load_registry_settings),
+            restart=Restart.ALWAYS,
+        ),
     ]
     async with anyio.create_task_group() as tasks:
 
@@ -263,12 +268,10 @@
 
             await flush_registrations(state)
             await _transfer_leadership(state.node)
-            tasks.cancel_scope.cancel()
 
-        tasks.start_soon(on_stop_signal, planned_stop)
-        tasks.start_soon(reload_seeds, seeds, state.peers, load_registry_settings)
+        tasks.start_soon(on_stop_signal, planned_stop, tasks.cancel_scope)
         logger.info("registry starts", extra={"member": state.node.identity.member_id})
-        await supervise(children)
+        await supervise(children, states=state.children)
     state.node.journal.close()
     logger.info("registry stopped")
 
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ...routing.repeat_loans import kept_quota
-from ..metrics_page import counter_lines, gauge_lines
+from ..metrics_page import child_gauges, counter_lines, gauge_lines
 from .demand_totals import demand_gauges
 
 if TYPE_CHECKING:
@@ -39,4 +39,5 @@
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
     gauges.update(demand_gauges(state, anyio.current_time()))
+    gauges.update(child_gauges(state.children, now))
     return [*counter_lines(counters), *gauge_lines(gauges)]
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -19,6 +19,7 @@
 from ...routing.full_engines import NOTICE_INTERVAL_SECONDS
 from ..content_judge import QuarantineController
 from ..rate_lender import RateGranter
+from ..supervisor import ChildState
 
 if TYPE_CHECKING:
     from ...coordination.upstream_order import LoadFigures
@@ -251,6 +252,9 @@
     rate_granter: RateGranter | None = None
     """Grants requests to rate-limited upstreams; None until `build_state` sets it."""
 
+    children: dict[str, ChildState] = msgspec.field(default_factory=dict)
+    """States of the supervised tasks by name."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
--- a/src/ledgeladder/daemons/supervisor.py
+++ b/src/ledgeladder/daemons/supervisor.py
@@ -1,16 +1,15 @@
-"""Supervisor tree: tasks that are restarted when they fail, up to a limit."""
+"""Supervisor tree: tasks that are restarted when they fail, after delays that grow."""
 
 from __future__ import annotations
 
 import logging
-from collections import deque
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import anyio
 import msgspec
 
-from ..model import ProblemError
+from ..model import ResultCode, find_problem
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -18,6 +17,26 @@
 logger = logging.getLogger(__name__)
 
 RESTART_DELAY_SECONDS: Final = 0.05
+"""Delay before the first restart; doubled after each further failure."""
+
+MAX_RESTART_DELAY_SECONDS: Final = 2.0
+"""Longest delay before a restart."""
+
+STABLE_SECONDS: Final = 10.0
+"""A child that has run for this long counts as recovered, and its next delay is the first again."""
+
+SETTLING_SECONDS: Final = 0.5
+"""How long a restarted child still counts as failing, since it may fail again at once."""
+
+FATAL_CODES: Final = frozenset(
+    {
+        ResultCode.JOURNAL_CORRUPT,
+        ResultCode.JOURNAL_FORMAT,
+        ResultCode.FOLDER_FOREIGN,
+        ResultCode.SYNC_FAILED,
+    }
+)
+"""Problems of a disk that would break a promise if the process went on."""
 
 
 class Restart(StrEnum):
@@ -33,16 +52,6 @@
     """Never; its error stops the whole tree."""
 
 
-class RestartLimit(msgspec.Struct, frozen=True, kw_only=True):
-    """Restarts within a period after which the supervisor gives up."""
-
-    count: int = 5
-    """Maximum number of restarts."""
-
-    seconds: float = 10.0
-    """Period in which restarts are counted."""
-
-
 class Child(msgspec.Struct, frozen=True, kw_only=True):
     """A supervised task, which may be a supervisor itself."""
 
@@ -56,54 +65,103 @@
     """When the child is restarted."""
 
 
-class RestartLimitExceededError(Exception):
-    """A child exceeded its restart limit."""
+class ChildState(msgspec.Struct, kw_only=True):
+    """What a supervisor knows of a child."""
+
+    total_failures: int = 0
+    """Number of its failures since the start of the process."""
+
+    failures: int = 0
+    """Number of its failures since it last ran for `STABLE_SECONDS`."""
+
+    started_at: float | None = None
+    """Time of its latest start; None while it waits for a restart."""
 
 
 async def supervise(
     children: Sequence[Child],
     *,
-    limit: RestartLimit = RestartLimit(),  # noqa: B008
+    states: dict[str, ChildState] | None = None,
     clock: Callable[[], float] = anyio.current_time,
 ) -> None:
     """Run children concurrently, and restart each of them independently.
 
+    A child that keeps failing is restarted forever, and ends neither its siblings nor the process.
+
     Args:
         children: The children.
-        limit: Restart limit of each child.
+        states: Filled with the state of each child by name, for metrics.
         clock: Monotonic time in seconds.
 
     Raises:
-        RestartLimitExceededError: If a child exceeds the restart limit.
-        ProblemError: If a child raises it; such a child is never restarted.
+        ExceptionGroup: With the error of a child that is never restarted, or a `ProblemError` with
+            one of the `FATAL_CODES`.
     """
+    known = {} if states is None else states
     async with anyio.create_task_group() as tasks:
         for child in children:
-            tasks.start_soon(_run_child, child, limit, clock, name=child.name)
+            state = known.setdefault(child.name, ChildState())
+            tasks.start_soon(_run_child, child, state, clock, name=child.name)
 
 
-async def _run_child(child: Child, limit: RestartLimit, clock: Callable[[], float]) -> None:
-    failures: deque[float] = deque()
+async def _run_child(child: Child, state: ChildState, clock: Callable[[], float]) -> None:
     while True:
+        state.started_at = started_at = clock()
         try:
             await child.run()
         except Exception as error:
-            if child.restart is Restart.NEVER or isinstance(error, ProblemError):
+            if child.restart is Restart.NEVER or _is_fatal(error):
                 raise
-            logger.exception("child failed", extra={"child": child.name})
-            _record_failure(child, failures, limit, clock())
+            delay = _record_failure(state, clock() - started_at)
+            logger.exception(
+                "child failed",
+                extra={"child": child.name, "failures": state.failures, "retry_seconds": delay},
+            )
         else:
             if child.restart is not Restart.ALWAYS:
                 return
-            _record_failure(child, failures, limit, clock())
-        await anyio.sleep(RESTART_DELAY_SECONDS)
-
-
-def _record_failure(child: Child, failures: deque[float], limit: RestartLimit, now: float) -> None:
-    failures.append(now)
-    while failures and failures[0] < now - limit.seconds:
-        failures.popleft()
-    if len(failures) > limit.count:
-        raise RestartLimitExceededError(
-            f"{child.name} ended {len(failures)} times in {limit.seconds} seconds"
-        )
+            delay = _record_failure(state, clock() - started_at)
+        await anyio.sleep(delay)
+
+
+def _is_fatal(error: Exception) -> bool:
+    problem = find_problem(error)
+    return problem is not None and problem.code in FATAL_CODES
+
+
+def _record_failure(state: ChildState, ran_seconds: float) -> float:
+    """Count a failure, and return the delay before the restart in seconds."""
+    if ran_seconds >= STABLE_SECONDS:
+        state.failures = 0
+    state.failures += 1
+    state.total_failures += 1
+    state.started_at = None
+    return restart_delay(state.failures)
+
+
+def restart_delay(failures: int) -> float:
+    """Return the delay before a restart, in seconds.
+
+    Args:
+        failures: Number of failures in a row, at least 1.
+
+    >>> [restart_delay(failures) for failures in (1, 2, 6, 7, 5000)]
+    [0.05, 0.1, 1.6, 2.0, 2.0]
+    """
+    doublings = min(failures - 1, 16)
+    return min(RESTART_DELAY_SECONDS * 2**doublings, MAX_RESTART_DELAY_SECONDS)
+
+
+def failing_children(states: dict[str, ChildState], now: float) -> list[str]:
+    """Return the names of children that wait for a restart, or have just been restarted.
+
+    Args:
+        states: States of the children by name.
+        now: Monotonic time.
+    """
+    return [
+        name
+        for name, state in states.items()
+        if state.failures
+        and (state.started_at is None or now - state.started_at < SETTLING_SECONDS)
+    ]
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -102,6 +102,9 @@
     listening: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Cancelled to stop accepting connections; open connections are still served."""
 
+    is_open: bool = False
+    """True while connections are accepted."""
+
     accept_queue: AcceptQueue = msgspec.field(default_factory=AcceptQueue)
     """Accepted connections that wait to be served."""
 
@@ -356,13 +359,17 @@
     """Serve the connections of a listener until cancelled, and close it."""
     async with listener, anyio.create_task_group() as connections:
         with anyio.CancelScope() as site.listening:
-            await accept_connections(
-                listener,
-                site.accept_queue,
-                lambda stream: _serve_connection(stream, site),
-                connections,
-                tuned=True,
-            )
+            site.is_open = True
+            try:
+                await accept_connections(
+                    listener,
+                    site.accept_queue,
+                    lambda stream: _serve_connection(stream, site),
+                    connections,
+                    tuned=True,
+                )
+            finally:
+                site.is_open = False
         await listener.aclose()
         await anyio.sleep_forever()
 
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -59,19 +59,33 @@
     Raises:
         OSError: If listening on the address fails.
     """
+    raw = bind_tcp(address)
+    try:
+        return await SocketListener.from_socket(raw)
+    except BaseException:
+        raw.close()
+        raise
+
+
+def bind_tcp(address: str) -> socket.socket:
+    """Return a listening socket.
+
+    Args:
+        address: `host:port` to listen on, by IP address.
+
+    Raises:
+        OSError: If listening on the address fails; the error names it.
+    """
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         raw.setblocking(False)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         raw.bind(split_address(address))
         raw.listen(BACKLOG)
-        return await SocketListener.from_socket(raw)
     except OSError as error:
         raw.close()
         raise OSError(error.errno, f"cannot listen on {address}: {error.strerror}") from error
-    except BaseException:
-        raw.close()
-        raise
+    return raw
 
 
 async def connect_tcp(
--- a/src/ledgeladder/model/__init__.py
+++ b/src/ledgeladder/model/__init__.py
@@ -16,7 +16,7 @@
     Upstream,
     UpstreamKind,
 )
-from .problem import Problem, ProblemError
+from .problem import Problem, ProblemError, find_problem
 from .route import LayerSpan, Route, Stage, covers_once
 
 __all__ = [
@@ -44,5 +44,6 @@
     "apply_objects",
     "covers_once",
     "digest",
+    "find_problem",
     "find_problems",
 ]
--- a/src/ledgeladder/model/problem.py
+++ b/src/ledgeladder/model/problem.py
@@ -40,3 +40,13 @@
         super().__init__(f"{problem.code.value} {problem.code.name}: {problem.detail}")
         self.problem = problem
         """The problem."""
+
+
+def find_problem(error: BaseException) -> Problem | None:
+    """Return the problem of an error, or the first one in an error group; None without any."""
+    if isinstance(error, ProblemError):
+        return error.problem
+    if isinstance(error, BaseExceptionGroup):
+        found = (find_problem(inner) for inner in error.exceptions)
+        return next((problem for problem in found if problem is not None), None)
+    return None
