make test and its like know what their environment was made for

The marker holds machine, ABI and place, and is written last; an environment with another marker is removed and made anew.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,23 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python
 
-.PHONY: demo fleet test lint format capacity
+# Compiled modules load on one kind of machine and interpreter only, and scripts name their folder.
+MADE_FOR := $(shell $(PYTHON) -c 'import os, platform, sysconfig; \
+  print(platform.machine(), sysconfig.get_config_var("SOABI"), os.path.realpath("$(VENV)"))')
 
+.PHONY: demo fleet test lint format capacity environment
+
+ifneq ($(shell cat $(VENV)/installed 2>/dev/null),$(MADE_FOR))
+$(VENV)/installed: environment
+endif
+
+# Written last: what was interrupted is not taken for whole.
 $(VENV)/installed: pyproject.toml
+	[ "$$(cat $@ 2>/dev/null)" = '$(MADE_FOR)' ] || rm -rf $(VENV)
+	rm -f $@
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
-	touch $@
+	echo '$(MADE_FOR)' > $@
 
 demo: $(VENV)/installed
 	$(RUN) -m standins.demo
