A process ignores SIGHUP a little earlier

Callers saw processes that ended by themselves; one way is a SIGHUP before the first line of the program, which ignores it. Most of that time is the interpreter's own; of the program's part, the package imported typing for one annotation before that line.

The package now imports nothing. What is left is the interpreter with runpy and the module signal; signals in it still end a process.

--- a/src/ledgeladder/__init__.py
+++ b/src/ledgeladder/__init__.py
@@ -1,7 +1,4 @@
 """A router for language-model pipelines over mixed accelerators."""
 
-from __future__ import annotations
-
-from typing import Final
-
-__version__: Final = "0.1.0"
+# Imports nothing: SIGHUP ends a process until the first line of `__main__`, which runs after this.
+__version__ = "0.1.0"
--- a/tests/daemons/test_imports.py
+++ b/tests/daemons/test_imports.py
@@ -72,3 +72,19 @@
     own = {name for name in loaded_modules("gateway") if name.startswith("ledgeladder.daemons.")}
     roles = {name.split(".")[2] for name in own}
     assert not roles & {"entry", "control", "registry"}
+
+
+def test_package_loads_nothing_before_the_first_line_of_the_program() -> None:
+    """Guards against a longer time in which SIGHUP ends a process that has just been started."""
+    code = (
+        "import sys; before = set(sys.modules); import ledgeladder; "
+        "print(set(sys.modules) - before)"
+    )
+    run = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={"PYTHONPATH": ":".join(path for path in sys.path if path)},
+    )
+    assert run.stdout == "{'ledgeladder'}\n"
