A process whose standard output is closed starts

Callers would see a process that ends with 1 at each start, without a line, where what starts it has closed standard output.

Cause: without the descriptor the interpreter has no sys.stdout, which logging asked for its number. Asking for number 1 only would be worse: the next socket or data file gets it, and log lines would be written into that.

--- a/src/ledgeladder/daemons/ends.py
+++ b/src/ledgeladder/daemons/ends.py
@@ -7,7 +7,7 @@
 
 from .clock import wall_clock_ms
 from .log_queue import write_last_line
-from .logs import current_log_handler
+from .logs import STANDARD_ERROR, current_log_handler
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -20,9 +20,6 @@
 UNEXPECTED_ERROR: Final = "unexpected error"
 """Reason of a process that ends with an error that it does not handle."""
 
-STANDARD_ERROR: Final = 2
-"""File descriptor of the last line if standard output is blocked or closed."""
-
 
 def record_start(folder: Path | None) -> None:
     """Record on the disk that a process runs, and log if the previous one ended unrecorded.
--- a/src/ledgeladder/daemons/logs.py
+++ b/src/ledgeladder/daemons/logs.py
@@ -4,7 +4,8 @@
 
 import atexit
 import logging
-import sys
+import os
+from typing import Final
 
 import anyio
 from pythonjsonlogger.json import JsonFormatter
@@ -12,6 +13,10 @@
 from .log_queue import LogQueue, QueueHandler, flush_at_exit, run_log_writer
 from .supervisor import Child, Restart
 
+STANDARD_INPUT: Final = 0
+STANDARD_OUTPUT: Final = 1
+STANDARD_ERROR: Final = 2
+
 
 def set_up_logging(*, level: str, box: str, failure_domain: str) -> LogQueue:
     """Send all log records to standard output as JSON with box and failure domain.
@@ -29,7 +34,8 @@
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"box": box, "failure_domain": failure_domain},
     )
-    queue = LogQueue(descriptor=sys.stdout.fileno())
+    closed = open_standard_descriptors()
+    queue = LogQueue(descriptor=STANDARD_OUTPUT, output_failed=STANDARD_OUTPUT in closed)
     handler = QueueHandler(queue)
     handler.setFormatter(formatter)
     atexit.register(flush_at_exit, queue)
@@ -41,6 +47,25 @@
     return queue
 
 
+def open_standard_descriptors() -> list[int]:
+    """Open the null device in the place of each standard descriptor that is closed.
+
+    Otherwise a socket or data file would get its number, and log lines would be written into it.
+
+    Returns:
+        The descriptors that were closed.
+    """
+    closed = []
+    for descriptor in (STANDARD_INPUT, STANDARD_OUTPUT, STANDARD_ERROR):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free number is taken, which is this one.
+            os.open(os.devnull, os.O_RDWR)
+            closed.append(descriptor)
+    return closed
+
+
 def current_log_handler() -> QueueHandler | None:
     """Return the handler that `set_up_logging` created, or None if it was not called."""
     for handler in logging.getLogger().handlers:
