--- a/standins/resets.py
+++ b/standins/resets.py
@@ -8,6 +8,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Option of SO_LINGER with which closing a connection resets it."""
 
+HEAD = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+"""Head of a request that some callers send before they reset their connection."""
+
 CONNECT_SECONDS = 1.0
 """Timeout of opening a connection."""
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -8,6 +8,7 @@
 callers and the ledgers of upstreams.
 
 With `--silence`, silences of upstreams are the only faults, and every request must be answered.
+With `--ends`, faults that must end no process are the only ones.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 
 import httpx
 
+from . import soak_ends
 from .discovered_fleet import (
     HOST,
     KEY,
@@ -849,6 +851,60 @@
         return violations
 
 
+def run_ends_seed(seed: int, seconds: float) -> list[str]:
+    """Run one seed with faults that must end no process.
+
+    Returns:
+        The violated guarantees, among them every process that ended by itself; prints a summary.
+    """
+    rng = random.Random(f"ends of {seed}")
+    with running_discovered_fleet(
+        revocation_ms=REVOCATION_MS, document=shared_room_document, engine_slots=ENGINE_SLOTS
+    ) as fleet:
+        soak = Soak(fleet=fleet, rng=rng, seconds=seconds, acknowledged_version=1)
+        ends = soak_ends.Ends(fleet=fleet, rng=rng, faults=soak.faults)
+        names = [str(number) for number in range(CALLER_THREADS)]
+        callers = threading.Thread(
+            target=run_callers,
+            args=(soak, names, [rng.random() for _ in names]),
+            kwargs={"stopping": soak.stopping},
+        )
+        publish_rng = random.Random(f"documents beside ends of {seed}")
+        publisher = threading.Thread(target=publish_in_series, args=(soak, publish_rng))
+        for thread in (callers, publisher):
+            thread.start()
+        end = time.monotonic() + seconds
+        try:
+            while time.monotonic() < end:
+                soak_ends.inject_fault(ends)
+                soak_ends.pause(ends, rng.choice((0.0, 0.1, 0.5)))
+        except TimeoutError as error:
+            soak.violations.append(f"a process hangs: {error}")
+        finally:
+            soak.stopping.set()
+            for thread in (callers, publisher):
+                thread.join()
+            soak_ends.undo(ends)
+        violations = recover(soak)
+        soak_ends.watch(ends)
+        violations += ends.violations + check_guarantees(soak)
+        statuses = Counter(f"{call.status}{'' if call.complete else ' cut'}" for call in soak.calls)
+        print(
+            f"ends {seed}: {len(soak.faults)} faults, {len(ends.noted)} processes ended, "
+            f"{ends.early_hang_ups} by SIGHUP before the program ignored it, "
+            f"version {soak.acknowledged_version}, {dict(statuses)}, {len(violations)} broken"
+        )
+        if violations:
+            print_findings(soak, f"ends-{seed}")
+        return violations
+
+
+def publish_in_series(soak: Soak, rng: random.Random) -> None:
+    """Publish documents to random registries until the run stops."""
+    while not soak.stopping.wait(rng.uniform(0.2, 1.0)):
+        publish(soak, rng.randrange(soak.fleet.registries))
+
+
 def wait_settled(fleet: DiscoveredFleet) -> dict[str, tuple[int, int]]:
     """Wait until no engine has got an order for `SETTLED_SECONDS`; returns the held layers."""
 
@@ -895,11 +951,12 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--silence", action="store_true", help="with silences as the only faults")
+    parser.add_argument("--ends", action="store_true", help="with faults that must end no process")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else random.SystemRandom().randrange(10**9)
     failed = []
     for seed in range(first, first + options.seeds):
-        run = run_silence_seed if options.silence else run_seed
+        run = run_silence_seed if options.silence else run_ends_seed if options.ends else run_seed
         violations = run(seed, options.seconds)
         for line in violations[:10]:
             print(f"  {line}", flush=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,10 +5,13 @@
 import pytest
 
 from standins.silence import MOVED, RAN_TOO_OFTEN, REFUSED
-from standins.soak import run_seed, run_silence_seed
+from standins.soak import run_ends_seed, run_seed, run_silence_seed
 
 FIXED_SEED = 20261202
 
+ENDS_SEED = 1
+"""Seed with resets at a link port, signals at starts, a closed output and lowered descriptors."""
+
 SILENCE_SEEDS = (1, 21)
 """Seeds in which all upstreams fall silent at once: with 3 engines, whose paths all cross failure
 domains, and with 6, of which each failure domain holds all layers."""
@@ -19,6 +22,11 @@
     assert run_seed(seed, 10.0) == []
 
 
+def test_faults_from_outside_end_no_process() -> None:
+    """Failure: processes ended by themselves, as connections were reset or a port was held."""
+    assert run_ends_seed(ENDS_SEED, 8.0) == []
+
+
 @pytest.fixture(scope="module", params=SILENCE_SEEDS)
 def silence_violations(request: pytest.FixtureRequest) -> list[str]:
     """Violations of one run with silences as the only faults."""
