--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import random
 from typing import TYPE_CHECKING, Final
@@ -250,7 +251,7 @@
         for entry in ready.committed:
             _apply(node, entry)
         for target in ready.snapshot_targets:
-            snapshot = load_snapshot(node.journal.folder)
+            snapshot = _read_snapshot(node)
             if snapshot is not None:
                 raft.send_snapshot(node.replica, target, snapshot)
         raft.record_synced(node.replica, ready, clock.now(), node.rng)
@@ -261,6 +262,20 @@
         _take_snapshot_if_due(node)
 
 
+def _read_snapshot(node: ControlNode) -> Snapshot | None:
+    """Read the snapshot of this box; None if there is none or no descriptor is left to read it.
+
+    The leader sends a snapshot that was not acknowledged again after a timeout.
+    """
+    try:
+        return load_snapshot(node.journal.folder)
+    except OSError as error:
+        if error.errno not in (errno.EMFILE, errno.ENFILE):
+            raise
+        logger.warning("snapshot not read", extra={"detail": str(error)})
+        return None
+
+
 def _try_write(node: ControlNode, ready: Ready) -> bool:
     """Write the replica's pending work, and retain it for a retry if the disk is full.
 
@@ -379,7 +394,7 @@
     except StorageError as error:
         if error.problem.code is not ResultCode.DISK_FULL:
             raise
-        logger.error("not enough disk space for a snapshot", extra={"detail": error.problem.detail})
+        logger.error("snapshot not taken", extra={"detail": error.problem.detail})
         node.snapshot_retry_at = clock.now() + SNAPSHOT_RETRY_SECONDS
         return
     log.compact(node.applied_index)
--- a/src/ledgeladder/storage/files.py
+++ b/src/ledgeladder/storage/files.py
@@ -87,12 +87,13 @@
         sync: Syncs an open file descriptor to the disk.
 
     Raises:
-        StorageError: If the disk is full or the sync fails.
+        StorageError: If the sync fails, or with code DISK_FULL if the disk is full or the process
+            has no descriptor left; the file is then unchanged.
     """
     temporary = path.with_suffix(path.suffix + ".tmp")
     with translate_disk_errors(path):
         try:
-            with FileIO(temporary, "w") as file:
+            with _create(temporary) as file:
                 write_all(file, content)
                 sync(file.fileno())
         except OSError:
@@ -101,3 +102,19 @@
             raise
         os.replace(temporary, path)
         sync_folder(path.parent)
+
+
+def _create(path: Path) -> FileIO:
+    """Create an empty file.
+
+    Raises:
+        StorageError: With code DISK_FULL if no descriptor is left. Nothing was written, so that the
+            caller may try again.
+        OSError: If it cannot be created otherwise.
+    """
+    try:
+        return FileIO(path, "w")
+    except OSError as error:
+        if error.errno not in (errno.EMFILE, errno.ENFILE):
+            raise
+        raise storage_error(ResultCode.DISK_FULL, f"{path}: {error.strerror}") from error
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -14,6 +14,8 @@
 from ledgeladder.storage import StorageError, create_identity, open_journal, read_identity
 from ledgeladder.storage.journal import JOURNAL_FILE, SNAPSHOT_FILE
 
+from .descriptors import free_descriptors
+
 
 def entry(index: int, term: int = 1, data: bytes = b"data") -> LogEntry:
     return LogEntry(index=index, term=term, kind=EntryKind.COMMAND, data=data)
@@ -182,3 +184,23 @@
     original = path.read_bytes()
     path.write_bytes(original[: synced + 100] + b"\0" * 512 + original[synced + 612 :])
     assert open_error_code(tmp_path) is ResultCode.JOURNAL_CORRUPT
+
+
+@pytest.mark.parametrize("free", [0, 1, 2])
+def test_snapshot_without_descriptors_fails_like_a_full_disk_and_loses_nothing(
+    tmp_path: Path, free: int
+) -> None:
+    """Guards against a process that ends since connections have used up its descriptors."""
+    fill_journal(tmp_path)
+    journal, _ = open_journal(tmp_path)
+    taken = True
+    with free_descriptors(free):
+        try:
+            journal.save_snapshot(snapshot(3), HardState(term=1), [entry(4), entry(5)])
+        except StorageError as error:
+            assert error.problem.code is ResultCode.DISK_FULL
+            taken = False
+    assert taken == (free >= 1)
+    journal.write(None, [entry(6)])
+    journal.close()
+    assert recovered_indexes(tmp_path)[-3:] == [4, 5, 6]
