An upstream cannot register an address that cannot be connected to

Callers would see streams that no engine is ordered to serve: one engine that registers a port above 65535 makes the task that orders layers fail each time it has an order for that engine, with the orders of all others; an address with a zero byte, with a port of other digits or with a host name that is no valid one does the same to each task that connects to it. A host name was looked up, which blocks the event loop.

Cause: any text with a colon and digits was an address; the errors that opening such a connection raises are not among those of a connection (OverflowError, ValueError, TypeError).

--- a/src/ledgeladder/platform/registrations.py
+++ b/src/ledgeladder/platform/registrations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from typing import Annotated, Final
 
 import msgspec
@@ -22,6 +23,11 @@
 """Separates the id of an upstream from the start time in the name of an instance. Ids come from
 URL paths, which end before it, and cannot contain it."""
 
+MAX_PORT: Final = 65535
+
+MAX_PORT_DIGITS: Final = 5
+"""Digits of `MAX_PORT`; converting a long row of digits raises an error."""
+
 _STATES: Final = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 
@@ -95,6 +101,24 @@
     return exit_registration(instance_name(instance, started_ms), instance)
 
 
+def _is_address(text: str) -> bool:
+    """Return True for an IPv4 address and a port that connections can be opened to.
+
+    A host name is none: resolving it would block the event loop.
+
+    >>> [_is_address(text) for text in ("10.0.0.1:8080", "a.example:80", "10.0.0.1:70000")]
+    [True, False, False]
+    """
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
 def decode_heartbeat(instance: str, body: bytes) -> Result[Registration, Problem]:
     """Decode one heartbeat.
 
@@ -114,8 +138,7 @@
     if INSTANCE_SEPARATOR in instance:
         return _invalid(f"id {instance!r}")
     state = _STATES.get(heartbeat.state)
-    host, separator, port = heartbeat.address.rpartition(":")
-    if state is None or not (separator and host and port.isdigit()):
+    if state is None or not _is_address(heartbeat.address):
         return _invalid(f"state {heartbeat.state!r}, address {heartbeat.address!r}")
     return Success(
         Registration(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -172,6 +172,14 @@
         {"state": "sleeping"},
         {"address": "nowhere"},
         {"address": "10.0.0.1:x"},
+        {"address": "10.0.0.1:70000"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:²"},
+        {"address": "10.0.0.1:" + "9" * 3000},
+        {"address": "\0:80"},
+        {"address": "\ud800:80"},
+        {"address": "ä..b:80"},
+        {"address": "engine.example:80"},
         {"sequence": "4"},
         {"service": None},
         {"layers": "all"},
@@ -179,6 +187,7 @@
     ],
 )
 def test_malformed_heartbeat_is_refused(change: dict[str, Any]) -> None:
+    """Guards also against an address that fails in each task that connects to it."""
     refused = decode_heartbeat("i-1", json.dumps(HEARTBEAT | change).encode())
     assert isinstance(refused, Failure)
     assert refused.failure().code is ResultCode.REGISTRATION_INVALID
