An unexpected error of one engine's order or check stays there

An order that fails in such a way counts as unanswered, and a check as refused; both are logged with the engine's name.

--- a/src/ledgeladder/daemons/registry/order_sending.py
+++ b/src/ledgeladder/daemons/registry/order_sending.py
@@ -56,7 +56,12 @@
     seconds = order.load_seconds if order is not None else 0.0
     update = OrderUpdate(instance=engine.instance, holding=holding, load_seconds=seconds)
     post_to_all(state.peers.links.values(), update)
-    outcome = await send_order(state, engine, holding, fence)
+    try:
+        outcome = await send_order(state, engine, holding, fence)
+    except Exception:
+        # Raised further, it would cancel the orders to all other engines.
+        logger.exception("order failed", extra={"upstream": engine.instance})
+        outcome = OrderOutcome.NO_ANSWER
     record_outcome(state.order_ledger, engine.instance, outcome, fence)
     logger.info(
         "layers ordered",
--- a/src/ledgeladder/daemons/registry/upstream_ends.py
+++ b/src/ledgeladder/daemons/registry/upstream_ends.py
@@ -100,6 +100,9 @@
     try:
         async with limiter:
             accepted = await _accepts(state, instance)
+    except Exception:
+        # Raised further, it would cancel the checks of all other engines.
+        logger.exception("check failed", extra={"upstream": instance})
     finally:
         end_check(state.losses, instance, accepted=accepted)
 
