A call of one upstream that fails unexpectedly ends no other

Callers of the own interface would see entry boxes that end by themselves: an operator may add an upstream at a port above 65535, and each box that checks it gets an error that is not among those of a call. It cancelled the checks of all engines, and the sixth within ten seconds ended the process; the same call is behind probes, orders and the platform's box list.

Cause: callers handle httpx.HTTPError, and calls raise others as well: InvalidURL, and a group with OverflowError. A call now turns each unexpected error into one, after a log line with the URL and the error.

The end of a process by this was not played.

--- a/src/ledgeladder/upstreams/calls.py
+++ b/src/ledgeladder/upstreams/calls.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Final
 
 import httpx
 
+logger = logging.getLogger(__name__)
+
 MAX_SHORT_ANSWER_BYTES: Final = 64 * 1024
 """Longest body of an answer to a probe, a report, an order or a cancellation."""
 
@@ -35,10 +38,18 @@
         The answer and its body, whose content coding is not decoded.
 
     Raises:
-        httpx.HTTPError: If there is no whole answer, or if it is too long.
+        httpx.HTTPError: If there is no whole answer, if it is too long, or if the call failed in
+            another way, as with an address that no connection can be opened to.
     """
-    async with client.stream(method, url, content=content) as response:
-        return response, await read_short_body(response, limit)
+    try:
+        async with client.stream(method, url, content=content) as response:
+            return response, await read_short_body(response, limit)
+    except httpx.HTTPError:
+        raise
+    except Exception as error:
+        # Most callers call many upstreams in one task group, where it would cancel all calls.
+        logger.warning("call failed unexpectedly", extra={"url": url}, exc_info=error)
+        raise httpx.TransportError(f"{url}: {type(error).__name__}: {error}") from error
 
 
 async def read_short_body(response: httpx.Response, limit: int = MAX_SHORT_ANSWER_BYTES) -> bytes:
