A datagram that cannot be handled ends no membership

An unexpected error in handling one datagram of another box closed the socket of the membership and started it anew, with the loss of what its box was about to tell, and again with each repetition; the sixth within ten seconds ended the process before restarts had a back-off. It is logged with its source now, and the next one is handled. Found by reading, shown with a planted error: the test failed before and passes now.

--- a/src/ledgeladder/daemons/entry/membership_driver.py
+++ b/src/ledgeladder/daemons/entry/membership_driver.py
@@ -91,9 +91,14 @@
             continue
         context.metrics.gossip_bytes_received += len(data)
         reports = dict(membership.reports)
-        replies = protocol.receive(membership, message, now())
-        if membership.reports != reports:
-            apply_reports(context, membership)
+        try:
+            replies = protocol.receive(membership, message, now())
+            if membership.reports != reports:
+                apply_reports(context, membership)
+        except Exception:
+            # Raised further, it would end the membership of this box, again with each repetition.
+            logger.exception("datagram failed", extra={"source": source[0]})
+            continue
         await send(replies)
 
 
