An unexpected error of a request is answered and logged as such

Callers saw a connection that closed without an answer, with the requests that they had sent ahead on it, and the log said that the caller had left: the line of a request took any error for that.

An error that is not one of a connection is now logged as "request failed" with its traceback, and answered with 502, UNEXPECTED_ERROR, unless an answer has begun: it promises nothing, as the request may have run. Errors of connections are judged as before.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -8,7 +8,9 @@
 import anyio
 
 from ...http1 import HttpSite
-from ...model import ProblemError
+from ...http1.server import DISCONNECT_ERRORS
+from ...links.endpoint import describe_error
+from ...model import Problem, ProblemError, ResultCode
 from ...model.traffic import RequestKind
 from ...platform.exchange import read_caller_facts
 from ..plain_problems import write_problem
@@ -58,6 +60,16 @@
             outcome = f"{error.problem.code.name}: {error.problem.detail}"
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
             await write_problem(exchange, error.problem)
+        except Exception as error:
+            if _is_disconnect(error):
+                raise
+            code = ResultCode.UNEXPECTED_ERROR
+            outcome = f"{code.name}: {describe_error(error)}"
+            state.metrics.counters[f"code-{code.name}"] += 1
+            logger.exception("request failed", extra={"request": facts.attempt_id})
+            if exchange.started:
+                raise
+            await write_problem(exchange, Problem(code=code))
         finally:
             if outcome == CALLER_DISCONNECTED and state.out_of_time:
                 outcome = STOPPED
@@ -71,6 +83,13 @@
     )
 
 
+def _is_disconnect(error: Exception) -> bool:
+    """Return True if an error only says that a connection has ended."""
+    if isinstance(error, ExceptionGroup):
+        return error.split(DISCONNECT_ERRORS)[1] is None
+    return isinstance(error, DISCONNECT_ERRORS)
+
+
 async def _forward(
     state: GatewayState,
     permit: Permit,
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -63,6 +63,7 @@
     STARTING = 1401
     STOPPING = 1402
     BELIEF_STALE = 1403
+    UNEXPECTED_ERROR = 1404
     VERSION_CONFLICT = 2001
     VERSION_FUTURE = 2002
     CHANGE_ID_REUSED = 2003
@@ -182,6 +183,9 @@
     ResultCode.BELIEF_STALE: _entry(
         503, _NOT_RUN, "The box cannot be sure that it knows the newest configuration and keys."
     ),
+    ResultCode.UNEXPECTED_ERROR: _entry(
+        502, _UNKNOWN, "A fault of the box ended the request, which may have been executed."
+    ),
     ResultCode.VERSION_CONFLICT: _entry(
         409, _NOT_RUN, "Another change was accepted first; the answer names the current version."
     ),
