--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -64,7 +64,7 @@
 repeat_reserve = {repeat_reserve}
 heartbeat_ms = {heartbeat_ms}
 revocation_ms = {revocation_ms}
-stop_seconds = 8
+stop_seconds = {stop_seconds}
 """
 
 
@@ -110,6 +110,9 @@
     heartbeat_ms: int = 300
     """Time between heartbeats of an upstream, in milliseconds."""
 
+    stop_seconds: int = 8
+    """Time for a planned stop, in seconds."""
+
     port: int = 0
     """First port of every box; random."""
 
@@ -175,6 +178,7 @@
             revocation_ms=self.revocation_ms,
             repeat_reserve=self.repeat_reserve,
             heartbeat_ms=self.heartbeat_ms,
+            stop_seconds=self.stop_seconds,
         )
         path.write_text(text)
         return path
@@ -246,7 +250,8 @@
             name: The upstream.
             mode: `rest`, the `Retry-After` of refusals, or empty for refusals without one;
                 `rest_of_calls`, the same for reports and orders; `leaving`, True to announce
-                draining; `limit`, the announced requests a second.
+                draining; `limit`, the announced requests a second; `seconds`, the duration of a
+                plain request.
         """
         path = self.folder / f"{name}.mood"
         # Several threads may set it at once; the rename makes each write atomic.
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -98,9 +98,9 @@
     mood: Path | None = None
     """File that controls its responses: a JSON object with `rest`, the `Retry-After` of refusals
     while all requests are refused, `rest_of_calls`, the same for reports and orders, `leaving`,
-    true to announce draining, `limit`, the announced requests a second, and `unframed`, how answers
-    with neither a length nor chunks end (`whole`, `inside` or `reset`). Read for each request;
-    without the file it serves normally."""
+    true to announce draining, `limit`, the announced requests a second, `seconds`, the duration of
+    a plain request, and `unframed`, how answers with neither a length nor chunks end (`whole`,
+    `inside` or `reset`). Read for each request; without the file it serves normally."""
 
     instance: str = ""
     """Instance id; random for each process unless it is kept over restarts."""
@@ -269,7 +269,7 @@
     await crash_on_word(upstream, request)
     upstream.in_progress += 1
     try:
-        await anyio.sleep(upstream.seconds)
+        await anyio.sleep(read_response_mode(upstream).get("seconds", upstream.seconds))
     finally:
         upstream.in_progress -= 1
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/plain")]
