A stopping listener answers the requests that it has read

Callers saw: of two requests sent one behind the other on a connection, the second got no answer when a planned stop began while the first was answered, though the box had read it long before it closed.

Cause: the loop of a connection ended after the answer that a stop found in progress, whatever had been read behind it; an answer begun before the stop had told nobody that its connection would close.

Now the loop goes on while bytes of a further request are read, and only the last answer says `Connection: close`.

--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -95,7 +95,8 @@
     cost of the extra task, which is a large part of handling a heartbeat."""
 
     stopping: bool = False
-    """True once a planned stop has begun. Answers that start afterwards close their connections."""
+    """True once a planned stop has begun. Answers that start afterwards close their connections,
+    unless a further request was already read."""
 
     idle_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
     """Cancel scopes of connections that wait for a request."""
@@ -179,7 +180,9 @@
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
         self.started = True
-        if self.site.stopping or self.closes_connection:
+        # A request that was sent ahead and read is answered too.
+        ends_here = self.site.stopping and not self.protocol.trailing_data[0]
+        if ends_here or self.closes_connection:
             headers = [*headers, (b"Connection", b"close")]
         return self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
 
@@ -416,5 +419,5 @@
             return
         finally:
             site.in_progress -= 1
-        if not reusable or site.stopping:
+        if not reusable or (site.stopping and not connection.protocol.trailing_data[0]):
             return
