A planned stop sends only what it can answer, and answers the rest

Callers saw: requests that came during the notice of a planned stop, or waited in a queue when it began, were sent to upstreams and cut without an answer at its end, among them requests that may run once only.

Cause: whether a stopping box took a request depended on a share of its time for the stop only, never on how long the request could take; what waited in a queue was not checked again; and the end of the stop cancelled the tasks of requests, whose connections then closed without a status.

Now the decision is a pure function of the stop's window, the request's deadline (route timeout or caller's, whichever is less) and the usual time of such requests (target latency, or mean and four deviations of the observed times): - a request that may run once only is sent if its deadline is before the end; - one that may be repeated also if its usual time is; - others are refused at once as not run (503 STOPPING with Retry-After). It is asked when a request is checked, before each attempt is planned, and once more when its connection is open, so that no queue, slow connection or relay passes it by. A request that may have run is not refused any more.

At the end the scopes of what is being sent are cancelled, not the tasks: not run is 503, may have run is 502 UPSTREAM_LOST with the reason, an answer of an upstream that is already there is passed on, and a begun stream breaks off unframed.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -12,7 +12,7 @@
 from ...model.traffic import RequestKind
 from ...platform.exchange import read_caller_facts
 from ..plain_problems import write_problem
-from .checks import Permit, permit_request
+from .checks import OUT_OF_TIME, Permit, permit_request
 from .crashes import refuse_quarantined
 from .notes import RequestTrace, log_fields
 from .plain import forward_plain
@@ -29,7 +29,7 @@
 CALLER_DISCONNECTED: Final = "caller-left"
 """Outcome of a request whose caller closed the connection."""
 
-STOPPED: Final = "broken-off: the planned stop ran out of time"
+STOPPED: Final = f"broken-off: {OUT_OF_TIME}"
 """Outcome of a request that was cancelled because a planned stop timed out."""
 
 
--- a/src/ledgeladder/daemons/gateway/checks.py
+++ b/src/ledgeladder/daemons/gateway/checks.py
@@ -1,19 +1,26 @@
-"""Checks a request's route, client account and deadline against one version of the document."""
+"""Checks a request's route, client account and deadline against one version of the document.
+
+Once a planned stop has begun, it also checks whether the stop leaves time for an answer.
+"""
 
 from __future__ import annotations
 
 import sys
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
 import anyio
 import msgspec
 
 from ...model import Problem, ProblemError, ResultCode
+from ...routing.attempt_counts import AttemptCounts
 from ...routing.contention import rank_of, request_rank
 from ...routing.route_index import choose_pool, find_route
 from .state import check_freshness
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...http1 import HttpRequest
     from ...model.exchange import CallerFacts
     from ...model.traffic import AccountKeys, RouteRule, UpstreamPool
@@ -36,6 +43,9 @@
 LAST_RANK: Final = sys.maxsize
 """Rank of a request that is refused in any case, and need not be answered before others."""
 
+OUT_OF_TIME: Final = "the planned stop ran out of time"
+"""Why a request ended that was in progress when a planned stop ended."""
+
 ANSWER_MARGIN_SECONDS: Final = 0.05
 """Subtracted from a caller's timeout for the transmission of the final answer."""
 
@@ -94,7 +104,7 @@
     """
     configuration = state.configuration
     if state.refusing:
-        raise refusal(ResultCode.STOPPING, "the box stops", STOPPING_RETRY_AFTER_SECONDS)
+        raise refuse_in_stop("the box stops")
     if configuration is None:
         raise _starting(state, "no document yet")
     is_fresh = check_freshness(state, anyio.current_time())
@@ -118,7 +128,7 @@
     if facts.timeout is not None:
         seconds = min(seconds, facts.timeout - ANSWER_MARGIN_SECONDS)
     priority, engine_priority = _priorities(state, route, account, pool.name)
-    return Permit(
+    permit = Permit(
         facts=facts,
         route=route,
         pool=pool,
@@ -128,6 +138,45 @@
         version=configuration.version,
         engine_priority=engine_priority,
     )
+    reason = explain_stop_refusal(state, permit, counts=AttemptCounts())
+    if reason:
+        raise refuse_in_stop(reason)
+    return permit
+
+
+def refuse_in_stop(reason: str) -> ProblemError:
+    """Build the refusal of a request that a planned stop may not finish, and that has not run."""
+    return refusal(ResultCode.STOPPING, reason, STOPPING_RETRY_AFTER_SECONDS)
+
+
+def explain_stop_refusal(state: GatewayState, permit: Permit, *, counts: AttemptCounts) -> str:
+    """Return why a planned stop forbids to send a request now; empty if it does not.
+
+    One that may have run is not refused any more, and goes on until the stop ends.
+
+    Args:
+        state: State of the process.
+        permit: Permit of the request.
+        counts: Its attempts so far.
+    """
+    if state.stop_window is None or counts.may_have_run:
+        return ""
+    # Imported here because only a box that stops needs it.
+    from .stopping import explain_refusal
+
+    return explain_refusal(state, permit)
+
+
+@contextmanager
+def ends_with_stop(state: GatewayState, scope: anyio.CancelScope) -> Iterator[None]:
+    """Let a planned stop that ends cancel a scope while the block runs."""
+    state.stop_scopes.add(scope)
+    if state.out_of_time:
+        scope.cancel()
+    try:
+        yield
+    finally:
+        state.stop_scopes.discard(scope)
 
 
 def may_repeat(state: GatewayState, permit: Permit) -> bool:
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -42,13 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-NOTICE_SHARE: Final = 0.36
-"""Share of a planned stop's time in which new connections are still served: the load balancer polls
-once a second and needs two failures in a row. The rest is for streams in progress."""
-
-STOP_MARGIN_SECONDS: Final = 0.4
-"""Time before the end of a planned stop at which requests in progress are cancelled."""
-
 POLL_SECONDS: Final = 0.05
 """Interval at which a planned stop checks whether requests are still in progress."""
 
@@ -194,26 +187,36 @@
 
 
 async def _stop(state: GatewayState, callers: HttpSite) -> None:
-    """Stop without cancelling requests, if they complete in time.
+    """Stop so that each request that was sent to an upstream gets a final answer.
 
-    The box reports itself as not ready but still serves, then refuses new requests, closes idle
-    connections and waits for requests in progress. Those that do not complete in time are
-    cancelled and logged.
+    The box reports itself as not ready but still serves what can be answered in time, then refuses
+    new requests, closes idle connections and waits for requests in progress. Those that do not
+    complete in time are ended with an answer, and streams that have begun break off.
     """
+    # Imported here because only a box that stops needs it.
+    from .stopping import end_requests, plan_stop
+
+    window = plan_stop(anyio.current_time(), state.settings.bounds.stop_seconds)
+    state.stop_window = window
     state.stopping = True
     callers.stopping = True
     logger.info("planned stop", extra={"in_progress": callers.in_progress})
-    limit = state.settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
-    with anyio.move_on_after(limit) as scope:
-        await anyio.sleep(state.settings.bounds.stop_seconds * NOTICE_SHARE)
+    with anyio.CancelScope(deadline=window.ends_at) as scope:
+        await anyio.sleep_until(window.refuses_at)
         callers.listening.cancel()
         state.refusing = True
         callers.close_idle()
         while callers.in_progress or callers.open_connections or state.relays_open:
             await anyio.sleep(POLL_SECONDS)
             callers.close_idle()
-    if scope.cancelled_caught:
-        state.out_of_time = True
-        logger.warning(
-            "stopped with requests in progress", extra={"in_progress": callers.in_progress}
-        )
+    if not scope.cancelled_caught:
+        return
+    in_progress = callers.in_progress
+    end_requests(state)
+    with anyio.CancelScope(deadline=window.exits_at):
+        while callers.in_progress:
+            await anyio.sleep(POLL_SECONDS)
+    logger.warning(
+        "stopped with requests in progress",
+        extra={"in_progress": in_progress, "unanswered": callers.in_progress},
+    )
--- a/src/ledgeladder/daemons/gateway/plain.py
+++ b/src/ledgeladder/daemons/gateway/plain.py
@@ -47,7 +47,15 @@
 from ...routing.service_choice import choose_service
 from .backpressure import request_grants
 from .borrowing import acquire_retry
-from .checks import Permit, may_repeat, refusal
+from .checks import (
+    OUT_OF_TIME,
+    Permit,
+    ends_with_stop,
+    explain_stop_refusal,
+    may_repeat,
+    refusal,
+    refuse_in_stop,
+)
 from .crashes import count_crashes, record_answered, record_crash, record_parts_answered
 from .notes import content_fingerprint
 from .state import answer_pace, record_duration, retry_budget
@@ -109,6 +117,9 @@
     is_final: bool = False
     """Whether that answer is forwarded without waiting for a better one."""
 
+    stop_reason: str = ""
+    """Why a planned stop forbids to send it; empty if it does not."""
+
 
 class _PlannedAttempt(NamedTuple):
     """An attempt that may begin."""
@@ -151,7 +162,7 @@
     """
     attempts = _Attempts(counts=trace.counts)
     record_first_attempt(retry_budget(state, permit.pool.name), anyio.current_time())
-    with anyio.CancelScope(deadline=permit.deadline):
+    with anyio.CancelScope(deadline=permit.deadline) as scope, ends_with_stop(state, scope):
         await _run_attempts(state, permit, request, attempts, trace)
     if attempts.answer is not None:
         record_answered(state, permit, request, trace)
@@ -216,6 +227,9 @@
     while (upstream := _next_upstream(state, permit, attempts)) is None:
         if not await _wait_for_capacity(state, permit, request, attempts, trace):
             return None
+    attempts.stop_reason = explain_stop_refusal(state, permit, counts=attempts.counts)
+    if attempts.stop_reason:
+        return None
     if count_crashes(state, permit, request, trace) >= CRASH_LIMIT:
         return None
     if not attempts.counts.sent:
@@ -439,7 +453,7 @@
         if await check_exited(state, upstream, set()):
             record_crash(state, permit, request, trace, [upstream], started_at)
     except anyio.get_cancelled_exc_class():
-        end = _evaluate_cancellation(permit, attempt)
+        end = _evaluate_cancellation(state, permit, attempt)
         raise
     finally:
         upstream.in_flight -= 1
@@ -462,12 +476,16 @@
             )
 
 
-def _evaluate_cancellation(permit: Permit, attempt: RunningAttempt) -> _AttemptEnd:
+def _evaluate_cancellation(
+    state: GatewayState, permit: Permit, attempt: RunningAttempt
+) -> _AttemptEnd:
     """Return how an attempt ended that was cancelled; silence is no failure of its upstream."""
     if attempt.stopped is not None:
         return _AttemptEnd(attempt.stopped.value, EndedBy.BOX)
     now = anyio.current_time()
     if now < permit.deadline:
+        if state.out_of_time:
+            return _AttemptEnd(OUT_OF_TIME, EndedBy.BOX)
         return _AttemptEnd("", EndedBy.CALLER)
     return _AttemptEnd(f"no answer within {now - attempt.started_at:.2f} s", EndedBy.CALLER)
 
@@ -616,6 +634,8 @@
         await exchange.answer(head.status_code, headers, attempts.body)
         return
     if not attempts.counts.may_have_run:
+        if attempts.stop_reason or state.out_of_time:
+            raise refuse_in_stop(attempts.stop_reason or OUT_OF_TIME)
         pool, now = _pool(state, permit), anyio.current_time()
         wait = min_remaining_wait(pool, now)
         if wait is not None:
@@ -631,4 +651,6 @@
     is_late = anyio.current_time() >= permit.deadline
     code = ResultCode.DEADLINE_EXCEEDED if is_late else ResultCode.UPSTREAM_LOST
     detail = f"sent {attempts.counts.sent} times without a whole answer"
+    if state.out_of_time and not is_late:
+        detail = f"{OUT_OF_TIME}; {detail}"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -43,6 +43,7 @@
     from ..peers import Peers
     from .probing import RunningProbe
     from .reaching import ReachCheck
+    from .stopping import StopWindow
     from .stream_session import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
@@ -346,7 +347,13 @@
     """True once a planned stop refuses new requests."""
 
     out_of_time: bool = False
-    """True once a planned stop has timed out and cancels the requests in progress."""
+    """True once a planned stop has timed out and ends the requests in progress."""
+
+    stop_window: StopWindow | None = None
+    """Times of the planned stop; None before one."""
+
+    stop_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
+    """Cancel scopes of the requests that are being sent to upstreams."""
 
     def __post_init__(self) -> None:
         self.rate_limiter = RateLimiter(
--- a/src/ledgeladder/daemons/gateway/stream.py
+++ b/src/ledgeladder/daemons/gateway/stream.py
@@ -13,7 +13,7 @@
 from ...routing.pace import record_gap
 from ...routing.repeat_window import record_first_attempt, release_retry
 from ...routing.stream_patience import stream_timeouts
-from .checks import Permit, refusal
+from .checks import OUT_OF_TIME, Permit, ends_with_stop, refusal, refuse_in_stop
 from .crashes import ANSWERED_EVENTS, record_answered, record_parts_answered
 from .reaching import probe_timeout
 from .state import retry_budget
@@ -109,9 +109,10 @@
     Returns:
         Whether its deadline passed.
     """
+    trace = session.trace
     record_first_attempt(retry_budget(state, permit.pool.name), anyio.current_time())
     seconds = max(0.0, permit.deadline - anyio.current_time())
-    with anyio.move_on_after(seconds) as scope:
+    with anyio.move_on_after(seconds) as scope, ends_with_stop(state, scope):
         async with anyio.create_task_group() as tasks:
             while not session.complete:
                 is_running = bool(session.race.running)
@@ -130,6 +131,9 @@
                 await session.changed.wait()
                 session.changed = anyio.Event()
             # Attempts that another one superseded have been stopped, and end by themselves.
+    if scope.cancelled_caught and state.out_of_time:
+        trace.give_up_reason = OUT_OF_TIME
+        return False
     return scope.cancelled_caught
 
 
@@ -254,6 +258,8 @@
         return
     attempts = session.attempts
     if not attempts.may_have_run:
+        if session.stop_reason or state.out_of_time:
+            raise refuse_in_stop(session.stop_reason or OUT_OF_TIME)
         # Imported here because only refused requests need it.
         from .retry_after import retry_after_full, retry_after_no_path
 
@@ -271,4 +277,6 @@
         )
     code = ResultCode.DEADLINE_EXCEEDED if timed_out else ResultCode.UPSTREAM_LOST
     detail = f"sent {attempts.sent} times without a first event"
+    if state.out_of_time:
+        detail = f"{OUT_OF_TIME}; {detail}"
     raise ProblemError(Problem(code=code, detail=detail, execution=Execution.UNKNOWN))
--- a/src/ledgeladder/daemons/gateway/stream_attempt.py
+++ b/src/ledgeladder/daemons/gateway/stream_attempt.py
@@ -23,6 +23,7 @@
 )
 from ...routing.link_load import record_transfer
 from ...routing.paths import ChosenPath, count_prompt
+from .checks import OUT_OF_TIME
 from .crashes import record_crash
 from .notes import content_fingerprint
 from .reaching import proves_exit
@@ -98,7 +99,7 @@
     finally:
         attempt.end_prompt()
         release_room(session, attempt)
-        end = _evaluate_end(attempt, end)
+        end = _evaluate_end(state, attempt, end)
         if end.result in (AttemptResult.LOST, AttemptResult.SUPERSEDED):
             reached = _reached_engines(path, attempt.started_at)
             record_crash(
@@ -114,10 +115,13 @@
     return end.result
 
 
-def _evaluate_end(attempt: RunningAttempt, end: AttemptEnd | None) -> AttemptEnd:
+def _evaluate_end(
+    state: GatewayState, attempt: RunningAttempt, end: AttemptEnd | None
+) -> AttemptEnd:
     """Return how an attempt ended, considering that this box may have stopped it.
 
     Args:
+        state: State of the process.
         attempt: The attempt.
         end: Its end by itself; None if it was cancelled.
     """
@@ -125,6 +129,8 @@
         is_superseded = attempt.stopped is StopReason.SUPERSEDED
         result = AttemptResult.SUPERSEDED if is_superseded else AttemptResult.LOST
         end = AttemptEnd(result, attempt.stopped.value, EndedBy.BOX)
+    if end is None and state.out_of_time:
+        end = AttemptEnd(AttemptResult.LOST, OUT_OF_TIME, EndedBy.BOX)
     if end is None:
         end = AttemptEnd(AttemptResult.LOST, ended_by=EndedBy.CALLER)
     if end.result in (AttemptResult.LOST, AttemptResult.SUPERSEDED) and not attempt.was_sent:
--- a/src/ledgeladder/daemons/gateway/stream_paths.py
+++ b/src/ledgeladder/daemons/gateway/stream_paths.py
@@ -24,7 +24,7 @@
 from ...routing.suspected_links import link_penalties
 from .backpressure import request_grants
 from .borrowing import acquire_retry
-from .checks import may_repeat
+from .checks import explain_stop_refusal, may_repeat
 from .crashes import count_crashes
 from .state import retry_budget
 from .stream_session import release_room
@@ -50,7 +50,13 @@
 def explain_no_attempt(
     state: GatewayState, permit: Permit, request: HttpRequest, session: StreamSession
 ) -> str:
-    """Return why another attempt is not allowed; empty if it is. The first one always is."""
+    """Return why another attempt is not allowed; empty if it is.
+
+    The first one always is, unless a planned stop leaves no time for it.
+    """
+    session.stop_reason = explain_stop_refusal(state, permit, counts=session.attempts)
+    if session.stop_reason:
+        return session.stop_reason
     running = session.race.running
     reason = explain_no_further_attempt(
         session.attempts,
--- a/src/ledgeladder/daemons/gateway/stream_session.py
+++ b/src/ledgeladder/daemons/gateway/stream_session.py
@@ -127,6 +127,9 @@
     missing: NoPathReason | None = None
     """Why the last search for a path failed; None if none failed."""
 
+    stop_reason: str = ""
+    """Why a planned stop forbids to send it; empty if it does not."""
+
     failure: OpenAnswer | None = None
     """Error response of an engine."""
 
--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -19,9 +19,11 @@
 )
 from ...model.exchange import MAX_ANSWER_BYTES
 from ...platform.exchange import dispatch_headers, read_answer_facts
+from ...routing.attempt_counts import AttemptCounts
 from ...routing.forwarding_table import accepts_work, is_backing_off, record_load
 from ...routing.rate_grants import acquire_grants
 from .backpressure import handle_backpressure
+from .checks import explain_stop_refusal
 from .reaching import NoRelayError, connect_upstream
 
 if TYPE_CHECKING:
@@ -70,7 +72,8 @@
 class BackpressureError(Exception):
     """An upstream applied back-pressure after it was chosen; nothing was sent.
 
-    It is backing off, is draining, or has a rate limit that leaves this box no grant.
+    It is backing off, is draining, or has a rate limit that leaves this box no grant; or a planned
+    stop of this box leaves no time for an answer.
     """
 
 
@@ -137,8 +140,8 @@
 
     Raises:
         NotSentError: If nothing was sent.
-        BackpressureError: If a target applied back-pressure, or its rate grants were used up, while
-            the connection was being opened.
+        BackpressureError: If a target applied back-pressure, or its rate grants were used up, or a
+            planned stop began, while the connection was being opened.
         AnswerLostError: If the request may have been executed but no answer to it was received.
     """
     connection = await _get_connection(state, upstream, permit, fresh_connection=fresh_connection)
@@ -146,7 +149,10 @@
         trace.relayed_by = connection.relayed_by
     sent_at = anyio.current_time()
     targets = (upstream, *later_engines)
-    reason = _backpressure_reason(targets, sent_at)
+    counts = AttemptCounts() if trace is None else trace.counts
+    reason = _backpressure_reason(targets, sent_at) or explain_stop_refusal(
+        state, permit, counts=counts
+    )
     if reason:
         await connection.close()
         raise BackpressureError(reason)
--- a/tests/daemons/test_stop_answers.py
+++ b/tests/daemons/test_stop_answers.py
@@ -289,18 +289,26 @@
     assert run_counts(fleet)[second] == (outcome.status == 200)
 
 
+def count_backoffs(fleet: DiscoveredFleet) -> int:
+    """Return how often services asked the second gateway for rest."""
+    lines = fleet.log("gateway-1")
+    return sum(line["message"] == "upstream requested back-off" for line in lines)
+
+
 def test_request_that_waits_when_a_planned_stop_begins_is_not_sent_late(
     fleet: DiscoveredFleet,
 ) -> None:
     """Failure: a request that may run once only waited for upstreams when a planned stop began, was
     sent, and ended without an answer."""
     set_mode(fleet, rest=str(WAIT_SECONDS), seconds=LONG_SECONDS)
-    # The first requests are refused by the services, which begins the back-off.
-    refused = len(fleet.ledger("refused"))
+    known = count_backoffs(fleet)
     with ThreadPoolExecutor(max_workers=8) as threads:
-        running = [threads.submit(send, fleet, 1, "patient") for _ in range(3)]
-        wait_until(lambda: len(fleet.ledger("refused")) > refused, 10, "refused by a service")
+        # Both services refuse the first request, and the others wait for them.
+        running = [threads.submit(send, fleet, 1, "patient")]
+        wait_until(lambda: count_backoffs(fleet) >= known + 2, 10, "back-off of both services")
+        running += [threads.submit(send, fleet, 1, "patient") for _ in range(3)]
         fleet.signal("gateway-1", signal.SIGTERM)
+        wait_until(lambda: not fleet.ready(1), 5, "not ready")
         set_mode(fleet, seconds=LONG_SECONDS)
     outcomes = [item.result() for item in running]
     assert {item.status for item in outcomes} == {503}, [item.data for item in outcomes]
