--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -114,6 +114,8 @@
     route_choice: str = "better-of-two"
     stall_seconds: float = 0.0
     """Fixed stall timeout of the entries; 0 to derive it from the pace of each stream."""
+    stop_limit_seconds: float = 0.0
+    """How long an entry that stops waits for requests in progress; 0 for the default."""
     spare_controls: int = 0
     """Additional listed control boxes, which start with an empty folder, as learners."""
     processes: dict[str, Process] = field(default_factory=dict)
@@ -248,6 +250,11 @@
                     "stop_notice_seconds = 0.3",
                     f'route_choice = "{self.route_choice}"',
                     f"stall_seconds = {self.stall_seconds}" if self.stall_seconds else "",
+                    (
+                        f"stop_limit_seconds = {self.stop_limit_seconds}"
+                        if self.stop_limit_seconds
+                        else ""
+                    ),
                     "[platform]",
                     f'box_list_url = "http://{self.addresses["platform"]}/boxes"',
                     self._controls_text(self.control_names),
