The rule for requests in a planned stop is a part of routing

No change of behaviour: the pure decision moves from the gateway to `routing`, so that the own interface uses the same one.

--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -194,11 +194,9 @@
     complete in time are ended with an answer, and streams that have begun break off.
     """
     # Imported here because only a box that stops needs it.
-    from .stopping import end_requests, plan_stop
+    from .stopping import begin_stop, end_requests
 
-    window = plan_stop(anyio.current_time(), state.settings.bounds.stop_seconds)
-    state.stop_window = window
-    state.stopping = True
+    window = begin_stop(state)
     callers.stopping = True
     logger.info("planned stop", extra={"in_progress": callers.in_progress})
     with anyio.CancelScope(deadline=window.ends_at) as scope:
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -37,13 +37,13 @@
     from ...model.traffic import TrafficConfiguration
     from ...routing.admission_level import AdmissionLevel
     from ...routing.admission_view import SettledRoom
+    from ...routing.planned_stop import StopWindow
     from ...routing.pool_room import PoolRoom
     from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
     from ..peers import Peers
     from .probing import RunningProbe
     from .reaching import ReachCheck
-    from .stopping import StopWindow
     from .stream_session import RunningStream
 
 FRESHNESS_SHARE: Final = 0.85
