A planned stop of an entry answers what it cannot finish

Callers of the own interface saw a 500 without a result code at the end of a planned stop that is shorter than a pipeline's deadline, also for calls that may run once only and were sent after the stop signal.

Cause: the same as in the gateway: nothing compared a request's deadline with the stop, and the end cancelled tasks; the HTTP server then made up an answer.

The entry uses the gateway's rule: before a request is admitted, after its wait, and after a call was claimed. At the end it ends the requests and not their tasks: 503 STOPPING for those that wait or are still being read, 502 UPSTREAM_LOST (unknown) for the others, and the error event for begun streams.

--- a/src/ledgeladder/daemons/entry/answers.py
+++ b/src/ledgeladder/daemons/entry/answers.py
@@ -142,7 +142,7 @@
     emit: Callable[[list[str]], Awaitable[None]],
 ) -> Session:
     token_limit = min(max_tokens, permit.decision.max_tokens or max_tokens)
-    async with admitted(context, permit):
+    async with admitted(context, permit, may_repeat=True):
         request = Generation(
             pipeline=permit.pipeline,
             prompt=prompt,
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -217,7 +217,7 @@
             key=request.headers.get("idempotency-key", ""),
         )
         repeatable = request.headers.get(REPEATABLE_HEADER, "yes").lower() != "no"
-        async with admitted(context, permit):
+        async with admitted(context, permit, may_repeat=repeatable):
             answer = await run_service_call(context, permit, call, repeatable=repeatable)
         record_code(context, ResultCode.OK)
         return _service_response(context, answer)
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -17,6 +17,7 @@
 from ...routing.policy import Decision, RequestFacts, evaluate_policy
 from ..clock import now
 from .metrics import record_duration
+from .stopping import ends_with_stop, refuse_unfinishable
 
 if TYPE_CHECKING:
     from starlette.requests import Request
@@ -108,12 +109,15 @@
     """Read a request body, limited in size and time.
 
     Raises:
-        ProblemError: With code BODY_TOO_LARGE, or MALFORMED_REQUEST if it is incomplete.
+        ProblemError: With code BODY_TOO_LARGE, MALFORMED_REQUEST if it is incomplete, or STOPPING.
     """
     limit = context.settings.entry.body_limit_bytes
     body = bytearray()
     try:
-        with anyio.fail_after(BODY_TIMEOUT_SECONDS):
+        with (
+            ends_with_stop(context, may_have_run=False),
+            anyio.fail_after(BODY_TIMEOUT_SECONDS),
+        ):
             async for chunk in request.stream():
                 body += chunk
                 if len(body) > limit:
@@ -191,25 +195,33 @@
 
 
 @asynccontextmanager
-async def admitted(context: EntryContext, permit: Permit) -> AsyncIterator[None]:
+async def admitted(
+    context: EntryContext, permit: Permit, *, may_repeat: bool
+) -> AsyncIterator[None]:
     """Hold a slot among the requests in progress; wait in the queue if there is none.
 
     Args:
         context: The entry's state.
         permit: The request's permit.
+        may_repeat: Whether the request may run more than once.
 
     Raises:
-        ProblemError: If the request is refused, immediately or once its deadline is too close.
+        ProblemError: If the request is refused, immediately or once its deadline is too close, or
+            if a planned stop ends it.
     """
+    refuse_unfinishable(context, permit, may_repeat=may_repeat)
     ticket = Ticket(account=permit.account.name, rank=permit.rank, deadline=permit.deadline)
     problem = submit(context.admission, permit.account, ticket, now())
     if problem is not None:
         raise ProblemError(problem)
     try:
         if not ticket.admitted:
-            await _wait_in_queue(context, ticket)
+            with ends_with_stop(context, may_have_run=False):
+                await _wait_in_queue(context, ticket)
+            refuse_unfinishable(context, permit, may_repeat=may_repeat)
         record_duration(context.metrics.queue, now() - ticket.arrived_at)
-        yield
+        with ends_with_stop(context, may_have_run=True):
+            yield
     finally:
         for released in finish(context.admission, ticket, now()):
             event = context.tickets.get(released)
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -32,6 +32,7 @@
     from ...model import ClientAccount
     from ...routing.admission import Ticket
     from ...routing.chain import EngineSelector
+    from ...routing.planned_stop import StopWindow
     from ...settings import EntrySettings
     from ..limit_keeper import RateLimiter
     from .command_client import CommandClient
@@ -111,6 +112,15 @@
     stopping: bool = False
     """True once a planned stop has begun."""
 
+    stop_window: StopWindow | None = None
+    """Times of the planned stop; None before one."""
+
+    out_of_time: bool = False
+    """True once a planned stop has timed out and ends the requests in progress."""
+
+    stop_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
+    """Cancel scopes of the requests in progress."""
+
     gate: Gate = msgspec.field(default_factory=Gate)
     """Fences of orders that were forwarded to engines."""
 
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -14,6 +14,7 @@
 from ...routing.chain import better_of_two, least_loaded, round_robin
 from ...routing.upstream_table import apply_draining_list, set_limit
 from ...upstreams.box_list import read_box_list
+from ..clock import now
 from ..http import serve_http, upstream_client
 from ..limit_keeper import RateLimiter, run_rate_limiter
 from ..logs import log_child
@@ -32,6 +33,7 @@
     serve_neighbour,
 )
 from .membership_driver import build_membership, run_membership
+from .stopping import begin_stop, end_requests
 from .watching import probe_suspects, watch_upstreams
 
 if TYPE_CHECKING:
@@ -199,14 +201,26 @@
 
 
 async def _stop(context: EntryContext, stop: anyio.Event) -> None:
-    """Stop without cancelling requests: fail readiness, keep serving, stop listening, drain."""
-    settings = context.settings.entry
-    context.stopping = True
+    """Stop after all requests are answered: fail readiness, keep serving, stop listening, drain.
+
+    Requests that do not complete in time are ended with an answer.
+    """
+    window = begin_stop(context)
     logger.info("planned stop", extra={"in_progress": context.in_progress})
-    await anyio.sleep(settings.stop_notice_seconds)
+    await anyio.sleep(context.settings.entry.stop_notice_seconds)
     stop.set()
-    with anyio.move_on_after(settings.stop_limit_seconds):
+    with anyio.move_on_after(max(0.0, window.ends_at - now())) as scope:
         while context.in_progress:
             await anyio.sleep(STOP_POLL_INTERVAL_SECONDS)
+    if scope.cancelled_caught:
+        in_progress = context.in_progress
+        end_requests(context)
+        with anyio.move_on_after(max(0.0, window.exits_at - now())):
+            while context.in_progress:
+                await anyio.sleep(STOP_POLL_INTERVAL_SECONDS)
+        logger.warning(
+            "stopped with requests in progress",
+            extra={"in_progress": in_progress, "unanswered": context.in_progress},
+        )
     # The HTTP server may still be writing the last answers.
     await anyio.sleep(STOP_POLL_INTERVAL_SECONDS)
--- a/src/ledgeladder/daemons/entry/service_calls.py
+++ b/src/ledgeladder/daemons/entry/service_calls.py
@@ -36,6 +36,7 @@
 from .command_client import commit
 from .context import rate_limiter_of, run_in_background
 from .crashes import may_retry, record_answered, record_crash, refuse_quarantined
+from .stopping import refuse_unfinishable
 
 if TYPE_CHECKING:
 
@@ -202,6 +203,8 @@
     if recorded is not None:
         return recorded
     try:
+        # A planned stop may have begun while the call was claimed.
+        refuse_unfinishable(context, permit, may_repeat=False)
         answer = await _dispatch_claimed(context, permit, claimed)
     except ProblemError as error:
         if error.problem.known_execution is Execution.NOT_RUN:
