--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -39,6 +39,7 @@
     from ...model.traffic import TrafficConfiguration
     from ...routing.admission_level import AdmissionLevel
     from ...routing.admission_view import SettledRoom
+    from ...routing.planned_stop import StopWindow
     from ...routing.pool_room import PoolRoom
     from ...routing.return_times import ReturnBook
     from ...settings import GatewaySettings
@@ -351,7 +352,13 @@
     """True once a planned stop refuses new requests."""
 
     out_of_time: bool = False
-    """True once a planned stop has timed out and cancels the requests in progress."""
+    """True once a planned stop has timed out and ends the requests in progress."""
+
+    stop_window: StopWindow | None = None
+    """Times of the planned stop; None before one."""
+
+    stop_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
+    """Cancel scopes of the requests that are being sent to upstreams."""
 
     def __post_init__(self) -> None:
         self.rate_limiter = RateLimiter(
