A connection to an upstream that is reset at once is a lost connection

Below httpx, anyio asks the transport of a connection for its socket, which is gone once the connection was reset; the AttributeError is none of the errors of a connection. It is now a ReadError, after which a request counts as possibly run.

--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -35,6 +35,17 @@
 """How long hypercorn waits for open connections during shutdown."""
 
 
+class _UpstreamTransport(httpx.AsyncHTTPTransport):
+    """Transport that reports a connection as lost whenever it was reset."""
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        try:
+            return await super().handle_async_request(request)
+        except AttributeError as error:
+            # The library asks the transport for its socket, which is gone after a reset.
+            raise httpx.ReadError(f"connection reset: {error}", request=request) from error
+
+
 def upstream_client(source_address: str | None) -> httpx.AsyncClient:
     """Build the HTTP client for upstreams, without a read timeout: callers monitor progress.
 
@@ -48,7 +59,7 @@
         max_connections=None, max_keepalive_connections=200, keepalive_expiry=KEEP_ALIVE_SECONDS
     )
     # Upstreams use plain HTTP; loading certificates would cost startup time and memory.
-    transport = httpx.AsyncHTTPTransport(
+    transport = _UpstreamTransport(
         verify=False, limits=limits, local_address=source_address, trust_env=False
     )
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS)
