An answer whose status is no HTTP status is no answer

Operators of other systems saw callers get a status of 000. Here 000, 099, 1xx and statuses that are no three digits never reached a caller; 600 and 999 did, on both interfaces, directly and by relay. With Not-Executed, or with the own interface's field, they also counted as a promise that nothing was run, so that a request that may run once only was sent again. A load report was read from an answer with any status.

Cause: the HTTP libraries take 200 to 999 for statuses, and nothing here decided which of them are. Now one range does, before any other part of the head counts: in read_head for gateways and registries, in check_status for the calls of the own interface. A request that may be repeated is tried again within its budget; one that may run once only ends as may have run.

Repeatable requests already got the answer of another upstream.

--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketAttribute
 
 from ..links import connect_tcp, tune_socket
+from ..model.exchange import FINAL_STATUSES
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
@@ -177,6 +178,8 @@
     for _ in range(MAX_INTERIM_ANSWERS + 1):
         event = await _next_event(connection)
         if isinstance(event, h11.Response):
+            if event.status_code not in FINAL_STATUSES:
+                raise AnswerInvalidError(f"status {event.status_code} is no HTTP status")
             return event
         if not isinstance(event, h11.InformationalResponse):
             raise AnswerBrokenError(f"no answer but {type(event).__name__}")
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+FINAL_STATUSES: Final = range(200, 600)
+"""HTTP statuses of final answers (RFC 9110, section 15). Bytes with another one are no answer."""
+
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Longest body of a plain answer, which is kept in memory until it is complete."""
 
--- a/src/ledgeladder/upstreams/calls.py
+++ b/src/ledgeladder/upstreams/calls.py
@@ -6,6 +6,8 @@
 
 import httpx
 
+from ..model.exchange import FINAL_STATUSES
+
 MAX_SHORT_ANSWER_BYTES: Final = 64 * 1024
 """Longest body of an answer to a probe, a report, an order or a cancellation."""
 
@@ -14,6 +16,10 @@
     """The body of an answer exceeds its limit."""
 
 
+class StatusInvalidError(httpx.RemoteProtocolError):
+    """The status of an answer is no HTTP status."""
+
+
 async def call(
     client: httpx.AsyncClient,
     method: str,
@@ -38,9 +44,20 @@
         httpx.HTTPError: If there is no whole answer, or if it is too long.
     """
     async with client.stream(method, url, content=content) as response:
+        check_status(response)
         return response, await read_short_body(response, limit)
 
 
+def check_status(response: httpx.Response) -> None:
+    """Check the status of an answer; without one, nothing else in its head counts.
+
+    Raises:
+        StatusInvalidError: If it is no status of a final answer.
+    """
+    if response.status_code not in FINAL_STATUSES:
+        raise StatusInvalidError(f"status {response.status_code} from {response.url}")
+
+
 async def read_short_body(response: httpx.Response, limit: int = MAX_SHORT_ANSWER_BYTES) -> bytes:
     """Read the body of an open answer.
 
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -20,7 +20,7 @@
 
 from ..http1.backpressure import raise_for_backoff, read_backoff
 from ..routing.session import ReceiptStage, TokenFrame
-from .calls import call, read_short_body
+from .calls import call, check_status, read_short_body
 from .fields import advertised_rate, raw_fields
 
 if TYPE_CHECKING:
@@ -248,6 +248,7 @@
     url = f"http://{request.route[0].address}{RUN_PATH}"
     try:
         async with client.stream("POST", url, content=msgspec.json.encode(request)) as response:
+            check_status(response)
             record_rate(advertised_rate(response))
             if response.status_code != OK_STATUS:
                 await _raise_for_status(response)
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -12,7 +12,7 @@
 from ..http1.backpressure import read_backoff
 from ..model import EXECUTION_HEADER, Execution
 from ..model.exchange import MAX_ANSWER_BYTES
-from .calls import read_short_body
+from .calls import check_status, read_short_body
 from .fields import advertised_rate, raw_fields
 
 if TYPE_CHECKING:
@@ -101,6 +101,7 @@
     url = f"http://{address}/{call.path}"
     try:
         async with client.stream(call.method, url, content=call.body, headers=headers) as response:
+            check_status(response)
             if response.headers.get(EXECUTION_HEADER) == Execution.NOT_RUN.value:
                 await _raise_refused(response)
             body = bytearray()
