An answer that is closed after its head, without a length, is not whole

Here a head that is cut at any byte was an error already, and so was any cut before a length or the last chunk was reached, with no promise that nothing was run. But a head that ends on an empty line before the fields that frame the body, then a close, was passed on as a whole answer with an empty body: plain and streams, directly and by relay, with CRLF or bare LF, and on the own interface.

Cause: without a length or chunks the close is the end of the body (RFC 9112, section 6.3), and nothing asked what the close proves. It is a broken answer now: repeated if the request may be, else told as may have run. An empty body with a length, chunks, or a status without a body stays whole.

A body cut short that only its close ends cannot be told from a whole one and is still passed on, unless it is reset or ends inside an event.

--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -193,13 +193,18 @@
         The part, or None once the answer is complete.
 
     Raises:
-        AnswerBrokenError: If the answer is truncated or invalid.
+        AnswerBrokenError: If the answer is truncated or invalid, or if nothing proves that it is
+            complete: the connection was closed after a head that frames no body.
     """
     event = await _next_event(connection)
     if isinstance(event, h11.Data):
         connection.body_bytes += len(event.data)
         return bytes(event.data)
     if isinstance(event, h11.EndOfMessage):
+        ended_by_close = connection.protocol.trailing_data[1]
+        if ended_by_close and not connection.body_bytes:
+            # The fields that frame the body may be missing from the head.
+            raise AnswerBrokenError("closed after the head, with neither a length nor a body")
         return None
     raise AnswerBrokenError(f"answer ended with {type(event).__name__}")
 
--- a/src/ledgeladder/upstreams/service.py
+++ b/src/ledgeladder/upstreams/service.py
@@ -22,6 +22,9 @@
 REFUSAL_BODY_SECONDS: Final = 0.25
 """Time for the body of a refusal."""
 
+BODILESS_STATUSES: Final = frozenset({204, 304})
+"""Statuses of answers that never have a body."""
+
 
 class ServiceCall(msgspec.Struct, frozen=True, kw_only=True):
     """One call of a plain service."""
@@ -109,6 +112,9 @@
                 body += chunk
                 if len(body) > MAX_ANSWER_BYTES:
                     raise ServiceCallError(Execution.RAN, "the answer is too long")
+            if not body and not _states_length(call, response):
+                detail = "closed after the head, with neither a length nor a body"
+                raise ServiceCallError(Execution.UNKNOWN, detail)
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
         raise ServiceCallError(Execution.NOT_RUN, str(error)) from error
     except httpx.HTTPError as error:
@@ -124,6 +130,13 @@
     )
 
 
+def _states_length(call: ServiceCall, response: httpx.Response) -> bool:
+    """Return whether the end of the body follows from the head (RFC 9112, section 6.3)."""
+    if call.method == "HEAD" or response.status_code in BODILESS_STATUSES:
+        return True
+    return "content-length" in response.headers or "transfer-encoding" in response.headers
+
+
 async def _raise_refused(response: httpx.Response) -> NoReturn:
     """Raise for a service that states that it did not run the call; its body is not needed.
 
