--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -98,9 +98,10 @@
     mood: Path | None = None
     """File that controls its responses: a JSON object with `rest`, the `Retry-After` of refusals
     while all requests are refused, `rest_of_calls`, the same for reports and orders, `leaving`,
-    true to announce draining, `limit`, the announced requests a second, and `unframed`, how answers
-    with neither a length nor chunks end (`whole`, `inside` or `reset`). Read for each request;
-    without the file it serves normally."""
+    true to announce draining, `limit`, the announced requests a second, `unframed`, how answers
+    with neither a length nor chunks end (`whole`, `inside` or `reset`), and `raw`, the bytes that
+    are sent in answer to an executed request, with `ATTEMPT` for its id, before the connection is
+    closed (or reset with `resets`). Read for each request; without the file it serves normally."""
 
     instance: str = ""
     """Instance id; random for each process unless it is kept over restarts."""
@@ -272,6 +273,8 @@
         await anyio.sleep(upstream.seconds)
     finally:
         upstream.in_progress -= 1
+    if await answer_raw(upstream, request, exchange):
+        return
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/plain")]
     unframed = read_response_mode(upstream).get("unframed")
     if unframed:
@@ -303,6 +306,21 @@
     await exchange.stream.aclose()
 
 
+async def answer_raw(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> bool:
+    """Send the bytes of the response mode file and end the connection; returns True if it did."""
+    mode = read_response_mode(upstream)
+    if "raw" not in mode:
+        return False
+    attempt = request.fields.get(b"attempt-id", b"").decode()
+    data = mode["raw"].replace("ATTEMPT", attempt).encode("latin-1")
+    if data:
+        await exchange.stream.send(data)
+    if mode.get("resets"):
+        reset_connection(exchange.stream)
+    await exchange.stream.aclose()
+    return True
+
+
 def reset_connection(stream: SocketStream) -> None:
     """Reset a connection without closing its sending side first, as `aclose` would."""
     raw = stream.extra(SocketAttribute.raw_socket)
@@ -371,6 +389,8 @@
     headers = [*response_headers(upstream, request), (b"Content-Type", b"text/event-stream")]
     await crash_on_word(upstream, request)
     await crash_on_part(upstream, request)
+    if await answer_raw(upstream, request, exchange):
+        return
     unframed = read_response_mode(upstream).get("unframed")
     if unframed:
         events = [stream_event(number) for number in range(last_event + 1, token_count)]
