A refusal that an upstream does not state is no promise to the caller

A signed answer with 408, 429 or 503 and without the field that states that the request was not run was passed on unchanged, also for requests that may run once only. To callers these statuses promise that the request has not run and never will; the users' pages say that nothing but the upstream's field states it, and a head may lose that field. Found while looking for promises that odd answers may cause; callers of this system are not known to have seen it.

Such an answer is a broken one now: the request is repeated if it may be, else it ends as may have run (502). What the answer says of back-off is still heeded, and 421 needs no field, as the pages say.

--- a/src/ledgeladder/daemons/gateway/upstream_call.py
+++ b/src/ledgeladder/daemons/gateway/upstream_call.py
@@ -162,6 +162,8 @@
         handle_backpressure(state, permit, upstream, facts, sent_at)
         if not facts.wrong_upstream and facts.attempt_id != permit.facts.attempt_id:
             raise AnswerBrokenError("the answer belongs to another request")
+        if facts.promises_unproved:
+            raise AnswerBrokenError(f"status {head.status_code} does not say that it was not run")
     except AnswerBrokenError as error:
         await connection.close()
         raise AnswerLostError(str(error)) from error
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -76,6 +76,10 @@
     not_run: bool
     """True if the upstream states that it has not run the request."""
 
+    promises_unproved: bool = False
+    """True if its status would tell the caller that the request was not run, without the upstream
+    stating that."""
+
     wrong_upstream: bool
     """True if another instance now listens at the address."""
 
--- a/src/ledgeladder/platform/exchange.py
+++ b/src/ledgeladder/platform/exchange.py
@@ -20,6 +20,10 @@
 """Path at which load balancers ask a gateway whether it is ready."""
 
 MILLISECONDS: Final = 1000
+PROMISING_STATUSES: Final = frozenset({408, 429, 503})
+"""Statuses that callers take for a promise that a request was not run and never will be. Of an
+upstream, only its own field states that."""
+
 MAX_PRIORITY_RANK: Final = 9
 """Rank of the lowest priority that upstreams accept."""
 
@@ -183,6 +187,7 @@
         attempt_id=fields.get(b"attempt-id", b"").decode("latin-1"),
         signed=b"replica-seal" in fields,
         not_run=b"not-executed" in fields or status == MISDIRECTED,
+        promises_unproved=status in PROMISING_STATUSES and b"not-executed" not in fields,
         wrong_upstream=status == MISDIRECTED and b"at-server" not in fields,
         failed_upstream=fields.get(b"at-server", b"").decode("latin-1"),
         load=_parse_load(fields.get(b"replica-load")),
