--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketAttribute
 
 from ..links import connect_tcp
+from ..model.exchange import FINAL_STATUSES
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
@@ -172,6 +173,8 @@
     for _ in range(MAX_INTERIM_ANSWERS + 1):
         event = await _next_event(connection)
         if isinstance(event, h11.Response):
+            if event.status_code not in FINAL_STATUSES:
+                raise AnswerInvalidError(f"status {event.status_code} is no HTTP status")
             return event
         if not isinstance(event, h11.InformationalResponse):
             raise AnswerBrokenError(f"no answer but {type(event).__name__}")
@@ -185,13 +188,18 @@
         The part, or None once the answer is complete.
 
     Raises:
-        AnswerBrokenError: If the answer is truncated or invalid.
+        AnswerBrokenError: If the answer is truncated or invalid, or if nothing proves that it is
+            complete: the connection was closed after a head that frames no body.
     """
     event = await _next_event(connection)
     if isinstance(event, h11.Data):
         connection.body_bytes += len(event.data)
         return bytes(event.data)
     if isinstance(event, h11.EndOfMessage):
+        ended_by_close = connection.protocol.trailing_data[1]
+        if ended_by_close and not connection.body_bytes:
+            # The fields that frame the body may be missing from the head.
+            raise AnswerBrokenError("closed after the head, with neither a length nor a body")
         return None
     raise AnswerBrokenError(f"answer ended with {type(event).__name__}")
 
--- a/src/ledgeladder/model/exchange.py
+++ b/src/ledgeladder/model/exchange.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+FINAL_STATUSES: Final = range(200, 600)
+"""HTTP statuses of final answers (RFC 9110, section 15). Bytes with another one are no answer."""
+
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 """Longest body of a plain answer, which is kept in memory until it is complete."""
 
@@ -73,6 +76,10 @@
     not_run: bool
     """True if the upstream states that it has not run the request."""
 
+    promises_unproved: bool = False
+    """True if its status would tell the caller that the request was not run, without the upstream
+    stating that."""
+
     wrong_upstream: bool
     """True if another instance now listens at the address."""
 
--- a/src/ledgeladder/upstreams/calls.py
+++ b/src/ledgeladder/upstreams/calls.py
@@ -7,6 +7,8 @@
 
 import httpx
 
+from ..model.exchange import FINAL_STATUSES
+
 logger = logging.getLogger(__name__)
 
 MAX_SHORT_ANSWER_BYTES: Final = 64 * 1024
@@ -17,6 +19,10 @@
     """The body of an answer exceeds its limit."""
 
 
+class StatusInvalidError(httpx.RemoteProtocolError):
+    """The status of an answer is no HTTP status."""
+
+
 async def call(
     client: httpx.AsyncClient,
     method: str,
@@ -43,6 +49,7 @@
     """
     try:
         async with client.stream(method, url, content=content) as response:
+            check_status(response)
             return response, await read_short_body(response, limit)
     except httpx.HTTPError:
         raise
@@ -52,6 +59,16 @@
         raise httpx.TransportError(f"{url}: {type(error).__name__}: {error}") from error
 
 
+def check_status(response: httpx.Response) -> None:
+    """Check the status of an answer; without one, nothing else in its head counts.
+
+    Raises:
+        StatusInvalidError: If it is no status of a final answer.
+    """
+    if response.status_code not in FINAL_STATUSES:
+        raise StatusInvalidError(f"status {response.status_code} from {response.url}")
+
+
 async def read_short_body(response: httpx.Response, limit: int = MAX_SHORT_ANSWER_BYTES) -> bytes:
     """Read the body of an open answer.
 
