A heartbeat or document with a number that cannot be encoded is refused

Callers would see gateways that are not ready: a heartbeat with an integer over 64 bits was taken into the table of registrations, and each new link of a control box failed while it was told of all of them.

Cause: JSON holds any integer and the encoding of links only 64 bits. The border now accepts what can be encoded: 63 bits for sequence, start and version, 31 for slots and layers. 5 new cases failed before and pass now.

--- a/src/ledgeladder/platform/configuration.py
+++ b/src/ledgeladder/platform/configuration.py
@@ -115,7 +115,8 @@
 
 
 class _Document(msgspec.Struct):
-    version: Annotated[int, msgspec.Meta(ge=0)]
+    # Larger numbers can be decoded from JSON, but not be encoded for the log.
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/ledgeladder/platform/registrations.py
+++ b/src/ledgeladder/platform/registrations.py
@@ -28,13 +28,18 @@
 MAX_PORT_DIGITS: Final = 5
 """Digits of `MAX_PORT`; converting a long row of digits raises an error."""
 
+# Larger numbers can be decoded from JSON, but not be encoded for links.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+
 _STATES: Final = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 
 class _Layers(msgspec.Struct):
-    first: int = msgspec.field(name="from")
+    first: _Count = msgspec.field(name="from")
     # One past the last layer, despite its name on the wire.
-    end: int = msgspec.field(name="targetVersion")
+    end: _Count = msgspec.field(name="targetVersion")
 
 
 class _Heartbeat(msgspec.Struct):
@@ -44,10 +49,10 @@
     # Software version. Not used, but required: a body without it is not a heartbeat.
     version: str
     state: str
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
-    slots: int
+    sequence: _Number
+    slots: _Count
     # Unix time of the start in milliseconds; 0 for upstreams that get a new id with each start.
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: _Number = 0
     # Not used, but checked: a body with a value of another type is not a heartbeat.
     coldRemainingMs: float = 0.0  # noqa: N815
     stage: str = ""
@@ -58,7 +63,7 @@
 
 
 class _Deregistration(msgspec.Struct):
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: _Number = 0
 
 
 _DECODER: Final = msgspec.json.Decoder(_Heartbeat)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -56,6 +56,8 @@
             del document["version"]
         case "negative-version":
             document["version"] = -1
+        case "huge-version":
+            document["version"] = 2**64
         case "same-place":
             document["routes"].append(route | {"name": "again"})
         case "zero-weight":
@@ -84,6 +86,7 @@
     [
         "no-version",
         "negative-version",
+        "huge-version",
         "same-place",
         "zero-weight",
         "negative-weight",
@@ -181,6 +184,10 @@
         {"address": "ä..b:80"},
         {"address": "engine.example:80"},
         {"sequence": "4"},
+        {"sequence": 10**30},
+        {"born": 2**63},
+        {"slots": 10**30},
+        {"layers": {"from": 0, "targetVersion": 2**40, "version": 1}},
         {"service": None},
         {"layers": "all"},
         {"padding": "x" * 4096},
