Delays after many failures in a row do not overflow

Callers would see errors for requests that fail on an upstream that has failed 1,025 times in a row (two hours at least), and a link to a box that is away for half an hour ends its task: the doubled delay no longer fits a float.

--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -40,6 +40,9 @@
 MAX_RECONNECT_DELAY_SECONDS: Final = 2.0
 """Longest delay between two attempts; the delay doubles with each failure."""
 
+MAX_DOUBLINGS: Final = 16
+"""Number of failed attempts after which delays and timeouts no longer grow in any case."""
+
 LINK_ERRORS: Final = (
     OSError,
     TimeoutError,
@@ -115,7 +118,7 @@
             # Raised further, it would end the links to all other boxes.
             logger.error("link failed", extra={"remote": address}, exc_info=errors)
         delay = min(RECONNECT_DELAY_SECONDS * 2**failures, MAX_RECONNECT_DELAY_SECONDS)
-        failures += 1
+        failures = min(failures + 1, MAX_DOUBLINGS)
         await anyio.sleep(delay * rng.uniform(0.5, 1.0))
 
 
--- a/src/ledgeladder/routing/forwarding_table.py
+++ b/src/ledgeladder/routing/forwarding_table.py
@@ -26,6 +26,9 @@
 MAX_AVOID_SECONDS: Final = 8.0
 """Maximum time for which an upstream is avoided after failures."""
 
+MAX_DOUBLINGS: Final = 16
+"""Number of failures after which that time no longer grows in any case."""
+
 FULL_AVOID_SECONDS: Final = 0.25
 """How long a full upstream is avoided; about one report interval of an engine."""
 
@@ -336,7 +339,8 @@
         # Concurrent requests that fail together count as one failure.
         return
     upstream.failures += 1
-    seconds = min(AVOID_SECONDS * 2 ** (upstream.failures - 1), MAX_AVOID_SECONDS)
+    doublings = min(upstream.failures - 1, MAX_DOUBLINGS)
+    seconds = min(AVOID_SECONDS * 2**doublings, MAX_AVOID_SECONDS)
     upstream.avoid_until = now + seconds
 
 
--- a/src/ledgeladder/routing/upstream_table.py
+++ b/src/ledgeladder/routing/upstream_table.py
@@ -22,6 +22,9 @@
 MAX_SUSPECT_SECONDS: Final = 8.0
 """Maximum time for which a service is suspected."""
 
+MAX_DOUBLINGS: Final = 16
+"""Number of failures after which that time no longer grows in any case."""
+
 
 class UpstreamView(msgspec.Struct, kw_only=True):
     """One upstream as this box sees it."""
@@ -102,7 +105,8 @@
     if view.upstream.kind is UpstreamKind.ENGINE:
         view.suspect_until = math.inf
         return
-    pause = min(SUSPECT_SECONDS * 2 ** (view.failures - 1), MAX_SUSPECT_SECONDS)
+    doublings = min(view.failures - 1, MAX_DOUBLINGS)
+    pause = min(SUSPECT_SECONDS * 2**doublings, MAX_SUSPECT_SECONDS)
     view.suspect_until = now + pause
 
 
