--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -244,6 +244,8 @@
     except AttributeError:
         # The connection has failed, and its transport has no socket any more.
         return True
+    if raw.fileno() < 0:
+        return True
     poller = select.poll()
     poller.register(raw.fileno(), select.POLLIN)
     return bool(poller.poll(0))
--- a/src/ledgeladder/links/accepting.py
+++ b/src/ledgeladder/links/accepting.py
@@ -37,7 +37,8 @@
 """Minimum interval between two log lines on closed connections."""
 
 EXHAUSTED_PAUSE_SECONDS: Final = 0.05
-"""Pause after the process ran out of descriptors or memory for another connection."""
+"""Pause after the process ran out of descriptors or memory for another connection, or after a whole
+batch of connections that could not be accepted."""
 
 EXHAUSTION_ERRORS: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 """Errors of accepting that last until resources are released."""
@@ -142,7 +143,8 @@
 async def _accept_pending(raw: socket.socket, queue: AcceptQueue) -> int:
     """Accept the pending connections, and return their number."""
     now = anyio.current_time()
-    for accepted in range(ACCEPT_BATCH):
+    accepted = 0
+    for _ in range(ACCEPT_BATCH):
         try:
             connection, _ = raw.accept()
         except BlockingIOError:
@@ -160,7 +162,11 @@
             return accepted
         connection.setblocking(False)
         queue.waiting.append(WaitingConnection(raw=connection, accepted_at=now))
-    return ACCEPT_BATCH
+        accepted += 1
+    if not accepted:
+        # An error that does not pass, such as a refusal by a security policy.
+        await anyio.sleep(EXHAUSTED_PAUSE_SECONDS)
+    return accepted
 
 
 def _shed_expired(queue: AcceptQueue) -> None:
@@ -187,6 +193,10 @@
         logger.debug("connection ended before it was served", extra={"reason": str(error)})
         raw.close()
         return
+    except Exception:
+        logger.exception("connection failed")
+        raw.close()
+        return
     except BaseException:
         raw.close()
         raise
--- a/tests/links/test_accepting.py
+++ b/tests/links/test_accepting.py
@@ -142,6 +142,27 @@
     anyio.run(play)
 
 
+def test_connections_that_can_never_be_accepted_do_not_hold_the_loop() -> None:
+    """Guards against a listener that spends the processor while each accept fails."""
+    pauses: list[float] = []
+
+    class Raw:
+        def accept(self) -> None:
+            raise OSError(errno.EPERM, "accept")
+
+    async def play(monkeypatch: pytest.MonkeyPatch) -> int:
+        async def sleep(seconds: float) -> None:
+            pauses.append(seconds)
+
+        monkeypatch.setattr(accepting.anyio, "sleep", sleep)
+        raw: Any = Raw()
+        return await accepting._accept_pending(raw, AcceptQueue())
+
+    with pytest.MonkeyPatch.context() as patch:
+        assert anyio.run(play, patch) == 0
+    assert len(pauses) == 1
+
+
 def test_planned_stop_serves_what_was_accepted() -> None:
     async def play() -> list[bytes]:
         near, far = socket.socketpair()
