--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import sys
 from pathlib import Path
@@ -29,6 +30,8 @@
     DaemonRun = Callable[[Any, Path], Awaitable[None]]
     """Runs a daemon with its settings and the path of the settings file."""
 
+logger = logging.getLogger(__name__)
+
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
@@ -160,9 +163,11 @@
     except Exception as error:
         problem = find_problem(error)
         if problem is None:
+            logger.critical("unexpected error", exc_info=error)
             detail = describe_error(error)
             record_end(data_folder, status=EXIT_FAILED, reason=UNEXPECTED_ERROR, detail=detail)
-            raise
+            print(f"error: {detail}", file=sys.stderr)
+            return EXIT_FAILED
         name = problem.code.name
         record_end(data_folder, status=EXIT_STORAGE, reason=name, detail=problem.detail)
         return fail(problem, EXIT_STORAGE)
