Deeply nested JSON in a report or record is a malformed one

A report of 15 KB that nests 3,000 objects raised a RecursionError, which ended the request that asked for it; the record of a process on its disk would have stopped the start. Found by the review; the doctest failed before.

--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -110,9 +110,11 @@
     EngineReport(slowdown=4.0, started_orders=0, is_busy=False)
     >>> read_report(b"oops") is None
     True
+    >>> read_report(b'{"a":' * 3000) is None
+    True
     """
     try:
         report = _REPORT_DECODER.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     return EngineReport(slowdown=report.pace, started_orders=report.sequence, is_busy=report.busy)
--- a/src/ledgeladder/storage/life.py
+++ b/src/ledgeladder/storage/life.py
@@ -66,7 +66,7 @@
 def _read(folder: Path) -> Life | None:
     try:
         return msgspec.json.decode((folder / LIFE_FILE).read_bytes(), type=Life)
-    except (OSError, msgspec.DecodeError):
+    except (OSError, msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         # Missing at the first start, and empty or torn if the disk was full or lost its power.
         return None
 
