--- a/tests/daemons/test_stop_answers.py
+++ b/tests/daemons/test_stop_answers.py
@@ -271,6 +271,32 @@
     assert fleet.wait_exit("gateway-1") == 0
 
 
+def test_stream_without_an_event_at_the_end_of_a_planned_stop_is_answered(
+    fleet: DiscoveredFleet,
+) -> None:
+    """Failure: a stream whose engines had sent no event yet ended without an answer, or was refused
+    as not run although an engine may run it."""
+    engines = [name for name in fleet.boxes if name.startswith("engines")]
+    requests = [(open_kept(fleet, 1), route) for route in ("draft", "once") for _ in range(3)]
+    try:
+        for name in engines:
+            fleet.signal(name, signal.SIGSTOP)
+        with ThreadPoolExecutor(max_workers=8) as threads:
+            running = [threads.submit(send_on_kept, sock, route, 0.0) for sock, route in requests]
+            # A request that comes after the signal is refused or answered in the same way.
+            fleet.signal("gateway-1", signal.SIGTERM)
+        outcomes = [item.result() for item in running]
+    finally:
+        for name in engines:
+            fleet.signal(name, signal.SIGCONT)
+    assert {item.status for item in outcomes} <= {502, 503, 504}, outcomes
+    assert all(item.is_whole for item in outcomes)
+    wait_until(lambda: is_served(fleet, 0), 20, "engines serve again")
+    runs = run_counts(fleet)
+    assert not [item.id for item in outcomes if item.status == 503 and runs[item.id]]
+    assert not [item.id for item in outcomes if item.route == "once" and runs[item.id] > 1]
+
+
 def test_pipelined_request_of_a_planned_stop_is_answered(fleet: DiscoveredFleet) -> None:
     """Failure: a request sent ahead on a connection was read, and its connection closed without an
     answer once the one before it was answered in a planned stop."""
