Requests of all callers share one bound on their bytes

Callers saw a process that ran out of memory: many bodies at once, each of them inside its limit. The cause is a bound for each connection and none for their sum; a rejected request also kept its body while the rest was dropped (the frames of the handled error), and what the event loop reads from a connection at once was bounded by the kernel's buffer of megabytes only.

Now the account of bytes holds what callers send: announced bodies before a byte of them is read, chunks as they arrive, open heads, requests sent ahead. Its limit is an eighth of the memory (memory_mb, else /proc/meminfo or the control group), 8 MB at least. Without room: 503 MEMORY_FULL, not run. Those whose request is complete never make way. Besides: a time for the whole of a body, a bound on chunk framing, 64 chunks a pass and one connection with more in each pass, a receive buffer by the number of connections, and a bound on connections by the descriptors, at which the one idle for longest goes.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -68,6 +68,7 @@
         write_problem=write_problem,
         limits=lambda: state.limits,
         accept_queue=state.accept_queue,
+        account=state.bytes_held,
     )
 
 
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -13,6 +13,7 @@
 from ...settings import load_gateway_settings
 from ..limit_keeper import run_rate_limiter
 from ..logs import log_child
+from ..memory import build_account
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers
 from ..reloading import SeedList, reload_seeds
@@ -71,6 +72,7 @@
         start_queue=build_admission_queue(settings),
         upstream_queue=build_admission_queue(settings),
         room=build_room_admission(settings),
+        bytes_held=build_account(settings.gateway.memory_mb),
     )
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     own = settings.box.address
--- a/src/ledgeladder/daemons/gateway/metrics.py
+++ b/src/ledgeladder/daemons/gateway/metrics.py
@@ -8,7 +8,7 @@
 
 from ...routing.fleet_demand import has_totals
 from ...routing.return_times import expire_places
-from ..metrics_page import counter_lines, gauge_lines, histogram_lines
+from ..metrics_page import account_gauges, counter_lines, gauge_lines, histogram_lines
 from .demand_gauges import demand_gauges
 from .room_gauges import room_gauges
 
@@ -35,6 +35,7 @@
         "prompts_pending": float(
             sum(item.pending_prompts for item in state.table.upstreams.values())
         ),
+        **account_gauges(state.bytes_held),
         "connections_closed_unread": float(state.accept_queue.shed),
         "upstream_connections_opened": float(state.reach.opened),
         "upstream_connections_failed": float(state.reach.failed),
--- a/src/ledgeladder/daemons/gateway/readiness.py
+++ b/src/ledgeladder/daemons/gateway/readiness.py
@@ -7,8 +7,10 @@
 import anyio
 
 from ...http1 import HttpSite
+from ...http1.crowding import MONITORS_SHARE, ConnectionCounts
 from ...model import Problem, ResultCode
 from ...platform.exchange import READY_PATH
+from ..metrics_page import MONITOR_LIMITS
 from ..plain_problems import write_problem
 from .state import check_freshness
 
@@ -43,4 +45,9 @@
             code = ResultCode.STOPPING if state.stopping else ResultCode.STARTING
             await write_problem(exchange, Problem(code=code))
 
-    return HttpSite(handler=handle, write_problem=write_problem)
+    return HttpSite(
+        handler=handle,
+        write_problem=write_problem,
+        limits=lambda: MONITOR_LIMITS,
+        connection_counts=ConnectionCounts(share=MONITORS_SHARE),
+    )
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from ...coordination.full_notices import NoticeThrottle
+    from ...http1.byte_account import ByteAccount
     from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
     from ...routing.admission_level import AdmissionLevel
@@ -339,6 +340,9 @@
     rate_limiter: RateLimiter | None = None
     """Enforces the rate limits that upstreams advertise, in requests per second."""
 
+    bytes_held: ByteAccount
+    """Bytes that the process holds for others."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, Final
 
 from ..http1 import HttpSite, serve_http1
+from ..http1.crowding import MONITORS_SHARE, UNCOUNTED_BYTES, ConnectionCounts
 from ..model import Problem, ResultCode
+from ..model.traffic import CallerLimits
 from .plain_problems import write_problem
 from .supervisor import Child
 
@@ -15,12 +17,16 @@
     from hdrh.histogram import HdrHistogram
 
     from ..http1 import Exchange, HttpRequest
+    from ..http1.byte_account import ByteAccount
     from ..model.demand import ClassDemand
 
 METRICS_PATH: Final = b"/metrics"
 QUANTILES: Final = (50.0, 95.0, 99.0, 100.0)
 """Percentiles on the page; the last one is the maximum."""
 
+MONITOR_LIMITS: Final = CallerLimits(body_bytes=UNCOUNTED_BYTES)
+"""Limits on requests of monitoring, which have no body."""
+
 OK: Final = 200
 
 
@@ -52,6 +58,17 @@
     return [f"ledgeladder_{name} {value:g}" for name, value in gauges.items()]
 
 
+def account_gauges(account: ByteAccount) -> dict[str, float]:
+    """Return the gauges of the bytes that a process holds for others."""
+    return {
+        "held_bytes": float(account.taken_bytes),
+        "held_bytes_most": float(account.peak_bytes),
+        "held_bytes_limit": float(account.limit_bytes),
+        "held_bytes_evictions": float(account.evicted),
+        "held_bytes_refusals": float(account.refused),
+    }
+
+
 def escape_label(name: str) -> str:
     r"""Escape a label value.
 
@@ -92,5 +109,10 @@
         body = "\n".join(lines()) + "\n"
         await exchange.answer(OK, [(b"Content-Type", b"text/plain; version=0.0.4")], body.encode())
 
-    site = HttpSite(handler=handle, write_problem=write_problem)
+    site = HttpSite(
+        handler=handle,
+        write_problem=write_problem,
+        limits=lambda: MONITOR_LIMITS,
+        connection_counts=ConnectionCounts(share=MONITORS_SHARE),
+    )
     return Child(name="metrics", run=lambda: serve_http1(address, site))
--- a/src/ledgeladder/daemons/registry/http_api.py
+++ b/src/ledgeladder/daemons/registry/http_api.py
@@ -79,6 +79,7 @@
         limits=lambda: limits,
         cancels_on_disconnect=False,
         accept_queue=AcceptQueue(max_wait_seconds=MAX_WAIT_SECONDS),
+        account=state.bytes_held,
     )
 
 
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -23,6 +23,7 @@
 from ..content_judge import broadcast_quarantine, run_quarantine_controller
 from ..control.node import ControlNode, open_node, run_log
 from ..logs import log_child
+from ..memory import build_account
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers, seed_addresses
 from ..rate_lender import run_limit_broadcasts
@@ -97,7 +98,12 @@
         serve=serve,
     )
     node = _open_node(settings, send, on_change)
-    state = RegistryState(settings=settings, node=node, peers=peers)
+    state = RegistryState(
+        settings=settings,
+        node=node,
+        peers=peers,
+        bytes_held=build_account(settings.registry.memory_mb),
+    )
     state.quarantine_controller = build_quarantine_controller(state)
     state.rate_granter = build_rate_granter(state)
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
--- a/src/ledgeladder/daemons/registry/metrics.py
+++ b/src/ledgeladder/daemons/registry/metrics.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ...routing.repeat_loans import kept_quota
-from ..metrics_page import counter_lines, gauge_lines
+from ..metrics_page import account_gauges, counter_lines, gauge_lines
 from .demand_totals import demand_gauges
 
 if TYPE_CHECKING:
@@ -38,5 +38,6 @@
         "retry_quota_kept": sum(kept_quota(item, now) for item in state.quota_ledgers.values()),
         "orders_unconfirmed": float(len(state.order_ledger.sent)),
     }
+    gauges.update(account_gauges(state.bytes_held))
     gauges.update(demand_gauges(state, anyio.current_time()))
     return [*counter_lines(counters), *gauge_lines(gauges)]
--- a/src/ledgeladder/daemons/registry/state.py
+++ b/src/ledgeladder/daemons/registry/state.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from ...coordination.upstream_order import LoadFigures
+    from ...http1.byte_account import ByteAccount
     from ...links import Link
     from ...links.messages import CommandReply, VersionQuery
     from ...model.demand import PoolDemand
@@ -157,6 +158,9 @@
     peers: Peers
     """Links to the other control boxes."""
 
+    bytes_held: ByteAccount
+    """Bytes that the process holds for others."""
+
     table: RegistrationTable = msgspec.field(default_factory=RegistrationTable)
     """Registered upstreams."""
 
--- a/src/ledgeladder/http1/byte_account.py
+++ b/src/ledgeladder/http1/byte_account.py
@@ -40,6 +40,9 @@
     moved_at: float
     """When it last made progress, on the clock of the caller."""
 
+    pinned: bool = False
+    """True while it must not make way, as its request may already run."""
+
     evict: Callable[[], None]
     """Closes the connection; called once at most, after its bytes are given back."""
 
@@ -162,7 +165,7 @@
     missing = account.taken_bytes + count - _part_of(account, count)
     if missing <= 0:
         return True
-    others = (item.bytes for item in account.holders.values())
+    others = (item.bytes for item in account.holders.values() if not item.pinned)
     floor = 0 if count <= account.small_bytes else count + 1
     return sum(held for held in others if held >= floor) >= missing
 
@@ -185,6 +188,7 @@
         for item in account.holders.values()
         if item is not holder
         and item.bytes > 0
+        and not item.pinned
         and (small or item.bytes > size or (item.bytes == size and _is_still(item, now)))
     ]
     candidates.sort(key=lambda item: _weight(item, now), reverse=True)
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+import anyio.lowlevel
 import h11
 import msgspec
 
@@ -14,6 +15,17 @@
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
 from .accepting import AcceptQueue, accept_connections
+from .byte_account import ByteAccount
+from .crowding import (
+    MAX_EVENTS_PER_PASS,
+    NO_ROOM_STATUS,
+    UNCOUNTED_BYTES,
+    ConnectionCounts,
+    IncomingBody,
+    RequestBytes,
+    limit_receive_buffer,
+    make_room,
+)
 
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, SocketStream
@@ -23,8 +35,9 @@
 Headers = list[tuple[bytes, bytes]]
 """Header fields in the order and spelling of the wire; names may repeat."""
 
-READ_BYTES: Final = 65536
-"""Maximum size of a single read."""
+READ_BYTES: Final = 262144
+"""Maximum size of a single read. Not below what the event loop reads at once, the rest of which it
+would keep where the account does not see it."""
 
 PIPELINED_LIMIT_BYTES: Final = 65536
 """Maximum number of bytes of further requests that are buffered while one is being answered."""
@@ -45,7 +58,11 @@
 
 # Result codes by the status hint of errors, from h11 or the checks below. Other hints mean a
 # malformed request.
-_RESULT_CODES: Final = {413: ResultCode.BODY_TOO_LARGE, 431: ResultCode.HEAD_TOO_LARGE}
+_RESULT_CODES: Final = {
+    413: ResultCode.BODY_TOO_LARGE,
+    431: ResultCode.HEAD_TOO_LARGE,
+    NO_ROOM_STATUS: ResultCode.MEMORY_FULL,
+}
 
 
 class HttpRequest(msgspec.Struct, kw_only=True):
@@ -97,8 +114,21 @@
     stopping: bool = False
     """True once a planned stop has begun. Answers that start afterwards close their connections."""
 
-    idle_scopes: set[anyio.CancelScope] = msgspec.field(default_factory=set)
-    """Cancel scopes of connections that wait for a request."""
+    account: ByteAccount | None = None
+    """Bytes that the process holds for others; None to count nothing."""
+
+    connection_counts: ConnectionCounts = msgspec.field(default_factory=ConnectionCounts)
+    """Bound on the connections, and those that were closed because of it."""
+
+    decoding: anyio.Lock = msgspec.field(default_factory=anyio.Lock)
+    """Held for a pass of the loop by a connection whose body has many chunks, so that a pass
+    decodes those of one connection."""
+
+    idle_scopes: dict[anyio.CancelScope, None] = msgspec.field(default_factory=dict)
+    """Cancel scopes of connections that wait for a request, longest first."""
+
+    reading_scopes: dict[anyio.CancelScope, None] = msgspec.field(default_factory=dict)
+    """Cancel scopes of connections whose request is incomplete, longest first."""
 
     listening: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Cancelled to stop accepting connections; open connections are still served."""
@@ -196,9 +226,21 @@
     site: HttpSite
     """Site that serves the connection."""
 
+    scope: anyio.CancelScope
+    """Cancelled to close the connection."""
+
+    held: RequestBytes
+    """Bytes in the account."""
+
     first_byte_at: float = 0.0
     """When the first byte of the current request was read, on the monotonic clock."""
 
+    decodes_more: bool = False
+    """True if received chunks of the body are not decoded yet."""
+
+    drops_ahead: bool = False
+    """True once requests sent ahead were dropped, so that the connection is closed."""
+
     async def read_request(self) -> HttpRequest | None:
         """Read the next request; None if the connection was closed or idle for too long.
 
@@ -216,10 +258,12 @@
             fields=dict(head.headers),
             arrived_at=self.first_byte_at,
         )
+        announced = self._hold_announced(request)
         if self.protocol.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.stream.send(self.protocol.send(interim) or b"")
-        request.body = await self._read_body(request)
+        request.body = await self._read_body(announced)
+        self.site.reading_scopes.pop(self.scope, None)
         return request
 
     async def _read_head(self) -> h11.Request | None:
@@ -248,38 +292,82 @@
         A planned stop closes connections only here, so it never interrupts a request.
         """
         with anyio.move_on_after(self.site.limits().idle_seconds) as scope:
-            self.site.idle_scopes.add(scope)
+            self.site.idle_scopes[scope] = None
             try:
                 data = await self.stream.receive(READ_BYTES)
             finally:
-                self.site.idle_scopes.discard(scope)
+                self.site.idle_scopes.pop(scope, None)
             self.protocol.receive_data(data)
             return True
         return False
 
-    async def _read_body(self, request: HttpRequest) -> bytes:
-        limit = self.site.limits().body_bytes
-        if int(request.fields.get(b"content-length", b"0")) > limit:
+    def _hold_announced(self, request: HttpRequest) -> int:
+        """Return the announced length of the body, or 0, once there is room for all of it."""
+        announced = int(request.fields.get(b"content-length", b"0"))
+        if announced > self.site.limits().body_bytes:
             raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-        body = bytearray()
+        if announced > UNCOUNTED_BYTES:
+            self.held.require(announced)
+        return announced
+
+    async def _read_body(self, announced: int) -> bytes:
+        body = IncomingBody(announced=announced)
+        if not self._decode(body):
+            await self._read_rest(body)
+        if self.held.holder is not None or body.size > UNCOUNTED_BYTES:
+            self.held.require(body.size + len(self.protocol.trailing_data[0]))
+            self.held.pin()
+        return body.join()
+
+    async def _read_rest(self, body: IncomingBody) -> None:
+        """Read the part of a body that was not received with its head."""
+        body.began_at = anyio.current_time()
         while True:
+            if self.decodes_more:
+                async with self.site.decoding:
+                    await anyio.lowlevel.checkpoint()
+            else:
+                body.check_framing()
+                idle = self.site.limits().idle_seconds
+                with anyio.fail_after(max(0.0, body.seconds_left(anyio.current_time(), idle))):
+                    body.received += await self._feed(body)
+            if self._decode(body):
+                return
+
+    def _decode(self, body: IncomingBody) -> bool:
+        """Decode what was received, up to a number of events; True if the body is complete."""
+        limit = self.site.limits().body_bytes
+        for _ in range(MAX_EVENTS_PER_PASS):
             event = self.protocol.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limit:
-                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-                continue
-            with anyio.fail_after(self.site.limits().idle_seconds):
-                await self._feed()
+                return True
+            if not isinstance(event, h11.Data):
+                self.decodes_more = False
+                return False
+            body.add(event.data)
+            if body.size > limit:
+                raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        self.decodes_more = True
+        return False
+
+    async def _feed(self, body: IncomingBody | None = None) -> int:
+        """Receive once, and return the number of bytes.
+
+        Args:
+            body: The body that they belong to; None while the head is read.
 
-    async def _feed(self) -> None:
+        Raises:
+            h11.RemoteProtocolError: If there is no room for them.
+        """
+        self.site.reading_scopes.setdefault(self.scope)
         try:
             data = await self.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             data = b""
+        waiting = len(data) + len(self.protocol.trailing_data[0])
+        self.held.require(max(body.announced, body.size + waiting) if body else waiting)
         self.protocol.receive_data(data)
+        return len(data)
 
     async def answer(self, request: HttpRequest) -> bool:
         """Answer a request, and return True if the connection can be reused."""
@@ -297,6 +385,8 @@
         """Return True if the connection can be reused, after starting the next protocol cycle."""
         if exchange.disconnected or self.protocol.our_state is not h11.DONE:
             return False
+        if self.drops_ahead:
+            return False
         if self.protocol.their_state is not h11.DONE:
             return False
         self.protocol.start_next_cycle()
@@ -306,11 +396,18 @@
         """Read ahead while a request is answered, and cancel it if the caller disconnects.
 
         A caller that closes only its sending side counts as disconnected. Reading ahead stops after
-        `PIPELINED_LIMIT_BYTES`; a disconnect is then detected by the next write.
+        `PIPELINED_LIMIT_BYTES`; a disconnect is then detected by the next write. What was sent
+        ahead is dropped if the process has no memory for it, and the connection is closed after
+        the answer.
         """
         try:
             while len(self.protocol.trailing_data[0]) < PIPELINED_LIMIT_BYTES:
-                self.protocol.receive_data(await self.stream.receive(READ_BYTES))
+                data = await self.stream.receive(READ_BYTES)
+                if not self.held.hold_more(len(data)):
+                    self.drops_ahead = exchange.closes_connection = True
+                    return
+                self.held.pin()
+                self.protocol.receive_data(data)
         except DISCONNECT_ERRORS:
             exchange.disconnected = True
             scope.cancel()
@@ -321,6 +418,9 @@
         Closing a connection with unread bytes resets it, and the caller may lose an answer that it
         has not read yet (RFC 9112, section 9.6).
         """
+        # The old state may keep much of what was received.
+        self.protocol = h11.Connection(h11.SERVER)
+        self.held.release()
         dropped = 0
         with anyio.move_on_after(LINGER_SECONDS):
             await self.stream.send_eof()
@@ -335,6 +435,8 @@
             stream=self.stream, protocol=self.protocol, site=self.site, closes_connection=True
         )
         await self.site.write_problem(exchange, problem)
+        # What was received is not kept while the rest is dropped.
+        del exchange
         await self.linger()
 
 
@@ -369,15 +471,24 @@
 
 async def _serve_connection(stream: SocketStream, site: HttpSite) -> None:
     limit = site.limits().header_bytes
+    scope = anyio.CancelScope()
     connection = _Connection(
         stream=stream,
         protocol=h11.Connection(h11.SERVER, max_incomplete_event_size=limit),
         site=site,
+        scope=scope,
+        held=RequestBytes(account=site.account, close=scope.cancel),
     )
     site.open_connections += 1
     try:
-        tune_socket(stream)
-        await _serve_requests(connection)
+        if make_room(
+            site.connection_counts, site.open_connections, site.idle_scopes, site.reading_scopes
+        ):
+            tune_socket(stream)
+            if site.account is not None:
+                limit_receive_buffer(stream, site.account.limit_bytes, site.open_connections)
+            with scope:
+                await _serve_requests(connection)
     except DISCONNECT_ERRORS:
         # The caller closed or reset its connection; the request handler logs the effect.
         pass
@@ -385,6 +496,8 @@
         logger.exception("connection failed")
     finally:
         site.open_connections -= 1
+        site.reading_scopes.pop(scope, None)
+        connection.held.release()
         with anyio.CancelScope(shield=True):
             await stream.aclose()
 
@@ -392,16 +505,20 @@
 async def _serve_requests(connection: _Connection) -> None:
     site = connection.site
     while True:
+        problem: Problem | None = None
+        request: HttpRequest | None = None
         try:
             request = await connection.read_request()
         except h11.RemoteProtocolError as error:
             code = _RESULT_CODES.get(error.error_status_hint, ResultCode.MALFORMED_REQUEST)
             logger.warning("request not readable", extra={"code": code.name, "detail": str(error)})
-            await connection.reject(Problem(code=code, detail=str(error)))
-            return
+            problem = Problem(code=code, detail=str(error))
         except TimeoutError:
             logger.warning("request too slow", extra={"code": ResultCode.REQUEST_SLOW.name})
-            await connection.reject(Problem(code=ResultCode.REQUEST_SLOW))
+            problem = Problem(code=ResultCode.REQUEST_SLOW)
+        if problem is not None:
+            # Not in the handlers above: an error keeps the frames that hold the body.
+            await connection.reject(problem)
             return
         if request is None:
             return
@@ -416,5 +533,8 @@
             return
         finally:
             site.in_progress -= 1
+            connection.held.keep(len(connection.protocol.trailing_data[0]))
+        if connection.drops_ahead:
+            await connection.linger()
         if not reusable or site.stopping:
             return
--- a/src/ledgeladder/model/codes.py
+++ b/src/ledgeladder/model/codes.py
@@ -48,6 +48,7 @@
     QUEUE_FULL = 1103
     DEADLINE_UNREACHABLE = 1104
     OUT_OF_ROOM = 1105
+    MEMORY_FULL = 1106
     NO_ROUTE = 1201
     UPSTREAM_REFUSED = 1202
     UPSTREAM_LOST = 1203
@@ -143,6 +144,9 @@
     ResultCode.OUT_OF_ROOM: _entry(
         503, _NOT_RUN, "The engines have no room, or keep it for more urgent requests."
     ),
+    ResultCode.MEMORY_FULL: _entry(
+        503, _NOT_RUN, "The box has no memory for the request while others are being read."
+    ),
     ResultCode.NO_ROUTE: _entry(
         503, _NOT_RUN, "The reachable upstreams do not cover every layer of the model."
     ),
--- a/src/ledgeladder/settings/discovered.py
+++ b/src/ledgeladder/settings/discovered.py
@@ -107,6 +107,10 @@
     relayed_connections: Annotated[int, msgspec.Meta(ge=0, le=65_536)] = 256
     """Most connections to upstreams that it relays for other boxes at once."""
 
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = 0
+    """Memory that the process may use, in MB; requests of callers get an eighth of it, at least 8
+    MB. 0 takes what the machine shows."""
+
     admission: Literal["by-priority", "off"] = "by-priority"
     """Which new streams get the room of engines that requests of several priorities share, while it
     is short; `off` admits them as they come."""
@@ -121,6 +125,10 @@
     data_folder: Path
     """Folder on the disk that lasts."""
 
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = 0
+    """Memory that the process may use, in MB; requests of callers get an eighth of it, at least 8
+    MB. 0 takes what the machine shows."""
+
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10, le=1_000_000)] = 200
     """Log entries after which a snapshot is taken; a document is a few kilobytes."""
 
--- a/tests/daemons/gateway/builders.py
+++ b/tests/daemons/gateway/builders.py
@@ -9,6 +9,7 @@
     build_admission_queue,
     build_room_admission,
 )
+from ledgeladder.http1.byte_account import ByteAccount
 from ledgeladder.model.exchange import PathPart
 from ledgeladder.model.registration import Registration
 from ledgeladder.routing.forwarding_table import ForwardedUpstream
@@ -39,6 +40,7 @@
         start_queue=build_admission_queue(gateway_settings),
         upstream_queue=build_admission_queue(gateway_settings),
         room=build_room_admission(gateway_settings),
+        bytes_held=ByteAccount(limit_bytes=8 * 1024 * 1024),
     )
 
 
