Connections that wait to be served leave descriptors to others

The accept loop takes up to 64 connections a pass and serves one, so that those that wait hold every descriptor although the ones that are served are bounded.

At most an eighth of the descriptors waits now, the rest stays in the kernel. test_connections_that_wait_leave_descriptors_to_others fails without this: 97 wait where 25 may. That a listener which cannot open its port ends the process is another matter and not mended here.

--- a/src/ledgeladder/http1/accepting.py
+++ b/src/ledgeladder/http1/accepting.py
@@ -18,6 +18,8 @@
 import msgspec
 from anyio.abc import SocketAttribute, SocketStream
 
+from .crowding import WAITING_SHARE, most_connections
+
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, TaskGroup
 
@@ -113,9 +115,11 @@
 
 
 async def _accept_pending(raw: socket.socket, queue: AcceptQueue) -> int:
-    """Accept the pending connections, and return their number."""
+    """Accept pending connections while few wait to be served, and return their number."""
     now = anyio.current_time()
-    for accepted in range(ACCEPT_BATCH):
+    room = max(0, most_connections(WAITING_SHARE) - len(queue.waiting))
+    batch = min(ACCEPT_BATCH, room)
+    for accepted in range(batch):
         try:
             connection, _ = raw.accept()
         except BlockingIOError:
@@ -131,7 +135,7 @@
             return accepted
         connection.setblocking(False)
         queue.waiting.append(WaitingConnection(raw=connection, accepted_at=now))
-    return ACCEPT_BATCH
+    return batch
 
 
 def _shed_expired(queue: AcceptQueue) -> None:
--- a/src/ledgeladder/http1/crowding.py
+++ b/src/ledgeladder/http1/crowding.py
@@ -44,6 +44,9 @@
 """Part of the descriptors for connections of callers; the rest is for upstreams, other boxes, the
 disk and the other listeners."""
 
+WAITING_SHARE: Final = 1 / 8
+"""Part of the descriptors for accepted connections of a listener that wait to be served."""
+
 MONITORS_SHARE: Final = 1 / 32
 """Part of the descriptors for connections to a page that only monitoring reads."""
 
--- a/tests/http1/test_accepting.py
+++ b/tests/http1/test_accepting.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 import pytest
 from anyio.abc import SocketStream
 
@@ -20,6 +21,7 @@
     accept_connections,
     remove_expired,
 )
+from ledgeladder.http1.crowding import WAITING_SHARE
 from ledgeladder.links import listen_tcp
 
 SERVICE_SECONDS = 0.01
@@ -163,3 +165,33 @@
         return served
 
     assert anyio.run(play) == [b"?"]
+
+
+def test_connections_that_wait_leave_descriptors_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a burst whose waiting connections keep other ports from being listened on."""
+    monkeypatch.setattr("resource.getrlimit", lambda _kind: (200, 200))
+    waiting: list[int] = []
+
+    async def play() -> None:
+        queue = AcceptQueue(max_wait_seconds=60.0)
+
+        async def serve(stream: SocketStream) -> None:
+            waiting.append(len(queue.waiting))
+            await stream.aclose()
+
+        listener = await listen_tcp("127.0.0.1:0")
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        callers = [socket.create_connection(address) for _ in range(100)]
+        with anyio.fail_after(30):
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(accept_connections, listener, queue, serve, tasks)
+                while len(waiting) < len(callers):
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+        for caller in callers:
+            caller.close()
+
+    anyio.run(play)
+    assert max(waiting) < 200 * WAITING_SHARE
