Test: a request that may already run never makes way

A pinned holder in the account of bytes: neither evicted nor counted as room by can_take, while a small holder still finds the reserved part.

--- a/tests/http1/test_byte_account.py
+++ b/tests/http1/test_byte_account.py
@@ -171,3 +171,16 @@
     assert not take(bed.account, large, 1, 1.0)
     give_back(bed.account, large, 870_000)
     assert bed.account.taken_bytes == 184_000
+
+
+def test_pinned_holder_never_makes_way() -> None:
+    """Guards against closing the connection of a request that may already run."""
+    bed = Bed(0)
+    running = bed.add()
+    assert take(bed.account, running, 870_000, 0.0)
+    running.pinned = True
+    late = bed.add()
+    assert not can_take(bed.account, 300_000)
+    assert not take(bed.account, late, 300_000, 100.0)
+    assert take(bed.account, late, 60_000, 100.0)
+    assert not bed.evictions
