--- a/src/ledgeladder/daemons/control/main.py
+++ b/src/ledgeladder/daemons/control/main.py
@@ -17,8 +17,7 @@
 from ..http import serve_http, upstream_client
 from ..logs import log_child
 from ..rate_lender import run_limit_broadcasts
-from ..signals import on_stop_signal
-from ..supervisor import Child, Restart, supervise
+from ..supervisor import Child, Restart, on_stop_signal, supervise
 from .hub import (
     Hub,
     build_quarantine_controller,
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -18,8 +18,7 @@
 from ..http import serve_http, upstream_client
 from ..limit_keeper import RateLimiter, run_rate_limiter
 from ..logs import log_child
-from ..signals import on_stop_signal
-from ..supervisor import Child, Restart, supervise
+from ..supervisor import Child, Restart, on_stop_signal, supervise
 from .caller_api import build_caller_app
 from .command_client import CommandClient, keep_command_link
 from .context import EntryContext
--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ...http1 import HttpSite, serve_http1
+from ...http1.crowding import build_account
 from ...links import AcceptQueue, accept_connections, listen_tcp
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
@@ -16,8 +17,7 @@
 from ..metrics_page import metrics_child
 from ..peers import Peers, own_identity, run_peers
 from ..reloading import SeedList, reload_seeds
-from ..signals import on_stop_signal
-from ..supervisor import Child, Restart, supervise
+from ..supervisor import Child, Restart, on_stop_signal, supervise
 from .app import build_caller_site
 from .backpressure import log_backoff_ends
 from .control_link import serve_control_link
@@ -64,6 +64,7 @@
         start_queue=build_admission_queue(settings),
         upstream_queue=build_admission_queue(settings),
         room=build_room_admission(settings),
+        bytes_held=build_account(settings.gateway.memory_mb),
     )
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
     own = settings.box.address
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from ...coordination.full_notices import NoticeThrottle
+    from ...http1.byte_account import ByteAccount
     from ...model.demand import PoolDemand
     from ...model.traffic import TrafficConfiguration
     from ...routing.admission_level import AdmissionLevel
@@ -345,6 +346,9 @@
     children: dict[str, ChildState] = msgspec.field(default_factory=dict)
     """States of the supervised tasks by name."""
 
+    bytes_held: ByteAccount
+    """Bytes that the process holds for others."""
+
     stopping: bool = False
     """True once a planned stop has begun."""
 
--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -1,4 +1,7 @@
-"""Starts a daemon from its settings file, without the libraries of the command line."""
+"""Starts a daemon from its settings file, and leaves evidence of how it ends.
+
+Loads none of the libraries of the command line.
+"""
 
 from __future__ import annotations
 
@@ -14,9 +17,9 @@
 from ..links.endpoint import describe_error
 from ..model import Problem, ProblemError, ResultCode, find_problem
 from ..settings import load_gateway_settings, load_registry_settings
-from .clock import new_event_loop
-from .ends import STOP_SIGNAL, UNEXPECTED_ERROR, record_end, record_start
-from .logs import set_up_logging
+from .clock import new_event_loop, wall_clock_ms
+from .log_queue import write_last_line
+from .logs import STANDARD_ERROR, current_log_handler, set_up_logging
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -37,6 +40,12 @@
 EXIT_USAGE: Final = 2
 EXIT_STORAGE: Final = 3
 
+STOP_SIGNAL: Final = "stop signal"
+"""Reason of a process that ends after a planned stop."""
+
+UNEXPECTED_ERROR: Final = "unexpected error"
+"""Reason of a process that ends with an error that it does not handle."""
+
 SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
 """Environment variable with the path of the settings file."""
 
@@ -206,3 +215,63 @@
     """
     print(f"error {int(problem.code)} {problem.code.name}: {problem.detail}", file=sys.stderr)
     return status
+
+
+def record_start(folder: Path | None) -> None:
+    """Record on the disk that a process runs, and log if the previous one ended unrecorded.
+
+    A process that is killed, also for its use of memory, leaves no line of its own.
+
+    Args:
+        folder: Data folder; None for a process without a disk.
+    """
+    if folder is None:
+        return
+    # Imported here because most processes have no disk.
+    from ..storage.life import begin_life
+
+    try:
+        previous = begin_life(folder, wall_clock_ms())
+    except OSError as error:
+        logger.warning("start not recorded", extra={"reason": str(error)})
+        return
+    if previous is not None and not previous.reason:
+        logger.warning(
+            "previous process was killed or lost power",
+            extra={"started_ms": previous.started_ms},
+        )
+
+
+def record_end(folder: Path | None, *, status: int, reason: str, detail: str = "") -> None:
+    """Write the last log line of the process, also if the log queue is full or its output closed.
+
+    Args:
+        folder: Data folder, where the end is recorded as well; None for a process without a disk.
+        status: Exit code of the process.
+        reason: `STOP_SIGNAL`, `UNEXPECTED_ERROR` or the name of a result code.
+        detail: What exactly failed; empty after a planned stop.
+    """
+    if folder is not None:
+        _record_on_disk(folder, reason)
+    handler = current_log_handler()
+    if handler is None:
+        return
+    level = logging.ERROR if status else logging.INFO
+    fields = {"exit_code": status, "reason": reason, "detail": detail}
+    record = logging.makeLogRecord(
+        {"name": __name__, "levelno": level, "levelname": logging.getLevelName(level)}
+        | {"msg": "process ends"}
+        | fields
+    )
+    line = handler.format(record).encode() + b"\n"
+    write_last_line(handler.queue, line, fallback=STANDARD_ERROR)
+
+
+def _record_on_disk(folder: Path, reason: str) -> None:
+    # Imported here because it is needed once.
+    from ..storage.life import end_life
+
+    try:
+        end_life(folder, wall_clock_ms(), reason)
+    except OSError as error:
+        logger.warning("end not recorded", extra={"reason": str(error)})
--- a/src/ledgeladder/daemons/registry/main.py
+++ b/src/ledgeladder/daemons/registry/main.py
@@ -14,6 +14,7 @@
 from ...coordination import raft
 from ...coordination.voters import next_voters
 from ...http1 import serve_http1
+from ...http1.crowding import build_account
 from ...links import Link, serve_links
 from ...links.messages import PeerRole
 from ...model import ResultCode
@@ -27,8 +28,7 @@
 from ..peers import Peers, own_identity, run_peers, seed_addresses
 from ..rate_lender import run_limit_broadcasts
 from ..reloading import SeedList, reload_seeds
-from ..signals import on_stop_signal
-from ..supervisor import Child, Restart, supervise
+from ..supervisor import Child, Restart, on_stop_signal, supervise
 from .demand_totals import broadcast_demand
 from .http_api import build_site
 from .lending import build_rate_granter
@@ -97,7 +97,12 @@
         serve=serve,
     )
     node = _open_node(settings, send, on_change)
-    state = RegistryState(settings=settings, node=node, peers=peers)
+    state = RegistryState(
+        settings=settings,
+        node=node,
+        peers=peers,
+        bytes_held=build_account(settings.registry.memory_mb),
+    )
     state.quarantine_controller = build_quarantine_controller(state)
     state.rate_granter = build_rate_granter(state)
     state.table.heartbeat = settings.bounds.heartbeat_ms / 1000.0
--- a/src/ledgeladder/daemons/supervisor.py
+++ b/src/ledgeladder/daemons/supervisor.py
@@ -1,8 +1,9 @@
-"""Supervisor tree: tasks that are restarted when they fail, after delays that grow."""
+"""Supervisor tree: tasks that are restarted when they fail, and the signals that end it."""
 
 from __future__ import annotations
 
 import logging
+import signal
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
@@ -39,6 +40,10 @@
 """Problems of a disk that would break a promise if the process went on."""
 
 
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+"""Signals that begin a planned stop."""
+
+
 class Restart(StrEnum):
     """When a child is restarted."""
 
@@ -165,3 +170,23 @@
         if state.failures
         and (state.started_at is None or now - state.started_at < SETTLING_SECONDS)
     ]
+
+
+async def on_stop_signal(action: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
+    """Wait for SIGTERM or SIGINT, then run the planned stop and end the process.
+
+    Args:
+        action: Performs the planned stop; called once. If it fails, the process ends all the same.
+        scope: Cancelled once the action is done.
+    """
+    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async for _ in signals:
+            try:
+                await action()
+            except Exception:
+                logger.exception("planned stop failed")
+            # The receiver restores the default action, with which a second signal would end the
+            # process before its last line.
+            signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+            scope.cancel()
+            return
--- a/src/ledgeladder/links/accepting.py
+++ b/src/ledgeladder/links/accepting.py
@@ -8,6 +8,7 @@
 
 import errno
 import logging
+import os
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -66,6 +67,13 @@
 """Serves an accepted connection, and closes it. An error that it raises ends only this one."""
 
 
+WAITING_SHARE: Final = 1 / 8
+"""Part of the descriptors for accepted connections of a listener that wait to be served."""
+
+MIN_CONNECTIONS: Final = 8
+"""Connections that a listener serves in any case."""
+
+
 class WaitingConnection(msgspec.Struct, frozen=True, kw_only=True):
     """An accepted connection that no task serves yet."""
 
@@ -95,6 +103,11 @@
     """When that line was written, on the monotonic clock."""
 
 
+def most_connections(share: float) -> int:
+    """Return how many connections a listener may have, by the descriptors of the process."""
+    return max(MIN_CONNECTIONS, int(os.sysconf("SC_OPEN_MAX") * share))
+
+
 def remove_expired(queue: AcceptQueue, now: float) -> list[WaitingConnection]:
     """Remove and return the connections that have waited for too long."""
     expired: list[WaitingConnection] = []
@@ -141,10 +154,12 @@
 
 
 async def _accept_pending(raw: socket.socket, queue: AcceptQueue) -> int:
-    """Accept the pending connections, and return their number."""
+    """Accept pending connections while few wait to be served, and return their number."""
     now = anyio.current_time()
+    room = max(0, most_connections(WAITING_SHARE) - len(queue.waiting))
+    batch = min(ACCEPT_BATCH, room)
     accepted = 0
-    for _ in range(ACCEPT_BATCH):
+    for _ in range(batch):
         try:
             connection, _ = raw.accept()
         except BlockingIOError:
@@ -163,7 +178,7 @@
         connection.setblocking(False)
         queue.waiting.append(WaitingConnection(raw=connection, accepted_at=now))
         accepted += 1
-    if not accepted:
+    if batch and not accepted:
         # An error that does not pass, such as a refusal by a security policy.
         await anyio.sleep(EXHAUSTED_PAUSE_SECONDS)
     return accepted
--- a/tests/links/test_accepting.py
+++ b/tests/links/test_accepting.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 import pytest
 from anyio.abc import SocketStream
 
 from ledgeladder.links import accepting, listen_tcp
 from ledgeladder.links.accepting import (
     MAX_WAIT_SECONDS,
+    WAITING_SHARE,
     AcceptQueue,
     WaitingConnection,
     accept_connections,
@@ -217,3 +219,33 @@
         return answers
 
     assert anyio.run(play) == [b"", b"y", b"z"]
+
+
+def test_connections_that_wait_leave_descriptors_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a burst whose waiting connections keep other ports from being listened on."""
+    monkeypatch.setattr("os.sysconf", lambda _name: 200)
+    waiting: list[int] = []
+
+    async def play() -> None:
+        queue = AcceptQueue(max_wait_seconds=60.0)
+
+        async def serve(stream: SocketStream) -> None:
+            waiting.append(len(queue.waiting))
+            await stream.aclose()
+
+        listener = await listen_tcp("127.0.0.1:0")
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        callers = [socket.create_connection(address) for _ in range(100)]
+        with anyio.fail_after(30):
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(accept_connections, listener, queue, serve, tasks)
+                while len(waiting) < len(callers):
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+        for caller in callers:
+            caller.close()
+
+    anyio.run(play)
+    assert max(waiting) < 200 * WAITING_SHARE
