Tests: upstream answers without end or without readers (fail)

Thirty callers at once, through a gateway of a machine with 128 MiB by its settings: answers without end, answers of 8 MiB and streams that nobody reads, directly and through a relay. Checked are that the processes live, that their memory stays within the machine's, that another caller's stream is whole and that an ordinary request is answered; no times.

--- a/standins/discovered_fleet.py
+++ b/standins/discovered_fleet.py
@@ -107,6 +107,9 @@
     repeat_reserve: int = 200
     """Repeats that all gateways may make besides the share of requests that they may repeat."""
 
+    memory_mb: int = 0
+    """Memory of each machine for the processes' settings, in MB; 0 to leave the setting out."""
+
     heartbeat_ms: int = 300
     """Time between heartbeats of an upstream, in milliseconds."""
 
@@ -143,6 +146,11 @@
         """
         return f"127.{self.network}.{role}.{number + 1}"
 
+    @property
+    def memory_setting(self) -> str:
+        """Line of the settings with the memory of the machine, if it is set."""
+        return f"\nmemory_mb = {self.memory_mb}" if self.memory_mb else ""
+
     @property
     def control_addresses(self) -> list[str]:
         """Addresses of the registries for upstreams and operators."""
@@ -190,7 +198,7 @@
         name, ip = f"registry-{number}", self.ip(1, number)
         role = (
             f'[registry]\naddress = "{ip}:{self.port + 2}"\n'
-            f'data_folder = "{self.folder / name}"'
+            f'data_folder = "{self.folder / name}"{self.memory_setting}'
         )
         zone = ZONES[number % 3]
         path = self.write_settings(name, zone, ip, role, bootstrap=bootstrap)
@@ -202,7 +210,7 @@
         name, ip = f"gateway-{number}", self.ip(2, number)
         role = (
             f'[gateway]\ncaller_address = "{ip}:{self.port + 3}"\n'
-            f'ready_address = "{ip}:{self.port + 4}"'
+            f'ready_address = "{ip}:{self.port + 4}"{self.memory_setting}'
         )
         path = self.write_settings(name, ZONES[number % 3], ip, role, bootstrap=True)
         command = [sys.executable, "-m", "ledgeladder", "gateway", "--settings", str(path)]
--- a/standins/registered_upstream.py
+++ b/standins/registered_upstream.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qsl
 
 import anyio
 import httpx
@@ -29,6 +30,7 @@
 from ledgeladder.links import listen_tcp
 from ledgeladder.model import Problem
 
+from .endless_answer import EndlessServer, endless_answers
 from .packet_filter import drop_from
 
 LAYER_MB = 1000.0
@@ -263,8 +265,37 @@
         os._exit(1)
 
 
+async def answer_in_trouble(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> bool:
+    """Execute a request whose query asks for an unusual answer; returns True then.
+
+    `endless` names a part of the answer that never ends, `answer_bytes` is the size of a plain
+    answer, and `event_bytes` the size of each event of a stream that never ends.
+    """
+    asked = dict(parse_qsl(request.target.decode("latin-1").partition("?")[2]))
+    if not asked.keys() & {"endless", "answer_bytes", "event_bytes"}:
+        return False
+    record_run(upstream, request)
+    headers = response_headers(upstream, request)
+    if "endless" in asked:
+        attempt = request.fields.get(b"attempt-id", b"").decode()
+        answer = endless_answers(attempt, b"")[asked["endless"]]
+        await EndlessServer(answer, slow=False).send(exchange.stream)
+    elif "answer_bytes" in asked:
+        await exchange.answer(200, headers, b"x" * int(asked["answer_bytes"]))
+    else:
+        padding = b": " + b"x" * int(asked["event_bytes"]) + b"\n"
+        await exchange.begin(200, [*headers, (b"Content-Type", b"text/event-stream")], b"")
+        number = 0
+        while True:
+            await exchange.send(padding + stream_event(number))
+            number += 1
+    return True
+
+
 async def answer_plain(upstream: StandIn, request: HttpRequest, exchange: Exchange) -> None:
     """Execute a plain request."""
+    if await answer_in_trouble(upstream, request, exchange):
+        return
     record_run(upstream, request)
     await crash_on_word(upstream, request)
     upstream.in_progress += 1
@@ -365,6 +396,8 @@
 
     Once another engine of the path is lost, the stream stalls for `STALL_SECONDS` and breaks off.
     """
+    if await answer_in_trouble(upstream, request, exchange):
+        return
     record_run(upstream, request)
     token_count = int(request.fields.get(b"token-count", b"10,10").partition(b",")[2])
     last_event = int(request.fields.get(b"last-event-id", b"-1"))
