--- a/src/ledgeladder/daemons/gateway/main.py
+++ b/src/ledgeladder/daemons/gateway/main.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from ...http1 import AcceptQueue, HttpSite, accept_connections, serve_http1
-from ...links import listen_tcp
+from ...http1 import HttpSite, serve_http1
+from ...links import AcceptQueue, accept_connections, listen_tcp
 from ...links.messages import PeerRole
 from ...settings import load_gateway_settings
 from ..limit_keeper import run_rate_limiter
@@ -105,7 +105,7 @@
     assert peers is not None
     seeds = SeedList(path=path, seeds=settings.cluster.seeds)
     callers = build_caller_site(state)
-    ready = build_ready_site(state)
+    ready = build_ready_site(state, callers)
     children = [
         Child(name="callers", run=lambda: serve_http1(settings.gateway.caller_address, callers)),
         Child(name="ready", run=lambda: serve_http1(settings.gateway.ready_address, ready)),
@@ -143,17 +143,16 @@
             f"{settings.box.address}:{settings.cluster.metrics_port}", lambda: _metrics_lines(state)
         ),
         Child(name="expiry", run=lambda: _close_expired_connections(state), restart=Restart.ALWAYS),
+        Child(
+            name="reload",
+            run=lambda: reload_seeds(seeds, peers, load_gateway_settings),
+            restart=Restart.ALWAYS,
+        ),
     ]
     async with anyio.create_task_group() as tasks:
-
-        async def planned_stop() -> None:
-            await _stop(state, callers)
-            tasks.cancel_scope.cancel()
-
-        tasks.start_soon(on_stop_signal, planned_stop)
-        tasks.start_soon(reload_seeds, seeds, peers, load_gateway_settings)
+        tasks.start_soon(on_stop_signal, lambda: _stop(state, callers), tasks.cancel_scope)
         logger.info("gateway starts", extra={"seeds": list(settings.cluster.seeds)})
-        await supervise(children)
+        await supervise(children, states=state.children)
     logger.info("gateway stopped", extra={"counters": dict(state.metrics.counters)})
 
 
@@ -176,7 +175,7 @@
         await serve_relayed(state, stream)
 
     async with listener, anyio.create_task_group() as connections:
-        await accept_connections(listener, AcceptQueue(), serve_one, connections)
+        await accept_connections(listener, AcceptQueue(), serve_one, connections, tuned=True)
 
 
 def _metrics_lines(state: GatewayState) -> list[str]:
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -10,10 +10,9 @@
 import h11
 import msgspec
 
-from ..links import listen_tcp, tune_socket
+from ..links import AcceptQueue, accept_connections, listen_tcp
 from ..model import Problem, ResultCode
 from ..model.traffic import CallerLimits
-from .accepting import AcceptQueue, accept_connections
 
 if TYPE_CHECKING:
     from anyio.abc import SocketListener, SocketStream
@@ -103,6 +102,9 @@
     listening: anyio.CancelScope = msgspec.field(default_factory=anyio.CancelScope)
     """Cancelled to stop accepting connections; open connections are still served."""
 
+    is_open: bool = False
+    """True while connections are accepted."""
+
     accept_queue: AcceptQueue = msgspec.field(default_factory=AcceptQueue)
     """Accepted connections that wait to be served."""
 
@@ -357,12 +359,17 @@
     """Serve the connections of a listener until cancelled, and close it."""
     async with listener, anyio.create_task_group() as connections:
         with anyio.CancelScope() as site.listening:
-            await accept_connections(
-                listener,
-                site.accept_queue,
-                lambda stream: _serve_connection(stream, site),
-                connections,
-            )
+            site.is_open = True
+            try:
+                await accept_connections(
+                    listener,
+                    site.accept_queue,
+                    lambda stream: _serve_connection(stream, site),
+                    connections,
+                    tuned=True,
+                )
+            finally:
+                site.is_open = False
         await listener.aclose()
         await anyio.sleep_forever()
 
@@ -376,13 +383,10 @@
     )
     site.open_connections += 1
     try:
-        tune_socket(stream)
         await _serve_requests(connection)
     except DISCONNECT_ERRORS:
         # The caller closed or reset its connection; the request handler logs the effect.
         pass
-    except Exception:
-        logger.exception("connection failed")
     finally:
         site.open_connections -= 1
         with anyio.CancelScope(shield=True):
