Connections are read only as far as they are received

What callers saw: a faulty upstream that sends without end, or a caller that does not read, made the gateway's memory grow to 2.4 GB in a test of thirty callers; on a smaller machine the process ends with all its requests.

Cause: anyio pauses the transport of a connection that it opens itself, and not that of a socket it wraps, which is how all connections of the system are made. A wrapped connection reads from the start. Receiving pauses it only where it has to wait; a receiver that always finds bytes, as behind a fast peer or in a busy process, never waits, so that the transport reads on and queues everything. No bound on answers, events or framing sees that queue. In a trial of the client with 30 answers in tiny chunks, 1.9 MB were decoded while the queue of one connection grew by 2 MB in each interval of 0.15 s, to 43 MB; those of the other 29 held 3 to 5 MB together. Accepted connections do the same.

Fix: the connection is paused when it is wrapped, in the one place that wraps. Each pass of the event loop reads up to 32 times 256 KiB besides, while each read is full; a receive buffer of 128 KiB keeps a read from being full.

Evidence: test_tcp fails at both ends without the change.

--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -36,6 +36,10 @@
 supported, it overrides this number (tcp(7)), and a connection to a machine without power ends by
 that time."""
 
+RECEIVE_BUFFER_BYTES: Final = 128 * 1024
+"""Receive buffer of a connection. The event loop reads a connection up to 32 times in one pass,
+256 KiB each time, for as long as each read is full; a smaller buffer does not fill one."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split `host:port`.
@@ -119,7 +123,7 @@
 
 
 async def wrap_socket(raw: socket.socket) -> SocketStream:
-    """Return the stream over a connected socket.
+    """Return the stream over a connected socket, which is read only as far as it is received.
 
     Args:
         raw: The socket; the caller closes it if this fails.
@@ -127,11 +131,16 @@
     Raises:
         OSError: If the connection has failed.
     """
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     try:
-        return await SocketStream.from_socket(raw)
+        stream = await SocketStream.from_socket(raw)
     except ValueError as error:
         # Raised for a socket that is no longer connected.
         raise OSError(errno.ENOTCONN, os.strerror(errno.ENOTCONN)) from error
+    # Unlike connections that anyio opens, wrapped ones start out reading, and go on without a bound
+    # for as long as bytes are there whenever the receiver looks.
+    stream._transport.pause_reading()  # type: ignore[attr-defined]
+    return stream
 
 
 async def _finish_connecting(raw: socket.socket, peer: tuple[str, int]) -> None:
--- a/tests/links/test_tcp.py
+++ b/tests/links/test_tcp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 import threading
@@ -11,7 +12,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from ledgeladder.links import connect_tcp, is_port_closed, listen_tcp, tcp
-from ledgeladder.links.tcp import MAX_CLOSE_CHECKS
+from ledgeladder.links.tcp import MAX_CLOSE_CHECKS, wrap_socket
 
 
 def run(test) -> None:  # type: ignore[no-untyped-def]
@@ -129,3 +130,32 @@
         answered.set()
         server.join()
         listener.close()
+
+
+@pytest.mark.parametrize("accepted", [False, True])
+def test_connection_is_read_only_as_far_as_it_is_received(*, accepted: bool) -> None:
+    """Guards against a process that buffers, without a bound, what a fast peer sends."""
+    most_bytes = 8 * 1024 * 1024
+
+    async def flood() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            near = socket.socket()
+            near.connect(server.getsockname())
+            far, _ = server.accept()
+        own, peer = (far, near) if accepted else (near, far)
+        own.setblocking(False)
+        peer.setblocking(False)
+        sent = 0
+        stream = await wrap_socket(own)
+        with peer:
+            async with stream:
+                # Each read finds bytes that have arrived before it.
+                for _ in range(200):
+                    with contextlib.suppress(BlockingIOError):
+                        while sent <= most_bytes:
+                            sent += peer.send(b"x" * 65536)
+                    await anyio.sleep(0.001)
+                    assert await stream.receive(1) == b"x"
+        assert sent < most_bytes
+
+    run(flood)
