--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -13,6 +13,7 @@
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
+from ...http1.byte_account import ByteAccount
 from ...links import AcceptQueue
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
@@ -269,9 +270,6 @@
     connections: ConnectionPool = msgspec.field(default_factory=ConnectionPool)
     """Idle connections to upstreams."""
 
-    buffered_bytes: int = 0
-    """Bytes of the plain answers that are being read."""
-
     contended: frozenset[str] = frozenset()
     """Pools whose room is shared by priority, by the document in force."""
 
