--- a/src/ledgeladder/http1/crowding.py
+++ b/src/ledgeladder/http1/crowding.py
@@ -14,6 +14,7 @@
 from anyio.abc import SocketAttribute
 
 from ..links.accepting import MIN_CONNECTIONS, most_connections
+from ..links.tcp import RECEIVE_BUFFER_BYTES
 from .byte_account import ByteAccount, Holder, close_holder, give_back, open_holder, take
 
 if TYPE_CHECKING:
@@ -52,9 +53,6 @@
 RECEIVE_SHARE: Final = 1 / 8
 """Part of the account's limit that the receive buffers of all connections may have besides."""
 
-MAX_RECEIVE_BYTES: Final = 262144
-"""Receive buffer of a connection while there are few."""
-
 MIN_RECEIVE_BYTES: Final = 16384
 """Receive buffer of a connection in any case, the longest head of most platforms."""
 
@@ -64,7 +62,6 @@
 LOG_INTERVAL_SECONDS: Final = 1.0
 """Minimum interval between two log lines on connections that made way."""
 
-
 ACCOUNT_SHARE: Final = 1 / 8
 """Part of the memory that bytes held for others may use. The rest is for the program, its state,
 the buffers of sockets and copies that last for a pass of the event loop."""
@@ -198,13 +195,14 @@
         connections: Open connections of the listener. The more there are, the less each may have.
     """
     share = int(limit_bytes * RECEIVE_SHARE) // max(1, connections)
-    size = max(MIN_RECEIVE_BYTES, min(MAX_RECEIVE_BYTES, share))
+    if share >= RECEIVE_BUFFER_BYTES:
+        return
     try:
         raw = stream.extra(SocketAttribute.raw_socket)
     except AttributeError:
         # The connection was reset, and its transport has no socket any more.
         return
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max(MIN_RECEIVE_BYTES, share))
 
 
 class RequestBytes(msgspec.Struct, kw_only=True):
