--- a/tests/daemons/gateway/builders.py
+++ b/tests/daemons/gateway/builders.py
@@ -40,7 +40,7 @@
         start_queue=build_admission_queue(gateway_settings),
         upstream_queue=build_admission_queue(gateway_settings),
         room=build_room_admission(gateway_settings),
-        bytes_held=ByteAccount(limit_bytes=8 * 1024 * 1024),
+        bytes_held=ByteAccount(limit_bytes=32 * 1024 * 1024),
     )
 
 
