One set of errors for missing descriptors, and one import of the account

Two places that keep a control box running without descriptors each named the same two errors; they share one set now. A merge had left a second import of ByteAccount in the state of a gateway, at run time, beside that for types. Behaviour is unchanged; tests/storage, test_node, test_imports and test_state pass.

--- a/src/ledgeladder/daemons/control/node.py
+++ b/src/ledgeladder/daemons/control/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import random
 from typing import TYPE_CHECKING, Final
@@ -22,6 +21,7 @@
 )
 from ...model import Problem, ResultCode
 from ...storage import (
+    NO_DESCRIPTOR_ERRORS,
     Identity,
     Journal,
     StorageError,
@@ -270,7 +270,7 @@
     try:
         return load_snapshot(node.journal.folder)
     except OSError as error:
-        if error.errno not in (errno.EMFILE, errno.ENFILE):
+        if error.errno not in NO_DESCRIPTOR_ERRORS:
             raise
         logger.warning("snapshot not read", extra={"detail": str(error)})
         return None
--- a/src/ledgeladder/daemons/gateway/state.py
+++ b/src/ledgeladder/daemons/gateway/state.py
@@ -13,7 +13,6 @@
 from ...coordination.content_watch import EntryQuarantine
 from ...coordination.freshness import Freshness, is_fresh
 from ...http1 import ConnectionPool
-from ...http1.byte_account import ByteAccount
 from ...links import AcceptQueue
 from ...model.traffic import CallerLimits
 from ...routing.fleet_demand import FleetDemand
--- a/src/ledgeladder/storage/__init__.py
+++ b/src/ledgeladder/storage/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .errors import StorageError
+from .files import NO_DESCRIPTOR_ERRORS
 from .identity import (
     INITIAL_INCARNATION,
     Identity,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "INITIAL_INCARNATION",
+    "NO_DESCRIPTOR_ERRORS",
     "Identity",
     "Journal",
     "RecoveredState",
--- a/src/ledgeladder/storage/files.py
+++ b/src/ledgeladder/storage/files.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from io import FileIO
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ..model import ResultCode
 from .errors import storage_error
@@ -20,6 +20,10 @@
     """Syncs an open file descriptor to the disk; raises `OSError` on failure."""
 
 
+NO_DESCRIPTOR_ERRORS: Final = frozenset({errno.EMFILE, errno.ENFILE})
+"""Errors of opening a file for want of descriptors, which leave the disk as it was."""
+
+
 @contextmanager
 def translate_disk_errors(path: Path) -> Iterator[None]:
     """Translate an `OSError` inside the block into a `StorageError` with a result code.
@@ -115,6 +119,6 @@
     try:
         return FileIO(path, "w")
     except OSError as error:
-        if error.errno not in (errno.EMFILE, errno.ENFILE):
+        if error.errno not in NO_DESCRIPTOR_ERRORS:
             raise
         raise storage_error(ResultCode.DISK_FULL, f"{path}: {error.strerror}") from error
