Tests of ended processes share their fleets and their look at a port

The two fixtures of test_held_ports and test_reset_connections were the same to the letter, accepts stood in two modules, and the head of a request in a test and in standins/resets. Fixtures are in conftest, accepts in callers, the head in standins.

--- a/tests/daemons/callers.py
+++ b/tests/daemons/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,6 +16,12 @@
 KEY = {"authorization": "Bearer key-of-nilayam"}
 
 
+def accepts(address: tuple[str, int]) -> bool:
+    """Return True if connections to a port are accepted."""
+    with socket.socket() as caller:
+        return caller.connect_ex(address) == 0
+
+
 def complete(fleet: Fleet, entry: str, prompt: str, count: int) -> httpx.Response:
     """Send a completion request without streaming."""
     body = {"model": "captions", "prompt": prompt, "max_tokens": count}
--- a/tests/daemons/conftest.py
+++ b/tests/daemons/conftest.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from standins.discovered_fleet import DiscoveredFleet, running_discovered_fleet
 from standins.fleet import Fleet, running_fleet, wait_until
 
 from .callers import complete
@@ -32,6 +33,20 @@
         yield configure_and_wait(running)
 
 
+@pytest.fixture(scope="module")
+def listed() -> Iterator[Fleet]:
+    """A fleet with one entry box and without the proxy."""
+    with running_fleet(entries_per_domain=(1, 0, 0), services=1) as running:
+        yield configure_and_wait(running)
+
+
+@pytest.fixture(scope="module")
+def discovered() -> Iterator[DiscoveredFleet]:
+    """Gateways and registries with two engines and one service."""
+    with running_discovered_fleet(engines=2, services=1) as running:
+        yield running
+
+
 @pytest.fixture
 def healed(fleet: Fleet) -> Iterator[Fleet]:
     """The fleet; removes all faults and restarts all stopped processes after the test."""
--- a/tests/daemons/test_closed_output.py
+++ b/tests/daemons/test_closed_output.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import socket
 import subprocess
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,6 +11,8 @@
 
 from standins.discovered_fleet import DiscoveredFleet, wait_until
 
+from .callers import accepts
+
 CLOSED = {"output": ">&-", "output and error": ">&- 2>&-", "all": "<&- >&- 2>&-"}
 """What a shell closes before it becomes the process."""
 
@@ -32,12 +33,6 @@
         fleet.kill(name)
 
 
-def accepts(address: tuple[str, int]) -> bool:
-    """Return True if connections to a port are accepted."""
-    with socket.socket() as caller:
-        return caller.connect_ex(address) == 0
-
-
 @pytest.mark.parametrize("closed", list(CLOSED))
 @pytest.mark.parametrize("role", ["registry", "gateway"])
 def test_closed_output_ends_no_process(tmp_path: Path, role: str, closed: str) -> None:
--- a/tests/daemons/test_held_ports.py
+++ b/tests/daemons/test_held_ports.py
@@ -9,10 +9,10 @@
 import pytest
 
 from ledgeladder.links import split_address
-from standins.discovered_fleet import DiscoveredFleet, running_discovered_fleet, wait_until
-from standins.fleet import Fleet, running_fleet
+from standins.discovered_fleet import DiscoveredFleet, wait_until
+from standins.fleet import Fleet
 
-from .conftest import configure_and_wait
+from .callers import accepts
 from .test_gateway import request
 from .test_reset_connections import failures
 
@@ -30,24 +30,6 @@
         yield
 
 
-def accepts(address: tuple[str, int]) -> bool:
-    """Return True if connections to a port are accepted."""
-    with socket.socket() as caller:
-        return caller.connect_ex(address) == 0
-
-
-@pytest.fixture(scope="module")
-def discovered() -> Iterator[DiscoveredFleet]:
-    with running_discovered_fleet(engines=2, services=1) as running:
-        yield running
-
-
-@pytest.fixture(scope="module")
-def listed() -> Iterator[Fleet]:
-    with running_fleet(entries_per_domain=(1, 0, 0), services=1) as running:
-        yield configure_and_wait(running)
-
-
 @pytest.mark.parametrize(
     ("name", "offset", "serves"),
     [
--- a/tests/daemons/test_reset_connections.py
+++ b/tests/daemons/test_reset_connections.py
@@ -4,17 +4,15 @@
 
 import signal
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from ledgeladder.links import split_address
-from standins.discovered_fleet import DiscoveredFleet, running_discovered_fleet, wait_until
-from standins.fleet import Fleet, running_fleet
-from standins.resets import reset_connections
+from standins.discovered_fleet import DiscoveredFleet, wait_until
+from standins.fleet import Fleet
+from standins.resets import HEAD, reset_connections
 
-from .conftest import configure_and_wait
 from .test_gateway import request
 
 ROUNDS = 60
@@ -23,9 +21,6 @@
 PAUSE_SECONDS = 0.02
 """Between two rounds, so that the process runs in between."""
 
-HEAD = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-"""What some of the callers send before they reset their connection."""
-
 
 def reset_in_series(address: tuple[str, int]) -> None:
     """Reset a few connections at a time, again and again, and accept that some are refused."""
@@ -35,18 +30,6 @@
         time.sleep(PAUSE_SECONDS)
 
 
-@pytest.fixture(scope="module")
-def discovered() -> Iterator[DiscoveredFleet]:
-    with running_discovered_fleet(engines=2, services=1) as running:
-        yield running
-
-
-@pytest.fixture(scope="module")
-def listed() -> Iterator[Fleet]:
-    with running_fleet(entries_per_domain=(1, 0, 0), services=1) as running:
-        yield configure_and_wait(running)
-
-
 def failures(log: Path) -> int:
     """Return how often children of a process have failed, by its log."""
     return log.read_text().count('"child failed"')
