One look at the socket of a connection that may have failed

Three places asked a stream for its socket and each caught the AttributeError that anyio raises once the transport has closed it, one of them with a check of the descriptor besides. links.tcp.socket_of does both.

--- a/src/ledgeladder/http1/client.py
+++ b/src/ledgeladder/http1/client.py
@@ -9,9 +9,8 @@
 import anyio.lowlevel
 import h11
 import msgspec
-from anyio.abc import SocketAttribute
 
-from ..links import connect_tcp
+from ..links import connect_tcp, socket_of
 from ..model.exchange import FINAL_STATUSES
 
 if TYPE_CHECKING:
@@ -239,12 +238,8 @@
 
 def _is_readable(connection: UpstreamConnection) -> bool:
     """Return True if an idle connection has unexpected bytes or was closed by the upstream."""
-    try:
-        raw = connection.stream.extra(SocketAttribute.raw_socket)
-    except AttributeError:
-        # The connection has failed, and its transport has no socket any more.
-        return True
-    if raw.fileno() < 0:
+    raw = socket_of(connection.stream)
+    if raw is None:
         return True
     poller = select.poll()
     poller.register(raw.fileno(), select.POLLIN)
--- a/src/ledgeladder/http1/crowding.py
+++ b/src/ledgeladder/http1/crowding.py
@@ -11,10 +11,9 @@
 import anyio
 import h11
 import msgspec
-from anyio.abc import SocketAttribute
 
 from ..links.accepting import MIN_CONNECTIONS, most_connections
-from ..links.tcp import RECEIVE_BUFFER_BYTES
+from ..links.tcp import RECEIVE_BUFFER_BYTES, socket_of
 from .byte_account import ByteAccount, Holder, close_holder, give_back, open_holder, take
 
 if TYPE_CHECKING:
@@ -197,12 +196,9 @@
     share = int(limit_bytes * RECEIVE_SHARE) // max(1, connections)
     if share >= RECEIVE_BUFFER_BYTES:
         return
-    try:
-        raw = stream.extra(SocketAttribute.raw_socket)
-    except AttributeError:
-        # The connection was reset, and its transport has no socket any more.
-        return
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max(MIN_RECEIVE_BYTES, share))
+    raw = socket_of(stream)
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, max(MIN_RECEIVE_BYTES, share))
 
 
 class RequestBytes(msgspec.Struct, kw_only=True):
--- a/src/ledgeladder/links/__init__.py
+++ b/src/ledgeladder/links/__init__.py
@@ -11,7 +11,7 @@
     initiate_handshake,
     post_to_all,
 )
-from .tcp import connect_tcp, is_port_closed, listen_tcp, split_address, wrap_socket
+from .tcp import connect_tcp, is_port_closed, listen_tcp, socket_of, split_address, wrap_socket
 
 __all__ = [
     "AcceptQueue",
@@ -27,6 +27,7 @@
     "open_link",
     "post_to_all",
     "serve_links",
+    "socket_of",
     "split_address",
     "wrap_socket",
 ]
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -7,12 +7,11 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
-from anyio.abc import SocketAttribute
 
 from ..model import ProblemError
 from .accepting import AcceptQueue, accept_connections
 from .link import HANDSHAKE_TIMEOUT_SECONDS, accept_handshake, initiate_handshake
-from .tcp import connect_tcp, listen_tcp
+from .tcp import connect_tcp, listen_tcp, socket_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -43,6 +42,9 @@
 MAX_DOUBLINGS: Final = 16
 """Number of failed attempts after which delays and timeouts no longer grow in any case."""
 
+RESET: Final = "reset"
+"""Logged in the place of the address of a peer whose connection was reset."""
+
 LINK_ERRORS: Final = (
     OSError,
     TimeoutError,
@@ -81,11 +83,11 @@
 
 def _remote_address(stream: SocketStream) -> str:
     """Return the address of a peer, for the log."""
+    raw = socket_of(stream)
     try:
-        return str(stream.extra(SocketAttribute.remote_address, None))
-    except AttributeError:
-        # The connection was reset, and its transport has no socket any more.
-        return "reset"
+        return str(raw.getpeername()) if raw is not None else RESET
+    except OSError:
+        return RESET
 
 
 async def keep_link(
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 import anyio
-from anyio.abc import SocketListener, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketListener, SocketStream
 
 BACKLOG: Final = 65536
 """Length of the accept queue; the kernel caps it. If the queue is full, SYN packets are dropped and
@@ -147,6 +147,20 @@
     return stream
 
 
+def socket_of(stream: ByteStream) -> socket.socket | None:
+    """Return the socket of a connection, or None once the connection has failed.
+
+    Args:
+        stream: A connection over TCP.
+    """
+    try:
+        raw: socket.socket = stream.extra(SocketAttribute.raw_socket)
+    except AttributeError:
+        # anyio asks the transport, which has closed its socket.
+        return None
+    return raw if raw.fileno() >= 0 else None
+
+
 async def _finish_connecting(raw: socket.socket, peer: tuple[str, int]) -> None:
     code = raw.connect_ex(peer)
     if code == errno.EINPROGRESS:
