Tests of held ports and planned stops say each thing once

The wait for failed tries with its check stood twice in test_held_ports, the fleet with short planned stops in test_stop_answers and test_stop_relays.

--- a/tests/daemons/test_held_ports.py
+++ b/tests/daemons/test_held_ports.py
@@ -4,7 +4,9 @@
 
 import contextlib
 import socket
+import subprocess
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -30,6 +32,14 @@
         yield
 
 
+def assert_lives_through_tries(popen: subprocess.Popen[bytes], log: Path, before: int) -> None:
+    """Wait until a process has failed to listen often enough, and check that it lives."""
+    wait_until(
+        lambda: popen.poll() is not None or failures(log) >= before + TRIES, 60, "tried again"
+    )
+    assert popen.poll() is None
+
+
 @pytest.mark.parametrize(
     ("name", "offset", "serves"),
     [
@@ -54,13 +64,7 @@
     with held_port(address):
         discovered.restart(name)
         assert box.popen is not None
-        popen = box.popen
-        wait_until(
-            lambda: popen.poll() is not None or failures(box.log) >= before + TRIES,
-            60,
-            "tried again",
-        )
-        assert popen.poll() is None
+        assert_lives_through_tries(box.popen, box.log, before)
         if name == "gateway-1" and serves:
             wait_until(
                 lambda: request(discovered, "status", gateway=1).status_code == 200, 20, "ok"
@@ -88,12 +92,6 @@
     with held_port(address):
         listed.launch(name)
         assert process.popen is not None
-        popen = process.popen
-        wait_until(
-            lambda: popen.poll() is not None or failures(process.log) >= before + TRIES,
-            60,
-            "tried again",
-        )
-        assert popen.poll() is None
+        assert_lives_through_tries(process.popen, process.log, before)
     wait_until(lambda: accepts(address), 20, "listening")
     listed.wait_ready(20)
--- a/tests/daemons/test_stop_answers.py
+++ b/tests/daemons/test_stop_answers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 import signal
 import socket
@@ -91,15 +92,26 @@
     return example | {"routes": routes}
 
 
-@pytest.fixture(scope="module")
-def fleet() -> Iterator[DiscoveredFleet]:
+@contextlib.contextmanager
+def running_stoppable_fleet(**more: Any) -> Iterator[DiscoveredFleet]:
+    """Run two gateways with short planned stops; yields once both serve.
+
+    Args:
+        more: Further options of `running_discovered_fleet`.
+    """
     options = {"engines": 3, "services": 2, "gateways": 2, "stop_seconds": 4, "document": document}
-    with running_discovered_fleet(**options) as running:
+    with running_discovered_fleet(**options, **more) as running:
         for gateway in range(running.gateways):
             wait_until(lambda: is_served(running, gateway), 20, "requests served")  # noqa: B023
         yield running
 
 
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[DiscoveredFleet]:
+    with running_stoppable_fleet() as running:
+        yield running
+
+
 @pytest.fixture(autouse=True)
 def stopped_gateway(fleet: DiscoveredFleet) -> Iterator[None]:
     """Start the gateway that a test stopped, and let services answer fast again."""
--- a/tests/daemons/test_stop_relays.py
+++ b/tests/daemons/test_stop_relays.py
@@ -11,15 +11,15 @@
 
 import pytest
 
-from standins.discovered_fleet import DiscoveredFleet, running_discovered_fleet, wait_until
+from standins.discovered_fleet import DiscoveredFleet, wait_until
 
 from .test_stop_answers import (
     LONG_SECONDS,
     STOP_DELAYS_SECONDS,
     check_answers,
-    document,
     is_served,
     new_attempt,
+    running_stoppable_fleet,
     send,
     set_mode,
     wait_for_runs,
@@ -32,10 +32,7 @@
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[DiscoveredFleet]:
     """A fleet whose first gateway is cut off, and gets relayed connections from the second."""
-    options = {"engines": 3, "services": 2, "gateways": 2, "stop_seconds": 4, "document": document}
-    with running_discovered_fleet(cut_gateways=(0,), **options) as running:
-        for gateway in range(running.gateways):
-            wait_until(lambda: is_served(running, gateway), 20, "requests served")  # noqa: B023
+    with running_stoppable_fleet(cut_gateways=(0,)) as running:
         yield running
 
 
