A link that fails after each handshake is opened ever later

Cause: the delay before a link is opened again started anew with each handshake, which says nothing of what is handled on the link.

Change: links in a row that an unexpected error ended count by themselves, until one has lasted for 10 s. Links that are lost are opened again as soon as before.

Evidence: the new cases of `test_growing_delays` fail on the code before (it has no such delay; the count of failures was 0 after each handshake) and pass now.

--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -39,6 +39,9 @@
 MAX_RECONNECT_DELAY_SECONDS: Final = 2.0
 """Longest delay between two attempts; the delay doubles with each failure."""
 
+STABLE_LINK_SECONDS: Final = 10.0
+"""A link that lasted for this long ends a series of links that an unexpected error ended."""
+
 MAX_DOUBLINGS: Final = 16
 """Number of failed attempts after which delays and timeouts no longer grow in any case."""
 
@@ -101,11 +104,12 @@
         handler: Serves the link after each connect.
         rng: Random source of jitter, which spreads the reconnections to a restarted process.
     """
-    failures = 0
+    failures = faults = 0
+    linked_at = float("inf")
 
     async def serve(link: Link) -> None:
-        nonlocal failures
-        failures = 0
+        nonlocal failures, linked_at
+        failures, linked_at = 0, anyio.current_time()
         await handler(link)
 
     while True:
@@ -119,11 +123,27 @@
         except* Exception as errors:
             # Raised further, it would end the links to all other boxes.
             logger.error("link failed", extra={"remote": address}, exc_info=errors)
-        delay = min(RECONNECT_DELAY_SECONDS * 2**failures, MAX_RECONNECT_DELAY_SECONDS)
-        failures = min(failures + 1, MAX_DOUBLINGS)
+            if anyio.current_time() - linked_at >= STABLE_LINK_SECONDS:
+                faults = 0
+            # Not reset by the next handshake: the same message may fail again on each link.
+            faults = min(faults + 1, MAX_DOUBLINGS)
+        delay = reconnect_delay(max(failures, faults))
+        failures, linked_at = min(failures + 1, MAX_DOUBLINGS), float("inf")
         await anyio.sleep(delay * rng.uniform(0.5, 1.0))
 
 
+def reconnect_delay(failures: int) -> float:
+    """Return the longest delay before the next attempt to connect, in seconds.
+
+    Args:
+        failures: Number of consecutive failures, at most `MAX_DOUBLINGS`.
+
+    >>> [reconnect_delay(failures) for failures in (0, 1, 4, 5, 16)]
+    [0.1, 0.2, 1.6, 2.0, 2.0]
+    """
+    return min(RECONNECT_DELAY_SECONDS * 2**failures, MAX_RECONNECT_DELAY_SECONDS)
+
+
 def connect_timeout(failures: int) -> float:
     """Return the timeout of an attempt to connect, in seconds.
 
--- a/tests/test_growing_delays.py
+++ b/tests/test_growing_delays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import anyio
 import pytest
@@ -16,6 +17,10 @@
 FAILURES = 3000
 """Failures in a row; two to this power is no number of seconds any more."""
 
+IDENTITY = LinkIdentity(
+    cluster="c", role=PeerRole.ENTRY, box="b", failure_domain="d", instance="i", secret="s" * 16
+)
+
 
 def test_upstream_that_has_failed_for_hours_is_avoided_for_the_longest_time() -> None:
     """Guards against an overflow that ends each request which records a failure."""
@@ -53,9 +58,6 @@
 
     monkeypatch.setattr(endpoint, "open_link", open_link)
     monkeypatch.setattr(endpoint, "RECONNECT_DELAY_SECONDS", 0.0)
-    identity = LinkIdentity(
-        cluster="c", role=PeerRole.ENTRY, box="b", failure_domain="d", instance="i", secret="s" * 16
-    )
 
     async def handler(link: object) -> None:
         raise AssertionError
@@ -69,7 +71,44 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(stop)
-            await keep_link("10.0.0.1:1", identity, handler, rng=random.Random(1))
+            await keep_link("10.0.0.1:1", IDENTITY, handler, rng=random.Random(1))
 
     anyio.run(play)
     assert len(attempts) >= FAILURES
+
+
+@pytest.mark.parametrize(("seconds", "delays"), [(0.0, [1, 2, 3, 4]), (1.0, [1, 1, 1, 1])])
+def test_link_that_fails_after_each_handshake_is_opened_ever_later(
+    monkeypatch: pytest.MonkeyPatch, seconds: float, delays: list[int]
+) -> None:
+    """Guards against a link and a traceback twelve times a second, without end."""
+    failures: list[int] = []
+
+    async def open_link(address: str, identity: object, serve: Any, *, seconds: float) -> None:
+        await serve(None)
+
+    async def handler(link: object) -> None:
+        clock[0] += seconds
+        raise KeyError("planted")
+
+    clock = [0.0]
+
+    def reconnect_delay(count: int) -> float:
+        failures.append(count)
+        if len(failures) == len(delays):
+            scopes[0].cancel()
+        return 0.0
+
+    scopes: list[anyio.CancelScope] = []
+    monkeypatch.setattr(endpoint, "STABLE_LINK_SECONDS", 1.0)
+    monkeypatch.setattr(endpoint, "open_link", open_link)
+    monkeypatch.setattr(endpoint, "reconnect_delay", reconnect_delay)
+    monkeypatch.setattr(endpoint.anyio, "current_time", lambda: clock[0])
+
+    async def play() -> None:
+        with anyio.CancelScope() as scope:
+            scopes.append(scope)
+            await keep_link("10.0.0.1:1", IDENTITY, handler, rng=random.Random(1))
+
+    anyio.run(play)
+    assert failures == delays
