An error about one link to a control box ends no other

Seen: by reading, for the table of tasks; an error in the choice of links, or in the task of one link outside of `keep_link`, ended the links to all control boxes until the child ran again.

Cause: all links of a process share a task group, and only the serving of a link was contained.

Change: the task of a link and each choice log an unexpected error and end; the next choice starts the task again.

Evidence: both cases of `test_failed_task_of_one_link_ends_no_other` fail on the code before (the error leaves `run_peers`) and pass now.

--- a/src/ledgeladder/daemons/peers.py
+++ b/src/ledgeladder/daemons/peers.py
@@ -254,6 +254,9 @@
                 await keep_link(
                     f"{address}:{peers.link_port}", peers.identity, serve, rng=random.Random()
                 )
+    except Exception:
+        # Raised further, it would end the links to all other boxes. The choice starts it again.
+        logger.exception("task of a link failed", extra={"peer": address})
     finally:
         if peers.scopes.get(address) is scope:
             del peers.scopes[address]
@@ -286,7 +289,11 @@
     async with anyio.create_task_group() as tasks:
         peers.tasks = tasks
         while True:
-            if not peers.links:
-                add_peers(peers, seed_addresses(seeds.seeds))
-            _update_links(peers)
+            try:
+                if not peers.links:
+                    add_peers(peers, seed_addresses(seeds.seeds))
+                _update_links(peers)
+            except Exception:
+                # Raised further, it would end the established links.
+                logger.exception("choice of links failed")
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import anyio
+import pytest
 
 from ledgeladder.daemons import peers as peers_module
 from ledgeladder.daemons.peers import Peers, add_peers, primary_of, record_hint, run_peers
@@ -134,3 +135,24 @@
     up = run_until_settled(peers)
     assert up
     assert not up & peers.demand_readers
+
+
+@pytest.mark.parametrize("task", ["_expire_unreachable", "choose_controls"])
+def test_failed_task_of_one_link_ends_no_other(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, task: str
+) -> None:
+    """Guards against a box that loses its links to all control boxes by an error about one."""
+    peers = entry_peers(monkeypatch, reachable=set(CONTROLS))
+    sound: Any = getattr(peers_module, task)
+    calls: list[object] = []
+
+    def fail_third(*arguments: Any) -> Any:
+        calls.append(arguments)
+        if len(calls) == 3:
+            raise KeyError("planted")
+        return sound(*arguments)
+
+    monkeypatch.setattr(peers_module, task, fail_third)
+    assert len(run_until_settled(peers)) == 3
+    assert len(calls) > 3
+    assert [line.levelname for line in caplog.records].count("ERROR") == 1
