A command or check that fails does not end the link of its message

Cause: such a task ran directly in the task group of the link.

Change: `run_contained` runs tasks on which nothing else depends; it logs the error and ends alone. The own interface's background tasks use it too. Messages that are handled in order still end their link: later ones build upon them, and a new link begins with the whole state.

Evidence: the three cases of `test_separate_messages` (gateway, registry, control box of the own interface) fail on the code before and pass now.

--- a/src/ledgeladder/daemons/control/hub.py
+++ b/src/ledgeladder/daemons/control/hub.py
@@ -47,7 +47,7 @@
     post_contents,
 )
 from ..rate_lender import RateGranter, apply_limits, handle_grant_request, limit_update
-from ..supervisor import ChildState
+from ..supervisor import ChildState, run_contained
 from .node import submit
 
 if TYPE_CHECKING:
@@ -226,7 +226,7 @@
             while True:
                 message = await link.receive()
                 if isinstance(message, CommandRequest):
-                    tasks.start_soon(_handle_command_request, node, link, message)
+                    tasks.start_soon(run_contained, _handle_command_request, node, link, message)
                 else:
                     _handle_message(hub, node, control_names, link, message)
         finally:
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import secrets
 from typing import TYPE_CHECKING
@@ -19,7 +18,7 @@
 from ...routing.policy import CompiledPolicy, compile_policy
 from ...routing.retry_budget import RetryBudget
 from ...routing.upstream_table import UpstreamTable, update_upstreams
-from ..supervisor import ChildState
+from ..supervisor import ChildState, run_contained
 from .gate import Gate
 from .metrics import EntryMetrics
 
@@ -38,8 +37,6 @@
     from ..limit_keeper import RateLimiter
     from .command_client import CommandClient
 
-logger = logging.getLogger(__name__)
-
 
 class EntryContext(msgspec.Struct, kw_only=True):
     """State of one entry process."""
@@ -174,11 +171,4 @@
         work: Function to run.
         arguments: Arguments of the function.
     """
-
-    async def run() -> None:
-        try:
-            await work(*arguments)
-        except Exception:
-            logger.exception("background task failed")
-
-    context.background.start_soon(run)
+    context.background.start_soon(run_contained, work, *arguments)
--- a/src/ledgeladder/daemons/gateway/control_link.py
+++ b/src/ledgeladder/daemons/gateway/control_link.py
@@ -53,6 +53,7 @@
 from ...routing.upstream_reach import record_relay_peers
 from ..limit_keeper import handle_limit_message
 from ..peers import LINK_INACTIVITY_SECONDS, primary_of, record_hint
+from ..supervisor import run_contained
 from .borrowing import handle_quota_reply
 from .crashes import handle_quarantine_update, handle_suspect_update
 from .demand_reports import handle_demand_totals, report_demand
@@ -114,7 +115,7 @@
 
                     engine = handle_loss_update(state, message.instance)
                     if engine is not None:
-                        tasks.start_soon(confirm_loss, state, engine)
+                        tasks.start_soon(run_contained, confirm_loss, state, engine)
                 case SuspectUpdate():
                     handle_suspect_update(state, message)
                 case QuarantineUpdate():
--- a/src/ledgeladder/daemons/registry/peer_links.py
+++ b/src/ledgeladder/daemons/registry/peer_links.py
@@ -57,6 +57,7 @@
 from ..content_judge import handle_content_served, handle_crash_report, post_contents
 from ..peers import LINK_INACTIVITY_SECONDS, add_peers, record_hint
 from ..rate_lender import apply_limits, handle_grant_request, limit_update
+from ..supervisor import run_contained
 from .demand_totals import forget_demand, record_demand_report, record_demand_share
 from .full_notices import handle_full_notice, handle_full_report
 from .lending import handle_quota_request
@@ -192,7 +193,7 @@
         case JoinRequest() if is_control and box_of(message.member_id) == link.peer_box:
             state.node.record_applicant(message.member_id)
         case CommandRequest() if is_control:
-            tasks.start_soon(handle_command_request, state, link, message)
+            tasks.start_soon(run_contained, handle_command_request, state, link, message)
         case RegistrationUpdate() if is_control:
             for registration in merge_liveness(state.table, message.reported, anyio.current_time()):
                 broadcast_registration(state, registration, to_peers=False)
--- a/src/ledgeladder/daemons/supervisor.py
+++ b/src/ledgeladder/daemons/supervisor.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 from enum import StrEnum
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import anyio
 import msgspec
@@ -129,6 +129,19 @@
         await anyio.sleep(delay)
 
 
+async def run_contained(work: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    """Run a task on which nothing else depends, and log its failure.
+
+    Args:
+        work: Function to run.
+        arguments: Arguments of the function.
+    """
+    try:
+        await work(*arguments)
+    except Exception:
+        logger.exception("background task failed", extra={"task": work.__name__})
+
+
 def _is_fatal(error: Exception) -> bool:
     problem = find_problem(error)
     return problem is not None and problem.code in FATAL_CODES
