--- a/src/ledgeladder/settings/models.py
+++ b/src/ledgeladder/settings/models.py
@@ -99,6 +99,10 @@
     listen_operator_address: Address | None = None
     """Where to accept operators, if not at the address that others know."""
 
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = 0
+    """Memory that the process may use, in MB; bodies of operators get an eighth of it, at least 8
+    MB. 0 takes what the machine shows."""
+
     snapshot_entries: Annotated[int, msgspec.Meta(ge=10, le=1_000_000)] = 1000
     """Log entries after which a snapshot is taken."""
 
@@ -121,6 +125,10 @@
     body_limit_bytes: Annotated[int, msgspec.Meta(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
     """Longest request body."""
 
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = 0
+    """Memory that the process may use, in MB; requests of callers get an eighth of it, at least 8
+    MB. 0 takes what the machine shows."""
+
     queue_limit: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 256
     """Most requests that wait for an upstream."""
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -116,6 +116,8 @@
     """Fixed stall timeout of the entries; 0 to derive it from the pace of each stream."""
     stop_limit_seconds: float = 0.0
     """How long an entry that stops waits for requests in progress; 0 for the default."""
+    memory_mb: int = 0
+    """Memory of each box by the settings, in MB; 0 for the default."""
     spare_controls: int = 0
     """Additional listed control boxes, which start with an empty folder, as learners."""
     processes: dict[str, Process] = field(default_factory=dict)
@@ -222,6 +224,7 @@
                     "[control]",
                     f'data_folder = "{self.folder / name}"',
                     f"snapshot_entries = {self.snapshot_entries}",
+                    f"memory_mb = {self.memory_mb}",
                     f'listen_link_address = "{link}"',
                     f'listen_operator_address = "{operator}"',
                     "[[operators]]",
@@ -248,6 +251,7 @@
                     f'caller_address = "{caller}"',
                     f'link_address = "{link}"',
                     "stop_notice_seconds = 0.3",
+                    f"memory_mb = {self.memory_mb}",
                     f'route_choice = "{self.route_choice}"',
                     f"stall_seconds = {self.stall_seconds}" if self.stall_seconds else "",
                     (
