Test of retried cancellations: only those without an answer can time out

Seen: case [3] failed once at a load of about 14.

Cause: all cancellations of the test time out after 50 ms, also the one that is answered; on a busy machine that one is sent once more, and the engine gets one too many.

Change: the short time-out holds for the cancellations that get no answer. The count of those that arrive is checked as before.

--- a/tests/upstreams/test_engine.py
+++ b/tests/upstreams/test_engine.py
@@ -20,14 +20,21 @@
 ) -> None:
     """Guards against a suspended or busy stage that holds an abandoned request after a single
     unanswered cancellation."""
-    monkeypatch.setattr(engine, "CANCEL_REQUEST_TIMEOUT_SECONDS", 0.05)
     monkeypatch.setattr(engine, "CANCEL_RETRY_DELAY_SECONDS", 0.01)
     received: list[bytes] = []
 
+    def set_timeout() -> None:
+        # Only cancellations without an answer may time out, however slow the machine is.
+        seconds = 0.05 if len(received) < unanswered else 60.0
+        monkeypatch.setattr(engine, "CANCEL_REQUEST_TIMEOUT_SECONDS", seconds)
+
+    set_timeout()
+
     async def scenario() -> None:
         async def serve(stream: SocketStream) -> None:
             async with stream:
                 received.append(await stream.receive())
+                set_timeout()
                 if len(received) <= unanswered:
                     await sleep_forever()
                 await stream.send(ANSWER)
