The own interface bounds the bodies that it holds together

Cause: the class of the crowds at the platform's ports: a bound for each body, none for their sum, and a server that reads ahead of the application without the account seeing it.

Change: `read_held_body` holds the bodies of both ports in the account of the process until they are answered, and refuses what finds no room with 503 `MEMORY_FULL`, by its announced length before the body is read. The server reads two parts ahead with receive buffers of 32 KB. A change of an operator has 15 s to arrive, as requests of callers have. `entry.memory_mb` and `control.memory_mb` name the memory; an eighth of it is the account, at least 8 MB, by default of the machine's.

--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -15,9 +15,11 @@
 from ...coordination.commands import ChangeCommand, ChangeResult, RefusalCommand
 from ...coordination.orders import pending_orders
 from ...coordination.state_machine import check_base_version, previous_result
+from ...http1.crowding import RequestBytes, build_account
 from ...model import (
     ChangeDocument,
     Problem,
+    ProblemError,
     ResultCode,
     apply_objects,
     find_problems,
@@ -25,6 +27,7 @@
 from ...model.validation import check_model
 from ...routing.policy import validate_policies
 from ..clock import wall_clock_ms
+from ..held_body import read_held_body
 from ..http import not_found, problem_response
 from ..supervisor import failing_children
 from .hub import connected_boxes
@@ -56,6 +59,7 @@
     """
     operators = {operator.token_sha256: operator.name for operator in settings.operators}
     addresses = {peer.name: peer.operator_address for peer in settings.controls}
+    account = build_account(settings.control.memory_mb)
 
     def operator_of(request: Request) -> str | None:
         scheme, _, token = request.headers.get("authorization", "").partition(" ")
@@ -82,10 +86,14 @@
     async def change(request: Request, operator: str) -> Response:
         if not node.replica.is_leader:
             return refuse(_not_leader(node))
-        document = await _read_change(request)
-        if isinstance(document, Failure):
-            return refuse(document.failure())
-        outcome = await decide_change(node, document.unwrap(), operator)
+        held = RequestBytes(account=account)
+        try:
+            document = await _read_change(request, held)
+            if isinstance(document, Failure):
+                return refuse(document.failure())
+            outcome = await decide_change(node, document.unwrap(), operator)
+        finally:
+            held.release()
         if isinstance(outcome, Failure):
             return refuse(outcome.failure())
         result = outcome.unwrap()
@@ -136,14 +144,13 @@
     return Problem(code=ResultCode.NO_QUORUM, detail=detail, retry_after=2)
 
 
-async def _read_change(request: Request) -> Result[ChangeDocument, Problem]:
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > MAX_CHANGE_BYTES:
-            return Failure(Problem(code=ResultCode.BODY_TOO_LARGE))
+async def _read_change(request: Request, held: RequestBytes) -> Result[ChangeDocument, Problem]:
     try:
-        content = msgspec.json.decode(bytes(body))
+        body = await read_held_body(request, held, limit_bytes=MAX_CHANGE_BYTES)
+    except ProblemError as error:
+        return Failure(error.problem)
+    try:
+        content = msgspec.json.decode(body)
     except msgspec.DecodeError as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"body: {error}"))
     return check_model(content, ChangeDocument).alt(_change_problem)
--- a/src/ledgeladder/daemons/entry/caller_api.py
+++ b/src/ledgeladder/daemons/entry/caller_api.py
@@ -13,9 +13,11 @@
 from starlette.routing import Route
 
 from ...coordination.content_watch import compute_fingerprint
+from ...http1.crowding import RequestBytes
 from ...model import EXECUTION_HEADER, ProblemError, ResultCode
 from ...upstreams.service import ServiceAnswer, ServiceCall
 from ..http import CODE_HEADER, not_found, problem_response
+from ..metrics_page import account_gauges
 from ..supervisor import failing_children
 from .answers import (
     AnswerWriter,
@@ -85,6 +87,7 @@
             "version": context.configuration.version,
             "in_progress": context.in_progress,
             "failing_children": failing_children(context.children, anyio.current_time()),
+            **account_gauges(context.bytes_held),
         }
         return JSONResponse(page)
 
@@ -133,10 +136,11 @@
         context = self.context
         request_id = f"req-{secrets.token_hex(10)}"
         context.in_progress += 1
+        held = RequestBytes(account=context.bytes_held)
         try:
             check_configured(context)
             account = find_account(context, self.request)
-            content = await read_body(context, self.request)
+            content = await read_body(context, self.request, held)
             body: ChatBody | CompletionBody
             if self.chat:
                 body = parse_body(ChatBody, content)
@@ -167,6 +171,7 @@
             record_problem(context, error.problem, request_id)
             await problem_response(error.problem)(scope, receive, send)
         finally:
+            held.release()
             context.in_progress -= 1
 
 
@@ -191,13 +196,15 @@
                 response = problem_response(error.problem)
             await response(scope, receive, send)
 
+        held = RequestBytes(account=context.bytes_held)
         try:
-            content = await read_body(context, self.request)
+            content = await read_body(context, self.request, held)
             await cancel_on_disconnect(work, receive)
         except ProblemError as error:
             record_problem(context, error.problem, request_id)
             await problem_response(error.problem)(scope, receive, send)
         finally:
+            held.release()
             context.in_progress -= 1
 
     async def run(self, content: bytes) -> Response:
--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -5,31 +5,28 @@
 import hashlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
 from returns.result import Failure
-from starlette.requests import ClientDisconnect
 
 from ...model import ClientAccount, Pipeline, Problem, ProblemError, ResultCode
 from ...routing.admission import DEFAULT_RANK, Ticket, expected_wait, finish, submit
 from ...routing.policy import Decision, RequestFacts, evaluate_policy
 from ..clock import now
+from ..held_body import read_held_body
 from .metrics import record_duration
 from .stopping import ends_with_stop, refuse_unfinishable
 
 if TYPE_CHECKING:
     from starlette.requests import Request
 
+    from ...http1.crowding import RequestBytes
     from ...routing.upstream_table import UpstreamView
     from .context import EntryContext
 
 
-BODY_TIMEOUT_SECONDS: Final = 15.0
-"""Timeout for receiving the body of a request."""
-
-
 class Permit(msgspec.Struct, frozen=True, kw_only=True):
     """Permission to run a request, with its limits."""
 
@@ -105,27 +102,21 @@
     return account
 
 
-async def read_body(context: EntryContext, request: Request) -> bytes:
-    """Read a request body, limited in size and time.
+async def read_body(context: EntryContext, request: Request, held: RequestBytes) -> bytes:
+    """Read a request body, limited in size and time, and in size by all bodies together.
+
+    Args:
+        context: The entry's state.
+        request: The request.
+        held: What the account has for it. The caller releases it once the request is answered.
 
     Raises:
-        ProblemError: With code BODY_TOO_LARGE, MALFORMED_REQUEST if it is incomplete, or STOPPING.
+        ProblemError: With code BODY_TOO_LARGE, MEMORY_FULL, MALFORMED_REQUEST if it is incomplete,
+            or STOPPING.
     """
     limit = context.settings.entry.body_limit_bytes
-    body = bytearray()
-    try:
-        with (
-            ends_with_stop(context, may_have_run=False),
-            anyio.fail_after(BODY_TIMEOUT_SECONDS),
-        ):
-            async for chunk in request.stream():
-                body += chunk
-                if len(body) > limit:
-                    raise refusal(ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes")
-    except (TimeoutError, ClientDisconnect) as error:
-        detail = f"the body did not arrive within {BODY_TIMEOUT_SECONDS:g} s"
-        raise refusal(ResultCode.MALFORMED_REQUEST, detail) from error
-    return bytes(body)
+    with ends_with_stop(context, may_have_run=False):
+        return await read_held_body(request, held, limit_bytes=limit)
 
 
 def make_permit(
--- a/src/ledgeladder/daemons/entry/context.py
+++ b/src/ledgeladder/daemons/entry/context.py
@@ -28,6 +28,7 @@
 
     from anyio.abc import TaskGroup
 
+    from ...http1.byte_account import ByteAccount
     from ...links.messages import LinkMessage
     from ...model import ClientAccount
     from ...routing.admission import Ticket
@@ -62,6 +63,9 @@
     rng: random.Random
     """Random numbers for jitter and choices."""
 
+    bytes_held: ByteAccount
+    """Bytes that the process holds for its callers."""
+
     instance: str = msgspec.field(default_factory=lambda: secrets.token_hex(8))
     """Random id of this process instance."""
 
--- a/src/ledgeladder/daemons/entry/main.py
+++ b/src/ledgeladder/daemons/entry/main.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from ...http1.crowding import build_account
 from ...links import Link, LinkIdentity, serve_links
 from ...links.messages import PeerRole
 from ...routing.admission import Admission
@@ -69,6 +70,7 @@
         client=client,
         background=background,
         admission=admission,
+        bytes_held=build_account(settings.entry.memory_mb),
         select_engine=_engine_selector(settings, rng),
         rng=rng,
     )
--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -31,6 +31,13 @@
 KEEP_ALIVE_SECONDS: Final = 15.0
 """How long an idle connection to an upstream is kept."""
 
+RECEIVE_BUFFER_BYTES: Final = 16 * 1024
+"""Receive buffer of a connection of this server, which reads ahead of the application. The kernel
+doubles it. The account does not see what was read ahead, so that each connection has little."""
+
+QUEUED_EVENTS: Final = 2
+"""Parts of a body that the server reads ahead of the application."""
+
 GRACE_SECONDS: Final = 5.0
 """How long hypercorn waits for open connections during shutdown."""
 
@@ -129,7 +136,8 @@
     """
     config = Config()
     # Hypercorn would leave tasks behind if listening failed after its start.
-    config.bind = [f"fd://{bind_tcp(address).detach()}"]
+    config.bind = [f"fd://{bind_tcp(address, RECEIVE_BUFFER_BYTES).detach()}"]
+    config.max_app_queue_size = QUEUED_EVENTS
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
     config.graceful_timeout = grace_seconds
--- a/src/ledgeladder/http1/crowding.py
+++ b/src/ledgeladder/http1/crowding.py
@@ -210,8 +210,8 @@
     account: ByteAccount | None
     """Account of the process; None to count nothing."""
 
-    close: Callable[[], None]
-    """Closes the connection."""
+    close: Callable[[], None] = lambda: None
+    """Closes the connection, or ends the reading of the request."""
 
     holder: Holder | None = None
     """Holder in the account, if anything is held."""
@@ -264,7 +264,7 @@
         self.holder = None
 
     def _make_way(self) -> None:
-        logger.warning("connection closed to free memory, its request is incomplete")
+        logger.warning("incomplete request dropped to free memory")
         self.close()
 
 
--- a/src/ledgeladder/links/tcp.py
+++ b/src/ledgeladder/links/tcp.py
@@ -71,11 +71,12 @@
         raise
 
 
-def bind_tcp(address: str) -> socket.socket:
+def bind_tcp(address: str, receive_buffer_bytes: int | None = None) -> socket.socket:
     """Return a listening socket.
 
     Args:
         address: `host:port` to listen on, by IP address.
+        receive_buffer_bytes: Receive buffer of the accepted connections; None for the usual one.
 
     Raises:
         OSError: If listening on the address fails; the error names it.
@@ -84,6 +85,9 @@
     try:
         raw.setblocking(False)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer_bytes is not None:
+            # Accepted connections inherit it.
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         raw.bind(split_address(address))
         raw.listen(BACKLOG)
     except OSError as error:
