Test of hedged attempts: the answer comes after the retry, not after a time

Seen: test_attempt_is_hedged_only_if_a_retry_is_available[200.0] failed once at a load of about 20.

Cause: the attempt is checked after 6 ms, again 0.1 s later if the check was late, and answered after 0.2 s. A process that stands still for that long gets the answer first, and rightly sends no second attempt.

Change: with a retry available, the services answer once it was taken. The number of retries is checked as before.

--- a/tests/daemons/gateway/test_plain.py
+++ b/tests/daemons/gateway/test_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -192,12 +193,16 @@
 """Answer time of the services in the test below, after which a first attempt is overdue."""
 
 
-def answer_after(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
-    """Have all upstreams answer after some seconds."""
+def answer_after(
+    monkeypatch: pytest.MonkeyPatch, seconds: float, until: Callable[[], bool] = lambda: True
+) -> None:
+    """Have all upstreams answer after some seconds, and not before a condition holds."""
 
     async def open_late(*_args: Any, **options: Any) -> Any:
         options["record_sent"]()
         await anyio.sleep(seconds)
+        while not until():
+            await anyio.sleep(0.01)
         facts = SimpleNamespace(not_run=False, wrong_upstream=False, signed=True)
         headers = SimpleNamespace(raw_items=list)
         head = SimpleNamespace(status_code=200, headers=headers)
@@ -250,10 +255,10 @@
     monkeypatch: pytest.MonkeyPatch, reserve: float
 ) -> None:
     """Guards against losing a late attempt when the retry budget is used up."""
-    answer_after(monkeypatch, ANSWER_SECONDS)
+    budget = RetryWindow(ratio=0.0, reserve=reserve, seconds=10.0)
+    answer_after(monkeypatch, ANSWER_SECONDS, lambda: bool(budget.retries) or not reserve)
 
     async def play() -> int:
-        budget = RetryWindow(ratio=0.0, reserve=reserve, seconds=10.0)
         await forward(gateway_state(), budget)
         return len(budget.retries)
 
