--- a/src/ledgeladder/daemons/entry/checks.py
+++ b/src/ledgeladder/daemons/entry/checks.py
@@ -103,7 +103,7 @@
 
 
 async def read_body(context: EntryContext, request: Request, held: RequestBytes) -> bytes:
-    """Read a request body, limited in size and time, and in size by all bodies together.
+    """Read a request body within the limits on its size, its time and the memory of the process.
 
     Args:
         context: The entry's state.
--- a/src/ledgeladder/links/endpoint.py
+++ b/src/ledgeladder/links/endpoint.py
@@ -113,6 +113,7 @@
         await handler(link)
 
     while True:
+        has_failed = False
         try:
             await open_link(address, identity, serve, seconds=connect_timeout(failures))
         except* LINK_ERRORS as errors:
@@ -123,8 +124,10 @@
         except* Exception as errors:
             # Raised further, it would end the links to all other boxes.
             logger.error("link failed", extra={"remote": address}, exc_info=errors)
-            if anyio.current_time() - linked_at >= STABLE_LINK_SECONDS:
-                faults = 0
+            has_failed = True
+        if anyio.current_time() - linked_at >= STABLE_LINK_SECONDS:
+            faults = 0
+        if has_failed:
             # Not reset by the next handshake: the same message may fail again on each link.
             faults = min(faults + 1, MAX_DOUBLINGS)
         delay = reconnect_delay(max(failures, faults))
--- a/tests/test_growing_delays.py
+++ b/tests/test_growing_delays.py
@@ -77,11 +77,25 @@
     assert len(attempts) >= FAILURES
 
 
-@pytest.mark.parametrize(("seconds", "delays"), [(0.0, [1, 2, 3, 4]), (1.0, [1, 1, 1, 1])])
+@pytest.mark.parametrize(
+    ("seconds", "errors", "delays"),
+    [
+        (0.0, [KeyError, KeyError, KeyError, KeyError], [1, 2, 3, 4]),
+        (1.0, [KeyError, KeyError, KeyError, KeyError], [1, 1, 1, 1]),
+        (0.0, [KeyError, OSError, KeyError, OSError], [1, 1, 2, 2]),
+        (1.0, [KeyError, OSError, OSError, KeyError], [1, 0, 0, 1]),
+    ],
+)
 def test_link_that_fails_after_each_handshake_is_opened_ever_later(
-    monkeypatch: pytest.MonkeyPatch, seconds: float, delays: list[int]
+    monkeypatch: pytest.MonkeyPatch,
+    seconds: float,
+    errors: list[type[Exception]],
+    delays: list[int],
 ) -> None:
-    """Guards against a link and a traceback twelve times a second, without end."""
+    """Guards against a link and a traceback twelve times a second, without end.
+
+    Links that are lost, or that have lasted, are opened again as soon as ever.
+    """
     failures: list[int] = []
 
     async def open_link(address: str, identity: object, serve: Any, *, seconds: float) -> None:
@@ -89,7 +103,7 @@
 
     async def handler(link: object) -> None:
         clock[0] += seconds
-        raise KeyError("planted")
+        raise errors[len(failures)]
 
     clock = [0.0]
 
