Refused requests of the own interface end although their body is not read

Callers and operators saw: an answer, after which their connection stayed; each such request kept its socket, its place among those in progress and what it held, until the process ran out of them, and a planned stop waited for it to its end.

Cause: the server reports the end of an answer through the bounded queue that holds the body, and waits for room there. An application that answers without reading the body never makes any.

Change: while the last part of an answer is sent, the rest of the body is read and dropped.

--- a/src/ledgeladder/daemons/http.py
+++ b/src/ledgeladder/daemons/http.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING, Any, Final
 
+import anyio
 import httpx
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -15,9 +16,7 @@
 from ..model import EXECUTION_HEADER, Problem, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
-    import anyio
+    from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 CODE_HEADER: Final = "Ledgeladder-Code"
 """Header with the numbered result code."""
@@ -117,7 +116,7 @@
 
 
 async def serve_http(
-    app: Callable[..., Awaitable[None]],
+    app: ASGIApp,
     address: str,
     stop: anyio.Event,
     *,
@@ -144,4 +143,32 @@
     config.shutdown_timeout = grace_seconds
     config.h11_max_incomplete_size = HEADER_LIMIT_BYTES
     config.include_server_header = False
-    await serve(app, config, shutdown_trigger=stop.wait)
+    # The two packages describe the same messages with different types.
+    served: Any = _drop_unread_body(app)
+    await serve(served, config, shutdown_trigger=stop.wait)
+
+
+def _drop_unread_body(app: ASGIApp) -> ASGIApp:
+    """Return an application that reads and drops the rest of a body while its answer ends.
+
+    Hypercorn reports the end of an answer through the bounded queue that holds the body. It waits
+    for room there, for ever if nobody reads it.
+    """
+
+    async def run(scope: Scope, receive: Receive, send: Send) -> None:
+        async def drop() -> None:
+            while True:
+                await receive()
+
+        async def send_and_drop(message: Message) -> None:
+            if message["type"] != "http.response.body" or message.get("more_body"):
+                await send(message)
+                return
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(drop)
+                await send(message)
+                tasks.cancel_scope.cancel()
+
+        await app(scope, receive, send_and_drop)
+
+    return run
--- a/tests/daemons/test_crowded_own_interface.py
+++ b/tests/daemons/test_crowded_own_interface.py
@@ -105,6 +105,7 @@
         crowd.send((connection, payload) for connection in connections)
         check()
     check()
+    wait_until(lambda: descriptors() <= BASE_DESCRIPTORS, ANSWER_SECONDS, "the crowd is closed")
 
 
 def test_full_size_requests_are_served_in_calm(fleet: Fleet) -> None:
