Errors of this process are logged although its caller has left

Change: after a disconnect only the errors that a closed connection raises pass for one. `run_contained` names any callable.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ...http1 import HttpSite
+from ...http1.server import is_disconnect
 from ...links.endpoint import describe_error
 from ...model import ProblemError, ResultCode
 from ...model.traffic import RequestKind
@@ -60,7 +61,7 @@
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
             await write_problem(exchange, error.problem)
         except Exception as error:
-            if not exchange.disconnected:
+            if not (exchange.disconnected and is_disconnect(error)):
                 code = ResultCode.UNEXPECTED_ERROR
                 outcome = f"{code.name}: {describe_error(error)}"
                 state.metrics.counters[f"code-{code.name}"] += 1
--- a/src/ledgeladder/daemons/supervisor.py
+++ b/src/ledgeladder/daemons/supervisor.py
@@ -139,7 +139,9 @@
     try:
         await work(*arguments)
     except Exception:
-        logger.exception("background task failed", extra={"task": work.__name__})
+        logger.exception(
+            "background task failed", extra={"task": getattr(work, "__name__", repr(work))}
+        )
 
 
 def _is_fatal(error: Exception) -> bool:
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -61,6 +61,14 @@
 )
 """Errors that reading and writing raise once the connection is closed."""
 
+
+def is_disconnect(error: Exception) -> bool:
+    """Return True if an error, or each one of a group, may tell that a connection has ended."""
+    if isinstance(error, ExceptionGroup):
+        return error.split(DISCONNECT_ERRORS)[1] is None
+    return isinstance(error, DISCONNECT_ERRORS)
+
+
 # Result codes by the status hint of errors, from h11 or the checks below. Other hints mean a
 # malformed request.
 _RESULT_CODES: Final = {
@@ -408,12 +416,12 @@
         exchange = Exchange(stream=self.stream, protocol=self.protocol, site=self.site)
         try:
             await self._handle(request, exchange)
-        except Exception:
-            if exchange.disconnected:
+        except Exception as error:
+            if exchange.disconnected and is_disconnect(error):
                 return False
             path = request.target.partition(b"?")[0][:MAX_LOGGED_BYTES]
             logger.exception("request failed", extra={"path": path.decode("latin-1")})
-            if exchange.started:
+            if exchange.disconnected or exchange.started:
                 return False
             await self.site.write_problem(exchange, Problem(code=ResultCode.UNEXPECTED_ERROR))
         return self._is_reusable(exchange)
--- a/tests/daemons/gateway/test_app.py
+++ b/tests/daemons/gateway/test_app.py
@@ -91,20 +91,22 @@
 
 
 @pytest.mark.parametrize(
-    ("error", "has_left"),
+    ("error", "disconnected", "has_left"),
     [
-        (ValueError("planted"), False),
-        (ExceptionGroup("tasks", [KeyError("planted")]), False),
-        (OSError(errno.EMFILE, "no descriptors"), False),
-        (ExceptionGroup("tasks", [anyio.BrokenResourceError()]), False),
-        (anyio.BrokenResourceError(), True),
-        (ExceptionGroup("tasks", [OSError()]), True),
+        (ValueError("planted"), False, False),
+        (ExceptionGroup("tasks", [KeyError("planted")]), False, False),
+        (OSError(errno.EMFILE, "no descriptors"), False, False),
+        (ExceptionGroup("tasks", [anyio.BrokenResourceError()]), False, False),
+        (ValueError("planted"), True, False),
+        (anyio.BrokenResourceError(), True, True),
+        (ExceptionGroup("tasks", [OSError()]), True, True),
     ],
 )
 def test_unexpected_error_of_a_request_is_not_attributed_to_its_caller(
     monkeypatch: pytest.MonkeyPatch,
     caplog: pytest.LogCaptureFixture,
     error: Exception,
+    disconnected: bool,
     has_left: bool,
 ) -> None:
     """Guards against requests without an answer that were logged as if their caller had left."""
@@ -116,7 +118,7 @@
     monkeypatch.setattr(app, "permit_request", permit)
     monkeypatch.setattr(app, "is_starting", lambda *_: False)
     request = HttpRequest(method=b"POST", target=b"/x", headers=[], fields={})
-    exchange: Any = SimpleNamespace(complete=False, disconnected=has_left)
+    exchange: Any = SimpleNamespace(complete=False, disconnected=disconnected)
 
     async def run() -> None:
         await app.build_caller_site(state).handler(request, exchange)
