A process that starts without descriptors waits for them

Cause: what was made safe against want of descriptors is what a running process does; the event loop is created before any of it.

Change: a process goes on with its start once 32 descriptors can be opened, and says that it waits.

--- a/src/ledgeladder/daemons/launch.py
+++ b/src/ledgeladder/daemons/launch.py
@@ -8,12 +8,14 @@
 import logging
 import os
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import anyio
 from returns.result import Failure, Result, Success
 
+from ..links.accepting import EXHAUSTION_ERRORS
 from ..links.endpoint import describe_error
 from ..model import Problem, ProblemError, ResultCode, find_problem
 from ..settings import load_gateway_settings, load_registry_settings
@@ -49,6 +51,13 @@
 SETTINGS_VARIABLE: Final = "LEDGELADDER_NODE_FILE"
 """Environment variable with the path of the settings file."""
 
+START_DESCRIPTORS: Final = 32
+"""Descriptors that must be free before a process goes on with its start: for the event loop,
+signals, files and listeners. Some libraries abort the process for want of one."""
+
+START_RETRY_SECONDS: Final = 0.1
+"""Interval at which free descriptors are looked for."""
+
 LOOP_OPTIONS: Final = {"loop_factory": new_event_loop}
 """Options of the event loop of every daemon."""
 
@@ -166,6 +175,7 @@
     Returns:
         The exit code.
     """
+    wait_for_descriptors()
     record_start(data_folder)
     try:
         run()
@@ -184,6 +194,31 @@
     return EXIT_OK
 
 
+def wait_for_descriptors() -> None:
+    """Wait until `START_DESCRIPTORS` can be opened, as others may have them meanwhile."""
+    is_logged = False
+    while not _can_open(START_DESCRIPTORS):
+        if not is_logged:
+            logger.warning("too few descriptors to start", extra={"needed": START_DESCRIPTORS})
+        is_logged = True
+        time.sleep(START_RETRY_SECONDS)
+
+
+def _can_open(count: int) -> bool:
+    opened: list[int] = []
+    try:
+        while len(opened) < count:
+            opened += os.pipe()
+    except OSError as error:
+        if error.errno not in EXHAUSTION_ERRORS:
+            raise
+        return False
+    finally:
+        for number in opened:
+            os.close(number)
+    return True
+
+
 def end_with_problem(run: Callable[[], Any]) -> int:
     """Run a function; a `Problem` that it raises is printed and becomes an exit code.
 
