Deeply nested JSON of an upstream of the own interface is a malformed answer

Callers saw nothing yet; by a review, an engine whose load report is nested a few thousand deep made `read_load` raise a RecursionError, which ended the checks of all engines of that round, each time.

Cause: decoding raises that besides the library's own error; the platform's side knew it.

Change: one set of errors, `MALFORMED_JSON`, for reports, refusals, frames, the list of boxes and the changes of operators.

--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -26,6 +26,7 @@
 )
 from ...model.validation import check_model
 from ...routing.policy import validate_policies
+from ...upstreams.calls import MALFORMED_JSON
 from ..clock import wall_clock_ms
 from ..held_body import read_held_body
 from ..http import not_found, problem_response
@@ -151,7 +152,7 @@
         return Failure(error.problem)
     try:
         content = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"body: {error}"))
     return check_model(content, ChangeDocument).alt(_change_problem)
 
--- a/src/ledgeladder/upstreams/box_list.py
+++ b/src/ledgeladder/upstreams/box_list.py
@@ -8,7 +8,7 @@
 import httpx
 import msgspec
 
-from .calls import call
+from .calls import MALFORMED_JSON, call
 
 MAX_LIST_BYTES: Final = 1024 * 1024
 """Longest accepted list; an address takes about 30 bytes."""
@@ -39,5 +39,5 @@
         with anyio.fail_after(READ_TIMEOUT_SECONDS):
             _, content = await call(client, "GET", url, limit=MAX_LIST_BYTES)
         return msgspec.json.decode(content, type=BoxList)
-    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+    except (httpx.HTTPError, TimeoutError, *MALFORMED_JSON):
         return None
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -20,7 +20,7 @@
 
 from ..http1.backpressure import raise_for_backoff, read_backoff
 from ..routing.session import ReceiptStage, TokenFrame
-from .calls import call, check_status, read_short_body
+from .calls import MALFORMED_JSON, call, check_status, read_short_body
 from .fields import advertised_rate, raw_fields
 
 if TYPE_CHECKING:
@@ -259,7 +259,7 @@
         raise EngineUnreachableError(f"{type(error).__name__}: {error}") from error
     except httpx.HTTPError as error:
         raise EngineLostError(f"{type(error).__name__}: {error}") from error
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON as error:
         raise EngineLostError(f"malformed frame: {error}") from error
 
 
@@ -298,7 +298,7 @@
         raise EngineLostError(f"status {response.status_code}")
     try:
         body = msgspec.json.decode(content, type=RefusalBody)
-    except msgspec.DecodeError:
+    except MALFORMED_JSON:
         body = RefusalBody(reason=f"status {response.status_code}")
     raise EngineRefusedError(
         body, backoff_seconds=read_backoff(response.status_code, raw_fields(response))
@@ -382,7 +382,7 @@
             response, content = await call(client, "GET", f"http://{address}{LOAD_PATH}")
         raise_for_backoff(response.status_code, raw_fields(response))
         return msgspec.json.decode(content, type=EngineLoad)
-    except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
+    except (httpx.HTTPError, TimeoutError, *MALFORMED_JSON):
         return None
 
 
