One formula for the time that a whole body may take

The time of a body at the own interface repeated that of the platform's ports: a pause, and its length at the least pace. `IncomingBody.whole_seconds` serves both. No change of behaviour; the tests of crowding and of bad input pass as before.

--- a/src/ledgeladder/daemons/held_body.py
+++ b/src/ledgeladder/daemons/held_body.py
@@ -7,7 +7,7 @@
 import anyio
 from starlette.requests import ClientDisconnect
 
-from ..http1.crowding import MIN_BODY_BYTES_PER_SECOND, IncomingBody, RequestBytes
+from ..http1.crowding import IncomingBody, RequestBytes
 from ..model import Problem, ProblemError, ResultCode
 
 if TYPE_CHECKING:
@@ -38,32 +38,26 @@
     length = request.headers.get("content-length", "0")
     body = IncomingBody(announced=int(length) if length.isdecimal() else 0)
     try:
-        with anyio.fail_after(body_seconds(body)) as timeout, anyio.CancelScope() as reading:
+        with (
+            anyio.fail_after(body.whole_seconds(BODY_TIMEOUT_SECONDS)) as timeout,
+            anyio.CancelScope() as reading,
+        ):
             began_at = anyio.current_time()
             held.close = reading.cancel
             _require_room(body, held, limit_bytes)
             async for chunk in request.stream():
                 body.add(chunk)
                 _require_room(body, held, limit_bytes)
-                timeout.deadline = began_at + body_seconds(body)
+                timeout.deadline = began_at + body.whole_seconds(BODY_TIMEOUT_SECONDS)
             held.pin()
     except (TimeoutError, ClientDisconnect) as error:
-        detail = f"the body did not arrive within {body_seconds(body):g} s"
+        detail = f"the body did not arrive within {body.whole_seconds(BODY_TIMEOUT_SECONDS):g} s"
         raise _refusal(ResultCode.MALFORMED_REQUEST, detail) from error
     if reading.cancelled_caught:
         raise _refusal(ResultCode.MEMORY_FULL, f"made way for others after {body.size} bytes")
     return body.join()
 
 
-def body_seconds(body: IncomingBody) -> float:
-    """Return how long a body may take, by its announced length or what has arrived, in seconds.
-
-    >>> body_seconds(IncomingBody(announced=81920))
-    25.0
-    """
-    return BODY_TIMEOUT_SECONDS + max(body.size, body.announced) / MIN_BODY_BYTES_PER_SECOND
-
-
 def _require_room(body: IncomingBody, held: RequestBytes, limit_bytes: int) -> None:
     size = max(body.size, body.announced)
     if size > limit_bytes:
--- a/src/ledgeladder/http1/crowding.py
+++ b/src/ledgeladder/http1/crowding.py
@@ -307,8 +307,18 @@
             now: Time on the monotonic clock.
             idle_seconds: Longest pause.
         """
-        whole = idle_seconds + max(self.size, self.announced) / MIN_BODY_BYTES_PER_SECOND
-        return min(idle_seconds, self.began_at + whole - now)
+        return min(idle_seconds, self.began_at + self.whole_seconds(idle_seconds) - now)
+
+    def whole_seconds(self, pause_seconds: float) -> float:
+        """Return how long the whole body may take, by its announced length or what has arrived.
+
+        Args:
+            pause_seconds: Time besides that for its size.
+
+        >>> IncomingBody(announced=81920).whole_seconds(15.0)
+        25.0
+        """
+        return pause_seconds + max(self.size, self.announced) / MIN_BODY_BYTES_PER_SECOND
 
     def check_framing(self) -> None:
         """Reject a body whose chunks consist of little but framing.
