One site for what only monitoring reads

The pages of metrics and of readiness built the same site, with the same limits and connections. `build_monitor_site` serves both. No change of behaviour.

--- a/src/ledgeladder/daemons/gateway/readiness.py
+++ b/src/ledgeladder/daemons/gateway/readiness.py
@@ -6,17 +6,15 @@
 
 import anyio
 
-from ...http1 import HttpSite
-from ...http1.crowding import MONITORS_SHARE, ConnectionCounts
 from ...model import Problem, ResultCode
 from ...platform.exchange import READY_PATH
-from ..metrics_page import MONITOR_LIMITS
+from ..metrics_page import build_monitor_site
 from ..plain_problems import write_problem
 from ..supervisor import failing_children
 from .state import check_freshness
 
 if TYPE_CHECKING:
-    from ...http1 import Exchange, HttpRequest
+    from ...http1 import Exchange, HttpRequest, HttpSite
     from .state import GatewayState
 
 OK = 200
@@ -55,12 +53,7 @@
             code = ResultCode.STOPPING if state.stopping else ResultCode.STARTING
             await write_problem(exchange, Problem(code=code))
 
-    return HttpSite(
-        handler=handle,
-        write_problem=write_problem,
-        limits=lambda: MONITOR_LIMITS,
-        connection_counts=ConnectionCounts(share=MONITORS_SHARE),
-    )
+    return build_monitor_site(handle)
 
 
 def _ready_text(state: GatewayState) -> bytes:
--- a/src/ledgeladder/daemons/metrics_page.py
+++ b/src/ledgeladder/daemons/metrics_page.py
@@ -18,6 +18,7 @@
 
     from ..http1 import Exchange, HttpRequest
     from ..http1.byte_account import ByteAccount
+    from ..http1.server import Handler
     from ..model.demand import ClassDemand
 
 METRICS_PATH: Final = b"/metrics"
@@ -126,10 +127,19 @@
         body = "\n".join(lines()) + "\n"
         await exchange.answer(OK, [(b"Content-Type", b"text/plain; version=0.0.4")], body.encode())
 
-    site = HttpSite(
-        handler=handle,
+    site = build_monitor_site(handle)
+    return Child(name="metrics", run=lambda: serve_http1(address, site))
+
+
+def build_monitor_site(handler: Handler) -> HttpSite:
+    """Build a site that only monitoring reads, with few connections and no bodies.
+
+    Args:
+        handler: Answers its requests.
+    """
+    return HttpSite(
+        handler=handler,
         write_problem=write_problem,
         limits=lambda: MONITOR_LIMITS,
         connection_counts=ConnectionCounts(share=MONITORS_SHARE),
     )
-    return Child(name="metrics", run=lambda: serve_http1(address, site))
