One rule for errors that only tell that a caller has left

The server and the gateway's handler joined the same two conditions. `is_disconnect` takes the exchange and decides both. No change of behaviour.

--- a/src/ledgeladder/daemons/gateway/app.py
+++ b/src/ledgeladder/daemons/gateway/app.py
@@ -61,7 +61,7 @@
             state.metrics.counters[f"code-{error.problem.code.name}"] += 1
             await write_problem(exchange, error.problem)
         except Exception as error:
-            if not (exchange.disconnected and is_disconnect(error)):
+            if not is_disconnect(exchange, error):
                 code = ResultCode.UNEXPECTED_ERROR
                 outcome = f"{code.name}: {describe_error(error)}"
                 state.metrics.counters[f"code-{code.name}"] += 1
--- a/src/ledgeladder/http1/server.py
+++ b/src/ledgeladder/http1/server.py
@@ -61,14 +61,6 @@
 )
 """Errors that reading and writing raise once the connection is closed."""
 
-
-def is_disconnect(error: Exception) -> bool:
-    """Return True if an error, or each one of a group, may tell that a connection has ended."""
-    if isinstance(error, ExceptionGroup):
-        return error.split(DISCONNECT_ERRORS)[1] is None
-    return isinstance(error, DISCONNECT_ERRORS)
-
-
 # Result codes by the status hint of errors, from h11 or the checks below. Other hints mean a
 # malformed request.
 _RESULT_CODES: Final = {
@@ -253,6 +245,20 @@
         return self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
 
 
+def is_disconnect(exchange: Exchange, error: Exception) -> bool:
+    """Return True if an error, or each one of a group, only tells that the caller has left.
+
+    Args:
+        exchange: Exchange of the request.
+        error: What its handler raised.
+    """
+    if not exchange.disconnected:
+        return False
+    if isinstance(error, ExceptionGroup):
+        return error.split(DISCONNECT_ERRORS)[1] is None
+    return isinstance(error, DISCONNECT_ERRORS)
+
+
 class _Connection(msgspec.Struct, kw_only=True):
     """Connection of a caller, which serves requests one after another."""
 
@@ -417,7 +423,7 @@
         try:
             await self._handle(request, exchange)
         except Exception as error:
-            if exchange.disconnected and is_disconnect(error):
+            if is_disconnect(exchange, error):
                 return False
             path = request.target.partition(b"?")[0][:MAX_LOGGED_BYTES]
             logger.exception("request failed", extra={"path": path.decode("latin-1")})
