One set of errors for malformed input of other processes

Nine places named the errors of decoding, in three versions: JSON of upstreams, reports and registrations, documents, frames of links, changes of operators and the record of a process' life. `MALFORMED_ERRORS` of the model serves all. Some now list an error more, UnicodeDecodeError, which the library does not raise there; otherwise no change of behaviour.

--- a/src/ledgeladder/daemons/control/operator_api.py
+++ b/src/ledgeladder/daemons/control/operator_api.py
@@ -17,6 +17,7 @@
 from ...coordination.state_machine import check_base_version, previous_result
 from ...http1.crowding import RequestBytes, build_account
 from ...model import (
+    MALFORMED_ERRORS,
     ChangeDocument,
     Problem,
     ProblemError,
@@ -26,7 +27,6 @@
 )
 from ...model.validation import check_model
 from ...routing.policy import validate_policies
-from ...upstreams.calls import MALFORMED_JSON
 from ..clock import wall_clock_ms
 from ..held_body import read_held_body
 from ..http import not_found, problem_response
@@ -152,7 +152,7 @@
         return Failure(error.problem)
     try:
         content = msgspec.json.decode(body)
-    except MALFORMED_JSON as error:
+    except MALFORMED_ERRORS as error:
         return Failure(Problem(code=ResultCode.CHANGE_INVALID, detail=f"body: {error}"))
     return check_model(content, ChangeDocument).alt(_change_problem)
 
--- a/src/ledgeladder/links/frames.py
+++ b/src/ledgeladder/links/frames.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ..model import Problem, ProblemError, ResultCode
+from ..model import MALFORMED_ERRORS, Problem, ProblemError, ResultCode
 from .messages import LinkMessage
 
 LENGTH_PREFIX: Final = struct.Struct(">I")
@@ -120,7 +120,7 @@
     """
     try:
         return _DECODER.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except MALFORMED_ERRORS as error:
         raise _invalid(str(error)) from error
 
 
--- a/src/ledgeladder/model/__init__.py
+++ b/src/ledgeladder/model/__init__.py
@@ -16,7 +16,7 @@
     Upstream,
     UpstreamKind,
 )
-from .problem import Problem, ProblemError, find_problem
+from .problem import MALFORMED_ERRORS, Problem, ProblemError, find_problem
 from .route import LayerSpan, Route, Stage, covers_once
 
 __all__ = [
@@ -27,6 +27,7 @@
     "Configuration",
     "EXECUTION_HEADER",
     "Execution",
+    "MALFORMED_ERRORS",
     "Problem",
     "ProblemError",
     "Kind",
--- a/src/ledgeladder/model/problem.py
+++ b/src/ledgeladder/model/problem.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 from .codes import CODE_TABLE, Execution, ResultCode
 
+MALFORMED_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""Errors of decoding what another process wrote; the last one if it is nested too deeply."""
+
 
 class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """Why a request, change or command was refused or failed."""
--- a/src/ledgeladder/platform/configuration.py
+++ b/src/ledgeladder/platform/configuration.py
@@ -7,7 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..model import Problem, ResultCode
+from ..model import MALFORMED_ERRORS, Problem, ResultCode
 from ..model.traffic import (
     AccountKeys,
     CallerLimits,
@@ -137,7 +137,7 @@
     """
     try:
         document = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except MALFORMED_ERRORS as error:
         return _invalid(str(error))
     fault = _find_fault(document)
     if fault:
--- a/src/ledgeladder/platform/engine_calls.py
+++ b/src/ledgeladder/platform/engine_calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..coordination.engine_orders import EngineCall, EngineReport, OrderOutcome
+from ..model import MALFORMED_ERRORS
 from .exchange import encode_path
 from .registrations import upstream_of
 
@@ -115,6 +116,6 @@
     """
     try:
         report = _REPORT_DECODER.decode(body)
-    except (msgspec.DecodeError, RecursionError):
+    except MALFORMED_ERRORS:
         return None
     return EngineReport(slowdown=report.pace, started_orders=report.sequence, is_busy=report.busy)
--- a/src/ledgeladder/platform/registrations.py
+++ b/src/ledgeladder/platform/registrations.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from ..coordination.registrations import exit_registration
-from ..model import Problem, ResultCode
+from ..model import MALFORMED_ERRORS, Problem, ResultCode
 from ..model.registration import Holding, Registration, UpstreamState
 
 HEARTBEAT_LIMIT_BYTES: Final = 4096
@@ -101,7 +101,7 @@
     """
     started_ms = 0
     if body:
-        with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        with contextlib.suppress(*MALFORMED_ERRORS):
             started_ms = _DEREGISTRATION_DECODER.decode(body).born
     return exit_registration(instance_name(instance, started_ms), instance)
 
@@ -138,7 +138,7 @@
         return _invalid(f"{len(body)} bytes exceed {HEARTBEAT_LIMIT_BYTES}")
     try:
         heartbeat = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except MALFORMED_ERRORS as error:
         return _invalid(str(error))
     if INSTANCE_SEPARATOR in instance:
         return _invalid(f"id {instance!r}")
--- a/src/ledgeladder/storage/life.py
+++ b/src/ledgeladder/storage/life.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..model import MALFORMED_ERRORS
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -66,7 +68,7 @@
 def _read(folder: Path) -> Life | None:
     try:
         return msgspec.json.decode((folder / LIFE_FILE).read_bytes(), type=Life)
-    except (OSError, msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except (OSError, *MALFORMED_ERRORS):
         # Missing at the first start, and empty or torn if the disk was full or lost its power.
         return None
 
--- a/src/ledgeladder/upstreams/box_list.py
+++ b/src/ledgeladder/upstreams/box_list.py
@@ -8,7 +8,8 @@
 import httpx
 import msgspec
 
-from .calls import MALFORMED_JSON, call
+from ..model import MALFORMED_ERRORS
+from .calls import call
 
 MAX_LIST_BYTES: Final = 1024 * 1024
 """Longest accepted list; an address takes about 30 bytes."""
@@ -39,5 +40,5 @@
         with anyio.fail_after(READ_TIMEOUT_SECONDS):
             _, content = await call(client, "GET", url, limit=MAX_LIST_BYTES)
         return msgspec.json.decode(content, type=BoxList)
-    except (httpx.HTTPError, TimeoutError, *MALFORMED_JSON):
+    except (httpx.HTTPError, TimeoutError, *MALFORMED_ERRORS):
         return None
--- a/src/ledgeladder/upstreams/calls.py
+++ b/src/ledgeladder/upstreams/calls.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 import httpx
-import msgspec
 
 from ..model.exchange import FINAL_STATUSES
 
@@ -16,10 +15,6 @@
 """Longest body of an answer to a probe, a report, an order or a cancellation."""
 
 
-MALFORMED_JSON: Final = (msgspec.DecodeError, RecursionError)
-"""Errors of decoding JSON of another process; the second one if it is nested too deeply."""
-
-
 class AnswerTooLongError(httpx.RemoteProtocolError):
     """The body of an answer exceeds its limit."""
 
--- a/src/ledgeladder/upstreams/engine.py
+++ b/src/ledgeladder/upstreams/engine.py
@@ -19,8 +19,9 @@
 import msgspec
 
 from ..http1.backpressure import raise_for_backoff, read_backoff
+from ..model import MALFORMED_ERRORS
 from ..routing.session import ReceiptStage, TokenFrame
-from .calls import MALFORMED_JSON, call, check_status, read_short_body
+from .calls import call, check_status, read_short_body
 from .fields import advertised_rate, raw_fields
 
 if TYPE_CHECKING:
@@ -259,7 +260,7 @@
         raise EngineUnreachableError(f"{type(error).__name__}: {error}") from error
     except httpx.HTTPError as error:
         raise EngineLostError(f"{type(error).__name__}: {error}") from error
-    except MALFORMED_JSON as error:
+    except MALFORMED_ERRORS as error:
         raise EngineLostError(f"malformed frame: {error}") from error
 
 
@@ -298,7 +299,7 @@
         raise EngineLostError(f"status {response.status_code}")
     try:
         body = msgspec.json.decode(content, type=RefusalBody)
-    except MALFORMED_JSON:
+    except MALFORMED_ERRORS:
         body = RefusalBody(reason=f"status {response.status_code}")
     raise EngineRefusedError(
         body, backoff_seconds=read_backoff(response.status_code, raw_fields(response))
@@ -382,7 +383,7 @@
             response, content = await call(client, "GET", f"http://{address}{LOAD_PATH}")
         raise_for_backoff(response.status_code, raw_fields(response))
         return msgspec.json.decode(content, type=EngineLoad)
-    except (httpx.HTTPError, TimeoutError, *MALFORMED_JSON):
+    except (httpx.HTTPError, TimeoutError, *MALFORMED_ERRORS):
         return None
 
 
