--- a/src/ledgeladder/http1/byte_account.py
+++ b/src/ledgeladder/http1/byte_account.py
@@ -155,21 +155,6 @@
         give_back(account, holder, holder.bytes)
 
 
-def can_take(account: ByteAccount, count: int) -> bool:
-    """Return True if a new holder could take this many bytes, perhaps in place of larger ones.
-
-    Args:
-        account: The account.
-        count: Number of bytes, such as an announced length.
-    """
-    missing = account.taken_bytes + count - _part_of(account, count)
-    if missing <= 0:
-        return True
-    others = (item.bytes for item in account.holders.values() if not item.pinned)
-    floor = 0 if count <= account.small_bytes else count + 1
-    return sum(held for held in others if held >= floor) >= missing
-
-
 def _part_of(account: ByteAccount, size: int) -> int:
     """Return the bytes that may be taken in all once a holder has this size."""
     reserved = 0 if size <= account.small_bytes else account.reserved_bytes
--- a/tests/http1/test_byte_account.py
+++ b/tests/http1/test_byte_account.py
@@ -9,7 +9,6 @@
 from ledgeladder.http1.byte_account import (
     ByteAccount,
     Holder,
-    can_take,
     close_holder,
     give_back,
     open_holder,
@@ -20,6 +19,21 @@
 SEEDS = range(40)
 
 
+def can_take(account: ByteAccount, count: int) -> bool:
+    """Return True if a new holder could take this many bytes, perhaps in place of larger ones.
+
+    It follows from the rules by itself, as what `take` does is compared with it.
+    """
+    is_small = count <= account.small_bytes
+    part = account.limit_bytes - (0 if is_small else account.reserved_bytes)
+    missing = account.taken_bytes + count - part
+    if missing <= 0:
+        return True
+    others = (item.bytes for item in account.holders.values() if not item.pinned)
+    floor = 0 if is_small else count + 1
+    return sum(held for held in others if held >= floor) >= missing
+
+
 class Bed:
     """An account and the holders that callers still believe to be open."""
 
