--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""An acknowledged departure is forgotten when all processes are killed at once."""
+"""An acknowledged departure is forgotten when all registries and a gateway are killed at once."""
 
 from __future__ import annotations
 
@@ -45,15 +45,17 @@
     calm_at = acknowledged_at
     if TROUBLE:
         await asyncio.sleep(0.2)
-        for box in fleet.boxes:
+        # All of the core, and half of the gateways: the site file kills 0.55 of the machines.
+        killed = [*fleet.registries, fleet.gateways[0]]
+        for box in killed:
             box.signal(9)
-        for box in fleet.boxes:
+        for box in killed:
             box.kill()
-        fleet.note("every process killed")
+        fleet.note(f"killed: {', '.join(box.name for box in killed)}")
         await asyncio.sleep(DOWN_S)
-        for box in fleet.boxes:
+        for box in killed:
             box.start(bootstrap=False)
-        fleet.note("every process started again")
+        fleet.note("started again")
         # Calm machines are in touch `contactMs` after that; half a second is added for the start.
         calm_at = time.monotonic() + 0.5 + CONTACT_S
     await asyncio.sleep(max(0.0, acknowledged_at + LATE_S - time.monotonic()))
